Leases are relied on by the larger advance of monotonic and wall clock

Cause: a machine that is suspended whole wakes with a monotonic clock that stood still, and went on trusting its standing, the platform's list and its index claims for as long as it had slept. Ruled out: taking the larger of both clocks at each reading; the wall clock's grain of 1 ms adds up and the strict time runs up to twice too fast. So differences count only once they exceed 20 ms together. Conclusion: whoever waits a lease out still counts the monotonic clock alone.

--- a/src/index/prefixes.ts
+++ b/src/index/prefixes.ts
@@ -79,7 +79,7 @@
     const held = this.engines.get(engine.identifier);
     if (!held) return;
     held.flying -= tokens;
-    held.ledger.lostSight(this.clock.now(), unclaimed);
+    held.ledger.lostSight(this.clock.strict(), unclaimed);
   }
 
   /** The engine said that it found fewer blocks than claimed: everything from there on is no longer claimed. */
@@ -116,7 +116,7 @@
   }
 
   private lapse(identifier: string, held: Held): void {
-    for (const claim of held.ledger.lapse(this.clock.now(), held.flying)) finish(claim.tree.remove(identifier, claim.external));
+    for (const claim of held.ledger.lapse(this.clock.strict(), held.flying)) finish(claim.tree.remove(identifier, claim.external));
   }
 
   private held(engine: Engine): Held {
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -1,7 +1,9 @@
 /**
- * Time as a service. `now` is monotonic and private to the process: leases and limits use only it. `wall` is for
- * people reading logs and is never compared. Every wait in the program goes through `sleep`, so that the checker
- * may run the same tasks on its own time.
+ * Time as a service. `now` is monotonic and private to the process: limits, and whoever waits a lease out, use only it,
+ * so that they can only wait longer. Whoever relies on a lease counts by `strict`, which advances by the larger of what
+ * the monotonic and the wall clock advance: a machine that was suspended with its monotonic clock standing finds its
+ * leases lapsed, and a wall clock set forward only makes them lapse early. Every wait in the program goes through
+ * `sleep`, so that the checker may run the same tasks on its own time.
  */
 import { Injectable } from '@nestjs/common';
 
@@ -12,12 +14,42 @@
 
 export interface Clock {
   now(): Moment;
+  strict(): Moment;
   wall(): number;
   sleep(duration: Duration, signal?: AbortSignal): Promise<void>;
 }
 
+/** How far the wall clock may run ahead of the monotonic one before the difference is counted. */
+const SLACK = 20;
+
+/**
+ * Keeps the strict time. Small differences between the clocks, as of their grain or of slewing, are not counted each on
+ * its own but only once they add up to more than the slack; a wall clock set back changes nothing.
+ */
+export class Reckoner {
+  private lead: number;
+  private skew = 0;
+
+  constructor(private readonly now: () => number, private readonly wall: () => number) {
+    this.lead = wall() - now();
+  }
+
+  strict(): Moment {
+    const now = this.now();
+    const lead = this.wall() - now;
+    if (lead < this.lead) this.lead = lead;
+    else if (lead - this.lead > SLACK) {
+      this.skew += lead - this.lead;
+      this.lead = lead;
+    }
+    return (now + this.skew) as Moment;
+  }
+}
+
 @Injectable()
 export class SystemClock implements Clock {
+  private readonly reckoner = new Reckoner(() => this.now(), () => this.wall());
+
   now(): Moment {
     return performance.now() as Moment;
   }
@@ -26,6 +58,10 @@
     return Date.now();
   }
 
+  strict(): Moment {
+    return this.reckoner.strict();
+  }
+
   sleep(duration: Duration, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -1,6 +1,6 @@
 /**
  * A node's own standing: a lease that a majority of the core renews, or when the core is out of reach a majority of the
- * enrolled routers, counted from the moment the node asked. `holds`
+ * enrolled routers, counted strictly from the moment the node asked. `holds`
  * is asked immediately before each act the lease covers, since a process may have been frozen in between.
  */
 import type { Clock, Moment } from '../kernel/clock/clock.js';
@@ -37,11 +37,11 @@
   constructor(private readonly self: Self, private readonly inForce: InForce, private readonly vows: Vows, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly log: Log) {}
 
   holds(): boolean {
-    return !this.leaving && this.clock.now() < Math.max(this.until, this.vouched);
+    return !this.leaving && this.clock.strict() < Math.max(this.until, this.vouched);
   }
 
   get remaining(): number {
-    return Math.max(0, Math.max(this.until, this.vouched) - this.clock.now());
+    return Math.max(0, Math.max(this.until, this.vouched) - this.clock.strict());
   }
 
   /** Renews at once, as when a new generation came into force. */
@@ -61,7 +61,7 @@
       if (this.inForce.generation > 0 && !this.leaving) await Promise.all([this.renew(), this.seekVows()]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
-        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [['generation', this.inForce.generation], ['by', this.clock.now() < this.until ? 'core' : 'routers']]);
+        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [['generation', this.inForce.generation], ['by', this.clock.strict() < this.until ? 'core' : 'routers']]);
       }
       if (!woken && !signal.aborted) await within(this.clock, EVERY, nudged);
     }
@@ -74,7 +74,7 @@
   }
 
   private async renew(): Promise<void> {
-    const asked = this.clock.now();
+    const asked = this.clock.strict();
     const { report } = this.vows;
     const { members } = this.roster.core;
     const quorum = majority(members.length);
@@ -95,7 +95,7 @@
   /** Cut off from the core: a majority of the enrolled routers, this one counted, may vouch for it. */
   private async seekVows(): Promise<void> {
     const document = this.inForce.whole;
-    const asked = this.clock.now();
+    const asked = this.clock.strict();
     if (!document?.enrolled.has(this.self.node) || this.until - asked > WORRY) return;
     const quorum = majority(document.enrolled.size);
     const others = [...document.enrolled].filter(([name]) => name !== this.self.node);
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -333,7 +333,7 @@
     const body = JSON.stringify({ ...Object.fromEntries(trip.request.body), stream: true, stream_options: { include_usage: true }, max_tokens: trip.reply });
     const headers = new Map([['content-type', 'application/json'], ['x-request-id', passageId], ['x-caller-request-id', trip.request.id], ['x-firm', trip.request.firm], ['x-claimed-blocks', String(Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens))]]);
     const reserve = trip.tokens + trip.reply + this.params.blockTokens;
-    const sentAt = this.clock.now();
+    const sentAt = this.clock.strict();
     this.prefixes.fly(engine, reserve);
     trip.chart.step('sent', engine.identifier);
     const stop = new AbortController();
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -71,7 +71,7 @@
   }
 
   get age(): number {
-    return this.clock.now() - this.origin;
+    return this.clock.strict() - this.origin;
   }
 
   /** The engines whose place is confirmed right now; none once the news is too old. */
@@ -104,7 +104,7 @@
   }
 
   private async askPeer(address: string): Promise<boolean> {
-    const asked = this.clock.now();
+    const asked = this.clock.strict();
     const reply = await this.peers.ask(address, News, { age: Math.min(this.age, 1e9) }, ASK_LIMIT);
     return reply.caseOf({
       Left: () => false,
@@ -117,10 +117,11 @@
   }
 
   private async poll(spacing: number): Promise<void> {
-    const asked = this.clock.now();
-    if (asked < this.notBefore || asked < this.mayPoll) return;
-    this.mayPoll = later(asked, spacing * 0.8);
+    const now = this.clock.now();
+    if (now < this.notBefore || now < this.mayPoll) return;
+    this.mayPoll = later(now, spacing * 0.8);
     this.polls += 1;
+    const asked = this.clock.strict();
     const got = await this.fetch(1000);
     got.caseOf({
       Left: ({ reason, peer }) => this.log('poll-failed', [['peer', peer], ['reason', reason]]),
--- a/src/sim/day.ts
+++ b/src/sim/day.ts
@@ -431,7 +431,7 @@
         return this.publish();
       }
       case 'platform-dark':
-        for (const name of routerNames) world.cut(name, 'platform');
+        world.cut(routerNames, ['platform']);
         world.at(300, () => this.strike('engine-leaves', 0));
         return heal();
       case 'lossy-net':
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -3,11 +3,12 @@
  * here; every event is a timer, a frame or a disk operation coming due, taken one at a time in the order of due time,
  * and all that follows from one has run before the next is taken. With one seed a run repeats exactly.
  *
- * A frozen host keeps its clock running, as a stopped process does, but nothing reaches it until it thaws. A dead host
- * never hears anything again: its tasks hang where they stand.
+ * A frozen host keeps its clock running, as a stopped process does, but nothing reaches it until it thaws. A suspended
+ * one stands still with its monotonic clock, as a whole machine that sleeps; its wall clock goes on. A dead host never
+ * hears anything again: its tasks hang where they stand.
  */
 import { Right } from 'purify-ts';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { Reckoner, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Disk } from '../kernel/disk/disk.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { Inbox, type Channel, type Listener, type Net } from '../kernel/net/net.js';
@@ -70,7 +71,8 @@
   readonly random: Random;
   readonly net: NetParams = { latency: 1, jitter: 1, mishap: () => 'pass' };
   private readonly agenda = new Agenda();
-  private readonly cuts = new Set<string>();
+  /** How many faults under way cut each way. */
+  private readonly cuts = new Map<string, number>();
   private readonly listeners = new Map<string, { host: Host; accept: (channel: Channel) => void }>();
   private count = 0;
 
@@ -106,15 +108,18 @@
     return value.held;
   }
 
-  cut(from: string, to: string): void {
-    this.cuts.add(`${from}>${to}`);
+  /** Cuts the ways from some hosts to others, in that direction only; what comes back mends just this cut. */
+  cut(some: readonly string[], others: readonly string[]): () => void {
+    const ways = some.flatMap((from) => others.filter((to) => to !== from).map((to) => `${from}>${to}`));
+    const add = (by: number): void => ways.forEach((way) => this.cuts.set(way, Math.max(0, (this.cuts.get(way) ?? 0) + by)));
+    add(1);
+    return () => add(-1);
   }
 
-  part(some: readonly string[], others: readonly string[]): void {
-    for (const a of some) for (const b of others) {
-      this.cut(a, b);
-      this.cut(b, a);
-    }
+  /** Cuts both directions between some hosts and others. */
+  part(some: readonly string[], others: readonly string[]): () => void {
+    const mends = [this.cut(some, others), this.cut(others, some)];
+    return () => mends.forEach((mend) => mend());
   }
 
   heal(): void {
@@ -122,7 +127,7 @@
   }
 
   isCut(from: string, to: string): boolean {
-    return this.cuts.has(`${from}>${to}`);
+    return (this.cuts.get(`${from}>${to}`) ?? 0) > 0;
   }
 
   listen(host: Host, address: string, accept: (channel: Channel) => void): void {
@@ -148,6 +153,10 @@
 export class Host {
   dead = false;
   private frozen = false;
+  private sleepsSince: number | undefined;
+  /** For how long in all the machine was suspended, and how far its wall clock was set forward or back. */
+  private slept = 0;
+  private jumped = 0;
   private readonly held: Array<() => void> = [];
   private readonly channels = new Set<SimChannel>();
   readonly clock: Clock;
@@ -175,8 +184,28 @@
     this.frozen = true;
   }
 
+  /** The whole machine sleeps; its monotonic clock stands until it thaws. */
+  suspend(): void {
+    this.freeze();
+    this.sleepsSince ??= this.world.now;
+  }
+
+  jump(by: number): void {
+    this.jumped += by;
+  }
+
+  get monotonic(): number {
+    return (this.sleepsSince ?? this.world.now) - this.slept;
+  }
+
+  get wall(): number {
+    return 1_700_000_000_000 + this.world.now + this.jumped;
+  }
+
   thaw(): void {
     this.frozen = false;
+    if (this.sleepsSince !== undefined) this.slept += this.world.now - this.sleepsSince;
+    this.sleepsSince = undefined;
     for (const run of this.held.splice(0)) this.later(0, run);
   }
 
@@ -196,17 +225,22 @@
 }
 
 class SimClock implements Clock {
-  /** Jumps of the wall clock; nothing but what people read may follow it. */
-  private readonly epoch = 1_700_000_000_000;
+  private readonly reckoner: Reckoner;
 
-  constructor(private readonly host: Host) {}
+  constructor(private readonly host: Host) {
+    this.reckoner = new Reckoner(() => this.now(), () => this.wall());
+  }
 
   now(): Moment {
-    return this.host.world.now as Moment;
+    return this.host.monotonic as Moment;
   }
 
   wall(): number {
-    return this.epoch + this.host.world.now;
+    return this.host.wall;
+  }
+
+  strict(): Moment {
+    return this.reckoner.strict();
   }
 
   sleep(duration: number, signal?: AbortSignal): Promise<void> {
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -23,6 +23,10 @@
 
 interface Fault {
   readonly freeze?: number;
+  /** The first node's whole machine is suspended, its monotonic clock standing. */
+  readonly suspend?: number;
+  /** The first node's wall clock is set by this much, and so is every member's. */
+  readonly jump?: number;
   readonly restart?: readonly number[];
   /** The first node is cut off from the core, and maybe from the other nodes too. */
   readonly cut?: 'core' | 'all';
@@ -86,6 +90,11 @@
     nodes[0]!.host.freeze();
     world.at(fault.freeze, () => nodes[0]!.host.thaw());
   }
+  if (fault.suspend !== undefined) {
+    nodes[0]!.host.suspend();
+    world.at(fault.suspend, () => nodes[0]!.host.thaw());
+  }
+  if (fault.jump !== undefined) for (const { host } of [nodes[0]!, ...cores]) host.jump(fault.jump);
   if (fault.cut) world.part(['n'], ['core-0', 'core-1', 'core-2', ...(fault.cut === 'all' ? ['m', 'o'] : [])]);
   if (fault.cut) await world.run(world.now + 7000);
   if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(fault.cut === 'core');
@@ -119,6 +128,12 @@
   for (const freeze of [200, 1500, 4000, 4990, 5200, 8000]) await run(new Map(), { freeze });
 });
 
+test('nor while a whole machine is suspended with its monotonic clock standing, or clocks are set forward or back', async () => {
+  for (const suspend of [200, 1500, 4000, 4990, 5200, 8000, 15_000]) await run(new Map(), { suspend });
+  for (const jump of [-3_600_000, -5000, 5000, 3_600_000]) for (const freeze of [0, 3000, 8000]) await run(new Map(), { jump, freeze });
+  for (const suspend of [3000, 8000]) for (const restart of [[0], [0, 1, 2]]) await run(new Map(), { suspend, restart });
+});
+
 test('nor when members are started again and have forgotten their grants', async () => {
   for (const restart of [[0], [0, 1], [0, 1, 2]]) for (const freeze of [0, 3000, 7000]) await run(new Map(), { restart, freeze });
 });
--- a/test/unit/overreach.test.ts
+++ b/test/unit/overreach.test.ts
@@ -52,7 +52,7 @@
       const claim = prefixes.find(namespace, blocks).get('e') ?? 0;
       judgeClaim(claim, names);
       const slot = chooser.take(choice, need);
-      const sentAt = clock.now();
+      const sentAt = clock.strict();
       const reserve = need.prompt + 16;
       prefixes.fly(engine, reserve);
       tally.sent += 1;
@@ -91,3 +91,19 @@
   }
   expect(blind).toBeGreaterThan(0);
 });
+
+test('a router whose machine was suspended claims nothing that the others pushed out meanwhile', async () => {
+  const world = new World(1);
+  const host = new Host(world, 'r', '127.0.0.1:2');
+  const prefixes = new Prefixes(host.clock, law, tokens);
+  const blocks = blocksOf(Buffer.alloc(size * 10, 'timetable '), size, rootHash(namespace));
+  const claimed = (): number => prefixes.find(namespace, blocks).get('e') ?? 0;
+  prefixes.store(engine, 1, { namespace, parent: undefined, depth: 0, blocks, touched: host.clock.strict() });
+  await world.run(1000);
+  expect(claimed()).toBe(10);
+  host.suspend();
+  await world.run(20_000);
+  host.thaw();
+  expect(host.clock.now()).toBe(1000);
+  expect(claimed()).toBe(0);
+});
