Claims on ids are kept on the core's disks, and outlast a herd kill

Cause: claims lived in three routers' memory. When two of an id's three holders lost it at once, the id was protected for 6 s; sent again later, the request ran a second time. Ruled out: longer windows (service of such requests stops for as long); copies in more memories (a kill of all still loses them); times in ids (they are the callers'). Change: a majority of the core must also keep the claim, in synced writes that are shared; a holder that lost its memory reads back from there; a member new to the core asks the others first. Without the core, memory alone, brought to the core later.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -7,6 +7,8 @@
 import type { INestApplicationContext } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { Registry } from 'prom-client';
+import type { Claims } from '../claim/claims.js';
+import type { Keeper } from '../claim/keeper.js';
 import { CoreModule, CoreNode } from '../core/module.js';
 import { CallersController } from '../faces/callers/controller.js';
 import { openFace } from '../faces/common/face.js';
@@ -23,7 +25,6 @@
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import type { PassageEvent } from '../passage/chart.js';
-import type { Claims } from '../passage/claims.js';
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import { RouterModule, RouterNode } from '../router/module.js';
@@ -48,6 +49,7 @@
   const claims = context.get<Claims>(names.claims);
   gauge(registry, 'claims_open', 'Whether this router grants claims on ids', () => Number(claims.open));
   gauge(registry, 'claims_held', 'Ids remembered here', () => claims.size);
+  gauge(registry, 'claims_unkept', 'Ids of own requests that no disk holds yet', () => claims.unkeptSize);
   gauge(registry, 'list_age_ms', 'Age of the engine list', () => Math.min(news.age, 1e9));
   gauge(registry, 'list_polls', 'Polls of the platform by this node', () => news.polls);
   gauge(registry, 'engines_placed', 'Engines with a confirmed place', () => news.placed().size);
@@ -55,6 +57,14 @@
   for (const name of prefixes.counts.keys()) gauge(registry, `index_${name}`, `Index: ${name}`, () => prefixes.counts.get(name) ?? 0);
 };
 
+const coreMetrics = (registry: Registry, context: INestApplicationContext): void => {
+  const keeper = context.get<Keeper>(names.keeper);
+  gauge(registry, 'claims_kept', 'Ids kept on this disk', () => keeper.size);
+  gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () => Number(keeper.whole));
+  gauge(registry, 'claim_writes', 'Synced writes of claims since the start', () => keeper.writes);
+  gauge(registry, 'claims_written', 'Claims in those writes', () => keeper.kept);
+};
+
 const openServices = (context: INestApplicationContext, tokens: readonly string[]): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
 
 export const runDaemon = async (role: 'core' | 'router', params: Params, reread: Reread): Promise<number> => {
@@ -73,6 +83,7 @@
   gauge(registry, 'generation_in_force', 'The generation in force here', () => context.get<InForce>(names.inForce).generation);
   gauge(registry, 'resident_bytes', 'Resident memory', () => process.memoryUsage().rss);
   if (role === 'router') routerMetrics(registry, context);
+  else coreMetrics(registry, context);
   let stopping = false;
   const status: ReadyQuestion = () => (stopping ? 'stopping' : node.ready());
   const services = openServices(context, [names.operations, names.schema, names.keys, names.random]);
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -1,5 +1,6 @@
 /** The services of a core node: the member with its disk, the leases it grants, and the tasks that keep it up to date. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Keeper } from '../claim/keeper.js';
 import { Operations } from '../api/operations.js';
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
@@ -31,6 +32,7 @@
     @Inject(names.params) private readonly params: Params,
     @Inject(names.peers) private readonly peers: Peers,
     @Inject(names.member) private readonly member: Member,
+    @Inject(names.keeper) private readonly keeper: Keeper,
     @Inject(names.roster) private readonly roster: Roster,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
@@ -45,6 +47,8 @@
   async start(): Promise<Outcome<unknown>> {
     const started = await this.member.start();
     if (started.isLeft()) return started;
+    const kept = await this.keeper.start();
+    if (kept.isLeft()) return kept;
     this.grants = new Grants(this.member, this.peers, this.clock);
     this.grants.serve();
     this.view.serve();
@@ -59,6 +63,7 @@
     const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
+    void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
     if (this.params.form) void this.form();
@@ -120,6 +125,11 @@
           inject: [names.disk, names.peers, names.clock, names.random, names.log],
           useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet), peers, clock, random, log),
         },
+        {
+          provide: names.keeper,
+          inject: [names.disk, names.member, names.peers, names.clock, names.log],
+          useFactory: (disk: Disk, member: Member, peers: Peers, clock: Clock, log: Log) => new Keeper(disk, params.fleet, member, peers, clock, log),
+        },
         {
           provide: names.operations,
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
--- a/src/duty/rendezvous.ts
+++ b/src/duty/rendezvous.ts
@@ -3,4 +3,5 @@
 
 const weight = (key: string, node: string): string => createHash('sha256').update(`${key}\u0000${node}`).digest('hex');
 
-export const holders = (key: string, nodes: readonly string[]): string[] => [...nodes].sort((a, b) => (weight(key, a) < weight(key, b) ? 1 : -1));
+export const holders = (key: string, nodes: readonly string[]): string[] =>
+  nodes.map((node) => [weight(key, node), node] as const).sort(([a], [b]) => (a < b ? 1 : -1)).map(([, node]) => node);
--- a/src/kernel/disk/disk.ts
+++ b/src/kernel/disk/disk.ts
@@ -3,7 +3,7 @@
  * then is it durable. Reading gives what is there; callers judge it by digest.
  */
 import { Injectable } from '@nestjs/common';
-import { mkdir, open, readFile, readdir, rename } from 'node:fs/promises';
+import { mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
 import { dirname, join } from 'node:path';
 import { attempt, type Outcome } from '../fault/fault.js';
 
@@ -11,6 +11,8 @@
   write(path: string, bytes: Uint8Array): Promise<Outcome<void>>;
   read(path: string): Promise<Outcome<Uint8Array | undefined>>;
   list(folder: string): Promise<Outcome<string[]>>;
+  /** Takes a file away, sooner or later; it may be there again after a loss of power. */
+  remove(path: string): Promise<Outcome<void>>;
 }
 
 const syncFolder = async (folder: string): Promise<void> => {
@@ -69,4 +71,8 @@
       }
     });
   }
+
+  remove(path: string): Promise<Outcome<void>> {
+    return attempt('disk.remove', path, () => rm(join(this.root, path), { force: true }));
+  }
 }
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -22,7 +22,7 @@
 import type { Newsroom } from '../pool/news.js';
 import type { Soundness } from '../pool/soundness.js';
 import { Chart, type PassageEvent } from './chart.js';
-import type { Claims } from './claims.js';
+import type { Claims } from '../claim/claims.js';
 import type { TakenIds } from './ids.js';
 import type { Liner, Lines } from './line.js';
 import type { CallerRequest } from './request.js';
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -24,13 +24,13 @@
   readonly spoilt: readonly string[];
 }
 
-const seal = (head: ReadonlyMap<string, unknown>, body: Uint8Array): Uint8Array => {
+export const seal = (head: ReadonlyMap<string, unknown>, body: Uint8Array): Uint8Array => {
   const plain = JSON.stringify([...head]);
   const digest = digestOf(Buffer.concat([Buffer.from(plain), Buffer.from('\n'), body]));
   return Buffer.concat([Buffer.from(`${digest} ${plain}\n`), body]);
 };
 
-const unseal = (path: string, bytes: Uint8Array): Outcome<{ head: Map<string, unknown>; body: Uint8Array }> => {
+export const unseal = (path: string, bytes: Uint8Array): Outcome<{ head: Map<string, unknown>; body: Uint8Array }> => {
   const buffer = Buffer.from(bytes);
   const end = buffer.indexOf(10);
   const digest = buffer.subarray(0, 64).toString('latin1');
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -14,7 +14,7 @@
 import { names } from '../node/names.js';
 import { nodeProviders } from '../node/module.js';
 import type { Params } from '../params/shape.js';
-import { Claims } from '../passage/claims.js';
+import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
 import { TakenIds } from '../passage/ids.js';
 import { Lines } from '../passage/line.js';
@@ -124,7 +124,7 @@
           useFactory: (self: Hello, inForce: InForce, vows: Vows, peers: Peers, roster: Roster, clock: Clock, log: Log) =>
             new Standing({ node: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone }, inForce, vows, peers, roster, clock, log),
         },
-        { provide: names.claims, inject: [names.inForce, names.peers, names.clock, names.random, names.log], useFactory: (inForce: InForce, peers: Peers, clock: Clock, random: Random, log: Log) => new Claims(params.name, inForce, peers, clock, random, log) },
+        { provide: names.claims, inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log], useFactory: (inForce: InForce, peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) => new Claims(params.name, inForce, peers, roster, clock, random, log) },
         {
           provide: names.passage,
           inject: [names.standing, names.inForce, names.news, names.channels, names.soundness, names.prefixes, names.chooser, names.clock, names.journal, names.log, names.self, names.claims],
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -1,4 +1,5 @@
 /** Nodes of a simulated fleet, put together from the same classes as the program's own, on a host of the world. */
+import { Keeper } from '../claim/keeper.js';
 import { Operations } from '../api/operations.js';
 import { CoreNode } from '../core/module.js';
 import { InForce } from '../doorway/match.js';
@@ -15,7 +16,7 @@
 import { Journal } from '../kernel/journal/journal.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
-import { Claims } from '../passage/claims.js';
+import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
 import { TakenIds } from '../passage/ids.js';
 import { Lines } from '../passage/line.js';
@@ -48,6 +49,7 @@
 
 export interface SimCore extends SimBase {
   readonly member: Member;
+  readonly keeper: Keeper;
   readonly operations: Operations;
   readonly node: CoreNode;
 }
@@ -69,15 +71,18 @@
 export const simCore = (world: World, name: string, address: string, zone: string, disk: SimDisk, site: SimSite, outer: Log = silentLog): SimCore => {
   const base = simBase(world, name, address, zone, 'core', site, outer);
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
-  const member = new Member(new Store(disk.open(host), site.fleet), peers, host.clock, host.random, log);
+  const folder = disk.open(host);
+  const member = new Member(new Store(folder, site.fleet), peers, host.clock, host.random, log);
+  const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
   const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock);
-  const node = new CoreNode(params, peers, member, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
-  return { ...base, member, operations, node };
+  const node = new CoreNode(params, peers, member, keeper, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
+  return { ...base, member, keeper, operations, node };
 };
 
 export interface SimRouter extends SimBase {
   readonly standing: Standing;
   readonly news: Newsroom;
+  readonly claims: Claims;
   readonly passage: Passage;
   readonly operations: Operations;
   readonly journal: Journal<PassageEvent>;
@@ -100,9 +105,9 @@
   });
   const vows = new Vows(name, inForce, peers, clock);
   const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log);
-  const claims = new Claims(name, inForce, peers, clock, random, log);
+  const claims = new Claims(name, inForce, peers, roster, clock, random, log);
   const passage = new Passage(`${name}-${peers.self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log);
   const operations = new Operations(peers, roster, proposer, inForce, view, news, clock);
   const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, passage, channels, operations, clock, random, log, stop);
-  return { ...base, standing, news, passage, operations, journal, node };
+  return { ...base, standing, news, claims, passage, operations, journal, node };
 };
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -396,6 +396,10 @@
           this.world.at(this.latency * (0.5 + this.world.random.fraction()), act);
         }),
       read: (path) => new Promise((resolve) => host.later(0.1, () => resolve(Right(this.files.get(path))))),
+      remove: (path) => new Promise((resolve) => host.later(0.1, () => {
+        this.files.delete(path);
+        resolve(Right(undefined));
+      })),
       list: (folder) => new Promise((resolve) => host.later(0.1, () => resolve(Right([...this.files.keys()].filter((path) => path.startsWith(`${folder}/`)).map((path) => path.slice(folder.length + 1)).sort())))),
     };
   }
--- /dev/null
+++ b/test/checker/stage.ts
@@ -0,0 +1,73 @@
+/** Three members and three enrolled nodes, put together from the program's own classes, for the checkers that need standing. */
+import { expect } from 'vitest';
+import { Claims } from '../../src/claim/claims.js';
+import { silentLog } from '../../src/kernel/log/log.js';
+import { Enrolment } from '../../src/lease/enrolment.js';
+import { Standing } from '../../src/lease/standing.js';
+import { Vows } from '../../src/lease/vows.js';
+import { Follower } from '../../src/register/follower.js';
+import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
+import { SimDisk, World } from '../../src/sim/world.js';
+
+export const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
+const site = { fleet: 'f', seeds: addresses, over: { form: true, core: { replaceAfter: 3000 } } };
+const places = new Map([['n', '127.0.0.1:11'], ['m', '127.0.0.1:12'], ['o', '127.0.0.1:13']]);
+
+export interface Node extends SimBase {
+  readonly standing: Standing;
+  readonly claims: Claims;
+}
+
+const startNode = (world: World, name: string): Node => {
+  const address = places.get(name)!;
+  const base = simBase(world, name, address, 'z', 'router', site);
+  const { host, inForce, peers, roster, proposer, stop } = base;
+  const { clock, random } = host;
+  const vows = new Vows(name, inForce, peers, clock);
+  vows.serve();
+  const claims = new Claims(name, inForce, peers, roster, clock, random, silentLog);
+  claims.serve();
+  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone: 'z' }, inForce, vows, peers, roster, clock, silentLog);
+  const follower = new Follower(peers, roster, proposer, clock, random, silentLog, (documents) => {
+    if (inForce.swap(documents.at(-1)!)) standing.renewNow();
+  });
+  void peers.serve(address);
+  void standing.run(stop.signal);
+  void claims.run(stop.signal);
+  void new Enrolment(name, { address, zone: 'z' }, inForce, standing, proposer, peers, roster, clock, random, silentLog).run(stop.signal);
+  void follower.run(stop.signal);
+  return { ...base, standing, claims };
+};
+
+export interface Stage {
+  readonly world: World;
+  readonly cores: SimCore[];
+  readonly disks: SimDisk[];
+  readonly nodes: Node[];
+  readonly startCore: (at: number) => SimCore;
+  /** Ends all nodes and starts them anew, with nothing remembered, until all grant claims again. */
+  readonly loseMemories: () => Promise<void>;
+  readonly operator: SimBase;
+}
+
+export const openStage = async (seed = 5): Promise<Stage> => {
+  const world = new World(seed);
+  const disks = addresses.map(() => new SimDisk(world));
+  const startCore = (at: number): SimCore => {
+    const core = simCore(world, `core-${at}`, addresses[at]!, 'z', disks[at]!, site);
+    void core.node.start();
+    return core;
+  };
+  const cores = addresses.map((_, at) => startCore(at));
+  const nodes = [...places.keys()].map((name) => startNode(world, name));
+  const settled = (): boolean => nodes.every(({ standing, inForce, claims }) => standing.holds() && inForce.whole!.enrolled.size === 3 && claims.open);
+  expect(await world.run(30_000, settled)).toBe(true);
+  const loseMemories = async (): Promise<void> => {
+    for (const { host } of nodes) host.kill();
+    nodes.splice(0, 3, ...[...places.keys()].map((name) => startNode(world, name)));
+    expect(await world.run(world.now + 30_000, settled)).toBe(true);
+  };
+  const operator = simBase(world, 'op', '127.0.0.1:20', 'z', 'router', site);
+  await world.until(operator.proposer.learnCore());
+  return { world, cores, disks, nodes, startCore, loseMemories, operator };
+};
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -4,21 +4,13 @@
  * was told may any node hold standing on an older generation.
  */
 import { expect, test } from 'vitest';
-import { silentLog } from '../../src/kernel/log/log.js';
 import { Goodbye, Renew, Vouch, Vow } from '../../src/lease/calls.js';
 import { seekAccord } from '../../src/lease/accord.js';
-import { Standing } from '../../src/lease/standing.js';
-import { Vows } from '../../src/lease/vows.js';
-import { Enrolment } from '../../src/lease/enrolment.js';
-import { Follower } from '../../src/register/follower.js';
 import type { Change } from '../../src/register/document.js';
 import { explore, type Script } from '../../src/sim/explore.js';
-import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
-import { SimDisk, World } from '../../src/sim/world.js';
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
+import { openStage } from './stage.js';
 
-const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
-const site = { fleet: 'f', seeds: addresses, over: { form: true } };
 const watched = new Set([Renew.code, Vouch.code, Goodbye.code, Vow.code]);
 
 interface Fault {
@@ -32,54 +24,10 @@
   readonly cut?: 'core' | 'all';
 }
 
-interface Node extends SimBase {
-  readonly standing: Standing;
-}
-
-const startNode = (world: World, name: string, address: string): Node => {
-  const base = simBase(world, name, address, 'z', 'router', site);
-  const vows = new Vows(name, base.inForce, base.peers, base.host.clock);
-  vows.serve();
-  const standing = new Standing({ node: name, incarnation: base.peers.self.incarnation, address, zone: 'z' }, base.inForce, vows, base.peers, base.roster, base.host.clock, silentLog);
-  const follower = new Follower(base.peers, base.roster, base.proposer, base.host.clock, base.host.random, silentLog, (documents) => {
-    if (base.inForce.swap(documents.at(-1)!)) standing.renewNow();
-  });
-  void base.peers.serve(address);
-  void standing.run(base.stop.signal);
-  void new Enrolment(name, { address, zone: 'z' }, base.inForce, standing, base.proposer, base.peers, base.roster, base.host.clock, base.host.random, silentLog).run(base.stop.signal);
-  void follower.run(base.stop.signal);
-  return { ...base, standing };
-};
-
 const change: Change = { id: 'c', firm: 's', who: 'o', act: { kind: 'claim', name: 'quotes', duration: 1000, expects: 0, takeover: false } };
 
-interface Stage {
-  readonly world: World;
-  readonly cores: SimCore[];
-  readonly nodes: Node[];
-  readonly startCore: (at: number) => SimCore;
-  readonly operator: SimBase;
-}
-
-/** Three members and three enrolled nodes, all standing. */
-const stage = async (): Promise<Stage> => {
-  const world = new World(5);
-  const disks = addresses.map(() => new SimDisk(world));
-  const startCore = (at: number): SimCore => {
-    const core = simCore(world, `core-${at}`, addresses[at]!, 'z', disks[at]!, site);
-    void core.node.start();
-    return core;
-  };
-  const cores = addresses.map((_, at) => startCore(at));
-  const nodes = [startNode(world, 'n', '127.0.0.1:11'), startNode(world, 'm', '127.0.0.1:12'), startNode(world, 'o', '127.0.0.1:13')];
-  expect(await world.run(30_000, () => nodes.every(({ standing, inForce }) => standing.holds() && inForce.whole!.enrolled.size === 3))).toBe(true);
-  const operator = simBase(world, 'op', '127.0.0.1:20', 'z', 'router', site);
-  await world.until(operator.proposer.learnCore());
-  return { world, cores, nodes, startCore, operator };
-};
-
 const run = async (script: Script, fault: Fault = {}): Promise<number> => {
-  const { world, cores, nodes, startCore, operator } = await stage();
+  const { world, cores, nodes, startCore, operator } = await openStage();
   let choices = 0;
   world.net.mishap = (from, _, frame) => {
     const decoded = decodeFrame(frame, from);
@@ -145,7 +93,7 @@
 });
 
 test('without the core the nodes go on for each other; a lone one does not; and changes are accepted again after', async () => {
-  const { world, cores, nodes, startCore, operator } = await stage();
+  const { world, cores, nodes, startCore, operator } = await openStage();
   for (const { host } of cores) host.kill();
   for (let second = 0; second < 20; second++) {
     await world.run(world.now + 1000);
