--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -80,6 +80,6 @@
 export const within = async <T>(clock: Clock, limit: Duration, promise: Promise<T>): Promise<T | undefined> => {
   const stop = new AbortController();
   const value = await Promise.race([promise, clock.sleep(limit, stop.signal).then(() => undefined)]);
-  stop.abort();
+  stop.abort('over');
   return value;
 };
--- /dev/null
+++ b/src/sim/day/operators.ts
@@ -0,0 +1,134 @@
+/**
+ * The operators of both firms: they change doorways in uneven steps, alone, in races and in storms, through any living
+ * node, and keep what they were told. At the day's end what they were told is held against what was kept.
+ */
+import type { Schemas } from '../../api/schema.js';
+import type { Fault as Failure } from '../../kernel/fault/fault.js';
+import { pick } from '../../kernel/random/random.js';
+import type { Document } from '../../register/document.js';
+import type { Stage } from './stage.js';
+
+export type Groups = 'even' | 'odd' | 'all';
+
+/** After this long without a failure, an accepted change must be told so within the promised time. */
+const CALM = 8000;
+const PROMISED = 2000;
+
+export interface Told {
+  readonly id: string;
+  readonly doorway: string;
+  readonly expects: number;
+  readonly groups: Groups;
+  readonly asked: number;
+  outcome: string;
+  generation: number;
+  at: number;
+}
+
+export class Operators {
+  readonly told: Told[] = [];
+  readonly calmAccepted: number[] = [];
+  readonly names = ['sahel-short', 'sahel-long', 'aconcagua-short', 'aconcagua-long'];
+  /** The newest generation that any operator was told is accepted. */
+  accepted = 1;
+  private number = 0;
+
+  constructor(private readonly stage: Stage) {}
+
+  async open(): Promise<void> {
+    for (const name of this.names) {
+      for (let tries = 0; ; tries++) {
+        const told = await this.change(name, 0, 'all', `open-${name}`, 5000);
+        if (told.outcome === 'accepted') break;
+        if (tries > 20) throw new Error(`seed ${this.stage.seed}: could not open ${name}: ${JSON.stringify(told)}`);
+        await this.stage.pause(500);
+      }
+    }
+  }
+
+  /** Changes over a span of the day, in uneven steps; now and then rivals, and now and then a storm. */
+  work(from: number, span: number): void {
+    const { world, random } = this.stage;
+    for (let at = 500; at < span; at += 400 + random.fraction() * 4000) {
+      world.at(from - world.now + at, () => this.rivals(random.fraction() < 0.1 ? 12 : random.fraction() < 0.2 ? 3 : random.fraction() < 0.4 ? 2 : 1));
+    }
+  }
+
+  /** Some operators change the same doorway at once, each from what it saw. */
+  rivals(count: number): void {
+    const { random } = this.stage;
+    const name = pick(random, this.names)!;
+    const newest = Math.max(0, ...this.told.filter((each) => each.doorway === name && each.generation > 0).map(({ generation }) => generation));
+    if (count > 1) this.stage.tally.note('rivals', count);
+    for (let each = 0; each < count; each++) void this.change(name, newest, pick(random, ['even', 'odd', 'all'] as const)!, `c${++this.number}`, 4000 + random.fraction() * 4000);
+  }
+
+  /** One change through some living node; what the operator was told is kept. */
+  async change(doorway: string, expects: number, groups: Groups, id = `c${++this.number}`, wait = 5000): Promise<Told> {
+    const { stage } = this;
+    const { world, tally } = stage;
+    const via = pick(stage.random, [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead));
+    const told: Told = { id, doorway, expects, groups, asked: world.now, outcome: 'silent', generation: 0, at: Infinity };
+    this.told.push(told);
+    if (!via) return told;
+    const calm = stage.calmFor(CALM);
+    const spec = this.doorway(doorway, groups);
+    const done = await Promise.race([via.operations.setDoorway({ firm: spec.firm, who: 'operator' }, { change: id, doorway: spec, expects, wait }), stage.pause(wait + 3000).then(() => undefined)]);
+    done?.caseOf({
+      Left: ({ certainty }: Failure) => {
+        told.outcome = certainty;
+      },
+      Right: (reply) => {
+        told.outcome = reply.outcome;
+        told.generation = reply.generation;
+      },
+    });
+    told.at = world.now;
+    const took = Math.round(told.at - told.asked);
+    if (told.outcome === 'accepted') {
+      this.accepted = Math.max(this.accepted, told.generation);
+      tally.note('acceptedInForce');
+    } else if (told.outcome !== 'silent' && told.outcome !== 'unknown') tally.note('declinedChanges');
+    if (calm && stage.calmFor(CALM)) {
+      if (told.outcome === 'accepted') this.calmAccepted.push(took);
+      if ((told.outcome === 'accepted' && took > PROMISED) || told.outcome === 'unknown') tally.find('slow-accepted', `${told.outcome} after ${took} ms with no failure under way`, id);
+    }
+    return told;
+  }
+
+  /** What was told against what is kept in the end. */
+  check(final: Document, history: ReadonlySet<string>): void {
+    const { tally } = this.stage;
+    const wins = new Map<string, Told[]>();
+    for (const told of this.told) {
+      const applied = final.outcomes.get(told.id);
+      if (told.outcome === 'accepted' && applied?.generation !== told.generation) tally.find('accepted-lost', `told ${told.generation}, kept ${applied?.generation}`, told.id);
+      if (told.outcome === 'accepted' && !history.has(told.id)) tally.find('accepted-lost', 'not in the history', told.id);
+      if ((told.outcome === 'lost' || told.outcome === 'declined') && (applied || history.has(told.id))) tally.find('declined-took-effect', `in generation ${applied?.generation}`, told.id);
+      if (!applied) continue;
+      const key = `${told.doorway}@${told.expects}`;
+      wins.set(key, [...(wins.get(key) ?? []), told]);
+    }
+    for (const [key, winners] of wins) if (winners.length > 1) tally.find('rivals-both-won', winners.map(({ id }) => id).join(' '), key);
+  }
+
+  /** Whether some value of a doorway that could be in force at a moment allows an engine. */
+  allows(doorway: string, engine: string, at: number, final: Document): boolean {
+    if (!engine.startsWith('engine-')) return false;
+    const number = Number(engine.split('+')[0]!.split('-')[1]);
+    const placeOf = ({ id }: Told): number => final.outcomes.get(id)!.generation;
+    const values = this.told.filter((told) => told.doorway === doorway && final.outcomes.has(told.id)).sort((a, b) => placeOf(a) - placeOf(b));
+    return values.some((told, place) => {
+      const superseded = values.slice(place + 1).some((next) => next.outcome === 'accepted' && next.at < at - 20);
+      return !superseded && (told.groups === 'all' || (told.groups === 'even') === (number % 2 === 0));
+    });
+  }
+
+  private doorway(name: string, groups: Groups): Schemas['Doorway'] {
+    const [firm, tag] = name.split('-') as [string, 'short' | 'long'];
+    return {
+      name, firm, match: { tag }, engines: groups === 'all' ? [{ label: 'pool', value: 'shared' }] : [{ label: 'group', value: groups }],
+      repeatable: tag === 'long', resume: false, limits: { firstToken: tag === 'short' ? 3000 : 8000, total: 15_000 }, line: 200, share: tag === 'short' ? 4 : 1,
+    };
+  }
+}
--- a/src/sim/engine.ts
+++ b/src/sim/engine.ts
@@ -2,6 +2,7 @@
  * A simulated engine: a process of the world with a true block cache, prefill in turn and decode side by side; and the
  * simulated way to it, with the same verification on the channel itself as over HTTP. It records what it ran.
  */
+import { createHash } from 'node:crypto';
 import { Right } from 'purify-ts';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { EngineChannel, EngineChannels, EngineReply } from '../pool/channel.js';
@@ -19,24 +20,31 @@
   claims: number;
 }
 
+export type Behaviour = 'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall';
+
 export class SimEngine {
   readonly host: Host;
+  behaviour: Behaviour = 'well';
   private readonly cache: BlockCache;
   private prefillFree = 0;
 
-  constructor(private readonly world: World, readonly identifier: string, readonly address: string, capacity: number, private readonly rate: number, private readonly facts: EngineFacts) {
+  constructor(
+    private readonly world: World, readonly identifier: string, readonly address: string, capacity: number, private readonly rate: number, private readonly facts: EngineFacts,
+    private readonly weightGeneration = 'w1', readonly dialled: () => void = () => undefined,
+  ) {
     this.host = new Host(world, identifier, address);
     this.cache = new BlockCache(Math.floor(capacity / TOKENS));
   }
 
   /** Takes a request; the pieces come out through `put`, which is asked whether the other side still listens. */
-  run(headers: ReadonlyMap<string, string>, body: string, head: () => void, put: (text: string) => boolean, end: () => void): void {
+  run(headers: ReadonlyMap<string, string>, body: string, head: (status: number, passage: string, text?: string) => void, put: (text: string) => boolean, end: (how: 'end' | 'reset') => void): void {
     const { world, host, cache } = this;
     const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens: number };
     const passage = headers.get('x-request-id')!;
     const firm = headers.get('x-firm')!;
+    if (this.behaviour === 'not-run') return head(503, passage, JSON.stringify({ error: { code: 'not_run' } }));
     const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n');
-    const space = `${asked.model}|w1|${firm}`;
+    const space = `${asked.model}|${this.weightGeneration}|${firm}`;
     const names = BlockCache.names(space, prompt, BLOCK);
     const hits = cache.hits(names);
     const record: RunRecord = { engine: this.identifier, passage, request: headers.get('x-caller-request-id')!, firm, at: world.now, text: '', ended: 'running', blocks: names.length, hits };
@@ -49,13 +57,20 @@
     this.prefillFree = Math.max(this.prefillFree, world.now) + takes;
     host.later(this.prefillFree - world.now, () => {
       cache.take(names);
-      head();
+      if (this.behaviour === 'stall') return;
+      head(200, this.behaviour === 'foreign' ? 'someone-else' : passage);
       let written = prompt.toString('utf8');
       const count = Math.min(asked.max_tokens, 14);
       const piece = (delta: object, finish: string | null): string => `data: ${JSON.stringify({ id: passage, choices: [{ delta, finish_reason: finish }] })}\n\n`;
+      const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
       const decode = (at: number): void => {
+        if (at === 4 && this.behaviour === 'cut') {
+          record.ended = 'cut';
+          cache.release(names);
+          return end('reset');
+        }
         if (at < count) {
-          const word = `w${at}-${passage.length} `;
+          const word = `w${at}-${mark} `;
           written += word;
           if (!put(piece({ content: word }, null))) {
             record.ended = 'cut';
@@ -69,8 +84,8 @@
         cache.release([...names, ...whole]);
         record.ended = 'done';
         put(piece({}, 'stop'));
-        put('data: [DONE]\n\n');
-        end();
+        if (this.behaviour !== 'no-marker') put('data: [DONE]\n\n');
+        end('end');
       };
       decode(0);
     });
@@ -81,6 +96,7 @@
 
 class Pieces implements AsyncIterable<Uint8Array> {
   private readonly held: Put[] = [];
+  whole = '';
   private waiter: ((put: Put) => void) | undefined;
 
   push(put: Put): void {
@@ -91,7 +107,7 @@
   }
 
   text(): Promise<string> {
-    return Promise.resolve('');
+    return Promise.resolve(this.whole);
   }
 
   [Symbol.asyncIterator](): AsyncIterator<Uint8Array> {
@@ -126,6 +142,7 @@
       if (!this.severed(there)) world.at(world.delay(), () => there.host.reach(() => world.at(world.delay(), () => host.reach(() => resolve(!this.severed(there))))));
     });
     if (!answered) return failed('channel.verify', engine.address, 'no answer within 500 ms');
+    there.dialled();
     if (there.identifier !== engine.identifier) return failed('channel.verify', engine.address, `the address answers as ${there.identifier}`);
     return Right({ engine, send: (_, headers, body, signal) => this.send(there, headers, body, signal), close: () => undefined });
   }
@@ -145,8 +162,9 @@
         if (!this.severed(there)) world.at(world.delay(), () => host.reach(act));
         return true;
       };
+      let over = false;
       const watch = (): void => {
-        if (host.dead || signal.aborted) return;
+        if (over || host.dead || signal.aborted) return;
         if (!there.host.dead) return world.at(50, watch);
         back(() => {
           resolve(failed('channel.send', there.address, 'ECONNRESET', 'unknown'));
@@ -171,9 +189,15 @@
           there.run(
             headers,
             body,
-            () => void ordered(() => resolve(Right({ statusCode: 200, headers: { 'x-request-id': headers.get('x-request-id'), 'x-engine-id': there.identifier }, body: pieces }))),
+            (statusCode, passage, text = '') => void ordered(() => {
+              pieces.whole = text;
+              resolve(Right({ statusCode, headers: { 'x-request-id': passage, 'x-engine-id': there.identifier }, body: pieces }));
+            }),
             (text) => ordered(() => pieces.push({ text })),
-            () => void ordered(() => pieces.push('end')),
+            (how) => {
+              over = true;
+              ordered(() => pieces.push(how === 'end' ? 'end' : { thrown: new Error('ECONNRESET') }));
+            },
           );
         }),
       );
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -66,7 +66,7 @@
     }
     const stop = new AbortController();
     const frame = await Promise.race([arrival, this.clock.sleep(Math.max(1, end - this.clock.now()), stop.signal).then(() => 'late' as const)]);
-    stop.abort();
+    stop.abort('over');
     line.waiting.delete(number);
     if (frame === 'late' && line.heard < end - limit) this.abandon(address, line, opened);
     if (frame === 'late') return failed(`${call.name}.reply`, address, `no reply within ${limit} ms`, 'unknown');
--- /dev/null
+++ b/test/days/engines.test.ts
@@ -0,0 +1,7 @@
+/** A day for each failure of engines and of the platform, for crowds, and for many changes at once. */
+import { eachAlone } from './play.js';
+
+eachAlone(
+  ['engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow', 'crowd', 'hot-prefix', 'doorway-storm', 'doorway-race'],
+  ['strangersDialled', 'sentNearLeaving', 'brokenStreams', 'retries', 'claimsCompared', 'rivals'],
+);
