A sleeping core member keeps its seat while another's disk is gone for good

Cause: succession counted a member as answering for 2.5 s after its last word. With one member asleep past the param's time and another just lost with its disk, the last one counted that lost member, took the sleeper's seat, and the sleeper, awake again, let the change come to be: a set of two of which one is gone for good, and a configuration that nobody can read. Ruled out: seating the newcomer first (at the lost member's own address two seats would share one process, whose vote would count twice). Change: only members that answer at that very turn under their own identity count; and while another machine answers in some member's place, that seat is the one to take, not a silent one's.

--- a/src/register/succession.ts
+++ b/src/register/succession.ts
@@ -3,8 +3,9 @@
  * members watch each other; when one seat has been silent for the param's time, or another machine answers in its
  * place, and a newcomer is there, one of them takes the seat away and gives the newcomer one. That duty is cut by
  * rendezvous over the seats that answer, and its fence is the core set's number: of two who both think it is theirs
- * only one change can win, and a change that lost does nothing. A seat is taken away only when those that answer would
- * be a majority of what is left.
+ * only one change can win, and a change that lost does nothing. A seat is taken away only when those that answer at that
+ * very turn are a majority of what is left; and a member that is merely silent keeps its seat while another machine
+ * answers in the place of a third, whose disk is then gone for good.
  */
 import { Right } from 'purify-ts';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
@@ -69,19 +70,17 @@
   private async watch(): Promise<void> {
     const { number, wanted, members } = this.member.knownCore;
     const now = this.clock.now();
-    await Promise.all(
-      members.map(async ({ id, address }) => {
-        const reply = id === this.member.id ? Right(this.member.state()) : await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
-        if (!this.answered.has(id) || reply.map((state) => state.member === id).orDefault(false)) this.answered.set(id, this.clock.now());
-      }),
-    );
+    const replies = await Promise.all(members.map(async ({ id, address }) => (id === this.member.id ? this.member.state() : (await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT)).toMaybe().extract())));
+    const here = members.filter(({ id }, at) => replies[at]?.member === id);
+    const swapped = members.filter(({ id }, at) => replies[at] && replies[at].member !== id);
+    for (const { id } of members) if (!this.answered.has(id) || here.some((seat) => seat.id === id)) this.answered.set(id, this.clock.now());
     for (const id of this.answered.keys()) if (!members.some((seat) => seat.id === id)) this.answered.delete(id);
     if (this.after === 0) return;
     const silent = members.filter(({ id }) => now - this.answered.get(id)! > this.after);
-    const lately = members.filter(({ id }) => this.clock.now() - this.answered.get(id)! < FRESH / 2).length;
     const [holder] = holders(`succession-${number}`, members.filter((seat) => !silent.includes(seat)).map(({ id }) => id));
     const spare = [...this.newcomers.values()].find(({ seat, at }) => now - at < FRESH && !members.some(({ id }) => id === seat.id));
-    const gone = lately >= majority(members.length - 1) ? silent.find(({ id }) => id !== this.member.id) : undefined;
+    const replaceable = swapped.length ? swapped : silent;
+    const gone = here.length >= majority(members.length - 1) ? silent.find((seat) => seat.id !== this.member.id && replaceable.includes(seat)) : undefined;
     if (!spare || holder !== this.member.id) return;
     if (members.length < wanted) await this.act({ kind: 'seat', seat: spare.seat, expects: number });
     else if (gone) await this.act({ kind: 'unseat', id: gone.id, vacant: true, expects: number });
--- a/test/checker/coreset.test.ts
+++ b/test/checker/coreset.test.ts
@@ -149,6 +149,24 @@
   expect(told.swap().map(({ step }) => step).extract()).toBe('core.unseat');
 });
 
+test('a sleeping member keeps its seat while another member\'s disk is lost for good, whenever that happens', async () => {
+  for (let lost = 400; lost <= 4000; lost += 300) {
+    const core = new Core(8, 3000);
+    await core.world.run(3000);
+    await core.claim();
+    core.at(3).host.suspend();
+    core.world.at(7200, () => core.at(3).host.thaw());
+    core.world.at(lost, () => {
+      core.at(2).host.kill();
+      core.disks.get(2)!.lose();
+    });
+    core.world.at(lost + 1100, () => core.start(2));
+    await core.world.run(core.world.now + 25_000);
+    expect({ lost, voting: [1, 2, 3].map((at) => core.at(at).member.state().voting) }).toEqual({ lost, voting: [true, true, true] });
+    expect(await core.claim()).toBe('applied');
+  }
+});
+
 test('a seat that was taken away stays to be filled when giving it to the newcomer fails at first', async () => {
   const core = new Core(5, 3000);
   await core.world.run(3000);
