Standing ends early by what strict time may lack

Cause: strict time counts a wall clock that leads the monotonic one only once the lead exceeds 20 ms, so a suspended machine could hold its standing up to 20 ms past its end, and an index claim likewise. Ruled out: counting every difference at each reading (runs up to twice too fast on a wall clock of 1 ms grain). Conclusion: whoever relies on a lease takes the 20 ms off.

--- a/src/index/prefixes.ts
+++ b/src/index/prefixes.ts
@@ -3,7 +3,7 @@
  * events in one numbered order. A store comes from a routed prompt or the stream it carries; removes come from the
  * ledger, from an engine that reports fewer cached tokens than claimed, and from an identifier that is gone.
  */
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { later, SLACK, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Engine } from '../pool/engine.js';
 import { lawFor, othersBound, type LawParams } from '../place/law.js';
 import { namespaceKey, type Block, type Namespace } from './hash.js';
@@ -116,7 +116,7 @@
   }
 
   private lapse(identifier: string, held: Held): void {
-    for (const claim of held.ledger.lapse(this.clock.strict(), held.flying)) finish(claim.tree.remove(identifier, claim.external));
+    for (const claim of held.ledger.lapse(later(this.clock.strict(), SLACK), held.flying)) finish(claim.tree.remove(identifier, claim.external));
   }
 
   private held(engine: Engine): Held {
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -19,8 +19,8 @@
   sleep(duration: Duration, signal?: AbortSignal): Promise<void>;
 }
 
-/** How far the wall clock may run ahead of the monotonic one before the difference is counted. */
-const SLACK = 20;
+/** How far the wall clock may run ahead of the monotonic one before the difference is counted: what strict time may lack. */
+export const SLACK = 20;
 
 /**
  * Keeps the strict time. Small differences between the clocks, as of their grain or of slewing, are not counted each on
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -4,7 +4,7 @@
  * is asked immediately before each act the lease covers, since a process may have been frozen in between.
  */
 import type { Clock, Moment } from '../kernel/clock/clock.js';
-import { within } from '../kernel/clock/clock.js';
+import { SLACK, within } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Roster } from '../register/roster.js';
@@ -37,11 +37,11 @@
   constructor(private readonly self: Self, private readonly inForce: InForce, private readonly vows: Vows, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly log: Log) {}
 
   holds(): boolean {
-    return !this.leaving && this.clock.strict() < Math.max(this.until, this.vouched);
+    return !this.leaving && this.remaining > 0;
   }
 
   get remaining(): number {
-    return Math.max(0, Math.max(this.until, this.vouched) - this.clock.strict());
+    return Math.max(0, Math.max(this.until, this.vouched) - SLACK - this.clock.strict());
   }
 
   /** Renews at once, as when a new generation came into force. */
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -17,6 +17,8 @@
   readonly freeze?: number;
   /** The first node's whole machine is suspended, its monotonic clock standing. */
   readonly suspend?: number;
+  /** How long after all stand the failure strikes. */
+  readonly after?: number;
   /** The first node's wall clock is set by this much, and so is every member's. */
   readonly jump?: number;
   readonly restart?: readonly number[];
@@ -34,6 +36,7 @@
     if (!decoded.isRight() || !watched.has((decoded.extract() as Frame).code)) return 'pass';
     return choices < 60 ? (script.get(choices++) ?? 'pass') : 'pass';
   };
+  await world.run(world.now + (fault.after ?? 0));
   if (fault.freeze !== undefined) {
     nodes[0]!.host.freeze();
     world.at(fault.freeze, () => nodes[0]!.host.thaw());
@@ -57,7 +60,7 @@
     accepted = everywhere;
     return everywhere;
   });
-  const wrong = (): boolean => accepted && nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation);
+  const wrong = (): boolean => nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation) && accepted;
   expect(await world.run(world.now + 16_000, wrong)).toBe(false);
   expect(generation).toBe(5);
   expect(await world.until(seeking)).toBe(true);
@@ -78,6 +81,7 @@
 
 test('nor while a whole machine is suspended with its monotonic clock standing, or clocks are set forward or back', async () => {
   for (const suspend of [200, 1500, 4000, 4990, 5200, 8000, 15_000]) await run(new Map(), { suspend });
+  for (let after = 0; after < 1000; after += 40) await run(new Map(), { suspend: 8000, after });
   for (const jump of [-3_600_000, -5000, 5000, 3_600_000]) for (const freeze of [0, 3000, 8000]) await run(new Map(), { jump, freeze });
   for (const suspend of [3000, 8000]) for (const restart of [[0], [0, 1, 2]]) await run(new Map(), { suspend, restart });
 });
