Claims made without the core are copied to every router

Ruled out: declining such requests while the core is out (more than nine tenths of the traffic). Change: without the core a majority of all enrolled routers must remember the claim and every other that answers does; a router that starts learns it from them, and each brings it to the core. Before: the new test, four of five routers killed, finds the id taken again.

--- a/src/claim/calls.ts
+++ b/src/claim/calls.ts
@@ -8,8 +8,12 @@
 export const Take = call<TakeAsk, TakeReply>(80, 'claim.take', struct({ key: text, owner: text, enrolledAt: number }), struct({ granted: flag, owner: text, reason: text }));
 export const Release = call<{ key: string; owner: string }, { known: boolean }>(81, 'claim.release', struct({ key: text, owner: text }), struct({ known: flag }));
 
-export interface HeldClaim { key: string; owner: string; age: number }
-const heldField = list(struct<HeldClaim>({ key: text, owner: text, age: number }));
+/** Copies a claim that the core could not keep to routers that are not its holders. */
+export const Copy = call<{ key: string; owner: string }, { owner: string }>(85, 'claim.copy', struct({ key: text, owner: text }), struct({ owner: text }));
+
+/** A claim as it is told on; `kept` says whether a majority of the core has it, as far as the teller knows. */
+export interface HeldClaim { key: string; owner: string; age: number; kept: boolean }
+const heldField = list(struct<HeldClaim>({ key: text, owner: text, age: number, kept: flag }));
 
 /** What one router holds of another's duties, from a place in its own order on. */
 export interface GatherAsk { node: string; enrolledAt: number; after: number }
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -3,7 +3,8 @@
  * sent. Uniqueness: the duty for an id is cut by rendezvous hashing over the enrolled routers; of its three holders two
  * must grant the claim, under the same enrolment. Durability: a majority of the core must have the claim on disk, where
  * the first owner of an id keeps it too, so that it outlasts every router. While the core is out of reach a claim rests
- * on the holders' memory alone and is brought to the core later.
+ * on memory alone, of a majority of all enrolled routers and of every other that answers, and is brought to the core
+ * later.
  *
  * A holder whose duties changed first gathers what the others hold. One that lost its memory also reads back from a
  * majority of the core; for claims that never came there it must hear all other routers, or wait a window out.
@@ -17,7 +18,7 @@
 import { gather, majority, sound } from '../register/gather.js';
 import type { Roster } from '../register/roster.js';
 import type { Peers } from '../wire/peers.js';
-import { Gather, HOLDERS, Keep, keyOf, Release, Take, type TakeAsk, type TakeReply } from './calls.js';
+import { Copy, Gather, HOLDERS, Keep, keyOf, Release, Take, type HeldClaim, type TakeAsk, type TakeReply } from './calls.js';
 import { ClaimMemory } from './memory.js';
 import { recallFrom } from './recall.js';
 
@@ -36,7 +37,7 @@
 
 export class Claims {
   private readonly memory: ClaimMemory;
-  /** Claims of this router's own requests that rest on memory alone. */
+  /** Claims that rest on memory alone, of this router's own requests and of others that were copied here. */
   private readonly unkept = new Map<string, string>();
   private epoch = 0;
   private epochBegan: Moment;
@@ -55,12 +56,17 @@
 
   serve(): void {
     this.peers.handle(Take, (ask) => Right(this.grant(ask)));
-    this.peers.handle(Release, ({ key, owner }) => Right({ known: this.memory.release(key, owner) }));
+    this.peers.handle(Release, ({ key, owner }) => {
+      if (this.unkept.get(key) === owner) this.unkept.delete(key);
+      return Right({ known: this.memory.release(key, owner) });
+    });
+    this.peers.handle(Copy, ({ key, owner }) => {
+      this.remember({ key, owner, age: 0, kept: false });
+      return Right({ owner: this.memory.owner(key) ?? '' });
+    });
     this.peers.handle(Gather, ({ node, enrolledAt, after }) => {
       this.turn();
-      const wanted = (key: string): boolean => this.duty(key).includes(node);
-      const page = this.memory.page(after, wanted);
-      if (after === 0) for (const [key, owner] of this.unkept) if (wanted(key)) page.claims.push({ key, owner, age: 0 });
+      const page = this.memory.page(after, (key) => this.unkept.has(key) || this.duty(key).includes(node), (key) => !this.unkept.has(key));
       return Right({ open: this.openFor >= this.before.enrolledAt && this.openFor >= 0, enrolledAt: this.epoch, ...page, more: page.more && enrolledAt === this.epoch });
     });
   }
@@ -81,19 +87,18 @@
     this.turn();
     const [held, kept] = await Promise.all([this.atHolders(key, owner), this.atCore(key, owner)]);
     if (held === 'taken' && kept === 'kept') return 'taken';
-    if (held === 'taken' && kept === 'unsure' && this.unkept.size < UNKEPT_BOUND) {
-      this.unkept.set(key, owner);
-      return 'taken';
-    }
+    const copied = held === 'taken' && kept === 'unsure' && this.unkept.size < UNKEPT_BOUND ? await this.copy(key, owner) : held;
+    if (copied === 'taken' && kept === 'unsure') return 'taken';
     await this.release(firm, id, owner);
-    return held === 'known' || kept === 'known' ? 'known' : 'none';
+    return copied === 'known' || kept === 'known' ? 'known' : 'none';
   }
 
   /** Gives a claim back whose request certainly was not sent. */
   async release(firm: string, id: string, owner: string): Promise<void> {
     const key = keyOf(firm, id);
-    this.unkept.delete(key);
-    const addresses = [...this.duty(key).map((name) => this.inForce.whole!.enrolled.get(name)!.address), ...this.roster.addresses];
+    const { enrolled } = this.inForce.whole ?? { enrolled: new Map<string, { address: string }>() };
+    const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
+    const addresses = [...keepers.map((name) => enrolled.get(name)!.address), ...this.roster.addresses];
     await within(this.clock, ASK_LIMIT, Promise.all(addresses.map((address) => this.peers.ask(address, Release, { key, owner }, ASK_LIMIT))));
   }
 
@@ -126,6 +131,15 @@
     return replies.some((reply) => !reply.granted && reply.owner !== '' && reply.owner !== owner) ? 'known' : 'none';
   }
 
+  /** Without the core, a majority of all enrolled routers must remember the claim, and every one that answers does. */
+  private async copy(key: string, owner: string): Promise<Taken> {
+    this.remember({ key, owner, age: 0, kept: false });
+    const addresses = [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address);
+    const replies = sound(await gather(addresses, (address) => this.peers.ask(address, Copy, { key, owner }, ASK_LIMIT), (all) => sound(all).filter((reply) => reply.owner === owner).length >= majority(addresses.length)));
+    if (replies.some((reply) => reply.owner !== '' && reply.owner !== owner)) return 'known';
+    return replies.filter((reply) => reply.owner === owner).length >= majority(addresses.length) ? 'taken' : 'none';
+  }
+
   private async atCore(key: string, owner: string): Promise<Kept> {
     const { number, members } = this.roster.core;
     const quorum = majority(members.length);
@@ -151,6 +165,11 @@
     }));
   }
 
+  private remember({ key, owner, age, kept }: HeldClaim): void {
+    if (!this.memory.note(key, owner, age) || kept || this.memory.owner(key) !== owner || this.unkept.size >= UNKEPT_BOUND) return;
+    this.unkept.set(key, owner);
+  }
+
   private duty(key: string): string[] {
     return holders(key, [...(this.inForce.whole?.enrolled.keys() ?? [])]).slice(0, HOLDERS);
   }
@@ -202,7 +221,7 @@
     const { number, members } = this.roster.core;
     if (members.length === 0) return false;
     const told = (await Promise.all(members.map(({ address }) => recallFrom(this.peers, address, number, this.node)))).flatMap((each) => (each?.whole ? [each] : []));
-    for (const { key, owner, age } of told.flatMap(({ claims }) => claims)) this.memory.note(key, owner, age);
+    for (const claim of told.flatMap(({ claims }) => claims)) this.remember(claim);
     return told.length >= majority(members.length);
   }
 
@@ -211,7 +230,7 @@
       const reply = await this.peers.ask(address, Gather, { node: this.node, enrolledAt: epoch, after }, ASK_LIMIT * 2);
       const told = reply.toMaybe().extract();
       if (!told) return false;
-      for (const { key, owner, age } of told.claims) this.memory.note(key, owner, age);
+      for (const claim of told.claims) this.remember(claim);
       if (!told.open || told.enrolledAt !== epoch) return false;
       if (!told.more) return true;
       after = told.next;
--- a/src/claim/memory.ts
+++ b/src/claim/memory.ts
@@ -41,7 +41,7 @@
   }
 
   /** Some of the claims after a number, in order, and where to go on. */
-  page(after: number, wanted: (key: string) => boolean): { claims: HeldClaim[]; next: number; more: boolean } {
+  page(after: number, wanted: (key: string) => boolean, kept: (key: string) => boolean = () => true): { claims: HeldClaim[]; next: number; more: boolean } {
     const claims: HeldClaim[] = [];
     const now = this.clock.now();
     let scanned = 0;
@@ -50,7 +50,7 @@
       if (number <= after) continue;
       if (++scanned > SCAN) return { claims, next, more: true };
       next = number;
-      if (wanted(key)) claims.push({ key, owner, age: now - at });
+      if (wanted(key)) claims.push({ key, owner, age: now - at, kept: kept(key) });
     }
     return { claims, next, more: false };
   }
--- a/test/checker/ids.test.ts
+++ b/test/checker/ids.test.ts
@@ -74,6 +74,19 @@
   expect(await world.until(take(stage, 1, 'q', 'm/2/1'))).toBe('known');
 });
 
+test('claims made without the core outlast any routers but the last', async () => {
+  for (const survivor of [0, 1, 2, 3, 4]) {
+    const stage = await openStage(5, 5);
+    const { world, cores, startCore } = stage;
+    for (const { host } of cores) host.kill();
+    expect(await world.until(take(stage, 0, 'q', 'n/1/1'))).toBe('taken');
+    await world.run(world.now + 100);
+    cores.forEach((_, at) => startCore(at));
+    await stage.loseMemories(survivor);
+    expect(await world.until(take(stage, (survivor + 1) % 5, 'q', 'm/2/1'))).toBe('known');
+  }
+});
+
 test('a holder that lost its memory reads it back, so that an id stays taken when the core is gone next', async () => {
   const stage = await openStage();
   const { world, cores } = stage;
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -1,4 +1,4 @@
-/** Three members and three enrolled nodes, put together from the program's own classes, for the checkers that need standing. */
+/** Three members and some enrolled nodes, put together from the program's own classes, for the checkers that need standing. */
 import { expect } from 'vitest';
 import { Claims } from '../../src/claim/claims.js';
 import { silentLog } from '../../src/kernel/log/log.js';
@@ -11,7 +11,7 @@
 
 export const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const site = { fleet: 'f', seeds: addresses, over: { form: true, core: { replaceAfter: 3000 } } };
-const places = new Map([['n', '127.0.0.1:11'], ['m', '127.0.0.1:12'], ['o', '127.0.0.1:13']]);
+const places = new Map([['n', '127.0.0.1:11'], ['m', '127.0.0.1:12'], ['o', '127.0.0.1:13'], ['p', '127.0.0.1:14'], ['q', '127.0.0.1:15']]);
 
 export interface Node extends SimBase {
   readonly standing: Standing;
@@ -45,12 +45,13 @@
   readonly disks: SimDisk[];
   readonly nodes: Node[];
   readonly startCore: (at: number) => SimCore;
-  /** Ends all nodes and starts them anew, with nothing remembered, until all grant claims again. */
-  readonly loseMemories: () => Promise<void>;
+  /** Ends all nodes, save one maybe, and starts them anew, with nothing remembered, until all grant claims again. */
+  readonly loseMemories: (survivor?: number) => Promise<void>;
   readonly operator: SimBase;
 }
 
-export const openStage = async (seed = 5): Promise<Stage> => {
+export const openStage = async (seed = 5, count = 3): Promise<Stage> => {
+  const names = [...places.keys()].slice(0, count);
   const world = new World(seed);
   const disks = addresses.map(() => new SimDisk(world));
   const startCore = (at: number): SimCore => {
@@ -59,12 +60,12 @@
     return core;
   };
   const cores = addresses.map((_, at) => startCore(at));
-  const nodes = [...places.keys()].map((name) => startNode(world, name));
-  const settled = (): boolean => nodes.every(({ standing, inForce, claims }) => standing.holds() && inForce.whole!.enrolled.size === 3 && claims.open);
+  const nodes = names.map((name) => startNode(world, name));
+  const settled = (): boolean => nodes.every(({ standing, inForce, claims }) => standing.holds() && inForce.whole!.enrolled.size === count && claims.open);
   expect(await world.run(30_000, settled)).toBe(true);
-  const loseMemories = async (): Promise<void> => {
-    for (const { host } of nodes) host.kill();
-    nodes.splice(0, 3, ...[...places.keys()].map((name) => startNode(world, name)));
+  const loseMemories = async (survivor?: number): Promise<void> => {
+    nodes.forEach(({ host }, at) => at !== survivor && host.kill());
+    nodes.splice(0, count, ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name))));
     expect(await world.run(world.now + 30_000, settled)).toBe(true);
   };
   const operator = simBase(world, 'op', '127.0.0.1:20', 'z', 'router', site);
