Without the core routers hand on generations, and one that starts begins from them

Cause: a router that reached no core member stayed on its generation, and one started while the core was out had none: a rolling restart of routers in a core outage ended service, and took with it what they remembered of ids. Ruled out: beginning from any neighbour (the checker: two routers that forgot an accepted generation, beside one that was cut off before it, stand on the old one).

--- /dev/null
+++ b/src/register/relay.ts
@@ -0,0 +1,69 @@
+/**
+ * News of generations between routers, for when the core is out of reach. A router hands on what it has in force by the
+ * same numbered feed as a core member. What is in force anywhere is settled, so a newer generation from a neighbour may
+ * be put in force at once; it is shown as accepted only by the core's word, as ever.
+ *
+ * A router that starts has nothing, and must not begin behind what was accepted. It begins from its neighbours only when
+ * a majority of the enrolled routers, all of which have something in force since before, hold nothing newer: a change
+ * that was accepted was in force at a majority, and the two would meet.
+ */
+import { Right } from 'purify-ts';
+import { failed } from '../kernel/fault/fault.js';
+import type { Peers } from '../wire/peers.js';
+import { Feed, type FeedItem } from './calls.js';
+import { decodeDocument, type Document } from './document.js';
+import { gather, majority, sound } from './gather.js';
+
+const DEPTH = 16;
+const BYTES = 4 * 1024 * 1024;
+const ASK_LIMIT = 600;
+
+export class Relay {
+  private readonly recent = new Map<number, FeedItem>();
+  private newest = 0;
+
+  constructor(private readonly peers: Peers, private readonly neighbours: () => readonly string[]) {}
+
+  serve(): void {
+    this.peers.handle(Feed, ({ from }) => {
+      const newest = this.recent.get(this.newest);
+      if (!newest) return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
+      if (from >= this.newest) return Right({ settled: this.newest, checkpoint: false, items: [] });
+      const items: FeedItem[] = [];
+      let bytes = 0;
+      for (let generation = from + 1; from > 0 && generation <= this.newest; generation++) {
+        const item = this.recent.get(generation);
+        bytes += item?.document.length ?? 0;
+        if (!item || bytes > BYTES) break;
+        items.push(item);
+      }
+      return Right(items.length ? { settled: this.newest, checkpoint: false, items } : { settled: this.newest, checkpoint: true, items: [newest] });
+    });
+  }
+
+  /** What came into force here. */
+  note(items: readonly FeedItem[], documents: readonly Document[]): void {
+    documents.forEach(({ generation }, at) => this.recent.set(generation, items[at]!));
+    this.newest = Math.max(this.newest, ...documents.map(({ generation }) => generation));
+    for (const old of this.recent.keys()) {
+      if (this.recent.size <= DEPTH) break;
+      this.recent.delete(old);
+    }
+  }
+
+  /** Neighbours to follow when no core member answers. */
+  get sources(): readonly string[] {
+    return this.neighbours();
+  }
+
+  /** The generation from which a router that has nothing may begin, by the word of a majority of the enrolled routers. */
+  async floor(): Promise<number | undefined> {
+    const first = sound(await gather(this.neighbours(), (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT), () => false));
+    const newest = first.flatMap(({ items }) => items.map((item) => decodeDocument(item.document, 'neighbour')).flatMap((read) => (read.isRight() ? [read.unsafeCoerce()] : []))).reduce<Document | undefined>((best, each) => (!best || each.generation > best.generation ? each : best), undefined);
+    if (!newest || newest.fleet !== this.peers.self.fleet || newest.enrolled.size === 0) return undefined;
+    const addresses = [...newest.enrolled].filter(([name]) => name !== this.peers.self.name).map(([, { address }]) => address);
+    const told = sound(await gather(addresses, (address) => this.peers.ask(address, Feed, { from: newest.generation, wait: 0 }, ASK_LIMIT), () => false));
+    const enough = told.length >= majority(newest.enrolled.size) && told.every(({ settled }) => settled <= newest.generation);
+    return enough ? newest.generation : undefined;
+  }
+}
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -26,6 +26,7 @@
 import { Soundness } from '../pool/soundness.js';
 import { Follower } from '../register/follower.js';
 import type { Proposer } from '../register/proposer.js';
+import { Relay } from '../register/relay.js';
 import type { Roster } from '../register/roster.js';
 import type { View } from '../view/view.js';
 import type { Hello } from '../wire/call.js';
@@ -60,14 +61,18 @@
     this.claims.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (documents) => {
+    const relay = new Relay(this.peers, () => this.view.live('router').filter(({ name }) => name !== this.params.name).map(({ address }) => address));
+    relay.serve();
+    this.view.lead(() => [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address));
+    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (documents, items) => {
       const newest = documents[documents.length - 1]!;
+      relay.note(items, documents);
       if (!this.inForce.swap(newest)) return;
       this.operations.noteClaims(newest);
       this.log('in-force', [['generation', newest.generation]]);
       this.standing.renewNow();
       this.passage.stir();
-    });
+    }, '', relay);
     const { signal } = this.stop;
     void this.view.run(signal);
     void this.news.run(signal);
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -32,6 +32,7 @@
 export class View {
   private readonly entries = new Map<string, Neighbour>();
   private turns = 0;
+  private leads: () => readonly string[] = () => [];
 
   constructor(readonly self: Neighbour, private readonly seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random) {}
 
@@ -50,6 +51,11 @@
     }
   }
 
+  /** Names addresses of nodes that ought to be there; one that is not in the view is asked at each turn. */
+  lead(leads: () => readonly string[]): void {
+    this.leads = leads;
+  }
+
   /** The nodes of a role that were heard of lately, this one included when it has the role. */
   live(role: string): Neighbour[] {
     return [this.self, ...this.entries.values()].filter((entry) => entry.role === role && entry.age <= STALE);
@@ -64,13 +70,20 @@
       entry.age += 1;
       if (entry.age > STALE * 4) this.entries.delete(entry.name);
     }
+    const known = new Set([this.self.address, ...[...this.entries.values()].map(({ address }) => address)]);
+    const missing = pick(this.random, this.leads().filter((address) => !known.has(address)));
+    if (missing) void this.swap(missing);
     const oldest = [...this.entries.values()].reduce<Neighbour | undefined>((best, entry) => (!best || entry.age > best.age ? entry : best), undefined);
     const toSeed = !oldest || this.entries.size < 3 || ++this.turns % 8 === 0;
     const address = toSeed ? pick(this.random, this.seeds.filter((seed) => seed !== this.self.address)) : oldest.address;
     if (!address) return;
+    if (!(await this.swap(address)) && oldest && address === oldest.address) this.entries.delete(oldest.name);
+  }
+
+  private async swap(address: string): Promise<boolean> {
     const reply = await this.peers.ask(address, Shuffle, { entries: this.sample() }, ASK_LIMIT);
     reply.ifRight(({ entries }) => this.merge(entries));
-    if (reply.isLeft() && oldest && address === oldest.address) this.entries.delete(oldest.name);
+    return reply.isRight();
   }
 
   private sample(): Neighbour[] {
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -5,6 +5,7 @@
 import { Enrolment } from '../../src/lease/enrolment.js';
 import { Standing } from '../../src/lease/standing.js';
 import { Vows } from '../../src/lease/vows.js';
+import { Relay } from '../../src/register/relay.js';
 import { Follower } from '../../src/register/follower.js';
 import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk, World } from '../../src/sim/world.js';
@@ -28,9 +29,12 @@
   const claims = new Claims(name, inForce, peers, roster, clock, random, silentLog);
   claims.serve();
   const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone: 'z' }, inForce, vows, peers, roster, clock, silentLog);
-  const follower = new Follower(peers, roster, proposer, clock, random, silentLog, (documents) => {
+  const relay = new Relay(peers, () => [...places.values()].filter((other) => other !== address));
+  relay.serve();
+  const follower = new Follower(peers, roster, proposer, clock, random, silentLog, (documents, items) => {
+    relay.note(items, documents);
     if (inForce.swap(documents.at(-1)!)) standing.renewNow();
-  });
+  }, '', relay);
   void peers.serve(address);
   void standing.run(stop.signal);
   void claims.run(stop.signal);
@@ -47,6 +51,8 @@
   readonly startCore: (at: number) => SimCore;
   /** Ends all nodes, save one maybe, and starts them anew, with nothing remembered, until all grant claims again. */
   readonly loseMemories: (survivor?: number) => Promise<void>;
+  /** Ends one node and starts it anew. */
+  readonly restart: (at: number) => void;
   readonly operator: SimBase;
 }
 
@@ -68,7 +74,11 @@
     nodes.splice(0, count, ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name))));
     expect(await world.run(world.now + 30_000, settled)).toBe(true);
   };
+  const restart = (at: number): void => {
+    nodes[at]!.host.kill();
+    nodes[at] = startNode(world, names[at]!);
+  };
   const operator = simBase(world, 'op', '127.0.0.1:20', 'z', 'router', site);
   await world.until(operator.proposer.learnCore());
-  return { world, cores, disks, nodes, startCore, loseMemories, operator };
+  return { world, cores, disks, nodes, startCore, loseMemories, restart, operator };
 };
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -114,3 +114,38 @@
   const generation = verdict.map((told) => (told.kind === 'applied' ? told.generation : 0)).orDefault(0);
   expect((await world.until(seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
 });
+
+test('without the core a node that starts begins from the others, and one cut off from it follows them', async () => {
+  const { world, cores, nodes, restart, startCore, operator } = await openStage();
+  world.part(['n'], ['core-0', 'core-1', 'core-2']);
+  expect((await world.until(operator.proposer.propose(change, 5000))).isRight()).toBe(true);
+  expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.generation === 5)).toBe(true);
+  for (const { host } of cores) host.kill();
+  restart(2);
+  expect(await world.run(world.now + 12_000, () => nodes[2]!.standing.holds())).toBe(true);
+  expect(nodes[2]!.inForce.generation).toBe(5);
+  world.heal();
+  cores.forEach((_, at) => startCore(at));
+  expect((await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
+});
+
+test('nor does a node begin behind what was accepted, when only one that was cut off remembers anything', async () => {
+  for (let pause = 0; pause < 900; pause += 300) {
+    const { world, cores, nodes, restart, startCore, operator } = await openStage();
+    world.part(['n'], ['core-0', 'core-1', 'core-2', 'm', 'o']);
+    await world.run(world.now + 6000);
+    const verdict = await world.until(operator.proposer.propose(change, 5000));
+    expect(verdict.map(({ kind }) => kind).extract()).toBe('applied');
+    expect((await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
+    await world.run(world.now + pause);
+    for (const { host } of cores) host.kill();
+    restart(1);
+    restart(2);
+    world.heal();
+    const behind = (): boolean => nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < 5);
+    expect(await world.run(world.now + 15_000, behind)).toBe(false);
+    expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([4, 0, 0]);
+    cores.forEach((_, at) => startCore(at));
+    expect(await world.run(world.now + 10_000, () => nodes.every(({ standing, inForce }) => standing.holds() && inForce.generation === 5))).toBe(true);
+  }
+});
