A planned stop takes the router out of the enrolment, so changes go on

Cause: "accepted" needs the reports of a majority of the enrolled routers, and a stopped one stayed enrolled; one started again reports nothing for a lease, since it forgot its vows. With half of the routers stopped as planned, no change was accepted until they were back and 5 s older. Ruled out: a note at the core that the vows were given back (an incarnation the core never saw may have vouched since). Change: a stopping router retires itself, under the rule of one enrolment at a time, each after the last is in force everywhere; started again it enrols anew and may report at once. Conclusion: routers that die without a word still count until retired.

--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -1,6 +1,7 @@
 /**
- * A router enrols itself once it has standing. Enrolments go one at a time: each builds on the last, and is proposed
- * only once the last is in force everywhere, so that majorities before and after always meet.
+ * A router enrols itself once it has standing, and on a planned stop takes itself out again, so that those that are
+ * left remain a majority of the enrolled and its duties are handed over. Enrolments go one at a time: each builds on
+ * the last, and is proposed only once the last is in force everywhere, so that majorities before and after always meet.
  */
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
@@ -19,6 +20,8 @@
 const CALM = 300;
 
 export class Enrolment {
+  private leaving = false;
+
   constructor(
     private readonly node: string,
     private readonly own: Enrolled,
@@ -39,7 +42,7 @@
       const there = document?.enrolled.get(this.node);
       if (document && document.enrolledAt !== seen.enrolledAt) seen = { enrolledAt: document.enrolledAt, since: this.clock.now() };
       const calm = this.clock.now() - seen.since >= CALM;
-      if (document && calm && this.standing.holds() && there?.address !== this.own.address) {
+      if (document && calm && !this.leaving && this.standing.holds() && there?.address !== this.own.address) {
         const expects = document.enrolledAt;
         await this.change(there ? { kind: 'retire', name: this.node, expects } : { kind: 'enrol', name: this.node, enrolled: this.own, expects });
       }
@@ -47,9 +50,22 @@
     }
   }
 
-  private async change(act: Extract<Act, { kind: 'enrol' | 'retire' }>): Promise<void> {
-    if (act.expects > 0 && !(await seekAccord(act.expects, LIMIT, this.peers, this.roster, this.clock)).everywhere) return;
-    const told = await this.proposer.propose({ id: `enrol-${this.random.identity()}`, firm: '', who: this.node, act }, LIMIT);
+  /** Takes this router out of the enrolment, as far as that can be done within a limit. */
+  async leave(limit: number): Promise<void> {
+    this.leaving = true;
+    const end = this.clock.now() + limit;
+    for (let left = limit; left > 0; left = end - this.clock.now()) {
+      const document = this.inForce.whole;
+      if (!document?.enrolled.has(this.node)) return;
+      await this.change({ kind: 'retire', name: this.node, expects: document.enrolledAt }, left);
+      await this.clock.sleep(20 + 60 * this.random.fraction());
+    }
+  }
+
+  private async change(act: Extract<Act, { kind: 'enrol' | 'retire' }>, limit = LIMIT): Promise<void> {
+    const end = this.clock.now() + limit;
+    if (act.expects > 0 && !(await seekAccord(act.expects, limit, this.peers, this.roster, this.clock)).everywhere) return;
+    const told = await this.proposer.propose({ id: `enrol-${this.random.identity()}`, firm: '', who: this.node, act }, Math.max(1, end - this.clock.now()));
     const done = told.map(({ kind }) => kind === 'applied').orDefault(false);
     if (done) this.log('enrolment', [['act', act.kind]]);
   }
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -32,8 +32,13 @@
 import type { Hello } from '../wire/call.js';
 import type { Peers } from '../wire/peers.js';
 
+/** The longest that a planned stop takes for handing its duties over. */
+const HANDOVER = 1000;
+
 @Injectable()
 export class RouterNode {
+  private enrolment: Enrolment | undefined;
+
   constructor(
     @Inject(names.params) private readonly params: Params,
     @Inject(names.peers) private readonly peers: Peers,
@@ -80,7 +85,8 @@
     void follower.run(signal);
     void this.claims.run(signal);
     const own = { address: this.params.listen.peers, zone: this.params.zone };
-    void new Enrolment(this.params.name, own, this.inForce, this.standing, this.proposer, this.peers, this.roster, this.clock, this.random, this.log).run(signal);
+    this.enrolment = new Enrolment(this.params.name, own, this.inForce, this.standing, this.proposer, this.peers, this.roster, this.clock, this.random, this.log);
+    void this.enrolment.run(signal);
     return served;
   }
 
@@ -90,9 +96,11 @@
     return '';
   }
 
-  /** Finishes what was taken, gives standing back, and closes. */
+  /** Finishes what was taken, hands its duties over, gives standing back, and closes. */
   async drain(): Promise<number> {
+    const began = this.clock.now();
     const left = await this.passage.drain(this.params.drain);
+    await this.enrolment?.leave(Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)));
     await this.standing.leave();
     this.channels.close();
     return left;
