Many doorways in one change: doorway apply, all of it or nothing

Change: a change may set and remove many doorways, each at the generation it expects, under one id with one outcome, history and trace; ties are judged at the end; a dry run shows the difference.

--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -38,6 +38,23 @@
         patch?: never;
         trace?: never;
     };
+    "/rpc/doorway.apply": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        get?: never;
+        put?: never;
+        /** Sets and removes many doorways in one change */
+        post: operations["doorway.apply"];
+        delete?: never;
+        options?: never;
+        head?: never;
+        patch?: never;
+        trace?: never;
+    };
     "/rpc/doorway.claim": {
         parameters: {
             query?: never;
@@ -321,6 +338,18 @@
             expects: number;
             wait: components["schemas"]["Wait"];
         };
+        DoorwayApplyAsk: {
+            change: components["schemas"]["ChangeId"];
+            sets: {
+                doorway: components["schemas"]["Doorway"];
+                expects: number;
+            }[];
+            removes: {
+                name: components["schemas"]["Name"];
+                expects: number;
+            }[];
+            wait: components["schemas"]["Wait"];
+        };
         DoorwayClaimAsk: {
             change: components["schemas"]["ChangeId"];
             name: components["schemas"]["Name"];
@@ -583,6 +612,11 @@
                 "application/json": components["schemas"]["DoorwayRemoveAsk"];
             };
         };
+        DoorwayApply: {
+            content: {
+                "application/json": components["schemas"]["DoorwayApplyAsk"];
+            };
+        };
         DoorwayClaim: {
             content: {
                 "application/json": components["schemas"]["DoorwayClaimAsk"];
@@ -670,6 +704,19 @@
             default: components["responses"]["Fault"];
         };
     };
+    "doorway.apply": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        requestBody: components["requestBodies"]["DoorwayApply"];
+        responses: {
+            200: components["responses"]["Changed"];
+            default: components["responses"]["Fault"];
+        };
+    };
     "doorway.claim": {
         parameters: {
             query?: never;
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -12,7 +12,7 @@
 import type { Newsroom } from '../pool/news.js';
 import { Feed, Form, History, State, type FeedItem } from '../register/calls.js';
 import type { Verdict } from '../register/change.js';
-import { decodeDocument, digestOf, encodeDocument, genesis, subjectOf, type Act, type Change, type CoreSet, type Document, type Seat } from '../register/document.js';
+import { decodeDocument, digestOf, encodeDocument, genesis, subjectOf, type Act, type Change, type CoreSet, type Document, type DoorwayAct, type Seat } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
 import type { Roster } from '../register/roster.js';
@@ -59,6 +59,18 @@
     return this.change(operator, ask.change, { kind: 'remove', name: ask.name, expects: ask.expects }, ask.wait);
   }
 
+  /** Many doorways in one change: removals first, then what is set; all of it or nothing. */
+  applyDoorways(operator: Operator, ask: Schemas['DoorwayApplyAsk']): Promise<Outcome<Changed>> {
+    const items: DoorwayAct[] = ask.removes.map(({ name, expects }) => ({ kind: 'remove', name, expects }));
+    for (const [at, { doorway, expects }] of ask.sets.entries()) {
+      const checked = checkDoorway(doorway);
+      if (checked.isLeft()) return Promise.resolve(checked.mapLeft((fault) => ({ ...fault, reason: `sets[${at}]: ${fault.reason}` })) as Outcome<never>);
+      items.push({ kind: 'set', doorway: checked.unsafeCoerce(), expects });
+    }
+    if (items.length === 0) return Promise.resolve(failed('doorway.apply', 'operator', 'nothing is to be set or removed'));
+    return this.change(operator, ask.change, { kind: 'apply', items }, ask.wait);
+  }
+
   claimDoorway(operator: Operator, ask: Schemas['DoorwayClaimAsk']): Promise<Outcome<Changed>> {
     const claim = this.inForce.whole?.claims.get(ask.name);
     const seen = this.claimsSeen.get(ask.name);
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -1,9 +1,11 @@
 /** The operators' commands: doorway, config, node, core-set. Exit codes: 0 done, 3 declined or lost, 4 unknown, 2 bad use. */
 import { randomUUID } from 'node:crypto';
 import { readFile, writeFile } from 'node:fs/promises';
+import { isDeepStrictEqual } from 'node:util';
 import { parse } from 'yaml';
 import type { Argv } from 'yargs';
 import type { Schemas } from '../api/schema.js';
+import { checkDoorway } from '../doorway/shape.js';
 import { attempt, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import { digestOf } from '../register/document.js';
 import { operate, type Target } from '../client/operate.js';
@@ -63,6 +65,24 @@
       if (expects.isLeft()) return end(expects);
       end(await operate(target(argv), 'doorway.set', { change: argv.change ?? randomUUID(), doorway: value as Schemas['Doorway'], expects: expects.unsafeCoerce(), wait: argv.wait }));
     })
+    .command(
+      'apply <file>', 'Sets and removes many doorways in one change, all of it or nothing',
+      (y) => common(y).positional('file', { type: 'string', demandOption: true, describe: 'JSON or YAML: doorways: [...], remove: [names]' }).option('dry-run', { type: 'boolean', default: false, describe: 'Only shows what would change' }),
+      async (argv) => {
+        const read = await readWanted(argv.file);
+        if (read.isLeft()) {
+          end(read);
+          process.exitCode = 2;
+          return;
+        }
+        const list = await operate(target(argv), 'doorway.list', {});
+        if (list.isLeft()) return end(list);
+        const { sets, removes, shown } = compare(read.unsafeCoerce(), list.unsafeCoerce());
+        if (argv.dryRun) return show({ generation: list.unsafeCoerce().generation, ...shown });
+        if (sets.length + removes.length === 0) return show({ outcome: 'accepted', reason: 'nothing to change', ...shown });
+        end(await operate(target(argv), 'doorway.apply', { change: argv.change ?? randomUUID(), sets, removes, wait: argv.wait }));
+      },
+    )
     .command('remove <name>', 'Removes a doorway', (y) => common(y).positional('name', { type: 'string', demandOption: true }), async (argv) => {
       const expects = await expected(argv, argv.name);
       if (expects.isLeft()) return end(expects);
@@ -79,6 +99,47 @@
     .command('outcome <id>', 'Says what became of a change', (y) => common(y).positional('id', { type: 'string', demandOption: true }), async (argv) => end(await operate(target(argv), 'change.outcome', { change: argv.id, wait: argv.wait })))
     .demandCommand(1, 'name what to do with the doorway');
 
+interface Wanted {
+  readonly doorways: readonly Schemas['Doorway'][];
+  readonly remove: readonly string[];
+}
+
+const readWanted = (file: string): Promise<Outcome<Wanted>> =>
+  attempt('doorway.read', file, async () => {
+    const { doorways = [], remove = [], ...rest } = (parse(await readFile(file, 'utf8')) ?? {}) as Partial<Wanted>;
+    if (!Array.isArray(doorways) || !Array.isArray(remove) || Object.keys(rest).length) throw new Error('expected doorways: [...] and remove: [names], and nothing else');
+    doorways.forEach((doorway, at) => {
+      const checked = checkDoorway(doorway);
+      if (checked.isLeft()) throw new Error(`doorways[${at}]: ${checked.extract().reason}`);
+    });
+    remove.forEach((name: unknown, at) => {
+      if (typeof name !== 'string') throw new Error(`remove[${at}] is not a name`);
+    });
+    return { doorways, remove };
+  });
+
+/** What a file wants against what is there: each item with the generation it is at now. */
+const compare = ({ doorways, remove }: Wanted, list: Schemas['DoorwayListReply']): { sets: Schemas['DoorwayApplyAsk']['sets']; removes: Schemas['DoorwayApplyAsk']['removes']; shown: object } => {
+  const there = new Map(list.doorways.map(({ doorway, generation }) => [doorway.name, { doorway, generation }]));
+  const gone = new Map(list.removed.map(({ name, generation }) => [name, generation]));
+  const at = (name: string): number => there.get(name)?.generation ?? gone.get(name) ?? 0;
+  const differs = (doorway: Schemas['Doorway']): string[] => {
+    const before = new Map(Object.entries(there.get(doorway.name)?.doorway ?? {}));
+    return Object.entries(doorway).filter(([key, value]) => !isDeepStrictEqual(before.get(key), value)).map(([key]) => key);
+  };
+  const changed = doorways.filter((doorway) => differs(doorway).length > 0);
+  return {
+    sets: changed.map((doorway) => ({ doorway, expects: at(doorway.name) })),
+    removes: remove.map((name) => ({ name, expects: at(name) })),
+    shown: {
+      added: changed.filter(({ name }) => !there.has(name)).map(({ name }) => name),
+      changed: changed.filter(({ name }) => there.has(name)).map((doorway) => ({ name: doorway.name, generation: at(doorway.name), fields: differs(doorway) })),
+      removed: remove,
+      unchanged: doorways.filter((doorway) => !changed.includes(doorway)).map(({ name }) => name),
+    },
+  };
+};
+
 export const configCommand = (yargs: Argv): Argv =>
   yargs
     .command('show', 'Shows the newest generation', common, async (argv) => end((await operate(target(argv), 'config.at', { generation: 0 })).map(readable)))
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -23,6 +23,7 @@
     this.calls = new Map<string, Run>([
       ['doorway.set', checked('DoorwaySetAsk', (ask, operator) => operations.setDoorway(operator, ask))],
       ['doorway.remove', checked('DoorwayRemoveAsk', (ask, operator) => operations.removeDoorway(operator, ask))],
+      ['doorway.apply', checked('DoorwayApplyAsk', (ask, operator) => operations.applyDoorways(operator, ask))],
       ['doorway.claim', checked('DoorwayClaimAsk', (ask, operator) => operations.claimDoorway(operator, ask))],
       ['doorway.get', checked('NamedAsk', ({ name }) => operations.get(name))],
       ['doorway.list', checked('NothingAsk', () => operations.list())],
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -5,7 +5,7 @@
  * A removed name keeps the generation of its removal, so that no old change can ever apply again.
  */
 import { checkApart } from '../doorway/shape.js';
-import { changeDigest, digestOf, encodeDocument, type Act, type Change, type Claim, type Document, type Generation } from './document.js';
+import { changeDigest, digestOf, encodeDocument, type Act, type Change, type Claim, type Document, type DoorwayAct, type Generation } from './document.js';
 
 export const WINDOW = 2048;
 export const DOORWAY_BOUND = 2048;
@@ -58,39 +58,69 @@
   return { ...document, enrolled, enrolledAt: next };
 };
 
-const alter = (document: Document, change: Change, next: Generation): Document | Verdict => {
-  const { act, firm } = change;
-  if (act.kind === 'seat' || act.kind === 'unseat') return reseat(document, act);
-  if (act.kind === 'enrol' || act.kind === 'retire') return reenrol(document, act, next);
+/** Sets or removes one doorway; whether all doorways can be told apart is looked at by the caller. */
+const place = (document: Document, act: DoorwayAct, firm: string, next: Generation): Document | Verdict => {
   const name = act.kind === 'set' ? act.doorway.name : act.name;
   const owner = document.doorways.get(name)?.doorway.firm;
   if (owner && owner !== firm) return declined(`doorway ${name} belongs to ${owner}`);
+  const held = standing(document, name);
+  if (act.kind === 'remove') {
+    if (!owner && held === act.expects) return declined(`there is no doorway ${name}`);
+    if (held !== act.expects) return lost(name, act.expects, held);
+    if (document.removed.size >= REMOVED_BOUND) return declined(`${REMOVED_BOUND} removed names are kept already`);
+    const doorways = new Map(document.doorways);
+    doorways.delete(name);
+    return { ...document, doorways, removed: new Map(document.removed).set(name, next) };
+  }
   const claim = document.claims.get(name);
+  if (act.doorway.firm !== firm) return declined(`${firm} may not set a doorway of ${act.doorway.firm}`);
+  if (claim && claim.firm !== firm) return declined(`${name} is claimed by ${claim.firm}`);
+  if (held !== act.expects) return lost(name, act.expects, held);
+  if (!owner && document.doorways.size >= DOORWAY_BOUND) return declined(`there are ${DOORWAY_BOUND} doorways already`);
+  const doorways = new Map(document.doorways).set(name, { doorway: act.doorway, generation: next });
+  const removed = new Map(document.removed);
+  removed.delete(name);
+  return { ...document, doorways, removed, claims: renewed(document.claims, name, firm) };
+};
+
+/** All of the items, each on what is there before any of them, or nothing; what stands in the way is named by its place. */
+const placeAll = (document: Document, items: readonly DoorwayAct[], firm: string, next: Generation): Document | Verdict => {
+  const seen = new Set<string>();
+  let draft = document;
+  for (const [at, item] of items.entries()) {
+    const where = items.length > 1 ? `items[${at}]: ` : '';
+    const name = item.kind === 'set' ? item.doorway.name : item.name;
+    if (seen.has(name)) return declined(`${where}${name} is named twice`);
+    seen.add(name);
+    const placed = place(draft, item, firm, next);
+    if ('kind' in placed) return 'reason' in placed ? { ...placed, reason: `${where}${placed.reason}` } : placed;
+    draft = placed;
+  }
+  const apart = checkApart([...draft.doorways.values()].map(({ doorway }) => doorway));
+  return apart.isLeft() ? declined(apart.extract().reason) : draft;
+};
+
+const alter = (document: Document, change: Change, next: Generation): Document | Verdict => {
+  const { act, firm } = change;
   switch (act.kind) {
+    case 'seat':
+    case 'unseat':
+      return reseat(document, act);
+    case 'enrol':
+    case 'retire':
+      return reenrol(document, act, next);
+    case 'set':
+    case 'remove':
+      return placeAll(document, [act], firm, next);
+    case 'apply':
+      return placeAll(document, act.items, firm, next);
     case 'claim': {
-      if ((claim?.renewal ?? 0) !== act.expects) return { kind: 'lost', reason: `the claim on ${name} is at renewal ${claim?.renewal ?? 0}, not ${act.expects}` };
-      if (claim && claim.firm !== firm && !act.takeover) return declined(`${name} is claimed by ${claim.firm}`);
-      return { ...document, claims: renewed(document.claims, name, firm, act.duration) };
-    }
-    case 'set': {
-      if (act.doorway.firm !== firm) return declined(`${firm} may not set a doorway of ${act.doorway.firm}`);
-      if (claim && claim.firm !== firm) return declined(`${name} is claimed by ${claim.firm}`);
-      if (standing(document, name) !== act.expects) return lost(name, act.expects, standing(document, name));
-      if (!owner && document.doorways.size >= DOORWAY_BOUND) return declined(`there are ${DOORWAY_BOUND} doorways already`);
-      const doorways = new Map(document.doorways).set(name, { doorway: act.doorway, generation: next });
-      const apart = checkApart([...doorways.values()].map((placed) => placed.doorway));
-      if (apart.isLeft()) return declined(apart.extract().reason);
-      const removed = new Map(document.removed);
-      removed.delete(name);
-      return { ...document, doorways, removed, claims: renewed(document.claims, name, firm) };
-    }
-    case 'remove': {
-      if (!owner) return standing(document, name) === act.expects ? declined(`there is no doorway ${name}`) : lost(name, act.expects, standing(document, name));
-      if (standing(document, name) !== act.expects) return lost(name, act.expects, standing(document, name));
-      if (document.removed.size >= REMOVED_BOUND) return declined(`${REMOVED_BOUND} removed names are kept already`);
-      const doorways = new Map(document.doorways);
-      doorways.delete(name);
-      return { ...document, doorways, removed: new Map(document.removed).set(name, next) };
+      const owner = document.doorways.get(act.name)?.doorway.firm;
+      if (owner && owner !== firm) return declined(`doorway ${act.name} belongs to ${owner}`);
+      const claim = document.claims.get(act.name);
+      if ((claim?.renewal ?? 0) !== act.expects) return { kind: 'lost', reason: `the claim on ${act.name} is at renewal ${claim?.renewal ?? 0}, not ${act.expects}` };
+      if (claim && claim.firm !== firm && !act.takeover) return declined(`${act.name} is claimed by ${claim.firm}`);
+      return { ...document, claims: renewed(document.claims, act.name, firm, act.duration) };
     }
   }
 };
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -36,9 +36,14 @@
   readonly duration: number;
 }
 
-export type Act =
+export type DoorwayAct =
   | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Generation }
-  | { readonly kind: 'remove'; readonly name: string; readonly expects: Generation }
+  | { readonly kind: 'remove'; readonly name: string; readonly expects: Generation };
+
+export type Act =
+  | DoorwayAct
+  /** Many doorways at once: all of it or nothing. */
+  | { readonly kind: 'apply'; readonly items: readonly DoorwayAct[] }
   | { readonly kind: 'claim'; readonly name: string; readonly duration: number; readonly expects: number; readonly takeover: boolean }
   | { readonly kind: 'seat'; readonly seat: Seat; readonly expects: number }
   | { readonly kind: 'unseat'; readonly id: string; readonly vacant: boolean; readonly expects: number }
@@ -145,6 +150,8 @@
   switch (act.kind) {
     case 'set':
       return act.doorway.name;
+    case 'apply':
+      return act.items.map(subjectOf).join(' ').slice(0, 400);
     case 'seat':
       return act.seat.address;
     case 'unseat':
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -2,6 +2,7 @@
  * The operators of both firms: they change doorways in uneven steps, alone, in races and in storms, through any living
  * node, and keep what they were told. At the day's end what they were told is held against what was kept.
  */
+import type { Operations } from '../../api/operations.js';
 import type { Schemas } from '../../api/schema.js';
 import type { Fault as Failure } from '../../kernel/fault/fault.js';
 import { pick } from '../../kernel/random/random.js';
@@ -58,22 +59,48 @@
   rivals(count: number): void {
     const { random } = this.stage;
     const name = pick(random, this.names)!;
-    const newest = Math.max(0, ...this.told.filter((each) => each.doorway === name && each.generation > 0).map(({ generation }) => generation));
+    const newest = this.newest(name);
     if (count > 1) this.stage.tally.note('rivals', count);
     for (let each = 0; each < count; each++) void this.change(name, newest, pick(random, ['even', 'odd', 'all'] as const)!, `c${++this.number}`, 4000 + random.fraction() * 4000);
   }
 
+  /** All doorways of one firm in one change, and maybe a rival that does the same. */
+  many(rivals: number): void {
+    const { random, tally } = this.stage;
+    const firm = pick(random, ['sahel', 'aconcagua'])!;
+    const names = this.names.filter((name) => name.startsWith(firm));
+    const expects = names.map((name) => this.newest(name));
+    tally.note('rivals', rivals > 1 ? rivals : 0);
+    for (let each = 0; each < rivals; each++) {
+      const groups = pick(random, ['even', 'odd', 'all'] as const)!;
+      const id = `c${++this.number}`;
+      const sets = names.map((name, at) => ({ doorway: this.doorway(name, groups), expects: expects[at]! }));
+      const wanted = names.map((doorway, at): Told => ({ id, doorway, expects: expects[at]!, groups, asked: this.stage.world.now, outcome: 'silent', generation: 0, at: Infinity }));
+      void this.ask(wanted, 5000, (operations) => operations.applyDoorways({ firm, who: 'operator' }, { change: id, sets, removes: [], wait: 5000 }));
+    }
+  }
+
   /** One change through some living node; what the operator was told is kept. */
   async change(doorway: string, expects: number, groups: Groups, id = `c${++this.number}`, wait = 5000): Promise<Told> {
+    const spec = this.doorway(doorway, groups);
+    const told: Told = { id, doorway, expects, groups, asked: this.stage.world.now, outcome: 'silent', generation: 0, at: Infinity };
+    await this.ask([told], wait, (operations) => operations.setDoorway({ firm: spec.firm, who: 'operator' }, { change: id, doorway: spec, expects, wait }));
+    return told;
+  }
+
+  private newest(name: string): number {
+    return Math.max(0, ...this.told.filter((each) => each.doorway === name && each.generation > 0).map(({ generation }) => generation));
+  }
+
+  private async ask(wanted: readonly Told[], wait: number, act: (operations: Operations) => ReturnType<Operations['setDoorway']>): Promise<void> {
     const { stage } = this;
     const { world, tally } = stage;
     const via = pick(stage.random, [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead));
-    const told: Told = { id, doorway, expects, groups, asked: world.now, outcome: 'silent', generation: 0, at: Infinity };
-    this.told.push(told);
-    if (!via) return told;
+    this.told.push(...wanted);
+    if (!via) return;
+    const told = { ...wanted[0]! };
     const calm = stage.calmFor(CALM);
-    const spec = this.doorway(doorway, groups);
-    const done = await Promise.race([via.operations.setDoorway({ firm: spec.firm, who: 'operator' }, { change: id, doorway: spec, expects, wait }), stage.pause(wait + 3000).then(() => undefined)]);
+    const done = await Promise.race([act(via.operations), stage.pause(wait + 3000).then(() => undefined)]);
     done?.caseOf({
       Left: ({ certainty }: Failure) => {
         told.outcome = certainty;
@@ -84,6 +111,7 @@
       },
     });
     told.at = world.now;
+    for (const each of wanted) Object.assign(each, { outcome: told.outcome, generation: told.generation, at: told.at });
     const took = Math.round(told.at - told.asked);
     if (told.outcome === 'accepted') {
       this.accepted = Math.max(this.accepted, told.generation);
@@ -91,9 +119,8 @@
     } else if (told.outcome !== 'silent' && told.outcome !== 'unknown') tally.note('declinedChanges');
     if (calm && stage.calmFor(CALM)) {
       if (told.outcome === 'accepted') this.calmAccepted.push(took);
-      if ((told.outcome === 'accepted' && took > PROMISED) || told.outcome === 'unknown') tally.find('slow-accepted', `${told.outcome} after ${took} ms with no failure under way`, id);
+      if ((told.outcome === 'accepted' && took > PROMISED) || told.outcome === 'unknown') tally.find('slow-accepted', `${told.outcome} after ${took} ms with no failure under way`, told.id);
     }
-    return told;
   }
 
   /** What was told against what is kept in the end. */
--- a/src/sim/day/strikes.ts
+++ b/src/sim/day/strikes.ts
@@ -311,6 +311,9 @@
         for (let at = 0; at < 40; at++) world.at(at * 50, () => operators.rivals(1 + (at % 2)));
       }],
       ['doorway-race', () => operators.rivals(3)],
+      ['doorways-at-once', () => {
+        for (let at = 0; at < 6; at++) world.at(at * 400, () => operators.many(1 + (at % 3)));
+      }],
     ];
   }
 }
--- a/test/unit/change.test.ts
+++ b/test/unit/change.test.ts
@@ -56,3 +56,20 @@
   const text = encodeDocument(document);
   expect(encodeDocument(decodeDocument(text, 'x').unsafeCoerce())).toEqual(text);
 });
+
+test('many doorways in one change: all of it or nothing, ties judged at the end, and what stands in the way named by place', () => {
+  const { document } = apply(start, put('a', 0), change('b', { kind: 'set', doorway: doorway('e'), expects: 0 }));
+  const swap = change('swap', { kind: 'apply', items: [{ kind: 'set', doorway: doorway('d', { match: { tag: 'e' } }), expects: 2 }, { kind: 'set', doorway: doorway('e', { match: { tag: 'd' } }), expects: 2 }] });
+  const swapped = apply(document, swap);
+  expect(swapped.kinds).toEqual(['applied']);
+  expect([...swapped.document.doorways.values()].map(({ doorway: { match }, generation }) => [match.tag, generation])).toEqual([['e', 3], ['d', 3]]);
+  const stale = change('stale', { kind: 'apply', items: [{ kind: 'set', doorway: doorway('f'), expects: 0 }, { kind: 'remove', name: 'd', expects: 1 }] });
+  const lost = applyChanges(document, [stale]);
+  expect(lost.verdicts.get('stale')).toEqual({ kind: 'lost', reason: 'items[1]: doorway d is at generation 2, not 1' });
+  expect(lost.document).toBe(document);
+  const tie = change('tie', { kind: 'apply', items: [{ kind: 'set', doorway: doorway('f', { match: { tag: 'd' } }), expects: 0 }, { kind: 'set', doorway: doorway('g'), expects: 0 }] });
+  expect(apply(document, tie).kinds).toEqual(['declined']);
+  const twice = change('twice', { kind: 'apply', items: [{ kind: 'remove', name: 'd', expects: 2 }, { kind: 'set', doorway: doorway('d'), expects: 2 }] });
+  expect(apply(document, twice).kinds).toEqual(['declined']);
+  expect(apply(document, swap, put('late', 2)).kinds).toEqual(['applied', 'lost']);
+});
