--- a/test/unit/passage.test.ts
+++ b/test/unit/passage.test.ts
@@ -6,6 +6,7 @@
 import { Journal } from '../../src/kernel/journal/journal.js';
 import { Chart, type PassageEvent } from '../../src/passage/chart.js';
 import { Lines, type Liner } from '../../src/passage/line.js';
+import { RetryBudget } from '../../src/passage/retry.js';
 import { SseReader } from '../../src/passage/sse.js';
 import { Soundness } from '../../src/pool/soundness.js';
 import { Host, World } from '../../src/sim/world.js';
@@ -64,6 +65,19 @@
   expect(soundness.usable(names).has('a')).toBe(true);
 });
 
+test('over any span at most a twentieth of the fresh traffic is sent again, and one more', () => {
+  const budget = new RetryBudget(0.05);
+  expect(budget.spend()).toBe(false);
+  const spent: number[] = [];
+  for (let fresh = 1; fresh <= 2000; fresh++) {
+    budget.noteFresh();
+    const failing = fresh % 700 > 600;
+    for (let tries = 0; failing && tries < 3; tries++) if (budget.spend()) spent.push(fresh);
+  }
+  expect(spent.length).toBeGreaterThan(5);
+  for (const [from, first] of spent.entries()) for (const [to, last] of spent.entries()) if (to >= from) expect(to - from + 1).toBeLessThanOrEqual((last - first) * 0.05 + 1.0001);
+});
+
 test('events are handed on whole, however the bytes are cut, and never a part at the end', () => {
   const bytes = Buffer.from('data: {"a":"ü"}\n\ndata: [DONE]\r\n\r\ndata: par');
   for (let size = 1; size < 7; size++) {
