No claims while more routers are enrolled than the law counts on

Cause: the bound on other routers' touches rests on law.routers and on equal law params everywhere; nothing compared them with the fleet as it was. Change: an enrolment states its router's law; more enrolled than law.routers, or one that differs, and a router claims nothing, logs law-broken once and shows it in a metric, until it is mended. Before: a third router beside law.routers 2 went unnoticed. After: all three claim nothing, and the two do again once the third is gone (test).

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -54,6 +54,7 @@
   gauge(registry, 'list_polls', 'Polls of the platform by this node', () => news.polls);
   gauge(registry, 'engines_placed', 'Engines with a confirmed place', () => news.placed().size);
   gauge(registry, 'standing_ms', 'How long standing still holds', () => standing.remaining);
+  gauge(registry, 'law_kept', 'Whether all enrolled routers keep the law that claims rest on; while not, none are made', () => Number(prefixes.lawful));
   for (const name of prefixes.counts.keys()) gauge(registry, `index_${name}`, `Index: ${name}`, () => prefixes.counts.get(name) ?? 0);
 };
 
--- a/src/index/prefixes.ts
+++ b/src/index/prefixes.ts
@@ -33,13 +33,15 @@
   private readonly engines = new Map<string, Held>();
   duplicates = 0;
   gaps = 0;
+  /** Whether the law that bounds the others' touches is kept by all; while it isn't, nothing is claimed. */
+  lawful = true;
 
   constructor(private readonly clock: Clock, private readonly law: LawParams, private readonly blockTokens: number) {}
 
   /** How many leading blocks each engine surely holds now. */
   find(namespace: Namespace, blocks: readonly Block[]): Map<string, number> {
     const tree = this.trees.get(namespaceKey(namespace));
-    if (!tree) return new Map();
+    if (!tree || !this.lawful) return new Map();
     for (const [identifier, held] of this.engines) this.lapse(identifier, held);
     return finish(tree.find(blocks));
   }
--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -42,7 +42,7 @@
       const there = document?.enrolled.get(this.node);
       if (document && document.enrolledAt !== seen.enrolledAt) seen = { enrolledAt: document.enrolledAt, since: this.clock.now() };
       const calm = this.clock.now() - seen.since >= CALM;
-      if (document && calm && !this.leaving && this.standing.holds() && there?.address !== this.own.address) {
+      if (document && calm && !this.leaving && this.standing.holds() && (there?.address !== this.own.address || there.law !== this.own.law)) {
         const expects = document.enrolledAt;
         await this.change(there ? { kind: 'retire', name: this.node, expects } : { kind: 'enrol', name: this.node, enrolled: this.own, expects });
       }
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -22,6 +22,16 @@
   readonly others: number;
 }
 
+/** The law as one text, the same for all routers that keep the same. */
+export const lawText = ({ routers, largestPrompt, largestReply, rateShare }: LawParams): string => `${routers}/${largestPrompt}/${largestReply}/${rateShare}`;
+
+/** Why no claim can be made under this law beside the routers enrolled; empty when they can. */
+export const lawBroken = (law: LawParams, enrolled: ReadonlyMap<string, { readonly law: string }>): string => {
+  if (enrolled.size > law.routers) return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
+  const [other] = [...enrolled].find(([, each]) => each.law !== lawText(law)) ?? [];
+  return other === undefined ? '' : `${other} keeps another law: ${enrolled.get(other)!.law}, not ${lawText(law)}`;
+};
+
 /** The last block of a request may be counted whole; blocks are at most this large. */
 export const ROUNDING = 256;
 
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -28,6 +28,8 @@
 export interface Enrolled {
   readonly address: string;
   readonly zone: string;
+  /** The touching law it keeps, so that others notice one that differs. */
+  readonly law: string;
 }
 
 export interface Claim {
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -20,11 +20,13 @@
 import { Lines } from '../passage/line.js';
 import { Passage } from '../passage/passage.js';
 import { RetryBudget } from '../passage/retry.js';
+import { lawBroken, lawText } from '../place/law.js';
 import { Chooser } from '../place/choose.js';
 import { Channels, type EngineChannels } from '../pool/channel.js';
 import { fetchList, Newsroom } from '../pool/news.js';
 import { Soundness } from '../pool/soundness.js';
 import { Follower } from '../register/follower.js';
+import type { Document } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
 import { Relay } from '../register/relay.js';
 import type { Roster } from '../register/roster.js';
@@ -50,6 +52,7 @@
     @Inject(names.view) private readonly view: View,
     @Inject(names.news) private readonly news: Newsroom,
     @Inject(names.claims) private readonly claims: Claims,
+    @Inject(names.prefixes) private readonly prefixes: Prefixes,
     @Inject(names.passage) private readonly passage: Passage,
     @Inject(names.channels) private readonly channels: EngineChannels,
     @Inject(names.operations) private readonly operations: Operations,
@@ -75,6 +78,7 @@
       if (!this.inForce.swap(newest)) return;
       this.operations.noteClaims(newest);
       this.log('in-force', [['generation', newest.generation]]);
+      this.heedLaw(newest);
       this.standing.renewNow();
       this.passage.stir();
     }, '', relay);
@@ -84,12 +88,19 @@
     void this.standing.run(signal);
     void follower.run(signal);
     void this.claims.run(signal);
-    const own = { address: this.params.listen.peers, zone: this.params.zone };
+    const own = { address: this.params.listen.peers, zone: this.params.zone, law: lawText(this.params.law) };
     this.enrolment = new Enrolment(this.params.name, own, this.inForce, this.standing, this.proposer, this.peers, this.roster, this.clock, this.random, this.log);
     void this.enrolment.run(signal);
     return served;
   }
 
+  /** Claims rest on what all routers promise about their own traffic; when one promises otherwise, none are made. */
+  private heedLaw({ enrolled }: Document): void {
+    const reason = lawBroken(this.params.law, enrolled);
+    if (this.prefixes.lawful !== (reason === '')) this.log(reason ? 'law-broken' : 'law-kept', [['reason', reason || undefined]]);
+    this.prefixes.lawful = reason === '';
+  }
+
   ready(): string {
     if (!this.standing.holds()) return 'no standing';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -83,6 +83,7 @@
   readonly standing: Standing;
   readonly news: Newsroom;
   readonly claims: Claims;
+  readonly prefixes: Prefixes;
   readonly passage: Passage;
   readonly operations: Operations;
   readonly journal: Journal<PassageEvent>;
@@ -108,6 +109,6 @@
   const claims = new Claims(name, inForce, peers, roster, clock, random, log);
   const passage = new Passage(`${name}-${peers.self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log);
   const operations = new Operations(peers, roster, proposer, inForce, view, news, clock);
-  const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, passage, channels, operations, clock, random, log, stop);
-  return { ...base, standing, news, claims, passage, operations, journal, node };
+  const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, prefixes, passage, channels, operations, clock, random, log, stop);
+  return { ...base, standing, news, claims, prefixes, passage, operations, journal, node };
 };
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -38,7 +38,7 @@
   void peers.serve(address);
   void standing.run(stop.signal);
   void claims.run(stop.signal);
-  void new Enrolment(name, { address, zone: 'z' }, inForce, standing, proposer, peers, roster, clock, random, silentLog).run(stop.signal);
+  void new Enrolment(name, { address, zone: 'z', law: '' }, inForce, standing, proposer, peers, roster, clock, random, silentLog).run(stop.signal);
   void follower.run(stop.signal);
   return { ...base, standing, claims };
 };
--- a/test/unit/overreach.test.ts
+++ b/test/unit/overreach.test.ts
@@ -8,8 +8,11 @@
 import { Prefixes } from '../../src/index/prefixes.js';
 import { SeededRandom } from '../../src/kernel/random/random.js';
 import { Chooser } from '../../src/place/choose.js';
-import type { LawParams } from '../../src/place/law.js';
+import { lawBroken, type LawParams } from '../../src/place/law.js';
 import type { Engine } from '../../src/pool/engine.js';
+import { sites } from '../../src/sim/day/plan.js';
+import { Stage } from '../../src/sim/day/stage.js';
+import { Tally as DayTally } from '../../src/sim/day/tally.js';
 import { Host, World } from '../../src/sim/world.js';
 import { BlockCache } from '../../src/stand/engine/cache.js';
 
@@ -107,3 +110,22 @@
   expect(host.clock.now()).toBe(1000);
   expect(claimed()).toBe(0);
 });
+
+test('more routers than the law counts on, or one that keeps another law: nothing is claimed, by any', async () => {
+  const stage = new Stage({ ...sites.get('aconcagua')!, routers: 2 }, 1, new DayTally());
+  stage.start();
+  const lawful = (): boolean[] => [...stage.routers.values()].map(({ prefixes }) => prefixes.lawful);
+  const enrolled = (count: number): boolean => [...stage.routers.values()].every(({ inForce }) => inForce.whole?.enrolled.size === count);
+  expect(await stage.world.run(20_000, () => enrolled(2))).toBe(true);
+  expect(lawful()).toEqual([true, true]);
+  stage.startRouter('router-3');
+  expect(await stage.world.run(40_000, () => enrolled(3))).toBe(true);
+  expect(lawful()).toEqual([false, false, false]);
+  await stage.world.until(stage.routers.get('router-3')!.node.drain());
+  stage.routers.get('router-3')!.host.kill();
+  stage.routers.delete('router-3');
+  expect(await stage.world.run(60_000, () => enrolled(2))).toBe(true);
+  expect(lawful()).toEqual([true, true]);
+  const law = [...stage.routers.values()][0]!.inForce.whole!.enrolled.get('router-1')!.law;
+  expect(lawBroken({ routers: 2, largestPrompt: 8192, largestReply: 1024, rateShare: 2 }, new Map([['router-1', { law }], ['other', { law: law.replace('8192', '9000') }]]))).toContain('other keeps another law');
+});
