The claim window of a router that forgot counts from its start

Cause: a router that lost its memory waited 6 s from the newest enrolment before it granted claims; a rolling restart right after a herd kill renews the enrolment each second, so none of them opened for 17.6 s. Ruled out: waiting from each enrolment on; what a router forgot was claimed before it started, and what others forgot they wait for themselves. What it recalled from the core is asked again at each enrolment, since duties move.

--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -7,7 +7,8 @@
  * later.
  *
  * A holder whose duties changed first gathers what the others hold. One that lost its memory also reads back from a
- * majority of the core; for claims that never came there it must hear all other routers, or wait a window out.
+ * majority of the core; for claims that never came there it must hear all other routers, or wait a window out
+ * since it started: what it forgot was claimed before that.
  */
 import { Right } from 'purify-ts';
 import type { InForce } from '../doorway/match.js';
@@ -41,6 +42,7 @@
   private readonly unkept = new Map<string, string>();
   private epoch = 0;
   private epochBegan: Moment;
+  private readonly started: Moment;
   private before: { enrolledAt: number; names: readonly string[] } = { enrolledAt: 0, names: [] };
   private openFor = -1;
   private names: readonly string[] = [];
@@ -51,7 +53,7 @@
 
   constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log) {
     this.memory = new ClaimMemory(clock, BOUND);
-    this.epochBegan = clock.now();
+    this.started = this.epochBegan = clock.now();
   }
 
   serve(): void {
@@ -183,6 +185,7 @@
     this.epoch = document.enrolledAt;
     this.epochBegan = this.clock.now();
     this.told.clear();
+    this.recalled = false;
   }
 
   private grant({ key, owner, enrolledAt }: TakeAsk): TakeReply {
@@ -210,7 +213,7 @@
     }));
     if (this.epoch !== epoch) return;
     const missing = enrolled.size - 1 - this.told.size;
-    const waited = this.clock.now() >= later(this.epochBegan, WINDOW);
+    const waited = this.clock.now() >= later(remembers ? this.epochBegan : this.started, WINDOW);
     if (!(remembers || this.recalled) || (missing > (remembers ? 1 : 0) && !waited)) return;
     this.openFor = epoch;
     this.log('claims-open', [['enrolledAt', epoch], ['missing', missing], ['held', this.memory.size]]);
