--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -6,7 +6,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
-import { randomBytes } from 'node:crypto';
+import { createHash, randomBytes } from 'node:crypto';
 import { parseAddress } from '../../kernel/net/net.js';
 import { BlockCache } from './cache.js';
 
@@ -144,8 +144,9 @@
     const piece = (delta: object, finish: string | null, usage?: object): string => `data: ${JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model: asked.model, choices: usage ? [] : [{ index: 0, delta, finish_reason: finish }], ...(usage ? { usage } : {}) })}\n\n`;
     const count = Math.min(asked.max_tokens ?? 16, 16 + (passage.length % 5));
     let written = prompt.toString('utf8');
+    const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
     for (let at = 0; at < count && !gone; at++) {
-      const word = `w${String(at).padStart(2, '0')} `;
+      const word = `w${String(at).padStart(2, '0')}-${mark} `;
       record.text += word;
       written += word;
       response.write(piece({ content: word }, null));
