A broken stream goes on elsewhere where its doorway allows it, word for word

Cause: the doorway's resume was checked and kept, and did nothing. Change: a stream that broke is asked on at another engine of the same weights by the published continuation of a partial message, with echo; nothing new is handed on until every word handed on before was repeated. It is paid from the retries, once a request. The judge takes runs that go on from another, and finds those that go on where they may not, or from words no engine made. Before: streams of sahel-long that break stay broken.

--- a/src/fleet/scenario.ts
+++ b/src/fleet/scenario.ts
@@ -24,7 +24,7 @@
   firms.flatMap((firm) =>
     (['short', 'long'] as const).map((tag) => ({
       name: `${firm}-${tag}`, firm, match: { model: 'family', tag }, engines: firm === 'sahel' ? [{ label: 'group', value: 'even' }] : [{ label: 'pool', value: 'shared' }],
-      repeatable: tag === 'long', resume: false, limits: { firstToken: tag === 'short' ? 4000 : 10_000, total: 30_000 }, line: 200, share: tag === 'short' ? 4 : 1,
+      repeatable: tag === 'long', resume: tag === 'long' && firm === 'sahel', limits: { firstToken: tag === 'short' ? 4000 : 10_000, total: 30_000 }, line: 200, share: tag === 'short' ? 4 : 1,
     })),
   );
 
@@ -73,7 +73,7 @@
       const firm = calls.find(({ id }) => id === request)?.firm;
       return firm !== 'sahel' || evens.has(engine.split('+')[0]!);
     };
-    const findings = judge({ callers: calls, runs: recorder.all, resumes: false, allowed, left, overreach: recorder.overreach });
+    const findings = judge({ callers: calls, runs: recorder.all, resumes: (request) => calls.some(({ id, firm, kind }) => id === request && firm === 'sahel' && kind === 'long'), allowed, left, overreach: recorder.overreach });
     const retries = await Promise.all([...fleet.callers.keys()].map((name) => fleet.metric(name, 'retries_spent').catch(() => 0)));
     const blocks = recorder.all.reduce((sum, run) => sum + run.blocks, 0);
     const hits = recorder.all.reduce((sum, run) => sum + run.hits, 0);
--- a/src/passage/chart.ts
+++ b/src/passage/chart.ts
@@ -4,15 +4,16 @@
  */
 import type { Journal } from '../kernel/journal/journal.js';
 
-export type State = 'received' | 'matched' | 'lined' | 'placed' | 'sent' | 'streaming' | 'complete' | 'declined' | 'unknown' | 'broken';
+export type State = 'received' | 'matched' | 'lined' | 'placed' | 'sent' | 'streaming' | 'resuming' | 'complete' | 'declined' | 'unknown' | 'broken';
 
 const ways = new Map<State, ReadonlySet<State>>([
   ['received', new Set<State>(['matched', 'declined'])],
   ['matched', new Set<State>(['lined', 'declined', 'unknown'])],
-  ['lined', new Set<State>(['placed', 'declined', 'unknown'])],
-  ['placed', new Set<State>(['sent', 'lined', 'declined', 'unknown'])],
-  ['sent', new Set<State>(['streaming', 'lined', 'declined', 'unknown'])],
-  ['streaming', new Set<State>(['complete', 'broken'])],
+  ['lined', new Set<State>(['placed', 'declined', 'unknown', 'broken'])],
+  ['placed', new Set<State>(['sent', 'lined', 'declined', 'unknown', 'broken'])],
+  ['sent', new Set<State>(['streaming', 'lined', 'declined', 'unknown', 'broken'])],
+  ['streaming', new Set<State>(['complete', 'broken', 'resuming'])],
+  ['resuming', new Set<State>(['lined', 'broken'])],
   ['complete', new Set()],
   ['declined', new Set()],
   ['unknown', new Set()],
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -3,7 +3,9 @@
  * outcomes: a result, "declined" (certainly not run) or "unknown". Immediately before the request is written to an
  * engine, the node's standing, the doorway in force, the engine's place and the limit are checked again. Once a byte
  * was written, a request that may not be repeated is never written again. A stream is handed on by whole events, from
- * one engine only, and is complete only with its end marker from the engine and request it belongs to.
+ * one engine only, and is complete only with its end marker from the engine and request it belongs to. One that broke
+ * may go on elsewhere only where its doorway allows it; the other engine must first repeat all that was handed on, word
+ * for word, before anything of it is handed on.
  */
 import type { Placed } from '../doorway/shape.js';
 import type { InForce } from '../doorway/match.js';
@@ -54,6 +56,16 @@
 
 const REPLACEMENTS = 2;
 
+/** What a caller has of a stream so far. */
+interface Handed {
+  text: string;
+  pieces: number;
+  id: string;
+  weightGeneration: string;
+  /** Whether all of it is plain text, and the stream was not yet at its finish. */
+  plain: boolean;
+}
+
 interface Trip {
   readonly request: CallerRequest;
   readonly chart: Chart;
@@ -67,12 +79,15 @@
   readonly reply: number;
   readonly blocks: Map<string, readonly Block[]>;
   readonly avoid: Set<string>;
+  readonly handed: Handed;
+  /** Whether this goes on with a stream that broke at another engine. */
+  readonly resumed: boolean;
   /** Names this request among all that may come under its id. */
   readonly owner: string;
   claimed: boolean;
 }
 
-type Leg = { readonly kind: 'over'; readonly ending: Ending } | { readonly kind: 'again'; readonly fault: Fault; readonly sent: boolean };
+type Leg = { readonly kind: 'over'; readonly ending: Ending } | { readonly kind: 'broken'; readonly fault: Fault } | { readonly kind: 'again'; readonly fault: Fault; readonly sent: boolean };
 
 const over = (ending: Ending): Leg => ({ kind: 'over', ending });
 
@@ -136,6 +151,10 @@
     this.lines.serve();
   }
 
+  private tokensOf(prompt: Uint8Array): number {
+    return Math.ceil((prompt.length * this.params.blockTokens) / this.params.blockBytes);
+  }
+
   private decline(step: string, peer: string, reason: string, status: number, retryAfter?: number): Decline {
     return { outcome: 'declined', status, fault: fault(step, peer, reason), retryAfter };
   }
@@ -147,7 +166,7 @@
     if (!placed) return this.decline('match', this.node, `no doorway of ${request.firm} matches model ${request.model}`, 404);
     chart.step('matched');
     const prompt = promptBytes(request.messages);
-    const tokens = Math.ceil((prompt.length * this.params.blockTokens) / this.params.blockBytes);
+    const tokens = this.tokensOf(prompt);
     const reply = request.maxTokens ?? this.law.largestReply;
     if (tokens > this.law.largestPrompt) return this.decline('match', this.node, `the prompt has about ${tokens} tokens, the most is ${this.law.largestPrompt}`, 413);
     if (reply > this.law.largestReply) return this.decline('match', this.node, `max_tokens is ${reply}, the most is ${this.law.largestReply}`, 400);
@@ -161,7 +180,7 @@
     const { limits } = placed.doorway;
     const total = (now + Math.min(limits.total, request.limit ?? Infinity)) as Moment;
     const firstToken = Math.min(now + limits.firstToken, total) as Moment;
-    const trip: Trip = { request, chart, sink, placed, repeatable, firstToken, total, prompt, tokens, reply, blocks: new Map(), avoid: new Set(), owner: `${this.node}/${++this.owners}`, claimed: false };
+    const trip: Trip = { request, chart, sink, placed, repeatable, firstToken, total, prompt, tokens, reply, blocks: new Map(), avoid: new Set(), handed: { text: '', pieces: 0, id: '', weightGeneration: '', plain: true }, resumed: false, owner: `${this.node}/${++this.owners}`, claimed: false };
     const abort = new AbortController();
     const leave = (): void => abort.abort();
     sink.gone.addEventListener('abort', leave, { once: true });
@@ -177,17 +196,36 @@
     return ending;
   }
 
-  private async legs(trip: Trip, signal: AbortSignal): Promise<Ending> {
+  private async legs(whole: Trip, signal: AbortSignal): Promise<Ending> {
+    let trip = whole;
     let retried = false;
     let unsure: Fault | undefined;
-    const told = (ending: Ending): Ending => (unsure && ending.outcome === 'declined' ? { outcome: 'unknown', status: 502, fault: unsure, retryAfter: undefined } : ending);
+    const broken = (reason: Fault): Ending => {
+      trip.sink.broken(reason);
+      return { outcome: 'broken', fault: reason };
+    };
+    const told = (ending: Ending): Ending => {
+      if (ending.outcome === 'result') return ending;
+      if (trip.resumed) return broken(ending.fault);
+      return unsure && ending.outcome === 'declined' ? { outcome: 'unknown', status: 502, fault: unsure, retryAfter: undefined } : ending;
+    };
     for (let replacements = 0; ; ) {
       const slot = await this.line(trip, signal);
       if ('outcome' in slot) return told(slot);
       const leg = await this.leg(trip, slot, signal);
       if (leg.kind === 'over') return told(leg.ending);
       trip.avoid.add(slot.engine.identifier);
-      const { fault: reason, sent } = leg;
+      const { fault: reason } = leg;
+      if (leg.kind === 'broken') {
+        const rest = !retried && !signal.aborted ? this.rest(trip) : undefined;
+        if (!rest || !this.budget.spend()) return broken(reason);
+        retried = true;
+        trip.chart.step('resuming', reason.peer);
+        this.journal.append({ kind: 'retry', request: trip.request.id, peer: reason.peer });
+        trip = rest;
+        continue;
+      }
+      const { sent } = leg;
       if (sent && reason.certainty === 'unknown') unsure ??= reason;
       const certain = reason.certainty === 'declined';
       const enough = sent ? retried || !this.budget.spend() : ++replacements > REPLACEMENTS;
@@ -197,6 +235,19 @@
     }
   }
 
+  /** The rest of a stream that broke, as a request of its own; nothing where it may not or can't go on elsewhere. */
+  private rest(trip: Trip): Trip | undefined {
+    const { handed, request } = trip;
+    const placed = this.inForce.current.match(request);
+    const may = trip.repeatable && placed?.doorway.name === trip.placed.doorway.name && placed.doorway.resume && handed.plain && !trip.sink.gone.aborted;
+    const prompt = Buffer.concat([trip.prompt, Buffer.from(handed.text, 'utf8')]);
+    const tokens = this.tokensOf(prompt);
+    const reply = trip.reply - handed.pieces;
+    if (!may || reply < 1 || tokens > this.law.largestPrompt) return undefined;
+    const firstToken = Math.min(this.clock.now() + placed.doorway.limits.firstToken, trip.total) as Moment;
+    return { ...trip, firstToken, prompt, tokens, reply, blocks: new Map(), resumed: true };
+  }
+
   private line(trip: Trip, signal: AbortSignal): Promise<Slot | Decline> {
     trip.chart.step('lined');
     return new Promise((resolve) => {
@@ -248,7 +299,8 @@
     if (!this.standing.holds()) return this.decline('place', this.node, 'this node lost its standing', 503, 1);
     const placed = this.inForce.current.match(request);
     if (placed?.doorway.name !== trip.placed.doorway.name) return this.decline('place', this.node, 'the doorway changed while the request waited', 503, 1);
-    const allowed = [...this.news.placed().values()].filter((engine) => !engine.leaving && allows(placed.doorway.engines, request.model, engine));
+    const fits = (engine: Engine): boolean => !trip.resumed || engine.weightGeneration === trip.handed.weightGeneration;
+    const allowed = [...this.news.placed().values()].filter((engine) => !engine.leaving && fits(engine) && allows(placed.doorway.engines, request.model, engine));
     if (allowed.length === 0) return this.decline('place', this.node, 'no engine with a confirmed place may serve this', 503, 2);
     const fresh = allowed.filter(({ identifier }) => !trip.avoid.has(identifier));
     const open = fresh.length ? fresh : allowed;
@@ -330,7 +382,9 @@
     const { engine } = slot;
     const passageId = `${this.node}-${++this.sends}-${trip.request.id}`.slice(0, 200);
     const namespace = this.namespace(trip, engine.weightGeneration);
-    const body = JSON.stringify({ ...Object.fromEntries(trip.request.body), stream: true, stream_options: { include_usage: true }, max_tokens: trip.reply });
+    const asked = Object.fromEntries(trip.request.body);
+    const goesOn = trip.resumed ? { messages: [...(asked['messages'] as unknown[]), { role: 'assistant', content: trip.handed.text }], add_generation_prompt: false, continue_final_message: true, echo: true } : {};
+    const body = JSON.stringify({ ...asked, ...goesOn, stream: true, stream_options: { include_usage: true }, max_tokens: trip.reply });
     const headers = new Map([['content-type', 'application/json'], ['x-request-id', passageId], ['x-caller-request-id', trip.request.id], ['x-firm', trip.request.firm], ['x-claimed-blocks', String(Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens))]]);
     const reserve = trip.tokens + trip.reply + this.params.blockTokens;
     const sentAt = this.clock.strict();
@@ -376,8 +430,7 @@
       this.soundness.bad(peer);
       if (trip.repeatable && trip.chart.state === 'sent' && !trip.sink.gone.aborted) return { kind: 'again', fault: reason, sent: true };
       if (trip.chart.state !== 'streaming') return over({ outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined });
-      trip.sink.broken(reason);
-      return over({ outcome: 'broken', fault: reason });
+      return { kind: 'broken', fault: reason };
     };
     const wait = async <T>(promise: Promise<T>, limit: number): Promise<T | undefined> => within(this.clock, Math.max(1, limit), promise);
     const replied = await wait(channel.send('/v1/chat/completions', headers, body, stop.signal), trip.firstToken - this.clock.now());
@@ -400,6 +453,9 @@
     const decode = new Decoding(trip.prompt, this.blocks(trip, this.namespace(trip, engine.weightGeneration)), this.params.blockBytes, rootHash(this.namespace(trip, engine.weightGeneration)), note);
     let finished = false;
     let chunkId: string | undefined;
+    const { handed } = trip;
+    /** What the engine must repeat before anything new. */
+    let owed = trip.resumed ? handed.text : '';
     for (;;) {
       const limit = Math.min(trip.chart.state === 'sent' ? trip.firstToken - this.clock.now() : this.params.silence, trip.total - this.clock.now());
       const next = await wait(chunks.next().catch((thrown: unknown) => ({ thrown })), limit);
@@ -410,7 +466,7 @@
       if (events.isLeft()) return giveUp(events.extract() as Fault);
       for (const event of events.unsafeCoerce()) {
         if (event.data === '[DONE]') {
-          if (!finished || !reader.empty) return giveUp(fault('engine.stream', peer, 'an end marker out of place', 'unknown'));
+          if (!finished || owed || !reader.empty) return giveUp(fault('engine.stream', peer, 'an end marker out of place', 'unknown'));
           if (trip.chart.state === 'sent') trip.chart.step('streaming', peer);
           if (!(await trip.sink.write(event, peer))) return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
           trip.sink.complete();
@@ -421,16 +477,28 @@
         const chunk = readChunk(event.data);
         if (!chunk || (chunkId !== undefined && chunk.id !== chunkId)) return giveUp(fault('engine.stream', peer, 'a piece that is not of this result', 'unknown'));
         chunkId = chunk.id;
+        const repeated = chunk.content.slice(0, owed.length);
+        if (!owed.startsWith(repeated) || (owed.length > repeated.length && chunk.finished)) return giveUp(fault('engine.resume', peer, 'does not go on exactly where the stream broke', 'unknown'));
+        const content = chunk.content.slice(repeated.length);
+        const silent = trip.resumed && !content && !chunk.finished && owed !== '';
+        owed = owed.slice(repeated.length);
+        if (chunk.cached !== undefined) note.cached(chunk.cached);
+        if (silent) continue;
         if (trip.chart.state === 'sent') {
           trip.chart.step('streaming', peer);
           this.chooser.begin(slot);
           note.prompt();
           this.stir();
         }
-        decode.push(chunk.content);
-        if (chunk.cached !== undefined) note.cached(chunk.cached);
+        decode.push(content);
         finished ||= chunk.finished;
-        if (!(await trip.sink.write(event, peer))) return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
+        const shown = trip.resumed ? renamed(event, handed.id, content) : event;
+        if (!trip.resumed) handed.id = chunk.id;
+        handed.weightGeneration = engine.weightGeneration;
+        handed.text += content;
+        handed.pieces += content ? 1 : 0;
+        handed.plain &&= chunk.plain && !finished;
+        if (!(await trip.sink.write(shown, peer))) return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
       }
     }
   }
@@ -497,8 +565,18 @@
   }
 }
 
+/** A piece of the rest, under the name the stream began with. */
+const renamed = (event: SseEvent, id: string, content: string): SseEvent => {
+  const piece = JSON.parse(event.data) as { id: string; choices?: Array<{ delta?: { content?: string } }> };
+  const delta = piece.choices?.[0]?.delta;
+  if (delta?.content !== undefined) delta.content = content;
+  const data = JSON.stringify({ ...piece, id });
+  return { data, raw: `data: ${data}\n\n` };
+};
+
 interface Chunk {
   readonly id: string;
+  readonly plain: boolean;
   readonly content: string;
   readonly finished: boolean;
   readonly cached: number | undefined;
@@ -511,7 +589,8 @@
     const first = raw.choices?.[0];
     const content = typeof first?.delta?.content === 'string' ? first.delta.content : '';
     const cached = raw.usage?.prompt_tokens_details?.cached_tokens;
-    return { id: raw.id, content, finished: typeof first?.finish_reason === 'string', cached: typeof cached === 'number' ? cached : undefined };
+    const plain = Object.keys(first?.delta ?? {}).every((key) => key === 'role' || key === 'content');
+    return { id: raw.id, plain, content, finished: typeof first?.finish_reason === 'string', cached: typeof cached === 'number' ? cached : undefined };
   } catch {
     return undefined;
   }
--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -107,12 +107,13 @@
     const doorways = new Map(traffic.calls.map(({ id, doorway }) => [id, doorway]));
     const allowed = (request: string, engine: string): boolean => !final || operators.allows(doorways.get(request) ?? '', engine, at.get(`${request}/${engine}`)!, final);
     const callers = traffic.calls.map((call) => (call.outcome === 'declined' && traffic.resent.has(call.id) ? { ...call, outcome: 'silent' as const } : call));
-    const judged = judge({ callers, runs: facts.runs, resumes: false, allowed, left: stage.left, overreach: facts.overreach });
+    const judged = judge({ callers, runs: facts.runs, resumes: (request) => doorways.get(request) === 'sahel-long', allowed, left: stage.left, overreach: facts.overreach });
     if (traffic.stillOut) tally.find('not-back', 'no result since the outage');
     for (const back of [...traffic.backAfter, ...traffic.onceBackAfter]) if (back > BACK) tally.find('late-back', `${back} ms`);
     for (const { host, journal } of stage.routers.values()) for (const { event } of journal.tail()) if (event.kind === 'fault') tally.find('illegal-step', `${host.name}: ${event.from} to ${event.to}`, event.request);
     const retryShareMost = this.retries();
     tally.note('claimsCompared', facts.claims);
+    tally.note('resumed', callers.filter(({ id, outcome }) => outcome === 'result' && facts.runs.some((run) => run.request === id && run.continues && run.ended === 'done')).length);
     const count = (values: readonly string[]): Map<string, number> => values.reduce((counts, value) => counts.set(value, (counts.get(value) ?? 0) + 1), new Map<string, number>());
     return {
       seed: this.seed,
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -155,7 +155,7 @@
     const [firm, tag] = name.split('-') as [string, 'short' | 'long'];
     return {
       name, firm, match: { tag }, engines: groups === 'all' ? [{ label: 'pool', value: 'shared' }] : [{ label: 'group', value: groups }],
-      repeatable: tag === 'long', resume: false, limits: { firstToken: tag === 'short' ? 3000 : 8000, total: 15_000 }, line: 200, share: tag === 'short' ? 4 : 1,
+      repeatable: tag === 'long', resume: name === 'sahel-long', limits: { firstToken: tag === 'short' ? 3000 : 8000, total: 15_000 }, line: 200, share: tag === 'short' ? 4 : 1,
     };
   }
 }
--- a/src/sim/day/plan.ts
+++ b/src/sim/day/plan.ts
@@ -21,7 +21,7 @@
   'core-killed', 'core-power', 'core-power-two', 'core-frozen', 'core-suspended', 'core-all-killed', 'core-split', 'core-cut-off', 'core-one-way', 'core-disk-lost', 'core-acked-then-lost', 'core-moved', 'seed-foreign',
   'disk-stalled', 'disk-full', 'disk-slow', 'clocks-jump',
   'router-killed', 'router-herd', 'router-all-killed', 'router-frozen', 'router-suspended', 'router-isolated', 'router-one-way', 'router-drains', 'routers-rolled',
-  'engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow',
+  'engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'streams-break', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow',
   'lossy-net', 'all-killed', 'crowd', 'hot-prefix', 'doorway-storm', 'doorway-race', 'doorways-at-once',
 ] as const;
 export type FaultName = (typeof faultNames)[number];
@@ -29,7 +29,7 @@
 const shared: readonly FaultName[] = [
   'core-killed', 'core-power', 'core-power-two', 'core-frozen', 'core-suspended', 'core-all-killed', 'core-split', 'core-cut-off', 'core-one-way', 'core-acked-then-lost', 'clocks-jump',
   'router-killed', 'router-herd', 'router-all-killed', 'router-frozen', 'router-suspended', 'router-isolated', 'router-one-way', 'router-drains', 'routers-rolled',
-  'engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow',
+  'engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'streams-break', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow',
   'lossy-net', 'all-killed', 'crowd', 'hot-prefix', 'doorway-storm', 'doorway-race', 'doorways-at-once',
 ];
 const closings: readonly FaultName[] = ['all-killed', 'router-all-killed', 'core-all-killed', 'core-power-two', 'router-herd', 'core-cut-off', 'engine-dark', 'engines-released', 'lossy-net'];
--- a/src/sim/day/strikes.ts
+++ b/src/sim/day/strikes.ts
@@ -258,6 +258,13 @@
         world.at(2000, () => engines.forEach((engine) => (engine.behaviour = pick(random, ['foreign', 'stall', 'not-run'] as const)!)));
         this.during(2500 + lasts, () => engines.forEach((engine) => (engine.behaviour = 'well')));
       }],
+      ['streams-break', (lasts) => {
+        const cutting = [...stage.engines.values()].filter(({ host }) => !host.dead);
+        const kinds = ['cut', 'well', 'well', 'cut', 'restarts', 'well', 'well', 'garbles'] as const;
+        traffic.flow(world.now, 3000 + lasts, 10, 40);
+        world.at(2000, () => cutting.forEach((engine, at) => (engine.behaviour = kinds[at % kinds.length]!)));
+        this.during(2500 + lasts, () => cutting.forEach((engine) => (engine.behaviour = 'well')));
+      }],
       ['engines-released', () => void this.release()],
       ['address-reused', (lasts) => {
         const engine = stage.someEngine();
--- a/src/sim/engine.ts
+++ b/src/sim/engine.ts
@@ -20,7 +20,7 @@
   claims: number;
 }
 
-export type Behaviour = 'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall';
+export type Behaviour = 'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall' | 'restarts' | 'garbles';
 
 export class SimEngine {
   readonly host: Host;
@@ -39,15 +39,16 @@
   /** Takes a request; the pieces come out through `put`, which is asked whether the other side still listens. */
   run(headers: ReadonlyMap<string, string>, body: string, head: (status: number, passage: string, text?: string) => void, put: (text: string) => boolean, end: (how: 'end' | 'reset') => void): void {
     const { world, host, cache } = this;
-    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens: number };
+    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens: number; continue_final_message?: boolean; echo?: boolean };
+    const continues = asked.continue_final_message ? asked.messages.pop()!.content : '';
     const passage = headers.get('x-request-id')!;
     const firm = headers.get('x-firm')!;
     if (this.behaviour === 'not-run') return head(503, passage, JSON.stringify({ error: { code: 'not_run' } }));
-    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n');
+    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + `<assistant>\n${continues}`);
     const space = `${asked.model}|${this.weightGeneration}|${firm}`;
     const names = BlockCache.names(space, prompt, BLOCK);
     const hits = cache.hits(names);
-    const record: RunRecord = { engine: this.identifier, passage, request: headers.get('x-caller-request-id')!, firm, at: world.now, text: '', ended: 'running', blocks: names.length, hits };
+    const record: RunRecord = { engine: this.identifier, passage, request: headers.get('x-caller-request-id')!, firm, at: world.now, text: '', continues, ended: 'running', blocks: names.length, hits };
     this.facts.runs.push(record);
     const claimed = Number(headers.get('x-claimed-blocks') ?? 0);
     this.facts.claims += claimed;
@@ -60,11 +61,12 @@
       if (this.behaviour === 'stall') return;
       head(200, this.behaviour === 'foreign' ? 'someone-else' : passage);
       let written = prompt.toString('utf8');
-      const count = Math.min(asked.max_tokens, 14);
+      const begun = continues.split(' ').length - 1;
+      const count = Math.min(asked.max_tokens + begun, 14);
       const piece = (delta: object, finish: string | null): string => `data: ${JSON.stringify({ id: passage, choices: [{ delta, finish_reason: finish }] })}\n\n`;
       const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
       const decode = (at: number): void => {
-        if (at === 4 && this.behaviour === 'cut') {
+        if (at === 4 + begun && this.behaviour === 'cut') {
           record.ended = 'cut';
           cache.release(names);
           return end('reset');
@@ -87,7 +89,11 @@
         if (this.behaviour !== 'no-marker') put('data: [DONE]\n\n');
         end('end');
       };
-      decode(0);
+      if (continues && asked.echo && this.behaviour !== 'restarts') {
+        const echoed = this.behaviour === 'garbles' ? continues.replace(/\d/, 'x') : continues;
+        for (let at = 0; at < echoed.length; at += 40) put(piece({ content: echoed.slice(at, at + 40) }, null));
+      }
+      decode(begun);
     });
   }
 }
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -29,6 +29,8 @@
   readonly request: string;
   readonly firm: string;
   readonly at: number;
+  /** The words of an earlier run that this one was asked to go on from. */
+  readonly continues: string;
   text: string;
   ended: 'running' | 'done' | 'cut';
   /** Whole prompt blocks, and how many of them were found in the cache. */
@@ -112,13 +114,14 @@
   }
 
   private async chat(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
-    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens?: number };
+    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens?: number; continue_final_message?: boolean; echo?: boolean };
+    const continues = asked.continue_final_message ? asked.messages.pop()!.content : '';
     const passage = String(request.headers['x-request-id'] ?? '');
     const caller = String(request.headers['x-caller-request-id'] ?? '');
     const firm = String(request.headers['x-firm'] ?? '');
     const own = { 'x-request-id': this.behaviour === 'foreign' ? 'someone-else' : passage, 'x-engine-id': this.identifier, 'x-tokens-ahead': String(this.ahead) };
     if (this.behaviour === 'busy' || this.ahead > this.params.waitingBound) return this.json(response, 429, { error: { code: 'not_run', message: 'too busy' } }, own);
-    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n');
+    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + `<assistant>\n${continues}`);
     const space = this.space(asked.model, firm);
     let gone = false;
     response.once('close', () => (gone = true));
@@ -126,7 +129,7 @@
     const names = BlockCache.names(space, prompt, this.params.blockBytes);
     const claimed = request.headers['x-claimed-blocks'];
     const hits = cache.hits(names);
-    const record: RunRecord = { engine: this.identifier, passage, request: caller, firm, at: Date.now(), text: '', ended: 'running', blocks: names.length, hits };
+    const record: RunRecord = { engine: this.identifier, passage, request: caller, firm, at: Date.now(), continues, text: '', ended: 'running', blocks: names.length, hits };
     this.records.push(record);
     if (claimed !== undefined) {
       this.claims += Number(claimed);
@@ -142,15 +145,17 @@
     response.writeHead(200, { 'content-type': 'text/event-stream', ...own });
     const id = `chatcmpl-${passage}`;
     const piece = (delta: object, finish: string | null, usage?: object): string => `data: ${JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model: asked.model, choices: usage ? [] : [{ index: 0, delta, finish_reason: finish }], ...(usage ? { usage } : {}) })}\n\n`;
-    const count = Math.min(asked.max_tokens ?? 16, 16 + (passage.length % 5));
+    const begun = continues.split(' ').length - 1;
+    const count = Math.min((asked.max_tokens ?? 16) + begun, 16 + (passage.length % 5));
     let written = prompt.toString('utf8');
     const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
-    for (let at = 0; at < count && !gone; at++) {
+    if (continues && asked.echo) response.write(piece({ content: continues }, null));
+    for (let at = begun; at < count && !gone; at++) {
       const word = `w${String(at).padStart(2, '0')}-${mark} `;
       record.text += word;
       written += word;
       response.write(piece({ content: word }, null));
-      if (at === 4 && this.behaviour === 'cut') {
+      if (at === begun + 4 && this.behaviour === 'cut') {
         record.ended = 'cut';
         cache.release(pinned);
         return void response.destroy();
--- a/src/stand/judge/judge.ts
+++ b/src/stand/judge/judge.ts
@@ -16,7 +16,8 @@
 export interface Evidence {
   readonly callers: readonly CallerRecord[];
   readonly runs: readonly RunRecord[];
-  readonly resumes: boolean;
+  /** Whether a request's doorway allows that its stream goes on elsewhere. */
+  readonly resumes: (request: string) => boolean;
   readonly allowed: (request: string, engine: string) => boolean;
   /** When each engine was marked as leaving, wall time of this machine. */
   readonly left: ReadonlyMap<string, number>;
@@ -38,15 +39,18 @@
   let extra = 0;
   for (const call of callers) {
     const its = byRequest.get(call.id) ?? [];
+    /** A run that goes on from another must go on from words which that other one made. */
+    const sound = its.filter(({ continues }) => continues === '' || (resumes(call.id) && its.some(({ text, continues: before }) => before === '' && text.startsWith(continues))));
+    if (sound.length < its.length) find('spliced', call.id, 'went on where it may not, or from words that no engine made');
     extra += Math.max(0, its.length - 1);
     if (!call.repeatable && its.length > 1) find('ran-twice', call.id, its.map(({ engine }) => engine).join(' '));
     if (call.outcome === 'declined' && its.length > 0) find('declined-but-ran', call.id, call.reason);
     if (call.outcome === 'result') {
-      const done = its.filter(({ ended }) => ended === 'done');
-      if (done.some(({ text }) => text === call.text)) continue;
-      if (done.some(({ text }) => text.startsWith(call.text))) find('partial-as-complete', call.id, `${call.text.length} characters`);
+      const done = sound.filter(({ ended }) => ended === 'done').map(({ continues, text }) => continues + text);
+      if (done.includes(call.text)) continue;
+      if (done.some((text) => text.startsWith(call.text))) find('partial-as-complete', call.id, `${call.text.length} characters`);
       else find('foreign-text', call.id, call.text.slice(0, 40));
-    } else if (call.text && !its.some(({ text }) => text.startsWith(call.text))) find(resumes ? 'foreign-text' : 'spliced', call.id, call.text.slice(0, 40));
+    } else if (call.text && !sound.some(({ continues, text }) => (continues + text).startsWith(call.text))) find('spliced', call.id, call.text.slice(0, 40));
   }
   if (extra > callers.length * 0.05) find('retry-share', '', `${extra} of ${callers.length}`);
   if (overreach > 0) find('overreach', '', `${overreach} claims`);
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -53,7 +53,7 @@
 test('a collected result is one whole answer, and an id that may not be repeated is taken once', async () => {
   const first = await ask({ headers: { 'x-request-id': 'once' } });
   expect(first.status).toBe(200);
-  expect((first.value['choices'] as Array<{ message: { content: string } }>)[0]!.message.content).toMatch(/^w00 w01 /);
+  expect((first.value['choices'] as Array<{ message: { content: string } }>)[0]!.message.content).toMatch(/^w00-\w+ w01-/);
   const before = await ran();
   const again = await ask({ headers: { 'x-request-id': 'once' } });
   expect(again).toMatchObject({ status: 409, value: { outcome: 'unknown' } });
--- a/test/unit/judge.test.ts
+++ b/test/unit/judge.test.ts
@@ -5,11 +5,16 @@
 import type { RunRecord } from '../../src/stand/engine/engine.js';
 
 const call = (over: Partial<CallerRecord> = {}): CallerRecord => ({ id: 'q', repeatable: false, began: 0, firstPiece: 1, ended: 2, status: 200, outcome: 'result', reason: '', retryAfter: '', engine: 'e', text: 'abc', pieces: 3, ...over });
-const ran = (over: Partial<RunRecord> = {}): RunRecord => ({ engine: 'e', passage: 'p', request: 'q', firm: 's', at: 1000, text: 'abc', ended: 'done', blocks: 0, hits: 0, ...over });
-const evidence = (over: Partial<Evidence>): Evidence => ({ callers: [call()], runs: [ran()], resumes: false, allowed: () => true, left: new Map(), overreach: 0, ...over });
+const ran = (over: Partial<RunRecord> = {}): RunRecord => ({ engine: 'e', passage: 'p', request: 'q', firm: 's', at: 1000, continues: '', text: 'abc', ended: 'done', blocks: 0, hits: 0, ...over });
+const evidence = (over: Partial<Evidence>): Evidence => ({ callers: [call()], runs: [ran()], resumes: () => false, allowed: () => true, left: new Map(), overreach: 0, ...over });
 
 test('clean evidence gives no finding', () => {
   expect(judge(evidence({}))).toEqual([]);
+  const resumed = { resumes: () => true, callers: [call({ repeatable: true, text: 'abcde' }), ...Array.from({ length: 30 }, (_, at) => call({ id: `x${at}`, outcome: 'declined', text: '' }))], runs: [ran({ text: 'abcx', ended: 'cut' }), ran({ passage: 'p2', continues: 'abc', text: 'de' })] };
+  expect(judge(evidence(resumed))).toEqual([]);
+  expect(judge(evidence({ ...resumed, resumes: () => false })).map(({ breach }) => breach)).toContain('spliced');
+  expect(judge(evidence({ ...resumed, runs: [resumed.runs[0]!, ran({ passage: 'p2', continues: 'abd', text: 'de' })] })).map(({ breach }) => breach)).toContain('spliced');
+  for (const text of ['abde', 'abccde', 'abcxde']) expect(judge(evidence({ ...resumed, callers: [call({ repeatable: true, text }), ...resumed.callers.slice(1)] }))).not.toEqual([]);
   expect(judge(evidence({ callers: [call({ outcome: 'broken', text: 'ab' })], runs: [ran({ ended: 'cut' })] }))).toEqual([]);
 });
 
