--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -23,6 +23,12 @@
 
 const ASK_LIMIT = 1500;
 
+/** What an operator does by hand about a member that does not vote. */
+const remedy = (reason: string): string => {
+  if (reason.startsWith('spoilt on disk') || reason.startsWith('votes on disk')) return '; stop it, empty its folder, start it, and it is given its seat again';
+  return reason && reason !== 'not in the core set' ? '; mend its disk and start it again' : '';
+};
+
 export interface Operator {
   readonly firm: string;
   readonly who: string;
@@ -174,7 +180,7 @@
       members: replies.map(([address, reply]) =>
         reply.caseOf({
           Left: ({ reason }) => ({ address, id: members.find((seat) => seat.address === address)?.id ?? '', state: `silent: ${reason}`, generation: 0, settled: 0, whole: '' }),
-          Right: (state) => ({ address, id: members.find((seat) => seat.address === address)?.id ?? state.member, whole: state.whole, state: number && !members.some((seat) => seat.id === state.member) ? 'swapped: another machine answers here' : state.voting ? 'voting' : state.formed ? `not voting: ${state.reason}` : 'newcomer', generation: state.generation, settled: state.settled }),
+          Right: (state) => ({ address, id: members.find((seat) => seat.address === address)?.id ?? state.member, whole: state.whole, state: number && !members.some((seat) => seat.id === state.member) ? 'swapped: another machine answers here' : state.voting ? 'voting' : state.formed ? `not voting: ${state.reason}${remedy(state.reason)}` : 'newcomer', generation: state.generation, settled: state.settled }),
         }),
       ),
     });
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -98,7 +98,7 @@
       const holder = routers.find((router) => router.name === name);
       if (!holder || name === this.view.self.name) continue;
       if (await this.askPeer(holder.address)) return;
-      this.view.drop(holder.name);
+      this.view.doubt(holder.name);
     }
     if (this.age > WORRY) await this.poll(this.params.slice);
   }
--- a/test/checker/index.test.ts
+++ b/test/checker/index.test.ts
@@ -122,6 +122,7 @@
   ['a remove clears children others still want', { before: [['a', [store('', 'abc'), store('ab', 'X')]], ['b', [store('', 'ab')]]], writers: [['a', [remove('ab')]], ['b', [store('ab', 'Y')]]], reads: ['abX', 'abY'] }],
   ['the last holder leaves while another comes', { before: [['a', [store('', 'abc')]]], writers: [['a', [remove('a')]], ['b', [store('', 'abc')]]], reads: ['abc'] }],
   ['a revived prefix does not revive its descendants', { before: [['a', [store('', 'abcd'), store('ab', 'X')]], ['b', [store('', 'abcd'), store('ab', 'X')]]], writers: [['a', [remove('ab'), store('a', 'b')]], ['b', [store('abcd', 'e')]]], reads: ['abcd'] }],
+  ['a piece that follows two places, met while the first is split', { before: [['a', [store('', 'abcd')]]], writers: [['a', [store('ab', 'e')]], ['b', [store('', 'abcde')]]], reads: ['abcde'] }],
   ['one block over and over', { before: [['a', [store('', 'aaaa')]]], writers: [['b', [store('', 'aa'), store('aa', 'aaa')]], ['c', [store('', 'aab')]]], reads: ['aaaaa'] }],
 ]);
 
--- a/test/days/play.ts
+++ b/test/days/play.ts
@@ -25,15 +25,16 @@
 
 /** Whole days of one site, failures drawn from the seed. */
 export const wholeDays = (site: string, seeds: readonly number[], situations: readonly Situation[]): void => {
-  test(`days at ${site}`, async () => {
-    const days: DayResult[] = [];
-    for (const seed of seeds) {
+  const days: DayResult[] = [];
+  for (const seed of seeds)
+    test(`a day at ${site}, seed ${seed}`, async () => {
       const day = await playDay({ ...sites.get(site)!, seconds: 30 }, seed);
       days.push(day);
-      expect({ seed, findings: day.findings }).toEqual({ seed, findings: [] });
+      expect(day.findings).toEqual([]);
       expect(day.outcomes.get('result')).toBeGreaterThan(50);
       expect(day.changes.get('accepted')).toBeGreaterThan(4);
-    }
+    });
+  test(`what must be proved came up at ${site}`, () => {
     expect(new Set(days.flatMap(({ faults }) => faults.map((fault) => fault.split('@')[0]))).size).toBeGreaterThan(8);
     cameUp(days, situations);
   });
