--- a/src/sim/day/strikes.ts
+++ b/src/sim/day/strikes.ts
@@ -4,6 +4,7 @@
  */
 import { pick } from '../../kernel/random/random.js';
 import type { Behaviour } from '../engine.js';
+import type { Host } from '../world.js';
 import type { Operators } from './operators.js';
 import type { FaultName } from './plan.js';
 import type { Stage } from './stage.js';
@@ -63,6 +64,11 @@
     });
   }
 
+  private still(host: Host, how: 'freeze' | 'suspend', lasts: number): void {
+    host[how]();
+    this.during(lasts, () => host.thaw());
+  }
+
   private outage(): void {
     this.stage.world.at(RESTART, () => this.traffic.outageEnds());
   }
@@ -84,16 +90,8 @@
       ['core-killed', (lasts) => stage.killCore(one(), lasts)],
       ['core-power', (lasts) => losesPower(one(), lasts)],
       ['core-power-two', (lasts) => stage.coreNames.slice(0, 2).forEach((name) => losesPower(name, lasts))],
-      ['core-frozen', (lasts) => {
-        const [, { host }] = stage.some(stage.cores);
-        host.freeze();
-        this.during(lasts, () => host.thaw());
-      }],
-      ['core-suspended', (lasts) => {
-        const [, { host }] = stage.some(stage.cores);
-        host.suspend();
-        this.during(lasts, () => host.thaw());
-      }],
+      ['core-frozen', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'freeze', lasts)],
+      ['core-suspended', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'suspend', lasts)],
       ['core-all-killed', (lasts) => stage.coreNames.forEach((name) => stage.killCore(name, lasts))],
       ['core-split', (lasts) => {
         const name = one();
@@ -176,16 +174,8 @@
         stage.routerNames.forEach((name) => stage.killRouter(name, RESTART));
         this.outage();
       }],
-      ['router-frozen', (lasts) => {
-        const [, { host }] = stage.some(stage.routers);
-        host.freeze();
-        this.during(lasts, () => host.thaw());
-      }],
-      ['router-suspended', (lasts) => {
-        const [, { host }] = stage.some(stage.routers);
-        host.suspend();
-        this.during(lasts, () => host.thaw());
-      }],
+      ['router-frozen', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'freeze', lasts)],
+      ['router-suspended', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'suspend', lasts)],
       ['router-isolated', (lasts) => {
         const name = one();
         this.during(lasts, world.part([name], away(name)));
