--- a/src/doorway/match.ts
+++ b/src/doorway/match.ts
@@ -3,6 +3,7 @@
  * tag before path before model, the doorway that names more of the earlier kinds first.
  */
 import type { Document, Generation } from '../register/document.js';
+import { RouteTable } from '../route/table.js';
 import type { Doorway, Placed } from './shape.js';
 
 export interface Asked {
@@ -43,11 +44,13 @@
 export class InForce {
   private document: Document | undefined;
   private compiled = new Compiled(0, []);
+  private table = new RouteTable(undefined);
 
   /** Swaps in a newer generation; an older one is left aside. */
   swap(document: Document): boolean {
     if (document.generation <= this.generation) return false;
     this.compiled = new Compiled(document.generation, document.doorways.values());
+    if (document.configuration !== this.table.configuration) this.table = new RouteTable(document.configuration);
     this.document = document;
     return true;
   }
@@ -60,6 +63,10 @@
     return this.compiled;
   }
 
+  get routes(): RouteTable {
+    return this.table;
+  }
+
   get whole(): Document | undefined {
     return this.document;
   }
--- a/src/pool/engine.ts
+++ b/src/pool/engine.ts
@@ -33,6 +33,12 @@
   readonly cacheCapacity: number;
   readonly prefillRate: number;
   readonly leaving: boolean;
+  /** The service it belongs to, where engines come in named services. */
+  readonly service?: string;
+  /** Requests it works on at once, where the list says so. */
+  readonly slots?: number;
+  /** Milliseconds for which it is still slow after its start, as the list had it. */
+  readonly cold?: number;
 }
 
 const fromListed = (listed: Static<typeof EngineShape>): Engine => ({
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -6,6 +6,7 @@
 import { createHash } from 'node:crypto';
 import { Right } from 'purify-ts';
 import type { Doorway, Placed } from '../doorway/shape.js';
+import type { Configuration } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 
 export type Generation = number;
@@ -76,6 +77,8 @@
   readonly enrolled: ReadonlyMap<string, Enrolled>;
   /** The generation of the last enrolment or retirement. */
   readonly enrolledAt: Generation;
+  /** The routes of the operators' newest version, where there are any. */
+  readonly configuration?: Configuration | undefined;
   readonly cause: readonly Change[];
 }
 
@@ -107,6 +110,7 @@
       outcomes: [...document.outcomes],
       enrolled: pairs(document.enrolled),
       enrolledAt: document.enrolledAt,
+      configuration: document.configuration,
       cause: document.cause,
     }),
   );
@@ -126,6 +130,7 @@
       outcomes: new Map(raw.outcomes),
       enrolled: new Map(raw.enrolled),
       enrolledAt: raw.enrolledAt,
+      configuration: raw.configuration,
       cause: raw.cause,
     });
   } catch (thrown) {
