Opaque requests: forwarded by host and prefix, identity on the request, streams resumed

Cause: the product carried chat calls only. Requests of any method, path and body are now handed to an engine of the route's service and the answer handed back as it comes. Each send names its engine; an answer counts only with the request's id, a success only with the seal and an end that can be told. What may run once is never sent again after a first byte save on the engine's word; repeats are paid from the router's own share of each sliding window. A stream that may be taken up goes on behind its last whole event when the next engine's ids follow on.

--- /dev/null
+++ b/src/forward/caller.ts
@@ -0,0 +1,106 @@
+/**
+ * The caller's side of one request: reads the body whole within its bound, answers once, and passes pieces on as they
+ * come, waiting while the caller does not read. What can't be ended whole is ended by cutting the connection, so that it
+ * never looks complete.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Right } from 'purify-ts';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { fieldsOf, only, type Fields } from './fields.js';
+
+export class Caller {
+  readonly fields: Fields;
+  private readonly leave = new AbortController();
+  readonly gone = this.leave.signal;
+
+  constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly closing: () => boolean) {
+    this.fields = fieldsOf(request.rawHeaders);
+    response.once('close', () => {
+      if (!response.writableFinished) this.leave.abort();
+    });
+    response.on('error', () => this.leave.abort());
+    request.on('error', () => this.leave.abort());
+  }
+
+  get method(): string {
+    return this.request.method ?? 'GET';
+  }
+
+  get target(): string {
+    return this.request.url ?? '/';
+  }
+
+  field(name: string): string | undefined {
+    return only(this.fields, name);
+  }
+
+  /** The whole body; undefined where the request has none. */
+  body(bound: number): Promise<Outcome<Buffer | undefined>> {
+    const { request } = this;
+    const told = request.headers['content-length'];
+    if (told === undefined && request.headers['transfer-encoding'] === undefined) {
+      request.resume();
+      return Promise.resolve(Right(undefined));
+    }
+    if (told !== undefined && Number(told) > bound) return Promise.resolve(failed('caller.body', 'caller', `a body of ${told} bytes is over the bound of ${bound}`));
+    return new Promise((resolve) => {
+      const chunks: Buffer[] = [];
+      let bytes = 0;
+      request.on('data', (chunk: Buffer) => {
+        bytes += chunk.length;
+        if (bytes > bound) {
+          request.pause();
+          return resolve(failed('caller.body', 'caller', `a body of over ${bound} bytes`));
+        }
+        chunks.push(chunk);
+      });
+      request.once('end', () => resolve(Right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))));
+      request.once('close', () => resolve(failed('caller.body', 'caller', 'the caller left before its request was whole')));
+    });
+  }
+
+  /** An answer of our own, with `retryAfter` in ms where the caller may come back. */
+  refuse(status: number, reason: string, retryAfter?: number): void {
+    const { response } = this;
+    if (response.headersSent || response.destroyed) return this.cut();
+    const body = `${JSON.stringify({ error: reason })}\n`;
+    const fields: Array<[string, string]> = [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))]];
+    if (retryAfter !== undefined) fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
+    const unread = !this.request.complete;
+    if (this.closing() || unread) fields.push(['Connection', 'close']);
+    response.writeHead(status, fields.flat());
+    response.end(body);
+    if (unread) this.request.resume();
+  }
+
+  head(status: number, fields: Fields): void {
+    const all = this.closing() ? [...fields, ['Connection', 'close'] as const] : fields;
+    this.response.writeHead(status, all.flat());
+  }
+
+  /** Passes a piece on; false when the caller is gone. */
+  async write(piece: Uint8Array): Promise<boolean> {
+    const { response } = this;
+    if (response.destroyed) return false;
+    if (response.write(piece)) return true;
+    await new Promise<void>((resolve) => {
+      const done = (): void => {
+        response.off('drain', done);
+        response.off('close', done);
+        resolve();
+      };
+      response.once('drain', done);
+      response.once('close', done);
+    });
+    return !response.destroyed;
+  }
+
+  finish(): void {
+    this.response.end();
+  }
+
+  /** Ends the connection visibly in the middle. */
+  cut(): void {
+    this.response.destroy();
+  }
+}
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -4,5 +4,5 @@
   stop: 'node.stop', self: 'node.self', peers: 'wire.peers', roster: 'register.roster', proposer: 'register.proposer', member: 'register.member', grants: 'lease.grants',
   inForce: 'doorway.inForce', view: 'view.view', news: 'pool.news', channels: 'pool.channels', soundness: 'pool.soundness', prefixes: 'index.prefixes',
   chooser: 'place.chooser', standing: 'lease.standing', vows: 'lease.vows', journal: 'passage.journal', passage: 'passage.passage', claims: 'claim.claims', keeper: 'claim.keeper', operations: 'api.operations',
-  configurator: 'api.configurator', forwarder: 'forward.forwarder', placer: 'place.placer', dialect: 'forward.dialect', schema: 'api.schema', status: 'node.status', tracing: 'trace.tracing', metrics: 'node.metrics', keys: 'node.keys',
+  configurator: 'api.configurator', forwarder: 'forward.forwarder', links: 'forward.links', placer: 'place.placer', dialect: 'forward.dialect', schema: 'api.schema', status: 'node.status', tracing: 'trace.tracing', metrics: 'node.metrics', keys: 'node.keys',
 } as const;
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -8,6 +8,13 @@
 import { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
+import { RepeatBudget } from '../forward/budget.js';
+import type { ForwardEvent } from '../forward/chart.js';
+import { ownDialect, type Dialect } from '../forward/dialect.js';
+import { Forwarder } from '../forward/forwarder.js';
+import { HttpLinks, type Links } from '../forward/link.js';
+import { LeastLoadPlacer } from '../place/least.js';
+import type { Placer } from '../place/placer.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
@@ -132,13 +139,15 @@
         { provide: names.chooser, inject: [names.clock, names.random], useFactory: (clock: Clock, random: Random) => new Chooser(params.place, params.law, params.zone, clock, random, params.place.policy) },
         {
           provide: names.news,
-          inject: [names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser],
-          useFactory: (view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser) =>
+          inject: [names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser, names.links, names.placer],
+          useFactory: (view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser, links: Links, placer: Placer) =>
             new Newsroom(fetchList(params.platform.url), params.platform, view, peers, clock, random, log, (engines) => {
               channels.prune(engines);
               soundness.forget(engines);
               prefixes.listed(engines);
               chooser.listed(engines);
+              links.prune(engines);
+              placer.listed(engines);
             }),
         },
         { provide: names.vows, inject: [names.inForce, names.peers, names.clock], useFactory: (inForce: InForce, peers: Peers, clock: Clock) => new Vows(params.name, inForce, peers, clock) },
@@ -160,6 +169,15 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
+        { provide: names.dialect, useValue: ownDialect },
+        { provide: names.placer, inject: [names.random], useFactory: (random: Random) => new LeastLoadPlacer(random) },
+        { provide: names.links, inject: [names.clock], useFactory: (clock: Clock) => new HttpLinks(clock, params.forward.connect, params.forward.keepLinks) },
+        {
+          provide: names.forwarder,
+          inject: [names.inForce, names.standing, names.news, names.links, names.placer, names.dialect, names.view, names.clock, names.random, names.log],
+          useFactory: (inForce: InForce, standing: Standing, news: Newsroom, links: Links, placer: Placer, dialect: Dialect, view: View, clock: Clock, random: Random, log: Log) =>
+            new Forwarder(inForce, () => standing.holds(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => view.live('router').length, params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
+        },
         RouterNode,
       ],
     };
