--- a/src/index/hash.ts
+++ b/src/index/hash.ts
@@ -40,3 +40,24 @@
 /** The bytes an engine's cache is keyed by: the ordered parts of the prompt, each led by its role. */
 export const promptBytes = (messages: ReadonlyArray<{ role: string; content: string }>): Uint8Array =>
   Buffer.from(messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n', 'utf8');
+
+/** A part of a prompt that is named rather than shown: what the prompt tells stands for its bytes. */
+export interface NamedPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** A block of any size, as parts of a prompt are. */
+export interface SizedBlock extends Block {
+  readonly tokens: number;
+}
+
+/** One block for each part, each external hash chained from the one before. */
+export const blocksOfParts = (parts: readonly NamedPart[], parent: string): SizedBlock[] => {
+  let external = parent;
+  return parts.map(({ id, tokens }) => {
+    const local = short([`${id}\u0000${tokens}`]);
+    external = short([external, local]);
+    return { local, external, tokens };
+  });
+};
--- a/src/pool/soundness.ts
+++ b/src/pool/soundness.ts
@@ -40,6 +40,11 @@
     for (const identifier of this.records.keys()) if (!listed.has(identifier)) this.records.delete(identifier);
   }
 
+  /** Whether there is nothing against any engine. */
+  get clean(): boolean {
+    return this.records.size === 0;
+  }
+
   /** The identifiers to use out of the ones that could serve. */
   usable(identifiers: readonly string[]): Set<string> {
     const now = this.clock.now();
