--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -15,6 +15,7 @@
 import { HttpLinks, type Links } from '../forward/link.js';
 import { LeastLoadPlacer } from '../place/least.js';
 import type { Placer } from '../place/placer.js';
+import { PrefixPlacer, prefixPlacerDefaults } from '../place/prefix.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
@@ -170,7 +171,12 @@
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
         { provide: names.dialect, useValue: ownDialect },
-        { provide: names.placer, inject: [names.random], useFactory: (random: Random) => new LeastLoadPlacer(random) },
+        {
+          provide: names.placer,
+          inject: [names.view, names.clock, names.random],
+          useFactory: (view: View, clock: Clock, random: Random): Placer =>
+            params.place.policy === 'index' ? new PrefixPlacer({ ...prefixPlacerDefaults, zone: params.zone, zoneCost: params.place.zoneCost, routers: () => view.live('router').length }, clock, random) : new LeastLoadPlacer(random),
+        },
         { provide: names.links, inject: [names.clock], useFactory: (clock: Clock) => new HttpLinks(clock, params.forward.connect, params.forward.keepLinks) },
         {
           provide: names.forwarder,
