The whole configuration as one change: versions, patches, resends, and calls on it

A configuration of routes is changed as a function of the value in place: whole or as a patch by name, on top of the version expected. Another version in place is a conflict, what makes no sense is invalid with item and field named, and the very same request is accepted again within the last 256 versions. The history keeps versions and a digest, not the content, so that a configuration is in a generation once.

Reads look at a majority first. A look now counts only members that are sure of what they voted for and sit where they answer; before, one with a spoilt or emptied disk could be counted and an accepted generation be missed. A proposer whose ballot is too low no longer waits a whole limit for a member that is gone before it tries again.

--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -1,6 +1,7 @@
 /** The services of a core node: the member with its disk, the leases it grants, and the tasks that keep it up to date. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
 import { Keeper } from '../claim/keeper.js';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
@@ -8,6 +9,7 @@
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Grants } from '../lease/grants.js';
 import type { Params } from '../params/shape.js';
 import { Follower } from '../register/follower.js';
@@ -135,6 +137,12 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, undefined, clock),
         },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        {
+          provide: names.configurator,
+          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+        },
         CoreNode,
       ],
     };
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -26,11 +26,12 @@
   struct({ known: flag }),
 );
 
-export interface StateReply { member: string; formed: boolean; voting: boolean; reason: string; accepted: Ballot; generation: number; settled: number; core: string; whole: string }
+/** `sure`: all this member ever voted for is in what it tells, whether or not it can vote now. */
+export interface StateReply { member: string; formed: boolean; voting: boolean; sure?: boolean; reason: string; accepted: Ballot; generation: number; settled: number; core: string; whole: string }
 export const State = call<{ from: string }, StateReply>(
   4, 'register.state',
   struct({ from: text }),
-  struct({ member: text, formed: flag, voting: flag, reason: text, accepted: ballotField, generation: number, settled: number, core: text, whole: text }),
+  struct({ member: text, formed: flag, voting: flag, sure: flag, reason: text, accepted: ballotField, generation: number, settled: number, core: text, whole: text }),
 );
 
 export interface FeedItem { ballot: Ballot; document: Uint8Array }
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -5,9 +5,12 @@
  * A removed name keeps the generation of its removal, so that no old change can ever apply again.
  */
 import { checkApart } from '../doorway/shape.js';
-import { changeDigest, digestOf, encodeDocument, type Act, type Change, type Claim, type Document, type DoorwayAct, type Generation } from './document.js';
+import { checkMeaning, mergePatch } from '../route/check.js';
+import { changeDigest, digestOf, encodeDocument, slim, type Act, type Change, type Claim, type ConfigureAct, type Document, type DoorwayAct, type Generation, type Kept } from './document.js';
 
 export const WINDOW = 2048;
+/** How many versions of the configuration are remembered with the requests that made them. */
+export const VERSIONS = 256;
 export const DOORWAY_BOUND = 2048;
 export const REMOVED_BOUND = 8192;
 export const CORE_BOUND = 9;
@@ -15,7 +18,8 @@
 
 export type Verdict =
   | { readonly kind: 'applied'; readonly generation: Generation }
-  | { readonly kind: 'lost'; readonly reason: string }
+  /** For a configuration, with the operators' version that was in place. */
+  | { readonly kind: 'lost'; readonly reason: string; readonly inPlace?: number }
   | { readonly kind: 'declined'; readonly reason: string };
 
 
@@ -100,6 +104,21 @@
   return apart.isLeft() ? declined(apart.extract().reason) : draft;
 };
 
+/** The next configuration, as a function of the one in place: another version there means that the change lost. */
+const configure = (document: Document, act: ConfigureAct, next: Generation): Document | Verdict => {
+  const { version = 0 } = document.configuration ?? {};
+  if (act.expects !== version) return { kind: 'lost', reason: `version ${version} is in place, not ${act.expects}`, inPlace: version };
+  if (!Number.isSafeInteger(act.version) || act.version <= version) return declined(`version ${act.version} is not above ${version}, which is in place`);
+  const made = act.whole ? checkMeaning(act.whole).map(() => act.whole!) : mergePatch(document.configuration, act.patch ?? { version: act.version, set: {}, remove: {} });
+  if (made.isLeft()) return declined(made.extract().reason);
+  const versions = new Map(document.versions).set(act.version, { generation: next, digest: act.digest });
+  for (const old of versions.keys()) {
+    if (versions.size <= VERSIONS) break;
+    versions.delete(old);
+  }
+  return { ...document, configuration: { ...made.unsafeCoerce(), version: act.version }, versions };
+};
+
 const alter = (document: Document, change: Change, next: Generation): Document | Verdict => {
   const { act, firm } = change;
   switch (act.kind) {
@@ -114,6 +133,8 @@
       return placeAll(document, [act], firm, next);
     case 'apply':
       return placeAll(document, act.items, firm, next);
+    case 'configure':
+      return configure(document, act, next);
     case 'claim': {
       const owner = document.doorways.get(act.name)?.doorway.firm;
       if (owner && owner !== firm) return declined(`doorway ${act.name} belongs to ${owner}`);
@@ -130,15 +151,36 @@
   readonly verdicts: ReadonlyMap<string, Verdict>;
 }
 
+/** What became of this very change before, where it is still remembered; another one under its name differs in its digest. */
+const remembered = (document: Document, change: Change): { kept: Kept; same: boolean } | undefined => {
+  const { act, id } = change;
+  if (act.kind === 'configure') {
+    const kept = document.versions.get(act.version);
+    return kept?.digest === act.digest ? { kept, same: true } : undefined;
+  }
+  const kept = document.outcomes.get(id);
+  return kept && { kept, same: kept.digest === changeDigest(change) };
+};
+
+const remember = (document: Document, change: Change, next: Generation): Document => {
+  if (change.act.kind === 'configure') return document;
+  const outcomes = new Map(document.outcomes).set(change.id, { generation: next, digest: changeDigest(change) });
+  for (const id of outcomes.keys()) {
+    if (outcomes.size <= WINDOW) break;
+    outcomes.delete(id);
+  }
+  return { ...document, outcomes };
+};
+
 export const applyChanges = (base: Document, changes: readonly Change[]): Applied => {
   const next = base.generation + 1;
   const verdicts = new Map<string, Verdict>();
   const cause: Change[] = [];
   let draft = base;
   for (const change of changes) {
-    const kept = draft.outcomes.get(change.id);
-    if (kept) {
-      verdicts.set(change.id, kept.digest === changeDigest(change) ? { kind: 'applied', generation: kept.generation } : declined('this change id was used for another change'));
+    const before = remembered(draft, change);
+    if (before) {
+      verdicts.set(change.id, before.same ? { kind: 'applied', generation: before.kept.generation } : declined('this change id was used for another change'));
       continue;
     }
     const altered = alter(draft, change, next);
@@ -150,13 +192,8 @@
       verdicts.set(change.id, altered);
       continue;
     }
-    const outcomes = new Map(draft.outcomes).set(change.id, { generation: next, digest: changeDigest(change) });
-    for (const id of outcomes.keys()) {
-      if (outcomes.size <= WINDOW) break;
-      outcomes.delete(id);
-    }
-    draft = { ...altered, outcomes };
-    cause.push(change);
+    draft = remember(altered, change, next);
+    cause.push(slim(change));
     verdicts.set(change.id, { kind: 'applied', generation: next });
   }
   if (cause.length === 0) return { document: base, verdicts };
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -6,7 +6,7 @@
 import { createHash } from 'node:crypto';
 import { Right } from 'purify-ts';
 import type { Doorway, Placed } from '../doorway/shape.js';
-import type { Configuration } from '../route/shape.js';
+import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 
 export type Generation = number;
@@ -43,6 +43,19 @@
   | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Generation }
   | { readonly kind: 'remove'; readonly name: string; readonly expects: Generation };
 
+/**
+ * The operators' configuration under the next version, on top of the version expected: whole, or as a patch. What is kept
+ * in the history names only the versions and the digest of the request.
+ */
+export interface ConfigureAct {
+  readonly kind: 'configure';
+  readonly version: number;
+  readonly expects: number;
+  readonly digest: Digest;
+  readonly whole?: Configuration;
+  readonly patch?: Patch;
+}
+
 export type Act =
   | DoorwayAct
   /** Many doorways at once: all of it or nothing. */
@@ -51,7 +64,8 @@
   | { readonly kind: 'seat'; readonly seat: Seat; readonly expects: number }
   | { readonly kind: 'unseat'; readonly id: string; readonly vacant: boolean; readonly expects: number }
   | { readonly kind: 'enrol'; readonly name: string; readonly enrolled: Enrolled; readonly expects: Generation }
-  | { readonly kind: 'retire'; readonly name: string; readonly expects: Generation };
+  | { readonly kind: 'retire'; readonly name: string; readonly expects: Generation }
+  | ConfigureAct;
 
 export interface Change {
   readonly id: ChangeId;
@@ -79,10 +93,13 @@
   readonly enrolledAt: Generation;
   /** The routes of the operators' newest version, where there are any. */
   readonly configuration?: Configuration | undefined;
+  /** The requests that made the last versions, by version, oldest first, so that one that is resent is known again. */
+  readonly versions: ReadonlyMap<number, Kept>;
   readonly cause: readonly Change[];
 }
 
-interface Raw extends Omit<Document, 'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled'> {
+interface Raw extends Omit<Document, 'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled' | 'versions'> {
+  versions?: Array<[number, Kept]>;
   enrolled: Array<[string, Enrolled]>;
   doorways: Array<[string, Placed]>;
   removed: Array<[string, Generation]>;
@@ -93,6 +110,13 @@
 const digestOf = (bytes: Uint8Array | string): Digest => createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
+/** A change as the history keeps it, without the whole of a configuration. */
+export const slim = (change: Change): Change => {
+  if (change.act.kind !== 'configure') return change;
+  const { kind, version, expects, digest } = change.act;
+  return { ...change, act: { kind, version, expects, digest } };
+};
+
 export const changeDigest = (change: Change): Digest => digestOf(JSON.stringify([change.firm, change.act], (key, value: unknown) => (key === 'takeover' ? undefined : value)));
 
 const pairs = <V>(table: ReadonlyMap<string, V>): Array<[string, V]> => [...table].sort(([a], [b]) => (a < b ? -1 : 1));
@@ -111,6 +135,7 @@
       enrolled: pairs(document.enrolled),
       enrolledAt: document.enrolledAt,
       configuration: document.configuration,
+      versions: document.versions.size ? [...document.versions] : undefined,
       cause: document.cause,
     }),
   );
@@ -131,6 +156,7 @@
       enrolled: new Map(raw.enrolled),
       enrolledAt: raw.enrolledAt,
       configuration: raw.configuration,
+      versions: new Map(raw.versions ?? []),
       cause: raw.cause,
     });
   } catch (thrown) {
@@ -149,6 +175,7 @@
   outcomes: new Map(),
   enrolled: new Map(),
   enrolledAt: 0,
+  versions: new Map(),
   cause: [],
 });
 
@@ -163,6 +190,8 @@
       return act.seat.address;
     case 'unseat':
       return act.id;
+    case 'configure':
+      return `version ${act.version}`;
     case 'remove':
     case 'claim':
     case 'enrol':
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -34,6 +34,8 @@
   /** Whether this very process took part in forming the core. */
   founder = false;
   private impairment = '';
+  /** What this member voted for may be lost. */
+  private doubtful = false;
   private turn: Promise<unknown> = Promise.resolve();
   private readonly watchers = new Set<() => void>();
 
@@ -53,11 +55,15 @@
     const newest = this.accepted?.parsed.generation ?? 0;
     const doubtful = found.spoilt.filter((path) => !path.startsWith('generations/') || Number(path.slice(12)) >= newest);
     for (const path of found.spoilt) this.log('file-spoilt', [['path', path], ['votes', !doubtful.includes(path)]]);
+    this.doubtful = doubtful.length > 0;
     if (doubtful.length) this.impair(`spoilt on disk: ${doubtful.join(' ')}`);
     if (found.member) this.id = found.member;
     else {
       this.id = this.random.identity();
-      if (this.accepted || compareBallots(this.promised, FIRST) > 0) this.impair('votes on disk without an identity');
+      if (this.accepted || compareBallots(this.promised, FIRST) > 0) {
+        this.doubtful = true;
+        this.impair('votes on disk without an identity');
+      }
       const kept = await this.store.keepIdentity(this.id);
       if (kept.isLeft()) return kept;
     }
@@ -77,6 +83,7 @@
       member: this.id,
       formed: this.accepted !== undefined,
       voting: seated && !this.impairment,
+      sure: seated && !this.doubtful,
       reason: this.impairment || (seated ? '' : 'not in the core set'),
       accepted: this.accepted?.ballot ?? FIRST,
       generation: this.accepted?.parsed.generation ?? 0,
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -13,10 +13,10 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
-import { Accept, Prepare, Settled, State, type PrepareReply } from './calls.js';
+import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import { decodeDocument, digestOf, encodeDocument, type Change, type CoreSet, type Document } from './document.js';
-import { gather, majority, sound } from './gather.js';
+import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
 
 const ASK_LIMIT = 1000;
@@ -37,6 +37,11 @@
   readonly settled: boolean;
 }
 
+export interface Survey {
+  readonly generation: number;
+  readonly sources: readonly string[];
+}
+
 export class Proposer {
   private readonly waiting: Waiting[] = [];
   private counter = 0;
@@ -71,14 +76,29 @@
 
   /** The newest settled value, without a new ballot where a majority already agrees. */
   async look(duration: number): Promise<Outcome<number>> {
+    return (await this.survey(duration)).map(({ generation }) => generation);
+  }
+
+  /** The newest settled generation, and the members that were quickest to say that they hold it. */
+  async survey(duration: number): Promise<Outcome<Survey>> {
     await this.learnCore();
-    const { members } = this.roster.core;
-    const quorum = majority(members.length);
-    const replies = sound(await gather(members.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => sound(all).length >= quorum));
-    const highest = Math.max(0, ...replies.map(({ generation }) => generation));
-    const voters = replies.filter(({ formed }) => formed);
-    if (voters.length >= quorum && voters.some(({ settled }) => settled >= highest)) return Right(highest);
-    return (await this.read(duration)).map(({ generation }) => generation);
+    for (let pass = 0; pass < 4; pass++) {
+      const { number, members } = this.roster.core;
+      const quorum = majority(members.length);
+      const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
+        all.flatMap(([address, reply]) => {
+          const state = reply.toMaybe().extract();
+          return state?.sure && members.some((seat) => seat.id === state.member && seat.address === address) ? [[address, state] as const] : [];
+        });
+      const replies = surest(await gather(members.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => surest(all).length >= quorum));
+      for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
+      if (this.roster.core.number !== number) continue;
+      const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
+      const sources = replies.filter(([, { settled }]) => settled >= generation).map(([address]) => address);
+      if (number > 0 && replies.length >= quorum && sources.length > 0) return Right({ generation, sources });
+      break;
+    }
+    return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
   }
 
   private async work(): Promise<void> {
@@ -162,7 +182,7 @@
     const replies = await gather(
       core.members.map(({ address }) => address),
       (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
-      (all) => sound(all).filter(({ promised }) => promised).length >= quorum,
+      (all) => decided(all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)), core.members.length),
     );
     for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
     const promises = sound(replies).filter(({ promised }) => promised);
@@ -186,7 +206,7 @@
     const replies = await gather(
       addresses,
       (address) => this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
-      (all) => sound(all).filter(({ accepted }) => accepted).length >= quorum,
+      (all) => decided(all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)), core.members.length),
     );
     for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
@@ -218,5 +238,12 @@
   }
 }
 
+/** Whether a majority said yes, or can't any more. */
+const decided = (votes: readonly boolean[], members: number): boolean => {
+  const quorum = majority(members);
+  const yes = votes.filter(Boolean).length;
+  return yes >= quorum || votes.length - yes > members - quorum;
+};
+
 const isSettled = (promises: readonly PrepareReply[], newest: PrepareReply, generation: number, quorum: number): boolean =>
   promises.some(({ settled }) => settled >= generation) || (compareBallots(newest.accepted, FIRST) > 0 && promises.filter(({ accepted }) => compareBallots(accepted, newest.accepted) === 0).length >= quorum);
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -1,5 +1,6 @@
 /** The services of a router node, by name, and the tasks that run them. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
 import type { InForce } from '../doorway/match.js';
 import { Prefixes } from '../index/prefixes.js';
@@ -8,6 +9,7 @@
 import { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
@@ -160,6 +162,12 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        {
+          provide: names.configurator,
+          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+        },
         RouterNode,
       ],
     };
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -1,5 +1,6 @@
 /** Nodes of a simulated fleet, put together from the same classes as the program's own, on a host of the world. */
 import { Keeper } from '../claim/keeper.js';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
 import { CoreNode } from '../core/module.js';
 import { InForce } from '../doorway/match.js';
@@ -14,6 +15,7 @@
 import { Peers } from '../wire/peers.js';
 import { Prefixes } from '../index/prefixes.js';
 import { Journal } from '../kernel/journal/journal.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
 import { Claims } from '../claim/claims.js';
@@ -45,6 +47,8 @@
   readonly inForce: InForce;
   readonly view: View;
   readonly stop: AbortController;
+  readonly acceptance: Acceptance;
+  readonly configurator: Configurator;
 }
 
 export interface SimCore extends SimBase {
@@ -65,7 +69,10 @@
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
   const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random);
-  return { host, log, params, peers, roster, proposer, inForce: new InForce(), view, stop: new AbortController() };
+  const inForce = new InForce();
+  const acceptance = new Acceptance(peers, roster, host.clock);
+  const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
+  return { host, log, params, peers, roster, proposer, inForce, view, stop: new AbortController(), acceptance, configurator };
 };
 
 export const simCore = (world: World, name: string, address: string, zone: string, disk: SimDisk, site: SimSite, outer: Log = silentLog): SimCore => {
