--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -1,5 +1,6 @@
 /** The services of a router node, by name, and the tasks that run them. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
 import type { InForce } from '../doorway/match.js';
 import { Prefixes } from '../index/prefixes.js';
@@ -16,6 +17,7 @@
 import { LeastLoadPlacer } from '../place/least.js';
 import type { Placer } from '../place/placer.js';
 import { PrefixPlacer, prefixPlacerDefaults } from '../place/prefix.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
@@ -184,6 +186,12 @@
           useFactory: (inForce: InForce, standing: Standing, news: Newsroom, links: Links, placer: Placer, dialect: Dialect, view: View, clock: Clock, random: Random, log: Log) =>
             new Forwarder(inForce, () => standing.holds(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => view.live('router').length, params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
         },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        {
+          provide: names.configurator,
+          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+        },
         RouterNode,
       ],
     };
