--- /dev/null
+++ b/src/forward/forwarder.ts
@@ -0,0 +1,168 @@
+/**
+ * Carries opaque requests: finds the route, reads the body, has an engine chosen, sends, and passes the answer on as it
+ * comes, straight down in one task for each request. What may run only once is never sent again after a first byte, save
+ * on the engine's own word that it did not run; what may be repeated is, within the route's attempts and the budget.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { InForce } from '../doorway/match.js';
+import type { Clock, Moment } from '../kernel/clock/clock.js';
+import type { Fault } from '../kernel/fault/fault.js';
+import type { Journal } from '../kernel/journal/journal.js';
+import type { Log } from '../kernel/log/log.js';
+import type { Random } from '../kernel/random/random.js';
+import type { Placer } from '../place/placer.js';
+import { mayRepeat, sharesOf, type Route, type Service } from '../route/shape.js';
+import type { RepeatBudget } from './budget.js';
+import { Caller } from './caller.js';
+import { ForwardChart, type ForwardEvent } from './chart.js';
+import type { Dialect } from './dialect.js';
+import type { RequestHandler } from './face.js';
+import { attemptsOf, DEFAULT_WAIT, UNSENT_BOUND, type ForwardParams, type Job, type Pool } from './job.js';
+import type { Links } from './link.js';
+import { Pourer } from './pour.js';
+import { Sender } from './sender.js';
+
+export class Forwarder implements RequestHandler {
+  private readonly running = new Set<Caller>();
+  private held = 0;
+  private closing = false;
+  private emptied: () => void = () => undefined;
+  private readonly sender: Sender;
+  private readonly pourer: Pourer;
+  readonly counts = new Map<string, number>();
+
+  constructor(
+    private readonly inForce: InForce,
+    private readonly mayServe: () => boolean,
+    pool: Pool,
+    links: Links,
+    placer: Placer,
+    private readonly budget: RepeatBudget,
+    private readonly dialect: Dialect,
+    routers: () => number,
+    private readonly params: ForwardParams,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly journal: Journal<ForwardEvent>,
+    private readonly log: Log,
+  ) {
+    this.sender = new Sender(mayServe, pool, links, placer, dialect, routers, params, clock, log);
+    this.pourer = new Pourer(this.sender, budget, params, clock, log, (what) => this.count(what));
+  }
+
+  get open(): number {
+    return this.running.size;
+  }
+
+  handle(request: IncomingMessage, response: ServerResponse): void {
+    const caller = new Caller(request, response, () => this.closing);
+    this.running.add(caller);
+    void this.carry(caller)
+      .catch((thrown: unknown) => {
+        this.log('fault', [['step', 'forward'], ['reason', String(thrown)]]);
+        caller.cut();
+      })
+      .finally(() => {
+        this.running.delete(caller);
+        if (this.running.size === 0) this.emptied();
+      });
+  }
+
+  async drain(limit: number): Promise<number> {
+    this.closing = true;
+    const stop = new AbortController();
+    if (this.running.size > 0) await Promise.race([new Promise<void>((resolve) => (this.emptied = resolve)), this.clock.sleep(limit, stop.signal)]);
+    stop.abort();
+    return this.running.size;
+  }
+
+  /** From now on each answer asks its caller to close the connection. */
+  close(): void {
+    this.closing = true;
+  }
+
+  private count(what: string): void {
+    this.counts.set(what, (this.counts.get(what) ?? 0) + 1);
+  }
+
+  private async carry(caller: Caller): Promise<void> {
+    const begun = this.clock.now();
+    const id = caller.field(this.dialect.requestId);
+    const chart = new ForwardChart(id ?? '', this.journal);
+    const refuse = (status: number, reason: string, retryAfter?: number): void => {
+      chart.step('refused');
+      this.count(`refused_${status}`);
+      caller.refuse(status, reason, retryAfter);
+    };
+    const table = this.inForce.routes;
+    if (table.version === 0 || !this.mayServe()) return refuse(503, 'no configuration is in force here', DEFAULT_WAIT);
+    const route = table.match(caller.field('host') ?? '', caller.target);
+    if (!route) return refuse(404, 'no route has this host and path');
+    if (!id) return refuse(400, `the field ${this.dialect.requestId} is missing or stands more than once`);
+    const service = this.pickService(route);
+    if (!service) return refuse(503, 'the route names no service', DEFAULT_WAIT);
+    chart.step('routed');
+    const bound = table.limits.bodyBytes ?? this.params.bodyBytes;
+    if (this.held > this.params.heldBytes) return refuse(503, 'too many bytes are held here', DEFAULT_WAIT);
+    const body = await caller.body(bound);
+    if (body.isLeft()) {
+      if (caller.gone.aborted) return void chart.step('left');
+      return refuse(413, (body.extract() as Fault).reason);
+    }
+    chart.step('read');
+    const told = Number(caller.field(this.dialect.deadline));
+    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
+    const job: Job = {
+      caller, route, service, id, chart, begun, body: body.extract() as Buffer | undefined, limit: (begun + patience) as Moment,
+      prompt: this.dialect.prompt((name) => caller.field(name)), tried: new Set(), sends: 0, unsent: 0,
+    };
+    const size = job.body?.length ?? 0;
+    this.held += size;
+    this.budget.note(service.name);
+    await this.attempt(job, refuse).finally(() => (this.held -= size));
+  }
+
+  /** Sends until an answer begins, or says why there is none. */
+  private async attempt(job: Job, refuse: (status: number, reason: string, retryAfter?: number) => void): Promise<void> {
+    const { caller, route, chart } = job;
+    const attempts = attemptsOf(route);
+    for (;;) {
+      const placed = this.sender.place(job);
+      if ('wait' in placed) return refuse(503, placed.reason, placed.wait);
+      const attempt = await this.sender.send(job, placed, undefined);
+      switch (attempt.kind) {
+        case 'head':
+          return this.pourer.pass(job, attempt);
+        case 'left':
+          return void chart.step('left');
+        case 'unsent':
+          job.unsent += 1;
+          if (job.unsent >= UNSENT_BOUND) return refuse(503, 'no engine could be reached', DEFAULT_WAIT);
+          chart.step('read');
+          continue;
+        case 'not-run':
+          if (job.sends >= attempts || !this.budget.take(job.service.name)) return refuse(503, 'the engine has no room', attempt.retryAfter ?? DEFAULT_WAIT);
+          break;
+        case 'unknown': {
+          const late = this.clock.now() >= job.limit;
+          if (late || !mayRepeat(route) || job.sends >= attempts || !this.budget.take(job.service.name)) {
+            chart.step('unknown');
+            const status = late ? 504 : 502;
+            this.count(`unknown_${status}`);
+            return caller.refuse(status, attempt.fault.reason);
+          }
+          break;
+        }
+      }
+      this.count('repeats');
+      chart.step('read');
+    }
+  }
+
+  private pickService(route: Route): Service | undefined {
+    const shares = sharesOf(route);
+    let at = this.random.fraction() * shares.reduce((sum, { weight }) => sum + weight, 0);
+    const chosen = shares.find(({ weight }) => (at -= weight) < 0) ?? shares[shares.length - 1];
+    return chosen && (this.inForce.routes.services.get(chosen.service) ?? { name: chosen.service });
+  }
+}
