--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,10 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'src/api/generated.ts'] },
+  { ignores: ['dist/', 'target/', 'node_modules/', 'src/api/generated.ts'] },
   ...tseslint.configs.recommended,
   {
-    files: ['src/**/*.ts', 'test/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'test/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       '@typescript-eslint/no-floating-promises': 'error',
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -1,6 +1,7 @@
 /**
- * Runs a node as a daemon: services, peers, the two HTTP faces, signals. SIGTERM and SIGINT drain and stop, SIGHUP
- * reads the params again and says which of them a running node can take in. Exit codes: 0 stopped as asked, 1 could
+ * Runs a node as a daemon: services, peers, the two HTTP faces, signals. SIGTERM and SIGINT drain and stop: not ready at
+ * first, which those who send callers here take a while to notice, then nothing new is taken and what was is ended.
+ * SIGHUP reads the params again and says which of them a running node can take in. Exit codes: 0 stopped as asked, 1 could
  * not start or broke, 2 bad params.
  */
 import 'reflect-metadata';
@@ -13,11 +14,14 @@
 import { CallersController } from '../faces/callers/controller.js';
 import { openFace } from '../faces/common/face.js';
 import { StatusController, type ReadyQuestion } from '../faces/common/status.js';
+import { RequestsFace } from '../faces/requests/face.js';
 import { OperatorsController } from '../faces/operators/controller.js';
 import type { InForce } from '../doorway/match.js';
+import type { RequestHandler } from '../forward/face.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Fault, Outcome } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
+import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Standing } from '../lease/standing.js';
 import type { Keys } from '../node/keys.js';
@@ -27,13 +31,16 @@
 import type { PassageEvent } from '../passage/chart.js';
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
+import type { Roster } from '../register/roster.js';
 import { RouterModule, RouterNode } from '../router/module.js';
 import type { Tracing } from '../trace/tracing.js';
+import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
+import { noExtension, type Extension, type Face } from '../node/extension.js';
 
 type Reread = () => Promise<Outcome<Params>>;
 
-const RELOADABLE = new Set(['firms']);
+const RELOADABLE = new Set(['firms', 'seeds']);
 
 const routerMetrics = (registry: Registry, context: INestApplicationContext): void => {
   const passage = context.get<Passage>(names.passage);
@@ -68,8 +75,12 @@
 
 const openServices = (context: INestApplicationContext, tokens: readonly string[]): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
 
-export const runDaemon = async (role: 'core' | 'router', params: Params, reread: Reread): Promise<number> => {
-  const context = await NestFactory.createApplicationContext(role === 'core' ? CoreModule.with(params) : RouterModule.with(params), { logger: false, abortOnError: false });
+const common = [names.operations, names.schema, names.keys, names.random, names.log];
+const routerOnly = [names.passage, names.forwarder, names.inForce];
+
+/** Runs the node until it is told to stop, and says with which code to exit. */
+export const runDaemon = async (role: 'core' | 'router', params: Params, reread: Reread, extension: Extension = noExtension): Promise<number> => {
+  const context = await NestFactory.createApplicationContext(role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension), { logger: false, abortOnError: false });
   const log = context.get<Log>(names.log);
   const node = role === 'core' ? context.get(CoreNode) : context.get(RouterNode);
   const stop = context.get<AbortController>(names.stop);
@@ -87,18 +98,22 @@
   else coreMetrics(registry, context);
   let stopping = false;
   const status: ReadyQuestion = () => (stopping ? 'stopping' : node.ready());
-  const services = openServices(context, [names.operations, names.schema, names.keys, names.random]);
+  const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [names.configurator])]);
   services.set(names.status, status).set(names.metrics, registry);
-  const operators = await openFace(params.listen.operators, 1_048_576, [OperatorsController, StatusController], services);
-  if (operators.isLeft()) return refuse(operators.extract() as Fault);
-  const faces = [operators.unsafeCoerce()];
-  if (role === 'router') {
-    services.set(names.passage, context.get<Passage>(names.passage));
-    const callers = await openFace(params.listen.callers, params.passage.bodyBytes, [CallersController, StatusController], services);
-    if (callers.isLeft()) return refuse(callers.extract() as Fault);
-    faces.push(callers.unsafeCoerce());
+  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, 1_048_576, [OperatorsController, StatusController], services)];
+  if (role === 'router' && params.listen.callers) opening.push(() => openFace(params.listen.callers, params.passage.bodyBytes, [CallersController, StatusController], services));
+  if (role === 'router' && params.listen.requests) {
+    const inForce = context.get<InForce>(names.inForce);
+    opening.push(() => new RequestsFace(context.get<RequestHandler>(names.forwarder), () => inForce.routes.limits).listen(params.listen.requests));
+  }
+  opening.push(...extension.faces.map((open) => () => open(services)));
+  const faces: Face[] = [];
+  for (const open of opening) {
+    const face = await open();
+    if (face.isLeft()) return refuse(face.extract() as Fault);
+    faces.push(face.unsafeCoerce());
   }
-  log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', role === 'router' ? params.listen.callers : undefined]]);
+  log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', (role === 'router' && params.listen.callers) || undefined], ['requests', (role === 'router' && params.listen.requests) || undefined]]);
 
   process.on('SIGHUP', () => {
     void reread().then((read) =>
@@ -107,6 +122,8 @@
         Right: (next) => {
           const changed = [...new Map(Object.entries(next))].filter(([key, value]) => JSON.stringify(value) !== JSON.stringify(new Map<string, unknown>(Object.entries(params)).get(key))).map(([key]) => key);
           context.get<Keys>(names.keys).reload(next);
+          context.get<Roster>(names.roster).reseed(next.seeds);
+          context.get<View>(names.view).reseed(next.seeds);
           log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
         },
       }),
@@ -119,7 +136,14 @@
       stopping = true;
       log('stopping', [['signal', signal]]);
       void (async () => {
-        const left = node instanceof RouterNode ? await node.drain() : 0;
+        for (const face of faces) face.retire?.();
+        await context.get<Clock>(names.clock).sleep(params.listen.notice);
+        for (const face of faces) face.halt?.();
+        let left = 0;
+        if (node instanceof RouterNode) {
+          left += await context.get<RequestHandler>(names.forwarder).drain(Math.max(0, params.drain - params.listen.notice));
+          left += await node.drain();
+        }
         stop.abort();
         for (const face of faces) await face.close().catch(() => undefined);
         context.get<Peers>(names.peers).close();
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -2,6 +2,8 @@
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
 import { Keeper } from '../claim/keeper.js';
 import { Operations } from '../api/operations.js';
+import { absentConfigurator } from '../api/absent.js';
+import { extended, type Extension } from '../node/extension.js';
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import { FolderDisk, type Disk } from '../kernel/disk/disk.js';
@@ -114,10 +116,10 @@
 
 @Module({})
 export class CoreModule {
-  static with(params: Params): DynamicModule {
+  static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: CoreModule,
-      providers: [
+      providers: extended([
         ...nodeProviders(params, 'core'),
         { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
         {
@@ -135,8 +137,9 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, undefined, clock),
         },
+        { provide: names.configurator, useValue: absentConfigurator },
         CoreNode,
-      ],
+      ], services),
     };
   }
 }
--- /dev/null
+++ b/src/node/extension.ts
@@ -0,0 +1,31 @@
+/**
+ * What a deployment adds to a daemon without the product knowing it: services that take the place of its own, by name
+ * (src/node/names.ts), and faces beside its own, which reach the node's services by the same names.
+ */
+import type { Provider } from '@nestjs/common';
+import type { Outcome } from '../kernel/fault/fault.js';
+
+/** Something that listens. On a planned stop all faces retire, then halt, what was taken is ended, then they close. */
+export interface Face {
+  /** Tells whoever is connected to go elsewhere, and goes on taking what comes. */
+  retire?(): void;
+  /** Takes nothing new. */
+  halt?(): void;
+  close(): Promise<unknown>;
+}
+
+/** The services of a running node, by name. */
+export type Services = ReadonlyMap<string, unknown>;
+
+export interface Extension {
+  readonly services: ReadonlyMap<string, unknown>;
+  readonly faces: ReadonlyArray<(services: Services) => Promise<Outcome<Face>>>;
+}
+
+export const noExtension: Extension = { services: new Map(), faces: [] };
+
+/** The providers of a module with some of its services replaced. */
+export const extended = (providers: readonly Provider[], services: ReadonlyMap<string, unknown>): Provider[] => [
+  ...providers.filter((provider) => !('provide' in provider && services.has(String(provider.provide)))),
+  ...[...services].map(([provide, useValue]) => ({ provide, useValue })),
+];
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -1,6 +1,7 @@
 /** The services that every node has, core and router alike, by name. */
 import type { Provider } from '@nestjs/common';
 import { InForce } from '../doorway/match.js';
+import { ownDialect } from '../forward/dialect.js';
 import { SystemClock, type Clock } from '../kernel/clock/clock.js';
 import { openLog, type Log } from '../kernel/log/log.js';
 import { TcpNet, type Net } from '../kernel/net/net.js';
@@ -25,6 +26,7 @@
   { provide: names.log, inject: [names.tracing], useFactory: (tracing: Tracing) => tracing.tap(openLog(params.name)) },
   { provide: names.stop, useValue: new AbortController() },
   { provide: names.keys, useFactory: () => new Keys(params) },
+  { provide: names.dialect, useValue: ownDialect },
   { provide: names.schema, useClass: SchemaCheck },
   { provide: names.inForce, useClass: InForce },
   { provide: names.self, inject: [names.random], useFactory: (random: Random): Hello => ({ fleet: params.fleet, name: params.name, incarnation: random.identity() }) },
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -6,6 +6,7 @@
 
 const Name = Text.withConstraint((value) => /^[A-Za-z0-9][\w.-]{0,62}$/.test(value) || 'expected 1 to 63 letters, digits and . _ -');
 const Address = Text.withConstraint((value) => /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/.test(value) || 'expected IP:PORT');
+const AddressOrNone = Text.withConstraint((value) => value === '' || Address.guard(value) || 'expected IP:PORT, or nothing for none');
 const Hash = Text.withConstraint((value) => /^[0-9a-f]{64}$/.test(value) || 'expected a SHA-256 in 64 hex digits');
 const between = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isFinite(n) && n >= least && n <= most) || `expected a number from ${least} to ${most}`) as unknown as typeof Numeric;
 const Share = between(0.01, 100);
@@ -14,12 +15,12 @@
   fleet: Name,
   name: Name,
   zone: Name,
-  listen: Shape({ callers: Address, operators: Address, peers: Address }).exact(),
+  listen: Shape({ callers: AddressOrNone, operators: Address, peers: Address, requests: AddressOrNone, notice: between(0, 60_000) }).exact(),
   seeds: bounded(List(Address), (seeds) => (seeds.length >= 1 && seeds.length <= 9) || 'expected 1 to 9 addresses'),
   folder: Text,
   form: Flag,
   firms: bounded(List(Shape({ name: Name, callerKeys: List(Hash), operatorKeys: List(Hash) }).exact()), (firms) => firms.length <= 64 || 'expected at most 64 firms'),
-  platform: Shape({ url: Text.withConstraint((url) => url === '' || /^https?:\/\//.test(url) || 'expected an http URL'), every: between(50, 60_000), slice: between(100, 600_000) }).exact(),
+  platform: Shape({ url: Text.withConstraint((url) => url === '' || /^https?:\/\//.test(url) || 'expected an http URL'), every: between(50, 60_000), slice: between(100, 600_000), place: between(0, 600_000) }).exact(),
   index: Shape({ blockBytes: between(8, 65_536), blockTokens: between(1, 256) }).exact(),
   place: Shape({ perEngine: between(1, 10_000), zoneCost: between(0, 60_000), policy: Union(Literal('index'), Literal('least-busy'), Literal('round-robin')) }).exact(),
   law: Shape({ routers: between(1, 10_000), largestPrompt: between(16, 10_000_000), largestReply: between(1, 1_000_000), rateShare: Share }).exact(),
@@ -33,12 +34,12 @@
 const defaults = {
   fleet: 'rudderridge',
   zone: 'zone-1',
-  listen: { callers: '127.0.0.1:7080', operators: '127.0.0.1:7081', peers: '127.0.0.1:7082' },
+  listen: { callers: '127.0.0.1:7080', operators: '127.0.0.1:7081', peers: '127.0.0.1:7082', requests: '', notice: 0 },
   seeds: ['127.0.0.1:7082'],
   folder: './data',
   form: false,
   firms: [],
-  platform: { url: '', every: 500, slice: 4000 },
+  platform: { url: '', every: 500, slice: 4000, place: 2500 },
   index: { blockBytes: 64, blockTokens: 16 },
   place: { perEngine: 16, zoneCost: 5, policy: 'index' },
   law: { routers: 8, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
--- a/src/pool/engine.ts
+++ b/src/pool/engine.ts
@@ -15,11 +15,17 @@
   weight_generation: Text,
   zone: Text,
   labels: Table(Text, Text),
-  cache_capacity_tokens: Positive,
-  prefill_rate: Positive,
+  cache_capacity_tokens: Positive.optional(),
+  prefill_rate: Positive.optional(),
   leaving: Flag,
+  service: Text.optional(),
+  slots: Positive.optional(),
+  cold_ms: Numeric.optional(),
 });
 
+/** An entry of the list as a platform, or who speaks for it, writes it. */
+export type Listed = Static<typeof EngineShape>;
+
 export const ListShape = Shape({ engines: bounded(List(EngineShape), (engines) => engines.length <= 4096 || 'expected at most 4096 engines') });
 
 export interface Engine {
@@ -30,6 +36,7 @@
   readonly weightGeneration: string;
   readonly zone: string;
   readonly labels: ReadonlyMap<string, string>;
+  /** Tokens its cache holds, and prompt tokens it reads in a second; 0 where the list doesn't say. */
   readonly cacheCapacity: number;
   readonly prefillRate: number;
   readonly leaving: boolean;
@@ -41,7 +48,7 @@
   readonly cold?: number;
 }
 
-const fromListed = (listed: Static<typeof EngineShape>): Engine => ({
+const fromListed = (listed: Listed): Engine => ({
   identifier: listed.identifier,
   address: listed.address,
   model: listed.model,
@@ -49,9 +56,12 @@
   weightGeneration: listed.weight_generation,
   zone: listed.zone,
   labels: new Map(Object.entries(listed.labels)),
-  cacheCapacity: listed.cache_capacity_tokens,
-  prefillRate: listed.prefill_rate,
+  cacheCapacity: listed.cache_capacity_tokens ?? 0,
+  prefillRate: listed.prefill_rate ?? 0,
   leaving: listed.leaving,
+  ...(listed.service !== undefined && { service: listed.service }),
+  ...(listed.slots !== undefined && { slots: listed.slots }),
+  ...(listed.cold_ms !== undefined && { cold: listed.cold_ms }),
 });
 
 export const parseList = (text: string, peer: string): Outcome<Engine[]> => {
@@ -68,6 +78,6 @@
   return twice ? failed('pool.list', peer, 'an identifier is listed twice') : Right(engines);
 };
 
-/** Whether a doorway's labels and a request's model let this engine serve it. */
+/** Whether a doorway's labels and a request's model let this engine serve it; the law needs to know its cache and rate. */
 export const allows = (labels: ReadonlyArray<{ label: string; value: string }>, model: string, engine: Engine): boolean =>
-  (engine.model === model || engine.adapters.has(model)) && labels.every(({ label, value }) => engine.labels.get(label) === value);
+  engine.cacheCapacity > 0 && engine.prefillRate > 0 && (engine.model === model || engine.adapters.has(model)) && labels.every(({ label, value }) => engine.labels.get(label) === value);
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -1,7 +1,11 @@
 /**
- * News of the platform's list. One duty holder among the live routers polls it; the others ask that holder and count
- * the news' age from when they asked, so age is never understated. A node whose news grows old polls for itself, within
- * its own slice of the platform's rate limit. The place of every engine lapses once the news is older than `PLACE`.
+ * News of the platform's list. One duty holder among the live routers polls it; the others keep an ask open at that
+ * holder, which is answered when there is newer news, and carries the list only when it is another than the asker
+ * holds. They count the news' age from when they asked, less the time the ask was kept open, so it is never
+ * understated. Whoever is asked and has only old news polls, so that nodes that don't agree on the holder yet have news
+ * all the same. A holder that does not answer is passed over for a while, and the next one has the duty; a node whose
+ * news grows old polls for itself besides, within its own slice of the platform's rate limit. Where `place` is not 0,
+ * the place of every engine lapses once the news is older than that.
  */
 import { request } from 'undici';
 import { Right } from 'purify-ts';
@@ -10,20 +14,26 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { holders } from '../duty/rendezvous.js';
+import { digestOf } from '../register/document.js';
 import type { View } from '../view/view.js';
 import { call } from '../wire/call.js';
-import { blob, number, struct } from '../wire/field.js';
+import { blob, number, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 import { parseList, type Engine } from './engine.js';
 
-export interface NewsReply { age: number; list: Uint8Array }
-export const News = call<{ age: number }, NewsReply>(48, 'pool.news', struct({ age: number }), struct({ age: number, list: blob }));
+/** `number` counts the news of the one asked; an ask that names its newest waits for the next, at most `wait` ms. */
+export interface NewsAsk { number: number; digest: string; wait: number }
+/** `held` is how long the ask was kept open, in milliseconds; `list` is empty when the asker holds the one of that digest. */
+export interface NewsReply { number: number; held: number; age: number; digest: string; list: Uint8Array }
+export const News = call<NewsAsk, NewsReply>(48, 'pool.news', struct({ number, digest: text, wait: number }), struct({ number, held: number, age: number, digest: text, list: blob }));
 
-export const PLACE = 2500;
-const WORRY = 1500;
 const ASK_LIMIT = 400;
+const POLL_LIMIT = 1000;
+const PASSED_OVER = 3000;
+const WAIT_BOUND = 10_000;
 const LIST_BOUND = 8 * 1024 * 1024;
 
+/** The list as a text that `parseList` reads; empty, with the wait that was asked for, when it may not be had now. */
 export type Fetch = (limit: number) => Promise<Outcome<{ text: string; wait: number }>>;
 
 /** Reads the list over HTTP; a 429 gives the wait it asks for. */
@@ -42,14 +52,22 @@
 export interface PollParams {
   readonly every: number;
   readonly slice: number;
+  readonly place: number;
 }
 
 export class Newsroom {
   private text = '';
+  private digest = '';
   private origin = -Infinity as Moment;
   private engines: ReadonlyMap<string, Engine> = new Map();
   private notBefore = -Infinity as Moment;
-  private mayPoll = -Infinity as Moment;
+  private polled = -Infinity as Moment;
+  private number = 0;
+  private polling: Promise<void> = Promise.resolve();
+  private waiters: Array<() => void> = [];
+  private readonly passedOver = new Map<string, Moment>();
+  /** Whom the last news came from, and that one's number of it. */
+  private source = { address: '', number: 0 };
   polls = 0;
 
   constructor(
@@ -64,9 +82,12 @@
   ) {}
 
   serve(): void {
-    this.peers.handle(News, () => {
+    this.peers.handle(News, async ({ number, digest, wait }) => {
+      const asked = this.clock.now();
+      if (number === this.number && !this.late) await this.next(Math.min(wait, WAIT_BOUND));
+      if (this.late) await this.poll(this.params.every);
       if (!this.text) return failed('pool.news', this.view.self.name, 'no news here yet');
-      return Right({ age: this.age, list: Buffer.from(this.text) });
+      return Right({ number: this.number, held: this.clock.now() - asked, age: this.age, digest: this.digest, list: digest === this.digest ? Buffer.alloc(0) : Buffer.from(this.text) });
     });
   }
 
@@ -74,9 +95,9 @@
     return this.clock.strict() - this.origin;
   }
 
-  /** The engines whose place is confirmed right now; none once the news is too old. */
+  /** The engines whose place is confirmed right now. */
   placed(): ReadonlyMap<string, Engine> {
-    return this.age <= PLACE ? this.engines : new Map();
+    return this.params.place === 0 || this.age <= this.params.place ? this.engines : new Map();
   }
 
   get listed(): ReadonlyMap<string, Engine> {
@@ -85,44 +106,71 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.turn();
-      await this.clock.sleep(this.params.every * (0.9 + 0.2 * this.random.fraction()), signal);
+      const pause = await this.turn();
+      await this.clock.sleep(pause * (0.9 + 0.2 * this.random.fraction()), signal);
     }
   }
 
-  private async turn(): Promise<void> {
-    const routers = this.view.live('router');
-    const [first, second] = holders('list', routers.map(({ name }) => name));
-    if (first === this.view.self.name) return this.poll(this.params.every);
-    for (const name of [first, second]) {
-      const holder = routers.find((router) => router.name === name);
-      if (!holder || name === this.view.self.name) continue;
-      if (await this.askPeer(holder.address)) return;
+  /** News this old means that whoever is asked for it should have it, whether it knows of its duty or not. */
+  private get late(): boolean {
+    return this.age > this.params.every * 1.25;
+  }
+
+  /** News this old means that whoever has the duty is late. */
+  private get worry(): number {
+    return this.params.every * 1.5 + ASK_LIMIT;
+  }
+
+  /** Says how long to pause before the next turn. */
+  private async turn(): Promise<number> {
+    const { every, slice } = this.params;
+    const now = this.clock.now();
+    for (const [name, until] of this.passedOver) if (until <= now) this.passedOver.delete(name);
+    const routers = this.view.live('router').filter(({ name }) => !this.passedOver.has(name));
+    const [first] = holders('list', routers.map(({ name }) => name));
+    const holder = routers.find(({ name }) => name === first);
+    if (!holder || first === this.view.self.name) {
+      await this.poll(every);
+      return every;
+    }
+    if (!(await this.askHolder(holder.address))) {
+      this.passedOver.set(holder.name, later(this.clock.now(), PASSED_OVER));
       this.view.doubt(holder.name);
     }
-    if (this.age > WORRY) await this.poll(this.params.slice);
+    if (this.age > this.worry) await this.poll(slice);
+    return every / 20;
   }
 
-  private async askPeer(address: string): Promise<boolean> {
+  /** Whether the holder does its duty, as far as can be told: one that is only starting, and has no news yet, does. */
+  private async askHolder(address: string): Promise<boolean> {
     const asked = this.clock.strict();
-    const reply = await this.peers.ask(address, News, { age: Math.min(this.age, 1e9) }, ASK_LIMIT);
+    const wait = this.params.every * 1.25;
+    const known = this.source.address === address ? this.source.number : 0;
+    const reply = await this.peers.ask(address, News, { number: known, digest: this.digest, wait }, wait + ASK_LIMIT);
     return reply.caseOf({
-      Left: () => false,
-      Right: ({ age, list }) => {
-        if (age > WORRY) return false;
-        this.take(Buffer.from(list).toString('utf8'), (asked - age) as Moment, address);
+      Left: ({ step }) => step === News.name,
+      Right: ({ number, held, age, digest, list }) => {
+        this.source = { address, number };
+        if (age > this.worry) return false;
+        const same = digest === this.digest;
+        if (same || list.length > 0) this.take(same ? this.text : Buffer.from(list).toString('utf8'), (asked + held - age) as Moment, address);
         return true;
       },
     });
   }
 
-  private async poll(spacing: number): Promise<void> {
+  private poll(spacing: number): Promise<void> {
     const now = this.clock.now();
-    if (now < this.notBefore || now < this.mayPoll) return;
-    this.mayPoll = later(now, spacing * 0.8);
+    if (now < this.notBefore || now < later(this.polled, spacing * 0.8)) return this.polling;
+    this.polled = now;
+    this.polling = this.read();
+    return this.polling;
+  }
+
+  private async read(): Promise<void> {
     this.polls += 1;
     const asked = this.clock.strict();
-    const got = await this.fetch(1000);
+    const got = await this.fetch(POLL_LIMIT);
     got.caseOf({
       Left: ({ reason, peer }) => this.log('poll-failed', [['peer', peer], ['reason', reason]]),
       Right: ({ text, wait }) => {
@@ -134,20 +182,26 @@
 
   private take(text: string, origin: Moment, peer: string): void {
     if (origin <= this.origin) return;
-    if (text === this.text) {
-      this.origin = origin;
-      return;
+    if (text !== this.text) {
+      const parsed = parseList(text, peer);
+      if (parsed.isLeft()) return this.log('list-declined', [['peer', peer], ['reason', parsed.extract().reason]]);
+      const engines = parsed.unsafeCoerce();
+      this.text = text;
+      this.digest = digestOf(text).slice(0, 16);
+      this.engines = new Map(engines.map((engine) => [engine.identifier, engine]));
+      this.log('list-taken', [['engines', engines.length], ['leaving', engines.filter(({ leaving }) => leaving).length], ['peer', peer]]);
+      this.onNews(this.engines);
     }
-    const parsed = parseList(text, peer);
-    parsed.caseOf({
-      Left: ({ reason }) => this.log('list-declined', [['peer', peer], ['reason', reason]]),
-      Right: (engines) => {
-        this.text = text;
-        this.origin = origin;
-        this.engines = new Map(engines.map((engine) => [engine.identifier, engine]));
-        this.log('list-taken', [['engines', engines.length], ['leaving', engines.filter(({ leaving }) => leaving).length], ['peer', peer]]);
-        this.onNews(this.engines);
-      },
-    });
+    this.origin = origin;
+    this.number += 1;
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
+  /** Waits for the next news, at most `wait` ms. */
+  private async next(wait: number): Promise<void> {
+    const stop = new AbortController();
+    const news = new Promise<void>((resolve) => this.waiters.push(resolve));
+    await Promise.race([news, this.clock.sleep(wait, stop.signal)]);
+    stop.abort('over');
   }
 }
--- a/src/register/roster.ts
+++ b/src/register/roster.ts
@@ -7,7 +7,12 @@
 export class Roster {
   private known: CoreSet = { number: 0, wanted: 0, members: [] };
 
-  constructor(private readonly seeds: readonly string[]) {}
+  constructor(private seeds: readonly string[]) {}
+
+  /** Takes other seeds in the place of the old ones. */
+  reseed(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
 
   learn(core: CoreSet): void {
     if (core.number > this.known.number) this.known = core;
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -1,7 +1,9 @@
 /** The services of a router node, by name, and the tasks that run them. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
 import { Operations } from '../api/operations.js';
+import { extended, type Extension } from '../node/extension.js';
 import type { InForce } from '../doorway/match.js';
+import { absentForwarder } from '../forward/absent.js';
 import { Prefixes } from '../index/prefixes.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Outcome } from '../kernel/fault/fault.js';
@@ -23,7 +25,7 @@
 import { lawBroken, lawText } from '../place/law.js';
 import { Chooser } from '../place/choose.js';
 import { Channels, type EngineChannels } from '../pool/channel.js';
-import { fetchList, Newsroom } from '../pool/news.js';
+import { fetchList, Newsroom, type Fetch } from '../pool/news.js';
 import { Soundness } from '../pool/soundness.js';
 import { Follower } from '../register/follower.js';
 import type { Document } from '../register/document.js';
@@ -103,6 +105,7 @@
 
   ready(): string {
     if (!this.standing.holds()) return 'no standing';
+    if (this.params.listen.requests && this.inForce.routes.version === 0) return 'no routes are in force';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
@@ -120,21 +123,22 @@
 
 @Module({})
 export class RouterModule {
-  static with(params: Params): DynamicModule {
+  static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: RouterModule,
-      providers: [
+      providers: extended([
         ...nodeProviders(params, 'router'),
         { provide: names.journal, inject: [names.clock], useFactory: (clock: Clock) => new Journal<PassageEvent>(clock) },
         { provide: names.channels, inject: [names.clock], useFactory: (clock: Clock) => new Channels(clock) },
         { provide: names.soundness, inject: [names.clock], useFactory: (clock: Clock) => new Soundness(clock) },
         { provide: names.prefixes, inject: [names.clock], useFactory: (clock: Clock) => new Prefixes(clock, params.law, params.index.blockTokens) },
         { provide: names.chooser, inject: [names.clock, names.random], useFactory: (clock: Clock, random: Random) => new Chooser(params.place, params.law, params.zone, clock, random, params.place.policy) },
+        { provide: names.listSource, useValue: fetchList(params.platform.url) },
         {
           provide: names.news,
-          inject: [names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser],
-          useFactory: (view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser) =>
-            new Newsroom(fetchList(params.platform.url), params.platform, view, peers, clock, random, log, (engines) => {
+          inject: [names.listSource, names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser],
+          useFactory: (source: Fetch, view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser) =>
+            new Newsroom(source, params.platform, view, peers, clock, random, log, (engines) => {
               channels.prune(engines);
               soundness.forget(engines);
               prefixes.listed(engines);
@@ -160,8 +164,9 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
+        { provide: names.forwarder, useValue: absentForwarder },
         RouterNode,
-      ],
+      ], services),
     };
   }
 }
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -54,7 +54,7 @@
   private turns = 0;
   private leads: () => readonly string[] = () => [];
 
-  constructor(readonly self: Neighbour, private readonly seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random) {}
+  constructor(readonly self: Neighbour, private seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random) {}
 
   serve(): void {
     this.peers.handle(Shuffle, ({ entries }) => {
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Takes other seeds in the place of the old ones. */
+  reseed(seeds: readonly string[]): void {
+    this.seeds = seeds;
+  }
+
   /** Names addresses of nodes that ought to be there; one that is not in the view is asked at each turn. */
   lead(leads: () => readonly string[]): void {
     this.leads = leads;
