--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -12,7 +12,7 @@
 import type { Random } from '../kernel/random/random.js';
 import { RepeatBudget } from '../forward/budget.js';
 import type { ForwardEvent } from '../forward/chart.js';
-import { ownDialect, type Dialect } from '../forward/dialect.js';
+import type { Dialect } from '../forward/dialect.js';
 import { Forwarder } from '../forward/forwarder.js';
 import { HttpLinks, type Links } from '../forward/link.js';
 import { LeastLoadPlacer } from '../place/least.js';
@@ -175,7 +175,6 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
-        { provide: names.dialect, useValue: ownDialect },
         {
           provide: names.placer,
           inject: [names.view, names.clock, names.random],
