--- a/src/stand/platform/platform.ts
+++ b/src/stand/platform/platform.ts
@@ -1,8 +1,9 @@
 /**
- * The stand-in platform: a list of engines that lags behind what was told to it, behind a rate limit that answers 429.
- * Entries are put, marked as leaving and dropped over /stand.
+ * The stand-in platform: a list of engines that lags behind what was told to it, in pages where asked for, behind a rate
+ * limit that answers 429. Entries are put, marked as leaving and dropped over /stand.
  */
 import { createServer, type Server } from 'node:http';
+import { SystemClock, type Clock } from '../../kernel/clock/clock.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import { readAll } from '../engine/engine.js';
 
@@ -17,23 +18,29 @@
   cache_capacity_tokens: number;
   prefill_rate: number;
   leaving: boolean;
+  service?: string;
+  slots?: number;
+  /** ms for which it is still slow after its start. */
+  cold?: number;
 }
 
 export interface PlatformStandParams {
   readonly address: string;
   readonly lag: number;
   readonly perSecond: number;
+  /** Entries on one page; all on one when absent. */
+  readonly pageSize?: number;
 }
 
 export class PlatformStand {
   private current = new Map<string, Listed>();
-  private readonly shown: Array<{ at: number; text: string }> = [];
+  private readonly shown: Array<{ at: number; engines: readonly Listed[] }> = [];
   private readonly reads: number[] = [];
   private server: Server | undefined;
   answered = 0;
   declined = 0;
 
-  constructor(private readonly params: PlatformStandParams) {
+  constructor(private readonly params: PlatformStandParams, private readonly clock: Clock = new SystemClock()) {
     this.publish();
   }
 
@@ -56,16 +63,11 @@
     const { host, port } = parseAddress(this.params.address);
     const server = createServer((request, response) => {
       const send = (status: number, text: string, headers: Record<string, string> = {}): void => void response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(text);
-      if (request.url === '/engines') {
-        const now = Date.now();
-        while (this.reads[0] !== undefined && this.reads[0] < now - 1000) this.reads.shift();
-        if (this.reads.length >= this.params.perSecond) {
-          this.declined += 1;
-          return send(429, '{"error":{"code":"rate_limited"}}', { 'retry-after': '1' });
-        }
-        this.reads.push(now);
-        this.answered += 1;
-        return send(200, this.seen(now));
+      const url = new URL(request.url ?? '/', 'http://platform');
+      if (url.pathname === '/engines') {
+        const page = this.read(url.searchParams.get('zone') ?? undefined, url.searchParams.get('page') ?? undefined);
+        if (!page) return send(429, '{"error":{"code":"rate_limited"}}', { 'retry-after': '1' });
+        return send(200, JSON.stringify(page));
       }
       void readAll(request).then((body) => {
         if (request.url === '/stand/put') this.put(JSON.parse(body) as Listed);
@@ -88,13 +90,40 @@
     this.server?.close();
   }
 
+  /** One page of what is shown now, and the next page's name; undefined over the rate. */
+  read(zone?: string, page?: string): { engines: readonly Listed[]; next: string | null } | undefined {
+    const now = this.clock.wall();
+    while (this.reads[0] !== undefined && this.reads[0] <= now - 1000) this.reads.shift();
+    if (this.reads.length >= this.params.perSecond) {
+      this.declined += 1;
+      return undefined;
+    }
+    this.reads.push(now);
+    this.answered += 1;
+    const engines = this.seen(now).filter((engine) => zone === undefined || engine.zone === zone);
+    const from = Number(/^p-(\d+)$/.exec(page ?? 'p-0')?.[1] ?? 0);
+    const to = from + (this.params.pageSize ?? engines.length);
+    return { engines: engines.slice(from, to), next: to < engines.length ? `p-${to}` : null };
+  }
+
+  /** When the list first shows an engine as leaving or no more, by the wall clock; undefined while it does not. */
+  shownLeaving(identifier: string): number | undefined {
+    let known = false;
+    for (const { at, engines } of this.shown) {
+      const entry = engines.find((engine) => engine.identifier === identifier);
+      known ||= entry !== undefined;
+      if (known && (!entry || entry.leaving)) return at + this.params.lag;
+    }
+    return undefined;
+  }
+
   private publish(): void {
-    this.shown.push({ at: Date.now(), text: JSON.stringify({ engines: [...this.current.values()] }) });
+    this.shown.push({ at: this.clock.wall(), engines: [...this.current.values()] });
     if (this.shown.length > 1000) this.shown.shift();
   }
 
-  private seen(now: number): string {
+  private seen(now: number): readonly Listed[] {
     const old = this.shown.filter(({ at }) => at <= now - this.params.lag);
-    return (old[old.length - 1] ?? this.shown[0]!).text;
+    return (old[old.length - 1] ?? this.shown[0]!).engines;
   }
 }
