An answer of another request is no word on this one, and its link is not used again

Cause: a link was kept as soon as an answer had come whole, before anyone had looked at it. After one surplus answer that came late, in the place of the next one, each following request got the answer before its own: 5 of 6 in a row failed. And the word that a request did not run was heeded before the id was looked at: a surplus refusal of an earlier request sent one that may run only once to a second engine while the first ran it.

A link is now kept only when its answer was taken to its end or settled as a proper refusal; dropping an answer closes its link, also when it came whole. Status 421 and the word count only under the request's own id.

Tests of the ways an answer can be wrong or end early, with the stand-in engine.

--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -27,7 +27,9 @@
   readonly framed: boolean;
   /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent for `silence` ms. */
   next(silence: number): Promise<Outcome<Uint8Array | undefined>>;
-  /** Gives the answer up and closes the link. */
+  /** Nothing more of it is wanted, though it is as it should be: the link is kept when the answer came whole. */
+  settle(): void;
+  /** Gives the answer up and closes the link, also when it came whole. */
   drop(): void;
 }
 
@@ -69,8 +71,9 @@
   private controller: Dispatcher.DispatchController | undefined;
   private wake: () => void = () => undefined;
   private headed = false;
+  private kept = false;
 
-  constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly method: string, private readonly close: () => void, private readonly whole: (fields: Fields) => void) {}
+  constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly method: string, private readonly close: () => void, private readonly whole: () => void, private readonly put: (fields: Fields) => void) {}
 
   get framed(): boolean {
     return this.status === 204 || this.status === 304 || this.method === 'HEAD' || only(this.fields, 'content-length') !== undefined || only(this.fields, 'transfer-encoding')?.trim().toLowerCase() === 'chunked';
@@ -97,7 +100,7 @@
     },
     onResponseEnd: () => {
       this.over = Right(undefined);
-      this.whole(this.fields);
+      this.whole();
       this.wake();
     },
     onResponseError: (_, error) => {
@@ -124,13 +127,23 @@
       if (paused && this.heldBytes <= HELD_BOUND && !this.over) this.controller?.resume();
       return Right(chunk);
     }
-    if (waited) return this.over!;
+    if (waited) {
+      this.settle();
+      return this.over!;
+    }
     this.close();
     return failed('link.next', this.engine.address, `silent for ${Math.round(silence)} ms`, 'unknown');
   }
 
+  settle(): void {
+    if (this.kept) return;
+    this.kept = this.over?.isRight() ?? false;
+    if (this.kept) this.put(this.fields);
+    else this.close();
+  }
+
   drop(): void {
-    if (!this.over) this.close();
+    if (!this.kept) this.close();
   }
 
   private async until(question: () => boolean, limit: number): Promise<boolean> {
@@ -194,10 +207,7 @@
       void client.destroy().catch(() => undefined);
     };
     signal.addEventListener('abort', close, { once: true });
-    const exchange = new Exchange(engine, this.clock, outgoing.method, close, (fields) => {
-      over();
-      this.put(link, fields);
-    });
+    const exchange = new Exchange(engine, this.clock, outgoing.method, close, over, (fields) => this.put(link, fields));
     const headers = outgoing.fields.flat();
     try {
       client.dispatch({ path: outgoing.target, method: outgoing.method as Dispatcher.HttpMethod, headers, body: outgoing.body ?? null }, exchange.handler);
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -76,7 +76,8 @@
     ticket.head();
     const judged = this.judge(job, answer);
     if (judged) {
-      answer.drop();
+      if (judged.kind === 'not-run') answer.settle();
+      else answer.drop();
       ticket.end(judged.kind === 'not-run' ? 'turned-away' : 'failed');
       if (judged.kind === 'unknown') this.log('answer-declined', [['peer', engine.address], ['reason', judged.fault.reason], ['request', job.id]]);
       return judged;
@@ -100,13 +101,14 @@
   /** What is wrong with the head of an answer; undefined when it may be handed on. */
   private judge(job: Job, { status, fields, framed }: Answer): Extract<Attempt, { kind: 'not-run' | 'unknown' }> | undefined {
     const field = (name: string): string | undefined => only(fields, name);
-    if (status === 421 || (field(this.dialect.notRun) !== undefined && status !== 400)) {
+    const own = field(this.dialect.requestId) === job.id;
+    if (own && (status === 421 || (field(this.dialect.notRun) !== undefined && status !== 400))) {
       const wait = Number(field('retry-after'));
       return { kind: 'not-run', retryAfter: Number.isFinite(wait) && wait > 0 ? wait * 1000 : undefined };
     }
     const success = status >= 200 && status < 300;
     const reason = [
-      field(this.dialect.requestId) !== job.id && 'an answer with another id',
+      !own && 'an answer with another id',
       !framed && 'an answer whose end can not be told',
       success && field(this.dialect.seal) === undefined && 'a success without the seal',
       success && field('content-encoding') !== undefined && 'an encoded body nobody asked for',
--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -73,10 +73,10 @@
     if (this.over || this.stalled) return undefined;
     this.over = true;
     this.arrival.ended = 'whole';
-    const trouble = this.troubles.strikes('surplus', 'late');
+    const trouble = this.troubles.strikes('surplus', 'late', 'late-refusal');
     this.response.end();
     if (trouble === 'surplus') this.socket.write(this.copy());
-    return trouble === 'late' ? this.copy() : undefined;
+    return trouble === 'late' ? this.copy() : trouble === 'late-refusal' ? this.refusal() : undefined;
   }
 
   /** The deadline came while it ran. */
@@ -91,7 +91,7 @@
     const { arrival } = this;
     arrival.status = 200;
     const wrong = this.troubles.strikes('foreign', 'unsealed', 'encoded', 'unframed');
-    const names = { ...more, [this.dialect.requestId]: wrong === 'foreign' ? `${arrival.id}-other` : arrival.id, ...(wrong === 'unsealed' ? {} : { [this.dialect.seal]: arrival.seal }), ...(wrong === 'encoded' ? { 'content-encoding': 'br' } : {}), ...this.leaving() };
+    const names = { ...(wrong === 'unframed' && more['content-length'] !== undefined ? {} : more), [this.dialect.requestId]: wrong === 'foreign' ? `${arrival.id}-other` : arrival.id, ...(wrong === 'unsealed' ? {} : { [this.dialect.seal]: arrival.seal }), ...(wrong === 'encoded' ? { 'content-encoding': 'br' } : {}), ...this.leaving() };
     if (wrong === 'unframed') {
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
@@ -105,7 +105,10 @@
     if (trouble === 'stalled') this.stalled = true;
     else if (trouble === 'cut') this.break('cut', () => this.socket.end());
     else if (trouble === 'cut-reset') this.break('cut', () => this.socket.resetAndDestroy());
-    else this.break('cut', () => this.socket.write(GARBLED));
+    else {
+      if (!this.arrival.stream) this.arrival.made[0] = (this.arrival.made[0] ?? '') + GARBLED;
+      this.break('cut', () => this.socket.write(GARBLED));
+    }
     return true;
   }
 
@@ -128,6 +131,10 @@
     return this.last ? { connection: 'close' } : {};
   }
 
+  private refusal(): Buffer {
+    return Buffer.from(`HTTP/1.1 503 Service Unavailable\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.notRun}: 1\r\ncontent-length: 0\r\n\r\n`);
+  }
+
   private copy(): Buffer {
     const body = this.arrival.made.join('');
     return Buffer.from(`HTTP/1.1 200 OK\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.seal}: ${this.arrival.seal}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
--- /dev/null
+++ b/test/forward/stage.ts
@@ -0,0 +1,126 @@
+/**
+ * A router's forwarding with stand-in engines and callers around it, over real sockets in one process. The placer takes
+ * the first engine that may serve, so that each test knows which one is asked; everything is judged at the end.
+ */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { afterEach, expect } from 'vitest';
+import { InForce } from '../../src/doorway/match.js';
+import { RepeatBudget } from '../../src/forward/budget.js';
+import type { ForwardEvent } from '../../src/forward/chart.js';
+import { ownDialect } from '../../src/forward/dialect.js';
+import { Forwarder } from '../../src/forward/forwarder.js';
+import { HttpLinks } from '../../src/forward/link.js';
+import { SystemClock } from '../../src/kernel/clock/clock.js';
+import { Journal } from '../../src/kernel/journal/journal.js';
+import { SeededRandom } from '../../src/kernel/random/random.js';
+import type { Placer, TicketEnd } from '../../src/place/placer.js';
+import type { Engine } from '../../src/pool/engine.js';
+import { genesis } from '../../src/register/document.js';
+import type { Limits, Route } from '../../src/route/shape.js';
+import { OpaqueCaller, type Asking } from '../../src/stand/opaque/caller.js';
+import { OpaqueEngine, type OpaqueEngineParams } from '../../src/stand/opaque/engine.js';
+import { judgeOpaque, type OpaqueFinding } from '../../src/stand/opaque/judge.js';
+import type { Asked, Try } from '../../src/stand/opaque/record.js';
+
+export const clock = new SystemClock();
+export const prompt = [['X-Model', 'm'], ['X-Token-Counts', '100,24'], ['X-Prompt-Parts', 'aa:60,bb:40']] as const;
+
+export interface Stage {
+  readonly front: string;
+  readonly forwarder: Forwarder;
+  readonly engines: readonly OpaqueEngine[];
+  readonly listed: Map<string, Engine>;
+  /** How the tickets of each engine ended, in order. */
+  readonly ends: ReadonlyArray<readonly [string, TicketEnd]>;
+  readonly links: HttpLinks;
+  readonly caller: OpaqueCaller;
+  readonly journal: Journal<ForwardEvent>;
+  /** Asks once (further tries as told), and gives the first try. */
+  ask(over?: Partial<Asking>): Promise<Try>;
+  asked(over?: Partial<Asking>): Promise<Asked>;
+  judged(): OpaqueFinding[];
+  /** The names under which engines ran requests, in order of arrival. */
+  ran(): string[];
+}
+
+interface Plan {
+  readonly engines?: number;
+  readonly engine?: Partial<OpaqueEngineParams>;
+  readonly route?: Partial<Route>;
+  readonly limits?: Limits;
+  readonly ratio?: number;
+}
+
+const servers: Server[] = [];
+const started: OpaqueEngine[] = [];
+afterEach(async () => {
+  for (const server of servers.splice(0)) {
+    server.closeAllConnections();
+    server.close();
+  }
+  await Promise.all(started.splice(0).map((engine) => engine.close()));
+});
+
+export const until = async (what: string, question: () => boolean): Promise<void> => {
+  for (let turn = 0; turn < 2000; turn++) {
+    if (question()) return;
+    await clock.sleep(5);
+  }
+  throw new Error(`it never came to: ${what}`);
+};
+
+export const openStage = async ({ engines: count = 2, engine = {}, route: over = {}, limits, ratio = 100 }: Plan = {}): Promise<Stage> => {
+  const engines = Array.from({ length: count }, (_, at) => new OpaqueEngine({ identifier: `engine-${at + 1}`, service: 's', ...engine }, clock));
+  started.push(...engines);
+  const listed = new Map<string, Engine>();
+  for (const each of engines) {
+    const { identifier } = each.params;
+    listed.set(identifier, { identifier, address: await each.listen(), model: 'm', adapters: new Set(), weightGeneration: '1', zone: 'z', labels: new Map(), cacheCapacity: 1, prefillRate: 1, leaving: false, service: 's' });
+  }
+  const route: Route = { name: 'r', host: 'h.example', prefix: '/a/', kind: 'streaming', timeout: 5000, service: 's', attempts: 2, target: 1000, gap: 200, ...over };
+  const configuration = { version: 1, routes: [route], services: [{ name: 's' }], ...(limits ? { limits } : {}) };
+  const inForce = new InForce();
+  inForce.swap({ ...genesis('f', []), configuration });
+  const ends: Array<readonly [string, TicketEnd]> = [];
+  const placer: Placer = {
+    place: (_, [first]) => ({ kind: 'placed', ticket: { engine: first!, urgency: 3, head: () => undefined, piece: () => undefined, end: (how) => void ends.push([first!.identifier, how]) } }),
+    listed: () => undefined,
+  };
+  const random = new SeededRandom(1);
+  const journal = new Journal<ForwardEvent>(clock);
+  const links = new HttpLinks(clock, 400, 5000);
+  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 26, timeout: 5000, impatience: 0.7, gapShare: 3, gapLeast: 300 };
+  /** As a pool does, a new map for each list. */
+  let shown: { of: string; placed: ReadonlyMap<string, Engine> } = { of: '', placed: new Map() };
+  const pool = {
+    placed: () => {
+      const of = JSON.stringify([...listed.values()]);
+      if (of !== shown.of) shown = { of, placed: new Map(listed) };
+      return shown.placed;
+    },
+  };
+  const forwarder = new Forwarder(inForce, () => true, pool, links, placer, new RepeatBudget(ratio, 10_000, clock), ownDialect, () => 1, params, clock, random, journal, () => undefined);
+  const server = createServer((request, response) => forwarder.handle(request, response));
+  servers.push(server);
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const front = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const caller = new OpaqueCaller(clock, random);
+  const { kind, resume = false } = route;
+  const asked = (more: Partial<Asking> = {}): Promise<Asked> =>
+    caller.ask({ name: 'n', host: 'h.example', target: '/a/b?c=d', method: 'POST', body: Buffer.from('body'), repeatable: kind === 'idempotent' || resume, resume, deadline: 5000, silence: 5000, furtherTries: 0, ...(kind === 'streaming' ? { fields: prompt } : {}), ...more }, () => front);
+  return {
+    front, forwarder, engines, listed, ends, links, caller, journal, asked,
+    ask: async (more) => (await asked(more)).tries[0]!,
+    judged: () => judgeOpaque({ asked: caller.asked, arrivals: engines.flatMap(({ arrivals }) => arrivals), configurations: [{ configuration, sentAt: 0, acceptedAt: 0, refused: false }], leaving: new Map(), bounds: { drain: 3000, apply: 2000, ratio, window: 10_000, slack: 0 } }),
+    ran: () => engines.flatMap(({ requests }) => requests).filter(({ ran }) => ran > 0).sort((a, b) => a.at - b.at || a.engine.localeCompare(b.engine)).map(({ engine: name }) => name),
+  };
+};
+
+/** Nothing was judged a breach, no step was out of order, and nothing is left open. */
+export const expectClean = async (stage: Stage): Promise<void> => {
+  await until('no request under way', () => stage.forwarder.open === 0);
+  expect(stage.judged()).toEqual([]);
+  expect(stage.journal.tail().filter(({ event }) => event.kind === 'fault')).toEqual([]);
+  expect(stage.engines.map(({ overlaps }) => overlaps)).toEqual(stage.engines.map(() => 0));
+};
