Leases, feed and claims by params; routers may serve on when a lease lapses; feed sources are left at once

lease.lapse "serve" is for deployments whose rules let a router out of touch go on: no enrolment, vows or claims, and a change is accepted once settled and once the routers that hold leases were waited for, at most lease.patience. Defaults keep what was.

Followers take the member quickest to say that it votes and holds what is needed, ask another only how far it is, and leave a source that is behind it for 60 ms, that falls silent or does not vote.

--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -7,6 +7,7 @@
 import type { InForce } from '../doorway/match.js';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { seekAccord } from '../lease/accord.js';
 import { Standees } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
@@ -47,6 +48,7 @@
     private readonly view: View,
     private readonly news: Newsroom | undefined,
     private readonly clock: Clock,
+    private readonly acceptance = new Acceptance(peers, roster, clock),
   ) {}
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
@@ -249,7 +251,7 @@
   }
 
   private async accord(change: string, generation: number, left: number): Promise<Outcome<Changed>> {
-    const accord = await seekAccord(generation, Math.max(0, left), this.peers, this.roster, this.clock);
+    const accord = await this.acceptance.of(generation, left);
     if (accord.everywhere) return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
     return Right({ change, outcome: 'unknown', generation, silent: [...accord.silent], reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}` });
   }
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -9,6 +9,8 @@
  * A holder whose duties changed first gathers what the others hold. One that lost its memory also reads back from a
  * majority of the core; for claims that never came there it must hear all other routers, or wait a window out
  * since it started: what it forgot was claimed before that.
+ *
+ * Where ids are never used twice by callers, claims can be switched off: every id is then taken at once.
  */
 import { Right } from 'purify-ts';
 import type { InForce } from '../doorway/match.js';
@@ -52,7 +54,7 @@
   private recalled = false;
   private coreFailed = -Infinity as Moment;
 
-  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log) {
+  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly enabled = true) {
     this.memory = new ClaimMemory(clock, BOUND);
     this.started = this.epochBegan = clock.now();
   }
@@ -86,6 +88,7 @@
 
   /** Takes the claim on an id for one request, or says that another has it, or that none is to be had now. */
   async take(firm: string, id: string, owner: string): Promise<Taken> {
+    if (!this.enabled) return 'taken';
     const key = keyOf(firm, id);
     this.turn();
     const [held, kept] = await Promise.all([this.atHolders(key, owner), this.atCore(key, owner)]);
@@ -98,6 +101,7 @@
 
   /** Gives a claim back whose request certainly was not sent. */
   async release(firm: string, id: string, owner: string): Promise<void> {
+    if (!this.enabled) return;
     const key = keyOf(firm, id);
     const { enrolled } = this;
     const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -1,5 +1,6 @@
 /** The services of a core node: the member with its disk, the leases it grants, and the tasks that keep it up to date. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Right } from 'purify-ts';
 import { Keeper } from '../claim/keeper.js';
 import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
@@ -49,9 +50,10 @@
   async start(): Promise<Outcome<unknown>> {
     const started = await this.member.start();
     if (started.isLeft()) return started;
-    const kept = await this.keeper.start();
+    const { enabled } = this.params.claims;
+    const kept = enabled ? await this.keeper.start() : Right(undefined);
     if (kept.isLeft()) return kept;
-    this.grants = new Grants(this.member, this.peers, this.clock);
+    this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
     const succession = new Succession(this.member, this.params.listen.peers, this.params.core.replaceAfter, this.peers, this.roster, this.proposer, this.clock, this.random, this.log);
@@ -59,13 +61,13 @@
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     if (this.member.newest) this.roster.learn(this.member.newest.core);
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers);
+    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
     const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
-    void this.keeper.run(this.stop.signal);
+    if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
     if (this.params.form) void this.form();
@@ -134,10 +136,10 @@
         },
         {
           provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, undefined, clock),
+          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock, names.acceptance],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, undefined, clock, acceptance),
         },
-        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
         {
           provide: names.configurator,
           inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -1,17 +1,36 @@
 /**
- * From a verdict of the register to "accepted": a change that was applied is accepted once the accord on its generation
- * says that it is in force wherever it must be, within what is left of the time its caller gives.
+ * From a verdict of the register to "accepted". Where a router without standing stops, a settled change is accepted once
+ * the accord on its generation says that it is in force wherever it must be. Where it serves on, a settled change is
+ * accepted as it is; the routers that hold leases are waited for, as the core knows them, but never beyond the patience of
+ * the terms, so that one that is frozen, killed or cut off delays nothing further.
  */
-import type { Clock } from '../kernel/clock/clock.js';
+import { within, type Clock } from '../kernel/clock/clock.js';
+import { gather, majority, sound } from '../register/gather.js';
 import type { Roster } from '../register/roster.js';
 import type { Peers } from '../wire/peers.js';
 import { seekAccord, type Accord } from './accord.js';
+import { Vouch } from './calls.js';
+import { TERMS, type LeaseTerms } from './terms.js';
+
+const SLACK = 100;
 
 export class Acceptance {
-  constructor(private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock) {}
+  constructor(private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {}
 
   /** Waits, at most so many ms, until a settled generation may be called accepted. */
   of(generation: number, duration: number): Promise<Accord> {
-    return seekAccord(generation, Math.max(0, duration), this.peers, this.roster, this.clock);
+    const limit = Math.max(0, duration);
+    return this.terms.lapse === 'stop' ? seekAccord(generation, limit, this.peers, this.roster, this.clock) : this.reports(generation, Math.min(limit, this.terms.patience));
+  }
+
+  private async reports(generation: number, patience: number): Promise<Accord> {
+    const { members } = this.roster.core;
+    const asking = gather(
+      members.map(({ address }) => address),
+      (address) => this.peers.ask(address, Vouch, { generation, wait: patience }, patience + SLACK),
+      (all) => sound(all).filter(({ vouched }) => vouched).length >= majority(members.length),
+    );
+    const replies = patience > 0 ? await within(this.clock, patience, asking) : undefined;
+    return { everywhere: true, silent: [...new Set(sound(replies ?? []).flatMap(({ silent }) => silent))], reasons: [] };
   }
 }
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -10,8 +10,8 @@
 import type { Member } from '../register/member.js';
 import type { Peers } from '../wire/peers.js';
 import { Goodbye, Renew, Standees, Vouch, type RenewAsk, type RenewReply, type VouchReply } from './calls.js';
+import { TERMS, type LeaseTerms } from './terms.js';
 
-export const LEASE = 5000;
 const BOUND = 1024;
 const WAIT_BOUND = 5000;
 
@@ -28,7 +28,7 @@
   private seated: Moment | undefined;
   private readonly newborn: boolean;
 
-  constructor(private readonly member: Member, private readonly peers: Peers, private readonly clock: Clock) {
+  constructor(private readonly member: Member, private readonly peers: Peers, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {
     this.newborn = !member.state().formed;
   }
 
@@ -57,9 +57,9 @@
     this.sweep();
     if (!this.grants.has(key) && this.grants.size >= BOUND) return declined(`${BOUND} nodes stand already`);
     if (this.reports.size < BOUND || this.reports.has(ask.node)) this.reports.set(ask.node, Math.max(ask.report, this.reports.get(ask.node) ?? 0));
-    this.grants.set(key, { ...ask, until: (this.clock.now() + LEASE) as Moment });
+    this.grants.set(key, { ...ask, until: (this.clock.now() + this.terms.duration) as Moment });
     this.wake();
-    return { granted: true, duration: LEASE, reason: '' };
+    return { granted: true, duration: this.terms.duration, reason: '' };
   }
 
   private async vouch(generation: number, wait: number): Promise<Outcome<VouchReply>> {
@@ -87,7 +87,7 @@
     if (state.generation < generation) return { vouched: false, silent: [], reason: `holds only generation ${state.generation}` };
     this.seated ??= this.clock.now();
     const founder = this.newborn && this.member.founder;
-    if (!founder && this.clock.now() < this.seated + LEASE) return { vouched: false, silent: [], reason: 'voting for less than one lease' };
+    if (this.terms.lapse === 'stop' && !founder && this.clock.now() < this.seated + this.terms.duration) return { vouched: false, silent: [], reason: 'voting for less than one lease' };
     this.sweep();
     const silent = [...this.grants.values()].filter((grant) => grant.generation < generation).map(({ node }) => node);
     return { vouched: silent.length === 0, silent, reason: silent.length ? 'nodes still stand on an older generation' : '' };
--- a/src/lease/vows.ts
+++ b/src/lease/vows.ts
@@ -10,7 +10,7 @@
 import { later, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Peers } from '../wire/peers.js';
 import { Vow, type VowAsk, type VowReply } from './calls.js';
-import { LEASE } from './grants.js';
+import { TERMS, type LeaseTerms } from './terms.js';
 
 const BOUND = 1024;
 
@@ -19,7 +19,7 @@
   private readonly started: Moment;
   private enrolledBefore: boolean | undefined;
 
-  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly clock: Clock) {
+  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {
     this.started = clock.now();
   }
 
@@ -33,7 +33,7 @@
     if (!document) return 0;
     this.enrolledBefore ??= document.enrolled.has(this.node);
     const now = this.clock.now();
-    if (this.enrolledBefore && now < this.started + LEASE) return 0;
+    if (this.enrolledBefore && now < this.started + this.terms.duration) return 0;
     let report = document.generation;
     for (const [node, { generation, until }] of this.granted) {
       if (until <= now) this.granted.delete(node);
@@ -50,7 +50,7 @@
     if (!this.granted.has(node) && this.granted.size >= BOUND) return declined('too many leases');
     const before = this.granted.get(node);
     const live = before && before.until > this.clock.now() ? Math.min(before.generation, generation) : generation;
-    this.granted.set(node, { generation: live, until: later(this.clock.now(), LEASE) });
-    return { node: this.node, granted: true, duration: LEASE, reason: '' };
+    this.granted.set(node, { generation: live, until: later(this.clock.now(), this.terms.duration) });
+    return { node: this.node, granted: true, duration: this.terms.duration, reason: '' };
   }
 }
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -10,6 +10,11 @@
 const between = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isFinite(n) && n >= least && n <= most) || `expected a number from ${least} to ${most}`) as unknown as typeof Numeric;
 const Share = between(0.01, 100);
 
+const whole = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isSafeInteger(n) && n >= least && n <= most) || `expected a whole number from ${least} to ${most}`) as unknown as typeof Numeric;
+
+const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Union(Literal('stop'), Literal('serve')), patience: between(0, 30_000) }).exact();
+const Lease = LeaseShape.withConstraint(({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration') as unknown as typeof LeaseShape;
+
 export const ParamsShape = Shape({
   fleet: Name,
   name: Name,
@@ -24,7 +29,10 @@
   place: Shape({ perEngine: between(1, 10_000), zoneCost: between(0, 60_000), policy: Union(Literal('index'), Literal('least-busy'), Literal('round-robin')) }).exact(),
   law: Shape({ routers: between(1, 10_000), largestPrompt: between(16, 10_000_000), largestReply: between(1, 1_000_000), rateShare: Share }).exact(),
   passage: Shape({ inFlight: between(1, 100_000), silence: between(10, 600_000), bodyBytes: between(1024, 67_108_864), retryShare: between(0, 0.05) }).exact(),
-  core: Shape({ replaceAfter: between(0, 86_400_000) }).exact(),
+  lease: Lease,
+  feed: Shape({ wait: between(50, 10_000) }).exact(),
+  claims: Shape({ enabled: Flag }).exact(),
+  core: Shape({ replaceAfter: between(0, 86_400_000), wanted: whole(0, 9), keep: whole(0, 1_000_000), keepBytes: whole(0, Number.MAX_SAFE_INTEGER), stall: between(50, 60_000) }).exact(),
   drain: between(0, 60_000),
 }).exact();
 
@@ -43,7 +51,10 @@
   place: { perEngine: 16, zoneCost: 5, policy: 'index' },
   law: { routers: 8, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
   passage: { inFlight: 512, silence: 10_000, bodyBytes: 4_194_304, retryShare: 0.05 },
-  core: { replaceAfter: 30_000 },
+  lease: { duration: 5000, renew: 1000, lapse: 'stop', patience: 500 },
+  feed: { wait: 1000 },
+  claims: { enabled: true },
+  core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
   drain: 7500,
 };
 
@@ -60,5 +71,6 @@
 export const checkParams = (...layers: unknown[]): Outcome<Params> => {
   const whole = layers.reduce(overlay, defaults);
   const checked = ParamsShape.inspect(whole);
+  if (checked.success && checked.value.claims.enabled && checked.value.lease.lapse === 'serve') return failed('params.check', 'params', 'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on enrolled routers');
   return checked.success ? Right(checked.value as Params) : failed('params.check', 'params', explain(checked as never, whole));
 };
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -162,7 +162,7 @@
 
   private async through(request: CallerRequest, sink: Sink, chart: Chart): Promise<Ending> {
     if (this.draining) return this.decline('receive', this.node, 'this node is stopping', 503, 1);
-    if (!this.standing.holds()) return this.decline('receive', this.node, 'this node has no standing', 503, 1);
+    if (!this.standing.serves()) return this.decline('receive', this.node, 'this node has no standing', 503, 1);
     const placed = this.inForce.current.match(request);
     if (!placed) return this.decline('match', this.node, `no doorway of ${request.firm} matches model ${request.model}`, 404);
     chart.step('matched');
@@ -297,7 +297,7 @@
   private tryPlace(trip: Trip): Slot | Decline | undefined {
     if (this.flying >= this.params.inFlight) return undefined;
     const { request } = trip;
-    if (!this.standing.holds()) return this.decline('place', this.node, 'this node lost its standing', 503, 1);
+    if (!this.standing.serves()) return this.decline('place', this.node, 'this node lost its standing', 503, 1);
     const placed = this.inForce.current.match(request);
     if (placed?.doorway.name !== trip.placed.doorway.name) return this.decline('place', this.node, 'the doorway changed while the request waited', 503, 1);
     const fits = (engine: Engine): boolean => !trip.resumed || engine.weightGeneration === trip.handed.weightGeneration;
@@ -369,7 +369,7 @@
   private barred(trip: Trip, engine: Engine, signal: AbortSignal): Leg | undefined {
     const decline = (step: string, reason: string): Leg => over(this.decline(step, this.node, reason, 503, 1));
     if (signal.aborted) return decline('send', 'the caller left, or this node had to stop, before it was sent');
-    if (!this.standing.holds()) return decline('send', 'this node lost its standing');
+    if (!this.standing.serves()) return decline('send', 'this node lost its standing');
     if (this.clock.now() >= trip.firstToken) return decline('send', 'the limit came before it was sent');
     const placed = this.inForce.current.match(trip.request);
     const there = this.news.placed().get(engine.identifier);
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -42,6 +42,9 @@
   struct({ settled: number, checkpoint: flag, items: list(struct<FeedItem>({ ballot: ballotField, document: blob })) }),
 );
 
+/** Waits until something settled beyond a generation, without taking it: how a follower notices a source that is behind. */
+export const Tip = call<{ from: number; wait: number }, { settled: number }>(9, 'register.tip', struct({ from: number, wait: number }), struct({ settled: number }));
+
 export const Form = call<{ document: Uint8Array }, { formed: boolean }>(6, 'register.form', struct({ document: blob }), struct({ formed: flag }));
 
 export const History = call<{ generation: number }, { items: FeedItem[] }>(
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,15 +1,17 @@
 /**
- * Following the numbered feed of settled generations: from one core member at a time, another when it falls silent, and
- * from neighbours when none answers. The first generation comes only after a look at a majority of the core, or of the
- * routers, so that a restart never slides back; what is older than what is held is dropped, and what follows it must
- * name its digest.
+ * Following the numbered feed of settled generations: from one core member at a time, the one quickest to say that it has
+ * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
+ * While one member feeds, another is asked only how far it is; when it is further than the feed for longer than a moment,
+ * the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
+ * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, type FeedItem, type FeedReply } from './calls.js';
+import { Feed, State, Tip, type FeedItem, type FeedReply, type StateReply } from './calls.js';
 import { decodeDocument, digestOf, type Document } from './document.js';
+import { gather, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
 import type { Roster } from './roster.js';
@@ -17,11 +19,20 @@
 const WAIT = 1000;
 const PAUSE = 200;
 const LOOK = 1500;
+const SEEK_LIMIT = 700;
+/** How much longer than it was told to wait a source may take before it counts as silent. */
+const SLACK = 300;
+/** For how long a source may be behind another member. */
+const GRACE = 60;
 
 export class Follower {
   held = 0;
   private digest = '';
   private floor: number | undefined;
+  /** The newest generation that any member is known to have settled. */
+  private known = 0;
+  private source = '';
+  private outrun: () => void = () => undefined;
 
   constructor(
     private readonly peers: Peers,
@@ -33,35 +44,72 @@
     private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number) => Promise<void> | void,
     private readonly self = '',
     private readonly relay?: Relay,
+    private readonly wait = WAIT,
+    /** What this node has by another way. */
+    private readonly own: () => number = () => 0,
   ) {}
 
   async run(signal: AbortSignal): Promise<void> {
+    void this.watch(signal);
     while (!signal.aborted) {
-      if (this.floor === undefined) {
-        const looked = (await this.proposer.look(LOOK)).toMaybe().extract() ?? (await this.relay?.floor());
-        if (looked === undefined) {
-          await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
-          continue;
-        }
-        this.floor = looked;
-        this.log('feed-floor', [['generation', this.floor]]);
-      }
-      const sources = shuffled(this.random, this.roster.addresses.filter((address) => address !== this.self));
-      for (const source of sources) {
-        if (signal.aborted || (await this.followOne(source, signal))) continue;
+      const source = this.floor === undefined ? await this.begin() : await this.seek();
+      if (this.floor !== undefined && !(source && (await this.followOne(source, signal))) && !signal.aborted) {
         const neighbour = pick(this.random, this.relay?.sources ?? []);
         if (neighbour) await this.followOne(neighbour, signal, true);
-      }
-      await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+        await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      } else if (this.floor === undefined) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+    }
+  }
+
+  /** Looks for the generation below which this node may not begin, and for a member that holds it. */
+  private async begin(): Promise<string | undefined> {
+    const survey = (await this.proposer.survey(LOOK)).toMaybe().extract();
+    const floor = survey?.generation ?? (await this.relay?.floor());
+    if (floor === undefined) return undefined;
+    this.floor = floor;
+    this.log('feed-floor', [['generation', floor]]);
+    return survey?.sources.find((address) => address !== this.self) ?? this.seek();
+  }
+
+  /** The member quickest to say that it votes and holds what is needed; failing that, one that holds it. */
+  private async seek(): Promise<string | undefined> {
+    const least = Math.max(this.held, this.floor ?? 0);
+    const needed = Math.max(least, this.known);
+    const others = shuffled(this.random, this.roster.addresses.filter((address) => address !== this.self));
+    const fit = (all: Replies<StateReply>): string | undefined => all.find(([, reply]) => reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false))?.[0];
+    const replies = await gather(others, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, SEEK_LIMIT), (all) => fit(all) !== undefined);
+    return fit(replies) ?? replies.find(([, reply]) => reply.map(({ settled }) => settled >= least).orDefault(false))?.[0];
+  }
+
+  /** Asks another member than the source how far it is, again and again. */
+  private async watch(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const other = pick(this.random, this.roster.addresses.filter((address) => address !== this.self && address !== this.source));
+      const from = Math.max(this.held, this.known);
+      const reply = other && this.source ? await this.peers.ask(other, Tip, { from, wait: this.wait }, this.wait + SLACK) : undefined;
+      const settled = reply?.map((tip) => tip.settled).orDefault(0) ?? 0;
+      if (settled > from) {
+        this.known = settled;
+        void this.clock.sleep(GRACE).then(() => Math.max(this.held, this.own()) < settled && this.outrun());
+      } else if (!reply?.isRight()) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
   }
 
   /** Follows one source until it has nothing to give, or once only; says whether it gave anything. */
   private async followOne(source: string, signal: AbortSignal, once = false): Promise<boolean> {
+    this.source = source;
     for (let answered = false; ; answered = true) {
       if (signal.aborted || (answered && once)) return answered;
-      const reply = await this.peers.ask(source, Feed, { from: this.held, wait: WAIT }, WAIT + 1000);
-      if (reply.isLeft()) return answered;
+      if (this.own() > this.held) {
+        this.held = this.own();
+        this.digest = '';
+      }
+      const left = new Promise<undefined>((resolve) => {
+        this.outrun = (): void => resolve(undefined);
+      });
+      const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait }, this.wait + SLACK), left]);
+      if (!reply) this.log('feed-left', [['peer', source], ['generation', this.known]]);
+      if (!reply || reply.isLeft()) return answered;
       const { settled, items } = reply.unsafeCoerce() as FeedReply;
       if (settled < Math.max(this.held, this.floor ?? 0)) return answered;
       const documents: Document[] = [];
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -11,13 +11,13 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
-import { Accept, Feed, Form, History, Prepare, Settled, State, type AcceptAsk, type AcceptReply, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
+import { Accept, Feed, Form, History, Prepare, Settled, State, Tip, type AcceptAsk, type AcceptReply, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
 import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
 import type { Filed, Store } from './store.js';
 
 const FEED_DEPTH = 16;
 const FEED_BYTES = 4 * 1024 * 1024;
-const WAIT_BOUND = 2000;
+const WAIT_BOUND = 10_000;
 
 interface Held extends Filed {
   readonly parsed: Document;
@@ -72,6 +72,10 @@
     this.peers.handle(Settled, async (tell, peer) => Right({ known: await this.alone(() => this.learn(tell, peer)) }));
     this.peers.handle(State, () => Right(this.state()));
     this.peers.handle(Feed, ({ from, wait }) => this.feed(from, wait));
+    this.peers.handle(Tip, async ({ from, wait }) => {
+      await this.beyond(from, Math.min(wait, WAIT_BOUND));
+      return Right({ settled: this.settled });
+    });
     this.peers.handle(Form, ({ document }) => this.alone(() => this.form(document)));
     this.peers.handle(History, ({ generation }) => this.history(generation));
     return Right(undefined);
@@ -315,6 +319,7 @@
   }
 
   private async feed(from: number, wait: number): Promise<Outcome<FeedReply>> {
+    if (this.settled <= from && from > 0 && this.impairment) return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
     if (this.settled <= from) await this.beyond(from, Math.min(wait, WAIT_BOUND));
     const settled = this.settled;
     if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -187,7 +187,7 @@
     for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
     const promises = sound(replies).filter(({ promised }) => promised);
     if (promises.length < quorum) {
-      await this.refreshCore();
+      if (replies.some(([, reply]) => reply.isLeft())) await this.refreshCore();
       const reasons = replies.map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : '')).filter(Boolean);
       return failed('register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
     }
@@ -227,8 +227,11 @@
     if (this.roster.core.number === 0) await this.refreshCore();
   }
 
+  /** Asks the leads for a newer core set, until one tells it or a majority of the one known knows no other. */
   private async refreshCore(): Promise<void> {
-    const replies = await gather(this.roster.leads, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => sound(all).some(({ core }) => (JSON.parse(core) as CoreSet).number > this.roster.core.number));
+    const { number, members } = this.roster.core;
+    const enough = (told: readonly StateReply[]): boolean => told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) || (number > 0 && told.length >= majority(members.length));
+    const replies = await gather(this.roster.leads, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => enough(sound(all)));
     for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as CoreSet);
   }
 
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -68,7 +68,7 @@
     this.view.serve();
     this.news.serve();
     this.vows.serve();
-    this.claims.serve();
+    if (this.params.claims.enabled) this.claims.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     const relay = new Relay(this.peers, () => this.view.live('router').filter(({ name }) => name !== this.params.name).map(({ address }) => address));
@@ -83,13 +83,14 @@
       this.heedLaw(newest);
       this.standing.renewNow();
       this.passage.stir();
-    }, '', relay);
+    }, '', relay, this.params.feed.wait);
     const { signal } = this.stop;
     void this.view.run(signal);
     void this.news.run(signal);
     void this.standing.run(signal);
     void follower.run(signal);
-    void this.claims.run(signal);
+    if (this.params.claims.enabled) void this.claims.run(signal);
+    if (this.params.lease.lapse === 'serve') return served;
     const own = { address: this.params.listen.peers, zone: this.params.zone, law: lawText(this.params.law) };
     this.enrolment = new Enrolment(this.params.name, own, this.inForce, this.standing, this.proposer, this.peers, this.roster, this.clock, this.random, this.log);
     void this.enrolment.run(signal);
@@ -104,7 +105,7 @@
   }
 
   ready(): string {
-    if (!this.standing.holds()) return 'no standing';
+    if (!this.standing.serves()) return this.params.lease.lapse === 'stop' ? 'no standing' : 'nothing is in force yet';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
@@ -143,14 +144,14 @@
               chooser.listed(engines);
             }),
         },
-        { provide: names.vows, inject: [names.inForce, names.peers, names.clock], useFactory: (inForce: InForce, peers: Peers, clock: Clock) => new Vows(params.name, inForce, peers, clock) },
+        { provide: names.vows, inject: [names.inForce, names.peers, names.clock], useFactory: (inForce: InForce, peers: Peers, clock: Clock) => new Vows(params.name, inForce, peers, clock, params.lease) },
         {
           provide: names.standing,
           inject: [names.self, names.inForce, names.vows, names.peers, names.roster, names.clock, names.log],
           useFactory: (self: Hello, inForce: InForce, vows: Vows, peers: Peers, roster: Roster, clock: Clock, log: Log) =>
-            new Standing({ node: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone }, inForce, vows, peers, roster, clock, log),
+            new Standing({ node: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone }, inForce, vows, peers, roster, clock, log, params.lease),
         },
-        { provide: names.claims, inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log], useFactory: (inForce: InForce, peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) => new Claims(params.name, inForce, peers, roster, clock, random, log) },
+        { provide: names.claims, inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log], useFactory: (inForce: InForce, peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) => new Claims(params.name, inForce, peers, roster, clock, random, log, params.claims.enabled) },
         {
           provide: names.passage,
           inject: [names.standing, names.inForce, names.news, names.channels, names.soundness, names.prefixes, names.chooser, names.clock, names.journal, names.log, names.self, names.claims],
@@ -159,10 +160,10 @@
         },
         {
           provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
+          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock, names.acceptance],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, news, clock, acceptance),
         },
-        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
         {
           provide: names.configurator,
           inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -70,7 +70,7 @@
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
   const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random);
   const inForce = new InForce();
-  const acceptance = new Acceptance(peers, roster, host.clock);
+  const acceptance = new Acceptance(peers, roster, host.clock, params.lease);
   const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
   return { host, log, params, peers, roster, proposer, inForce, view, stop: new AbortController(), acceptance, configurator };
 };
@@ -81,7 +81,7 @@
   const folder = disk.open(host);
   const member = new Member(new Store(folder, site.fleet), peers, host.clock, host.random, log);
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock);
+  const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock, base.acceptance);
   const node = new CoreNode(params, peers, member, keeper, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
   return { ...base, member, keeper, operations, node };
 };
@@ -111,11 +111,11 @@
     prefixes.listed(engines);
     chooser.listed(engines);
   });
-  const vows = new Vows(name, inForce, peers, clock);
-  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log);
-  const claims = new Claims(name, inForce, peers, roster, clock, random, log);
+  const vows = new Vows(name, inForce, peers, clock, params.lease);
+  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log, params.lease);
+  const claims = new Claims(name, inForce, peers, roster, clock, random, log, params.claims.enabled);
   const passage = new Passage(`${name}-${peers.self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, news, clock);
+  const operations = new Operations(peers, roster, proposer, inForce, view, news, clock, base.acceptance);
   const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, prefixes, passage, channels, operations, clock, random, log, stop);
   return { ...base, standing, news, claims, prefixes, passage, operations, journal, node };
 };
