--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -188,8 +188,8 @@
     });
   }
 
-  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. */
-  async form(addresses: readonly string[]): Promise<Outcome<Schemas['CoreReply']>> {
+  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. More seats may be wanted. */
+  async form(addresses: readonly string[], wanted = addresses.length): Promise<Outcome<Schemas['CoreReply']>> {
     const replies = await gather(addresses, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), () => false);
     const silent = replies.filter(([, reply]) => reply.isLeft());
     if (silent.length) return failed('core.form', silent.map(([address]) => address).join(' '), 'all members must answer to form the core');
@@ -200,7 +200,7 @@
     seats.sort((a, b) => (a.id < b.id ? -1 : 1));
     const there = new Set(seats.map(({ id, address }) => `${id}@${address}`));
     if (states.some(([address, state]) => !there.has(`${state.member}@${address}`)) || seats.length !== states.length) return failed('core.form', 'core', 'a group of other members was begun there');
-    const document = encodeDocument(genesis(this.peers.self.fleet, seats));
+    const document = encodeDocument(genesis(this.peers.self.fleet, seats, wanted));
     const told = await gather(addresses, (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT), () => false);
     const against = told.filter(([, reply]) => reply.isLeft());
     if (against.length) return failed('core.form', against[0]![0], (against[0]![1].extract() as Fault).reason, 'unknown');
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -26,6 +26,8 @@
 import { nodeProviders } from '../node/module.js';
 
 const SETTLE_EVERY = 250;
+const FORM_TURN = 1500;
+const FORM_PAUSE = 200;
 
 @Injectable()
 export class CoreNode {
@@ -104,14 +106,19 @@
     }
   }
 
-  /** By the form param, the seed named first forms the core as soon as all seeds answer. */
+  /**
+   * By the form param, the seed named first forms the core as soon as all seeds answer; the others do the same after a
+   * while, should it be gone. They name the same group, whose first generation has one text.
+   */
   private async form(): Promise<void> {
-    if (this.params.listen.peers !== this.params.seeds[0]) return;
+    const at = this.params.seeds.indexOf(this.params.listen.peers);
+    if (at < 0) return;
+    await this.clock.sleep(at * FORM_TURN, this.stop.signal);
     while (!this.stop.signal.aborted && (this.member.newest?.generation ?? 0) <= 1 && this.member.settledGeneration === 0) {
-      const formed = await this.operations.form(this.params.seeds);
+      const formed = await this.operations.form(this.params.seeds, this.params.core.wanted || undefined);
       if (formed.isRight()) return;
       this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
-      await this.clock.sleep(500, this.stop.signal);
+      await this.clock.sleep(FORM_PAUSE, this.stop.signal);
     }
   }
 }
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -164,11 +164,11 @@
   }
 };
 
-export const genesis = (fleet: string, members: readonly Seat[]): Document => ({
+export const genesis = (fleet: string, members: readonly Seat[], wanted = members.length): Document => ({
   fleet,
   generation: 1,
   previous: '',
-  core: { number: 1, wanted: members.length, members },
+  core: { number: 1, wanted: Math.max(wanted, members.length), members },
   doorways: new Map(),
   removed: new Map(),
   claims: new Map(),
