--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -1,5 +1,6 @@
 /** The services of a core node: the member with its disk, the leases it grants, and the tasks that keep it up to date. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Right } from 'purify-ts';
 import { Keeper } from '../claim/keeper.js';
 import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
@@ -26,6 +27,8 @@
 import { nodeProviders } from '../node/module.js';
 
 const SETTLE_EVERY = 250;
+const FORM_TURN = 1500;
+const FORM_PAUSE = 200;
 
 @Injectable()
 export class CoreNode {
@@ -50,9 +53,10 @@
   async start(): Promise<Outcome<unknown>> {
     const started = await this.member.start();
     if (started.isLeft()) return started;
-    const kept = await this.keeper.start();
+    const { enabled } = this.params.claims;
+    const kept = enabled ? await this.keeper.start() : Right(undefined);
     if (kept.isLeft()) return kept;
-    this.grants = new Grants(this.member, this.peers, this.clock);
+    this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
     const succession = new Succession(this.member, this.params.listen.peers, this.params.core.replaceAfter, this.peers, this.roster, this.proposer, this.clock, this.random, this.log);
@@ -60,13 +64,13 @@
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     if (this.member.newest) this.roster.learn(this.member.newest.core);
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers);
+    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
     const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
-    void this.keeper.run(this.stop.signal);
+    if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
     if (this.params.form) void this.form();
@@ -103,14 +107,19 @@
     }
   }
 
-  /** By the form param, the seed named first forms the core as soon as all seeds answer. */
+  /**
+   * By the form param, the seed named first forms the core as soon as all seeds answer; the others do the same after a
+   * while, should it be gone. They name the same group, whose first generation has one text.
+   */
   private async form(): Promise<void> {
-    if (this.params.listen.peers !== this.params.seeds[0]) return;
+    const at = this.params.seeds.indexOf(this.params.listen.peers);
+    if (at < 0) return;
+    await this.clock.sleep(at * FORM_TURN, this.stop.signal);
     while (!this.stop.signal.aborted && (this.member.newest?.generation ?? 0) <= 1 && this.member.settledGeneration === 0) {
-      const formed = await this.operations.form(this.params.seeds);
+      const formed = await this.operations.form(this.params.seeds, this.params.core.wanted || undefined);
       if (formed.isRight()) return;
       this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
-      await this.clock.sleep(500, this.stop.signal);
+      await this.clock.sleep(FORM_PAUSE, this.stop.signal);
     }
   }
 }
@@ -135,10 +144,10 @@
         },
         {
           provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, undefined, clock),
+          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock, names.acceptance],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, undefined, clock, acceptance),
         },
-        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
         {
           provide: names.configurator,
           inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
