--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -11,6 +11,11 @@
 const between = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isFinite(n) && n >= least && n <= most) || `expected a number from ${least} to ${most}`) as unknown as typeof Numeric;
 const Share = between(0.01, 100);
 
+const whole = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isSafeInteger(n) && n >= least && n <= most) || `expected a whole number from ${least} to ${most}`) as unknown as typeof Numeric;
+
+const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Union(Literal('stop'), Literal('serve')), patience: between(0, 30_000) }).exact();
+const Lease = LeaseShape.withConstraint(({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration') as unknown as typeof LeaseShape;
+
 export const ParamsShape = Shape({
   fleet: Name,
   name: Name,
@@ -29,7 +34,10 @@
     retryShare: between(0, 1), retryWindow: between(1000, 600_000), connect: between(10, 60_000), keepLinks: between(0, 600_000), timeout: between(10, 3_600_000),
     impatience: between(0.1, 100), gapShare: between(1, 100), gapLeast: between(10, 600_000), bodyBytes: between(1024, 67_108_864), heldBytes: between(1024, 2 ** 40),
   }).exact(),
-  core: Shape({ replaceAfter: between(0, 86_400_000) }).exact(),
+  lease: Lease,
+  feed: Shape({ wait: between(50, 10_000) }).exact(),
+  claims: Shape({ enabled: Flag }).exact(),
+  core: Shape({ replaceAfter: between(0, 86_400_000), wanted: whole(0, 9), keep: whole(0, 1_000_000), keepBytes: whole(0, Number.MAX_SAFE_INTEGER), stall: between(50, 60_000) }).exact(),
   drain: between(0, 60_000),
 }).exact();
 
@@ -49,7 +57,10 @@
   law: { routers: 8, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
   passage: { inFlight: 512, silence: 10_000, bodyBytes: 4_194_304, retryShare: 0.05 },
   forward: { retryShare: 0.05, retryWindow: 10_000, connect: 400, keepLinks: 10_000, timeout: 60_000, impatience: 0.7, gapShare: 3, gapLeast: 700, bodyBytes: 4_194_304, heldBytes: 67_108_864 },
-  core: { replaceAfter: 30_000 },
+  lease: { duration: 5000, renew: 1000, lapse: 'stop', patience: 500 },
+  feed: { wait: 1000 },
+  claims: { enabled: true },
+  core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
   drain: 7500,
 };
 
@@ -66,5 +77,6 @@
 export const checkParams = (...layers: unknown[]): Outcome<Params> => {
   const whole = layers.reduce(overlay, defaults);
   const checked = ParamsShape.inspect(whole);
+  if (checked.success && checked.value.claims.enabled && checked.value.lease.lapse === 'serve') return failed('params.check', 'params', 'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on enrolled routers');
   return checked.success ? Right(checked.value as Params) : failed('params.check', 'params', explain(checked as never, whole));
 };
