A silent engine is left only while it says nothing to anyone

Now the wait goes on while the engine speaks to this node on any link, and lasts at least 3 times what its first token was expected to take.

--- a/src/forward/job.ts
+++ b/src/forward/job.ts
@@ -15,8 +15,12 @@
   readonly heldBytes: number;
   /** ms that a request may be held where neither its caller nor its route says so. */
   readonly timeout: number;
-  /** Of the target, after which a repeatable request that got no byte is sent to another engine. */
+  /**
+   * A repeatable request is sent to another engine when this one says nothing to anyone here for `impatience` of the
+   * target, and for `surprise` times what its first token was expected to take.
+   */
   readonly impatience: number;
+  readonly surprise: number;
   /** Of the longest gap (at least `gapLeast` ms), after which a stream that may go on elsewhere is taken for broken. */
   readonly gapShare: number;
   readonly gapLeast: number;
--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -20,13 +20,22 @@
   readonly body: Buffer | undefined;
 }
 
+/**
+ * How long silence is borne, in ms: `soft` while the engine says nothing to this node on any link, since then it may be
+ * dead; `hard` in any case.
+ */
+export interface Patience {
+  readonly soft: number;
+  readonly hard: number;
+}
+
 export interface Answer {
   readonly status: number;
   readonly fields: Fields;
   /** Whether its end can be told from a broken connection. */
   readonly framed: boolean;
-  /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent for `silence` ms. */
-  next(silence: number): Promise<Outcome<Uint8Array | undefined>>;
+  /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent beyond patience. */
+  next(patience: Patience): Promise<Outcome<Uint8Array | undefined>>;
   /** Nothing more of it is wanted, though it is as it should be: the link is kept when the answer came whole. */
   settle(): void;
   /** Gives the answer up and closes the link, also when it came whole. */
@@ -35,7 +44,7 @@
 
 export interface Links {
   /** Sends a request and waits for the head of its answer; "declined" means that nothing was sent. The signal ends it at any point. */
-  send(engine: Engine, outgoing: Outgoing, silence: number, signal: AbortSignal): Promise<Outcome<Answer>>;
+  send(engine: Engine, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>>;
   /** Whether one more request can be sent without going over the engine's bound on links. */
   open(engine: Engine, bound: number): boolean;
   prune(listed: ReadonlyMap<string, Engine>): void;
@@ -73,7 +82,7 @@
   private headed = false;
   private kept = false;
 
-  constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly method: string, private readonly close: () => void, private readonly whole: () => void, private readonly put: (fields: Fields) => void) {}
+  constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly method: string, private readonly close: () => void, private readonly whole: () => void, private readonly put: (fields: Fields) => void, private readonly hear: () => void, private readonly lastHeard: () => Moment) {}
 
   get framed(): boolean {
     return this.status === 204 || this.status === 304 || this.method === 'HEAD' || only(this.fields, 'content-length') !== undefined || only(this.fields, 'transfer-encoding')?.trim().toLowerCase() === 'chunked';
@@ -90,11 +99,13 @@
       this.status = status;
       this.fields = fieldsOf((controller.rawHeaders ?? []) as Buffer[]);
       this.headed = true;
+      this.hear();
       this.wake();
     },
     onResponseData: (controller, chunk) => {
       this.held.push(chunk);
       this.heldBytes += chunk.length;
+      this.hear();
       if (this.heldBytes > HELD_BOUND) controller.pause();
       this.wake();
     },
@@ -110,16 +121,16 @@
     },
   };
 
-  async head(silence: number): Promise<Outcome<Answer>> {
-    const waited = await this.until(() => this.headed || this.over !== undefined, silence);
+  async head(patience: Patience): Promise<Outcome<Answer>> {
+    const waited = await this.until(() => this.headed || this.over !== undefined, patience);
     if (this.headed) return Right(this);
     this.close();
     if (waited) return this.over as unknown as Outcome<Answer>;
-    return failed('link.head', this.engine.address, `no answer within ${Math.round(silence)} ms`, this.sent ? 'unknown' : 'declined');
+    return failed('link.head', this.engine.address, 'no answer within patience', this.sent ? 'unknown' : 'declined');
   }
 
-  async next(silence: number): Promise<Outcome<Uint8Array | undefined>> {
-    const waited = await this.until(() => this.held.length > 0 || this.over !== undefined, silence);
+  async next(patience: Patience): Promise<Outcome<Uint8Array | undefined>> {
+    const waited = await this.until(() => this.held.length > 0 || this.over !== undefined, patience);
     const chunk = this.held.shift();
     if (chunk) {
       const paused = this.heldBytes > HELD_BOUND;
@@ -132,7 +143,7 @@
       return this.over!;
     }
     this.close();
-    return failed('link.next', this.engine.address, `silent for ${Math.round(silence)} ms`, 'unknown');
+    return failed('link.next', this.engine.address, 'silent beyond patience', 'unknown');
   }
 
   settle(): void {
@@ -146,10 +157,10 @@
     if (!this.kept) this.close();
   }
 
-  private async until(question: () => boolean, limit: number): Promise<boolean> {
-    const end = this.clock.now() + limit;
+  private async until(question: () => boolean, { soft, hard }: Patience): Promise<boolean> {
+    const begun = this.clock.now();
     while (!question()) {
-      const left = end - this.clock.now();
+      const left = Math.min(begun + hard, Math.max(begun, this.lastHeard()) + soft) - this.clock.now();
       if (left <= 0) return false;
       await within(this.clock, left, new Promise<void>((resolve) => (this.wake = resolve)));
     }
@@ -160,16 +171,18 @@
 export class HttpLinks implements Links {
   private readonly kept = new Map<string, Link[]>();
   private readonly busy = new Map<string, number>();
+  /** When an engine last said anything on any link. */
+  private readonly heard = new Map<string, Moment>();
   opened = 0;
 
   /** `connectLimit`: ms for a socket to come up; `keep`: ms that an idle link is kept when the engine names no time. */
   constructor(private readonly clock: Clock, private readonly connectLimit: number, private readonly keep: number) {}
 
-  async send(engine: Engine, outgoing: Outgoing, silence: number, signal: AbortSignal): Promise<Outcome<Answer>> {
+  async send(engine: Engine, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>> {
     for (;;) {
       const reused = this.takeKept(engine);
       const link = reused ?? this.dial(engine);
-      const answer = await this.exchange(link, outgoing, silence, signal);
+      const answer = await this.exchange(link, outgoing, patience, signal);
       const unsent = answer.isLeft() && (answer.extract() as Fault).certainty === 'declined';
       if (!reused || !unsent || signal.aborted) return answer;
     }
@@ -180,6 +193,7 @@
   }
 
   prune(listed: ReadonlyMap<string, Engine>): void {
+    for (const identifier of this.heard.keys()) if (!listed.has(identifier)) this.heard.delete(identifier);
     for (const [identifier, links] of this.kept) {
       const engine = listed.get(identifier);
       if (engine && engine.address === links[0]?.engine.address) continue;
@@ -192,7 +206,7 @@
     this.prune(new Map());
   }
 
-  private async exchange(link: Link, outgoing: Outgoing, silence: number, signal: AbortSignal): Promise<Outcome<Answer>> {
+  private async exchange(link: Link, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>> {
     const { client, engine } = link;
     this.count(engine, 1);
     let open = true;
@@ -207,7 +221,9 @@
       void client.destroy().catch(() => undefined);
     };
     signal.addEventListener('abort', close, { once: true });
-    const exchange = new Exchange(engine, this.clock, outgoing.method, close, over, (fields) => this.put(link, fields));
+    const hear = (): void => void this.heard.set(engine.identifier, this.clock.now());
+    const lastHeard = (): Moment => this.heard.get(engine.identifier) ?? (-Infinity as Moment);
+    const exchange = new Exchange(engine, this.clock, outgoing.method, close, over, (fields) => this.put(link, fields), hear, lastHeard);
     const headers = outgoing.fields.flat();
     try {
       client.dispatch({ path: outgoing.target, method: outgoing.method as Dispatcher.HttpMethod, headers, body: outgoing.body ?? null }, exchange.handler);
@@ -215,7 +231,7 @@
       close();
       return failed('link.dispatch', engine.address, reasonOf(thrown));
     }
-    const head = await exchange.head(silence);
+    const head = await exchange.head(patience);
     if (head.isLeft()) close();
     return head;
   }
--- a/src/forward/pour.ts
+++ b/src/forward/pour.ts
@@ -69,7 +69,7 @@
         return over('whole');
       }
       const left = Math.max(1, job.limit - this.clock.now());
-      const next = await answer.next(trail && route.gap !== undefined ? Math.min(left, Math.max(this.params.gapLeast, route.gap * this.params.gapShare)) : left);
+      const next = await answer.next({ soft: trail && route.gap !== undefined ? Math.max(this.params.gapLeast, route.gap * this.params.gapShare) : left, hard: left });
       if (caller.gone.aborted) return over('left');
       if (next.isLeft()) {
         this.log('answer-broke', [['peer', ticket.engine.address], ['reason', (next.extract() as Fault).reason], ['request', job.id]]);
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -12,7 +12,7 @@
 import type { Dialect, Prompt } from './dialect.js';
 import { endToEnd, only, type Fields } from './fields.js';
 import { attemptsOf, DEFAULT_WAIT, type Attempt, type ForwardParams, type Job, type Pool, type Trail } from './job.js';
-import type { Answer, Links, Outgoing } from './link.js';
+import type { Answer, Links, Outgoing, Patience } from './link.js';
 
 export class Sender {
   private byService: { of: ReadonlyMap<string, Engine>; engines: Map<string, Engine[]> } = { of: new Map(), engines: new Map() };
@@ -45,7 +45,7 @@
   }
 
   async send(job: Job, ticket: Ticket, trail: Trail | undefined): Promise<Attempt> {
-    const { caller, route, chart } = job;
+    const { caller, chart } = job;
     const { engine } = ticket;
     job.tried.add(engine.identifier);
     if (!trail) chart.step('placed', engine.identifier);
@@ -56,8 +56,8 @@
       return { kind: 'left' };
     }
     if (!trail) chart.step('sent', engine.identifier);
-    const patience = mayRepeat(route) && job.sends + 1 < attemptsOf(route) && route.target !== undefined && !trail ? Math.min(left, route.target * this.params.impatience) : left;
-    const head = await this.links.send(engine, outgoing, patience, caller.gone);
+    const patience = (): Patience => this.patience(job, ticket, trail);
+    const head = await this.links.send(engine, outgoing, patience(), caller.gone);
     if (caller.gone.aborted) {
       head.ifRight((answer) => answer.drop());
       ticket.end('left');
@@ -83,7 +83,7 @@
       return judged;
     }
     if (!trail) chart.step('answered', engine.identifier);
-    const first = await answer.next(Math.max(1, Math.min(patience, job.limit - this.clock.now())));
+    const first = await answer.next(patience());
     if (caller.gone.aborted) {
       answer.drop();
       ticket.end('left');
@@ -98,6 +98,13 @@
     return { kind: 'head', answer, ticket, first: piece, whole: piece === undefined };
   }
 
+  /** A request that may be sent elsewhere is not left at an engine that says nothing to anyone; any other is. */
+  private patience({ route, limit, sends }: Job, { expected = 0 }: Ticket, trail: Trail | undefined): Patience {
+    const hard = Math.max(1, limit - this.clock.now());
+    const elsewhere = mayRepeat(route) && sends < attemptsOf(route) && route.target !== undefined && !trail;
+    return { soft: elsewhere ? Math.max(route.target! * this.params.impatience, expected * this.params.surprise) : hard, hard };
+  }
+
   /** What is wrong with the head of an answer; undefined when it may be handed on. */
   private judge(job: Job, { status, fields, framed }: Answer): Extract<Attempt, { kind: 'not-run' | 'unknown' }> | undefined {
     const field = (name: string): string | undefined => only(fields, name);
--- a/src/place/placer.ts
+++ b/src/place/placer.ts
@@ -25,6 +25,8 @@
   readonly engine: Engine;
   /** 0 to 9, 0 first; what the engine is told. */
   readonly urgency: number;
+  /** Milliseconds in which the first token was expected, where that is estimated. */
+  readonly expected?: number;
   /** The head of the answer came. */
   head(): void;
   /** Bytes of the body came; the first call marks the end of the prefill. */
--- a/src/place/prefix.ts
+++ b/src/place/prefix.ts
@@ -220,7 +220,7 @@
       else if (how === 'turned-away') load.turnedAway(at);
       else if (!begun && at - now > reading.expected) load.noteLate(at, at - now - reading.expected);
     };
-    return { engine, urgency, head: () => undefined, piece, end };
+    return { engine, urgency, expected: estimate, head: () => undefined, piece, end };
   }
 
   private learn(service: Service, prompt: Prompt, engine: Engine, seen: { rank: number; read: number; kept: number; ahead: number; took: number; pace: Pace; reading: Reading; load: EngineLoad }): void {
--- a/test/forward/basic.test.ts
+++ b/test/forward/basic.test.ts
@@ -42,7 +42,7 @@
   const placed = new Map(engines.map((engine) => [engine.identifier, engine]));
   const random = new SeededRandom(1);
   const journal = new Journal<ForwardEvent>(clock);
-  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 24, timeout: 5000, impatience: 0.7, gapShare: 3, gapLeast: 300 };
+  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 24, timeout: 5000, impatience: 0.7, surprise: 3, gapShare: 3, gapLeast: 300 };
   const forwarder = new Forwarder(inForce, () => true, { placed: () => placed }, new HttpLinks(clock, 400, 5000), new LeastLoadPlacer(random), new RepeatBudget(10, 10_000, clock), ownDialect, () => 1, params, clock, random, journal, () => undefined);
   return { front: await listen((request, response) => forwarder.handle(request, response)), forwarder, journal };
 };
@@ -165,4 +165,33 @@
     for (let turn = 0; turn < 3; turn++) expect((await call(front, '/x/', {})).body).toBe('ok');
     expect(sockets.size).toBe(1);
   });
+
+  it('leaves a silent engine while it says nothing to anyone, and bears with one that speaks to others', async () => {
+    const events = 'id: 1\ndata: a\n\n';
+    const finish = new Map<string, () => void>();
+    let asked = 0;
+    const slow = (request: IncomingMessage, response: ServerResponse): void => {
+      asked += 1;
+      if (request.url === '/x/talk') {
+        response.writeHead(200, { ...seal, 'x-request-id': request.headers['x-request-id'] as string });
+        const talk = setInterval(() => response.write(events), 20);
+        finish.set('talk', () => {
+          clearInterval(talk);
+          response.end();
+        });
+      } else finish.set('late', () => response.writeHead(200, seal).end(events));
+    };
+    const second = await listen((_, response) => response.writeHead(200, seal).end(events));
+    const one = await fleet([engineAt(await listen(slow), 'e1')], [route({ kind: 'idempotent', target: 50, attempts: 2 })]);
+    const talk = call(one.front, '/x/talk', { 'x-request-id': 'id2' });
+    const late = call(one.front, '/x/late', {});
+    setTimeout(() => finish.get('late')!(), 400);
+    expect(await late).toMatchObject({ status: 200, whole: true });
+    finish.get('talk')!();
+    expect(await talk).toMatchObject({ status: 200, whole: true });
+    expect(asked).toBe(2);
+    const dark = await listen(() => undefined);
+    const two = await fleet([engineAt(dark, 'e1'), engineAt(second, 'e2')], [route({ kind: 'idempotent', target: 50, attempts: 2 })]);
+    for (let turn = 0; turn < 4; turn++) expect(await call(two.front, '/x/', {})).toMatchObject({ status: 200, body: events });
+  });
 });
