Callers' requests take turns on a connection, and one framed in doubt is declined

Cause: of requests that a caller sent ahead on one connection, those behind an answer that told the connection's end were sent to an engine all the same, and their answers lost. Two Transfer-Encoding fields (identity, then chunked) were taken by the last one alone. Header bytes over the limit in force were not declined (431). A declined request without a body cost its caller the connection.

Requests on one connection are now begun in turn, none behind an answer that ends it; a transfer coding other than chunked alone gets 400 and ends the connection.

--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -12,6 +12,7 @@
   readonly fields: Fields;
   private readonly leave = new AbortController();
   readonly gone = this.leave.signal;
+  private ends = false;
 
   constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly closing: () => boolean) {
     this.fields = fieldsOf(request.rawHeaders);
@@ -34,6 +35,32 @@
     return only(this.fields, name);
   }
 
+  /** Bytes of the header as it came, save its first line. */
+  get headerBytes(): number {
+    return this.fields.reduce((sum, [name, value]) => sum + name.length + value.length + 4, 0);
+  }
+
+  /** Whether the body's coding, where it has one, is one we can tell the end of. */
+  get framed(): boolean {
+    const codings = this.fields.filter(([name]) => name.toLowerCase() === 'transfer-encoding');
+    return codings.length === 0 || (codings.length === 1 && codings[0]![1].trim().toLowerCase() === 'chunked');
+  }
+
+  /** Whether nothing may follow on this connection. */
+  get last(): boolean {
+    return this.ends || this.gone.aborted || !this.response.shouldKeepAlive;
+  }
+
+  /** Gives up a request that nothing was done for, because its connection ends before its turn. */
+  forgo(): void {
+    this.ends = true;
+  }
+
+  private get bodied(): boolean {
+    const told = this.request.headers['content-length'];
+    return this.request.headers['transfer-encoding'] !== undefined || (told !== undefined && Number(told) > 0);
+  }
+
   /** The whole body; undefined where the request has none. */
   body(bound: number): Promise<Outcome<Buffer | undefined>> {
     const { request } = this;
@@ -66,15 +93,17 @@
     const body = `${JSON.stringify({ error: reason })}\n`;
     const fields: Array<[string, string]> = [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))]];
     if (retryAfter !== undefined) fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
-    const unread = !this.request.complete;
-    if (this.closing() || unread) fields.push(['Connection', 'close']);
+    const unread = !this.request.complete && this.bodied;
+    this.ends ||= this.closing() || unread;
+    if (this.ends) fields.push(['Connection', 'close']);
     response.writeHead(status, fields.flat());
     response.end(body);
     if (unread) this.request.resume();
   }
 
   head(status: number, fields: Fields): void {
-    const all = this.closing() ? [...fields, ['Connection', 'close'] as const] : fields;
+    this.ends ||= this.closing();
+    const all = this.ends ? [...fields, ['Connection', 'close'] as const] : fields;
     this.response.writeHead(status, all.flat());
   }
 
@@ -101,6 +130,7 @@
 
   /** Ends the connection visibly in the middle. */
   cut(): void {
+    this.ends = true;
     this.response.destroy();
   }
 }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -21,6 +21,7 @@
 import type { Links } from './link.js';
 import { Pourer } from './pour.js';
 import { Sender } from './sender.js';
+import { Turns } from './turns.js';
 
 export class Forwarder implements RequestHandler {
   private readonly running = new Set<Caller>();
@@ -29,6 +30,7 @@
   private emptied: () => void = () => undefined;
   private readonly sender: Sender;
   private readonly pourer: Pourer;
+  private readonly turns = new Turns();
   readonly counts = new Map<string, number>();
 
   constructor(
@@ -57,7 +59,8 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     const caller = new Caller(request, response, () => this.closing);
     this.running.add(caller);
-    void this.carry(caller)
+    void this.turns
+      .take(request.socket, caller, () => this.carry(caller))
       .catch((thrown: unknown) => {
         this.log('fault', [['step', 'forward'], ['reason', String(thrown)]]);
         caller.cut();
@@ -96,6 +99,11 @@
     };
     const table = this.inForce.routes;
     if (table.version === 0 || !this.mayServe()) return refuse(503, 'no configuration is in force here', DEFAULT_WAIT);
+    if (!caller.framed) {
+      caller.forgo();
+      return refuse(400, 'a transfer coding that is not chunked alone');
+    }
+    if (table.limits.headerBytes !== undefined && caller.headerBytes > table.limits.headerBytes) return refuse(431, `a header of over ${table.limits.headerBytes} bytes`);
     const route = table.match(caller.field('host') ?? '', caller.target);
     if (!route) return refuse(404, 'no route has this host and path');
     if (!id) return refuse(400, `the field ${this.dialect.requestId} is missing or stands more than once`);
--- a/test/forward/stage.ts
+++ b/test/forward/stage.ts
@@ -3,7 +3,7 @@
  * the first engine that may serve, so that each test knows which one is asked; everything is judged at the end.
  */
 import { createServer, type Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import { connect, type AddressInfo } from 'node:net';
 import { afterEach, expect } from 'vitest';
 import { InForce } from '../../src/doorway/match.js';
 import { RepeatBudget } from '../../src/forward/budget.js';
@@ -12,12 +12,14 @@
 import { Forwarder } from '../../src/forward/forwarder.js';
 import { HttpLinks } from '../../src/forward/link.js';
 import { SystemClock } from '../../src/kernel/clock/clock.js';
+import { parseAddress } from '../../src/kernel/net/net.js';
 import { Journal } from '../../src/kernel/journal/journal.js';
 import { SeededRandom } from '../../src/kernel/random/random.js';
 import type { Placer, TicketEnd } from '../../src/place/placer.js';
 import type { Engine } from '../../src/pool/engine.js';
 import { genesis } from '../../src/register/document.js';
 import type { Limits, Route } from '../../src/route/shape.js';
+import { AnswerReader } from '../../src/stand/opaque/answer.js';
 import { OpaqueCaller, type Asking } from '../../src/stand/opaque/caller.js';
 import { OpaqueEngine, type OpaqueEngineParams } from '../../src/stand/opaque/engine.js';
 import { judgeOpaque, type OpaqueFinding } from '../../src/stand/opaque/judge.js';
@@ -124,3 +126,23 @@
   expect(stage.journal.tail().filter(({ event }) => event.kind === 'fault')).toEqual([]);
   expect(stage.engines.map(({ overlaps }) => overlaps)).toEqual(stage.engines.map(() => 0));
 };
+
+/** Sends bytes as they are on one connection, and reads until it closes or so many answers are whole. */
+export const raw = (front: string, pieces: ReadonlyArray<string | Buffer>, answers = 1): Promise<AnswerReader> =>
+  new Promise((resolve) => {
+    const { host, port } = parseAddress(front);
+    const reader = new AnswerReader('POST');
+    const socket = connect({ host, port }, () => {
+      for (const piece of pieces) socket.write(piece);
+    });
+    const over = (): void => {
+      socket.destroy();
+      resolve(reader);
+    };
+    socket.on('data', (chunk: Buffer) => {
+      reader.push(chunk);
+      if (reader.answers.filter(({ complete }) => complete).length >= answers) over();
+    });
+    socket.once('error', over);
+    socket.once('close', over);
+  });
