--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -3,6 +3,7 @@
 import { Keeper } from '../claim/keeper.js';
 import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
+import { extended, type Extension } from '../node/extension.js';
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import { FolderDisk, type Disk } from '../kernel/disk/disk.js';
@@ -116,10 +117,10 @@
 
 @Module({})
 export class CoreModule {
-  static with(params: Params): DynamicModule {
+  static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: CoreModule,
-      providers: [
+      providers: extended([
         ...nodeProviders(params, 'core'),
         { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
         {
@@ -144,7 +145,7 @@
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
         },
         CoreNode,
-      ],
+      ], services),
     };
   }
 }
