--- a/src/stand/opaque/engine.ts
+++ b/src/stand/opaque/engine.ts
@@ -145,11 +145,14 @@
       },
       whole: () => {
         deadline.abort();
-        if (prompt && events > 0) reply.event(begins + arrival.made.length + 1);
-        else if (prompt) reply.nothing();
-        else reply.body(Number(/[?&]bytes=(\d+)/.exec(target)?.[1] ?? 0));
-        const copy = reply.finish();
-        if (copy) line.owed.push(copy);
+        const finish = (): void => {
+          const copy = reply.finish();
+          if (copy) line.owed.push(copy);
+        };
+        if (!prompt) return reply.body(Number(/[?&]bytes=(\d+)/.exec(target)?.[1] ?? 0), finish);
+        if (events > 0) reply.event(begins + arrival.made.length + 1);
+        else reply.nothing();
+        finish();
       },
     });
     if (!leave) return reply.refuse(503, this.params.retryAfter);
--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -5,6 +5,7 @@
 import type { Arrival } from './record.js';
 import type { Troubles } from './trouble.js';
 
+const PIECE = 65_536;
 const GARBLED = 'qd\u0001\u0002 this is no answer \r\n\r\n\u0000\u0007';
 
 export class Reply {
@@ -42,7 +43,7 @@
     const { arrival } = this;
     const text = `id: ${number}\ndata: ${arrival.seal} ${number} of ${arrival.total}\n\n`;
     if (!this.headed) this.head({ 'content-type': 'text/event-stream' });
-    if (arrival.made.length >= this.troubles.after && this.midway()) return;
+    if (arrival.made.length >= this.troubles.after && this.midway(text)) return;
     arrival.made.push(text);
     this.response.write(text);
   }
@@ -52,25 +53,33 @@
     if (!this.over && !this.headed) this.head({ 'content-type': 'text/event-stream' });
   }
 
-  /** One body, with a length when it is short and in chunks when it is long. */
-  body(bytes: number): void {
+  /** One body, with a length when it is short and in chunks when it is long; it waits while it is not read. */
+  body(bytes: number, whole: () => void): void {
     if (this.over) return;
-    const { arrival } = this;
-    const lead = JSON.stringify({ run: arrival.seal, digest: arrival.digest });
+    const lead = JSON.stringify({ run: this.arrival.seal, digest: this.arrival.digest });
     const text = lead + '.'.repeat(Math.max(0, bytes - lead.length));
-    if (!this.headed) this.head(text.length < 65_536 ? { 'content-length': String(text.length) } : {});
-    const quarter = Math.ceil(text.length / 4);
-    for (let at = 0; at < 4; at++) {
-      if (at >= this.troubles.after && this.midway()) return;
-      const piece = text.slice(at * quarter, (at + 1) * quarter);
-      arrival.made[0] = (arrival.made[0] ?? '') + piece;
-      this.response.write(piece);
+    if (!this.headed) this.head(text.length < PIECE ? { 'content-length': String(text.length) } : {});
+    this.pump(text, 0, Math.min(PIECE, Math.ceil(text.length / 4)), whole);
+  }
+
+  private pump(text: string, from: number, size: number, whole: () => void): void {
+    for (let at = from; at < text.length; at += size) {
+      if (this.over) return;
+      if (at * 4 >= this.troubles.after * text.length && this.midway()) return;
+      const piece = text.slice(at, at + size);
+      this.arrival.made[0] = (this.arrival.made[0] ?? '') + piece;
+      if (!this.response.write(piece)) return void this.response.once('drain', () => this.pump(text, at + size, size, whole));
     }
+    whole();
   }
 
   /** The answer is whole; gives a copy of it that is owed in place of the next answer, when it is to come late. */
   finish(): Buffer | undefined {
     if (this.over || this.stalled) return undefined;
+    if (this.troubles.strikes('cut-end')) {
+      this.break('cut', () => this.socket.end());
+      return undefined;
+    }
     this.over = true;
     this.arrival.ended = 'whole';
     const trouble = this.troubles.strikes('surplus', 'late', 'late-refusal');
@@ -99,10 +108,11 @@
     this.response.writeHead(200, names);
   }
 
-  private midway(): boolean {
-    const trouble = this.troubles.strikes('cut', 'cut-reset', 'stalled', 'garbled-midway');
+  private midway(event = ''): boolean {
+    const trouble = this.troubles.strikes('cut', 'cut-reset', 'stalled', 'garbled-midway', ...(event ? (['cut-inside'] as const) : []));
     if (!trouble) return false;
     if (trouble === 'stalled') this.stalled = true;
+    else if (trouble === 'cut-inside') this.break('cut', () => this.response.write(event.slice(0, event.length / 2), () => this.socket.end()));
     else if (trouble === 'cut') this.break('cut', () => this.socket.end());
     else if (trouble === 'cut-reset') this.break('cut', () => this.socket.resetAndDestroy());
     else {
--- a/src/stand/opaque/trouble.ts
+++ b/src/stand/opaque/trouble.ts
@@ -13,6 +13,8 @@
   | 'foreign' | 'unsealed' | 'encoded' | 'unframed'
   /** In the middle: the connection ends, is reset, goes silent, or carries bytes that are no chunk. */
   | 'cut' | 'cut-reset' | 'stalled' | 'garbled-midway'
+  /** A stream ends within an event; or behind its last one, without its end. */
+  | 'cut-inside' | 'cut-end'
   /** The answer a second time, at once or in the place of the next one on the connection; or a refusal there. */
   | 'surplus' | 'late' | 'late-refusal'
   /** A stream taken up at the wrong place: from its beginning, one event too late, one event again. */
