A body that does not come whole within the request's time is refused as not run

Cause: nothing bounded how long a body may take: a caller that stopped in the middle of one held its place, and a planned stop, for good. The request's own time now runs from its header on; at its end the answer is 408, which is true, since nothing was sent.

--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { InForce } from '../doorway/match.js';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Fault } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
@@ -112,14 +112,15 @@
     chart.step('routed');
     const bound = table.limits.bodyBytes ?? this.params.bodyBytes;
     if (this.held > this.params.heldBytes) return refuse(503, 'too many bytes are held here', DEFAULT_WAIT);
-    const body = await caller.body(bound);
+    const told = Number(caller.field(this.dialect.deadline));
+    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
+    const body = await within(this.clock, patience, caller.body(bound));
+    if (!body) return refuse(408, 'its time was over before it was read whole');
     if (body.isLeft()) {
       if (caller.gone.aborted) return void chart.step('left');
       return refuse(413, (body.extract() as Fault).reason);
     }
     chart.step('read');
-    const told = Number(caller.field(this.dialect.deadline));
-    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
     const job: Job = {
       caller, route, service, id, chart, begun, body: body.extract() as Buffer | undefined, limit: (begun + patience) as Moment,
       prompt: this.dialect.prompt((name) => caller.field(name)), tried: new Set(), sends: 0, unsent: 0,
