--- a/src/place/prefix.ts
+++ b/src/place/prefix.ts
@@ -3,81 +3,32 @@
  * index of what it sent where and its own estimates, and shares neither; all prefer the same engines for a prefix by
  * hashing alone. docs/placement.md says what is estimated and why.
  */
-import type { Prompt } from '../forward/dialect.js';
-import type { SizedBlock } from '../index/hash.js';
-import { blocksOfParts } from '../index/hash.js';
 import { PartIndex } from '../index/parts.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Engine } from '../pool/engine.js';
 import { Soundness } from '../pool/soundness.js';
 import type { Service } from '../route/shape.js';
-import type { PlaceAsk, Placement, Placer, Ticket, TicketEnd } from './placer.js';
-import { Belief } from './prefix/belief.js';
-import { EngineLoad, type Reading } from './prefix/load.js';
-import { hashOf, leaders, RANKS } from './prefix/order.js';
-import { Pace } from './prefix/pace.js';
+import type { PlaceAsk, Placement, Placer } from './placer.js';
+import { Choice } from './prefix/choice.js';
+import { EngineLoad } from './prefix/load.js';
+import { PromptPrefixes } from './prefix/prefixes.js';
+import { ServiceRecords } from './prefix/service.js';
+import { PlacedTicket } from './prefix/ticket.js';
+import { defaultWeights, type PrefixPlacerParams, type Weights } from './prefix/weights.js';
 
-export interface PrefixPlacerParams {
-  readonly zone: string;
-  /** Milliseconds that an engine of another zone counts as worse. */
-  readonly zoneCost: number;
-  /** How many routers are thought to send to the engines, this one counted. */
-  readonly routers: () => number;
-  /** Requests one engine works on at once, where neither its listing nor its service says so. */
-  readonly slots: number;
-  /** Tokens an engine keeps, where its service does not say so. */
-  readonly cacheTokens: number;
-}
-
-export const prefixPlacerDefaults: PrefixPlacerParams = { zone: '', zoneCost: 0, routers: () => 1, slots: 64, cacheTokens: 262_144 };
-
-/** Shared parts below this many tokens don't bind a request to the engines that are preferred for them. */
-const BINDING = 1024;
-/** How many engines a request without such parts looks at. */
-const CHOICES = 3;
-/** Reading takes from all that run at an engine, so a token read counts for more than its own time. */
-const READ_WEIGHT = 1.5;
-const SERVICES_BOUND = 4096;
-
-/** What is known of a request's prompt at an engine. */
-interface Outlook {
-  /** Tokens thought to be read. */
-  readonly read: number;
-  /** Tokens surely known to this node as kept there. */
-  readonly kept: number;
-}
+export { defaultWeights, prefixPlacerDefaults, type PrefixPlacerParams, type Weights } from './prefix/weights.js';
 
-interface Option extends Outlook {
-  readonly engine: Engine;
-  readonly load: EngineLoad;
-  readonly rank: number;
-  /** Milliseconds to the first token. */
-  readonly estimate: number;
-  readonly cost: number;
-}
-
-/** A prompt as the index sees it, for engines of one set of weights. */
-interface Chain {
-  readonly root: string;
-  readonly blocks: readonly SizedBlock[];
-  readonly held: ReadonlyMap<string, number>;
-}
-
-const sumOf = (blocks: readonly SizedBlock[], to: number): number => {
-  let sum = 0;
-  for (let at = 0; at < to; at++) sum += blocks[at]!.tokens;
-  return sum;
-};
+/** The shortest wait a refusal names, in milliseconds. */
+const LEAST_WAIT = 10;
 
 export class PrefixPlacer implements Placer {
   private readonly index: PartIndex;
   private readonly soundness: Soundness;
   private readonly loads = new Map<string, EngineLoad>();
-  private readonly paces = new Map<string, Pace>();
-  private readonly belief = new Belief();
+  private readonly records = new ServiceRecords();
 
-  constructor(private readonly params: PrefixPlacerParams, private readonly clock: Clock, private readonly random: Random) {
+  constructor(private readonly params: PrefixPlacerParams, private readonly clock: Clock, private readonly random: Random, private readonly weights: Weights = defaultWeights) {
     this.index = new PartIndex(params.routers);
     this.soundness = new Soundness(clock);
   }
@@ -85,16 +36,14 @@
   place(ask: PlaceAsk, engines: readonly Engine[]): Placement {
     const now = this.clock.now();
     if (engines.length === 0) return this.full(ask, ask.target / 4, 'no-engine');
-    const sound = this.sound(engines);
-    const open = sound.filter((engine) => this.load(engine).flying < this.slots(engine, ask.service) && this.load(engine).fullFor(now) <= 0);
-    if (open.length === 0) {
-      const closed = sound.filter((engine) => this.load(engine).flying < this.slots(engine, ask.service));
-      const soonest = closed.reduce((least, engine) => Math.min(least, this.load(engine).fullFor(now)), Infinity);
-      const doubtful = closed.filter((engine) => this.load(engine).refusals < 2);
-      if (doubtful.length === 0) return this.full(ask, Number.isFinite(soonest) ? soonest : this.pace(ask.service).base, 'no-room');
-      return this.send(ask, doubtful, now);
-    }
-    return this.send(ask, open, now);
+    const roomy = this.sound(engines).filter((engine) => this.load(engine).flying < this.slots(engine, ask.service));
+    const open = roomy.filter((engine) => this.load(engine).fullFor(now) <= 0);
+    if (open.length > 0) return this.send(ask, open, now);
+    // One word of an engine that it is full may have passed by now; two in a row are believed.
+    const doubtful = roomy.filter((engine) => this.load(engine).refusals < 2);
+    if (doubtful.length > 0) return this.send(ask, doubtful, now);
+    const soonest = roomy.reduce((least, engine) => Math.min(least, this.load(engine).fullFor(now)), Infinity);
+    return this.full(ask, Number.isFinite(soonest) ? soonest : this.records.of(ask.service).pace.base, 'no-room');
   }
 
   listed(engines: ReadonlyMap<string, Engine>): void {
@@ -108,11 +57,14 @@
   }
 
   private send(ask: PlaceAsk, open: readonly Engine[], now: number): Placement {
-    const best = this.best(ask, open, now);
-    const occupied = this.occupied(ask.service, open);
-    const limit = ask.priority === 0 ? 0.9 : 0.7;
-    if (best.estimate > ask.target && occupied >= limit) return this.full(ask, best.estimate - ask.target, 'late');
-    return { kind: 'placed', ticket: this.ticket(ask, best, now) };
+    const { service, prompt } = ask;
+    const record = this.records.of(service);
+    const prefixes = prompt && new PromptPrefixes(this.index, service.name, prompt);
+    const { zone, zoneCost } = this.params;
+    const best = new Choice(ask, open, open.map((engine) => this.load(engine)), prefixes, record, this.weights, zone, zoneCost, now).best(this.random);
+    const limit = ask.priority === 0 ? this.weights.fullHigh : this.weights.fullLow;
+    if (best.estimate > ask.target && this.occupied(service, open) >= limit) return this.full(ask, best.estimate - ask.target, 'late');
+    return { kind: 'placed', ticket: new PlacedTicket(best, record, prefixes, service.engine?.cacheTokens ?? this.params.cacheTokens, this.soundness, this.clock) };
   }
 
   /** The share of the engines' places thought to be taken: the other routers are taken to have as many there as this one. */
@@ -126,131 +78,8 @@
     return slots === 0 ? 1 : (flying * Math.max(1, this.params.routers())) / slots;
   }
 
-  private best(ask: PlaceAsk, open: readonly Engine[], now: number): Option {
-    const { prompt } = ask;
-    const parts = prompt?.parts ?? [];
-    const shared = parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
-    const binding = prompt !== undefined && shared >= BINDING;
-    const looked = binding ? open : this.some(open, CHOICES);
-    const chains = new Map<string, Chain>();
-    const ranks = new Map<Engine, number>();
-    if (binding) leaders(this.keyOf(ask.service, prompt, shared), looked.map((engine) => this.load(engine).hash)).forEach((at, rank) => ranks.set(looked[at]!, rank));
-    let best: Option | undefined;
-    const first = Math.floor(this.random.fraction() * looked.length);
-    for (let step = 0; step < looked.length; step++) {
-      const engine = looked[(first + step) % looked.length]!;
-      const option = this.option(ask, engine, ranks.get(engine) ?? RANKS, binding ? shared : 0, chains, now);
-      if (!best || option.cost < best.cost) best = option;
-    }
-    return best!;
-  }
-
-  private option(ask: PlaceAsk, engine: Engine, rank: number, shared: number, chains: Map<string, Chain>, now: number): Option {
-    const load = this.load(engine);
-    const pace = this.pace(ask.service);
-    const { read, kept } = this.outlook(ask, engine, rank, shared, chains);
-    const waits = load.ahead(this.urgency(ask, read)) * pace.perToken + load.lateness(now);
-    const estimate = pace.base + waits + read * pace.perToken;
-    const cost = waits + READ_WEIGHT * read * pace.perToken + (engine.zone === this.params.zone ? 0 : this.params.zoneCost);
-    return { engine, load, rank, read, kept, estimate, cost };
-  }
-
-  private outlook({ service, prompt }: PlaceAsk, engine: Engine, rank: number, shared: number, chains: Map<string, Chain>): Outlook {
-    if (!prompt) return { read: 0, kept: 0 };
-    const { blocks, held } = this.chain(service, prompt, engine.weightGeneration, chains);
-    const kept = Math.min(prompt.tokens, sumOf(blocks, held.get(engine.identifier) ?? 0));
-    const unknown = Math.max(0, shared - kept);
-    return { kept, read: prompt.tokens - kept - unknown * this.belief.warmth(rank) };
-  }
-
-  private chain(service: Service, prompt: Prompt, weights: string, chains: Map<string, Chain>): Chain {
-    const known = chains.get(weights);
-    if (known) return known;
-    const root = this.index.root({ model: prompt.model, weightGeneration: weights, firm: service.name });
-    const blocks = blocksOfParts(prompt.parts, root);
-    const made = { root, blocks, held: this.index.find(root, blocks) };
-    chains.set(weights, made);
-    return made;
-  }
-
-  /** The first parts that hold at least half of what is shared stand for the prefix. */
-  private keyOf(service: Service, prompt: Prompt, shared: number): number {
-    let text = `${service.name}\u0000${prompt.model}`;
-    let sum = 0;
-    for (const { id, tokens } of prompt.parts) {
-      if (sum * 2 >= shared) break;
-      text += `\u0000${id}`;
-      sum += tokens;
-    }
-    return hashOf(text);
-  }
-
-  /** Bands of three for each priority; within one, what is read sooner comes first. */
-  private urgency({ priority }: PlaceAsk, read: number): number {
-    if (priority >= 3) return 9;
-    return priority * 3 + (read <= 2048 ? 0 : read <= 8192 ? 1 : 2);
-  }
-
-  private ticket(ask: PlaceAsk, { engine, load, rank, read, kept, estimate }: Option, now: number): Ticket {
-    const { service, prompt } = ask;
-    const pace = this.pace(service);
-    const urgency = this.urgency(ask, read);
-    const ahead = load.ahead(urgency);
-    const reading: Reading = { sentAt: now, expected: estimate - load.lateness(now), tokens: read, urgency };
-    load.begin(reading);
-    this.soundness.begin(engine.identifier);
-    let begun = false;
-    let ended = false;
-    const piece = (): void => {
-      if (begun || ended) return;
-      begun = true;
-      load.read(reading);
-      load.took();
-      const took = this.clock.now() - now;
-      if (prompt) this.learn(service, prompt, engine, { rank, read, kept, ahead, took, pace, reading, load });
-    };
-    const end = (how: TicketEnd): void => {
-      if (ended) return;
-      ended = true;
-      const at = this.clock.now();
-      load.read(reading);
-      load.flying -= 1;
-      if (how === 'whole') this.soundness.good(engine.identifier);
-      else if (how === 'failed') this.soundness.bad(engine.identifier);
-      else if (how === 'turned-away') load.turnedAway(at);
-      else if (!begun && at - now > reading.expected) load.noteLate(at, at - now - reading.expected);
-    };
-    return { engine, urgency, head: () => undefined, piece, end };
-  }
-
-  private learn(service: Service, prompt: Prompt, engine: Engine, seen: { rank: number; read: number; kept: number; ahead: number; took: number; pace: Pace; reading: Reading; load: EngineLoad }): void {
-    const { rank, read, kept, ahead, took, pace, reading, load } = seen;
-    const own = prompt.parts[prompt.parts.length - 1]?.tokens ?? 0;
-    const unknown = prompt.tokens - own - kept;
-    const guessed = unknown >= BINDING;
-    pace.observe(took, read, ahead, !guessed);
-    const now = this.clock.now();
-    if (guessed) {
-      const least = pace.base + (ahead + own) * pace.perToken;
-      const warm = took < least + (unknown * pace.perToken) / 2;
-      if (rank < RANKS) this.belief.observe(rank, warm);
-      load.noteLate(now, Math.max(0, took - least - (warm ? 0 : unknown * pace.perToken)));
-    } else load.noteLate(now, took - reading.expected);
-    const weights = engine.weightGeneration;
-    const root = this.index.root({ model: prompt.model, weightGeneration: weights, firm: service.name });
-    if (this.loads.get(engine.identifier) === load) this.index.store(engine.identifier, weights, root, blocksOfParts(prompt.parts, root), 1, service.engine?.cacheTokens ?? this.params.cacheTokens);
-  }
-
   private full(ask: PlaceAsk, wait: number, reason: string): Placement {
-    const most = ask.deadline / 3;
-    return { kind: 'full', retryAfter: Math.min(most, Math.max(10, wait) * (0.75 + this.random.fraction() / 2)), reason };
-  }
-
-  private some(engines: readonly Engine[], count: number): readonly Engine[] {
-    if (engines.length <= count) return engines;
-    const picked = new Set<Engine>();
-    while (picked.size < count) picked.add(engines[Math.floor(this.random.fraction() * engines.length)]!);
-    return [...picked];
+    return { kind: 'full', retryAfter: Math.min(ask.deadline / 3, Math.max(LEAST_WAIT, wait) * (0.75 + this.random.fraction() / 2)), reason };
   }
 
   private sound(engines: readonly Engine[]): readonly Engine[] {
@@ -270,13 +99,4 @@
     this.loads.set(engine.identifier, made);
     return made;
   }
-
-  private pace(service: Service): Pace {
-    const known = this.paces.get(service.name);
-    if (known) return known;
-    if (this.paces.size >= SERVICES_BOUND) this.paces.delete(this.paces.keys().next().value as string);
-    const made = new Pace();
-    this.paces.set(service.name, made);
-    return made;
-  }
 }
--- a/src/place/prefix/load.ts
+++ b/src/place/prefix/load.ts
@@ -6,14 +6,27 @@
 
 /** How fast the sign of others' load fades, in milliseconds. */
 const FADE = 1000;
+/** What of the learned rate an engine is taken to read at beside other routers' requests. */
+const DRAIN = 0.5;
 const FULL_FIRST = 50;
 const FULL_MOST = 1000;
 
 export interface Reading {
   readonly sentAt: number;
+  /** Milliseconds to the first token, as expected when it was sent. */
   readonly expected: number;
   readonly tokens: number;
   readonly urgency: number;
+  /** When its first piece came, or it ended without one. */
+  readAt?: number;
+}
+
+/** Milliseconds of this node's own reading at an engine. */
+export interface Ahead {
+  /** Of requests as urgent or more. */
+  readonly before: number;
+  /** Of less urgent ones. */
+  readonly beside: number;
 }
 
 export class EngineLoad {
@@ -22,7 +35,7 @@
   /** Times in a row that the engine turned a request away. */
   refusals = 0;
   private readonly readings = new Set<Reading>();
-  private readonly tokens = new Array<number>(10).fill(0);
+  private progressAt = 0;
   private late = 0;
   private lateAt = 0;
   private fullUntil = -Infinity;
@@ -32,21 +45,38 @@
   }
 
   begin(reading: Reading): void {
+    if (this.readings.size === 0) this.progressAt = reading.sentAt;
     this.flying += 1;
     this.readings.add(reading);
-    this.tokens[reading.urgency]! += reading.tokens;
   }
 
   /** The first piece came, or the request ended without one. */
-  read(reading: Reading): void {
-    if (this.readings.delete(reading)) this.tokens[reading.urgency]! -= reading.tokens;
+  read(reading: Reading, now: number): void {
+    if (!this.readings.delete(reading)) return;
+    reading.readAt = now;
+    this.progressAt = now;
+  }
+
+  /** What is still to be read, of this node's; the engine is taken to have read on since the last first piece. */
+  ahead(urgency: number, perToken: number, now: number): Ahead {
+    let before = 0;
+    let beside = 0;
+    let passed = Math.max(0, now - this.progressAt) * DRAIN;
+    for (const { tokens, urgency: other } of this.readings) {
+      const whole = tokens * perToken;
+      const done = Math.min(passed, whole);
+      passed -= done;
+      if (other <= urgency) before += whole - done;
+      else beside += whole - done;
+    }
+    return { before, beside };
   }
 
-  /** Tokens of this node's that are read before or beside a request of some urgency. */
-  ahead(urgency: number): number {
-    let sum = 0;
-    for (let each = 0; each < 10; each++) sum += each <= urgency ? this.tokens[each]! : this.tokens[each]! / 2;
-    return sum;
+  /** The newest less urgent one that is being read and brings so many tokens. */
+  beside(urgency: number, least: number): Reading | undefined {
+    let newest: Reading | undefined;
+    for (const reading of this.readings) if (reading.urgency > urgency && reading.tokens >= least) newest = reading;
+    return newest;
   }
 
   /** By how much a first token took longer than expected, or less. */
--- a/src/place/prefix/pace.ts
+++ b/src/place/prefix/pace.ts
@@ -48,9 +48,9 @@
     return this.reads.value;
   }
 
-  /** A first piece came after `took` ms; `read` tokens are thought to have been read for it, `ahead` before it by this node. */
+  /** A first piece came after `took` ms; `read` tokens are thought to have been read for it, for `ahead` ms this node's others. */
   observe(took: number, read: number, ahead: number, sure: boolean): void {
-    if (read + ahead <= SMALL) this.bases.add(Math.max(0, took - (read + ahead) * this.perToken));
-    else if (sure) this.reads.add(Math.max(1e-4, (took - this.base) / (read + ahead)));
+    if (read <= SMALL) this.bases.add(Math.max(0, took - ahead - read * this.perToken));
+    else if (sure && ahead === 0) this.reads.add(Math.max(1e-4, (took - this.base) / read));
   }
 }
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -21,7 +21,7 @@
 }
 
 /** A heap of what is due, by time and then by number. */
-class Agenda {
+export class Agenda {
   private readonly heap: Due[] = [];
 
   push(due: Due): void {
