--- a/test/platform/samples.ts
+++ b/test/platform/samples.ts
@@ -13,6 +13,7 @@
 ${kind === 'front' ? 'front = "10.0.0.5:8000"\nreadiness = "10.0.0.5:8001"' : 'control = "10.0.0.5:9000"'}
 [limits]
 memory_mb = 400
+disk_mb = 0
 file_descriptors = 4000
 [tolerated_losses]
 machines = 1
