--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -28,6 +28,7 @@
   /** `limits` gives those in force; the same object as long as they are the same. */
   constructor(private readonly handler: RequestHandler, private readonly limits: () => Limits) {
     this.server = createServer({ maxHeaderSize: HEADER_BOUND, insecureHTTPParser: false, noDelay: true, requestTimeout: 0, headersTimeout: HEADER_TIMEOUT, connectionsCheckingInterval: CHECK_EVERY, keepAliveTimeout: IDLE_TIMEOUT });
+    this.server.on('connection', () => this.heed());
     this.server.on('request', (request, response) => this.take(request, response));
     this.heed();
   }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { InForce } from '../doorway/match.js';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Fault } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
@@ -21,6 +21,7 @@
 import type { Links } from './link.js';
 import { Pourer } from './pour.js';
 import { Sender } from './sender.js';
+import { Turns } from './turns.js';
 
 export class Forwarder implements RequestHandler {
   private readonly running = new Set<Caller>();
@@ -29,6 +30,7 @@
   private emptied: () => void = () => undefined;
   private readonly sender: Sender;
   private readonly pourer: Pourer;
+  private readonly turns = new Turns();
   readonly counts = new Map<string, number>();
 
   constructor(
@@ -57,7 +59,8 @@
   handle(request: IncomingMessage, response: ServerResponse): void {
     const caller = new Caller(request, response, () => this.closing);
     this.running.add(caller);
-    void this.carry(caller)
+    void this.turns
+      .take(request.socket, caller, () => this.carry(caller))
       .catch((thrown: unknown) => {
         this.log('fault', [['step', 'forward'], ['reason', String(thrown)]]);
         caller.cut();
@@ -96,6 +99,11 @@
     };
     const table = this.inForce.routes;
     if (table.version === 0 || !this.mayServe()) return refuse(503, 'no configuration is in force here', DEFAULT_WAIT);
+    if (!caller.framed) {
+      caller.forgo();
+      return refuse(400, 'a transfer coding that is not chunked alone');
+    }
+    if (table.limits.headerBytes !== undefined && caller.headerBytes > table.limits.headerBytes) return refuse(431, `a header of over ${table.limits.headerBytes} bytes`);
     const route = table.match(caller.field('host') ?? '', caller.target);
     if (!route) return refuse(404, 'no route has this host and path');
     if (!id) return refuse(400, `the field ${this.dialect.requestId} is missing or stands more than once`);
@@ -104,14 +112,15 @@
     chart.step('routed');
     const bound = table.limits.bodyBytes ?? this.params.bodyBytes;
     if (this.held > this.params.heldBytes) return refuse(503, 'too many bytes are held here', DEFAULT_WAIT);
-    const body = await caller.body(bound);
+    const told = Number(caller.field(this.dialect.deadline));
+    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
+    const body = await within(this.clock, patience, caller.body(bound));
+    if (!body) return refuse(408, 'its time was over before it was read whole');
     if (body.isLeft()) {
       if (caller.gone.aborted) return void chart.step('left');
       return refuse(413, (body.extract() as Fault).reason);
     }
     chart.step('read');
-    const told = Number(caller.field(this.dialect.deadline));
-    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
     const job: Job = {
       caller, route, service, id, chart, begun, body: body.extract() as Buffer | undefined, limit: (begun + patience) as Moment,
       prompt: this.dialect.prompt((name) => caller.field(name)), tried: new Set(), sends: 0, unsent: 0,
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -3,9 +3,9 @@
  * holder, which is answered when there is newer news, and carries the list only when it is another than the asker
  * holds. They count the news' age from when they asked, less the time the ask was kept open, so it is never
  * understated. Whoever is asked and has only old news polls, so that nodes that don't agree on the holder yet have news
- * all the same. A holder that does not answer is passed over for a while, and the next one has the duty; a node whose
- * news grows old polls for itself besides, within its own slice of the platform's rate limit. Where `place` is not 0,
- * the place of every engine lapses once the news is older than that.
+ * all the same. A holder that does not answer, or can't have the list itself, is passed over for a while, and the next
+ * one has the duty; a node whose news grows old polls for itself besides, within its own slice of the platform's rate
+ * limit. Where `place` is not 0, the place of every engine lapses once the news is older than that.
  */
 import { request } from 'undici';
 import { Right } from 'purify-ts';
@@ -131,7 +131,8 @@
     const holder = routers.find(({ name }) => name === first);
     if (!holder || first === this.view.self.name) {
       await this.poll(every);
-      return every;
+      if (this.late) this.passedOver.set(this.view.self.name, later(this.clock.now(), PASSED_OVER));
+      return this.late ? every / 4 : every;
     }
     if (!(await this.askHolder(holder.address))) {
       this.passedOver.set(holder.name, later(this.clock.now(), PASSED_OVER));
