A planned stop reads nothing more behind an answer begun before it

An answer whose head was sent before SIGTERM left its connection open for more; a request that came there after the drain had found nothing open was read, and cut when the faces closed. Ruled out: the order of readiness and listener (both as told). Idle connections are now closed as answers end once the face takes nothing new, and the drain looks again after the duties are handed over.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,21 +1,27 @@
 /**
  * Bundles the program for the platform into one file, which starts faster than hundreds of modules: platform/main.ts
- * and all it needs, to target/platform/main.js. It lies two folders deep, so that the schema file is found from it as
- * from the sources. What Nest would only load if it were installed stays outside.
+ * and all it needs, to target/platform/main.cjs, with start.js beside it, which loads it with the compiled code that a
+ * first run leaves there. It lies two folders deep, so that the schema file is found from it as from the sources. What
+ * Nest would only load if it were installed stays outside.
  */
 import { build } from 'esbuild';
+import { copyFile } from 'node:fs/promises';
 
 const optional = ['@nestjs/microservices', '@nestjs/websockets', '@nestjs/platform-express', 'class-transformer', 'class-validator', '@fastify/static', '@fastify/view'];
 
 await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/platform/main.js',
+  outfile: 'target/platform/main.cjs',
   bundle: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
+  format: 'cjs',
   keepNames: true,
+  minifyWhitespace: true,
+  minifySyntax: true,
+  define: { 'import.meta.url': 'moduleAddress' },
   external: [...optional, ...optional.map((name) => `${name}/*`)],
-  banner: { js: "import { createRequire as requireFrom } from 'node:module'; const require = requireFrom(import.meta.url);" },
+  banner: { js: "const moduleAddress = require('node:url').pathToFileURL(__filename).href;" },
   logLevel: 'warning',
 });
+await copyFile('deploy/start.js', 'target/platform/start.js');
--- a/src/api/schema.ts
+++ b/src/api/schema.ts
@@ -1,4 +1,7 @@
-/** The operator calls as the schema file states them: types made from it, and checks compiled from the same file. */
+/**
+ * The operator calls as the schema file states them: types made from it, and checks compiled from the same file. The file
+ * is read at the first call, since a node that starts has requests to serve before.
+ */
 import AjvModule from 'ajv';
 import { readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
@@ -15,14 +18,11 @@
 const file = fileURLToPath(new URL('../../schema/rudderridge.yaml', import.meta.url));
 
 export class SchemaCheck {
-  private readonly ajv = new Ajv({ strict: false, allErrors: false });
-
-  constructor() {
-    this.ajv.addSchema(parse(readFileSync(file, 'utf8')) as object, 'rudderridge');
-  }
+  private compiled: InstanceType<typeof Ajv> | undefined;
 
   check<K extends keyof Schemas>(name: K, value: unknown): Outcome<Schemas[K]> {
-    const validate = this.ajv.getSchema(`rudderridge#/components/schemas/${name}`);
+    this.compiled ??= new Ajv({ strict: false, allErrors: false }).addSchema(parse(readFileSync(file, 'utf8')) as object, 'rudderridge');
+    const validate = this.compiled.getSchema(`rudderridge#/components/schemas/${name}`);
     if (!validate) return failed('schema.check', 'operator', `no schema ${name}`);
     if (validate(value)) return Right(value as Schemas[K]);
     const error = validate.errors![0]!;
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -136,13 +136,17 @@
       stopping = true;
       log('stopping', [['signal', signal]]);
       void (async () => {
+        const clock = context.get<Clock>(names.clock);
+        const limit = clock.now() + params.drain;
         for (const face of faces) face.retire?.();
-        await context.get<Clock>(names.clock).sleep(params.listen.notice);
+        await clock.sleep(params.listen.notice);
         for (const face of faces) face.halt?.();
         let left = 0;
         if (node instanceof RouterNode) {
-          left += await context.get<RequestHandler>(names.forwarder).drain(Math.max(0, params.drain - params.listen.notice));
+          const forwarder = context.get<RequestHandler>(names.forwarder);
+          await forwarder.drain(Math.max(0, limit - clock.now()));
           left += await node.drain();
+          left += await forwarder.drain(Math.max(0, limit - clock.now()));
         }
         stop.abort();
         for (const face of faces) await face.close().catch(() => undefined);
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -24,6 +24,7 @@
   private readonly unanswered = new Set<ServerResponse>();
   private heeded: Limits | undefined;
   private retiring = false;
+  private halted = false;
 
   /** `limits` gives those in force; the same object as long as they are the same. */
   constructor(private readonly handler: RequestHandler, private readonly limits: () => Limits) {
@@ -48,6 +49,7 @@
 
   /** Also closes the connections on which nothing is under way. */
   halt(): void {
+    this.halted = true;
     this.server.close();
   }
 
@@ -62,7 +64,10 @@
     this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
     this.unanswered.add(response);
-    response.once('close', () => this.unanswered.delete(response));
+    response.once('close', () => {
+      this.unanswered.delete(response);
+      if (this.halted) setImmediate(() => this.server.closeIdleConnections());
+    });
     this.handler.handle(request, response);
   }
 
--- a/test/faces/requests.test.ts
+++ b/test/faces/requests.test.ts
@@ -67,3 +67,27 @@
   for (const { answer } of [early, late]) expect((await answer).headers.connection).toBe('close');
   await face.close();
 });
+
+test('an answer begun before a planned stop ends its connection too, so that nothing more is read on it', async () => {
+  const { face, port, taken } = await open();
+  const agent = new Agent({ keepAlive: true });
+  const begun = send(port, agent);
+  await until(() => taken.length === 1);
+  taken[0]!.response.writeHead(200).write('the head and a piece');
+  const answer = await begun.answer;
+  face.retire();
+  face.halt();
+  const ended = new Promise<void>((resolve) => answer.once('end', () => resolve()));
+  taken[0]!.response.end('the rest');
+  await ended;
+  let freed = false;
+  agent.once('free', () => (freed = true));
+  await until(() => freed || answer.socket.destroyed);
+  for (let turn = 0; turn < 20; turn++) await new Promise((resolve) => setImmediate(resolve));
+  const next = send(port, agent).answer.then(() => 'answered', () => 'refused');
+  await until(() => taken.length === 2 || answer.socket.destroyed);
+  expect(taken.length).toBe(1);
+  expect(await next).toBe('refused');
+  agent.destroy();
+  await face.close();
+});
