Disks: old generations go, a failed or stalled write ends the vote only until the disk works again

core.keep and core.keepBytes bound what of the past is kept (default all); repair and history begin at the floor. A write that fails, or takes longer than core.stall, takes the member out of the vote; it goes on taking settled generations in memory and answering from it, and once the disk keeps a probe with room for a generation, what it holds is read anew, the newest settled generation is written, and the member votes. A disk that then lacks what was voted for ends the voting for good. Word that something settled no longer waits behind a write. What a failed or broken-off write left aside is removed.

Two faults found by the standing checker once routers followed neighbours faster: a router that vouched for another on an old generation held its report back for as long as that one renewed on a newer one, so accepted was never told; each generation's lease now ends on its own. And a router cut off from the core asked one neighbour at a time; it asks three.

--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -16,6 +16,7 @@
 import { Follower } from '../register/follower.js';
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
+import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
 import type { Roster } from '../register/roster.js';
 import { Succession } from '../register/succession.js';
@@ -66,9 +67,10 @@
     const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
-    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
+    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers, this.params.core.keep + this.params.core.keepBytes > 0);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
+    void keepRecovering(this.member, this.clock, this.stop.signal);
     if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
@@ -95,14 +97,13 @@
   /** Keeps the newest settled generation in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      const { newest, settledGeneration } = this.member;
-      if (newest && newest.generation === settledGeneration && this.inForce.swap(newest)) {
+      const newest = this.member.chain.document;
+      if (newest && this.inForce.swap(newest)) {
         this.roster.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['generation', newest.generation]]);
       }
-      await this.member.beyond(this.inForce.generation, 500);
-      if (this.member.settledGeneration > this.inForce.generation && this.member.newest?.generation !== this.member.settledGeneration) await this.clock.sleep(50, this.stop.signal);
+      await this.member.chain.beyond(this.inForce.generation, 500);
     }
   }
 
@@ -134,7 +135,7 @@
         {
           provide: names.member,
           inject: [names.disk, names.peers, names.clock, names.random, names.log],
-          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet), peers, clock, random, log),
+          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, clock, random, log, params.core.stall),
         },
         {
           provide: names.keeper,
--- a/src/kernel/disk/disk.ts
+++ b/src/kernel/disk/disk.ts
@@ -1,6 +1,7 @@
 /**
  * The one data folder. A file is written aside, synced, renamed, and its folder synced before the call returns: only
- * then is it durable. Reading gives what is there; callers judge it by digest.
+ * then is it durable. Reading gives what is there; callers judge it by digest. What a write that failed, or that the end of
+ * a process cut short, left aside is taken away, so that it does not fill the disk.
  */
 import { Injectable } from '@nestjs/common';
 import { mkdir, open, readFile, readdir, rename, rm } from 'node:fs/promises';
@@ -29,6 +30,7 @@
 @Injectable()
 export class FolderDisk implements Disk {
   private asides = 0;
+  private readonly tidied = new Set<string>();
 
   constructor(private readonly root: string) {}
 
@@ -38,14 +40,20 @@
       const aside = `${target}.aside-${process.pid}-${++this.asides}`;
       const made = await mkdir(dirname(target), { recursive: true });
       if (made) await syncFolder(dirname(made));
-      const handle = await open(aside, 'w', 0o600);
+      await this.tidy(dirname(target));
       try {
-        await handle.writeFile(bytes);
-        await handle.sync();
-      } finally {
-        await handle.close();
+        const handle = await open(aside, 'w', 0o600);
+        try {
+          await handle.writeFile(bytes);
+          await handle.sync();
+        } finally {
+          await handle.close();
+        }
+        await rename(aside, target);
+      } catch (thrown) {
+        await rm(aside, { force: true }).catch(() => undefined);
+        throw thrown;
       }
-      await rename(aside, target);
       await syncFolder(dirname(target));
     }, 'unknown');
   }
@@ -72,6 +80,14 @@
     });
   }
 
+  /** Before the first write into a folder, takes away what an earlier process left aside there. */
+  private async tidy(folder: string): Promise<void> {
+    if (this.tidied.has(folder)) return;
+    this.tidied.add(folder);
+    const left = (await readdir(folder)).filter((name) => name.includes('.aside-') && !name.includes(`.aside-${process.pid}-`));
+    await Promise.all(left.map((name) => rm(join(folder, name), { force: true })));
+  }
+
   remove(path: string): Promise<Outcome<void>> {
     return attempt('disk.remove', path, () => rm(join(this.root, path), { force: true }));
   }
--- a/src/lease/vows.ts
+++ b/src/lease/vows.ts
@@ -15,7 +15,8 @@
 const BOUND = 1024;
 
 export class Vows {
-  private readonly granted = new Map<string, { generation: number; until: Moment }>();
+  /** For each node, until when it may stand on a generation by this one's word. */
+  private readonly granted = new Map<string, Map<number, Moment>>();
   private readonly started: Moment;
   private enrolledBefore: boolean | undefined;
 
@@ -35,9 +36,12 @@
     const now = this.clock.now();
     if (this.enrolledBefore && now < this.started + this.terms.duration) return 0;
     let report = document.generation;
-    for (const [node, { generation, until }] of this.granted) {
-      if (until <= now) this.granted.delete(node);
-      else report = Math.min(report, generation);
+    for (const [node, leases] of this.granted) {
+      for (const [generation, until] of leases) {
+        if (until <= now) leases.delete(generation);
+        else report = Math.min(report, generation);
+      }
+      if (leases.size === 0) this.granted.delete(node);
     }
     return report;
   }
@@ -48,9 +52,8 @@
     if (own === 0) return declined('nothing is in force here yet');
     if (own > generation) return declined(`generation ${own} is in force here`);
     if (!this.granted.has(node) && this.granted.size >= BOUND) return declined('too many leases');
-    const before = this.granted.get(node);
-    const live = before && before.until > this.clock.now() ? Math.min(before.generation, generation) : generation;
-    this.granted.set(node, { generation: live, until: later(this.clock.now(), this.terms.duration) });
+    const leases = this.granted.get(node) ?? new Map<number, Moment>();
+    this.granted.set(node, leases.set(generation, later(this.clock.now(), this.terms.duration)));
     return { node: this.node, granted: true, duration: this.terms.duration, reason: '' };
   }
 }
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -11,7 +11,7 @@
 import type { Peers } from '../wire/peers.js';
 import { Feed, State, Tip, type FeedItem, type FeedReply, type StateReply } from './calls.js';
 import { decodeDocument, digestOf, type Document } from './document.js';
-import { gather, type Replies } from './gather.js';
+import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
 import type { Roster } from './roster.js';
@@ -24,6 +24,8 @@
 const SLACK = 300;
 /** For how long a source may be behind another member. */
 const GRACE = 60;
+/** How many neighbours are asked at a time while no core member answers. */
+const NEIGHBOURS = 3;
 
 export class Follower {
   held = 0;
@@ -54,8 +56,7 @@
     while (!signal.aborted) {
       const source = this.floor === undefined ? await this.begin() : await this.seek();
       if (this.floor !== undefined && !(source && (await this.followOne(source, signal))) && !signal.aborted) {
-        const neighbour = pick(this.random, this.relay?.sources ?? []);
-        if (neighbour) await this.followOne(neighbour, signal, true);
+        await this.askNeighbours();
         await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
       } else if (this.floor === undefined) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
@@ -95,11 +96,18 @@
     }
   }
 
-  /** Follows one source until it has nothing to give, or once only; says whether it gave anything. */
-  private async followOne(source: string, signal: AbortSignal, once = false): Promise<boolean> {
+  /** Without the core, takes what some neighbours have. */
+  private async askNeighbours(): Promise<void> {
+    const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
+    const replies = await gather(some, (address) => this.peers.ask(address, Feed, { from: this.held, wait: 0 }, SEEK_LIMIT), (all) => sound(all).some(({ items }) => items.length > 0));
+    for (const [address, reply] of replies) if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
+  }
+
+  /** Follows one source until it has nothing to give; says whether it gave anything. */
+  private async followOne(source: string, signal: AbortSignal): Promise<boolean> {
     this.source = source;
     for (let answered = false; ; answered = true) {
-      if (signal.aborted || (answered && once)) return answered;
+      if (signal.aborted) return answered;
       if (this.own() > this.held) {
         this.held = this.own();
         this.digest = '';
@@ -110,30 +118,35 @@
       const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait }, this.wait + SLACK), left]);
       if (!reply) this.log('feed-left', [['peer', source], ['generation', this.known]]);
       if (!reply || reply.isLeft()) return answered;
-      const { settled, items } = reply.unsafeCoerce() as FeedReply;
-      if (settled < Math.max(this.held, this.floor ?? 0)) return answered;
-      const documents: Document[] = [];
-      let held = { generation: this.held, digest: this.digest };
-      const taken: FeedItem[] = [];
-      for (const item of items) {
-        const document = decodeDocument(item.document, source);
-        if (document.isLeft()) return answered;
-        const next = document.unsafeCoerce();
-        if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
-        if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
-          this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
-          return answered;
-        }
-        held = { generation: next.generation, digest: digestOf(item.document) };
-        documents.push(next);
-        taken.push(item);
-        this.roster.learn(next.core);
+      if (!(await this.consume(source, reply.extract() as FeedReply))) return answered;
+    }
+  }
+
+  /** Takes what follows the generation held; says whether the source is worth asking again. */
+  private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
+    if (settled < Math.max(this.held, this.floor ?? 0)) return false;
+    const documents: Document[] = [];
+    let held = { generation: this.held, digest: this.digest };
+    const taken: FeedItem[] = [];
+    for (const item of items) {
+      const document = decodeDocument(item.document, source);
+      if (document.isLeft()) return false;
+      const next = document.unsafeCoerce();
+      if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
+      if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
+        this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
+        return false;
       }
-      if (documents.length === 0) continue;
-      for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
-      await this.take(documents, taken, settled);
-      this.held = held.generation;
-      this.digest = held.digest;
+      held = { generation: next.generation, digest: digestOf(item.document) };
+      documents.push(next);
+      taken.push(item);
+      this.roster.learn(next.core);
     }
+    if (documents.length === 0) return true;
+    for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
+    await this.take(documents, taken, settled);
+    this.held = held.generation;
+    this.digest = held.digest;
+    return true;
   }
 }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -1,21 +1,26 @@
 /**
  * A member of the core group: it promises and accepts, and answers only after what it answers is synced. One task at
- * a time touches its state. A failed write ends its voting until it is started anew, since what is on the disk is then
- * not sure; a file that is spoilt at start does the same when it may have held a vote. A settled generation it learns
- * from a peer is taken like a late accept, since a chosen value may be repeated anywhere.
+ * a time touches its state. A write that fails, or that takes longer than a stall may, ends its voting, since what is on
+ * the disk is then not sure: it stays readable, and votes again once the disk has worked again and was read anew. A file
+ * that is spoilt at start ends its voting for good when it may have held a vote. A settled generation it learns from a
+ * peer is taken like a late accept, since a chosen value may be repeated anywhere.
  */
 import { Right } from 'purify-ts';
 import { within, type Clock } from '../kernel/clock/clock.js';
-import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
+import { Chain } from './chain.js';
 import { Accept, Feed, Form, History, Prepare, Settled, State, Tip, type AcceptAsk, type AcceptReply, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
 import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
-import type { Filed, Store } from './store.js';
+import type { Filed, Found, Store } from './store.js';
 
 const FEED_DEPTH = 16;
+const STALL = 1500;
+/** How many bytes beside room for a generation a disk must take before it counts as working again. */
+const PROBE = 65_536;
 const FEED_BYTES = 4 * 1024 * 1024;
 const WAIT_BOUND = 10_000;
 
@@ -27,60 +32,89 @@
   id = '';
   private promised: Ballot = FIRST;
   private accepted: Held | undefined;
-  private settled = 0;
-  /** Digests of settled generations, as far as the chain back from the newest one is known. */
-  private readonly chain = new Map<number, string>();
-  private readonly recent = new Map<number, Filed>();
+  readonly chain: Chain;
   /** Whether this very process took part in forming the core. */
   founder = false;
   private impairment = '';
+  /** The disk failed a write; what it holds must be read again before this member votes. */
+  private troubled = false;
   /** What this member voted for may be lost. */
   private doubtful = false;
   private turn: Promise<unknown> = Promise.resolve();
-  private readonly watchers = new Set<() => void>();
 
-  constructor(private readonly store: Store, private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random, private readonly log: Log) {}
+  constructor(private readonly store: Store, private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly stall = STALL) {
+    this.chain = new Chain(clock);
+  }
 
   async start(): Promise<Outcome<void>> {
-    const opened = await this.store.open();
-    if (opened.isLeft()) return opened as Outcome<never>;
-    const found = opened.unsafeCoerce();
-    this.promised = found.promised;
-    if (found.accepted) {
-      const parsed = decodeDocument(found.accepted.document, 'disk');
-      if (parsed.isLeft()) return parsed as Outcome<never>;
-      this.accepted = { ...found.accepted, parsed: parsed.unsafeCoerce() };
-    }
-    if (this.accepted && compareBallots(this.accepted.ballot, this.promised) > 0) this.promised = this.accepted.ballot;
-    const newest = this.accepted?.parsed.generation ?? 0;
-    const doubtful = found.spoilt.filter((path) => !path.startsWith('generations/') || Number(path.slice(12)) >= newest);
-    for (const path of found.spoilt) this.log('file-spoilt', [['path', path], ['votes', !doubtful.includes(path)]]);
-    this.doubtful = doubtful.length > 0;
-    if (doubtful.length) this.impair(`spoilt on disk: ${doubtful.join(' ')}`);
-    if (found.member) this.id = found.member;
+    const found = await this.load();
+    if (found.isLeft()) return found as Outcome<never>;
+    const { member } = found.unsafeCoerce();
+    if (member) this.id = member;
     else {
       this.id = this.random.identity();
-      if (this.accepted || compareBallots(this.promised, FIRST) > 0) {
-        this.doubtful = true;
-        this.impair('votes on disk without an identity');
-      }
-      const kept = await this.store.keepIdentity(this.id);
-      if (kept.isLeft()) return kept;
+      if (this.accepted || compareBallots(this.promised, FIRST) > 0) this.doubt('votes on disk without an identity');
+      await this.write(this.store.keepIdentity(this.id));
     }
     this.peers.handle(Prepare, (ask) => this.alone(() => this.prepare(ask)));
     this.peers.handle(Accept, (ask) => this.alone(() => this.accept(ask)));
-    this.peers.handle(Settled, async (tell, peer) => Right({ known: await this.alone(() => this.learn(tell, peer)) }));
+    this.peers.handle(Settled, async (tell, peer) => Right({ known: await this.learn(tell, peer) }));
     this.peers.handle(State, () => Right(this.state()));
     this.peers.handle(Feed, ({ from, wait }) => this.feed(from, wait));
     this.peers.handle(Tip, async ({ from, wait }) => {
-      await this.beyond(from, Math.min(wait, WAIT_BOUND));
-      return Right({ settled: this.settled });
+      await this.chain.beyond(from, Math.min(wait, WAIT_BOUND));
+      return Right({ settled: this.chain.settled });
     });
     this.peers.handle(Form, ({ document }) => this.alone(() => this.form(document)));
     this.peers.handle(History, ({ generation }) => this.history(generation));
     return Right(undefined);
   }
 
+  /** Reads what the disk holds, on top of what is known here; a vote that may be lost ends the voting for good. */
+  private async load(): Promise<Outcome<Found>> {
+    const opened = await this.store.open();
+    if (opened.isLeft()) return opened;
+    const found = opened.unsafeCoerce();
+    if (found.accepted && (!this.accepted || compareBallots(found.accepted.ballot, this.accepted.ballot) >= 0)) {
+      const parsed = decodeDocument(found.accepted.document, 'disk');
+      if (parsed.isLeft()) return parsed as Outcome<never>;
+      this.accepted = { ...found.accepted, parsed: parsed.unsafeCoerce() };
+    } else if (this.accepted) this.doubt('what was accepted is gone from the disk');
+    if (compareBallots(found.promised, this.promised) > 0) this.promised = found.promised;
+    if (this.accepted && compareBallots(this.accepted.ballot, this.promised) > 0) this.promised = this.accepted.ballot;
+    const newest = this.accepted?.parsed.generation ?? 0;
+    const doubtful = found.spoilt.filter((path) => !path.startsWith('generations/') || Number(path.slice(12)) >= newest);
+    for (const path of found.spoilt) this.log('file-spoilt', [['path', path], ['votes', !doubtful.includes(path)]]);
+    if (doubtful.length) this.doubt(`spoilt on disk: ${doubtful.join(' ')}`);
+    return opened;
+  }
+
+  /** After the disk failed a write: once it takes and keeps one again, what it holds is read anew, and this member votes. */
+  async recover(): Promise<boolean> {
+    if (!this.troubled || this.doubtful) return false;
+    await this.store.idle();
+    const began = this.clock.now();
+    const probed = await this.store.probe(2 * (this.accepted?.document.length ?? 0) + PROBE);
+    if (probed.isLeft() || this.clock.now() - began > this.stall) return false;
+    return this.alone(async () => {
+      const before = this.promised;
+      const loaded = await this.load();
+      if (loaded.isLeft()) return false;
+      const found = loaded.unsafeCoerce();
+      if (found.member !== undefined && found.member !== this.id) this.doubt('the disk is that of another member');
+      if (found.member === undefined && (this.accepted || compareBallots(before, FIRST) > 0)) this.doubt('the identity is gone from the disk');
+      const onDisk = [found.promised, found.accepted?.ballot ?? FIRST];
+      if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0)) this.doubt('a promise is gone from the disk');
+      if (this.doubtful || (found.member === undefined && (await this.store.keepIdentity(this.id)).isLeft())) return false;
+      this.troubled = false;
+      this.impairment = '';
+      const missed = this.chain.filed(this.chain.settled);
+      if (missed && !(await this.keep(this.chain.document!, missed))) return false;
+      this.log('voting-resumed', [['generation', this.accepted?.parsed.generation ?? 0]]);
+      return true;
+    });
+  }
+
   state(): StateReply {
     const seated = this.seated();
     return {
@@ -91,7 +125,7 @@
       reason: this.impairment || (seated ? '' : 'not in the core set'),
       accepted: this.accepted?.ballot ?? FIRST,
       generation: this.accepted?.parsed.generation ?? 0,
-      settled: this.settled,
+      settled: this.chain.settled,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
     };
@@ -105,27 +139,17 @@
   get knownCore(): CoreSet {
     if (!this.accepted) return { number: 0, wanted: 0, members: [] };
     const { parsed, under } = this.accepted;
-    return parsed.generation <= this.settled ? parsed.core : (under ?? parsed.core);
+    const sure = parsed.generation <= this.chain.settled ? parsed.core : (under ?? parsed.core);
+    const settled = this.chain.document?.core;
+    return settled && settled.number > sure.number ? settled : sure;
   }
 
   get settledGeneration(): number {
-    return this.settled;
+    return this.chain.settled;
   }
 
-  /** One digest over the whole chain of settled generations, or nothing while it is not known whole. */
   get wholeDigest(): string {
-    if (this.settled === 0 || this.chain.size < this.settled) return '';
-    return this.rangeDigest(1, this.settled);
-  }
-
-  rangeDigest(from: number, to: number): string {
-    const digests: string[] = [];
-    for (let generation = from; generation <= to; generation++) digests.push(this.chain.get(generation) ?? '');
-    return digestOf(digests.join(' '));
-  }
-
-  chained(generation: number): string | undefined {
-    return this.chain.get(generation);
+    return this.chain.wholeDigest;
   }
 
   /** The digest of a generation as it is on the disk now, noting its link to the one before when it is the settled one. */
@@ -134,37 +158,21 @@
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
     const digest = digestOf(filed.document);
-    if (digest === this.chain.get(generation)) this.link(generation, filed.document);
+    if (digest === this.chain.digest(generation)) this.link(generation, filed.document);
     return digest;
   }
 
   /** Puts a settled generation in place of a missing, spoilt or never chosen one. */
   mend(generation: number, item: FeedItem): Promise<boolean> {
     return this.alone(async () => {
-      if (this.impairment || digestOf(item.document) !== this.chain.get(generation)) return false;
-      const kept = await this.store.keepGeneration(generation, item);
-      if (kept.isLeft()) {
-        this.impair(kept.extract().reason);
-        return false;
-      }
+      if (this.impairment || digestOf(item.document) !== this.chain.digest(generation)) return false;
+      if (!(await this.write(this.store.keepGeneration(generation, item)))) return false;
       this.link(generation, item.document);
       this.log('generation-mended', [['generation', generation]]);
       return true;
     });
   }
 
-  /** Waits until something settled beyond the generation given, or until the limit. */
-  async beyond(generation: number, limit: number): Promise<void> {
-    if (this.settled > generation) return;
-    let wake: () => void = () => undefined;
-    const news = new Promise<void>((resolve) => {
-      wake = resolve;
-      this.watchers.add(wake);
-    });
-    await within(this.clock, limit, news);
-    this.watchers.delete(wake);
-  }
-
   /** Takes generations that a peer knows to be settled, oldest first. */
   takeSettled(items: readonly FeedItem[], settled: number): Promise<void> {
     return this.alone(async () => {
@@ -174,9 +182,8 @@
         const document = parsed.unsafeCoerce();
         if (document.generation > settled) return;
         const kept = await this.keep(document, item);
-        if (!kept) return;
-        if (document.generation > this.settled) this.recent.set(document.generation, item);
-        this.settle(document.generation, digestOf(item.document), document.previous);
+        if (!kept && !this.troubled) return;
+        this.settle(document, item);
       }
     });
   }
@@ -192,6 +199,21 @@
     this.impairment ||= reason;
   }
 
+  /** What this member voted for may be lost, so it does not vote again under its identity. */
+  private doubt(reason: string): void {
+    this.doubtful = true;
+    this.impair(reason);
+  }
+
+  /** Waits for a write as long as a stall may last; whether it is sure to be kept. */
+  private async write(writing: Promise<Outcome<void>>): Promise<boolean> {
+    const kept = await within(this.clock, this.stall, writing);
+    if (kept?.isRight()) return true;
+    this.troubled = true;
+    this.impair(kept ? (kept.extract() as Fault).reason : `the disk did not answer within ${this.stall} ms`);
+    return false;
+  }
+
   /**
    * The core sets under which this member votes: the one its value names, and the one its value was proposed under. A
    * round under an older set can't find a majority any more once a value proposed under the newer one was accepted.
@@ -220,15 +242,11 @@
     const held = may.unsafeCoerce();
     const promised = compareBallots(ballot, this.promised) > 0;
     if (promised) {
-      const kept = await this.store.keepPromise(ballot);
-      if (kept.isLeft()) {
-        this.impair(kept.extract().reason);
-        return failed('member.prepare', this.id, 'could not keep a promise', 'unknown');
-      }
+      if (!(await this.write(this.store.keepPromise(ballot)))) return failed('member.prepare', this.id, 'could not keep a promise', 'unknown');
       this.promised = ballot;
       this.log('promised', [['ballot', ballotText(ballot)]]);
     }
-    return Right({ promised, highest: this.promised, accepted: held.ballot, settled: this.settled, document: promised ? held.document : Buffer.alloc(0) });
+    return Right({ promised, highest: this.promised, accepted: held.ballot, settled: this.chain.settled, document: promised ? held.document : Buffer.alloc(0) });
   }
 
   private async accept({ set, ballot, document }: AcceptAsk): Promise<Outcome<AcceptReply>> {
@@ -239,11 +257,7 @@
     if (decoded.isLeft()) return decoded as Outcome<never>;
     const parsed = decoded.unsafeCoerce();
     const under = this.sets.find(({ number }) => number === set);
-    const kept = await this.store.keepGeneration(parsed.generation, { ballot, document, under });
-    if (kept.isLeft()) {
-      this.impair(kept.extract().reason);
-      return failed('member.accept', this.id, 'could not keep a generation', 'unknown');
-    }
+    if (!(await this.write(this.store.keepGeneration(parsed.generation, { ballot, document, under })))) return failed('member.accept', this.id, 'could not keep a generation', 'unknown');
     this.promised = ballot;
     this.accepted = { ballot, document, parsed, under };
     this.log('accepted', [['generation', parsed.generation], ['ballot', ballotText(ballot)]]);
@@ -258,11 +272,7 @@
     if (this.accepted) return Right({ formed: false });
     if (parsed.generation !== 1 || !parsed.core.members.some(({ id }) => id === this.id)) return failed('member.form', this.id, 'not named in that core set');
     const ballot = { counter: 1, node: 'genesis', incarnation: '' };
-    const kept = await this.store.keepGeneration(1, { ballot, document });
-    if (kept.isLeft()) {
-      this.impair(kept.extract().reason);
-      return failed('member.form', this.id, 'could not keep the first generation', 'unknown');
-    }
+    if (!(await this.write(this.store.keepGeneration(1, { ballot, document })))) return failed('member.form', this.id, 'could not keep the first generation', 'unknown');
     this.accepted = { ballot, document, parsed };
     if (compareBallots(ballot, this.promised) > 0) this.promised = ballot;
     this.founder = true;
@@ -270,15 +280,21 @@
     return Right({ formed: true });
   }
 
-  private async learn({ generation, ballot, digest }: SettledTell, peer: string): Promise<boolean> {
-    if (generation <= this.settled) return true;
-    if (!this.accepted) return false;
-    if (this.accepted.parsed.generation === generation && digestOf(this.accepted.document) === digest) {
-      this.settle(generation, digest, this.accepted.parsed.previous);
-      return true;
-    }
-    this.log('settled-unheld', [['generation', generation], ['ballot', ballot.counter], ['peer', peer]]);
-    return false;
+  /** What was settled is noted at once when it is held here, else once what is being written now is. */
+  private async learn(tell: SettledTell, peer: string): Promise<boolean> {
+    if (this.held(tell)) return true;
+    return this.alone(async () => {
+      const held = this.held(tell);
+      if (!held && this.accepted) this.log('settled-unheld', [['generation', tell.generation], ['ballot', tell.ballot.counter], ['peer', peer]]);
+      return Promise.resolve(held);
+    });
+  }
+
+  private held({ generation, digest }: SettledTell): boolean {
+    if (generation <= this.chain.settled) return true;
+    if (this.accepted?.parsed.generation !== generation || digestOf(this.accepted.document) !== digest) return false;
+    this.settle(this.accepted.parsed, this.accepted);
+    return true;
   }
 
   private async keep(document: Document, filed: Filed): Promise<boolean> {
@@ -290,61 +306,55 @@
       if (same || document.generation >= held.parsed.generation) return true;
     }
     if (this.impairment) return false;
-    const kept = await this.store.keepGeneration(document.generation, filed);
-    if (kept.isLeft()) {
-      this.impair(kept.extract().reason);
-      return false;
-    }
+    if (!(await this.write(this.store.keepGeneration(document.generation, filed)))) return false;
     if (newer) this.accepted = { ...filed, parsed: document };
     return true;
   }
 
   private link(generation: number, document: Uint8Array): void {
-    const previous = decodeDocument(document, 'disk').map((parsed) => parsed.previous).orDefault('');
-    if (generation > 1 && previous) this.chain.set(generation - 1, previous);
+    this.chain.link(generation, decodeDocument(document, 'disk').map((parsed) => parsed.previous).orDefault(''));
   }
 
-  private settle(generation: number, digest: string, previous: string): void {
-    if (generation <= this.settled) return;
-    this.settled = generation;
-    this.log('settled', [['generation', generation]]);
-    this.chain.set(generation, digest);
-    if (generation > 1) this.chain.set(generation - 1, previous);
-    if (this.accepted && this.accepted.parsed.generation === generation) this.recent.set(generation, this.accepted);
-    for (const old of this.recent.keys()) {
-      if (this.recent.size <= FEED_DEPTH) break;
-      this.recent.delete(old);
-    }
-    for (const wake of [...this.watchers]) wake();
+  private settle(document: Document, filed: Filed): void {
+    if (!this.chain.settle(document, digestOf(filed.document), filed)) return;
+    this.log('settled', [['generation', document.generation]]);
+    this.prune();
+  }
+
+  /** Takes generations away that need not be kept, save what this member has accepted. */
+  private prune(): void {
+    const floor = this.store.floor(Math.min(this.chain.settled, this.accepted?.parsed.generation ?? 0));
+    this.chain.raise(floor);
+    this.store.prune(floor);
   }
 
   private async feed(from: number, wait: number): Promise<Outcome<FeedReply>> {
-    if (this.settled <= from && from > 0 && this.impairment) return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
-    if (this.settled <= from) await this.beyond(from, Math.min(wait, WAIT_BOUND));
-    const settled = this.settled;
+    if (this.chain.settled <= from && from > 0 && this.impairment) return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
+    if (this.chain.settled <= from) await this.chain.beyond(from, Math.min(wait, WAIT_BOUND));
+    const settled = this.chain.settled;
     if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
     const items: FeedItem[] = [];
     let bytes = 0;
     if (from > 0 && settled - from <= FEED_DEPTH) {
       for (let generation = from + 1; generation <= settled; generation++) {
-        const filed = this.recent.get(generation);
+        const filed = this.chain.filed(generation);
         bytes += filed?.document.length ?? 0;
         if (!filed || bytes > FEED_BYTES) break;
         items.push(filed);
       }
     }
     if (items.length) return Right({ settled, checkpoint: false, items });
-    const newest = this.recent.get(settled);
+    const newest = this.chain.filed(settled);
     if (!newest) return failed('member.feed', this.id, `generation ${settled} is not held here`);
     return Right({ settled, checkpoint: true, items: [newest] });
   }
 
   /** The settled generation asked for, from memory or disk, only when it belongs to the chain that settled. */
   private async history(generation: number): Promise<Outcome<{ items: FeedItem[] }>> {
-    if (generation < 1 || generation > this.settled) return Right({ items: [] });
-    const filed = this.recent.get(generation);
+    if (generation < this.chain.floor || generation > this.chain.settled) return Right({ items: [] });
+    const filed = this.chain.filed(generation);
     if (filed) return Right({ items: [filed] });
     const read = await this.store.readGeneration(generation);
-    return read.map((held) => ({ items: held && digestOf(held.document) === this.chain.get(generation) ? [held] : [] }));
+    return read.map((held) => ({ items: held && digestOf(held.document) === this.chain.digest(generation) ? [held] : [] }));
   }
 }
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -2,7 +2,8 @@
  * Repair of a member's history. It walks back from the newest settled generation along the digests each generation
  * names for the one before; where its own file is missing, spoilt or was never chosen, it takes the generation from
  * another member and checks it against the chain. Once the history is whole, ranges of files are read again in turn
- * and compared by one digest over the range, so that what spoils on the disk later is found and mended as well.
+ * and compared by one digest over the range, so that what spoils on the disk later is found and mended as well. Where old
+ * generations are taken away, the history begins at the floor, or above what no other member holds any more.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
@@ -22,7 +23,7 @@
   private scrub = 0;
   private missing = 0;
 
-  constructor(private readonly member: Member, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly self: string) {}
+  constructor(private readonly member: Member, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly self: string, private readonly pruned = false) {}
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -35,7 +36,7 @@
   /** Goes back along the chain over what was not yet looked at. */
   private async walk(signal: AbortSignal): Promise<void> {
     const top = this.member.settledGeneration;
-    const bottom = this.cursor;
+    const bottom = Math.max(this.cursor, this.member.chain.floor - 1);
     for (let generation = top; generation > bottom && !signal.aborted; generation--) if (!(await this.check(generation))) return;
     this.cursor = Math.max(this.cursor, top);
   }
@@ -43,11 +44,11 @@
   /** Reads one range from the disk again and compares it with the chain by one digest. */
   private async compare(): Promise<void> {
     if (this.cursor === 0) return;
-    const from = this.scrub + 1;
-    const to = Math.min(this.cursor, this.scrub + RANGE);
+    const from = Math.max(this.scrub + 1, this.member.chain.floor);
+    const to = Math.min(this.cursor, from + RANGE - 1);
     const digests: string[] = [];
     for (let generation = from; generation <= to; generation++) digests.push((await this.member.inspect(generation)) ?? '');
-    if (digestOf(digests.join(' ')) !== this.member.rangeDigest(from, to)) {
+    if (digestOf(digests.join(' ')) !== this.member.chain.rangeDigest(from, to)) {
       this.log('range-differs', [['from', from], ['to', to]]);
       for (let generation = from; generation <= to; generation++) await this.check(generation);
     }
@@ -55,16 +56,20 @@
   }
 
   private async check(generation: number): Promise<boolean> {
-    const wanted = this.member.chained(generation);
+    const wanted = this.member.chain.digest(generation);
     if (wanted === undefined) return false;
     if ((await this.member.inspect(generation)) === wanted) return true;
-    for (const address of shuffled(this.random, this.roster.addresses.filter((each) => each !== this.self))) {
+    const others = shuffled(this.random, this.roster.addresses.filter((each) => each !== this.self));
+    let without = 0;
+    for (const address of others) {
       const reply = await this.peers.ask(address, History, { generation }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (item && (await this.member.mend(generation, item))) return true;
+      if (reply.isRight() && !item) without += 1;
     }
     if (this.missing !== generation) this.log('generation-missing', [['generation', generation]]);
     this.missing = generation;
+    if (this.pruned && others.length > 0 && without === others.length) this.member.chain.raise(generation + 1);
     return false;
   }
 }
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -41,8 +41,19 @@
 
 const fileOf = (generation: number): string => `generations/${String(generation).padStart(12, '0')}`;
 
+/** How much of the past is kept on disk; 0 keeps all. */
+export interface Keeping {
+  readonly generations: number;
+  readonly bytes: number;
+}
+
+const LEAST = 2;
+
 export class Store {
-  constructor(private readonly disk: Disk, private readonly fleet: string) {}
+  private readonly sizes = new Map<number, number>();
+  private readonly pending = new Set<Promise<unknown>>();
+
+  constructor(private readonly disk: Disk, private readonly fleet: string, private readonly keeping: Keeping = { generations: 0, bytes: 0 }) {}
 
   async open(): Promise<Outcome<Found>> {
     const spoilt: string[] = [];
@@ -78,6 +89,7 @@
       if (!held) continue;
       const ballot = held.head.get('ballot') as Ballot;
       generations.set(Number(name), ballot);
+      this.sizes.set(Number(name), held.body.length);
       if (!accepted || compareBallots(ballot, accepted.ballot) > 0) accepted = { ballot, document: held.body, under: held.head.get('under') as CoreSet | undefined };
     }
     const promised = ((promise.extract() as { head: Map<string, unknown> } | undefined)?.head.get('ballot') as Ballot | undefined) ?? FIRST;
@@ -85,19 +97,64 @@
   }
 
   keepIdentity(id: string): Promise<Outcome<void>> {
-    return this.disk.write('member', seal(new Map([['fleet', this.fleet], ['id', id]]), Buffer.alloc(0)));
+    return this.write('member', seal(new Map([['fleet', this.fleet], ['id', id]]), Buffer.alloc(0)));
   }
 
   keepPromise(ballot: Ballot): Promise<Outcome<void>> {
-    return this.disk.write('promise', seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', ballot]]), Buffer.alloc(0)));
+    return this.write('promise', seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', ballot]]), Buffer.alloc(0)));
   }
 
   keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
-    return this.disk.write(fileOf(generation), seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', filed.ballot], ['under', filed.under]]), filed.document));
+    this.sizes.set(generation, filed.document.length);
+    return this.write(fileOf(generation), seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', filed.ballot], ['under', filed.under]]), filed.document));
   }
 
   async readGeneration(generation: number): Promise<Outcome<Filed | undefined>> {
     const bytes = await this.disk.read(fileOf(generation));
     return bytes.chain((held) => (held ? unseal(fileOf(generation), held).map(({ head, body }) => ({ ballot: head.get('ballot') as Ballot, document: body })) : Right(undefined)));
   }
+
+  /** Until no write is on its way any more, whatever becomes of it. */
+  async idle(): Promise<void> {
+    while (this.pending.size) await Promise.all(this.pending);
+  }
+
+  /** Whether the disk takes and keeps that many bytes now. */
+  async probe(bytes: number): Promise<Outcome<void>> {
+    const written = await this.write('probe', seal(new Map(), Buffer.alloc(bytes)));
+    await this.disk.remove('probe');
+    return written;
+  }
+
+  /** The lowest generation to be kept when all up to the one given are settled. */
+  floor(settled: number): number {
+    const { generations, bytes } = this.keeping;
+    let floor = generations > 0 ? Math.max(1, settled - Math.max(LEAST, generations) + 1) : 1;
+    if (bytes === 0) return floor;
+    let held = 0;
+    for (let generation = settled; generation >= floor; generation--) {
+      held += this.sizes.get(generation) ?? 0;
+      if (held > bytes && settled - generation >= LEAST) floor = generation + 1;
+    }
+    return floor;
+  }
+
+  /** Takes away what is below; a file that comes back after a loss of power is taken away again. */
+  prune(floor: number): void {
+    for (const generation of this.sizes.keys()) {
+      if (generation >= floor) continue;
+      this.sizes.delete(generation);
+      void this.follow(this.disk.remove(fileOf(generation)));
+    }
+  }
+
+  private write(path: string, bytes: Uint8Array): Promise<Outcome<void>> {
+    return this.follow(this.disk.write(path, bytes));
+  }
+
+  private follow<T>(act: Promise<T>): Promise<T> {
+    this.pending.add(act);
+    void act.finally(() => this.pending.delete(act));
+    return act;
+  }
 }
