--- a/src/place/prefix/blocking.ts
+++ b/src/place/prefix/blocking.ts
@@ -6,6 +6,8 @@
  */
 const PRIOR = 0.5;
 const ENOUGH = 6;
+/** The first few are worth being late. */
+const AT_ANY_PRICE = 2;
 /** Milliseconds after which the answer is sought again. */
 const AGE = 5000;
 
@@ -24,6 +26,10 @@
     return now - this.askedAt > AGE || (this.samples < ENOUGH && !this.asking);
   }
 
+  get atAnyPrice(): boolean {
+    return this.samples < AT_ANY_PRICE;
+  }
+
   ask(now: number): void {
     this.askedAt = now;
     this.asking = true;
--- a/src/place/prefix/choice.ts
+++ b/src/place/prefix/choice.ts
@@ -77,7 +77,7 @@
     for (const at of all) {
       const option = this.option(at);
       const { before, beside } = option.ahead;
-      if (before > 0 || beside < this.record.pace.base || option.estimate + beside > 0.75 * this.ask.target) continue;
+      if (before > 0 || beside < this.record.pace.base || (!this.record.blocking.atAnyPrice && option.estimate + beside > 0.75 * this.ask.target)) continue;
       this.record.blocking.ask(this.now);
       return option;
     }
--- a/src/place/prefix/split.ts
+++ b/src/place/prefix/split.ts
@@ -1,10 +1,13 @@
 /**
  * How many engines of a service are preferred for long prompts, the others being left to short ones, which would
  * otherwise wait behind the reading of long ones that no single router sees all of. The engines stand in one order for
- * all routers; each counts by itself how the reading is shared between the two kinds, so that they differ by an engine
- * at most, at the border. Nothing is barred: it only weighs in the choice.
+ * all routers; each counts by itself how the reading is shared between the two kinds, in quarters, so that most agree
+ * most of the time. Nothing is barred: it only weighs in the choice.
  */
 const HALF_LIFE = 15_000;
+/** Tokens of each kind taken as seen from the start. */
+const PRIOR = 20_000;
+const STEPS = 4;
 
 export class Split {
   private long = 0;
@@ -17,11 +20,12 @@
     else this.short += tokens;
   }
 
-  /** Engines out of `count` for long prompts, not whole; `favour` counts tokens of long prompts for more. */
+  /** Engines out of `count` for long prompts; `favour` counts tokens of long prompts for more. All, while there is one kind only. */
   share(count: number, favour: number): number {
     if (count < 2 || this.long === 0 || this.short === 0) return count;
-    const exact = (count * this.long * favour) / (this.long * favour + this.short);
-    return Math.min(count - 1, Math.max(1, Math.round(exact)));
+    const long = this.long * favour + PRIOR;
+    const steps = Math.round((STEPS * long) / (long + this.short + PRIOR));
+    return Math.min(count - 1, Math.max(1, Math.round((count * steps) / STEPS)));
   }
 
   private fade(now: number): void {
