--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -6,6 +6,7 @@
 import { hideBin } from 'yargs/helpers';
 import { Fleet, type FleetPlan } from './fleet.js';
 import { measureChanges, measureOverhead } from './measure.js';
+import { slopes } from './slopes/command.js';
 import { faults, firms, openDoorways, play } from './scenario.js';
 
 const sized = (y: Argv): Argv<{ cores: number; routers: number; engines: number; folder?: string }> =>
@@ -58,6 +59,7 @@
       await fleet.stop();
     }
   })
+  .command(slopes)
   .demandCommand(1)
   .strict()
   .parseAsync();
--- /dev/null
+++ b/src/fleet/slopes/plane.ts
@@ -0,0 +1,115 @@
+/**
+ * A control plane on the simulator's net: core nodes and routers made of the program's own classes, no callers, with
+ * every frame counted. Virtual time and a seed make each count repeat exactly.
+ */
+import { Right } from 'purify-ts';
+import type { Fetch } from '../../pool/news.js';
+import { simCore, simRouter, type SimCore, type SimRouter, type SimSite } from '../../sim/nodes.js';
+import { SimDisk, World, type Host } from '../../sim/world.js';
+import type { Listed } from '../../stand/platform/platform.js';
+import { CountedNet, Traffic } from '../../wire/traffic.js';
+import { ratesOf, type Sums } from './rates.js';
+import type { ControlPlan, RoleRates } from './shape.js';
+
+export const ZONES = 8;
+
+export const listedEngine = (at: number): Listed => ({
+  identifier: `engine-${String(at).padStart(5, '0')}-a1b2c3`, address: `10.${20 + (at >> 16)}.${(at >> 8) & 255}.${at & 255}:8000`, model: `family-${at % 3}`, adapters: [], weight_generation: 'w1',
+  zone: `zone-${at % ZONES}`, labels: { group: `group-${at % 8}`, pool: 'shared' }, cache_capacity_tokens: 524_288, prefill_rate: 8000, leaving: false,
+});
+
+const CALM = 5000;
+
+export class ControlPlane {
+  readonly world: World;
+  readonly cores: SimCore[] = [];
+  readonly routers: SimRouter[] = [];
+  private readonly traffics = new Map<string, Traffic>();
+  private readonly polled = new Map<string, number>();
+  private engines: Listed[];
+
+  constructor(readonly plan: ControlPlan) {
+    this.world = new World(plan.seed);
+    this.engines = Array.from({ length: plan.engines }, (_, at) => listedEngine(at));
+  }
+
+  /** Starts all nodes and runs until each has standing and the engines, and no change has been made for a while. */
+  async start(limit = 240_000): Promise<boolean> {
+    const { plan, world } = this;
+    const address = (at: number, base: number): string => `10.${base}.${at >> 8}.${at & 255}:7082`;
+    const seeds = Array.from({ length: plan.cores }, (_, at) => address(at, 1));
+    const kinds = new Map(seeds.map((seed) => [seed, 'core']));
+    const net: SimSite['net'] = (inner, node) => {
+      const traffic = new Traffic();
+      this.traffics.set(node, traffic);
+      return new CountedNet(inner, traffic, (peer) => kinds.get(peer) ?? (peer.startsWith('sim-core') ? 'core' : 'router'));
+    };
+    const site: SimSite = { fleet: 'slopes', seeds, over: { form: true, law: { routers: 10_000 }, ...plan.over }, net };
+    seeds.forEach((seed, at) => this.cores.push(simCore(world, `core-${at}`, seed, `zone-${at % ZONES}`, new SimDisk(world), site)));
+    for (const { node } of this.cores) void node.start();
+    await world.run(1500);
+    for (let at = 0; at < plan.routers; at++) {
+      const router = simRouter(world, `router-${at}`, address(at, 2), `zone-${at % ZONES}`, site, (host) => this.fetchFor(host), () => undefined);
+      this.routers.push(router);
+      void router.node.start();
+      await world.run(world.now + 10);
+    }
+    const end = world.now + limit;
+    for (let seen = 0, since = world.now; world.now < end; await world.run(world.now + 250)) {
+      const generation = this.cores[0]!.member.settledGeneration;
+      if (generation === 0 || generation !== seen || !this.steady()) {
+        seen = generation;
+        since = world.now;
+      } else if (world.now - since >= CALM) return true;
+    }
+    return false;
+  }
+
+  steady(): boolean {
+    return this.routers.every(({ standing, news }) => standing.holds() && news.placed().size === this.engines.length);
+  }
+
+  /** Reads of the platform's list so far, by all routers. */
+  get polls(): number {
+    return this.routers.reduce((sum, { news }) => sum + news.polls, 0);
+  }
+
+  /** How many routers have read the platform's list themselves since the last time this was asked. */
+  get pollers(): number {
+    return this.routers.filter(({ host, news }) => {
+      const before = this.polled.get(host.name) ?? 0;
+      this.polled.set(host.name, news.polls);
+      return news.polls > before;
+    }).length;
+  }
+
+  /** How many routers a router knows of in its view, in the middle. */
+  get knownRouters(): number {
+    const known = this.routers.map(({ view }) => view.live('router').length).sort((a, b) => a - b);
+    return known[Math.floor(known.length / 2)] ?? 0;
+  }
+
+  /** Lets some virtual seconds pass and counts what each node sent and received in them. */
+  async quiet(seconds: number): Promise<{ core: RoleRates; router: RoleRates }> {
+    const before = this.sums();
+    await this.world.run(this.world.now + seconds * 1000);
+    const after = this.sums();
+    return {
+      core: ratesOf(this.cores.map(({ host }) => host.name), before, after, seconds),
+      router: ratesOf(this.routers.map(({ host }) => host.name), before, after, seconds),
+    };
+  }
+
+  /** One engine of the list changes, as when it is replaced. */
+  changeEngine(at: number, identifier: string): void {
+    this.engines = this.engines.map((engine, place) => (place === at ? { ...engine, identifier } : engine));
+  }
+
+  private sums(): Sums {
+    return new Map([...this.traffics].map(([node, traffic]) => [node, traffic.counts]));
+  }
+
+  private fetchFor(host: Host): Fetch {
+    return () => new Promise((resolve) => host.later(2, () => resolve(Right({ text: JSON.stringify({ engines: this.engines }), wait: 0 }))));
+  }
+}
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -4,6 +4,7 @@
 import { CoreNode } from '../core/module.js';
 import { InForce } from '../doorway/match.js';
 import { silentLog, type Log } from '../kernel/log/log.js';
+import type { Net } from '../kernel/net/net.js';
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
@@ -33,6 +34,8 @@
   readonly fleet: string;
   readonly seeds: readonly string[];
   readonly over?: object;
+  /** Laid around the net of each node, as to count what goes over it. */
+  readonly net?: (net: Net, node: string) => Net;
 }
 
 export interface SimBase {
@@ -60,7 +63,7 @@
   const log = tracing.tap(outer);
   const params = checkParams({ fleet: site.fleet, name, zone, seeds: site.seeds, listen: { peers: address, callers: address, operators: address } }, site.over ?? {}).unsafeCoerce();
   const self = { fleet: site.fleet, name, incarnation: host.random.identity() };
-  const peers = new Peers(host.net, host.clock, log, self);
+  const peers = new Peers(site.net?.(host.net, name) ?? host.net, host.clock, log, self);
   tracing.serve(peers);
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
--- a/src/wire/call.ts
+++ b/src/wire/call.ts
@@ -16,7 +16,13 @@
   readonly reply: Field<R>;
 }
 
-export const call = <A, R>(code: number, name: string, ask: Field<A>, reply: Field<R>): Call<A, R> => ({ code, name, ask, reply });
+/** Every call that was defined, by its code, for those who count frames. */
+export const callNames = new Map<number, string>();
+
+export const call = <A, R>(code: number, name: string, ask: Field<A>, reply: Field<R>): Call<A, R> => {
+  callNames.set(code, name);
+  return { code, name, ask, reply };
+};
 
 export const Stage = { ask: 1, reply: 2, decline: 3 } as const;
 
