--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -1,6 +1,8 @@
 /** The services of a router node, by name, and the tasks that run them. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
+import { extended, type Extension } from '../node/extension.js';
 import type { InForce } from '../doorway/match.js';
 import { Prefixes } from '../index/prefixes.js';
 import type { Clock } from '../kernel/clock/clock.js';
@@ -10,12 +12,13 @@
 import type { Random } from '../kernel/random/random.js';
 import { RepeatBudget } from '../forward/budget.js';
 import type { ForwardEvent } from '../forward/chart.js';
-import { ownDialect, type Dialect } from '../forward/dialect.js';
+import type { Dialect } from '../forward/dialect.js';
 import { Forwarder } from '../forward/forwarder.js';
 import { HttpLinks, type Links } from '../forward/link.js';
 import { LeastLoadPlacer } from '../place/least.js';
 import type { Placer } from '../place/placer.js';
 import { PrefixPlacer, prefixPlacerDefaults } from '../place/prefix.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
@@ -31,7 +34,7 @@
 import { lawBroken, lawText } from '../place/law.js';
 import { Chooser } from '../place/choose.js';
 import { Channels, type EngineChannels } from '../pool/channel.js';
-import { fetchList, Newsroom } from '../pool/news.js';
+import { fetchList, Newsroom, type Fetch } from '../pool/news.js';
 import { Soundness } from '../pool/soundness.js';
 import { Follower } from '../register/follower.js';
 import type { Document } from '../register/document.js';
@@ -111,6 +114,7 @@
 
   ready(): string {
     if (!this.standing.holds()) return 'no standing';
+    if (this.params.listen.requests && this.inForce.routes.version === 0) return 'no routes are in force';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
@@ -128,21 +132,22 @@
 
 @Module({})
 export class RouterModule {
-  static with(params: Params): DynamicModule {
+  static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: RouterModule,
-      providers: [
+      providers: extended([
         ...nodeProviders(params, 'router'),
         { provide: names.journal, inject: [names.clock], useFactory: (clock: Clock) => new Journal<PassageEvent>(clock) },
         { provide: names.channels, inject: [names.clock], useFactory: (clock: Clock) => new Channels(clock) },
         { provide: names.soundness, inject: [names.clock], useFactory: (clock: Clock) => new Soundness(clock) },
         { provide: names.prefixes, inject: [names.clock], useFactory: (clock: Clock) => new Prefixes(clock, params.law, params.index.blockTokens) },
         { provide: names.chooser, inject: [names.clock, names.random], useFactory: (clock: Clock, random: Random) => new Chooser(params.place, params.law, params.zone, clock, random, params.place.policy) },
+        { provide: names.listSource, useValue: fetchList(params.platform.url) },
         {
           provide: names.news,
-          inject: [names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser, names.links, names.placer],
-          useFactory: (view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser, links: Links, placer: Placer) =>
-            new Newsroom(fetchList(params.platform.url), params.platform, view, peers, clock, random, log, (engines) => {
+          inject: [names.listSource, names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser, names.links, names.placer],
+          useFactory: (source: Fetch, view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser, links: Links, placer: Placer) =>
+            new Newsroom(source, params.platform, view, peers, clock, random, log, (engines) => {
               channels.prune(engines);
               soundness.forget(engines);
               prefixes.listed(engines);
@@ -170,7 +175,6 @@
           inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock],
           useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, news, clock),
         },
-        { provide: names.dialect, useValue: ownDialect },
         {
           provide: names.placer,
           inject: [names.view, names.clock, names.random],
@@ -184,8 +188,14 @@
           useFactory: (inForce: InForce, standing: Standing, news: Newsroom, links: Links, placer: Placer, dialect: Dialect, view: View, clock: Clock, random: Random, log: Log) =>
             new Forwarder(inForce, () => standing.holds(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => view.live('router').length, params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
         },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock) },
+        {
+          provide: names.configurator,
+          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+        },
         RouterNode,
-      ],
+      ], services),
     };
   }
 }
