--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -59,9 +59,8 @@
       cacheCapacity: 262_144, prefillRate: 51_000, leaving: false, service: SERVICE, slots: 4096,
     }]),
   );
-  const module = RouterModule.with(params);
-  const over = [{ provide: names.log, useValue: silentLog }, { provide: names.standing, useValue: { holds: () => true } }, { provide: names.news, useValue: { placed: () => listed, listed } }];
-  const context = await NestFactory.createApplicationContext({ ...module, providers: [...module.providers!, ...over] }, { logger: false, abortOnError: false });
+  const services = new Map<string, unknown>([[names.log, silentLog], [names.standing, { holds: () => true }], [names.news, { placed: () => listed, listed }]]);
+  const context = await NestFactory.createApplicationContext(RouterModule.with(params, { services, faces: [] }), { logger: false, abortOnError: false });
   const route = { name: 'route', host: 'slopes.example', prefix: '/', kind: 'streaming' as const, timeout: 600_000, target: 600_000, gap: 600_000, service: SERVICE, attempts: 2 };
   context.get<InForce>(names.inForce).swap({ ...genesis('slopes', []), configuration: { version: 1, routes: [route], services: [{ name: SERVICE, connections: 4096 }] } });
   const handler = context.get<Forwarder>(names.forwarder);
