In a fleet larger than a view one node reads the list, and the news goes down a tree

Asked by all others, the holder of the duty would get two asks a second from each; it is asked by few now, since a node asks any that comes before it. Ruled out: larger views, whose bytes grow with the fleet.

--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -27,6 +27,7 @@
 export interface NewsReply { number: number; held: number; age: number; digest: string; list: Uint8Array }
 export const News = call<NewsAsk, NewsReply>(48, 'pool.news', struct({ number, digest: text, wait: number }), struct({ number, held: number, age: number, digest: text, list: blob }));
 
+const DUTY = 'list';
 const ASK_LIMIT = 400;
 const POLL_LIMIT = 1000;
 const PASSED_OVER = 3000;
@@ -82,6 +83,7 @@
   ) {}
 
   serve(): void {
+    this.view.keep(DUTY, 'router');
     this.peers.handle(News, async ({ number, digest, wait }) => {
       const asked = this.clock.now();
       if (number === this.number && !this.late) await this.next(Math.min(wait, WAIT_BOUND));
@@ -127,9 +129,9 @@
     const now = this.clock.now();
     for (const [name, until] of this.passedOver) if (until <= now) this.passedOver.delete(name);
     const routers = this.view.live('router').filter(({ name }) => !this.passedOver.has(name));
-    const [first] = holders('list', routers.map(({ name }) => name));
-    const holder = routers.find(({ name }) => name === first);
-    if (!holder || first === this.view.self.name) {
+    const name = this.parent(routers.map((router) => router.name));
+    const holder = routers.find((router) => router.name === name);
+    if (!holder || name === this.view.self.name) {
       await this.poll(every);
       return every;
     }
@@ -141,6 +143,17 @@
     return every / 20;
   }
 
+  /**
+   * Whom this node asks: the holder of the duty. In a fleet larger than a view it is any node that comes before this one
+   * for the duty, another for each node, so that the news goes down a tree and the holder is asked by few.
+   */
+  private parent(routers: readonly string[]): string | undefined {
+    const { name } = this.view.self;
+    const ranked = holders(DUTY, routers);
+    const place = ranked.indexOf(name);
+    return this.view.full && place > 0 ? holders(name, ranked.slice(0, place))[0] : ranked[0];
+  }
+
   /** Whether the holder does its duty, as far as can be told: one that is only starting, and has no news yet, does. */
   private async askHolder(address: string): Promise<boolean> {
     const asked = this.clock.strict();
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -4,9 +4,12 @@
  * others; when none of them reaches it either, it is suspected, which is told on with the view, and after some turns it
  * is taken for gone. A node that hears that it is suspected refutes it with a higher beat of its own incarnation; word
  * of an older beat then counts no more. Seeds are asked when the view is thin and now and then besides, and nodes that
- * ought to be there at each turn, so that separated parts meet again.
+ * ought to be there at each turn, so that separated parts meet again. In a fleet larger than a view, the nodes that
+ * rendezvous hashing puts first for a duty are never given up for others and go along in each swap, so that they come to
+ * stand in all views and the duty is cut alike everywhere.
  */
 import { Right } from 'purify-ts';
+import { weight } from '../duty/rendezvous.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import { call } from '../wire/call.js';
@@ -41,6 +44,8 @@
 /** Turns from suspicion to being taken for gone, and for how many turns word of one that is gone is not believed. */
 const SUSPECTED = 4;
 const GONE = 60;
+/** How many nodes of each duty go along in every swap. */
+const HEADS = 2;
 
 interface Gone {
   readonly entry: Neighbour;
@@ -51,6 +56,7 @@
   private readonly entries = new Map<string, Neighbour>();
   private readonly suspects = new Map<string, number>();
   private readonly gone = new Map<string, Gone>();
+  private readonly duties = new Map<string, { readonly role: string; readonly weights: Map<string, string> }>();
   private turns = 0;
   private leads: () => readonly string[] = () => [];
 
@@ -86,6 +92,16 @@
     this.leads = leads;
   }
 
+  /** From now on the first holders of a duty among the nodes of a role are kept in view, however many nodes there are. */
+  keep(duty: string, role: string): void {
+    this.duties.set(duty, { role, weights: new Map() });
+  }
+
+  /** Whether there may be nodes that this view has no room for. */
+  get full(): boolean {
+    return this.entries.size >= VIEW;
+  }
+
   /** The nodes of a role that were heard of lately and not taken for gone, this one included when it has the role. */
   live(role: string): Neighbour[] {
     return [this.self, ...this.entries.values()].filter((entry) => entry.role === role && entry.age <= STALE);
@@ -157,16 +173,31 @@
 
   private sample(): Neighbour[] {
     const doubted = [...this.entries.values()].filter(({ suspect }) => suspect);
-    const others = shuffled(this.random, [...this.entries.values()].filter(({ suspect }) => !suspect));
-    return [{ ...this.self, age: 0 }, ...[...doubted, ...others].slice(0, SWAP - 1)];
+    const sound = [...this.entries.values()].filter(({ suspect }) => !suspect);
+    const heads = this.heads;
+    const others = shuffled(this.random, sound);
+    const ordered = this.full ? [...others.filter((entry) => heads.has(entry)), ...others.filter((entry) => !heads.has(entry))] : others;
+    return [{ ...this.self, age: 0 }, ...[...doubted, ...ordered].slice(0, SWAP - 1)];
+  }
+
+  /** The first holders of each duty among the nodes in view. */
+  private get heads(): Set<Neighbour> {
+    const heads = new Set<Neighbour>();
+    for (const [duty, { role, weights }] of this.duties) {
+      const live = [...this.entries.values()].filter((entry) => entry.role === role && entry.age <= STALE);
+      if (weights.size > VIEW * 4) weights.clear();
+      for (const { name } of live) if (!weights.has(name)) weights.set(name, weight(duty, name));
+      live.sort((a, b) => (weights.get(a.name)! < weights.get(b.name)! ? 1 : -1)).slice(0, HEADS).forEach((entry) => heads.add(entry));
+    }
+    return heads;
   }
 
   private merge(entries: readonly Neighbour[]): void {
     for (const entry of entries.slice(0, SWAP + 1)) this.take(entry);
-    while (this.entries.size > VIEW) {
-      const oldest = [...this.entries.values()].reduce((best, entry) => (entry.age > best.age ? entry : best));
-      this.forget(oldest.name);
-    }
+    if (this.entries.size <= VIEW) return;
+    const heads = this.heads;
+    const rest = [...this.entries.values()].filter((entry) => !heads.has(entry)).sort((a, b) => b.age - a.age);
+    for (const { name } of rest.slice(0, this.entries.size - VIEW)) this.forget(name);
   }
 
   private take(entry: Neighbour): void {
