--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -38,7 +38,7 @@
 export const callerKey = (firm: string): string => `${firm}-caller`;
 export const operatorKey = (firm: string): string => `${firm}-operator`;
 
-const freePorts = async (count: number): Promise<number[]> => {
+export const freePorts = async (count: number): Promise<number[]> => {
   const servers = await Promise.all(
     Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
       const server = createServer().listen(0, '127.0.0.1', () => resolve(server));
@@ -133,6 +133,10 @@
     return text.split('\n').filter((line) => line.startsWith(`rudderridge_${metric}`)).reduce((sum, line) => sum + Number(line.split(' ').pop()), 0);
   }
 
+  pid(name: string): number {
+    return this.running.get(name)!.child.pid!;
+  }
+
   signal(name: string, signal: NodeJS.Signals): void {
     this.running.get(name)?.child.kill(signal);
   }
--- a/src/fleet/slopes/file.ts
+++ b/src/fleet/slopes/file.ts
@@ -8,7 +8,7 @@
 
 /** What each sweep's fit is read at: the size expected within two years. */
 export const TARGETS: ReadonlyArray<readonly [string, number]> = [
-  ['routers', 410], ['engines', 770], ['items', 12_000], ['index by shared prefixes', 490_000], ['request by engines', 770],
+  ['routers', 410], ['processor', 410], ['engines', 770], ['items', 12_000], ['index by shared prefixes', 490_000], ['request by engines', 770],
 ];
 
 /** Left out of all fits, so that it can be foretold. */
@@ -30,13 +30,13 @@
 
 export const fitsOf = (points: readonly Point[]): Fit[] =>
   [...bySweep(points)].flatMap(([sweep, all]) => {
-    const fitted = all.filter(({ at }) => !sweep.startsWith('routers') || at !== FORETOLD);
+    const fitted = all.filter(({ at }) => !/^(routers|processor)/.test(sweep) || at !== FORETOLD);
     if (new Set(fitted.map(({ at }) => at)).size < 3) return [];
     return [...pairsOf(fitted)].filter(([, pairs]) => pairs.length >= 3).map(([quantity, pairs]) => fitOf(sweep, quantity, pairs, targetOf(sweep)));
   });
 
 export const predictionsOf = (points: readonly Point[]): Prediction[] =>
-  [...bySweep(points)].filter(([sweep, all]) => sweep.startsWith('routers') && all.some(({ at }) => at === FORETOLD)).flatMap(([sweep, all]) =>
+  [...bySweep(points)].filter(([sweep, all]) => /^(routers|processor)/.test(sweep) && all.some(({ at }) => at === FORETOLD)).flatMap(([sweep, all]) =>
     [...pairsOf(all)].flatMap(([quantity, pairs]) => {
       const measured = pairs.find(([x]) => x === FORETOLD);
       return measured && pairs.length >= 4 ? [predict(`${sweep}: ${quantity}`, pairs, measured)] : [];
--- a/src/fleet/slopes/run.ts
+++ b/src/fleet/slopes/run.ts
@@ -1,6 +1,7 @@
 /** Which sweeps a run has, and in which order and how many at once they are taken. */
 import { Child } from './child.js';
 import type { CountAsk } from './counts.js';
+import { loopbackPoint } from './loopback.js';
 import { drawPlot } from './plot.js';
 import { keepPoints } from './file.js';
 import { eventPoints, indexPoints, requestPoints, streamPoints } from './routing.js';
@@ -40,9 +41,15 @@
 const countEngines: Part = ({ engines, seconds, seed, over, atOnce }, keep) =>
   counted(engines.map((at) => ({ sweep: 'engines', at, plan: { cores: 3, routers: 20, engines: at, items: 0, seed, over }, seconds })), atOnce, keep);
 
+/** One size after the other, since each takes several processors. */
+const processes: Part = async ({ cores, sizes, seconds, over }, keep) => {
+  for (const count of cores) for (const at of sizes) keep([await loopbackPoint({ sweep: `processor, ${count} cores`, at, cores: count, routers: at, engines: 50, over, seconds })]);
+};
+
 export const parts: ReadonlyMap<string, Part> = new Map<string, Part>([
   ['routers', countSizes],
   ['engines', countEngines],
+  ['processor', processes],
   ['index', async ({ prefixes }, keep) => keep(await indexPoints(prefixes))],
   ['requests', async (_, keep) => keep(await requestPoints())],
   ['events', async (_, keep) => keep(await eventPoints())],
--- a/src/wire/field.ts
+++ b/src/wire/field.ts
@@ -1,7 +1,8 @@
 /**
  * The field types our frames are made of, over the restructure library. Every length is read before its content and
  * is checked against the frame by the library's stream and again by `decode`, which takes a frame only when it is
- * used up to its last byte.
+ * used up to its last byte. Texts, lists and structs go without what the library keeps for pointers and for fields that
+ * depend on each other, since frames have neither and it costs most of the time; the bytes are the library's.
  */
 import * as r from 'restructure';
 import { failed, reasonOf, type Outcome } from '../kernel/fault/fault.js';
@@ -9,22 +10,94 @@
 
 export type Field<T> = r.Field<T>;
 
+const LENGTH = 2;
+
+class Text extends r.String {
+  override decode(stream: r.DecodeStream): string {
+    const length = stream.readUInt16BE();
+    const from = stream.pos;
+    stream.pos += length;
+    if (stream.pos > stream.length) throw new RangeError('a text goes over the end of the frame');
+    const { buffer, byteOffset } = stream.buffer;
+    return Buffer.from(buffer, byteOffset + from, length).toString('utf8');
+  }
+
+  override size(value: string): number {
+    return LENGTH + Buffer.byteLength(value);
+  }
+
+  override encode(stream: r.EncodeStream, value: string): void {
+    const { buffer, byteOffset, byteLength } = stream.buffer;
+    const length = Buffer.from(buffer, byteOffset, byteLength).write(value, stream.pos + LENGTH);
+    stream.writeUInt16BE(length);
+    stream.pos += length;
+  }
+}
+
+class List<T> extends r.Array<T> {
+  constructor(private readonly item: Field<T>) {
+    super(item, r.uint16);
+  }
+
+  override decode(stream: r.DecodeStream): T[] {
+    const items: T[] = [];
+    for (let left = stream.readUInt16BE(); left > 0; left--) items.push(this.item.decode(stream));
+    return items;
+  }
+
+  override size(items: T[]): number {
+    let size = LENGTH;
+    for (const item of items) size += this.item.size(item);
+    return size;
+  }
+
+  override encode(stream: r.EncodeStream, items: T[]): void {
+    stream.writeUInt16BE(items.length);
+    for (const item of items) this.item.encode(stream, item);
+  }
+}
+
+class Row<T> extends r.Struct<T> {
+  private readonly parts: ReadonlyArray<readonly [keyof T, Field<T[keyof T]>]>;
+
+  constructor(fields: { readonly [K in keyof T]: Field<T[K]> }) {
+    super(fields);
+    this.parts = Object.entries(fields) as Array<[keyof T & string, Field<T[keyof T]>]>;
+  }
+
+  override decode(stream: r.DecodeStream): T {
+    const value = {} as T;
+    for (const [name, field] of this.parts) value[name] = field.decode(stream);
+    return value;
+  }
+
+  override size(value: T): number {
+    let size = 0;
+    for (const [name, field] of this.parts) size += field.size(value[name]);
+    return size;
+  }
+
+  override encode(stream: r.EncodeStream, value: T): void {
+    for (const [name, field] of this.parts) field.encode(stream, value[name]);
+  }
+}
+
 export const byte = r.uint8;
 export const word = r.uint32;
 export const number = r.doublebe;
 export const flag = new r.Boolean(r.uint8);
-export const text = new r.String(r.uint16, 'utf8');
+export const text: Field<string> = new Text(r.uint16, 'utf8');
 export const blob = new r.Buffer(r.uint32);
-export const list = <T>(item: Field<T>): Field<T[]> => new r.Array(item, r.uint16);
-export const struct = <T>(fields: { readonly [K in keyof T]: Field<T[K]> }): Field<T> => new r.Struct<T>(fields);
+export const list = <T>(item: Field<T>): Field<T[]> => new List(item);
+export const struct = <T>(fields: { readonly [K in keyof T]: Field<T[K]> }): Field<T> => new Row<T>(fields);
 
 export const encode = <T>(field: Field<T>, value: T): Uint8Array => field.toBuffer(value);
 
 export const decode = <T>(field: Field<T>, bytes: Uint8Array, step: string, peer: string): Outcome<T> => {
   try {
-    const value = field.fromBuffer(bytes);
-    const again = field.toBuffer(value);
-    if (again.length !== bytes.length) return failed(step, peer, `a frame of ${bytes.length} bytes holds ${again.length}`);
+    const stream = new r.DecodeStream(bytes);
+    const value = field.decode(stream);
+    if (stream.pos !== bytes.length) return failed(step, peer, `a frame of ${bytes.length} bytes holds ${stream.pos}`);
     return Right(value);
   } catch (thrown) {
     return failed(step, peer, `not a frame of ours: ${reasonOf(thrown)}`);
