--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -3,7 +3,9 @@
  * every frame counted. Virtual time and a seed make each count repeat exactly.
  */
 import { Right } from 'purify-ts';
+import type { Configuration, Patch } from '../../route/shape.js';
 import type { Fetch } from '../../pool/news.js';
+import { encodeDocument } from '../../register/document.js';
 import { simCore, simRouter, type SimCore, type SimRouter, type SimSite } from '../../sim/nodes.js';
 import { SimDisk, World, type Host } from '../../sim/world.js';
 import type { Listed } from '../../stand/platform/platform.js';
@@ -19,6 +21,9 @@
 });
 
 const CALM = 5000;
+/** Zones of the core nodes in turn, so that no region and no zone holds a majority of five alone. */
+const CORE_ZONES = [0, 4, 1, 5, 2, 6, 3, 7];
+const REGION = ZONES / 2;
 
 export class ControlPlane {
   readonly world: World;
@@ -45,7 +50,7 @@
       return new CountedNet(inner, traffic, (peer) => kinds.get(peer) ?? (peer.startsWith('sim-core') ? 'core' : 'router'));
     };
     const site: SimSite = { fleet: 'slopes', seeds, over: { form: true, law: { routers: 10_000 }, ...plan.over }, net };
-    seeds.forEach((seed, at) => this.cores.push(simCore(world, `core-${at}`, seed, `zone-${at % ZONES}`, new SimDisk(world), site)));
+    seeds.forEach((seed, at) => this.cores.push(simCore(world, `core-${at}`, seed, `zone-${CORE_ZONES[at % ZONES]}`, new SimDisk(world), site)));
     for (const { node } of this.cores) void node.start();
     await world.run(1500);
     for (let at = 0; at < plan.routers; at++) {
@@ -90,16 +95,74 @@
   }
 
   /** Lets some virtual seconds pass and counts what each node sent and received in them. */
-  async quiet(seconds: number): Promise<{ core: RoleRates; router: RoleRates }> {
+  quiet(seconds: number): Promise<{ core: RoleRates; router: RoleRates }> {
+    return this.during(() => this.world.run(this.world.now + seconds * 1000));
+  }
+
+  /** Counts what each node sent and received while something was done. */
+  async during(act: () => Promise<unknown>): Promise<{ core: RoleRates; router: RoleRates }> {
     const before = this.sums();
-    await this.world.run(this.world.now + seconds * 1000);
+    const began = this.world.now;
+    await act();
     const after = this.sums();
+    const seconds = (this.world.now - began) / 1000;
     return {
       core: ratesOf(this.cores.map(({ host }) => host.name), before, after, seconds),
       router: ratesOf(this.routers.map(({ host }) => host.name), before, after, seconds),
     };
   }
 
+  /** Puts a whole configuration in place of the one in force; says whether it was accepted. */
+  async configure(configuration: Configuration, expects: number): Promise<boolean> {
+    return (await this.world.until(this.cores[0]!.configurator.replace(configuration, expects, 20_000))).outcome === 'accepted';
+  }
+
+  /** Patches the configuration; gives the ms until it was told accepted and until it was in force at all routers given. */
+  async change(patch: Patch, expects: number, routers: readonly SimRouter[] = this.routers, limit = 30_000): Promise<{ accepted: number; everywhere: number }> {
+    const began = this.world.now;
+    let accepted = NaN;
+    void this.cores[0]!.configurator.patch(patch, expects, 20_000).then(({ outcome }) => {
+      if (outcome === 'accepted') accepted = this.world.now - began;
+    });
+    const everywhere = await this.inForce(patch.version, routers, limit);
+    if (Number.isNaN(accepted)) await this.world.run(this.world.now + 3000, () => !Number.isNaN(accepted));
+    return { accepted, everywhere };
+  }
+
+  /** The operators' version at the first core node. */
+  get version(): number {
+    return this.cores[0]!.inForce.routes.version;
+  }
+
+  /** Bytes of the newest generation as a whole. */
+  get documentBytes(): number {
+    const { whole } = this.cores[0]!.inForce;
+    return whole ? encodeDocument(whole).length : 0;
+  }
+
+  /** Patches the configuration and waits for the answer only. */
+  async patched(patch: Patch, expects: number): Promise<string> {
+    return (await this.world.until(this.cores[0]!.configurator.patch(patch, expects, 20_000))).outcome;
+  }
+
+  /** The ms from now until a version is in force at all routers given. */
+  async inForce(version: number, routers: readonly SimRouter[] = this.routers, limit = 30_000): Promise<number> {
+    const began = this.world.now;
+    while (this.world.now - began < limit) {
+      if (routers.every(({ inForce }) => inForce.routes.version >= version)) return this.world.now - began;
+      await this.world.run(this.world.now + 5);
+    }
+    return NaN;
+  }
+
+  /** Cuts the two regions of four zones from each other; what comes back mends the cut. */
+  partRegions(): { heal: () => void; near: SimRouter[] } {
+    const far = ({ params }: { params: { zone: string } }): boolean => Number(params.zone.split('-')[1]) >= REGION;
+    const all = [...this.cores, ...this.routers];
+    const names = (wanted: boolean): string[] => all.filter((node) => far(node) === wanted).map(({ host }) => host.name);
+    return { heal: this.world.part(names(false), names(true)), near: this.routers.filter((router) => !far(router)) };
+  }
+
   /** One engine of the list changes, as when it is replaced. */
   changeEngine(at: number, identifier: string): void {
     this.engines = this.engines.map((engine, place) => (place === at ? { ...engine, identifier } : engine));
--- a/src/fleet/slopes/run.ts
+++ b/src/fleet/slopes/run.ts
@@ -12,6 +12,7 @@
   readonly sizes: readonly number[];
   readonly cores: readonly number[];
   readonly engines: readonly number[];
+  readonly items: readonly number[];
   readonly prefixes: readonly number[];
   /** Virtual seconds that are counted. */
   readonly seconds: number;
@@ -36,10 +37,13 @@
 };
 
 const countSizes: Part = ({ cores, sizes, seconds, seed, over, atOnce }, keep) =>
-  counted(cores.flatMap((count) => sizes.map((at) => ({ sweep: `routers, ${count} cores`, at, plan: { cores: count, routers: at, engines: 50, items: 0, seed, over }, seconds }))), atOnce, keep);
+  counted(cores.flatMap((count) => sizes.map((at) => ({ sweep: `routers, ${count} cores`, at, plan: { cores: count, routers: at, engines: 50, items: 0, seed, over }, seconds, trials: true }))), atOnce, keep);
 
 const countEngines: Part = ({ engines, seconds, seed, over, atOnce }, keep) =>
-  counted(engines.map((at) => ({ sweep: 'engines', at, plan: { cores: 3, routers: 20, engines: at, items: 0, seed, over }, seconds })), atOnce, keep);
+  counted(engines.map((at) => ({ sweep: 'engines', at, plan: { cores: 3, routers: 20, engines: at, items: 0, seed, over }, seconds, trials: false })), atOnce, keep);
+
+const countItems: Part = ({ items, seconds, seed, over, atOnce }, keep) =>
+  counted(items.map((at) => ({ sweep: 'items', at, plan: { cores: 3, routers: 10, engines: 50, items: at, seed, over }, seconds, trials: false })), atOnce, keep);
 
 /** One size after the other, since each takes several processors. */
 const processes: Part = async ({ cores, sizes, seconds, over }, keep) => {
@@ -49,6 +53,7 @@
 export const parts: ReadonlyMap<string, Part> = new Map<string, Part>([
   ['routers', countSizes],
   ['engines', countEngines],
+  ['items', countItems],
   ['processor', processes],
   ['index', async ({ prefixes }, keep) => keep(await indexPoints(prefixes))],
   ['requests', async (_, keep) => keep(await requestPoints())],
