Followers are sent what changed from the generation they hold, not each document whole

A change of one route was sent to each router as the whole document. Generations held for followers are bounded by bytes too (16 whole ones of 3 MB were 48 MB). Ruled out: sending the operators' patch itself, since the history keeps changes without it and followers would have to apply every kind of act.

--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -1,6 +1,6 @@
 /** The calls of the register between proposers, members and followers. */
 import { call } from '../wire/call.js';
-import { blob, flag, list, number, struct, text } from '../wire/field.js';
+import { blob, flag, list, number, struct, text, type Field } from '../wire/field.js';
 import { ballotField, type Ballot } from './ballot.js';
 
 export interface PrepareAsk { set: number; ballot: Ballot }
@@ -35,13 +35,20 @@
 );
 
 export interface FeedItem { ballot: Ballot; document: Uint8Array }
-export interface FeedReply { settled: number; checkpoint: boolean; items: FeedItem[] }
-export const Feed = call<{ from: number; wait: number }, FeedReply>(
+/** An item as it is sent: whole when `base` is 0, else the delta from that generation, with the digest of what it makes. */
+export interface FeedFrame extends FeedItem { base: number; digest: string }
+export interface FeedReply { settled: number; checkpoint: boolean; items: FeedFrame[] }
+/** `deltas`: the asker holds the generation it names, and takes what follows as deltas. */
+export interface FeedAsk { from: number; wait: number; deltas?: boolean }
+export const Feed = call<FeedAsk, FeedReply>(
   5, 'register.feed',
-  struct({ from: number, wait: number }),
-  struct({ settled: number, checkpoint: flag, items: list(struct<FeedItem>({ ballot: ballotField, document: blob })) }),
+  struct<FeedAsk>({ from: number, wait: number, deltas: flag as Field<boolean | undefined> }),
+  struct({ settled: number, checkpoint: flag, items: list(struct<FeedFrame>({ ballot: ballotField, document: blob, base: number, digest: text })) }),
 );
 
+/** A whole generation as it is sent. */
+export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({ ballot, document, base: 0, digest: '' });
+
 /** Waits until something settled beyond a generation, without taking it: how a follower notices a source that is behind. */
 export const Tip = call<{ from: number; wait: number }, { settled: number }>(9, 'register.tip', struct({ from: number, wait: number }), struct({ settled: number }));
 
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -1,17 +1,39 @@
 /**
  * Settled generations as a member knows them: the digests back from the newest one, as far as the links are known; the
- * newest ones themselves, for those who follow; and those who wait for the next. Below the floor nothing is kept.
+ * newest ones themselves and the deltas between them, for those who follow; and those who wait for the next. Below the
+ * floor nothing is kept, and of the newest ones no more whole than fits the bound.
  */
 import { within, type Clock } from '../kernel/clock/clock.js';
+import type { FeedFrame } from './calls.js';
+import { wholeFrame } from './calls.js';
+import { deltaOf } from './delta.js';
 import { digestOf, type Document } from './document.js';
 import type { Filed } from './store.js';
 
 const DEPTH = 16;
+/** Bytes of whole generations, and of deltas, that are held for those who follow; the newest one is held at any rate. */
+const HELD_BYTES = 8 * 1024 * 1024;
+/** Below this many bytes a generation is handed on whole: a delta of it would hardly be smaller. */
+const DELTA_LEAST = 4096;
+const FEED_BYTES = 4 * 1024 * 1024;
+
+/** Takes the oldest out until as many are left as may be held; the last one stays. */
+export const shed = <T>(held: Map<number, T>, sizeOf: (item: T) => number): void => {
+  let bytes = [...held.values()].reduce((sum, item) => sum + sizeOf(item), 0);
+  for (const [key, item] of held) {
+    if (held.size <= 1 || (held.size <= DEPTH && bytes <= HELD_BYTES)) break;
+    held.delete(key);
+    bytes -= sizeOf(item);
+  }
+};
 
 export class Chain {
   private newest = 0;
   private lowest = 1;
   private current: Document | undefined;
+  /** The generation before the newest, until the delta between them was made. */
+  private before: Document | undefined;
+  private readonly deltas = new Map<number, FeedFrame>();
   private readonly digests = new Map<number, string>();
   private readonly recent = new Map<number, Filed>();
   private readonly watchers = new Set<() => void>();
@@ -44,19 +66,46 @@
   settle(document: Document, digest: string, filed: Filed): boolean {
     const { generation, previous } = document;
     if (generation <= this.newest) return false;
+    this.before = this.current?.generation === generation - 1 && filed.document.length >= DELTA_LEAST ? this.current : undefined;
     this.newest = generation;
     this.current = document;
     this.digests.set(generation, digest);
     if (generation > 1) this.digests.set(generation - 1, previous);
     this.recent.set(generation, filed);
-    for (const old of this.recent.keys()) {
-      if (this.recent.size <= DEPTH) break;
-      this.recent.delete(old);
-    }
+    shed(this.recent, (item) => item.document.length);
     for (const wake of [...this.watchers]) wake();
     return true;
   }
 
+  /** What follows a generation, whole or as deltas; nothing when it is not all held here. */
+  following(from: number, deltas: boolean): FeedFrame[] {
+    if (from <= 0 || this.newest - from > DEPTH) return [];
+    const frames: FeedFrame[] = [];
+    let bytes = 0;
+    for (let generation = from + 1; generation <= this.newest; generation++) {
+      const filed = this.recent.get(generation);
+      const frame = (deltas ? this.delta(generation) : undefined) ?? (filed && wholeFrame(filed));
+      bytes += frame?.document.length ?? 0;
+      if (!frame || bytes > FEED_BYTES) break;
+      frames.push(frame);
+    }
+    return frames;
+  }
+
+  /** Made when it is first asked for, while both generations are at hand. */
+  private delta(generation: number): FeedFrame | undefined {
+    const { before, current } = this;
+    if (generation === this.newest && before && current) {
+      this.before = undefined;
+      const digest = this.digests.get(generation)!;
+      const filed = this.recent.get(generation);
+      const made = deltaOf(before, current, digest);
+      if (made && filed && made.length < filed.document.length) this.deltas.set(generation, { ballot: filed.ballot, document: made, base: generation - 1, digest });
+      shed(this.deltas, (item) => item.document.length);
+    }
+    return this.deltas.get(generation);
+  }
+
   /** Notes the link of a generation that is known to belong here to the one before it. */
   link(generation: number, previous: string): void {
     if (generation > this.lowest && previous) this.digests.set(generation - 1, previous);
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -3,13 +3,16 @@
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
  * While one member feeds, another is asked only how far it is; when it is further than the feed for longer than a moment,
  * the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
- * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest.
+ * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
+ * something is held, what follows comes as deltas.
  */
 import type { Clock } from '../kernel/clock/clock.js';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, State, Tip, type FeedItem, type FeedReply, type StateReply } from './calls.js';
+import { Feed, State, Tip, type FeedFrame, type FeedItem, type FeedReply, type StateReply } from './calls.js';
+import { applyDelta, type Rebuilt } from './delta.js';
 import { decodeDocument, digestOf, type Document } from './document.js';
 import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
@@ -27,9 +30,17 @@
 /** How many neighbours are asked at a time while no core member answers. */
 const NEIGHBOURS = 3;
 
+/** The whole of what a frame tells: itself, or what its delta makes of the generation before. */
+const rebuild = ({ base, digest, document: bytes }: FeedFrame, before: Document | undefined, peer: string): Outcome<Rebuilt> => {
+  if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
+  return before?.generation === base ? applyDelta(before, bytes, digest, peer) : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
+};
+
 export class Follower {
   held = 0;
   private digest = '';
+  /** The document of the generation held, from which deltas can be applied. */
+  private base: Document | undefined;
   private floor: number | undefined;
   /** The newest generation that any member is known to have settled. */
   private known = 0;
@@ -43,7 +54,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-    private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number) => Promise<void> | void,
+    private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number, frames: readonly FeedFrame[]) => Promise<void> | void,
     private readonly self = '',
     private readonly relay?: Relay,
     private readonly wait = WAIT,
@@ -99,7 +110,7 @@
   /** Without the core, takes what some neighbours have. */
   private async askNeighbours(): Promise<void> {
     const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
-    const replies = await gather(some, (address) => this.peers.ask(address, Feed, { from: this.held, wait: 0 }, SEEK_LIMIT), (all) => sound(all).some(({ items }) => items.length > 0));
+    const replies = await gather(some, (address) => this.peers.ask(address, Feed, { from: this.held, wait: 0, deltas: this.base !== undefined }, SEEK_LIMIT), (all) => sound(all).some(({ items }) => items.length > 0));
     for (const [address, reply] of replies) if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
   }
 
@@ -111,11 +122,12 @@
       if (this.own() > this.held) {
         this.held = this.own();
         this.digest = '';
+        this.base = undefined;
       }
       const left = new Promise<undefined>((resolve) => {
         this.outrun = (): void => resolve(undefined);
       });
-      const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait }, this.wait + SLACK), left]);
+      const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait, deltas: this.base !== undefined }, this.wait + SLACK), left]);
       if (!reply) this.log('feed-left', [['peer', source], ['generation', this.known]]);
       if (!reply || reply.isLeft()) return answered;
       if (!(await this.consume(source, reply.extract() as FeedReply))) return answered;
@@ -126,27 +138,33 @@
   private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
     if (settled < Math.max(this.held, this.floor ?? 0)) return false;
     const documents: Document[] = [];
-    let held = { generation: this.held, digest: this.digest };
+    const frames: FeedFrame[] = [];
     const taken: FeedItem[] = [];
-    for (const item of items) {
-      const document = decodeDocument(item.document, source);
-      if (document.isLeft()) return false;
-      const next = document.unsafeCoerce();
+    let held = { generation: this.held, digest: this.digest, document: this.base };
+    for (const frame of items) {
+      const rebuilt = rebuild(frame, held.document, source);
+      if (rebuilt.isLeft()) {
+        this.base = undefined;
+        return false;
+      }
+      const { document: next, bytes } = rebuilt.unsafeCoerce();
       if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
       if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
         this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
         return false;
       }
-      held = { generation: next.generation, digest: digestOf(item.document) };
+      held = { generation: next.generation, digest: frame.base > 0 ? frame.digest : digestOf(bytes), document: next };
       documents.push(next);
-      taken.push(item);
+      frames.push(frame);
+      taken.push({ ballot: frame.ballot, document: bytes });
       this.roster.learn(next.core);
     }
     if (documents.length === 0) return true;
     for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
-    await this.take(documents, taken, settled);
+    await this.take(documents, taken, settled, frames);
     this.held = held.generation;
     this.digest = held.digest;
+    this.base = held.document;
     return true;
   }
 }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -13,15 +13,13 @@
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
 import { Chain } from './chain.js';
-import { Accept, Feed, Form, History, Prepare, Settled, State, Tip, type AcceptAsk, type AcceptReply, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
+import { Accept, Feed, Form, History, Prepare, Settled, State, Tip, wholeFrame, type AcceptAsk, type AcceptReply, type FeedAsk, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
 import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
 import type { Filed, Found, Store } from './store.js';
 
-const FEED_DEPTH = 16;
 const STALL = 1500;
 /** How many bytes beside room for a generation a disk must take before it counts as working again. */
 const PROBE = 65_536;
-const FEED_BYTES = 4 * 1024 * 1024;
 const WAIT_BOUND = 10_000;
 
 interface Held extends Filed {
@@ -60,7 +58,7 @@
     this.peers.handle(Accept, (ask) => this.alone(() => this.accept(ask)));
     this.peers.handle(Settled, async (tell, peer) => Right({ known: await this.learn(tell, peer) }));
     this.peers.handle(State, () => Right(this.state()));
-    this.peers.handle(Feed, ({ from, wait }) => this.feed(from, wait));
+    this.peers.handle(Feed, (ask) => this.feed(ask));
     this.peers.handle(Tip, async ({ from, wait }) => {
       await this.chain.beyond(from, Math.min(wait, WAIT_BOUND));
       return Right({ settled: this.chain.settled });
@@ -328,25 +326,16 @@
     this.store.prune(floor);
   }
 
-  private async feed(from: number, wait: number): Promise<Outcome<FeedReply>> {
+  private async feed({ from, wait, deltas = false }: FeedAsk): Promise<Outcome<FeedReply>> {
     if (this.chain.settled <= from && from > 0 && this.impairment) return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
     if (this.chain.settled <= from) await this.chain.beyond(from, Math.min(wait, WAIT_BOUND));
     const settled = this.chain.settled;
     if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
-    const items: FeedItem[] = [];
-    let bytes = 0;
-    if (from > 0 && settled - from <= FEED_DEPTH) {
-      for (let generation = from + 1; generation <= settled; generation++) {
-        const filed = this.chain.filed(generation);
-        bytes += filed?.document.length ?? 0;
-        if (!filed || bytes > FEED_BYTES) break;
-        items.push(filed);
-      }
-    }
+    const items = this.chain.following(from, deltas);
     if (items.length) return Right({ settled, checkpoint: false, items });
     const newest = this.chain.filed(settled);
     if (!newest) return failed('member.feed', this.id, `generation ${settled} is not held here`);
-    return Right({ settled, checkpoint: true, items: [newest] });
+    return Right({ settled, checkpoint: true, items: [wholeFrame(newest)] });
   }
 
   /** The settled generation asked for, from memory or disk, only when it belongs to the chain that settled. */
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -10,45 +10,47 @@
 import { Right } from 'purify-ts';
 import { failed } from '../kernel/fault/fault.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, type FeedItem } from './calls.js';
+import { Feed, wholeFrame, type FeedFrame, type FeedItem } from './calls.js';
+import { shed } from './chain.js';
 import { decodeDocument, type Document } from './document.js';
 import { gather, majority, sound } from './gather.js';
 
-const DEPTH = 16;
 const BYTES = 4 * 1024 * 1024;
 const ASK_LIMIT = 600;
 
 export class Relay {
-  private readonly recent = new Map<number, FeedItem>();
+  private readonly recent = new Map<number, FeedFrame>();
+  private whole: FeedItem | undefined;
   private newest = 0;
 
   constructor(private readonly peers: Peers, private readonly neighbours: () => readonly string[]) {}
 
   serve(): void {
-    this.peers.handle(Feed, ({ from }) => {
-      const newest = this.recent.get(this.newest);
-      if (!newest) return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
+    this.peers.handle(Feed, ({ from, deltas = false }) => {
+      if (!this.whole) return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
       if (from >= this.newest) return Right({ settled: this.newest, checkpoint: false, items: [] });
-      const items: FeedItem[] = [];
+      const items: FeedFrame[] = [];
       let bytes = 0;
       for (let generation = from + 1; from > 0 && generation <= this.newest; generation++) {
-        const item = this.recent.get(generation);
-        bytes += item?.document.length ?? 0;
-        if (!item || bytes > BYTES) break;
-        items.push(item);
+        const frame = generation === this.newest && !deltas ? wholeFrame(this.whole) : this.recent.get(generation);
+        bytes += frame?.document.length ?? 0;
+        if (!frame || (frame.base > 0 && !deltas) || bytes > BYTES) break;
+        items.push(frame);
       }
-      return Right(items.length ? { settled: this.newest, checkpoint: false, items } : { settled: this.newest, checkpoint: true, items: [newest] });
+      return Right(items.length ? { settled: this.newest, checkpoint: false, items } : { settled: this.newest, checkpoint: true, items: [wholeFrame(this.whole)] });
     });
   }
 
-  /** What came into force here. */
-  note(items: readonly FeedItem[], documents: readonly Document[]): void {
-    documents.forEach(({ generation }, at) => this.recent.set(generation, items[at]!));
-    this.newest = Math.max(this.newest, ...documents.map(({ generation }) => generation));
-    for (const old of this.recent.keys()) {
-      if (this.recent.size <= DEPTH) break;
-      this.recent.delete(old);
-    }
+  /** What came into force here: as it came, and the newest one whole. */
+  note(items: readonly FeedItem[], documents: readonly Document[], frames: readonly FeedFrame[] = items.map(wholeFrame)): void {
+    documents.forEach(({ generation }, at) => {
+      this.recent.set(generation, frames[at]!);
+      if (generation > this.newest) {
+        this.newest = generation;
+        this.whole = items[at];
+      }
+    });
+    shed(this.recent, ({ document }) => document.length);
   }
 
   /** Neighbours to follow when no core member answers. */
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -83,9 +83,9 @@
     const relay = new Relay(this.peers, () => this.view.live('router').filter(({ name }) => name !== this.params.name).map(({ address }) => address));
     relay.serve();
     this.view.lead(() => [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address));
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (documents, items) => {
+    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (documents, items, _settled, frames) => {
       const newest = documents[documents.length - 1]!;
-      relay.note(items, documents);
+      relay.note(items, documents, frames);
       if (!this.inForce.swap(newest)) return;
       this.operations.noteClaims(newest);
       this.log('in-force', [['generation', newest.generation]]);
