A request behind an answer begun before a planned stop is answered, not dropped

The stop marks answers under way as their connection's last; for one whose head was out with keep-alive that came too late to be told, but the request the caller then sent behind it was taken for one after a told end, and dropped. Ruled out: the drain's order, idle connections closed early (the 1.8 s before the cut was the request waiting in vain). What counts now is what the head told. The test was seen to fail first.

--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -48,7 +48,7 @@
 
   /** Whether nothing may follow on this connection. */
   get last(): boolean {
-    return this.ends || this.gone.aborted || !this.response.shouldKeepAlive;
+    return this.ends || this.gone.aborted;
   }
 
   /** Gives up a request that nothing was done for, because its connection ends before its turn. */
@@ -94,7 +94,7 @@
     const fields: Array<[string, string]> = [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))]];
     if (retryAfter !== undefined) fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
     const unread = !this.request.complete && this.bodied;
-    this.ends ||= this.closing() || unread;
+    this.ends ||= this.closing() || unread || !response.shouldKeepAlive;
     if (this.ends) fields.push(['Connection', 'close']);
     response.writeHead(status, fields.flat());
     response.end(body);
@@ -102,7 +102,7 @@
   }
 
   head(status: number, fields: Fields): void {
-    this.ends ||= this.closing();
+    this.ends ||= this.closing() || !this.response.shouldKeepAlive;
     const all = this.ends ? [...fields, ['Connection', 'close'] as const] : fields;
     this.response.writeHead(status, all.flat());
   }
--- a/test/forward/face.test.ts
+++ b/test/forward/face.test.ts
@@ -3,17 +3,17 @@
 import { afterEach, expect, test } from 'vitest';
 import { RequestsFace } from '../../src/faces/requests/face.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
-import type { Limits } from '../../src/route/shape.js';
+import type { Limits, Route } from '../../src/route/shape.js';
 import { AnswerReader } from '../../src/stand/opaque/answer.js';
-import { openStage, until, type Stage } from './stage.js';
+import { openStage, prompt, until, type Stage } from './stage.js';
 
 const faces: RequestsFace[] = [];
 afterEach(async () => void (await Promise.all(faces.splice(0).map((face) => face.close()))));
 
 let ports = 20_000 + (process.pid % 20_000);
 
-const open = async (limits: Limits): Promise<{ stage: Stage; face: RequestsFace; address: string }> => {
-  const stage = await openStage({ engines: 1, route: { kind: 'non_idempotent' }, limits });
+const open = async (limits: Limits, route: Partial<Route> = { kind: 'non_idempotent' }, engine: { stepBase?: number } = {}): Promise<{ stage: Stage; face: RequestsFace; address: string }> => {
+  const stage = await openStage({ engines: 1, engine, route, limits });
   for (;;) {
     const address = `127.0.0.1:${++ports}`;
     const face = new RequestsFace(stage.forwarder, () => limits);
@@ -89,3 +89,16 @@
   expect(late.reader.answers).toEqual([]);
   expect(stage.engines[0]!.requests).toHaveLength(2);
 });
+
+test('a request that follows, on its connection, an answer begun before the planned stop is answered too', async () => {
+  const { address, stage, face } = await open({}, { kind: 'streaming' }, { stepBase: 20 });
+  const kept = line(address);
+  const streamed = `${prompt.map(([name, value]) => `${name}: ${value}`).join('\r\n')}\r\nContent-Length: 0\r\n\r\n`;
+  kept.send(request('a', streamed));
+  await until('its head', () => kept.reader.answers[0]?.status === 200);
+  face.retire();
+  kept.send(request('b', streamed));
+  await until('it is closed', kept.closed);
+  expect(kept.reader.answers.map(({ status, complete, fields }) => [status, complete, fields.get('connection')])).toEqual([[200, true, 'keep-alive'], [200, true, 'close']]);
+  expect(stage.engines[0]!.requests).toHaveLength(2);
+});
