--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -34,7 +34,7 @@
     provide: names.view,
     inject: [names.peers, names.clock, names.random, names.self],
     useFactory: (peers: Peers, clock: Clock, random: Random, self: Hello) =>
-      new View({ name: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, clock, random),
+      new View({ name: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, clock, random, params.view.every),
   },
   {
     provide: names.proposer,
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -12,7 +12,9 @@
 
 const whole = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isSafeInteger(n) && n >= least && n <= most) || `expected a whole number from ${least} to ${most}`) as unknown as typeof Numeric;
 
-const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Union(Literal('stop'), Literal('serve')), patience: between(0, 30_000) }).exact();
+const LAPSES: readonly string[] = ['stop', 'serve'];
+const Lapse = Text.withConstraint<'stop' | 'serve'>((value) => LAPSES.includes(value) || `expected one of ${LAPSES.join(', ')}`);
+const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Lapse, patience: between(0, 30_000) }).exact();
 const Lease = LeaseShape.withConstraint(({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration') as unknown as typeof LeaseShape;
 
 export const ParamsShape = Shape({
@@ -32,6 +34,7 @@
   lease: Lease,
   feed: Shape({ wait: between(50, 10_000) }).exact(),
   claims: Shape({ enabled: Flag }).exact(),
+  view: Shape({ every: between(100, 60_000) }).exact(),
   core: Shape({ replaceAfter: between(0, 86_400_000), wanted: whole(0, 9), keep: whole(0, 1_000_000), keepBytes: whole(0, Number.MAX_SAFE_INTEGER), stall: between(50, 60_000) }).exact(),
   drain: between(0, 60_000),
 }).exact();
@@ -54,6 +57,7 @@
   lease: { duration: 5000, renew: 1000, lapse: 'stop', patience: 500 },
   feed: { wait: 1000 },
   claims: { enabled: true },
+  view: { every: 700 },
   core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
   drain: 7500,
 };
--- a/src/register/succession.ts
+++ b/src/register/succession.ts
@@ -52,7 +52,7 @@
     private readonly random: Random,
     private readonly log: Log,
   ) {
-    this.every = after === 0 ? EVERY : Math.min(EVERY, Math.max(100, after / 2));
+    this.every = after === 0 ? EVERY : Math.min(EVERY, Math.max(100, after));
     this.looked = clock.now();
   }
 
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -68,7 +68,7 @@
   tracing.serve(peers);
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
-  const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random);
+  const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random, params.view.every);
   const inForce = new InForce();
   const acceptance = new Acceptance(peers, roster, host.clock, params.lease);
   const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -34,6 +34,8 @@
 const VIEW = 24;
 const SWAP = 8;
 const EVERY = 700;
+/** The first turns are taken at the shorter of the two periods, so that a node that starts is soon known. */
+const EAGER = 12;
 const STALE = 12;
 const ASK_LIMIT = 600;
 const PROBE_LIMIT = 300;
@@ -54,7 +56,7 @@
   private turns = 0;
   private leads: () => readonly string[] = () => [];
 
-  constructor(readonly self: Neighbour, private readonly seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random) {}
+  constructor(readonly self: Neighbour, private readonly seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random, private readonly every = EVERY) {}
 
   serve(): void {
     this.peers.handle(Shuffle, ({ entries }) => {
@@ -72,7 +74,8 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.turn();
-      await this.clock.sleep(EVERY * (0.75 + 0.5 * this.random.fraction()), signal);
+      const every = this.turns < EAGER ? Math.min(EVERY, this.every) : this.every;
+      await this.clock.sleep(every * (0.75 + 0.5 * this.random.fraction()), signal);
     }
   }
 
