--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -26,8 +26,8 @@
 
 /** What an operator does by hand about a member that does not vote. */
 const remedy = (reason: string): string => {
-  if (reason.startsWith('spoilt on disk') || reason.startsWith('votes on disk')) return '; stop it, empty its folder, start it, and it is given its seat again';
-  return reason && reason !== 'not in the core set' ? '; mend its disk and start it again' : '';
+  if (/^(spoilt on|votes on|lost from the) disk/.test(reason)) return '; stop it, empty its folder, start it, and it is given its seat again';
+  return reason && reason !== 'not in the core set' ? '; mend its disk or make room on it, and it votes again by itself' : '';
 };
 
 export interface Operator {
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -79,7 +79,7 @@
       const parsed = decodeDocument(found.accepted.document, 'disk');
       if (parsed.isLeft()) return parsed as Outcome<never>;
       this.accepted = { ...found.accepted, parsed: parsed.unsafeCoerce() };
-    } else if (this.accepted) this.doubt('what was accepted is gone from the disk');
+    } else if (this.accepted) this.doubt('lost from the disk: what was accepted');
     if (compareBallots(found.promised, this.promised) > 0) this.promised = found.promised;
     if (this.accepted && compareBallots(this.accepted.ballot, this.promised) > 0) this.promised = this.accepted.ballot;
     const newest = this.accepted?.parsed.generation ?? 0;
@@ -101,10 +101,10 @@
       const loaded = await this.load();
       if (loaded.isLeft()) return false;
       const found = loaded.unsafeCoerce();
-      if (found.member !== undefined && found.member !== this.id) this.doubt('the disk is that of another member');
-      if (found.member === undefined && (this.accepted || compareBallots(before, FIRST) > 0)) this.doubt('the identity is gone from the disk');
+      if (found.member !== undefined && found.member !== this.id) this.doubt('lost from the disk: the identity, which is that of another member');
+      if (found.member === undefined && (this.accepted || compareBallots(before, FIRST) > 0)) this.doubt('lost from the disk: the identity');
       const onDisk = [found.promised, found.accepted?.ballot ?? FIRST];
-      if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0)) this.doubt('a promise is gone from the disk');
+      if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0)) this.doubt('lost from the disk: a promise');
       if (this.doubtful || (found.member === undefined && (await this.store.keepIdentity(this.id)).isLeft())) return false;
       this.troubled = false;
       this.impairment = '';
