Operator calls and commands on the configuration of routes: put, patch, show

Cause: the configuration of routes could be changed by a deployment's adapter alone, so that the product's own operators, and its tests with real processes, had no way to it. The calls are on every node, core and router; the operators' face takes bodies up to the bound of a configuration.

--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -293,6 +293,57 @@
         patch?: never;
         trace?: never;
     };
+    "/rpc/routes.put": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        get?: never;
+        put?: never;
+        /** Puts a whole configuration of routes on top of the version expected */
+        post: operations["routes.put"];
+        delete?: never;
+        options?: never;
+        head?: never;
+        patch?: never;
+        trace?: never;
+    };
+    "/rpc/routes.patch": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        get?: never;
+        put?: never;
+        /** Sets and removes named items of the configuration of routes */
+        post: operations["routes.patch"];
+        delete?: never;
+        options?: never;
+        head?: never;
+        patch?: never;
+        trace?: never;
+    };
+    "/rpc/routes.show": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        get?: never;
+        put?: never;
+        /** The newest accepted configuration of routes, whole */
+        post: operations["routes.show"];
+        delete?: never;
+        options?: never;
+        head?: never;
+        patch?: never;
+        trace?: never;
+    };
 }
 export type webhooks = Record<string, never>;
 export interface components {
@@ -412,6 +463,42 @@
             }[];
             silent: string[];
         };
+        RoutesPutAsk: {
+            /** @description version, routes, services and limits; checked in full by the node */
+            configuration: {
+                [key: string]: unknown;
+            };
+            /** @description The version in place, 0 for the first */
+            expects: number;
+            wait: components["schemas"]["Wait"];
+        };
+        RoutesPatchAsk: {
+            /** @description version, set and remove */
+            patch: {
+                [key: string]: unknown;
+            };
+            expects: number;
+            wait: components["schemas"]["Wait"];
+        };
+        RoutesShowAsk: {
+            wait: components["schemas"]["Wait"];
+        };
+        RoutesChangedReply: {
+            /**
+             * @description conflict and invalid: never in force; unknown: send it again unchanged, to any node
+             * @enum {string}
+             */
+            outcome: "accepted" | "conflict" | "invalid" | "unknown";
+            /** @description The version in place, as far as is known at the node */
+            version: number;
+            reason: string;
+        };
+        RoutesReply: {
+            /** @description Missing before the first */
+            configuration?: {
+                [key: string]: unknown;
+            };
+        };
         FormAsk: {
             members: string[];
         };
@@ -509,6 +596,24 @@
         };
     };
     responses: {
+        /** @description The outcome of a change of routes */
+        RoutesChanged: {
+            headers: {
+                [name: string]: unknown;
+            };
+            content: {
+                "application/json": components["schemas"]["RoutesChangedReply"];
+            };
+        };
+        /** @description A configuration of routes */
+        Routes: {
+            headers: {
+                [name: string]: unknown;
+            };
+            content: {
+                "application/json": components["schemas"]["RoutesReply"];
+            };
+        };
         /** @description The outcome of a change */
         Changed: {
             headers: {
@@ -602,6 +707,21 @@
     };
     parameters: never;
     requestBodies: {
+        RoutesPut: {
+            content: {
+                "application/json": components["schemas"]["RoutesPutAsk"];
+            };
+        };
+        RoutesPatch: {
+            content: {
+                "application/json": components["schemas"]["RoutesPatchAsk"];
+            };
+        };
+        RoutesShow: {
+            content: {
+                "application/json": components["schemas"]["RoutesShowAsk"];
+            };
+        };
         DoorwaySet: {
             content: {
                 "application/json": components["schemas"]["DoorwaySetAsk"];
@@ -899,4 +1019,43 @@
             default: components["responses"]["Fault"];
         };
     };
+    "routes.put": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        requestBody: components["requestBodies"]["RoutesPut"];
+        responses: {
+            200: components["responses"]["RoutesChanged"];
+            default: components["responses"]["Fault"];
+        };
+    };
+    "routes.patch": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        requestBody: components["requestBodies"]["RoutesPatch"];
+        responses: {
+            200: components["responses"]["RoutesChanged"];
+            default: components["responses"]["Fault"];
+        };
+    };
+    "routes.show": {
+        parameters: {
+            query?: never;
+            header?: never;
+            path?: never;
+            cookie?: never;
+        };
+        requestBody: components["requestBodies"]["RoutesShow"];
+        responses: {
+            200: components["responses"]["Routes"];
+            default: components["responses"]["Fault"];
+        };
+    };
 }
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -14,6 +14,7 @@
 import { CallersController } from '../faces/callers/controller.js';
 import { openFace } from '../faces/common/face.js';
 import { StatusController, type ReadyQuestion } from '../faces/common/status.js';
+import { BYTE_BOUND } from '../route/check.js';
 import { RequestsFace } from '../faces/requests/face.js';
 import { OperatorsController } from '../faces/operators/controller.js';
 import type { InForce } from '../doorway/match.js';
@@ -75,7 +76,7 @@
 
 const openServices = (context: INestApplicationContext, tokens: readonly string[]): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
 
-const common = [names.operations, names.schema, names.keys, names.random, names.log];
+const common = [names.operations, names.configurator, names.schema, names.keys, names.random, names.log];
 const routerOnly = [names.passage, names.forwarder, names.inForce];
 
 /** Runs the node until it is told to stop, and says with which code to exit. */
@@ -98,9 +99,9 @@
   else coreMetrics(registry, context);
   let stopping = false;
   const status: ReadyQuestion = () => (stopping ? 'stopping' : node.ready());
-  const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [names.configurator])]);
+  const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [])]);
   services.set(names.status, status).set(names.metrics, registry);
-  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, 1_048_576, [OperatorsController, StatusController], services)];
+  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, BYTE_BOUND + 65_536, [OperatorsController, StatusController], services)];
   if (role === 'router' && params.listen.callers) opening.push(() => openFace(params.listen.callers, params.passage.bodyBytes, [CallersController, StatusController], services));
   if (role === 'router' && params.listen.requests) {
     const inForce = context.get<InForce>(names.inForce);
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -10,11 +10,11 @@
 import { digestOf } from '../register/document.js';
 import { operate, type Target } from '../client/operate.js';
 
-export const exitCodes = new Map<string, number>([['accepted', 0], ['declined', 3], ['lost', 3], ['unknown', 4]]);
+export const exitCodes = new Map<string, number>([['accepted', 0], ['declined', 3], ['lost', 3], ['conflict', 3], ['invalid', 3], ['unknown', 4]]);
 
 const show = (value: unknown): void => void process.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
 
-const end = (outcome: Outcome<unknown>): void => {
+export const end = (outcome: Outcome<unknown>): void => {
   outcome.caseOf({
     Right: (value) => {
       show(value);
@@ -28,7 +28,7 @@
   });
 };
 
-interface Common {
+export interface Common {
   node: string;
   key: string;
   wait: number;
@@ -36,15 +36,15 @@
   expects?: number;
 }
 
-const target = ({ node, key }: Common): Target => ({ node, key });
+export const target = ({ node, key }: Common): Target => ({ node, key });
 
-const common = (yargs: Argv): Argv<Common> =>
+export const common = (yargs: Argv): Argv<Common> =>
   yargs
     .option('node', { type: 'string', demandOption: true, describe: 'Operator address of any node, IP:PORT' })
     .option('key', { type: 'string', default: process.env['RUDDERRIDGE_KEY'] ?? '', describe: 'Operator key; RUDDERRIDGE_KEY by default' })
     .option('wait', { type: 'number', default: 10_000, describe: 'Milliseconds to wait for the outcome' })
     .option('change', { type: 'string', describe: 'Change id, to repeat a change safely; a new one by default' })
-    .option('expects', { type: 'number', describe: 'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set; read from the node by default' }) as Argv<Common>;
+    .option('expects', { type: 'number', describe: 'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default' }) as Argv<Common>;
 
 const expected = async (argv: Common, name: string): Promise<Outcome<number>> => {
   const list = await operate(target(argv), 'doorway.list', {});
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -1,6 +1,8 @@
 /** The operators' face: every call is POST /rpc/CALL, its body checked against the schema file both firms check in. */
 import { Body, Controller, Headers, Inject, Param, Post, Res } from '@nestjs/common';
 import type { FastifyReply } from 'fastify';
+import { Right } from 'purify-ts';
+import type { ConfigurationCalls } from '../../api/configuration.js';
 import type { Operations, Operator } from '../../api/operations.js';
 import type { SchemaCheck, Schemas } from '../../api/schema.js';
 import { failed, reasonOf, type Fault, type Outcome } from '../../kernel/fault/fault.js';
@@ -13,7 +15,7 @@
 export class OperatorsController {
   private readonly calls: ReadonlyMap<string, Run>;
 
-  constructor(@Inject(names.operations) operations: Operations, @Inject(names.schema) schema: SchemaCheck, @Inject(names.keys) private readonly keys: Keys) {
+  constructor(@Inject(names.operations) operations: Operations, @Inject(names.configurator) routes: ConfigurationCalls, @Inject(names.schema) schema: SchemaCheck, @Inject(names.keys) private readonly keys: Keys) {
     const checked =
       <K extends keyof Schemas>(name: K, act: (ask: Schemas[K], operator: Operator) => Promise<Outcome<unknown>> | Outcome<unknown>): Run =>
       async (operator, body) => {
@@ -31,6 +33,9 @@
       ['config.at', checked('AtAsk', ({ generation }) => operations.at(generation))],
       ['config.history', checked('HistoryAsk', (ask) => operations.history(ask))],
       ['change.trace', checked('TraceAsk', (ask) => operations.trace(ask))],
+      ['routes.put', checked('RoutesPutAsk', async ({ configuration, expects, wait }) => Right(await routes.replace(configuration, expects, wait)))],
+      ['routes.patch', checked('RoutesPatchAsk', async ({ patch, expects, wait }) => Right(await routes.patch(patch, expects, wait)))],
+      ['routes.show', checked('RoutesShowAsk', async ({ wait }) => (await routes.read(wait)).map((configuration) => ({ configuration })))],
       ['node.list', checked('NothingAsk', () => operations.nodes())],
       ['node.retire', checked('RetireAsk', (ask, operator) => operations.retire(operator, ask))],
       ['engine.list', checked('NothingAsk', () => operations.engines())],
--- a/src/main.ts
+++ b/src/main.ts
@@ -3,6 +3,7 @@
 import yargs, { type Argv } from 'yargs';
 import { hideBin } from 'yargs/helpers';
 import { runDaemon } from './command/daemon.js';
+import { routesCommand } from './command/routes.js';
 import { configCommand, coreSetCommand, doorwayCommand, nodeCommand, runTrace, traceCommand } from './command/operators.js';
 import type { Fault } from './kernel/fault/fault.js';
 import { readParams } from './params/read.js';
@@ -60,6 +61,7 @@
   .command('core', 'Runs a control machine, which keeps the register on its disk', daemonFlags, daemon('core'))
   .command('router', 'Runs a router, which carries requests to engines', daemonFlags, daemon('router'))
   .command('doorway', 'Sets, removes, claims and shows doorways', doorwayCommand)
+  .command('routes', 'Puts, patches and shows the configuration of routes', routesCommand)
   .command('config', 'Shows and exports the configuration', configCommand)
   .command('node', 'Shows nodes and engines', nodeCommand)
   .command('core-set', 'Forms and shows the core group', coreSetCommand)
