A whole fleet of real processes under opaque requests, judged, without any kit

Three core processes, three routers, the list and six stand-in engines of two services; callers that try again and operators that move, split, add, remove and race. Engines answer wrongly in 12 ways, crash, have their address taken by another service, and are replaced; a router and a core member are killed, a router is stopped in order. Judged after each step with no slack on configuration: what was accepted is in force at once.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -12,7 +12,7 @@
 import { digestOf } from '../register/document.js';
 import type { Schemas } from '../api/schema.js';
 import { operate } from '../client/operate.js';
-import type { Listed } from '../stand/platform/platform.js';
+import type { Listed } from '../pool/engine.js';
 import type { RunRecord } from '../stand/engine/engine.js';
 
 export interface FleetPlan {
@@ -26,6 +26,8 @@
   readonly params?: object;
   readonly lag?: number;
   readonly perSecond?: number;
+  /** Routers take opaque requests too. */
+  readonly opaque?: boolean;
 }
 
 interface Running {
@@ -52,6 +54,8 @@
 export class Fleet {
   private readonly running = new Map<string, Running>();
   readonly callers = new Map<string, string>();
+  /** Where routers take opaque requests. */
+  readonly requests = new Map<string, string>();
   readonly operators = new Map<string, string>();
   readonly engines = new Map<string, string>();
   readonly peers = new Map<string, string>();
@@ -63,7 +67,7 @@
 
   async start(): Promise<void> {
     const { cores, routers, engines, zones, firms, folder } = this.plan;
-    const ports = await freePorts(1 + cores * 2 + routers * 3 + engines);
+    const ports = await freePorts(1 + cores * 2 + routers * 4 + engines);
     const next = (): string => `127.0.0.1:${ports.shift()!}`;
     this.platform = next();
     const coreNames = Array.from({ length: cores }, (_, at) => `core-${at + 1}`);
@@ -73,13 +77,16 @@
       this.peers.set(name, next());
       this.operators.set(name, next());
     }
-    for (const name of routerNames) this.callers.set(name, next());
+    for (const name of routerNames) {
+      this.callers.set(name, next());
+      if (this.plan.opaque) this.requests.set(name, next());
+    }
     for (const name of engineNames) this.engines.set(name, next());
     const seeds = coreNames.map((name) => this.peers.get(name)!);
     const keyed = firms.map((name) => ({ name, callerKeys: [digestOf(callerKey(name))], operatorKeys: [digestOf(operatorKey(name))] }));
     [...coreNames, ...routerNames].forEach((name, at) => {
       const core = coreNames.includes(name);
-      const listen = { callers: this.callers.get(name) ?? '127.0.0.1:1', operators: this.operators.get(name)!, peers: this.peers.get(name)! };
+      const listen = { callers: this.callers.get(name) ?? '127.0.0.1:1', operators: this.operators.get(name)!, peers: this.peers.get(name)!, requests: this.requests.get(name) ?? '' };
       const params = { fleet: 'local', name, zone: zones[at % zones.length], listen, seeds, firms: keyed, platform: { url: `http://${this.platform}/engines` }, ...(core ? { folder: join(folder, name), form: true } : {}), ...this.plan.params };
       writeFileSync(join(folder, `${name}.json`), JSON.stringify(params, null, 2));
     });
--- a/src/stand/opaque/engine.ts
+++ b/src/stand/opaque/engine.ts
@@ -48,6 +48,8 @@
   private readonly server: Server;
   private readonly sockets = new Map<Socket, { readonly number: number; busy: number; owed: Buffer[] }>();
   private connected = 0;
+  /** Where it listens. */
+  address = '';
   private runs = 0;
 
   constructor(params: Partial<OpaqueEngineParams>, private readonly clock: Clock, private readonly dialect: Dialect = ownDialect) {
@@ -67,7 +69,7 @@
     const { host, port } = parseAddress(this.params.address);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve(`${host}:${(this.server.address() as { port: number }).port}`));
+      this.server.listen(port, host, () => resolve((this.address = `${host}:${(this.server.address() as { port: number }).port}`)));
     });
   }
 
--- a/src/stand/platform/platform.ts
+++ b/src/stand/platform/platform.ts
@@ -5,25 +5,9 @@
 import { createServer, type Server } from 'node:http';
 import { SystemClock, type Clock } from '../../kernel/clock/clock.js';
 import { parseAddress } from '../../kernel/net/net.js';
+import type { Listed } from '../../pool/engine.js';
 import { readAll } from '../engine/engine.js';
 
-export interface Listed {
-  identifier: string;
-  address: string;
-  model: string;
-  adapters: string[];
-  weight_generation: string;
-  zone: string;
-  labels: Record<string, string>;
-  cache_capacity_tokens: number;
-  prefill_rate: number;
-  leaving: boolean;
-  service?: string;
-  slots?: number;
-  /** ms for which it is still slow after its start. */
-  cold?: number;
-}
-
 export interface PlatformStandParams {
   readonly address: string;
   readonly lag: number;
--- a/test/forward/answers.test.ts
+++ b/test/forward/answers.test.ts
@@ -68,6 +68,7 @@
       expect(statuses.at(-1)).toBe(200);
       await expectClean(stage);
       expect(engine!.lines.ever).toBeGreaterThan(1);
+      await until('what was spoilt is closed', () => engine!.lines.open <= 1);
     });
   }
 }
--- /dev/null
+++ b/test/process/opaque.test.ts
@@ -0,0 +1,156 @@
+/** A whole fleet of real processes under opaque requests, through failures one after the other, judged at its end. */
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as pause } from 'node:timers/promises';
+import { afterAll, beforeAll, expect, test } from 'vitest';
+import { Fleet } from '../../src/fleet/fleet.js';
+import { OpaqueScene, routeTo, type Kind } from '../../src/fleet/opaque.js';
+import type { Configuration, Route } from '../../src/route/shape.js';
+
+const retry = { retryShare: 0.2, retryWindow: 10_000 };
+const fleet = new Fleet({ folder: mkdtempSync(join(tmpdir(), 'rr-')), cores: 3, routers: 3, engines: 0, zones: ['a'], firms: ['sahel'], opaque: true, params: { forward: retry, core: { replaceAfter: 30_000 } } });
+const scene = new OpaqueScene(fleet, 7);
+
+const prompt = [['X-Model', 'm'], ['X-Token-Counts', '400,40'], ['X-Prompt-Parts', 'aa:300,bb:100']] as const;
+const host = 'rail.example';
+const kinds: readonly Kind[] = [
+  { name: 'once', asking: { host, target: '/once/x?y=z', repeatable: false }, perSecond: 25 },
+  { name: 'again', asking: { host, target: '/again/x?bytes=3000', repeatable: true, chunked: 3 }, perSecond: 25 },
+  { name: 'stream', asking: { host, target: '/stream/x', repeatable: false, fields: prompt }, perSecond: 15 },
+  { name: 'resumed', asking: { host, target: '/resumed/x', repeatable: true, resume: true, fields: prompt }, perSecond: 15 },
+];
+const routes: readonly Route[] = [routeTo('once', 'alpha', { kind: 'non_idempotent' }), routeTo('again', 'beta'), routeTo('stream', 'alpha', { kind: 'streaming' }), routeTo('resumed', 'beta', { kind: 'streaming', resume: true, attempts: 3 })];
+const services = [{ name: 'alpha', connections: 200 }, { name: 'beta', connections: 200 }];
+const configuration = (version: number, changed: readonly Route[] = routes): Configuration => ({ version, routes: changed, services, limits: { headerBytes: 16_384, bodyBytes: 1_000_000, idleTimeout: 5000 } });
+const bounds = { drain: 3000, apply: 0, ratio: retry.retryShare, window: retry.retryWindow, slack: 3 };
+
+const servedOf = (name: string, since = 0): number => {
+  const asked = scene.caller.asked.filter((each) => each.name === name && each.began >= since);
+  return asked.filter(({ outcome }) => outcome === 'served').length / asked.length;
+};
+const expectSound = (): void => expect(scene.judged(bounds)).toEqual([]);
+const statuses = async (target: string): Promise<number[]> => Promise.all([...fleet.requests.keys()].map(async (router) => (await scene.ask('seen', { host, target, repeatable: false }, router)).tries[0]!.status));
+
+beforeAll(async () => {
+  await fleet.start();
+  for (const at of [1, 2, 3]) for (const service of ['alpha', 'beta']) await scene.startEngine(`${service}-${at}`, service);
+  await fleet.until('the core', async () => (await scene.put('core-1', configuration(1), 0)) === 'accepted');
+  await fleet.ready(fleet.requests.keys());
+  void scene.follow();
+  await fleet.until('an answer from each router', async () => (await statuses('/once/warm')).every((status) => status === 200));
+  void scene.drive(kinds);
+});
+afterAll(async () => {
+  await scene.close();
+  await fleet.stop();
+});
+
+test('calm: all is served', async () => {
+  const since = Date.now();
+  await pause(1500);
+  for (const { name } of kinds) expect([name, servedOf(name, since) > 0.9]).toEqual([name, true]);
+  expectSound();
+});
+
+test('the configuration moves, splits, grows and shrinks in order, whichever node takes it', async () => {
+  const moved = routes.map((route) => (route.name === 'once' ? { ...route, service: 'beta' } : route));
+  expect(await scene.put('core-2', configuration(4, moved), 1)).toBe('accepted');
+  expect(await scene.put('router-1', configuration(4, moved), 1)).toBe('accepted');
+  const split = [...moved.filter(({ name }) => name !== 'again'), routeTo('again', [{ service: 'alpha', weight: 3 }, { service: 'beta', weight: 1 }])];
+  expect(await scene.put('router-2', configuration(5, split), 4)).toBe('accepted');
+  const added = [routeTo('added', 'alpha', { kind: 'non_idempotent' })];
+  expect(await scene.patch('core-3', { version: 8, set: { routes: added }, remove: {} }, configuration(8, [...split, ...added]), 5)).toBe('accepted');
+  expect(await statuses('/added/x')).toEqual([200, 200, 200]);
+  expect(await scene.patch('core-1', { version: 9, set: {}, remove: { routes: ['added'] } }, configuration(9, split), 8)).toBe('accepted');
+  expect(await statuses('/added/x')).toEqual([404, 404, 404]);
+  expect(await scene.shown('core-2')).toMatchObject({ version: 9, routes: split });
+  expectSound();
+});
+
+test('of two operators one wins, what is invalid or stale changes nothing', async () => {
+  const rival = (service: string): Route[] => [...routes.filter(({ name }) => name !== 'stream'), routeTo('stream', service, { kind: 'streaming' })];
+  const told = await Promise.all([scene.put('core-1', configuration(12, rival('alpha')), 9), scene.put('router-3', configuration(13, rival('beta')), 9)]);
+  expect([...told].sort()).toEqual(['accepted', 'conflict']);
+  const version = told[0] === 'accepted' ? 12 : 13;
+  expect(await scene.put('core-1', configuration(20, [routeTo('once', 'nowhere')]), version)).toBe('invalid');
+  expect(await scene.put('core-1', configuration(version), version)).toBe('invalid');
+  expect(await scene.put('core-2', configuration(30), 9)).toBe('conflict');
+  expect(await scene.put('core-1', configuration(40), version)).toBe('accepted');
+  expect(await scene.shown('router-1')).toMatchObject({ version: 40 });
+  expectSound();
+});
+
+test('engines that answer wrongly harm only their own requests', async () => {
+  const [alpha, beta] = [scene.engines.get('alpha-1')!, scene.engines.get('beta-1')!];
+  for (const kind of ['cut', 'late', 'late-refusal', 'surplus', 'garbled', 'foreign', 'reset', 'unsealed', 'unmarked-full', 'cut-inside', 'garbled-midway', 'anew'] as const) {
+    alpha.troubles.tell(kind, 2);
+    beta.troubles.tell(kind, 2);
+    await pause(150);
+  }
+  alpha.troubles.clear();
+  beta.troubles.clear();
+  await pause(300);
+  expectSound();
+});
+
+test('an engine crashes, and its address is given to an engine of another service', async () => {
+  const address = await scene.crash('alpha-2');
+  await pause(500);
+  await scene.startEngine('beta-4', 'beta', address);
+  await pause(1500);
+  await scene.unlist('alpha-2');
+  await scene.startEngine('alpha-4', 'alpha');
+  await pause(500);
+  expectSound();
+});
+
+test('the engines of a service are replaced one after the other', async () => {
+  for (const at of [1, 3]) {
+    await scene.leave(`beta-${at}`);
+    await scene.startEngine(`beta-${at}-new`, 'beta');
+    await pause(bounds.drain + 300);
+    const late = scene.engines.get(`beta-${at}`)!.requests.filter(({ ended }) => ended === 'running');
+    expect(late).toEqual([]);
+    await scene.crash(`beta-${at}`);
+    await scene.unlist(`beta-${at}`);
+  }
+  expectSound();
+});
+
+test('a router and a core member are killed, and changes go on', async () => {
+  await Promise.all([fleet.kill('router-1'), fleet.kill('core-1')]);
+  await pause(500);
+  expect(await scene.put('core-2', configuration(50, routes.map((route) => (route.name === 'again' ? { ...route, service: 'alpha' } : route))), 40)).toBe('accepted');
+  fleet.again('router-1');
+  fleet.again('core-1');
+  await fleet.ready(['router-1', 'core-1']);
+  expect(await scene.put('core-1', configuration(51), 50)).toBe('accepted');
+  expectSound();
+});
+
+test('a router is stopped in order: what it took is ended', async () => {
+  const address = fleet.requests.get('router-2')!;
+  const from = Date.now();
+  fleet.signal('router-2', 'SIGTERM');
+  expect(await fleet.exited('router-2')).toBe(0);
+  const till = Date.now();
+  const ran = new Set(scene.arrivals.filter((arrival) => arrival.ran > 0).map(({ id }) => id));
+  const broken = scene.caller.asked.flatMap(({ tries }) => tries).filter((told) => told.router === address && told.ended >= from && told.at <= till && ran.has(told.id) && !told.complete);
+  expect(broken).toEqual([]);
+  fleet.again('router-2');
+  await fleet.ready(['router-2']);
+  expectSound();
+});
+
+test('after all of it everything is served again, and nothing that must never happen did', async () => {
+  await pause(1500);
+  const since = Date.now();
+  await pause(2000);
+  const asked = await scene.rest();
+  const unserved = asked.filter(({ began, outcome }) => began >= since && outcome !== 'served');
+  expect(unserved.map(({ name, tries }) => [name, tries.map(({ status, reason, body, events, at, ended }) => [status, reason, body.slice(0, 80), events.length, Math.round(ended - at)])])).toEqual([]);
+  expect(asked.length).toBeGreaterThan(1000);
+  expect(asked.filter(({ outcome }) => outcome === 'served').length / asked.length).toBeGreaterThan(0.9);
+  expectSound();
+});
--- a/test/stand/platform.test.ts
+++ b/test/stand/platform.test.ts
@@ -1,7 +1,8 @@
 /** The stand-in list on virtual time: lag, pages, zones, the rate limit, and when a leaver is first shown. */
 import { expect, test } from 'vitest';
 import { Host, World } from '../../src/sim/world.js';
-import { PlatformStand, type Listed } from '../../src/stand/platform/platform.js';
+import type { Listed } from '../../src/pool/engine.js';
+import { PlatformStand } from '../../src/stand/platform/platform.js';
 
 const listed = (identifier: string, zone = 'a'): Listed => ({ identifier, address: '127.0.0.1:1', model: 'm', adapters: [], weight_generation: '1', zone, labels: {}, cache_capacity_tokens: 1, prefill_rate: 1, leaving: false, service: 's', slots: 4 });
 const stage = (perSecond: number, pageSize?: number): { platform: PlatformStand; pass: (ms: number) => Promise<unknown>; host: Host } => {
