--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -17,6 +17,7 @@
 import { Follower } from '../register/follower.js';
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
+import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
 import type { Roster } from '../register/roster.js';
 import { Succession } from '../register/succession.js';
@@ -27,6 +28,8 @@
 import { nodeProviders } from '../node/module.js';
 
 const SETTLE_EVERY = 250;
+const FORM_TURN = 1500;
+const FORM_PAUSE = 200;
 
 @Injectable()
 export class CoreNode {
@@ -65,9 +68,10 @@
     const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
-    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
+    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers, this.params.core.keep + this.params.core.keepBytes > 0);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
+    void keepRecovering(this.member, this.clock, this.stop.signal);
     if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
@@ -94,25 +98,29 @@
   /** Keeps the newest settled generation in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      const { newest, settledGeneration } = this.member;
-      if (newest && newest.generation === settledGeneration && this.inForce.swap(newest)) {
+      const newest = this.member.chain.document;
+      if (newest && this.inForce.swap(newest)) {
         this.roster.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['generation', newest.generation]]);
       }
-      await this.member.beyond(this.inForce.generation, 500);
-      if (this.member.settledGeneration > this.inForce.generation && this.member.newest?.generation !== this.member.settledGeneration) await this.clock.sleep(50, this.stop.signal);
+      await this.member.chain.beyond(this.inForce.generation, 500);
     }
   }
 
-  /** By the form param, the seed named first forms the core as soon as all seeds answer. */
+  /**
+   * By the form param, the seed named first forms the core as soon as all seeds answer; the others do the same after a
+   * while, should it be gone. They name the same group, whose first generation has one text.
+   */
   private async form(): Promise<void> {
-    if (this.params.listen.peers !== this.params.seeds[0]) return;
+    const at = this.params.seeds.indexOf(this.params.listen.peers);
+    if (at < 0) return;
+    await this.clock.sleep(at * FORM_TURN, this.stop.signal);
     while (!this.stop.signal.aborted && (this.member.newest?.generation ?? 0) <= 1 && this.member.settledGeneration === 0) {
-      const formed = await this.operations.form(this.params.seeds);
+      const formed = await this.operations.form(this.params.seeds, this.params.core.wanted || undefined);
       if (formed.isRight()) return;
       this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
-      await this.clock.sleep(500, this.stop.signal);
+      await this.clock.sleep(FORM_PAUSE, this.stop.signal);
     }
   }
 }
@@ -128,7 +136,7 @@
         {
           provide: names.member,
           inject: [names.disk, names.peers, names.clock, names.random, names.log],
-          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet), peers, clock, random, log),
+          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, clock, random, log, params.core.stall),
         },
         {
           provide: names.keeper,
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -24,10 +24,12 @@
   private readonly unanswered = new Set<ServerResponse>();
   private heeded: Limits | undefined;
   private retiring = false;
+  private halted = false;
 
   /** `limits` gives those in force; the same object as long as they are the same. */
   constructor(private readonly handler: RequestHandler, private readonly limits: () => Limits) {
     this.server = createServer({ maxHeaderSize: HEADER_BOUND, insecureHTTPParser: false, noDelay: true, requestTimeout: 0, headersTimeout: HEADER_TIMEOUT, connectionsCheckingInterval: CHECK_EVERY, keepAliveTimeout: IDLE_TIMEOUT });
+    this.server.on('connection', () => this.heed());
     this.server.on('request', (request, response) => this.take(request, response));
     this.heed();
   }
@@ -47,6 +49,7 @@
 
   /** Also closes the connections on which nothing is under way. */
   halt(): void {
+    this.halted = true;
     this.server.close();
   }
 
@@ -61,7 +64,10 @@
     this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
     this.unanswered.add(response);
-    response.once('close', () => this.unanswered.delete(response));
+    response.once('close', () => {
+      this.unanswered.delete(response);
+      if (this.halted) setImmediate(() => this.server.closeIdleConnections());
+    });
     this.handler.handle(request, response);
   }
 
