--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -6,7 +6,7 @@
 import type { Fetch } from '../../pool/news.js';
 import { simCore, simRouter, type SimCore, type SimRouter, type SimSite } from '../../sim/nodes.js';
 import { SimDisk, World, type Host } from '../../sim/world.js';
-import type { Listed } from '../../stand/platform/platform.js';
+import type { Listed } from '../../pool/engine.js';
 import { CountedNet, Traffic } from '../../wire/traffic.js';
 import { ratesOf, type Sums } from './rates.js';
 import type { ControlPlan, RoleRates } from './shape.js';
--- a/test/forward/streams.test.ts
+++ b/test/forward/streams.test.ts
@@ -131,13 +131,14 @@
 });
 
 test('a caller that leaves while its request waits for a second engine is not sent there', async () => {
-  const stage = await openStage({ route: { kind: 'idempotent', target: 5000 } });
+  const stage = await openStage({ route: { kind: 'idempotent', target: 60_000, timeout: 60_000 } });
   stage.engines[0]!.troubles.tell('silent');
   const gone = new AbortController();
-  const asked = stage.caller.ask({ name: 'n', host: 'h.example', target: '/a/', method: 'POST', body: Buffer.alloc(0), repeatable: true, deadline: 5000, silence: 5000, furtherTries: 0 }, () => stage.front, gone.signal);
+  const asked = stage.caller.ask({ name: 'n', host: 'h.example', target: '/a/', method: 'POST', body: Buffer.alloc(0), repeatable: true, deadline: 60_000, silence: 60_000, furtherTries: 0 }, () => stage.front, gone.signal);
   await until('it runs', () => (stage.engines[0]!.requests[0]?.ran ?? 0) > 0);
   gone.abort();
   await asked;
+  await until('the engine sees its link closed', () => stage.engines[0]!.lines.open === 0);
   await expectClean(stage);
   expect(stage.engines[1]!.requests).toEqual([]);
 });
