--- a/src/place/prefix/load.ts
+++ b/src/place/prefix/load.ts
@@ -5,7 +5,7 @@
 import { hashOf } from './order.js';
 
 /** How fast the sign of others' load fades, in milliseconds. */
-const FADE = 1000;
+const FADE = 3000;
 /** What of the learned rate an engine is taken to read at beside other routers' requests. */
 const DRAIN = 0.5;
 const FULL_FIRST = 50;
--- a/src/place/prefix/split.ts
+++ b/src/place/prefix/split.ts
@@ -8,6 +8,8 @@
 /** Tokens of each kind taken as seen from the start. */
 const PRIOR = 20_000;
 const STEPS = 4;
+/** The largest share of the engines for long prompts: what is left to short ones must bear their bursts. */
+const MOST = 2 / 3;
 
 export class Split {
   private long = 0;
@@ -25,7 +27,7 @@
     if (count < 2 || this.long === 0 || this.short === 0) return count;
     const long = this.long * favour + PRIOR;
     const steps = Math.round((STEPS * long) / (long + this.short + PRIOR));
-    return Math.min(count - 1, Math.max(1, Math.round((count * steps) / STEPS)));
+    return Math.min(count - 1, Math.max(1, Math.floor(count * Math.min(steps / STEPS, MOST))));
   }
 
   private fade(now: number): void {
