Placement at a cost that hardly grows with the engines

Each request looked up every engine several times, sorted all for the split, and read the index for all. Now one pass over the engines, the border of the split looked at four times a second, the index read only for the engines that are weighed, and one hash for each part.

--- a/src/index/hash.ts
+++ b/src/index/hash.ts
@@ -3,7 +3,7 @@
  * the one before and begins with the namespace (model or adapter, weight generation, firm), so that prefixes of
  * different namespaces can't meet. Both are 128 bits. The last, partial block never counts.
  */
-import { createHash } from 'node:crypto';
+import { createHash, hash as hashOnce } from 'node:crypto';
 
 export interface Block {
   readonly local: string;
@@ -52,12 +52,15 @@
   readonly tokens: number;
 }
 
-/** One block for each part, each external hash chained from the one before. */
+/**
+ * One block for each part, each external hash chained from the one before. The id stands for the part's bytes as a hash
+ * does, so that it is the local hash, together with the size.
+ */
 export const blocksOfParts = (parts: readonly NamedPart[], parent: string): SizedBlock[] => {
   let external = parent;
   return parts.map(({ id, tokens }) => {
-    const local = short([`${id}\u0000${tokens}`]);
-    external = short([external, local]);
+    const local = `${id}:${tokens}`;
+    external = hashOnce('sha256', `${external}\u0000${local}`, 'base64url').slice(0, 22);
     return { local, external, tokens };
   });
 };
--- a/src/index/parts.ts
+++ b/src/index/parts.ts
@@ -9,8 +9,9 @@
 
 const TREES_BOUND = 256;
 const ROOTS_BOUND = 1024;
-/** Blocks claimed for one engine at most, so that tiny parts can't fill the memory. */
-const BLOCKS_BOUND = 8192;
+/** Blocks claimed for all engines at most, so that tiny parts can't fill the memory; each engine has an equal share. */
+const BLOCKS_BOUND = 16_384;
+const LEAST_SHARE = 16;
 
 interface Touch {
   readonly tree: Tree;
@@ -36,10 +37,10 @@
   }
 
   /** Takes out what gives way within the capacity, oldest first. */
-  lapse(capacity: number): Array<readonly [string, Tree]> {
+  lapse(capacity: number, most: number): Array<readonly [string, Tree]> {
     const gone: Array<readonly [string, Tree]> = [];
     for (const [external, { tree }] of this.touches) {
-      if (this.weight <= capacity && this.touches.size <= BLOCKS_BOUND) break;
+      if (this.weight <= capacity && this.touches.size <= most) break;
       this.drop(external);
       gone.push([external, tree]);
     }
@@ -76,6 +77,12 @@
     return tree ? finish(tree.find(blocks)) : new Map();
   }
 
+  /** The same for one engine alone. */
+  depth(engine: string, root: string, blocks: readonly SizedBlock[]): number {
+    const tree = this.trees.get(root);
+    return tree ? finish(tree.depth(engine, blocks)) : 0;
+  }
+
   /**
    * The engine has read these blocks, or found them kept. The last `own` of them belong to the request or its session:
    * every router sends as many of such, so they weigh for all routers; shared ones are the same for all.
@@ -89,7 +96,7 @@
       const { external, tokens } = blocks[at]!;
       recency.touch(external, { tree, weight: at >= blocks.length - own ? tokens * others : tokens });
     }
-    for (const [external, of] of recency.lapse(capacity)) finish(of.remove(engine, external));
+    for (const [external, of] of recency.lapse(capacity, Math.max(LEAST_SHARE, Math.floor(BLOCKS_BOUND / this.held.size)))) finish(of.remove(engine, external));
   }
 
   /** What was claimed for an engine turned out not to be there. */
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -118,6 +118,25 @@
     return held;
   }
 
+  /** How many leading blocks of the run one engine holds. */
+  *depth(engine: string, blocks: readonly Block[]): Steps<number> {
+    let vertex = this.root;
+    let depth = 0;
+    while (depth < blocks.length) {
+      const child = vertex.children.get(blocks[depth]!.local);
+      if (!child) break;
+      yield;
+      const { edge } = child;
+      const cutoff = child.coverage(engine);
+      let same = 0;
+      while (same < cutoff && depth + same < blocks.length && edge[same]!.external === blocks[depth + same]!.external) same += 1;
+      depth += same;
+      if (same < edge.length) break;
+      vertex = child;
+    }
+    return depth;
+  }
+
   /** Drops all of one engine's coverage, as when it restarts empty. */
   forget(engine: string): void {
     const touched = new Set(this.lookups.get(engine)?.values());
--- a/src/place/prefix.ts
+++ b/src/place/prefix.ts
@@ -10,7 +10,7 @@
 import { Soundness } from '../pool/soundness.js';
 import type { Service } from '../route/shape.js';
 import type { PlaceAsk, Placement, Placer } from './placer.js';
-import { Choice } from './prefix/choice.js';
+import { Choice, type Candidates } from './prefix/choice.js';
 import { EngineLoad } from './prefix/load.js';
 import { PromptPrefixes } from './prefix/prefixes.js';
 import { ServiceRecords } from './prefix/service.js';
@@ -36,13 +36,21 @@
   place(ask: PlaceAsk, engines: readonly Engine[]): Placement {
     const now = this.clock.now();
     if (engines.length === 0) return this.full(ask, ask.target / 4, 'no-engine');
-    const roomy = this.sound(engines).filter((engine) => this.load(engine).flying < this.slots(engine, ask.service));
-    const open = roomy.filter((engine) => this.load(engine).fullFor(now) <= 0);
-    if (open.length > 0) return this.send(ask, open, now);
-    // One word of an engine that it is full may have passed by now; two in a row are believed.
-    const doubtful = roomy.filter((engine) => this.load(engine).refusals < 2);
-    if (doubtful.length > 0) return this.send(ask, doubtful, now);
-    const soonest = roomy.reduce((least, engine) => Math.min(least, this.load(engine).fullFor(now)), Infinity);
+    const open: Candidates = { engines: [], loads: [] };
+    const doubtful: Candidates = { engines: [], loads: [] };
+    let soonest = Infinity;
+    for (const engine of this.sound(engines)) {
+      const load = this.load(engine);
+      if (load.flying >= this.slots(engine, ask.service)) continue;
+      const shut = load.fullFor(now);
+      // One word of an engine that it is full may have passed by now; two in a row are believed.
+      const list = shut <= 0 ? open : load.refusals < 2 ? doubtful : undefined;
+      list?.engines.push(engine);
+      list?.loads.push(load);
+      soonest = Math.min(soonest, shut);
+    }
+    if (open.engines.length > 0) return this.send(ask, open, now);
+    if (doubtful.engines.length > 0) return this.send(ask, doubtful, now);
     return this.full(ask, Number.isFinite(soonest) ? soonest : this.records.of(ask.service).pace.base, 'no-room');
   }
 
@@ -56,24 +64,24 @@
     return this.index.counts;
   }
 
-  private send(ask: PlaceAsk, open: readonly Engine[], now: number): Placement {
+  private send(ask: PlaceAsk, candidates: Candidates, now: number): Placement {
     const { service, prompt } = ask;
     const record = this.records.of(service);
     const prefixes = prompt && new PromptPrefixes(this.index, service.name, prompt);
     const { zone, zoneCost } = this.params;
-    const best = new Choice(ask, open, open.map((engine) => this.load(engine)), prefixes, record, this.weights, zone, zoneCost, now).best(this.random);
+    const best = new Choice(ask, candidates, prefixes, record, this.weights, zone, zoneCost, now).best(this.random);
     const limit = ask.priority === 0 ? this.weights.fullHigh : this.weights.fullLow;
-    if (best.estimate > ask.target && this.occupied(service, open) >= limit) return this.full(ask, best.estimate - ask.target, 'late');
+    if (best.estimate > ask.target && this.occupied(service, candidates) >= limit) return this.full(ask, best.estimate - ask.target, 'late');
     return { kind: 'placed', ticket: new PlacedTicket(best, record, prefixes, service.engine?.cacheTokens ?? this.params.cacheTokens, this.soundness, this.clock) };
   }
 
   /** The share of the engines' places thought to be taken: the other routers are taken to have as many there as this one. */
-  private occupied(service: Service, engines: readonly Engine[]): number {
+  private occupied(service: Service, { engines, loads }: Candidates): number {
     let flying = 0;
     let slots = 0;
-    for (const engine of engines) {
-      flying += this.load(engine).flying;
-      slots += this.slots(engine, service);
+    for (let at = 0; at < engines.length; at++) {
+      flying += loads[at]!.flying;
+      slots += this.slots(engines[at]!, service);
     }
     return slots === 0 ? 1 : (flying * Math.max(1, this.params.routers())) / slots;
   }
--- a/src/place/prefix/order.ts
+++ b/src/place/prefix/order.ts
@@ -38,8 +38,8 @@
   return best;
 };
 
-/** The first `count` places of the order, as a set of positions. */
-export const foremost = (key: number, engines: readonly number[], count: number): ReadonlySet<number> => {
-  const pulls = engines.map((engine, at) => [attraction(key, engine), at] as const).sort(([a], [b]) => b - a);
-  return new Set(pulls.slice(0, count).map(([, at]) => at));
+/** The pull from which on an engine is among the first `count` of the order. */
+export const pullOf = (key: number, engines: readonly number[], count: number): number => {
+  const pulls = Float64Array.from(engines, (engine) => attraction(key, engine)).sort();
+  return pulls[pulls.length - count]!;
 };
--- a/src/place/prefix/prefixes.ts
+++ b/src/place/prefix/prefixes.ts
@@ -9,7 +9,8 @@
 interface Chain {
   readonly root: string;
   readonly blocks: readonly SizedBlock[];
-  readonly held: ReadonlyMap<string, number>;
+  /** Read once for all engines where all will be asked about. */
+  held?: ReadonlyMap<string, number>;
 }
 
 export class PromptPrefixes {
@@ -35,12 +36,19 @@
 
   /** Tokens that the index has as kept at an engine. */
   keptAt(engine: Engine): number {
-    const { blocks, held } = this.chain(engine.weightGeneration);
+    const { root, blocks, held } = this.chain(engine.weightGeneration);
     let sum = 0;
-    for (let at = held.get(engine.identifier) ?? 0; at > 0; at--) sum += blocks[at - 1]!.tokens;
+    for (let at = held ? (held.get(engine.identifier) ?? 0) : this.index.depth(engine.identifier, root, blocks); at > 0; at--) sum += blocks[at - 1]!.tokens;
     return Math.min(sum, this.prompt.tokens);
   }
 
+  /** The engines that the index has as keeping some of it, for one set of weights. */
+  holders(weights: string): ReadonlyMap<string, number> {
+    const chain = this.chain(weights);
+    chain.held ??= this.index.find(chain.root, chain.blocks);
+    return chain.held;
+  }
+
   /** The engine has read the prompt, or found it kept. */
   store(engine: Engine, capacity: number): void {
     const { root, blocks } = this.chain(engine.weightGeneration);
@@ -52,7 +60,7 @@
     if (known) return known;
     const root = this.index.root({ model: this.prompt.model, weightGeneration: weights, firm: this.service });
     const blocks = blocksOfParts(this.prompt.parts, root);
-    const made = { root, blocks, held: this.index.find(root, blocks) };
+    const made: Chain = { root, blocks };
     this.chains.set(weights, made);
     return made;
   }
--- a/src/place/prefix/service.ts
+++ b/src/place/prefix/service.ts
@@ -10,13 +10,14 @@
 
 export class ServiceRecord {
   readonly pace = new Pace();
-  readonly split = new Split();
   readonly blocking = new Blocking();
   readonly belief = new Belief();
-  readonly key: number;
+  readonly split: Split;
+  /** Prompts of this node's now being read that are long enough to block. */
+  reading = 0;
 
   constructor(name: string) {
-    this.key = hashOf(name);
+    this.split = new Split(hashOf(name));
   }
 }
 
--- a/src/place/prefix/split.ts
+++ b/src/place/prefix/split.ts
@@ -4,10 +4,13 @@
  * all routers; each counts by itself how the reading is shared between the two kinds, in quarters, so that most agree
  * most of the time. Nothing is barred: it only weighs in the choice.
  */
+import { attraction, pullOf } from './order.js';
+
 const HALF_LIFE = 15_000;
 /** Tokens of each kind taken as seen from the start. */
 const PRIOR = 20_000;
 const STEPS = 4;
+const LOOK = 250;
 /** The largest share of the engines for long prompts: what is left to short ones must bear their bursts. */
 const MOST = 2 / 3;
 
@@ -15,6 +18,9 @@
   private long = 0;
   private short = 0;
   private at = 0;
+  private border = { count: 0, of: 0, at: -Infinity, pull: 0 };
+
+  constructor(private readonly key: number) {}
 
   note(long: boolean, tokens: number, now: number): void {
     this.fade(now);
@@ -30,6 +36,17 @@
     return Math.min(count - 1, Math.max(1, Math.floor(count * Math.min(steps / STEPS, MOST))));
   }
 
+  /** From which pull on an engine is for long prompts; the order of the engines is looked at again now and then. */
+  pull(engines: readonly number[], count: number, now: number): number {
+    const { border } = this;
+    if (border.count !== count || border.of !== engines.length || now - border.at > LOOK) this.border = { count, of: engines.length, at: now, pull: pullOf(this.key, engines, count) };
+    return this.border.pull;
+  }
+
+  isLong(engine: number, pull: number): boolean {
+    return attraction(this.key, engine) >= pull;
+  }
+
   private fade(now: number): void {
     const left = 0.5 ** ((now - this.at) / HALF_LIFE);
     this.long *= left;
--- a/src/place/prefix/ticket.ts
+++ b/src/place/prefix/ticket.ts
@@ -17,6 +17,7 @@
   private readonly reading: Reading;
   /** A less urgent prompt that was being read here when this one was sent. */
   private readonly beside: Reading | undefined;
+  private readonly long: boolean;
   private begun = false;
   private ended = false;
 
@@ -24,7 +25,10 @@
     this.sentAt = clock.now();
     const { load, estimate, late, read, urgency } = option;
     this.reading = { sentAt: this.sentAt, expected: estimate - Math.max(0, late), tokens: read, urgency };
-    this.beside = load.beside(urgency, record.pace.base / record.pace.perToken);
+    const least = record.pace.base / record.pace.perToken;
+    this.beside = load.beside(urgency, least);
+    this.long = read >= least;
+    if (this.long) record.reading += 1;
     load.begin(this.reading);
     soundness.begin(option.engine.identifier);
   }
@@ -44,7 +48,7 @@
     this.begun = true;
     const now = this.clock.now();
     const { load } = this.option;
-    load.read(this.reading, now);
+    this.read(now);
     load.took();
     this.learn(now, now - this.sentAt);
     this.prefixes?.store(this.engine, this.capacity);
@@ -55,7 +59,7 @@
     this.ended = true;
     const now = this.clock.now();
     const { load, engine } = this.option;
-    load.read(this.reading, now);
+    if (!this.begun) this.read(now);
     load.flying -= 1;
     const took = now - this.sentAt;
     if (how === 'whole') this.soundness.good(engine.identifier);
@@ -64,6 +68,11 @@
     else if (!this.begun && took > this.reading.expected) load.noteLate(now, took - this.reading.expected);
   }
 
+  private read(now: number): void {
+    this.option.load.read(this.reading, now);
+    if (this.long) this.record.reading -= 1;
+  }
+
   private learn(now: number, took: number): void {
     const { load, rank, read, kept, ahead: { before, beside } } = this.option;
     const { pace, blocking, belief } = this.record;
