--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -1,10 +1,11 @@
 /**
  * Runs a node as a daemon: services, peers, the two HTTP faces, signals. SIGTERM and SIGINT drain and stop: not ready at
  * first, which those who send callers here take a while to notice, then nothing new is taken and what was is ended.
- * SIGHUP reads the params again and says which of them a running node can take in. Exit codes: 0 stopped as asked, 1 could
- * not start or broke, 2 bad params.
+ * SIGHUP reads the params again, as is done now and then besides where `reread` is set, and says which of them a running
+ * node can take in. Exit codes: 0 stopped as asked, 1 could not start or broke, 2 bad params.
  */
 import 'reflect-metadata';
+import { isDeepStrictEqual } from 'node:util';
 import type { INestApplicationContext } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { Registry } from 'prom-client';
@@ -115,26 +116,31 @@
   }
   log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', (role === 'router' && params.listen.callers) || undefined], ['requests', (role === 'router' && params.listen.requests) || undefined]]);
 
-  process.on('SIGHUP', () => {
-    void reread().then((read) =>
-      read.caseOf({
-        Left: ({ reason }) => log('reload-declined', [['reason', reason]]),
-        Right: (next) => {
-          const changed = [...new Map(Object.entries(next))].filter(([key, value]) => JSON.stringify(value) !== JSON.stringify(new Map<string, unknown>(Object.entries(params)).get(key))).map(([key]) => key);
-          context.get<Keys>(names.keys).reload(next);
-          context.get<Roster>(names.roster).reseed(next.seeds);
-          context.get<View>(names.view).reseed(next.seeds);
-          log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
-        },
-      }),
-    );
-  });
+  let taken = params;
+  const reload = async (asked: boolean): Promise<void> => {
+    (await reread()).caseOf({
+      Left: ({ reason }) => log('reload-declined', [['reason', reason]]),
+      Right: (next) => {
+        const before = new Map<string, unknown>(Object.entries(taken));
+        const changed = Object.entries(next).filter(([key, value]) => !isDeepStrictEqual(value, before.get(key))).map(([key]) => key);
+        if (changed.length === 0 && !asked) return;
+        taken = next;
+        context.get<Keys>(names.keys).reload(next);
+        context.get<Roster>(names.roster).reseed(next.seeds);
+        context.get<View>(names.view).reseed(next.seeds);
+        log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
+      },
+    });
+  };
+  process.on('SIGHUP', () => void reload(true));
+  const rereading = params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
   return new Promise((resolve) => {
     const end = (signal: string): void => {
       if (stopping) return;
       stopping = true;
       log('stopping', [['signal', signal]]);
+      clearInterval(rereading);
       void (async () => {
         for (const face of faces) face.retire?.();
         await context.get<Clock>(names.clock).sleep(params.listen.notice);
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -39,6 +39,7 @@
   claims: Shape({ enabled: Flag }).exact(),
   core: Shape({ replaceAfter: between(0, 86_400_000), wanted: whole(0, 9), keep: whole(0, 1_000_000), keepBytes: whole(0, Number.MAX_SAFE_INTEGER), stall: between(50, 60_000) }).exact(),
   drain: between(0, 60_000),
+  reread: between(0, 3_600_000),
 }).exact();
 
 export type Params = Static<typeof ParamsShape>;
@@ -62,6 +63,7 @@
   claims: { enabled: true },
   core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
   drain: 7500,
+  reread: 0,
 };
 
 const plain = (value: unknown): value is object => value !== null && typeof value === 'object' && !Array.isArray(value);
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -54,3 +54,11 @@
   expect(reason(await read('not = = toml'))).not.toBe('');
   expect(reason(await readSettings(undefined))).toMatch(/names no file/);
 });
+
+test('a bound that the rules of a deployment leave out has another in its place', async () => {
+  const bare = settingsText('front').replace(/\[bounds\][^[]*/, '[bounds]\nacknowledge_ms = 8000\n');
+  const params = (await read(bare)).chain(paramsOf).unsafeCoerce();
+  expect(params.lease.duration).toBe(3000);
+  expect(params.drain).toBeGreaterThan(0);
+  expect((await read(settingsText('core').replace(/\[bounds\][^[]*/, ''))).chain(paramsOf).isRight()).toBe(true);
+});
