--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -5,6 +5,7 @@
 import { CoreNode } from '../core/module.js';
 import { InForce } from '../doorway/match.js';
 import { silentLog, type Log } from '../kernel/log/log.js';
+import type { Net } from '../kernel/net/net.js';
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
@@ -35,6 +36,8 @@
   readonly fleet: string;
   readonly seeds: readonly string[];
   readonly over?: object;
+  /** Laid around the net of each node, as to count what goes over it. */
+  readonly net?: (net: Net, node: string) => Net;
 }
 
 export interface SimBase {
@@ -64,7 +67,7 @@
   const log = tracing.tap(outer);
   const params = checkParams({ fleet: site.fleet, name, zone, seeds: site.seeds, listen: { peers: address, callers: address, operators: address } }, site.over ?? {}).unsafeCoerce();
   const self = { fleet: site.fleet, name, incarnation: host.random.identity() };
-  const peers = new Peers(host.net, host.clock, log, self);
+  const peers = new Peers(site.net?.(host.net, name) ?? host.net, host.clock, log, self);
   tracing.serve(peers);
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
@@ -79,7 +82,7 @@
   const base = simBase(world, name, address, zone, 'core', site, outer);
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
   const folder = disk.open(host);
-  const member = new Member(new Store(folder, site.fleet), peers, host.clock, host.random, log);
+  const member = new Member(new Store(folder, site.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, host.clock, host.random, log, params.core.stall);
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
   const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock, base.acceptance);
   const node = new CoreNode(params, peers, member, keeper, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
