A late send gets a second one beside it instead of being given up for it

Where the route and the budget allow a second send it now goes out beside the first, and the first answer that begins is taken.

--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -10,14 +10,14 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import type { Placer } from '../place/placer.js';
+import type { Placer, Ticket } from '../place/placer.js';
 import { mayRepeat, sharesOf, type Route, type Service } from '../route/shape.js';
 import type { RepeatBudget } from './budget.js';
 import { Caller } from './caller.js';
 import { ForwardChart, type ForwardEvent } from './chart.js';
 import type { Dialect } from './dialect.js';
 import type { RequestHandler } from './face.js';
-import { attemptsOf, DEFAULT_WAIT, UNSENT_BOUND, type ForwardParams, type Job, type Pool } from './job.js';
+import { attemptsOf, DEFAULT_WAIT, UNSENT_BOUND, type Attempt, type ForwardParams, type Job, type Pool } from './job.js';
 import type { Links } from './link.js';
 import { Pourer } from './pour.js';
 import { Sender } from './sender.js';
@@ -147,9 +147,12 @@
     for (;;) {
       const placed = this.sender.place(job);
       if ('wait' in placed) return giveUp(placed.reason, placed.wait);
-      const attempt = await this.sender.send(job, placed, undefined);
+      chart.step('placed', placed.engine.identifier);
+      chart.step('sent', placed.engine.identifier);
+      const attempt = await this.race(job, placed);
       switch (attempt.kind) {
         case 'head':
+          chart.step('answered', attempt.ticket.engine.identifier);
           return this.pourer.pass(job, attempt);
         case 'left':
           return void chart.step('left');
@@ -171,6 +174,27 @@
     }
   }
 
+  /** Sends once; beside a send that is late, where that is allowed, a second one, and takes the first answer that begins. */
+  private async race(job: Job, ticket: Ticket): Promise<Attempt> {
+    const late = this.sender.lateAfter(job, ticket);
+    const giveUps = [new AbortController(), new AbortController()] as const;
+    const first = this.sender.send(job, ticket, undefined, giveUps[0]);
+    if (late === undefined) return first;
+    const early = await within(this.clock, Math.min(late, job.limit - this.clock.now()), first);
+    if (early || this.clock.now() >= job.limit) return early ?? first;
+    const beside = this.sender.place(job);
+    if ('wait' in beside) return first;
+    if (!this.budget.take(job.service.name)) {
+      beside.end('left');
+      return first;
+    }
+    this.count('hedges');
+    const second = this.sender.send(job, beside, undefined, giveUps[1]);
+    const [at, attempt] = await firstToBegin([first, second]);
+    giveUps[1 - at]!.abort();
+    return attempt;
+  }
+
   private pickService(route: Route): Service | undefined {
     const shares = sharesOf(route);
     let at = this.random.fraction() * shares.reduce((sum, { weight }) => sum + weight, 0);
@@ -178,3 +202,14 @@
     return chosen && (this.inForce.routes.services.get(chosen.service) ?? { name: chosen.service });
   }
 }
+
+/** The first attempt that has an answer, with its place; when none has, the one that says the least of being unrun. */
+const firstToBegin = (attempts: readonly Promise<Attempt>[]): Promise<readonly [number, Attempt]> =>
+  new Promise((resolve) => {
+    const ended: Array<readonly [number, Attempt]> = [];
+    attempts.forEach((attempt, at) => void attempt.then((told) => {
+      ended.push([at, told]);
+      if (told.kind === 'head' || told.kind === 'left') resolve([at, told]);
+      else if (ended.length === attempts.length) resolve(ended.find(([, { kind }]) => kind === 'unknown') ?? ended.find(([, { kind }]) => kind === 'not-run') ?? ended[0]!);
+    }));
+  });
--- a/src/forward/job.ts
+++ b/src/forward/job.ts
@@ -16,10 +16,11 @@
   /** ms that a request may be held where neither its caller nor its route says so. */
   readonly timeout: number;
   /**
-   * A repeatable request is sent to another engine when this one says nothing to anyone here for `impatience` of the
-   * target, and for `surprise` times what its first token was expected to take.
+   * A repeatable request of at most `hedgeTokens` that got no byte within `impatience` of its target, nor within
+   * `surprise` times what its first token was expected to take, is sent to a second engine beside the first.
    */
   readonly impatience: number;
+  readonly hedgeTokens: number;
   readonly surprise: number;
   /** Of the longest gap (at least `gapLeast` ms), after which a stream that may go on elsewhere is taken for broken. */
   readonly gapShare: number;
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -44,34 +44,36 @@
     return placement.kind === 'placed' ? placement.ticket : { wait: placement.retryAfter, reason: placement.reason };
   }
 
-  async send(job: Job, ticket: Ticket, trail: Trail | undefined): Promise<Attempt> {
-    const { caller, chart } = job;
+  /** Sends to the ticket's engine, behind what was handed on where there is any; the controller gives it up. */
+  async send(job: Job, ticket: Ticket, trail?: Trail, giveUp = new AbortController()): Promise<Attempt> {
+    const { caller } = job;
     const { engine } = ticket;
-    job.tried.add(engine.identifier);
-    if (!trail) chart.step('placed', engine.identifier);
-    const left = job.limit - this.clock.now();
-    const outgoing: Outgoing = { method: caller.method, target: caller.target, body: job.body, fields: this.outgoing(job, ticket, left, trail?.last) };
-    if (caller.gone.aborted) {
+    const { signal } = giveUp;
+    const left = (): Attempt => {
       ticket.end('left');
       return { kind: 'left' };
-    }
-    if (!trail) chart.step('sent', engine.identifier);
+    };
+    job.tried.add(engine.identifier);
+    const outgoing: Outgoing = { method: caller.method, target: caller.target, body: job.body, fields: this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last) };
+    if (caller.gone.aborted) return left();
+    caller.gone.addEventListener('abort', () => giveUp.abort(), { once: true });
+    job.sends += 1;
     const patience = (): Patience => this.patience(job, ticket, trail);
-    const head = await this.links.send(engine, outgoing, patience(), caller.gone);
-    if (caller.gone.aborted) {
+    const head = await this.links.send(engine, outgoing, patience(), signal);
+    if (signal.aborted) {
       head.ifRight((answer) => answer.drop());
-      ticket.end('left');
-      return { kind: 'left' };
+      return left();
     }
     if (head.isLeft()) {
       const fault = head.extract() as Fault;
       ticket.end('failed');
-      if (fault.certainty === 'declined') return { kind: 'unsent' };
-      job.sends += 1;
+      if (fault.certainty === 'declined') {
+        job.sends -= 1;
+        return { kind: 'unsent' };
+      }
       this.log('send-failed', [['step', fault.step], ['peer', fault.peer], ['reason', fault.reason], ['request', job.id]]);
       return { kind: 'unknown', fault };
     }
-    job.sends += 1;
     const answer = head.extract() as Answer;
     ticket.head();
     const judged = this.judge(job, answer);
@@ -82,12 +84,10 @@
       if (judged.kind === 'unknown') this.log('answer-declined', [['peer', engine.address], ['reason', judged.fault.reason], ['request', job.id]]);
       return judged;
     }
-    if (!trail) chart.step('answered', engine.identifier);
     const first = await answer.next(patience());
-    if (caller.gone.aborted) {
+    if (signal.aborted) {
       answer.drop();
-      ticket.end('left');
-      return { kind: 'left' };
+      return left();
     }
     if (first.isLeft()) {
       ticket.end('failed');
@@ -98,11 +98,17 @@
     return { kind: 'head', answer, ticket, first: piece, whole: piece === undefined };
   }
 
-  /** A request that may be sent elsewhere is not left at an engine that says nothing to anyone; any other is. */
-  private patience({ route, limit, sends }: Job, { expected = 0 }: Ticket, trail: Trail | undefined): Patience {
+  /** After how many ms without a byte a second send may go out beside this one; undefined where none may. */
+  lateAfter({ route, prompt, sends }: Job, { expected = 0 }: Ticket): number | undefined {
+    if (!mayRepeat(route) || route.target === undefined || sends + 1 >= attemptsOf(route)) return undefined;
+    if (prompt && prompt.tokens > this.params.hedgeTokens) return undefined;
+    return Math.max(route.target * this.params.impatience, expected * this.params.surprise);
+  }
+
+  /** A stream that goes on elsewhere is not left at an engine that says nothing to anyone here; any other bears silence. */
+  private patience({ limit, route }: Job, { expected = 0 }: Ticket, trail: Trail | undefined): Patience {
     const hard = Math.max(1, limit - this.clock.now());
-    const elsewhere = mayRepeat(route) && sends < attemptsOf(route) && route.target !== undefined && !trail;
-    return { soft: elsewhere ? Math.max(route.target! * this.params.impatience, expected * this.params.surprise) : hard, hard };
+    return { soft: trail && route.target !== undefined ? Math.max(route.target, expected * this.params.surprise) : hard, hard };
   }
 
   /** What is wrong with the head of an answer; undefined when it may be handed on. */
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -34,7 +34,7 @@
   passage: Shape({ inFlight: between(1, 100_000), silence: between(10, 600_000), bodyBytes: between(1024, 67_108_864), retryShare: between(0, 0.05) }).exact(),
   forward: Shape({
     retryShare: between(0, 1), retryWindow: between(1000, 600_000), connect: between(10, 60_000), keepLinks: between(0, 600_000), timeout: between(10, 3_600_000),
-    impatience: between(0.1, 100), surprise: between(1, 1000), gapShare: between(1, 100), gapLeast: between(10, 600_000), bodyBytes: between(1024, 67_108_864), heldBytes: between(1024, 2 ** 40),
+    impatience: between(0.1, 100), surprise: between(1, 1000), hedgeTokens: between(0, 10_000_000), gapShare: between(1, 100), gapLeast: between(10, 600_000), bodyBytes: between(1024, 67_108_864), heldBytes: between(1024, 2 ** 40),
   }).exact(),
   lease: Lease,
   feed: Shape({ wait: between(50, 10_000) }).exact(),
@@ -60,7 +60,7 @@
   place: { perEngine: 16, zoneCost: 5, policy: 'index' },
   law: { routers: 8, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
   passage: { inFlight: 512, silence: 10_000, bodyBytes: 4_194_304, retryShare: 0.05 },
-  forward: { retryShare: 0.05, retryWindow: 10_000, connect: 400, keepLinks: 10_000, timeout: 60_000, impatience: 0.6, surprise: 3, gapShare: 2, gapLeast: 300, bodyBytes: 4_194_304, heldBytes: 67_108_864 },
+  forward: { retryShare: 0.05, retryWindow: 10_000, connect: 400, keepLinks: 10_000, timeout: 60_000, impatience: 0.5, surprise: 2, hedgeTokens: 4096, gapShare: 2, gapLeast: 300, bodyBytes: 4_194_304, heldBytes: 67_108_864 },
   lease: { duration: 5000, renew: 1000, lapse: 'stop', patience: 500 },
   feed: { wait: 1000 },
   claims: { enabled: true },
--- a/test/forward/basic.test.ts
+++ b/test/forward/basic.test.ts
@@ -41,7 +41,7 @@
   const placed = new Map(engines.map((engine) => [engine.identifier, engine]));
   const random = new SeededRandom(1);
   const journal = new Journal<ForwardEvent>(clock);
-  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 24, timeout: 5000, impatience: 0.7, surprise: 3, gapShare: 3, gapLeast: 300 };
+  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 24, timeout: 5000, impatience: 0.7, surprise: 3, hedgeTokens: 4096, gapShare: 3, gapLeast: 300 };
   const forwarder = new Forwarder(inForce, () => true, { placed: () => placed }, new HttpLinks(clock, 400, 5000), new LeastLoadPlacer(random), new RepeatBudget(10, 10_000, clock), ownDialect, () => 1, params, clock, random, journal, () => undefined);
   return { front: await listen((request, response) => forwarder.handle(request, response)), forwarder, journal };
 };
--- a/test/forward/stage.ts
+++ b/test/forward/stage.ts
@@ -92,7 +92,7 @@
   const random = new SeededRandom(1);
   const journal = new Journal<ForwardEvent>(clock);
   const links = new HttpLinks(clock, 400, 5000);
-  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 26, timeout: 5000, impatience: 0.7, surprise: 3, gapShare: 3, gapLeast: 300 };
+  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 26, timeout: 5000, impatience: 0.7, surprise: 3, hedgeTokens: 4096, gapShare: 3, gapLeast: 300 };
   /** As a pool does, a new map for each list. */
   let shown: { of: string; placed: ReadonlyMap<string, Engine> } = { of: '', placed: new Map() };
   const pool = {
