--- a/test/forward/bytes.test.ts
+++ b/test/forward/bytes.test.ts
@@ -155,6 +155,11 @@
   await expectClean(stage);
 });
 
+test('a body that tells it is over the bound is declined before it is sent', async () => {
+  const stage = await openStage({ engines: 1, route: once, limits: { bodyBytes: 1000 } });
+  expect((await raw(stage.front, [head('Content-Length: 1001')])).answers[0]!.status).toBe(413);
+});
+
 test('without route, without id: declined and run nowhere', async () => {
   const stage = await openStage({ engines: 1, route: once });
   expect(await stage.ask({ target: '/b/' })).toMatchObject({ status: 404, complete: true });
