--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -1,10 +1,11 @@
 /**
  * Runs a node as a daemon: services, peers, the two HTTP faces, signals. SIGTERM and SIGINT drain and stop: not ready at
  * first, which those who send callers here take a while to notice, then nothing new is taken and what was is ended.
- * SIGHUP reads the params again and says which of them a running node can take in. Exit codes: 0 stopped as asked, 1 could
- * not start or broke, 2 bad params.
+ * SIGHUP reads the params again, as is done now and then besides where `reread` is set, and says which of them a running
+ * node can take in. Exit codes: 0 stopped as asked, 1 could not start or broke, 2 bad params.
  */
 import 'reflect-metadata';
+import { isDeepStrictEqual } from 'node:util';
 import type { INestApplicationContext } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { Registry } from 'prom-client';
@@ -14,6 +15,7 @@
 import { CallersController } from '../faces/callers/controller.js';
 import { openFace } from '../faces/common/face.js';
 import { StatusController, type ReadyQuestion } from '../faces/common/status.js';
+import { BYTE_BOUND } from '../route/check.js';
 import { RequestsFace } from '../faces/requests/face.js';
 import { OperatorsController } from '../faces/operators/controller.js';
 import type { InForce } from '../doorway/match.js';
@@ -75,7 +77,7 @@
 
 const openServices = (context: INestApplicationContext, tokens: readonly string[]): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
 
-const common = [names.operations, names.schema, names.keys, names.random, names.log];
+const common = [names.operations, names.configurator, names.schema, names.keys, names.random, names.log];
 const routerOnly = [names.passage, names.forwarder, names.inForce];
 
 /** Runs the node until it is told to stop, and says with which code to exit. */
@@ -98,9 +100,9 @@
   else coreMetrics(registry, context);
   let stopping = false;
   const status: ReadyQuestion = () => (stopping ? 'stopping' : node.ready());
-  const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [names.configurator])]);
+  const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [])]);
   services.set(names.status, status).set(names.metrics, registry);
-  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, 1_048_576, [OperatorsController, StatusController], services)];
+  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, BYTE_BOUND + 65_536, [OperatorsController, StatusController], services)];
   if (role === 'router' && params.listen.callers) opening.push(() => openFace(params.listen.callers, params.passage.bodyBytes, [CallersController, StatusController], services));
   if (role === 'router' && params.listen.requests) {
     const inForce = context.get<InForce>(names.inForce);
@@ -115,26 +117,31 @@
   }
   log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', (role === 'router' && params.listen.callers) || undefined], ['requests', (role === 'router' && params.listen.requests) || undefined]]);
 
-  process.on('SIGHUP', () => {
-    void reread().then((read) =>
-      read.caseOf({
-        Left: ({ reason }) => log('reload-declined', [['reason', reason]]),
-        Right: (next) => {
-          const changed = [...new Map(Object.entries(next))].filter(([key, value]) => JSON.stringify(value) !== JSON.stringify(new Map<string, unknown>(Object.entries(params)).get(key))).map(([key]) => key);
-          context.get<Keys>(names.keys).reload(next);
-          context.get<Roster>(names.roster).reseed(next.seeds);
-          context.get<View>(names.view).reseed(next.seeds);
-          log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
-        },
-      }),
-    );
-  });
+  let taken = params;
+  const reload = async (asked: boolean): Promise<void> => {
+    (await reread()).caseOf({
+      Left: ({ reason }) => log('reload-declined', [['reason', reason]]),
+      Right: (next) => {
+        const before = new Map<string, unknown>(Object.entries(taken));
+        const changed = Object.entries(next).filter(([key, value]) => !isDeepStrictEqual(value, before.get(key))).map(([key]) => key);
+        if (changed.length === 0 && !asked) return;
+        taken = next;
+        context.get<Keys>(names.keys).reload(next);
+        context.get<Roster>(names.roster).reseed(next.seeds);
+        context.get<View>(names.view).reseed(next.seeds);
+        log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
+      },
+    });
+  };
+  process.on('SIGHUP', () => void reload(true));
+  const rereading = params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
   return new Promise((resolve) => {
     const end = (signal: string): void => {
       if (stopping) return;
       stopping = true;
       log('stopping', [['signal', signal]]);
+      clearInterval(rereading);
       void (async () => {
         const clock = context.get<Clock>(names.clock);
         const limit = clock.now() + params.drain;
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -13,7 +13,9 @@
 
 const whole = (least: number, most: number): typeof Numeric => Numeric.withConstraint((n) => (Number.isSafeInteger(n) && n >= least && n <= most) || `expected a whole number from ${least} to ${most}`) as unknown as typeof Numeric;
 
-const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Union(Literal('stop'), Literal('serve')), patience: between(0, 30_000) }).exact();
+const LAPSES: readonly string[] = ['stop', 'serve'];
+const Lapse = Text.withConstraint<'stop' | 'serve'>((value) => LAPSES.includes(value) || `expected one of ${LAPSES.join(', ')}`);
+const LeaseShape = Shape({ duration: between(200, 60_000), renew: between(50, 30_000), lapse: Lapse, patience: between(0, 30_000) }).exact();
 const Lease = LeaseShape.withConstraint(({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration') as unknown as typeof LeaseShape;
 
 export const ParamsShape = Shape({
@@ -32,13 +34,15 @@
   passage: Shape({ inFlight: between(1, 100_000), silence: between(10, 600_000), bodyBytes: between(1024, 67_108_864), retryShare: between(0, 0.05) }).exact(),
   forward: Shape({
     retryShare: between(0, 1), retryWindow: between(1000, 600_000), connect: between(10, 60_000), keepLinks: between(0, 600_000), timeout: between(10, 3_600_000),
-    impatience: between(0.1, 100), surprise: between(1, 1000), gapShare: between(1, 100), gapLeast: between(10, 600_000), bodyBytes: between(1024, 67_108_864), heldBytes: between(1024, 2 ** 40),
+    impatience: between(0.1, 100), surprise: between(1, 1000), hedgeTokens: between(0, 10_000_000), gapShare: between(1, 100), gapLeast: between(10, 600_000), bodyBytes: between(1024, 67_108_864), heldBytes: between(1024, 2 ** 40),
   }).exact(),
   lease: Lease,
   feed: Shape({ wait: between(50, 10_000) }).exact(),
   claims: Shape({ enabled: Flag }).exact(),
+  view: Shape({ every: between(100, 60_000) }).exact(),
   core: Shape({ replaceAfter: between(0, 86_400_000), wanted: whole(0, 9), keep: whole(0, 1_000_000), keepBytes: whole(0, Number.MAX_SAFE_INTEGER), stall: between(50, 60_000) }).exact(),
   drain: between(0, 60_000),
+  reread: between(0, 3_600_000),
 }).exact();
 
 export type Params = Static<typeof ParamsShape>;
@@ -56,12 +60,14 @@
   place: { perEngine: 16, zoneCost: 5, policy: 'index' },
   law: { routers: 8, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
   passage: { inFlight: 512, silence: 10_000, bodyBytes: 4_194_304, retryShare: 0.05 },
-  forward: { retryShare: 0.05, retryWindow: 10_000, connect: 400, keepLinks: 10_000, timeout: 60_000, impatience: 0.6, surprise: 3, gapShare: 2, gapLeast: 300, bodyBytes: 4_194_304, heldBytes: 67_108_864 },
+  forward: { retryShare: 0.05, retryWindow: 10_000, connect: 400, keepLinks: 10_000, timeout: 60_000, impatience: 0.5, surprise: 2, hedgeTokens: 4096, gapShare: 2, gapLeast: 300, bodyBytes: 4_194_304, heldBytes: 67_108_864 },
   lease: { duration: 5000, renew: 1000, lapse: 'stop', patience: 500 },
   feed: { wait: 1000 },
   claims: { enabled: true },
+  view: { every: 700 },
   core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
   drain: 7500,
+  reread: 0,
 };
 
 const plain = (value: unknown): value is object => value !== null && typeof value === 'object' && !Array.isArray(value);
