Routers are told how many hold leases; the holder of the list is asked by a bounded few

A view holds 24 others, so from 25 routers on placement and the budget of repeats counted too few of them (23 of 100). The reply to a renewal names how many hold leases there, 8 bytes; the larger of that and the view counts now. The first holders of a duty stand in all views, so each node had them among those it could ask for the list; they are asked now only by nodes that know no other before them.

--- a/src/fleet/slopes/counts.ts
+++ b/src/fleet/slopes/counts.ts
@@ -11,8 +11,8 @@
 
 const rounded = (value: number): number => Math.round(value * 10) / 10;
 const CHANGES = 8;
-const STORM = 60;
-const CUT = 60_000;
+const STORM = 30;
+const CUT = 24_000;
 
 export interface CountAsk {
   readonly sweep: string;
@@ -80,7 +80,7 @@
   void plane.pollers;
   const roles = await plane.quiet(seconds);
   const { cores, routers, engines, items, seed } = plan;
-  const figures = { settled: Number(settled), settledAfterMs: rounded(startedAfter), pollsPerSecond: rounded((plane.polls - polls) / seconds), pollers: plane.pollers, knownRouters: plane.knownRouters };
+  const figures = { settled: Number(settled), settledAfterMs: rounded(startedAfter), pollsPerSecond: rounded((plane.polls - polls) / seconds), pollers: plane.pollers, knownRouters: plane.knownRouters, countedRouters: plane.countedRouters };
   const changes = await changesOf(plane, roles.router);
   const more = trials && changes['configured'] === 1 ? { ...(await stormOf(plane)), ...(await cutOf(plane)) } : {};
   return { sweep, at, plan: { cores, routers, engines, items, seed }, seconds, roles, figures: { ...figures, ...changes, ...more }, load: loadavg().map(rounded) };
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -94,6 +94,12 @@
     return known[Math.floor(known.length / 2)] ?? 0;
   }
 
+  /** How many routers a router takes all to be, in the middle. */
+  get countedRouters(): number {
+    const counted = this.routers.map(({ standing }) => standing.nodes).sort((a, b) => a - b);
+    return counted[Math.floor(counted.length / 2)] ?? 0;
+  }
+
   /** Lets some virtual seconds pass and counts what each node sent and received in them. */
   quiet(seconds: number): Promise<{ core: RoleRates; router: RoleRates }> {
     return this.during(() => this.world.run(this.world.now + seconds * 1000));
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -3,11 +3,12 @@
 import { flag, list, number, struct, text } from '../wire/field.js';
 
 export interface RenewAsk { node: string; incarnation: string; address: string; zone: string; generation: number; report: number }
-export interface RenewReply { granted: boolean; duration: number; reason: string }
+/** `nodes`: how many nodes hold leases of this member, the asker counted. */
+export interface RenewReply { granted: boolean; duration: number; reason: string; nodes: number }
 export const Renew = call<RenewAsk, RenewReply>(
   16, 'lease.renew',
   struct({ node: text, incarnation: text, address: text, zone: text, generation: number, report: number }),
-  struct({ granted: flag, duration: number, reason: text }),
+  struct({ granted: flag, duration: number, reason: text, nodes: number }),
 );
 
 export const Goodbye = call<{ node: string; incarnation: string }, { known: boolean }>(17, 'lease.goodbye', struct({ node: text, incarnation: text }), struct({ known: flag }));
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -50,7 +50,7 @@
   private renew(ask: RenewAsk): RenewReply {
     const state = this.member.state();
     if (state.voting) this.seated ??= this.clock.now();
-    const declined = (reason: string): RenewReply => ({ granted: false, duration: 0, reason });
+    const declined = (reason: string): RenewReply => ({ granted: false, duration: 0, reason, nodes: 0 });
     if (!state.voting) return declined(state.reason);
     if (ask.generation < state.generation) return declined(`generation ${state.generation} is newer than ${ask.generation}`);
     const key = `${ask.node}/${ask.incarnation}`;
@@ -59,7 +59,7 @@
     if (this.reports.size < BOUND || this.reports.has(ask.node)) this.reports.set(ask.node, Math.max(ask.report, this.reports.get(ask.node) ?? 0));
     this.grants.set(key, { ...ask, until: (this.clock.now() + this.terms.duration) as Moment });
     this.wake();
-    return { granted: true, duration: this.terms.duration, reason: '' };
+    return { granted: true, duration: this.terms.duration, reason: '', nodes: this.grants.size };
   }
 
   private async vouch(generation: number, wait: number): Promise<Outcome<VouchReply>> {
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -34,6 +34,7 @@
   private leaving = false;
   private stood = false;
   private reported = 0;
+  private counted = 0;
 
   constructor(private readonly self: Self, private readonly inForce: InForce, private readonly vows: Vows, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly log: Log, private readonly terms: LeaseTerms = TERMS) {}
 
@@ -50,6 +51,11 @@
     return Math.max(0, Math.max(this.until, this.vouched) - SLACK - this.clock.strict());
   }
 
+  /** How many nodes stood when this one's lease was last renewed, as far as the core knows; 0 before. */
+  get nodes(): number {
+    return this.counted;
+  }
+
   /** Renews at once, as when a new generation came into force. */
   renewNow(): void {
     this.nudge();
@@ -97,6 +103,7 @@
     const grants = granted(sound(replies));
     if (members.length === 0 || grants.length < quorum) return;
     const duration = Math.min(...grants.map((reply) => reply.duration));
+    this.counted = Math.max(...grants.map(({ nodes }) => nodes));
     this.until = Math.max(this.until, asked + duration) as Moment;
     if (report > this.reported) this.log('reported', [['generation', report]]);
     this.reported = Math.max(this.reported, report);
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -15,7 +15,7 @@
 import type { Random } from '../kernel/random/random.js';
 import { holders } from '../duty/rendezvous.js';
 import { digestOf } from '../register/document.js';
-import type { View } from '../view/view.js';
+import { HEADS, type View } from '../view/view.js';
 import { call } from '../wire/call.js';
 import { blob, number, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
@@ -146,13 +146,16 @@
 
   /**
    * Whom this node asks: the holder of the duty. In a fleet larger than a view it is any node that comes before this one
-   * for the duty, another for each node, so that the news goes down a tree and the holder is asked by few.
+   * for the duty, another for each node, and the first ones, which all have in view, only when there is no other, so that
+   * the news goes down a tree and nobody is asked by many.
    */
   private parent(routers: readonly string[]): string | undefined {
     const { name } = this.view.self;
     const ranked = holders(DUTY, routers);
     const place = ranked.indexOf(name);
-    return this.view.full && place > 0 ? holders(name, ranked.slice(0, place))[0] : ranked[0];
+    if (!this.view.full || place <= 0) return ranked[0];
+    const before = ranked.slice(0, place);
+    return holders(name, before.length > HEADS ? before.slice(HEADS) : before)[0];
   }
 
   /** Whether the holder does its duty, as far as can be told: one that is only starting, and has no news yet, does. */
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -48,6 +48,9 @@
 /** The longest that a planned stop takes for handing its duties over. */
 const HANDOVER = 1000;
 
+/** How many routers there are: a view has room for some only, and the core knows who holds leases, while it is there. */
+const routersOf = (view: View, standing: Standing): number => Math.max(view.live('router').length, standing.nodes);
+
 @Injectable()
 export class RouterNode {
   private enrolment: Enrolment | undefined;
@@ -178,16 +181,16 @@
         },
         {
           provide: names.placer,
-          inject: [names.view, names.clock, names.random],
-          useFactory: (view: View, clock: Clock, random: Random): Placer =>
-            params.place.policy === 'index' ? new PrefixPlacer({ ...prefixPlacerDefaults, zone: params.zone, zoneCost: params.place.zoneCost, routers: () => view.live('router').length }, clock, random) : new LeastLoadPlacer(random),
+          inject: [names.view, names.standing, names.clock, names.random],
+          useFactory: (view: View, standing: Standing, clock: Clock, random: Random): Placer =>
+            params.place.policy === 'index' ? new PrefixPlacer({ ...prefixPlacerDefaults, zone: params.zone, zoneCost: params.place.zoneCost, routers: () => routersOf(view, standing) }, clock, random) : new LeastLoadPlacer(random),
         },
         { provide: names.links, inject: [names.clock], useFactory: (clock: Clock) => new HttpLinks(clock, params.forward.connect, params.forward.keepLinks) },
         {
           provide: names.forwarder,
           inject: [names.inForce, names.standing, names.news, names.links, names.placer, names.dialect, names.view, names.clock, names.random, names.log],
           useFactory: (inForce: InForce, standing: Standing, news: Newsroom, links: Links, placer: Placer, dialect: Dialect, view: View, clock: Clock, random: Random, log: Log) =>
-            new Forwarder(inForce, () => standing.serves(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => view.live('router').length, params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
+            new Forwarder(inForce, () => standing.serves(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => routersOf(view, standing), params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
         },
         { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
         {
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -13,7 +13,7 @@
 import type { Clock } from '../kernel/clock/clock.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import { call } from '../wire/call.js';
-import { flag, list, number, struct, text } from '../wire/field.js';
+import { flag, list, short, struct, text, word } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 
 export interface Neighbour {
@@ -28,7 +28,7 @@
   suspect: boolean;
 }
 
-const neighbourField = struct<Neighbour>({ name: text, incarnation: text, address: text, zone: text, role: text, age: number, beat: number, suspect: flag });
+const neighbourField = struct<Neighbour>({ name: text, incarnation: text, address: text, zone: text, role: text, age: short, beat: word, suspect: flag });
 
 export const Shuffle = call<{ entries: Neighbour[] }, { entries: Neighbour[] }>(32, 'view.shuffle', struct({ entries: list(neighbourField) }), struct({ entries: list(neighbourField) }));
 export const Probe = call<{ address: string }, { reached: boolean }>(33, 'view.probe', struct({ address: text }), struct({ reached: flag }));
@@ -47,7 +47,7 @@
 const SUSPECTED = 4;
 const GONE = 60;
 /** How many nodes of each duty go along in every swap. */
-const HEADS = 2;
+export const HEADS = 2;
 
 interface Gone {
   readonly entry: Neighbour;
--- a/src/wire/field.ts
+++ b/src/wire/field.ts
@@ -83,6 +83,7 @@
 }
 
 export const byte = r.uint8;
+export const short = r.uint16;
 export const word = r.uint32;
 export const number = r.doublebe;
 export const flag = new r.Boolean(r.uint8);
