--- a/src/route/check.ts
+++ b/src/route/check.ts
@@ -11,7 +11,7 @@
 import type { Configuration, Patch, RequestKind, Route, Service } from './shape.js';
 
 /** The most routes, and the most services, that a configuration may hold. */
-export const ITEM_BOUND = 4096;
+export const ITEM_BOUND = 16_384;
 /** The most bytes of text that a configuration or a patch may have. */
 export const BYTE_BOUND = 4 * 1024 * 1024;
 
