--- a/src/fleet/slopes/counts.ts
+++ b/src/fleet/slopes/counts.ts
@@ -72,6 +72,19 @@
   return { cutNearMs: rounded(everywhere), healedMs: rounded(await plane.inForce(version + 1)) };
 };
 
+/** Entries of the engine list that change one by one, and what a router receives for each. */
+const listChangesOf = async (plane: ControlPlane, rest: RoleRates): Promise<Record<string, number>> => {
+  const began = plane.world.now;
+  const counted = await plane.during(async () => {
+    for (let change = 0; change < CHANGES; change++) {
+      plane.changeEngine(change, `engine-changed-${change}`);
+      await plane.world.run(plane.world.now + 2000);
+    }
+  });
+  const seconds = (plane.world.now - began) / 1000;
+  return { bytesPerListChange: rounded(((received(counted.router) - received(rest)) * seconds) / CHANGES), bytesPerListChangeMostSent: rounded(((counted.router.all.sentBytes.most - rest.all.sentBytes.most) * seconds) / CHANGES) };
+};
+
 export const countPoint = async ({ sweep, at, plan, seconds, trials }: CountAsk): Promise<Point> => {
   const plane = new ControlPlane(plan);
   const settled = await plane.start();
@@ -81,9 +94,10 @@
   const roles = await plane.quiet(seconds);
   const { cores, routers, engines, items, seed } = plan;
   const figures = { settled: Number(settled), settledAfterMs: rounded(startedAfter), pollsPerSecond: rounded((plane.polls - polls) / seconds), pollers: plane.pollers, knownRouters: plane.knownRouters, countedRouters: plane.countedRouters };
+  const listChanges = engines > 0 ? await listChangesOf(plane, roles.router) : {};
   const changes = await changesOf(plane, roles.router);
   const more = trials && changes['configured'] === 1 ? { ...(await stormOf(plane)), ...(await cutOf(plane)) } : {};
-  return { sweep, at, plan: { cores, routers, engines, items, seed }, seconds, roles, figures: { ...figures, ...changes, ...more }, load: loadavg().map(rounded) };
+  return { sweep, at, plan: { cores, routers, engines, items, seed }, seconds, roles, figures: { ...figures, ...listChanges, ...changes, ...more }, load: loadavg().map(rounded) };
 };
 
 export const count = ((ask: CountAsk) => countPoint(ask).then((ready) => ({ ready, answer: () => undefined }))) satisfies (plan: CountAsk) => unknown as Role;
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -59,7 +59,7 @@
       cacheCapacity: 262_144, prefillRate: 51_000, leaving: false, service: SERVICE, slots: 4096,
     }]),
   );
-  const services = new Map<string, unknown>([[names.log, silentLog], [names.standing, { holds: () => true }], [names.news, { placed: () => listed, listed }]]);
+  const services = new Map<string, unknown>([[names.log, silentLog], [names.standing, { holds: () => true, serves: () => true, nodes: 1 }], [names.news, { placed: () => listed, listed }]]);
   const context = await NestFactory.createApplicationContext(RouterModule.with(params, { services, faces: [] }), { logger: false, abortOnError: false });
   const route = { name: 'route', host: 'slopes.example', prefix: '/', kind: 'streaming' as const, timeout: 600_000, target: 600_000, gap: 600_000, service: SERVICE, attempts: 2 };
   context.get<InForce>(names.inForce).swap({ ...genesis('slopes', []), configuration: { version: 1, routes: [route], services: [{ name: SERVICE, connections: 4096 }] } });
