A proposer with a long back-off raises an outdated ballot within the round

The change was asked for 250 ms before the core was formed; its proposer had backed off to its longest pause by then. Each time it woke, its ballot was older than the last router's enrolment, it was refused, learned the counter, and slept again for up to 800 ms, in which the next router enrolled. Ruled out: the wait for "accepted" (7 ms there), and the list's news themselves: the ask that is kept open only moved the enrolments about. Routers' enrolments 500 ms apart are enough; nobody was rivalling.

Now an outdated ballot is raised and asked for again within the round, at once where the members hold no promise beyond what they accepted, else after the shortest pause; and pauses that grew while the core did not answer don't count as lost races.

--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -5,6 +5,11 @@
  * So the settled generations form one chain, and a change that is missing from a settled value read after its last
  * accept can never come to be. "Lost" and "declined" are said only then; after an accept without a majority's word,
  * the change stays unsure until a later round settles it, and is "unknown" when its limit comes first.
+ *
+ * A ballot that others overtook while this node was idle or backed off is no sign of a rival: it is raised and asked
+ * for again within the same round, at once where no other round is open. Otherwise a node with a long back-off would
+ * come with an outdated ballot each time, and fall behind changes that are seconds apart. For the same reason the
+ * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
@@ -12,16 +17,19 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
+import { ballotText, compareBallots, type Ballot } from './ballot.js';
 import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import { decodeDocument, digestOf, encodeDocument, type Change, type CoreSet, type Document } from './document.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
+import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** The step that failed when members refused for a higher ballot. */
+const OUTBID = 'register.outbid';
 
 interface Waiting {
   readonly change: Change;
@@ -103,11 +111,15 @@
 
   private async work(): Promise<void> {
     this.busy = true;
-    for (let tries = 0; this.waiting.length > 0; ) {
+    let tries = 0;
+    let outbid = false;
+    while (this.waiting.length > 0) {
       const batch = this.waiting.slice(0, BATCH);
-      const sureOf = await this.round(batch);
-      if (sureOf) tries = 0;
-      else await this.backOff(tries++);
+      const done = await this.round(batch);
+      const before = outbid;
+      outbid = done.isLeft() && done.extract().step === OUTBID;
+      tries = done.isLeft() && outbid === before ? tries + 1 : 0;
+      if (done.isLeft()) await this.backOff(tries);
       const now = this.clock.now();
       for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
         const reason = 'the limit came before a majority of the core settled it';
@@ -124,11 +136,11 @@
     item.tell(outcome);
   }
 
-  private async round(batch: readonly Waiting[]): Promise<boolean> {
+  private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [['step', read.extract().step], ['peer', read.extract().peer], ['reason', read.extract().reason]]);
-      return false;
+      return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
     const { document: next, verdicts } = applyChanges(document, batch.map(({ change }) => change));
@@ -138,7 +150,7 @@
     });
     if (next === document) {
       for (const item of certain) this.finish(item, Right(verdicts.get(item.change.id)!));
-      return true;
+      return Right(undefined);
     }
     const proposed = batch.filter((item) => !certain.includes(item));
     for (const item of proposed) item.unsure = true;
@@ -146,10 +158,10 @@
     const accepted = await this.accept(core, ballot, next);
     if (accepted.isLeft()) {
       this.log('round-unsure', [['generation', next.generation], ['changes', proposed.length], ['reason', accepted.extract().reason]]);
-      return false;
+      return accepted;
     }
     for (const item of batch) this.finish(item, Right(verdicts.get(item.change.id)!));
-    return true;
+    return Right(undefined);
   }
 
   private async readOnce(): Promise<Outcome<Document>> {
@@ -167,7 +179,7 @@
         this.roster.learn(found.document.core);
         continue;
       }
-      if (pass >= 3) return failed('register.read', 'core', 'others keep changing it');
+      if (pass >= 3) return failed(OUTBID, 'core', 'others keep changing it');
       const again = await this.accept(found.core, found.ballot, found.document);
       if (again.isLeft()) return again as Outcome<Read>;
     }
@@ -178,18 +190,18 @@
     const core = this.roster.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
-    const ballot: Ballot = { counter: ++this.counter, node: this.peers.self.name, incarnation: this.peers.self.incarnation };
-    const replies = await gather(
-      core.members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
-      (all) => decided(all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)), core.members.length),
-    );
-    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
-    const promises = sound(replies).filter(({ promised }) => promised);
+    let { ballot, replies } = await this.seekPromises(core);
+    const outdated = promisesOf(replies).length < quorum ? sound(replies).filter((reply) => isOutdated(reply, ballot)) : [];
+    if (outdated.length > 0) {
+      const contested = outdated.some(({ highest, accepted }) => compareBallots(highest, accepted) > 0);
+      if (contested) await this.backOff(0);
+      ({ ballot, replies } = await this.seekPromises(core));
+    }
+    const promises = promisesOf(replies);
     if (promises.length < quorum) {
       if (replies.some(([, reply]) => reply.isLeft())) await this.refreshCore();
       const reasons = replies.map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : '')).filter(Boolean);
-      return failed('register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
+      return failed(sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
     }
     const newest = promises.reduce((best, reply) => (compareBallots(reply.accepted, best.accepted) > 0 ? reply : best));
     return decodeDocument(newest.document, 'core').map((document) => {
@@ -199,6 +211,18 @@
     });
   }
 
+  /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
+  private async seekPromises(core: CoreSet): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+    const ballot: Ballot = { counter: ++this.counter, node: this.peers.self.name, incarnation: this.peers.self.incarnation };
+    const replies = await gather(
+      core.members.map(({ address }) => address),
+      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
+      (all) => decided(all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)), core.members.length),
+    );
+    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
+    return { ballot, replies };
+  }
+
   private async accept(core: CoreSet, ballot: Ballot, document: Document): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
@@ -210,7 +234,7 @@
     );
     for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
-    if (votes < quorum) return failed('register.accept', 'core', `${votes} of ${quorum} votes`, 'unknown');
+    if (votes < quorum) return failed(sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept', 'core', `${votes} of ${quorum} votes`, 'unknown');
     this.announce(core, ballot, document, bytes);
     this.roster.learn(document.core);
     return Right(undefined);
@@ -240,13 +264,3 @@
     return this.clock.sleep(most * (0.25 + 0.75 * this.random.fraction()));
   }
 }
-
-/** Whether a majority said yes, or can't any more. */
-const decided = (votes: readonly boolean[], members: number): boolean => {
-  const quorum = majority(members);
-  const yes = votes.filter(Boolean).length;
-  return yes >= quorum || votes.length - yes > members - quorum;
-};
-
-const isSettled = (promises: readonly PrepareReply[], newest: PrepareReply, generation: number, quorum: number): boolean =>
-  promises.some(({ settled }) => settled >= generation) || (compareBallots(newest.accepted, FIRST) > 0 && promises.filter(({ accepted }) => compareBallots(accepted, newest.accepted) === 0).length >= quorum);
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -134,6 +134,29 @@
   expect([...(await world.until(reader.proposer.read(10_000))).unsafeCoerce().outcomes.keys()]).toEqual([won]);
 });
 
+test('a change that was asked for long before the core is formed comes through next, though others keep changing and reading the register', async () => {
+  for (const act of ['change', 'read'] as const)
+    for (let seed = 1; seed <= 20; seed++) {
+      const world = new World(seed);
+      const disks = addresses.map(() => new SimDisk(world));
+      const [early, other] = ['early', 'other'].map((name, at) => simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses })) as [SimBase, SimBase];
+      const told = early.proposer.propose(rival('early'), 60_000);
+      await world.run(3000 + 10 * seed);
+      const members = await world.until(Promise.all(disks.map((disk, at) => startMember(world, disk, at))));
+      const document = encodeDocument(genesis('f', members.map(({ id }, at) => ({ id, address: addresses[at]! }))));
+      await world.until(Promise.all(addresses.map((address) => other.peers.ask(address, Form, { document }, 1000))));
+      const formed = world.now;
+      let settled = Infinity;
+      void told.then(() => (settled = world.now));
+      for (let turn = 1; turn <= 40; turn++) {
+        if (act === 'change') await world.until(other.proposer.propose({ id: `o${turn}`, firm: 'sahel', who: 'o', act: { kind: 'set', doorway: { ...doorwayFor('sahel', `/o${turn}`), name: `o${turn}` }, expects: 0 } }, 5000));
+        else await world.until(other.proposer.read(5000));
+        await world.run(world.now + 150);
+      }
+      expect(settled - formed, `${act}, seed ${seed}`).toBeLessThan(1000);
+    }
+});
+
 test('a member answers only what its disk already holds, and not at all while the disk stalls or after it was full', async () => {
   const world = new World(4);
   const disk = new SimDisk(world);
