Engines of the own zone are preferred by a tenth of the target

To leave short ones to their engines costs twice as much now, or zones would draw them to the others.

--- a/src/place/prefix/choice.ts
+++ b/src/place/prefix/choice.ts
@@ -151,7 +151,7 @@
     const beyond = weights.beyond * Math.max(0, estimate - weights.comfort * ask.target);
     const foreign = this.home(at) ? 0 : ask.target * (binding ? weights.foreignLong : weights.foreignShort);
     const waits = binding ? weights.wait * wait + weights.late * late : wait + late;
-    const cost = waits + weights.read * read * perToken + beyond + foreign + (engine.zone === this.zone ? 0 : this.zoneCost);
+    const cost = waits + weights.read * read * perToken + beyond + foreign + (engine.zone === this.zone ? 0 : this.zoneCost + weights.foreignZone * ask.target);
     return { engine, load, rank, read, kept, urgency, ahead, late, estimate, cost };
   }
 }
--- a/src/place/prefix/weights.ts
+++ b/src/place/prefix/weights.ts
@@ -1,7 +1,7 @@
 /** What the placer is told from outside, and how its estimates weigh in the choice. */
 export interface PrefixPlacerParams {
   readonly zone: string;
-  /** Milliseconds that an engine of another zone counts as worse. */
+  /** Milliseconds that an engine of another zone counts as worse, besides the share of the target that the weights tell. */
   readonly zoneCost: number;
   /** How many routers are thought to send to the engines, this one counted. */
   readonly routers: () => number;
@@ -33,11 +33,13 @@
   /** What it costs to go to an engine left to the other kind, as a share of the target. */
   readonly foreignShort: number;
   readonly foreignLong: number;
+  /** What it costs to go to another zone, as a share of the target. */
+  readonly foreignZone: number;
   /** The shares of places thought taken from which on a request that would be late is refused: of the highest priority, of others. */
   readonly fullHigh: number;
   readonly fullLow: number;
 }
 
 export const defaultWeights: Weights = {
-  binding: 1024, choices: 3, read: 4, wait: 0.5, late: 0.3, comfort: 0.5, beyond: 0, favour: 1.6, splitFrom: 0.45, foreignShort: 0.1, foreignLong: 0.3, fullHigh: 0.9, fullLow: 0.7,
+  binding: 1024, choices: 3, read: 4, wait: 0.5, late: 0.3, comfort: 0.5, beyond: 0, favour: 1.6, splitFrom: 0.45, foreignShort: 0.2, foreignLong: 0.3, foreignZone: 0.1, fullHigh: 0.9, fullLow: 0.7,
 };
--- a/src/sim/batch/figures.ts
+++ b/src/sim/batch/figures.ts
@@ -38,8 +38,17 @@
   /** The mean over time of the largest backlog of unread tokens at an engine less the mean one, in tokens. */
   readonly herd: number;
   readonly putBack: number;
+  /** Of the requests sent, those sent to an engine of the router's own zone. */
+  readonly local: number;
+  /**
+   * Variance by mean of what is sent to an engine in a tenth of a second, over all engines: 1 where each request goes
+   * its way by chance alone, more where many run to one engine at once.
+   */
+  readonly dispersion: number;
 }
 
+const SLICE = 100;
+
 const WINDOW = 2000;
 const WORTH = new Map<Kind, readonly [number, number]>([['long', [2, 0.6]], ['short', [3, 0.9]]]);
 
@@ -50,6 +59,9 @@
   private kept = 0;
   private lead = 0;
   private looks = 0;
+  private readonly slices = new Map<string, Map<number, number>>();
+  private sends = 0;
+  private locals = 0;
   read = 0;
   prompted = 0;
   putBack = 0;
@@ -78,6 +90,15 @@
     this.kinds.get(kind)!.lost += 1;
   }
 
+  sent(engine: string, now: number, local: boolean): void {
+    const slices = this.slices.get(engine) ?? new Map<number, number>();
+    this.slices.set(engine, slices);
+    const at = Math.floor(now / SLICE);
+    slices.set(at, (slices.get(at) ?? 0) + 1);
+    this.sends += 1;
+    if (local) this.locals += 1;
+  }
+
   seen(shared: number, kept: number): void {
     this.shared += shared;
     this.kept += kept;
@@ -100,10 +121,22 @@
       long: of('long'), short: of('short'),
       worth: sum(({ earned }) => earned) / sum(({ owed }) => owed),
       worst: Math.min(...windows.map(({ earned, owed }) => earned / owed)),
-      read: this.read / this.prompted, hits: this.kept / this.shared, herd: this.lead / this.looks, putBack: this.putBack,
+      read: this.read / this.prompted, hits: this.kept / this.shared, herd: this.lead / this.looks, putBack: this.putBack, local: this.locals / this.sends, dispersion: this.dispersion,
     };
   }
 
+  private get dispersion(): number {
+    let sum = 0;
+    for (const slices of this.slices.values()) {
+      const first = Math.min(...slices.keys());
+      const count = Math.max(...slices.keys()) - first + 1;
+      const mean = [...slices.values()].reduce((total, each) => total + each, 0) / count;
+      const squares = [...slices.values()].reduce((total, each) => total + each * each, 0) / count;
+      sum += (squares - mean * mean) / mean;
+    }
+    return sum / this.slices.size;
+  }
+
   private window(now: number): { owed: number; earned: number } {
     const key = Math.floor(now / WINDOW);
     const known = this.windows.get(key);
--- a/src/sim/batch/rivals.ts
+++ b/src/sim/batch/rivals.ts
@@ -3,7 +3,7 @@
 import type { Random } from '../../kernel/random/random.js';
 import type { PlaceAsk, Placement, Placer } from '../../place/placer.js';
 import { hashOf, leaders } from '../../place/prefix/order.js';
-import { defaultWeights, PrefixPlacer, prefixPlacerDefaults, type Weights } from '../../place/prefix.js';
+import { defaultWeights, PrefixPlacer, prefixPlacerDefaults, type PrefixPlacerParams, type Weights } from '../../place/prefix.js';
 import type { Engine } from '../../pool/engine.js';
 
 export const ways = ['round-robin', 'least-own', 'hash-only', 'prefix', 'oracle'] as const;
@@ -45,5 +45,5 @@
   }
 }
 
-export const placerOf = (way: Way, clock: Clock, random: Random, routers: number, insight: Insight, weights: Partial<Weights> = {}): Placer =>
-  way === 'prefix' ? new PrefixPlacer({ ...prefixPlacerDefaults, routers: () => routers }, clock, random, { ...defaultWeights, ...weights }) : new Simple(way, random, insight);
+export const placerOf = (way: Way, clock: Clock, random: Random, params: Partial<PrefixPlacerParams>, insight: Insight, weights: Partial<Weights> = {}): Placer =>
+  way === 'prefix' ? new PrefixPlacer({ ...prefixPlacerDefaults, ...params }, clock, random, { ...defaultWeights, ...weights }) : new Simple(way, random, insight);
--- a/src/sim/batch/scenarios.ts
+++ b/src/sim/batch/scenarios.ts
@@ -6,7 +6,7 @@
 
 /** For each engine 22 short and 1.5 long requests a second at a load of 1; keys in proportion to the engines. */
 export const scenario = (engines: number, routers: number, load: number, span = 24_000): Scenario => ({
-  engines, routers, batch,
+  engines, routers, batch, zones: 3, uneven: 0,
   traffic: { span, longPerSecond: 1.5 * load * engines, shortPerSecond: 22 * load * engines, keys: Math.round(7 * engines), skew: 0.3 },
 });
 
@@ -18,6 +18,7 @@
   ['crash', (base: Scenario) => ({ ...base, crash: { at: 10_000, listed: 3000 } })],
   ['release', (base: Scenario) => ({ ...base, release: { at: 7000, gap: 1500 } })],
   ['slow', (base: Scenario) => ({ ...base, slow: { x: 2.5 } })],
+  ['uneven', (base: Scenario) => ({ ...base, uneven: 0.25 })],
   ['urgent-chunks', (base: Scenario) => ({ ...base, batch: { ...base.batch, chunks: 'urgent' as const } })],
   ['even-chunks', (base: Scenario) => ({ ...base, batch: { ...base.batch, chunks: 'even' as const } })],
 ]);
