--- a/src/place/prefix/weights.ts
+++ b/src/place/prefix/weights.ts
@@ -41,5 +41,5 @@
 }
 
 export const defaultWeights: Weights = {
-  binding: 1024, choices: 3, read: 4, wait: 0.5, late: 0.3, comfort: 0.5, beyond: 0, favour: 1.6, splitFrom: 0.45, foreignShort: 0.2, foreignLong: 0.3, foreignZone: 0.1, fullHigh: 0.9, fullLow: 0.7,
+  binding: 1024, choices: 3, read: 4, wait: 0.5, late: 0.3, comfort: 0.5, beyond: 0, favour: 1.6, splitFrom: 0.45, foreignShort: 0.2, foreignLong: 0.3, foreignZone: 0.1, fullHigh: 0.9, fullLow: 0.6,
 };
