--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -7,6 +7,7 @@
 import type { InForce } from '../doorway/match.js';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { seekAccord } from '../lease/accord.js';
 import { Standees } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
@@ -25,8 +26,8 @@
 
 /** What an operator does by hand about a member that does not vote. */
 const remedy = (reason: string): string => {
-  if (reason.startsWith('spoilt on disk') || reason.startsWith('votes on disk')) return '; stop it, empty its folder, start it, and it is given its seat again';
-  return reason && reason !== 'not in the core set' ? '; mend its disk and start it again' : '';
+  if (/^(spoilt on|votes on|lost from the) disk/.test(reason)) return '; stop it, empty its folder, start it, and it is given its seat again';
+  return reason && reason !== 'not in the core set' ? '; mend its disk or make room on it, and it votes again by itself' : '';
 };
 
 export interface Operator {
@@ -47,6 +48,7 @@
     private readonly view: View,
     private readonly news: Newsroom | undefined,
     private readonly clock: Clock,
+    private readonly acceptance = new Acceptance(peers, roster, clock),
   ) {}
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
@@ -186,8 +188,8 @@
     });
   }
 
-  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. */
-  async form(addresses: readonly string[]): Promise<Outcome<Schemas['CoreReply']>> {
+  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. More seats may be wanted. */
+  async form(addresses: readonly string[], wanted = addresses.length): Promise<Outcome<Schemas['CoreReply']>> {
     const replies = await gather(addresses, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), () => false);
     const silent = replies.filter(([, reply]) => reply.isLeft());
     if (silent.length) return failed('core.form', silent.map(([address]) => address).join(' '), 'all members must answer to form the core');
@@ -198,7 +200,7 @@
     seats.sort((a, b) => (a.id < b.id ? -1 : 1));
     const there = new Set(seats.map(({ id, address }) => `${id}@${address}`));
     if (states.some(([address, state]) => !there.has(`${state.member}@${address}`)) || seats.length !== states.length) return failed('core.form', 'core', 'a group of other members was begun there');
-    const document = encodeDocument(genesis(this.peers.self.fleet, seats));
+    const document = encodeDocument(genesis(this.peers.self.fleet, seats, wanted));
     const told = await gather(addresses, (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT), () => false);
     const against = told.filter(([, reply]) => reply.isLeft());
     if (against.length) return failed('core.form', against[0]![0], (against[0]![1].extract() as Fault).reason, 'unknown');
@@ -249,7 +251,7 @@
   }
 
   private async accord(change: string, generation: number, left: number): Promise<Outcome<Changed>> {
-    const accord = await seekAccord(generation, Math.max(0, left), this.peers, this.roster, this.clock);
+    const accord = await this.acceptance.of(generation, left);
     if (accord.everywhere) return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
     return Right({ change, outcome: 'unknown', generation, silent: [...accord.silent], reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}` });
   }
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -1,18 +1,23 @@
 /** The services of a core node: the member with its disk, the leases it grants, and the tasks that keep it up to date. */
 import { Inject, Injectable, Module, type DynamicModule } from '@nestjs/common';
+import { Right } from 'purify-ts';
 import { Keeper } from '../claim/keeper.js';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
+import { extended, type Extension } from '../node/extension.js';
 import type { InForce } from '../doorway/match.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import { FolderDisk, type Disk } from '../kernel/disk/disk.js';
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Grants } from '../lease/grants.js';
 import type { Params } from '../params/shape.js';
 import { Follower } from '../register/follower.js';
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
+import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
 import type { Roster } from '../register/roster.js';
 import { Succession } from '../register/succession.js';
@@ -23,6 +28,8 @@
 import { nodeProviders } from '../node/module.js';
 
 const SETTLE_EVERY = 250;
+const FORM_TURN = 1500;
+const FORM_PAUSE = 200;
 
 @Injectable()
 export class CoreNode {
@@ -47,9 +54,10 @@
   async start(): Promise<Outcome<unknown>> {
     const started = await this.member.start();
     if (started.isLeft()) return started;
-    const kept = await this.keeper.start();
+    const { enabled } = this.params.claims;
+    const kept = enabled ? await this.keeper.start() : Right(undefined);
     if (kept.isLeft()) return kept;
-    this.grants = new Grants(this.member, this.peers, this.clock);
+    this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
     const succession = new Succession(this.member, this.params.listen.peers, this.params.core.replaceAfter, this.peers, this.roster, this.proposer, this.clock, this.random, this.log);
@@ -57,13 +65,14 @@
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     if (this.member.newest) this.roster.learn(this.member.newest.core);
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers);
+    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
-    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers);
+    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers, this.params.core.keep + this.params.core.keepBytes > 0);
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
-    void this.keeper.run(this.stop.signal);
+    void keepRecovering(this.member, this.clock, this.stop.signal);
+    if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
     if (this.params.form) void this.form();
@@ -89,41 +98,45 @@
   /** Keeps the newest settled generation in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      const { newest, settledGeneration } = this.member;
-      if (newest && newest.generation === settledGeneration && this.inForce.swap(newest)) {
+      const newest = this.member.chain.document;
+      if (newest && this.inForce.swap(newest)) {
         this.roster.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['generation', newest.generation]]);
       }
-      await this.member.beyond(this.inForce.generation, 500);
-      if (this.member.settledGeneration > this.inForce.generation && this.member.newest?.generation !== this.member.settledGeneration) await this.clock.sleep(50, this.stop.signal);
+      await this.member.chain.beyond(this.inForce.generation, 500);
     }
   }
 
-  /** By the form param, the seed named first forms the core as soon as all seeds answer. */
+  /**
+   * By the form param, the seed named first forms the core as soon as all seeds answer; the others do the same after a
+   * while, should it be gone. They name the same group, whose first generation has one text.
+   */
   private async form(): Promise<void> {
-    if (this.params.listen.peers !== this.params.seeds[0]) return;
+    const at = this.params.seeds.indexOf(this.params.listen.peers);
+    if (at < 0) return;
+    await this.clock.sleep(at * FORM_TURN, this.stop.signal);
     while (!this.stop.signal.aborted && (this.member.newest?.generation ?? 0) <= 1 && this.member.settledGeneration === 0) {
-      const formed = await this.operations.form(this.params.seeds);
+      const formed = await this.operations.form(this.params.seeds, this.params.core.wanted || undefined);
       if (formed.isRight()) return;
       this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
-      await this.clock.sleep(500, this.stop.signal);
+      await this.clock.sleep(FORM_PAUSE, this.stop.signal);
     }
   }
 }
 
 @Module({})
 export class CoreModule {
-  static with(params: Params): DynamicModule {
+  static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: CoreModule,
-      providers: [
+      providers: extended([
         ...nodeProviders(params, 'core'),
         { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
         {
           provide: names.member,
           inject: [names.disk, names.peers, names.clock, names.random, names.log],
-          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet), peers, clock, random, log),
+          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, clock, random, log, params.core.stall),
         },
         {
           provide: names.keeper,
@@ -132,11 +145,17 @@
         },
         {
           provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock) => new Operations(peers, roster, proposer, inForce, view, undefined, clock),
+          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock, names.acceptance],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, undefined, clock, acceptance),
+        },
+        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
+        {
+          provide: names.configurator,
+          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
+          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
         },
         CoreNode,
-      ],
+      ], services),
     };
   }
 }
--- a/src/lease/vows.ts
+++ b/src/lease/vows.ts
@@ -10,16 +10,17 @@
 import { later, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Peers } from '../wire/peers.js';
 import { Vow, type VowAsk, type VowReply } from './calls.js';
-import { LEASE } from './grants.js';
+import { TERMS, type LeaseTerms } from './terms.js';
 
 const BOUND = 1024;
 
 export class Vows {
-  private readonly granted = new Map<string, { generation: number; until: Moment }>();
+  /** For each node, until when it may stand on a generation by this one's word. */
+  private readonly granted = new Map<string, Map<number, Moment>>();
   private readonly started: Moment;
   private enrolledBefore: boolean | undefined;
 
-  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly clock: Clock) {
+  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {
     this.started = clock.now();
   }
 
@@ -33,11 +34,14 @@
     if (!document) return 0;
     this.enrolledBefore ??= document.enrolled.has(this.node);
     const now = this.clock.now();
-    if (this.enrolledBefore && now < this.started + LEASE) return 0;
+    if (this.enrolledBefore && now < this.started + this.terms.duration) return 0;
     let report = document.generation;
-    for (const [node, { generation, until }] of this.granted) {
-      if (until <= now) this.granted.delete(node);
-      else report = Math.min(report, generation);
+    for (const [node, leases] of this.granted) {
+      for (const [generation, until] of leases) {
+        if (until <= now) leases.delete(generation);
+        else report = Math.min(report, generation);
+      }
+      if (leases.size === 0) this.granted.delete(node);
     }
     return report;
   }
@@ -48,9 +52,8 @@
     if (own === 0) return declined('nothing is in force here yet');
     if (own > generation) return declined(`generation ${own} is in force here`);
     if (!this.granted.has(node) && this.granted.size >= BOUND) return declined('too many leases');
-    const before = this.granted.get(node);
-    const live = before && before.until > this.clock.now() ? Math.min(before.generation, generation) : generation;
-    this.granted.set(node, { generation: live, until: later(this.clock.now(), LEASE) });
-    return { node: this.node, granted: true, duration: LEASE, reason: '' };
+    const leases = this.granted.get(node) ?? new Map<number, Moment>();
+    this.granted.set(node, leases.set(generation, later(this.clock.now(), this.terms.duration)));
+    return { node: this.node, granted: true, duration: this.terms.duration, reason: '' };
   }
 }
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -1,6 +1,7 @@
 /** The services that every node has, core and router alike, by name. */
 import type { Provider } from '@nestjs/common';
 import { InForce } from '../doorway/match.js';
+import { ownDialect } from '../forward/dialect.js';
 import { SystemClock, type Clock } from '../kernel/clock/clock.js';
 import { openLog, type Log } from '../kernel/log/log.js';
 import { TcpNet, type Net } from '../kernel/net/net.js';
@@ -25,6 +26,7 @@
   { provide: names.log, inject: [names.tracing], useFactory: (tracing: Tracing) => tracing.tap(openLog(params.name)) },
   { provide: names.stop, useValue: new AbortController() },
   { provide: names.keys, useFactory: () => new Keys(params) },
+  { provide: names.dialect, useValue: ownDialect },
   { provide: names.schema, useClass: SchemaCheck },
   { provide: names.inForce, useClass: InForce },
   { provide: names.self, inject: [names.random], useFactory: (random: Random): Hello => ({ fleet: params.fleet, name: params.name, incarnation: random.identity() }) },
@@ -34,7 +36,7 @@
     provide: names.view,
     inject: [names.peers, names.clock, names.random, names.self],
     useFactory: (peers: Peers, clock: Clock, random: Random, self: Hello) =>
-      new View({ name: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, clock, random),
+      new View({ name: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, clock, random, params.view.every),
   },
   {
     provide: names.proposer,
--- a/src/place/prefix/ticket.ts
+++ b/src/place/prefix/ticket.ts
@@ -41,6 +41,10 @@
     return this.option.urgency;
   }
 
+  get expected(): number {
+    return this.option.estimate;
+  }
+
   head(): void {}
 
   piece(): void {
--- /dev/null
+++ b/src/register/chain.ts
@@ -0,0 +1,146 @@
+/**
+ * Settled generations as a member knows them: the digests back from the newest one, as far as the links are known; the
+ * newest ones themselves and the deltas between them, for those who follow; and those who wait for the next. Below the
+ * floor nothing is kept, and of the newest ones no more whole than fits the bound.
+ */
+import { within, type Clock } from '../kernel/clock/clock.js';
+import type { FeedFrame } from './calls.js';
+import { wholeFrame } from './calls.js';
+import { deltaOf } from './delta.js';
+import { digestOf, type Document } from './document.js';
+import type { Filed } from './store.js';
+
+const DEPTH = 16;
+/** Bytes of whole generations, and of deltas, that are held for those who follow; the newest one is held at any rate. */
+const HELD_BYTES = 8 * 1024 * 1024;
+/** Below this many bytes a generation is handed on whole: a delta of it would hardly be smaller. */
+const DELTA_LEAST = 4096;
+const FEED_BYTES = 4 * 1024 * 1024;
+
+/** Takes the oldest out until as many are left as may be held; the last one stays. */
+export const shed = <T>(held: Map<number, T>, sizeOf: (item: T) => number): void => {
+  let bytes = [...held.values()].reduce((sum, item) => sum + sizeOf(item), 0);
+  for (const [key, item] of held) {
+    if (held.size <= 1 || (held.size <= DEPTH && bytes <= HELD_BYTES)) break;
+    held.delete(key);
+    bytes -= sizeOf(item);
+  }
+};
+
+export class Chain {
+  private newest = 0;
+  private lowest = 1;
+  private current: Document | undefined;
+  /** The generation before the newest, until the delta between them was made. */
+  private before: Document | undefined;
+  private readonly deltas = new Map<number, FeedFrame>();
+  private readonly digests = new Map<number, string>();
+  private readonly recent = new Map<number, Filed>();
+  private readonly watchers = new Set<() => void>();
+  private whole = { from: 0, to: 0, size: 0, digest: '' };
+
+  constructor(private readonly clock: Clock) {}
+
+  get settled(): number {
+    return this.newest;
+  }
+
+  /** The newest settled document, on the disk or not yet. */
+  get document(): Document | undefined {
+    return this.current;
+  }
+
+  get floor(): number {
+    return this.lowest;
+  }
+
+  digest(generation: number): string | undefined {
+    return this.digests.get(generation);
+  }
+
+  /** A generation handed on to followers, while it is among the newest. */
+  filed(generation: number): Filed | undefined {
+    return this.recent.get(generation);
+  }
+
+  settle(document: Document, digest: string, filed: Filed): boolean {
+    const { generation, previous } = document;
+    if (generation <= this.newest) return false;
+    this.before = this.current?.generation === generation - 1 && filed.document.length >= DELTA_LEAST ? this.current : undefined;
+    this.newest = generation;
+    this.current = document;
+    this.digests.set(generation, digest);
+    if (generation > 1) this.digests.set(generation - 1, previous);
+    this.recent.set(generation, filed);
+    shed(this.recent, (item) => item.document.length);
+    for (const wake of [...this.watchers]) wake();
+    return true;
+  }
+
+  /** What follows a generation, whole or as deltas; nothing when it is not all held here. */
+  following(from: number, deltas: boolean): FeedFrame[] {
+    if (from <= 0 || this.newest - from > DEPTH) return [];
+    const frames: FeedFrame[] = [];
+    let bytes = 0;
+    for (let generation = from + 1; generation <= this.newest; generation++) {
+      const filed = this.recent.get(generation);
+      const frame = (deltas ? this.delta(generation) : undefined) ?? (filed && wholeFrame(filed));
+      bytes += frame?.document.length ?? 0;
+      if (!frame || bytes > FEED_BYTES) break;
+      frames.push(frame);
+    }
+    return frames;
+  }
+
+  /** Made when it is first asked for, while both generations are at hand. */
+  private delta(generation: number): FeedFrame | undefined {
+    const { before, current } = this;
+    if (generation === this.newest && before && current) {
+      this.before = undefined;
+      const digest = this.digests.get(generation)!;
+      const filed = this.recent.get(generation);
+      const made = deltaOf(before, current, digest);
+      if (made && filed && made.length < filed.document.length) this.deltas.set(generation, { ballot: filed.ballot, document: made, base: generation - 1, digest });
+      shed(this.deltas, (item) => item.document.length);
+    }
+    return this.deltas.get(generation);
+  }
+
+  /** Notes the link of a generation that is known to belong here to the one before it. */
+  link(generation: number, previous: string): void {
+    if (generation > this.lowest && previous) this.digests.set(generation - 1, previous);
+  }
+
+  raise(floor: number): void {
+    if (floor <= this.lowest) return;
+    this.lowest = floor;
+    for (const generation of this.digests.keys()) if (generation < floor) this.digests.delete(generation);
+  }
+
+  /** One digest over all from the floor up, or nothing while some links are not known. */
+  get wholeDigest(): string {
+    const { lowest: from, newest: to } = this;
+    const { size } = this.digests;
+    if (to === 0 || size < to - from + 1) return '';
+    if (this.whole.from !== from || this.whole.to !== to || this.whole.size !== size) this.whole = { from, to, size, digest: this.rangeDigest(from, to) };
+    return this.whole.digest;
+  }
+
+  rangeDigest(from: number, to: number): string {
+    const digests: string[] = [];
+    for (let generation = from; generation <= to; generation++) digests.push(this.digests.get(generation) ?? '');
+    return digestOf(digests.join(' '));
+  }
+
+  /** Waits until something settled beyond the generation given, or until the limit. */
+  async beyond(generation: number, limit: number): Promise<void> {
+    if (this.newest > generation) return;
+    let wake: () => void = () => undefined;
+    const news = new Promise<void>((resolve) => {
+      wake = resolve;
+      this.watchers.add(wake);
+    });
+    await within(this.clock, limit, news);
+    this.watchers.delete(wake);
+  }
+}
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,15 +1,20 @@
 /**
- * Following the numbered feed of settled generations: from one core member at a time, another when it falls silent, and
- * from neighbours when none answers. The first generation comes only after a look at a majority of the core, or of the
- * routers, so that a restart never slides back; what is older than what is held is dropped, and what follows it must
- * name its digest.
+ * Following the numbered feed of settled generations: from one core member at a time, the one quickest to say that it has
+ * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
+ * While one member feeds, another is asked only how far it is; when it is further than the feed for longer than a moment,
+ * the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
+ * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
+ * something is held, what follows comes as deltas.
  */
 import type { Clock } from '../kernel/clock/clock.js';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, type FeedItem, type FeedReply } from './calls.js';
+import { Feed, State, Tip, type FeedFrame, type FeedItem, type FeedReply, type StateReply } from './calls.js';
+import { applyDelta, type Rebuilt } from './delta.js';
 import { decodeDocument, digestOf, type Document } from './document.js';
+import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
 import type { Roster } from './roster.js';
@@ -17,11 +22,30 @@
 const WAIT = 1000;
 const PAUSE = 200;
 const LOOK = 1500;
+const SEEK_LIMIT = 700;
+/** How much longer than it was told to wait a source may take before it counts as silent. */
+const SLACK = 300;
+/** For how long a source may be behind another member. */
+const GRACE = 60;
+/** How many neighbours are asked at a time while no core member answers. */
+const NEIGHBOURS = 3;
+
+/** The whole of what a frame tells: itself, or what its delta makes of the generation before. */
+const rebuild = ({ base, digest, document: bytes }: FeedFrame, before: Document | undefined, peer: string): Outcome<Rebuilt> => {
+  if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
+  return before?.generation === base ? applyDelta(before, bytes, digest, peer) : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
+};
 
 export class Follower {
   held = 0;
   private digest = '';
+  /** The document of the generation held, from which deltas can be applied. */
+  private base: Document | undefined;
   private floor: number | undefined;
+  /** The newest generation that any member is known to have settled. */
+  private known = 0;
+  private source = '';
+  private outrun: () => void = () => undefined;
 
   constructor(
     private readonly peers: Peers,
@@ -30,62 +54,117 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-    private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number) => Promise<void> | void,
+    private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number, frames: readonly FeedFrame[]) => Promise<void> | void,
     private readonly self = '',
     private readonly relay?: Relay,
+    private readonly wait = WAIT,
+    /** What this node has by another way. */
+    private readonly own: () => number = () => 0,
   ) {}
 
   async run(signal: AbortSignal): Promise<void> {
+    void this.watch(signal);
     while (!signal.aborted) {
-      if (this.floor === undefined) {
-        const looked = (await this.proposer.look(LOOK)).toMaybe().extract() ?? (await this.relay?.floor());
-        if (looked === undefined) {
-          await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
-          continue;
-        }
-        this.floor = looked;
-        this.log('feed-floor', [['generation', this.floor]]);
-      }
-      const sources = shuffled(this.random, this.roster.addresses.filter((address) => address !== this.self));
-      for (const source of sources) {
-        if (signal.aborted || (await this.followOne(source, signal))) continue;
-        const neighbour = pick(this.random, this.relay?.sources ?? []);
-        if (neighbour) await this.followOne(neighbour, signal, true);
-      }
-      await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      const source = this.floor === undefined ? await this.begin() : await this.seek();
+      if (this.floor !== undefined && !(source && (await this.followOne(source, signal))) && !signal.aborted) {
+        await this.askNeighbours();
+        await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      } else if (this.floor === undefined) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+    }
+  }
+
+  /** Looks for the generation below which this node may not begin, and for a member that holds it. */
+  private async begin(): Promise<string | undefined> {
+    const survey = (await this.proposer.survey(LOOK)).toMaybe().extract();
+    const floor = survey?.generation ?? (await this.relay?.floor());
+    if (floor === undefined) return undefined;
+    this.floor = floor;
+    this.log('feed-floor', [['generation', floor]]);
+    return survey?.sources.find((address) => address !== this.self) ?? this.seek();
+  }
+
+  /** The member quickest to say that it votes and holds what is needed; failing that, one that holds it. */
+  private async seek(): Promise<string | undefined> {
+    const least = Math.max(this.held, this.floor ?? 0);
+    const needed = Math.max(least, this.known);
+    const others = shuffled(this.random, this.roster.addresses.filter((address) => address !== this.self));
+    const fit = (all: Replies<StateReply>): string | undefined => all.find(([, reply]) => reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false))?.[0];
+    const replies = await gather(others, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, SEEK_LIMIT), (all) => fit(all) !== undefined);
+    return fit(replies) ?? replies.find(([, reply]) => reply.map(({ settled }) => settled >= least).orDefault(false))?.[0];
+  }
+
+  /** Asks another member than the source how far it is, again and again. */
+  private async watch(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const other = pick(this.random, this.roster.addresses.filter((address) => address !== this.self && address !== this.source));
+      const from = Math.max(this.held, this.known);
+      const reply = other && this.source ? await this.peers.ask(other, Tip, { from, wait: this.wait }, this.wait + SLACK) : undefined;
+      const settled = reply?.map((tip) => tip.settled).orDefault(0) ?? 0;
+      if (settled > from) {
+        this.known = settled;
+        void this.clock.sleep(GRACE).then(() => Math.max(this.held, this.own()) < settled && this.outrun());
+      } else if (!reply?.isRight()) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
   }
 
-  /** Follows one source until it has nothing to give, or once only; says whether it gave anything. */
-  private async followOne(source: string, signal: AbortSignal, once = false): Promise<boolean> {
+  /** Without the core, takes what some neighbours have. */
+  private async askNeighbours(): Promise<void> {
+    const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
+    const replies = await gather(some, (address) => this.peers.ask(address, Feed, { from: this.held, wait: 0, deltas: this.base !== undefined }, SEEK_LIMIT), (all) => sound(all).some(({ items }) => items.length > 0));
+    for (const [address, reply] of replies) if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
+  }
+
+  /** Follows one source until it has nothing to give; says whether it gave anything. */
+  private async followOne(source: string, signal: AbortSignal): Promise<boolean> {
+    this.source = source;
     for (let answered = false; ; answered = true) {
-      if (signal.aborted || (answered && once)) return answered;
-      const reply = await this.peers.ask(source, Feed, { from: this.held, wait: WAIT }, WAIT + 1000);
-      if (reply.isLeft()) return answered;
-      const { settled, items } = reply.unsafeCoerce() as FeedReply;
-      if (settled < Math.max(this.held, this.floor ?? 0)) return answered;
-      const documents: Document[] = [];
-      let held = { generation: this.held, digest: this.digest };
-      const taken: FeedItem[] = [];
-      for (const item of items) {
-        const document = decodeDocument(item.document, source);
-        if (document.isLeft()) return answered;
-        const next = document.unsafeCoerce();
-        if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
-        if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
-          this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
-          return answered;
-        }
-        held = { generation: next.generation, digest: digestOf(item.document) };
-        documents.push(next);
-        taken.push(item);
-        this.roster.learn(next.core);
+      if (signal.aborted) return answered;
+      if (this.own() > this.held) {
+        this.held = this.own();
+        this.digest = '';
+        this.base = undefined;
+      }
+      const left = new Promise<undefined>((resolve) => {
+        this.outrun = (): void => resolve(undefined);
+      });
+      const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait, deltas: this.base !== undefined }, this.wait + SLACK), left]);
+      if (!reply) this.log('feed-left', [['peer', source], ['generation', this.known]]);
+      if (!reply || reply.isLeft()) return answered;
+      if (!(await this.consume(source, reply.extract() as FeedReply))) return answered;
+    }
+  }
+
+  /** Takes what follows the generation held; says whether the source is worth asking again. */
+  private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
+    if (settled < Math.max(this.held, this.floor ?? 0)) return false;
+    const documents: Document[] = [];
+    const frames: FeedFrame[] = [];
+    const taken: FeedItem[] = [];
+    let held = { generation: this.held, digest: this.digest, document: this.base };
+    for (const frame of items) {
+      const rebuilt = rebuild(frame, held.document, source);
+      if (rebuilt.isLeft()) {
+        this.base = undefined;
+        return false;
+      }
+      const { document: next, bytes } = rebuilt.unsafeCoerce();
+      if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
+      if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
+        this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
+        return false;
       }
-      if (documents.length === 0) continue;
-      for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
-      await this.take(documents, taken, settled);
-      this.held = held.generation;
-      this.digest = held.digest;
+      held = { generation: next.generation, digest: frame.base > 0 ? frame.digest : digestOf(bytes), document: next };
+      documents.push(next);
+      frames.push(frame);
+      taken.push({ ballot: frame.ballot, document: bytes });
+      this.roster.learn(next.core);
     }
+    if (documents.length === 0) return true;
+    for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
+    await this.take(documents, taken, settled, frames);
+    this.held = held.generation;
+    this.digest = held.digest;
+    this.base = held.document;
+    return true;
   }
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -5,6 +5,11 @@
  * So the settled generations form one chain, and a change that is missing from a settled value read after its last
  * accept can never come to be. "Lost" and "declined" are said only then; after an accept without a majority's word,
  * the change stays unsure until a later round settles it, and is "unknown" when its limit comes first.
+ *
+ * A ballot that others overtook while this node was idle or backed off is no sign of a rival: it is raised and asked
+ * for again within the same round, at once where no other round is open. Otherwise a node with a long back-off would
+ * come with an outdated ballot each time, and fall behind changes that are seconds apart. For the same reason the
+ * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
@@ -12,16 +17,19 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
-import { Accept, Prepare, Settled, State, type PrepareReply } from './calls.js';
+import { ballotText, compareBallots, type Ballot } from './ballot.js';
+import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import { decodeDocument, digestOf, encodeDocument, type Change, type CoreSet, type Document } from './document.js';
-import { gather, majority, sound } from './gather.js';
+import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
+import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** The step that failed when members refused for a higher ballot. */
+const OUTBID = 'register.outbid';
 
 interface Waiting {
   readonly change: Change;
@@ -37,6 +45,11 @@
   readonly settled: boolean;
 }
 
+export interface Survey {
+  readonly generation: number;
+  readonly sources: readonly string[];
+}
+
 export class Proposer {
   private readonly waiting: Waiting[] = [];
   private counter = 0;
@@ -71,23 +84,42 @@
 
   /** The newest settled value, without a new ballot where a majority already agrees. */
   async look(duration: number): Promise<Outcome<number>> {
+    return (await this.survey(duration)).map(({ generation }) => generation);
+  }
+
+  /** The newest settled generation, and the members that were quickest to say that they hold it. */
+  async survey(duration: number): Promise<Outcome<Survey>> {
     await this.learnCore();
-    const { members } = this.roster.core;
-    const quorum = majority(members.length);
-    const replies = sound(await gather(members.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => sound(all).length >= quorum));
-    const highest = Math.max(0, ...replies.map(({ generation }) => generation));
-    const voters = replies.filter(({ formed }) => formed);
-    if (voters.length >= quorum && voters.some(({ settled }) => settled >= highest)) return Right(highest);
-    return (await this.read(duration)).map(({ generation }) => generation);
+    for (let pass = 0; pass < 4; pass++) {
+      const { number, members } = this.roster.core;
+      const quorum = majority(members.length);
+      const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
+        all.flatMap(([address, reply]) => {
+          const state = reply.toMaybe().extract();
+          return state?.sure && members.some((seat) => seat.id === state.member && seat.address === address) ? [[address, state] as const] : [];
+        });
+      const replies = surest(await gather(members.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => surest(all).length >= quorum));
+      for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
+      if (this.roster.core.number !== number) continue;
+      const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
+      const sources = replies.filter(([, { settled }]) => settled >= generation).map(([address]) => address);
+      if (number > 0 && replies.length >= quorum && sources.length > 0) return Right({ generation, sources });
+      break;
+    }
+    return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
   }
 
   private async work(): Promise<void> {
     this.busy = true;
-    for (let tries = 0; this.waiting.length > 0; ) {
+    let tries = 0;
+    let outbid = false;
+    while (this.waiting.length > 0) {
       const batch = this.waiting.slice(0, BATCH);
-      const sureOf = await this.round(batch);
-      if (sureOf) tries = 0;
-      else await this.backOff(tries++);
+      const done = await this.round(batch);
+      const before = outbid;
+      outbid = done.isLeft() && done.extract().step === OUTBID;
+      tries = done.isLeft() && outbid === before ? tries + 1 : 0;
+      if (done.isLeft()) await this.backOff(tries);
       const now = this.clock.now();
       for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
         const reason = 'the limit came before a majority of the core settled it';
@@ -104,11 +136,11 @@
     item.tell(outcome);
   }
 
-  private async round(batch: readonly Waiting[]): Promise<boolean> {
+  private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [['step', read.extract().step], ['peer', read.extract().peer], ['reason', read.extract().reason]]);
-      return false;
+      return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
     const { document: next, verdicts } = applyChanges(document, batch.map(({ change }) => change));
@@ -118,7 +150,7 @@
     });
     if (next === document) {
       for (const item of certain) this.finish(item, Right(verdicts.get(item.change.id)!));
-      return true;
+      return Right(undefined);
     }
     const proposed = batch.filter((item) => !certain.includes(item));
     for (const item of proposed) item.unsure = true;
@@ -126,10 +158,10 @@
     const accepted = await this.accept(core, ballot, next);
     if (accepted.isLeft()) {
       this.log('round-unsure', [['generation', next.generation], ['changes', proposed.length], ['reason', accepted.extract().reason]]);
-      return false;
+      return accepted;
     }
     for (const item of batch) this.finish(item, Right(verdicts.get(item.change.id)!));
-    return true;
+    return Right(undefined);
   }
 
   private async readOnce(): Promise<Outcome<Document>> {
@@ -147,7 +179,7 @@
         this.roster.learn(found.document.core);
         continue;
       }
-      if (pass >= 3) return failed('register.read', 'core', 'others keep changing it');
+      if (pass >= 3) return failed(OUTBID, 'core', 'others keep changing it');
       const again = await this.accept(found.core, found.ballot, found.document);
       if (again.isLeft()) return again as Outcome<Read>;
     }
@@ -158,18 +190,18 @@
     const core = this.roster.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
-    const ballot: Ballot = { counter: ++this.counter, node: this.peers.self.name, incarnation: this.peers.self.incarnation };
-    const replies = await gather(
-      core.members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
-      (all) => sound(all).filter(({ promised }) => promised).length >= quorum,
-    );
-    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
-    const promises = sound(replies).filter(({ promised }) => promised);
+    let { ballot, replies } = await this.seekPromises(core);
+    const outdated = promisesOf(replies).length < quorum ? sound(replies).filter((reply) => isOutdated(reply, ballot)) : [];
+    if (outdated.length > 0) {
+      const contested = outdated.some(({ highest, accepted }) => compareBallots(highest, accepted) > 0);
+      if (contested) await this.backOff(0);
+      ({ ballot, replies } = await this.seekPromises(core));
+    }
+    const promises = promisesOf(replies);
     if (promises.length < quorum) {
-      await this.refreshCore();
+      if (replies.some(([, reply]) => reply.isLeft())) await this.refreshCore();
       const reasons = replies.map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : '')).filter(Boolean);
-      return failed('register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
+      return failed(sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
     }
     const newest = promises.reduce((best, reply) => (compareBallots(reply.accepted, best.accepted) > 0 ? reply : best));
     return decodeDocument(newest.document, 'core').map((document) => {
@@ -179,6 +211,18 @@
     });
   }
 
+  /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
+  private async seekPromises(core: CoreSet): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+    const ballot: Ballot = { counter: ++this.counter, node: this.peers.self.name, incarnation: this.peers.self.incarnation };
+    const replies = await gather(
+      core.members.map(({ address }) => address),
+      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
+      (all) => decided(all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)), core.members.length),
+    );
+    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
+    return { ballot, replies };
+  }
+
   private async accept(core: CoreSet, ballot: Ballot, document: Document): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
@@ -186,11 +230,11 @@
     const replies = await gather(
       addresses,
       (address) => this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
-      (all) => sound(all).filter(({ accepted }) => accepted).length >= quorum,
+      (all) => decided(all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)), core.members.length),
     );
     for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
-    if (votes < quorum) return failed('register.accept', 'core', `${votes} of ${quorum} votes`, 'unknown');
+    if (votes < quorum) return failed(sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept', 'core', `${votes} of ${quorum} votes`, 'unknown');
     this.announce(core, ballot, document, bytes);
     this.roster.learn(document.core);
     return Right(undefined);
@@ -207,8 +251,11 @@
     if (this.roster.core.number === 0) await this.refreshCore();
   }
 
+  /** Asks the leads for a newer core set, until one tells it or a majority of the one known knows no other. */
   private async refreshCore(): Promise<void> {
-    const replies = await gather(this.roster.leads, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => sound(all).some(({ core }) => (JSON.parse(core) as CoreSet).number > this.roster.core.number));
+    const { number, members } = this.roster.core;
+    const enough = (told: readonly StateReply[]): boolean => told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) || (number > 0 && told.length >= majority(members.length));
+    const replies = await gather(this.roster.leads, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => enough(sound(all)));
     for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as CoreSet);
   }
 
@@ -217,6 +264,3 @@
     return this.clock.sleep(most * (0.25 + 0.75 * this.random.fraction()));
   }
 }
-
-const isSettled = (promises: readonly PrepareReply[], newest: PrepareReply, generation: number, quorum: number): boolean =>
-  promises.some(({ settled }) => settled >= generation) || (compareBallots(newest.accepted, FIRST) > 0 && promises.filter(({ accepted }) => compareBallots(accepted, newest.accepted) === 0).length >= quorum);
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -1,9 +1,11 @@
 /** Nodes of a simulated fleet, put together from the same classes as the program's own, on a host of the world. */
 import { Keeper } from '../claim/keeper.js';
+import { Configurator } from '../api/configurator.js';
 import { Operations } from '../api/operations.js';
 import { CoreNode } from '../core/module.js';
 import { InForce } from '../doorway/match.js';
 import { silentLog, type Log } from '../kernel/log/log.js';
+import type { Net } from '../kernel/net/net.js';
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
@@ -14,6 +16,7 @@
 import { Peers } from '../wire/peers.js';
 import { Prefixes } from '../index/prefixes.js';
 import { Journal } from '../kernel/journal/journal.js';
+import { Acceptance } from '../lease/acceptance.js';
 import { Standing } from '../lease/standing.js';
 import { Vows } from '../lease/vows.js';
 import { Claims } from '../claim/claims.js';
@@ -33,6 +36,8 @@
   readonly fleet: string;
   readonly seeds: readonly string[];
   readonly over?: object;
+  /** Laid around the net of each node, as to count what goes over it. */
+  readonly net?: (net: Net, node: string) => Net;
 }
 
 export interface SimBase {
@@ -45,6 +50,8 @@
   readonly inForce: InForce;
   readonly view: View;
   readonly stop: AbortController;
+  readonly acceptance: Acceptance;
+  readonly configurator: Configurator;
 }
 
 export interface SimCore extends SimBase {
@@ -60,21 +67,24 @@
   const log = tracing.tap(outer);
   const params = checkParams({ fleet: site.fleet, name, zone, seeds: site.seeds, listen: { peers: address, callers: address, operators: address } }, site.over ?? {}).unsafeCoerce();
   const self = { fleet: site.fleet, name, incarnation: host.random.identity() };
-  const peers = new Peers(host.net, host.clock, log, self);
+  const peers = new Peers(site.net?.(host.net, name) ?? host.net, host.clock, log, self);
   tracing.serve(peers);
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
-  const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random);
-  return { host, log, params, peers, roster, proposer, inForce: new InForce(), view, stop: new AbortController() };
+  const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random, params.view.every);
+  const inForce = new InForce();
+  const acceptance = new Acceptance(peers, roster, host.clock, params.lease);
+  const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
+  return { host, log, params, peers, roster, proposer, inForce, view, stop: new AbortController(), acceptance, configurator };
 };
 
 export const simCore = (world: World, name: string, address: string, zone: string, disk: SimDisk, site: SimSite, outer: Log = silentLog): SimCore => {
   const base = simBase(world, name, address, zone, 'core', site, outer);
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
   const folder = disk.open(host);
-  const member = new Member(new Store(folder, site.fleet), peers, host.clock, host.random, log);
+  const member = new Member(new Store(folder, site.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, host.clock, host.random, log, params.core.stall);
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock);
+  const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock, base.acceptance);
   const node = new CoreNode(params, peers, member, keeper, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
   return { ...base, member, keeper, operations, node };
 };
@@ -104,11 +114,11 @@
     prefixes.listed(engines);
     chooser.listed(engines);
   });
-  const vows = new Vows(name, inForce, peers, clock);
-  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log);
-  const claims = new Claims(name, inForce, peers, roster, clock, random, log);
+  const vows = new Vows(name, inForce, peers, clock, params.lease);
+  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log, params.lease);
+  const claims = new Claims(name, inForce, peers, roster, clock, random, log, params.claims.enabled);
   const passage = new Passage(`${name}-${peers.self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, news, clock);
+  const operations = new Operations(peers, roster, proposer, inForce, view, news, clock, base.acceptance);
   const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, prefixes, passage, channels, operations, clock, random, log, stop);
   return { ...base, standing, news, claims, prefixes, passage, operations, journal, node };
 };
