The stand-in engine notes the part of an event it sent when it is cut inside one

A stream that may not go on elsewhere is handed on byte by byte, so its caller rightly sees that part; the judge found it "mixed", since the record said no engine made it. The fleet of real processes failed by it whenever such a stream happened to meet this trouble.

--- a/src/stand/opaque/record.ts
+++ b/src/stand/opaque/record.ts
@@ -31,7 +31,7 @@
   hits: number;
   status: number;
   seal: string;
-  /** Events of a stream from `after + 1` on, or one body. */
+  /** Events of a stream from `after + 1` on, the last of them maybe cut short, or one body. */
   readonly made: string[];
   readonly stream: boolean;
   /** Events of the whole stream, were it taken from its beginning. */
--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -112,7 +112,11 @@
     const trouble = this.troubles.strikes('cut', 'cut-reset', 'stalled', 'garbled-midway', ...(event ? (['cut-inside'] as const) : []));
     if (!trouble) return false;
     if (trouble === 'stalled') this.stalled = true;
-    else if (trouble === 'cut-inside') this.break('cut', () => this.response.write(event.slice(0, event.length / 2), () => this.socket.end()));
+    else if (trouble === 'cut-inside') {
+      const part = event.slice(0, event.length / 2);
+      this.arrival.made.push(part);
+      this.break('cut', () => this.response.write(part, () => this.socket.end()));
+    }
     else if (trouble === 'cut') this.break('cut', () => this.socket.end());
     else if (trouble === 'cut-reset') this.break('cut', () => this.socket.resetAndDestroy());
     else {
--- a/test/stand/engine.test.ts
+++ b/test/stand/engine.test.ts
@@ -85,6 +85,7 @@
   ['unframed', { status: 200, complete: true }, []],
   ['cut', { status: 200, complete: false }, []],
   ['cut-reset', { status: 200, complete: false }, []],
+  ['cut-inside', { status: 200, complete: false }, []],
   ['stalled', { status: 200, complete: false, reason: 'silent' }, []],
   ['garbled-midway', { status: 200, complete: false }, []],
   ['surplus', { status: 200, complete: true, surplus: 1 }, ['mixed']],
