--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -113,9 +113,9 @@
     if (!trouble) return false;
     if (trouble === 'stalled') this.stalled = true;
     else if (trouble === 'cut-inside') {
-      const part = event.slice(0, event.length / 2);
-      this.arrival.made.push(part);
-      this.break('cut', () => this.response.write(part, () => this.socket.end()));
+      const half = event.slice(0, event.length / 2);
+      this.arrival.made.push(half);
+      this.break('cut', () => this.response.write(half, () => this.socket.end()));
     }
     else if (trouble === 'cut') this.break('cut', () => this.socket.end());
     else if (trouble === 'cut-reset') this.break('cut', () => this.socket.resetAndDestroy());
