A node is ready only once all its faces are open

Cause: the operators' face, which tells readiness, opens first; on a busy machine a router said it was ready before it took calls, and callers passed on to it were refused the connection: 4 of 30 tests with real processes failed so in one run at a load of about 39 (ECONNREFUSED at the callers' address, gone two seconds later). It says 'starting' until the last face is open.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -99,7 +99,8 @@
   if (role === 'router') routerMetrics(registry, context);
   else coreMetrics(registry, context);
   let stopping = false;
-  const status: ReadyQuestion = () => (stopping ? 'stopping' : node.ready());
+  let open = false;
+  const status: ReadyQuestion = () => (stopping ? 'stopping' : open ? node.ready() : 'starting');
   const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [])]);
   services.set(names.status, status).set(names.metrics, registry);
   const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, BYTE_BOUND + 65_536, [OperatorsController, StatusController], services)];
@@ -115,6 +116,7 @@
     if (face.isLeft()) return refuse(face.extract() as Fault);
     faces.push(face.unsafeCoerce());
   }
+  open = true;
   log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', (role === 'router' && params.listen.callers) || undefined], ['requests', (role === 'router' && params.listen.requests) || undefined]]);
 
   let taken = params;
