--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -7,7 +7,15 @@
 import { build } from 'esbuild';
 import { copyFile } from 'node:fs/promises';
 
-const optional = ['@nestjs/microservices', '@nestjs/websockets', '@nestjs/platform-express', 'class-transformer', 'class-validator', '@fastify/static', '@fastify/view'];
+const optional = [
+  '@nestjs/microservices',
+  '@nestjs/websockets',
+  '@nestjs/platform-express',
+  'class-transformer',
+  'class-validator',
+  '@fastify/static',
+  '@fastify/view',
+];
 
 await build({
   entryPoints: ['platform/main.ts'],
--- a/deploy/start.js
+++ b/deploy/start.js
@@ -13,7 +13,10 @@
 const kept = `${bundle}.code`;
 const keeping = process.argv[2] === '--keep';
 const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(bundle, 'utf8')}\n})`;
-const script = new Script(source, { filename: bundle, ...(!keeping && existsSync(kept) && { cachedData: readFileSync(kept) }) });
+const script = new Script(source, {
+  filename: bundle,
+  ...(!keeping && existsSync(kept) && { cachedData: readFileSync(kept) }),
+});
 
 if (keeping) {
   process.on('exit', () => {
--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -11,7 +11,12 @@
 import type { Acceptance } from '../lease/acceptance.js';
 import { Feed } from '../register/calls.js';
 import type { Verdict } from '../register/change.js';
-import { decodeDocument, digestOf, type ConfigureAct, type Document } from '../register/document.js';
+import {
+  decodeDocument,
+  digestOf,
+  type ConfigureAct,
+  type Document,
+} from '../register/document.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
 import type { Roster } from '../register/roster.js';
@@ -36,27 +41,57 @@
   replace(configuration: unknown, expects: number, wait: number): Promise<ConfigureReply> {
     return readConfiguration(configuration).caseOf({
       Left: (fault) => Promise.resolve(this.refused(fault, expects)),
-      Right: ({ value, text }) => this.configure({ kind: 'configure', version: value.version, expects, digest: requestDigest('whole', expects, text), whole: value }, wait),
+      Right: ({ value, text }) =>
+        this.configure(
+          {
+            kind: 'configure',
+            version: value.version,
+            expects,
+            digest: requestDigest('whole', expects, text),
+            whole: value,
+          },
+          wait,
+        ),
     });
   }
 
   patch(patch: unknown, expects: number, wait: number): Promise<ConfigureReply> {
     return readPatch(patch).caseOf({
       Left: (fault) => Promise.resolve(this.refused(fault, expects)),
-      Right: ({ value, text }) => this.configure({ kind: 'configure', version: value.version, expects, digest: requestDigest('patch', expects, text), patch: value }, wait),
+      Right: ({ value, text }) =>
+        this.configure(
+          {
+            kind: 'configure',
+            version: value.version,
+            expects,
+            digest: requestDigest('patch', expects, text),
+            patch: value,
+          },
+          wait,
+        ),
     });
   }
 
   async read(wait: number): Promise<Outcome<Configuration | undefined>> {
     const limit = this.clock.now() + wait;
     const looked = await within(this.clock, wait, this.proposer.look(wait));
-    if (!looked) return failed('configuration.read', 'core', `no majority told its newest generation within ${wait} ms`);
+    if (!looked)
+      return failed(
+        'configuration.read',
+        'core',
+        `no majority told its newest generation within ${wait} ms`,
+      );
     if (looked.isLeft()) return looked as Outcome<never>;
     const generation = looked.unsafeCoerce();
     for (;;) {
       const document = await this.fetch(generation);
       if (document) return Right(document.configuration);
-      if (this.clock.now() + PAUSE >= limit) return failed('configuration.read', 'core', `no member gave generation ${generation} within ${wait} ms`);
+      if (this.clock.now() + PAUSE >= limit)
+        return failed(
+          'configuration.read',
+          'core',
+          `no member gave generation ${generation} within ${wait} ms`,
+        );
       await this.clock.sleep(PAUSE);
     }
   }
@@ -68,7 +103,11 @@
       const document = item && decodeDocument(item.document, 'core').toMaybe().extract();
       return document && document.generation >= generation ? document : undefined;
     };
-    const replies = await gather(this.roster.addresses, (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT), (all) => sound(all).some((reply) => fresh(reply) !== undefined));
+    const replies = await gather(
+      this.roster.addresses,
+      (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT),
+      (all) => sound(all).some((reply) => fresh(reply) !== undefined),
+    );
     return sound(replies).flatMap((reply) => fresh(reply) ?? [])[0];
   }
 
@@ -78,24 +117,49 @@
 
   /** What is wrong in itself can never be in force, whatever is in place. */
   private refused({ reason }: Fault, expects: number): ConfigureReply {
-    if (expects !== this.version && this.inForce.generation > 0) return { outcome: 'conflict', version: this.version, reason: `version ${this.version} is in place, not ${expects}; and it is invalid: ${reason}` };
+    if (expects !== this.version && this.inForce.generation > 0)
+      return {
+        outcome: 'conflict',
+        version: this.version,
+        reason: `version ${this.version} is in place, not ${expects}; and it is invalid: ${reason}`,
+      };
     return { outcome: 'invalid', version: this.version, reason };
   }
 
   private async configure(act: ConfigureAct, wait: number): Promise<ConfigureReply> {
     const limit = this.clock.now() + wait;
-    const change = { id: `version-${act.version}-${act.digest}`, firm: '', who: this.peers.self.name, act };
+    const change = {
+      id: `version-${act.version}-${act.digest}`,
+      firm: '',
+      who: this.peers.self.name,
+      act,
+    };
     const told = await within(this.clock, wait, this.proposer.propose(change, wait));
-    const unsettled = (reason: string): ConfigureReply => ({ outcome: 'unknown', version: this.version, reason });
+    const unsettled = (reason: string): ConfigureReply => ({
+      outcome: 'unknown',
+      version: this.version,
+      reason,
+    });
     if (!told) return unsettled(`not settled within ${wait} ms`);
     if (told.isLeft()) return unsettled((told.extract() as Fault).reason);
     const verdict = told.extract() as Verdict;
-    if (verdict.kind === 'lost') return { outcome: 'conflict', version: verdict.inPlace ?? this.version, reason: verdict.reason };
-    if (verdict.kind === 'declined') return { outcome: 'invalid', version: this.version, reason: verdict.reason };
+    if (verdict.kind === 'lost')
+      return {
+        outcome: 'conflict',
+        version: verdict.inPlace ?? this.version,
+        reason: verdict.reason,
+      };
+    if (verdict.kind === 'declined')
+      return { outcome: 'invalid', version: this.version, reason: verdict.reason };
     const accord = await this.acceptance.of(verdict.generation, limit - this.clock.now());
     if (accord.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
-    return { outcome: 'unknown', version: act.version, reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}` };
+    return {
+      outcome: 'unknown',
+      version: act.version,
+      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}`,
+    };
   }
 }
 
-const requestDigest = (kind: 'whole' | 'patch', expects: number, text: string): string => digestOf(`${kind} ${expects} ${text}`).slice(0, 32);
+const requestDigest = (kind: 'whole' | 'patch', expects: number, text: string): string =>
+  digestOf(`${kind} ${expects} ${text}`).slice(0, 32);
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -13,7 +13,19 @@
 import type { Newsroom } from '../pool/news.js';
 import { Feed, Form, History, State, type FeedItem } from '../register/calls.js';
 import type { Verdict } from '../register/change.js';
-import { decodeDocument, digestOf, encodeDocument, genesis, subjectOf, type Act, type Change, type CoreSet, type Document, type DoorwayAct, type Seat } from '../register/document.js';
+import {
+  decodeDocument,
+  digestOf,
+  encodeDocument,
+  genesis,
+  subjectOf,
+  type Act,
+  type Change,
+  type CoreSet,
+  type Document,
+  type DoorwayAct,
+  type Seat,
+} from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
 import type { Roster } from '../register/roster.js';
@@ -26,8 +38,11 @@
 
 /** What an operator does by hand about a member that does not vote. */
 const remedy = (reason: string): string => {
-  if (/^(spoilt on|votes on|lost from the) disk/.test(reason)) return '; stop it, empty its folder, start it, and it is given its seat again';
-  return reason && reason !== 'not in the core set' ? '; mend its disk or make room on it, and it votes again by itself' : '';
+  if (/^(spoilt on|votes on|lost from the) disk/.test(reason))
+    return '; stop it, empty its folder, start it, and it is given its seat again';
+  return reason && reason !== 'not in the core set'
+    ? '; mend its disk or make room on it, and it votes again by itself'
+    : '';
 };
 
 export interface Operator {
@@ -53,46 +68,101 @@
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
   noteClaims(document: Document): void {
-    for (const [name, { renewal }] of document.claims) if (this.claimsSeen.get(name)?.renewal !== renewal) this.claimsSeen.set(name, { renewal, since: this.clock.now() });
-    for (const name of this.claimsSeen.keys()) if (!document.claims.has(name)) this.claimsSeen.delete(name);
+    for (const [name, { renewal }] of document.claims)
+      if (this.claimsSeen.get(name)?.renewal !== renewal)
+        this.claimsSeen.set(name, { renewal, since: this.clock.now() });
+    for (const name of this.claimsSeen.keys())
+      if (!document.claims.has(name)) this.claimsSeen.delete(name);
   }
 
   setDoorway(operator: Operator, ask: Schemas['DoorwaySetAsk']): Promise<Outcome<Changed>> {
     const checked = checkDoorway(ask.doorway);
     if (checked.isLeft()) return Promise.resolve(checked as Outcome<never>);
-    return this.change(operator, ask.change, { kind: 'set', doorway: checked.unsafeCoerce(), expects: ask.expects }, ask.wait);
+    return this.change(
+      operator,
+      ask.change,
+      { kind: 'set', doorway: checked.unsafeCoerce(), expects: ask.expects },
+      ask.wait,
+    );
   }
 
   removeDoorway(operator: Operator, ask: Schemas['DoorwayRemoveAsk']): Promise<Outcome<Changed>> {
-    return this.change(operator, ask.change, { kind: 'remove', name: ask.name, expects: ask.expects }, ask.wait);
+    return this.change(
+      operator,
+      ask.change,
+      { kind: 'remove', name: ask.name, expects: ask.expects },
+      ask.wait,
+    );
   }
 
   /** Many doorways in one change: removals first, then what is set; all of it or nothing. */
   applyDoorways(operator: Operator, ask: Schemas['DoorwayApplyAsk']): Promise<Outcome<Changed>> {
-    const items: DoorwayAct[] = ask.removes.map(({ name, expects }) => ({ kind: 'remove', name, expects }));
+    const items: DoorwayAct[] = ask.removes.map(({ name, expects }) => ({
+      kind: 'remove',
+      name,
+      expects,
+    }));
     for (const [at, { doorway, expects }] of ask.sets.entries()) {
       const checked = checkDoorway(doorway);
-      if (checked.isLeft()) return Promise.resolve(checked.mapLeft((fault) => ({ ...fault, reason: `sets[${at}]: ${fault.reason}` })) as Outcome<never>);
+      if (checked.isLeft())
+        return Promise.resolve(
+          checked.mapLeft((fault) => ({
+            ...fault,
+            reason: `sets[${at}]: ${fault.reason}`,
+          })) as Outcome<never>,
+        );
       items.push({ kind: 'set', doorway: checked.unsafeCoerce(), expects });
     }
-    if (items.length === 0) return Promise.resolve(failed('doorway.apply', 'operator', 'nothing is to be set or removed'));
+    if (items.length === 0)
+      return Promise.resolve(
+        failed('doorway.apply', 'operator', 'nothing is to be set or removed'),
+      );
     return this.change(operator, ask.change, { kind: 'apply', items }, ask.wait);
   }
 
   claimDoorway(operator: Operator, ask: Schemas['DoorwayClaimAsk']): Promise<Outcome<Changed>> {
     const claim = this.inForce.whole?.claims.get(ask.name);
     const seen = this.claimsSeen.get(ask.name);
-    const lapsed = claim !== undefined && seen?.renewal === claim.renewal && claim.renewal === ask.expects && this.clock.now() - seen.since > claim.duration;
-    return this.change(operator, ask.change, { kind: 'claim', name: ask.name, duration: ask.duration, expects: ask.expects, takeover: lapsed }, ask.wait);
+    const lapsed =
+      claim !== undefined &&
+      seen?.renewal === claim.renewal &&
+      claim.renewal === ask.expects &&
+      this.clock.now() - seen.since > claim.duration;
+    return this.change(
+      operator,
+      ask.change,
+      {
+        kind: 'claim',
+        name: ask.name,
+        duration: ask.duration,
+        expects: ask.expects,
+        takeover: lapsed,
+      },
+      ask.wait,
+    );
   }
 
   async outcome({ change, wait }: Schemas['ChangeAsk']): Promise<Outcome<Changed>> {
     const limit = this.clock.now() + wait;
     const read = await this.proposer.read(wait);
-    if (read.isLeft()) return Right({ change, outcome: 'unknown', generation: 0, silent: [], reason: read.extract().reason });
+    if (read.isLeft())
+      return Right({
+        change,
+        outcome: 'unknown',
+        generation: 0,
+        silent: [],
+        reason: read.extract().reason,
+      });
     const document = read.unsafeCoerce();
     const kept = document.outcomes.get(change);
-    if (!kept) return Right({ change, outcome: 'unknown', generation: 0, silent: [], reason: `not among the changes kept at generation ${document.generation}; repeat the change under the same id to have it settled` });
+    if (!kept)
+      return Right({
+        change,
+        outcome: 'unknown',
+        generation: 0,
+        silent: [],
+        reason: `not among the changes kept at generation ${document.generation}; repeat the change under the same id to have it settled`,
+      });
     return this.accord(change, kept.generation, limit - this.clock.now());
   }
 
@@ -104,7 +174,8 @@
 
   list(): Outcome<Schemas['DoorwayListReply']> {
     const document = this.inForce.whole;
-    if (!document) return failed('doorway.list', this.peers.self.name, 'no generation is in force here yet');
+    if (!document)
+      return failed('doorway.list', this.peers.self.name, 'no generation is in force here yet');
     return Right({
       generation: document.generation,
       doorways: [...document.doorways.values()] as Schemas['PlacedDoorway'][],
@@ -115,7 +186,13 @@
 
   async at(generation: number): Promise<Outcome<Schemas['ConfigReply']>> {
     const item = generation === 0 ? await this.newest() : await this.generation(generation);
-    return item.chain((held) => decodeDocument(held.document, 'core').map((document) => ({ generation: document.generation, digest: digestOf(held.document), document: Buffer.from(held.document).toString('utf8') })));
+    return item.chain((held) =>
+      decodeDocument(held.document, 'core').map((document) => ({
+        generation: document.generation,
+        digest: digestOf(held.document),
+        document: Buffer.from(held.document).toString('utf8'),
+      })),
+    );
   }
 
   /** Generations from a number on; the chain of digests is checked on the way. */
@@ -124,7 +201,11 @@
     if (newest.isLeft()) return newest as Outcome<never>;
     const settled = newest.unsafeCoerce().generation;
     const generations: Schemas['HistoryReply']['generations'] = [];
-    for (let generation = Math.max(1, from); generation <= Math.min(settled, from + count - 1); generation++) {
+    for (
+      let generation = Math.max(1, from);
+      generation <= Math.min(settled, from + count - 1);
+      generation++
+    ) {
       const held = await this.generation(generation);
       if (held.isLeft()) return held as Outcome<never>;
       const item = held.unsafeCoerce();
@@ -132,128 +213,329 @@
       if (decoded.isLeft()) return decoded as Outcome<never>;
       const document = decoded.unsafeCoerce();
       const before = generations[generations.length - 1];
-      if (before && before.digest !== document.previous) return failed('config.history', 'core', `generation ${generation} does not follow the one before it`);
-      const changes = document.cause.map(({ id, firm, who, act }) => ({ id, firm, who, kind: act.kind, name: subjectOf(act) }));
+      if (before && before.digest !== document.previous)
+        return failed(
+          'config.history',
+          'core',
+          `generation ${generation} does not follow the one before it`,
+        );
+      const changes = document.cause.map(({ id, firm, who, act }) => ({
+        id,
+        firm,
+        who,
+        kind: act.kind,
+        name: subjectOf(act),
+      }));
       generations.push({ generation, digest: digestOf(item.document), changes });
     }
     return Right({ settled, generations });
   }
 
   /** One generation through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
-  async trace({ change, generation }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
+  async trace({
+    change,
+    generation,
+  }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
     const read = await this.proposer.read(3000);
     const known = read.toMaybe().alt(Maybe.fromNullable(this.inForce.whole)).extract();
-    const wanted = generation ?? (change === undefined ? undefined : known?.outcomes.get(change)?.generation);
-    if (wanted === undefined) return failed('change.trace', this.peers.self.name, change === undefined ? 'name a change or a generation' : `${change} is not among the changes that are kept`);
+    const wanted =
+      generation ?? (change === undefined ? undefined : known?.outcomes.get(change)?.generation);
+    if (wanted === undefined)
+      return failed(
+        'change.trace',
+        this.peers.self.name,
+        change === undefined
+          ? 'name a change or a generation'
+          : `${change} is not among the changes that are kept`,
+      );
     const nodes = new Map<string, { name: string; role: string }>();
-    for (const { address } of this.roster.core.members) nodes.set(address, { name: address, role: 'core' });
-    for (const [name, { address }] of known?.enrolled ?? []) nodes.set(address, { name, role: 'router' });
-    for (const role of ['core', 'router']) for (const { name, address } of this.view.live(role)) nodes.set(address, { name, role });
-    const replies = await gather([...nodes.keys()], (address) => this.peers.ask(address, Trace, { generation: wanted }, ASK_LIMIT), () => false);
-    const changes = (await this.generation(wanted)).chain((item) => decodeDocument(item.document, 'core')).map(({ cause }) => cause.map(({ id }) => id)).orDefault([]);
-    const told = replies.flatMap(([address, reply]) => reply.map(({ node, steps }) => [{ name: node, role: nodes.get(address)!.role, steps }]).orDefault([]));
-    return Right({ generation: wanted, changes, nodes: told.sort((a, b) => (a.name < b.name ? -1 : 1)), silent: replies.filter(([, reply]) => reply.isLeft()).map(([address]) => nodes.get(address)!.name) });
+    for (const { address } of this.roster.core.members)
+      nodes.set(address, { name: address, role: 'core' });
+    for (const [name, { address }] of known?.enrolled ?? [])
+      nodes.set(address, { name, role: 'router' });
+    for (const role of ['core', 'router'])
+      for (const { name, address } of this.view.live(role)) nodes.set(address, { name, role });
+    const replies = await gather(
+      [...nodes.keys()],
+      (address) => this.peers.ask(address, Trace, { generation: wanted }, ASK_LIMIT),
+      () => false,
+    );
+    const changes = (await this.generation(wanted))
+      .chain((item) => decodeDocument(item.document, 'core'))
+      .map(({ cause }) => cause.map(({ id }) => id))
+      .orDefault([]);
+    const told = replies.flatMap(([address, reply]) =>
+      reply
+        .map(({ node, steps }) => [{ name: node, role: nodes.get(address)!.role, steps }])
+        .orDefault([]),
+    );
+    return Right({
+      generation: wanted,
+      changes,
+      nodes: told.sort((a, b) => (a.name < b.name ? -1 : 1)),
+      silent: replies
+        .filter(([, reply]) => reply.isLeft())
+        .map(([address]) => nodes.get(address)!.name),
+    });
   }
 
   async nodes(): Promise<Outcome<Schemas['NodeListReply']>> {
-    const known = ['router', 'core'].flatMap((role) => this.view.live(role)).map(({ name, role, zone, address, age }) => ({ name, role, zone, address, age }));
-    const replies = sound(await gather(this.roster.addresses, (address) => this.peers.ask(address, Standees, { from: this.peers.self.name }, ASK_LIMIT), () => false));
+    const known = ['router', 'core']
+      .flatMap((role) => this.view.live(role))
+      .map(({ name, role, zone, address, age }) => ({ name, role, zone, address, age }));
+    const replies = sound(
+      await gather(
+        this.roster.addresses,
+        (address) => this.peers.ask(address, Standees, { from: this.peers.self.name }, ASK_LIMIT),
+        () => false,
+      ),
+    );
     const standing = new Map<string, Schemas['NodeListReply']['standing'][number]>();
     for (const { node, generation, remaining } of replies.flatMap(({ standees }) => standees)) {
       const before = standing.get(node);
-      standing.set(node, { name: node, generation: Math.max(generation, before?.generation ?? 0), remaining: Math.max(remaining, before?.remaining ?? 0), grants: (before?.grants ?? 0) + 1 });
+      standing.set(node, {
+        name: node,
+        generation: Math.max(generation, before?.generation ?? 0),
+        remaining: Math.max(remaining, before?.remaining ?? 0),
+        grants: (before?.grants ?? 0) + 1,
+      });
     }
-    return Right({ known, standing: [...standing.values()].sort((a, b) => (a.name < b.name ? -1 : 1)) });
+    return Right({
+      known,
+      standing: [...standing.values()].sort((a, b) => (a.name < b.name ? -1 : 1)),
+    });
   }
 
   engines(): Outcome<Schemas['EngineListReply']> {
-    if (!this.news) return failed('engine.list', this.peers.self.name, 'a core node keeps no engines; ask a router');
-    const engines = [...this.news.listed.values()].map(({ identifier, address, model, zone, leaving }) => ({ identifier, address, model, zone, leaving }));
-    return Right({ age: Math.min(this.news.age, 1e9), placed: this.news.placed().size > 0, engines });
+    if (!this.news)
+      return failed(
+        'engine.list',
+        this.peers.self.name,
+        'a core node keeps no engines; ask a router',
+      );
+    const engines = [...this.news.listed.values()].map(
+      ({ identifier, address, model, zone, leaving }) => ({
+        identifier,
+        address,
+        model,
+        zone,
+        leaving,
+      }),
+    );
+    return Right({
+      age: Math.min(this.news.age, 1e9),
+      placed: this.news.placed().size > 0,
+      engines,
+    });
   }
 
   async core(): Promise<Outcome<Schemas['CoreReply']>> {
     await this.proposer.learnCore();
     const { number, members } = this.roster.core;
     const addresses = number ? members.map(({ address }) => address) : this.roster.leads;
-    const replies = await gather(addresses, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), () => false);
+    const replies = await gather(
+      addresses,
+      (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+      () => false,
+    );
     return Right({
       number,
       members: replies.map(([address, reply]) =>
         reply.caseOf({
-          Left: ({ reason }) => ({ address, id: members.find((seat) => seat.address === address)?.id ?? '', state: `silent: ${reason}`, generation: 0, settled: 0, whole: '' }),
-          Right: (state) => ({ address, id: members.find((seat) => seat.address === address)?.id ?? state.member, whole: state.whole, state: number && !members.some((seat) => seat.id === state.member) ? 'swapped: another machine answers here' : state.voting ? 'voting' : state.formed ? `not voting: ${state.reason}${remedy(state.reason)}` : 'newcomer', generation: state.generation, settled: state.settled }),
+          Left: ({ reason }) => ({
+            address,
+            id: members.find((seat) => seat.address === address)?.id ?? '',
+            state: `silent: ${reason}`,
+            generation: 0,
+            settled: 0,
+            whole: '',
+          }),
+          Right: (state) => ({
+            address,
+            id: members.find((seat) => seat.address === address)?.id ?? state.member,
+            whole: state.whole,
+            state:
+              number && !members.some((seat) => seat.id === state.member)
+                ? 'swapped: another machine answers here'
+                : state.voting
+                  ? 'voting'
+                  : state.formed
+                    ? `not voting: ${state.reason}${remedy(state.reason)}`
+                    : 'newcomer',
+            generation: state.generation,
+            settled: state.settled,
+          }),
         }),
       ),
     });
   }
 
   /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. More seats may be wanted. */
-  async form(addresses: readonly string[], wanted = addresses.length): Promise<Outcome<Schemas['CoreReply']>> {
-    const replies = await gather(addresses, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), () => false);
+  async form(
+    addresses: readonly string[],
+    wanted = addresses.length,
+  ): Promise<Outcome<Schemas['CoreReply']>> {
+    const replies = await gather(
+      addresses,
+      (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+      () => false,
+    );
     const silent = replies.filter(([, reply]) => reply.isLeft());
-    if (silent.length) return failed('core.form', silent.map(([address]) => address).join(' '), 'all members must answer to form the core');
+    if (silent.length)
+      return failed(
+        'core.form',
+        silent.map(([address]) => address).join(' '),
+        'all members must answer to form the core',
+      );
     const states = replies.map(([address, reply]) => [address, reply.unsafeCoerce()] as const);
     const formed = states.find(([, state]) => state.formed);
-    if (formed && formed[1].generation > 1) return failed('core.form', formed[0], 'is already part of a formed core');
-    const seats: Seat[] = formed ? [...(JSON.parse(formed[1].core) as CoreSet).members] : states.map(([address, state]) => ({ id: state.member, address }));
+    if (formed && formed[1].generation > 1)
+      return failed('core.form', formed[0], 'is already part of a formed core');
+    const seats: Seat[] = formed
+      ? [...(JSON.parse(formed[1].core) as CoreSet).members]
+      : states.map(([address, state]) => ({ id: state.member, address }));
     seats.sort((a, b) => (a.id < b.id ? -1 : 1));
     const there = new Set(seats.map(({ id, address }) => `${id}@${address}`));
-    if (states.some(([address, state]) => !there.has(`${state.member}@${address}`)) || seats.length !== states.length) return failed('core.form', 'core', 'a group of other members was begun there');
+    if (
+      states.some(([address, state]) => !there.has(`${state.member}@${address}`)) ||
+      seats.length !== states.length
+    )
+      return failed('core.form', 'core', 'a group of other members was begun there');
     const document = encodeDocument(genesis(this.peers.self.fleet, seats, wanted));
-    const told = await gather(addresses, (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT), () => false);
+    const told = await gather(
+      addresses,
+      (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT),
+      () => false,
+    );
     const against = told.filter(([, reply]) => reply.isLeft());
-    if (against.length) return failed('core.form', against[0]![0], (against[0]![1].extract() as Fault).reason, 'unknown');
+    if (against.length)
+      return failed(
+        'core.form',
+        against[0]![0],
+        (against[0]![1].extract() as Fault).reason,
+        'unknown',
+      );
     await this.proposer.read(2000);
     return this.core();
   }
 
   /** Gives a newcomer a seat; it must answer, and be of this fleet and without a seat. */
-  async seat(operator: Operator, { change, address, expects, wait }: Schemas['CoreSeatAsk']): Promise<Outcome<Changed>> {
+  async seat(
+    operator: Operator,
+    { change, address, expects, wait }: Schemas['CoreSeatAsk'],
+  ): Promise<Outcome<Changed>> {
     const state = await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
     if (state.isLeft()) return state as Outcome<never>;
     const { member, reason } = state.unsafeCoerce();
-    if (reason && reason !== 'not in the core set') return failed('core.seat', address, `can not vote: ${reason}`);
-    return this.change(operator, change, { kind: 'seat', seat: { id: member, address }, expects }, wait);
+    if (reason && reason !== 'not in the core set')
+      return failed('core.seat', address, `can not vote: ${reason}`);
+    return this.change(
+      operator,
+      change,
+      { kind: 'seat', seat: { id: member, address }, expects },
+      wait,
+    );
   }
 
-  async unseat(operator: Operator, { change, id, expects, wait }: Schemas['CoreUnseatAsk']): Promise<Outcome<Changed>> {
+  async unseat(
+    operator: Operator,
+    { change, id, expects, wait }: Schemas['CoreUnseatAsk'],
+  ): Promise<Outcome<Changed>> {
     const { members } = this.roster.core;
     const rest = members.filter((seat) => seat.id !== id);
-    const replies = await gather(rest.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), () => false);
-    const answering = sound(replies).filter(({ member, voting }) => voting && rest.some((seat) => seat.id === member)).length;
-    if (answering < majority(rest.length)) return failed('core.unseat', id, `only ${answering} of the ${rest.length} members that would be left answer and vote; without a majority of them nothing could be changed again`);
+    const replies = await gather(
+      rest.map(({ address }) => address),
+      (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+      () => false,
+    );
+    const answering = sound(replies).filter(
+      ({ member, voting }) => voting && rest.some((seat) => seat.id === member),
+    ).length;
+    if (answering < majority(rest.length))
+      return failed(
+        'core.unseat',
+        id,
+        `only ${answering} of the ${rest.length} members that would be left answer and vote; without a majority of them nothing could be changed again`,
+      );
     return this.change(operator, change, { kind: 'unseat', id, vacant: false, expects }, wait);
   }
 
   /** Takes a router that is gone for good out of the enrolment, once the last enrolment is in force everywhere else. */
-  async retire(operator: Operator, { change, name, wait }: Schemas['RetireAsk']): Promise<Outcome<Changed>> {
+  async retire(
+    operator: Operator,
+    { change, name, wait }: Schemas['RetireAsk'],
+  ): Promise<Outcome<Changed>> {
     const limit = this.clock.now() + wait;
     const read = await this.proposer.read(wait);
     if (read.isLeft()) return read as Outcome<never>;
     const expects = read.unsafeCoerce().enrolledAt;
-    const accord = await seekAccord(expects, (limit - this.clock.now()) / 2, this.peers, this.roster, this.clock);
-    if (!accord.everywhere) return failed('node.retire', accord.silent.join(' '), `the last enrolment is not yet known to be in force everywhere: ${accord.reasons.join('; ')}`);
-    return this.change(operator, change, { kind: 'retire', name, expects }, Math.max(100, limit - this.clock.now()));
+    const accord = await seekAccord(
+      expects,
+      (limit - this.clock.now()) / 2,
+      this.peers,
+      this.roster,
+      this.clock,
+    );
+    if (!accord.everywhere)
+      return failed(
+        'node.retire',
+        accord.silent.join(' '),
+        `the last enrolment is not yet known to be in force everywhere: ${accord.reasons.join('; ')}`,
+      );
+    return this.change(
+      operator,
+      change,
+      { kind: 'retire', name, expects },
+      Math.max(100, limit - this.clock.now()),
+    );
   }
 
-  private async change(operator: Operator, id: string, act: Act, wait: number): Promise<Outcome<Changed>> {
+  private async change(
+    operator: Operator,
+    id: string,
+    act: Act,
+    wait: number,
+  ): Promise<Outcome<Changed>> {
     const limit = this.clock.now() + wait;
     const change: Change = { id, firm: operator.firm, who: operator.who, act };
     const verdict: Outcome<Verdict> = await this.proposer.propose(change, wait);
     if (verdict.isLeft()) {
       const { certainty, reason } = verdict.extract() as Fault;
-      return Right({ change: id, outcome: certainty === 'declined' ? 'declined' : 'unknown', generation: 0, silent: [], reason });
+      return Right({
+        change: id,
+        outcome: certainty === 'declined' ? 'declined' : 'unknown',
+        generation: 0,
+        silent: [],
+        reason,
+      });
     }
     const told = verdict.unsafeCoerce();
-    if (told.kind !== 'applied') return Right({ change: id, outcome: told.kind, generation: 0, silent: [], reason: told.reason });
+    if (told.kind !== 'applied')
+      return Right({
+        change: id,
+        outcome: told.kind,
+        generation: 0,
+        silent: [],
+        reason: told.reason,
+      });
     return this.accord(id, told.generation, limit - this.clock.now());
   }
 
-  private async accord(change: string, generation: number, left: number): Promise<Outcome<Changed>> {
+  private async accord(
+    change: string,
+    generation: number,
+    left: number,
+  ): Promise<Outcome<Changed>> {
     const accord = await this.acceptance.of(generation, left);
-    if (accord.everywhere) return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
-    return Right({ change, outcome: 'unknown', generation, silent: [...accord.silent], reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}` });
+    if (accord.everywhere)
+      return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
+    return Right({
+      change,
+      outcome: 'unknown',
+      generation,
+      silent: [...accord.silent],
+      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
+    });
   }
 
   private async newest(): Promise<Outcome<FeedItem>> {
@@ -262,7 +544,13 @@
     for (const address of this.roster.addresses) {
       const reply = await this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
-      if (item && decodeDocument(item.document, address).map((document) => document.generation >= settled.unsafeCoerce()).orDefault(false)) return Right(item);
+      if (
+        item &&
+        decodeDocument(item.document, address)
+          .map((document) => document.generation >= settled.unsafeCoerce())
+          .orDefault(false)
+      )
+        return Right(item);
     }
     return failed('config.newest', 'core', 'no member gave the newest generation');
   }
--- a/src/api/schema.ts
+++ b/src/api/schema.ts
@@ -21,11 +21,18 @@
   private compiled: InstanceType<typeof Ajv> | undefined;
 
   check<K extends keyof Schemas>(name: K, value: unknown): Outcome<Schemas[K]> {
-    this.compiled ??= new Ajv({ strict: false, allErrors: false }).addSchema(parse(readFileSync(file, 'utf8')) as object, 'rudderridge');
+    this.compiled ??= new Ajv({ strict: false, allErrors: false }).addSchema(
+      parse(readFileSync(file, 'utf8')) as object,
+      'rudderridge',
+    );
     const validate = this.compiled.getSchema(`rudderridge#/components/schemas/${name}`);
     if (!validate) return failed('schema.check', 'operator', `no schema ${name}`);
     if (validate(value)) return Right(value as Schemas[K]);
     const error = validate.errors![0]!;
-    return failed('schema.check', 'operator', `${error.instancePath || 'the body'} ${error.message ?? 'does not fit'}`);
+    return failed(
+      'schema.check',
+      'operator',
+      `${error.instancePath || 'the body'} ${error.message ?? 'does not fit'}`,
+    );
   }
 }
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -22,7 +22,18 @@
 import { gather, majority, sound } from '../register/gather.js';
 import type { Roster } from '../register/roster.js';
 import type { Peers } from '../wire/peers.js';
-import { Copy, Gather, HOLDERS, Keep, keyOf, Release, Take, type HeldClaim, type TakeAsk, type TakeReply } from './calls.js';
+import {
+  Copy,
+  Gather,
+  HOLDERS,
+  Keep,
+  keyOf,
+  Release,
+  Take,
+  type HeldClaim,
+  type TakeAsk,
+  type TakeReply,
+} from './calls.js';
 import { ClaimMemory } from './memory.js';
 import { recallFrom } from './recall.js';
 
@@ -54,7 +65,16 @@
   private recalled = false;
   private coreFailed = -Infinity as Moment;
 
-  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly enabled = true) {
+  constructor(
+    private readonly node: string,
+    private readonly inForce: InForce,
+    private readonly peers: Peers,
+    private readonly roster: Roster,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+    private readonly enabled = true,
+  ) {
     this.memory = new ClaimMemory(clock, BOUND);
     this.started = this.epochBegan = clock.now();
   }
@@ -71,8 +91,17 @@
     });
     this.peers.handle(Gather, ({ node, enrolledAt, after }) => {
       this.turn();
-      const page = this.memory.page(after, (key) => this.unkept.has(key) || this.duty(key).includes(node), (key) => !this.unkept.has(key));
-      return Right({ open: this.openFor >= this.before.enrolledAt && this.openFor >= 0, enrolledAt: this.epoch, ...page, more: page.more && enrolledAt === this.epoch });
+      const page = this.memory.page(
+        after,
+        (key) => this.unkept.has(key) || this.duty(key).includes(node),
+        (key) => !this.unkept.has(key),
+      );
+      return Right({
+        open: this.openFor >= this.before.enrolledAt && this.openFor >= 0,
+        enrolledAt: this.epoch,
+        ...page,
+        more: page.more && enrolledAt === this.epoch,
+      });
     });
   }
 
@@ -93,7 +122,10 @@
     this.turn();
     const [held, kept] = await Promise.all([this.atHolders(key, owner), this.atCore(key, owner)]);
     if (held === 'taken' && kept === 'kept') return 'taken';
-    const copied = held === 'taken' && kept === 'unsure' && this.unkept.size < UNKEPT_BOUND ? await this.copy(key, owner) : held;
+    const copied =
+      held === 'taken' && kept === 'unsure' && this.unkept.size < UNKEPT_BOUND
+        ? await this.copy(key, owner)
+        : held;
     if (copied === 'taken' && kept === 'unsure') return 'taken';
     await this.release(firm, id, owner);
     return copied === 'known' || kept === 'known' ? 'known' : 'none';
@@ -105,8 +137,17 @@
     const key = keyOf(firm, id);
     const { enrolled } = this;
     const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
-    const addresses = [...keepers.map((name) => enrolled.get(name)!.address), ...this.roster.addresses];
-    await within(this.clock, ASK_LIMIT, Promise.all(addresses.map((address) => this.peers.ask(address, Release, { key, owner }, ASK_LIMIT))));
+    const addresses = [
+      ...keepers.map((name) => enrolled.get(name)!.address),
+      ...this.roster.addresses,
+    ];
+    await within(
+      this.clock,
+      ASK_LIMIT,
+      Promise.all(
+        addresses.map((address) => this.peers.ask(address, Release, { key, owner }, ASK_LIMIT)),
+      ),
+    );
   }
 
   /** Whether this router may grant claims on all ids of its duty. */
@@ -136,27 +177,51 @@
     if (names.length === 0) return 'none';
     const quorum = majority(names.length);
     const addresses = names.map((name) => enrolled.get(name)!.address);
-    const granted = (replies: readonly TakeReply[]): number => replies.filter((reply) => reply.granted).length;
-    const replies = sound(await gather(addresses, (address) => this.peers.ask(address, Take, { key, owner, enrolledAt: this.epoch }, ASK_LIMIT), (all) => granted(sound(all)) >= quorum));
+    const granted = (replies: readonly TakeReply[]): number =>
+      replies.filter((reply) => reply.granted).length;
+    const replies = sound(
+      await gather(
+        addresses,
+        (address) =>
+          this.peers.ask(address, Take, { key, owner, enrolledAt: this.epoch }, ASK_LIMIT),
+        (all) => granted(sound(all)) >= quorum,
+      ),
+    );
     if (granted(replies) >= quorum) return 'taken';
-    return replies.some((reply) => !reply.granted && reply.owner !== '' && reply.owner !== owner) ? 'known' : 'none';
+    return replies.some((reply) => !reply.granted && reply.owner !== '' && reply.owner !== owner)
+      ? 'known'
+      : 'none';
   }
 
   /** Without the core, a majority of all enrolled routers must remember the claim, and every one that answers does. */
   private async copy(key: string, owner: string): Promise<Taken> {
     this.remember({ key, owner, age: 0, kept: false });
     const addresses = [...this.enrolled.values()].map(({ address }) => address);
-    const replies = sound(await gather(addresses, (address) => this.peers.ask(address, Copy, { key, owner }, ASK_LIMIT), (all) => sound(all).filter((reply) => reply.owner === owner).length >= majority(addresses.length)));
+    const replies = sound(
+      await gather(
+        addresses,
+        (address) => this.peers.ask(address, Copy, { key, owner }, ASK_LIMIT),
+        (all) =>
+          sound(all).filter((reply) => reply.owner === owner).length >= majority(addresses.length),
+      ),
+    );
     if (replies.some((reply) => reply.owner !== '' && reply.owner !== owner)) return 'known';
-    return replies.filter((reply) => reply.owner === owner).length >= majority(addresses.length) ? 'taken' : 'none';
+    return replies.filter((reply) => reply.owner === owner).length >= majority(addresses.length)
+      ? 'taken'
+      : 'none';
   }
 
   private async atCore(key: string, owner: string): Promise<Kept> {
     const { number, members } = this.roster.core;
     const quorum = majority(members.length);
     if (members.length === 0) return 'unsure';
-    const kept = (replies: readonly { kept: boolean }[]): number => replies.filter((reply) => reply.kept).length;
-    const asking = gather(members.map(({ address }) => address), (address) => this.peers.ask(address, Keep, { set: number, key, owner }, KEEP_LIMIT), (all) => kept(sound(all)) >= quorum || sound(all).some((reply) => !reply.kept));
+    const kept = (replies: readonly { kept: boolean }[]): number =>
+      replies.filter((reply) => reply.kept).length;
+    const asking = gather(
+      members.map(({ address }) => address),
+      (address) => this.peers.ask(address, Keep, { set: number, key, owner }, KEEP_LIMIT),
+      (all) => kept(sound(all)) >= quorum || sound(all).some((reply) => !reply.kept),
+    );
     if (this.coreOut) return 'unsure';
     const replies = sound(await asking);
     if (replies.some((reply) => !reply.kept)) return 'known';
@@ -168,16 +233,28 @@
   /** Brings to the core what rests on memory alone. */
   private async bringBack(): Promise<void> {
     const some = [...this.unkept].slice(0, UNKEPT_BATCH);
-    await Promise.all(some.map(async ([key, owner]) => {
-      const kept = await this.atCore(key, owner);
-      if (kept === 'unsure' || this.unkept.get(key) !== owner) return;
-      this.unkept.delete(key);
-      if (kept === 'known') this.log('claim-rivals', [['key', key], ['owner', owner]]);
-    }));
+    await Promise.all(
+      some.map(async ([key, owner]) => {
+        const kept = await this.atCore(key, owner);
+        if (kept === 'unsure' || this.unkept.get(key) !== owner) return;
+        this.unkept.delete(key);
+        if (kept === 'known')
+          this.log('claim-rivals', [
+            ['key', key],
+            ['owner', owner],
+          ]);
+      }),
+    );
   }
 
   private remember({ key, owner, age, kept }: HeldClaim): void {
-    if (!this.memory.note(key, owner, age) || kept || this.memory.owner(key) !== owner || this.unkept.size >= UNKEPT_BOUND) return;
+    if (
+      !this.memory.note(key, owner, age) ||
+      kept ||
+      this.memory.owner(key) !== owner ||
+      this.unkept.size >= UNKEPT_BOUND
+    )
+      return;
     this.unkept.set(key, owner);
   }
 
@@ -199,14 +276,25 @@
 
   private grant({ key, owner, enrolledAt }: TakeAsk): TakeReply {
     this.turn();
-    const declined = (reason: string, by = ''): TakeReply => ({ granted: false, owner: by, reason });
+    const declined = (reason: string, by = ''): TakeReply => ({
+      granted: false,
+      owner: by,
+      reason,
+    });
     const known = this.memory.owner(key);
-    if (known !== undefined) return known === owner ? { granted: true, owner, reason: '' } : declined('taken', known);
+    if (known !== undefined)
+      return known === owner ? { granted: true, owner, reason: '' } : declined('taken', known);
     if (enrolledAt !== this.epoch) return declined('another enrolment is in force here');
     if (!this.duty(key).includes(this.node)) return declined('not a holder');
-    const carried = this.openFor === this.before.enrolledAt && this.openFor > 0 && holders(key, this.before.names).slice(0, HOLDERS).includes(this.node);
-    if (this.openFor !== this.epoch && !carried) return declined('still gathering what others hold');
-    return this.memory.note(key, owner) ? { granted: true, owner, reason: '' } : declined('too many ids are remembered');
+    const carried =
+      this.openFor === this.before.enrolledAt &&
+      this.openFor > 0 &&
+      holders(key, this.before.names).slice(0, HOLDERS).includes(this.node);
+    if (this.openFor !== this.epoch && !carried)
+      return declined('still gathering what others hold');
+    return this.memory.note(key, owner)
+      ? { granted: true, owner, reason: '' }
+      : declined('too many ids are remembered');
   }
 
   /** Asks what is held of this one's duties; opens when enough have told. */
@@ -217,29 +305,44 @@
     const remembers = this.openFor > 0;
     const others = [...enrolled].filter(([name]) => name !== this.node && !this.told.has(name));
     if (!remembers && !this.recalled) this.recalled = await this.recall();
-    await Promise.all(others.map(async ([name, { address }]) => {
-      if ((await this.collectFrom(address, epoch)) && this.epoch === epoch) this.told.add(name);
-    }));
+    await Promise.all(
+      others.map(async ([name, { address }]) => {
+        if ((await this.collectFrom(address, epoch)) && this.epoch === epoch) this.told.add(name);
+      }),
+    );
     if (this.epoch !== epoch) return;
     const missing = enrolled.size - 1 - this.told.size;
     const waited = this.clock.now() >= later(remembers ? this.epochBegan : this.started, WINDOW);
     if (!(remembers || this.recalled) || (missing > (remembers ? 1 : 0) && !waited)) return;
     this.openFor = epoch;
-    this.log('claims-open', [['enrolledAt', epoch], ['missing', missing], ['held', this.memory.size]]);
+    this.log('claims-open', [
+      ['enrolledAt', epoch],
+      ['missing', missing],
+      ['held', this.memory.size],
+    ]);
   }
 
   /** Reads this one's duties back from a majority of the core. */
   private async recall(): Promise<boolean> {
     const { number, members } = this.roster.core;
     if (members.length === 0) return false;
-    const told = (await Promise.all(members.map(({ address }) => recallFrom(this.peers, address, number, this.node)))).flatMap((each) => (each?.whole ? [each] : []));
+    const told = (
+      await Promise.all(
+        members.map(({ address }) => recallFrom(this.peers, address, number, this.node)),
+      )
+    ).flatMap((each) => (each?.whole ? [each] : []));
     for (const claim of told.flatMap(({ claims }) => claims)) this.remember(claim);
     return told.length >= majority(members.length);
   }
 
   private async collectFrom(address: string, epoch: number): Promise<boolean> {
-    for (let after = 0; ; ) {
-      const reply = await this.peers.ask(address, Gather, { node: this.node, enrolledAt: epoch, after }, ASK_LIMIT * 2);
+    for (let after = 0; ;) {
+      const reply = await this.peers.ask(
+        address,
+        Gather,
+        { node: this.node, enrolledAt: epoch, after },
+        ASK_LIMIT * 2,
+      );
       const told = reply.toMaybe().extract();
       if (!told) return false;
       for (const claim of told.claims) this.remember(claim);
--- a/src/claim/keeper.ts
+++ b/src/claim/keeper.ts
@@ -16,7 +16,17 @@
 import type { Member } from '../register/member.js';
 import { seal, unseal } from '../register/store.js';
 import type { Peers } from '../wire/peers.js';
-import { HOLDERS, Keep, KEPT, Recall, Release, type KeepAsk, type KeepReply, type RecallAsk, type RecallReply } from './calls.js';
+import {
+  HOLDERS,
+  Keep,
+  KEPT,
+  Recall,
+  Release,
+  type KeepAsk,
+  type KeepReply,
+  type RecallAsk,
+  type RecallReply,
+} from './calls.js';
 import { ClaimMemory } from './memory.js';
 import { recallFrom } from './recall.js';
 
@@ -44,7 +54,14 @@
   writes = 0;
   kept = 0;
 
-  constructor(private readonly disk: Disk, private readonly fleet: string, private readonly member: Member, private readonly peers: Peers, private readonly clock: Clock, private readonly log: Log) {
+  constructor(
+    private readonly disk: Disk,
+    private readonly fleet: string,
+    private readonly member: Member,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    private readonly log: Log,
+  ) {
     this.memory = new ClaimMemory(clock, BOUND);
   }
 
@@ -63,7 +80,11 @@
     for (const name of names.unsafeCoerce().filter((each) => each.startsWith('segment-'))) {
       const owners = await this.read(`claims/${name}`);
       spoilt ||= owners === undefined;
-      this.segments.push({ number: Number(name.slice(8)), owners: owners ?? new Map(), newest: this.clock.now() });
+      this.segments.push({
+        number: Number(name.slice(8)),
+        owners: owners ?? new Map(),
+        newest: this.clock.now(),
+      });
       for (const [key, owner] of owners ?? []) this.memory.note(key, owner);
     }
     const marker = await this.read(WHOLE);
@@ -89,18 +110,25 @@
     const bytes = (await this.disk.read(path)).toMaybe().extract();
     const opened = bytes && unseal(path, bytes).toMaybe().extract();
     if (!opened || opened.head.get('fleet') !== this.fleet) return undefined;
-    return new Map(JSON.parse(Buffer.from(opened.body).toString('utf8')) as Array<[string, string]>);
+    return new Map(
+      JSON.parse(Buffer.from(opened.body).toString('utf8')) as Array<[string, string]>,
+    );
   }
 
   private write(path: string, pairs: ReadonlyMap<string, string>): Promise<Outcome<void>> {
-    return this.disk.write(path, seal(new Map([['fleet', this.fleet]]), Buffer.from(JSON.stringify([...pairs]))));
+    return this.disk.write(
+      path,
+      seal(new Map([['fleet', this.fleet]]), Buffer.from(JSON.stringify([...pairs]))),
+    );
   }
 
   private votes(step: string, set: number): Outcome<void> {
     const { voting, reason } = this.member.state();
     if (!voting) return failed(step, this.member.id, `does not vote: ${reason}`);
     const { number } = this.member.knownCore;
-    return number === set ? Right(undefined) : failed(step, this.member.id, `core set ${number}, not ${set}`);
+    return number === set
+      ? Right(undefined)
+      : failed(step, this.member.id, `core set ${number}, not ${set}`);
   }
 
   private async keep({ set, key, owner }: KeepAsk): Promise<Outcome<KeepReply>> {
@@ -109,11 +137,13 @@
     const before = this.memory.owner(key);
     if (before !== undefined && before !== owner) return Right({ kept: false, owner: before });
     if (before === undefined) {
-      if (!this.memory.note(key, owner)) return failed('claim.keep', this.member.id, 'too many ids are kept');
+      if (!this.memory.note(key, owner))
+        return failed('claim.keep', this.member.id, 'too many ids are kept');
       this.segment().owners.set(key, owner);
       this.unsynced.add(key);
     }
-    if (this.unsynced.has(key) && !(await this.commit())) return failed('claim.keep', this.member.id, 'the claim could not be kept', 'unknown');
+    if (this.unsynced.has(key) && !(await this.commit()))
+      return failed('claim.keep', this.member.id, 'the claim could not be kept', 'unknown');
     return Right({ kept: true, owner });
   }
 
@@ -124,7 +154,11 @@
       last.newest = this.clock.now();
       return last;
     }
-    const made = { number: (last?.number ?? 0) + 1, owners: new Map<string, string>(), newest: this.clock.now() };
+    const made = {
+      number: (last?.number ?? 0) + 1,
+      owners: new Map<string, string>(),
+      newest: this.clock.now(),
+    };
     this.segments.push(made);
     return made;
   }
@@ -144,7 +178,10 @@
       if (![...keys].some((key) => owners.has(key))) continue;
       const done = await this.write(fileOf(number), owners);
       if (done.isLeft()) {
-        this.log('claims-unkept', [['claims', keys.size], ['reason', done.extract().reason]]);
+        this.log('claims-unkept', [
+          ['claims', keys.size],
+          ['reason', done.extract().reason],
+        ]);
         return false;
       }
     }
@@ -158,7 +195,13 @@
     const may = this.votes('claim.recall', set);
     if (may.isLeft()) return may as Outcome<never>;
     const routers = [...(this.member.newest?.enrolled.keys() ?? [])];
-    return Right({ whole: this.held, ...this.memory.page(after, (key) => node === '' || holders(key, routers).slice(0, HOLDERS).includes(node)) });
+    return Right({
+      whole: this.held,
+      ...this.memory.page(
+        after,
+        (key) => node === '' || holders(key, routers).slice(0, HOLDERS).includes(node),
+      ),
+    });
   }
 
   /**
@@ -170,8 +213,11 @@
     const { number, members } = this.member.knownCore;
     const others = members.filter(({ id }) => id !== this.member.id).map(({ address }) => address);
     if (!this.member.founder) {
-      const told = (await Promise.all(others.map((address) => recallFrom(this.peers, address, number, '')))).flatMap((each) => each ?? []);
-      const enough = told.filter(({ whole }) => whole).length >= members.length - majority(members.length) + 1;
+      const told = (
+        await Promise.all(others.map((address) => recallFrom(this.peers, address, number, '')))
+      ).flatMap((each) => each ?? []);
+      const enough =
+        told.filter(({ whole }) => whole).length >= members.length - majority(members.length) + 1;
       if (!enough && told.length < others.length) return;
       for (const { key, owner, age } of told.flatMap(({ claims }) => claims)) {
         if (this.memory.owner(key) !== undefined || !this.memory.note(key, owner, age)) continue;
@@ -180,14 +226,21 @@
       }
       if (this.unsynced.size && !(await this.commit())) return;
     }
-    if (this.member.knownCore.number !== number || (await this.write(WHOLE, new Map([['member', this.member.id]]))).isLeft()) return;
+    if (
+      this.member.knownCore.number !== number ||
+      (await this.write(WHOLE, new Map([['member', this.member.id]]))).isLeft()
+    )
+      return;
     this.held = true;
     this.log('claims-whole', [['claims', this.memory.size]]);
   }
 
   private async expire(): Promise<void> {
     const now = this.clock.now();
-    const past = this.segments.filter(({ newest, owners }) => later(newest, KEPT) < now && ![...owners.keys()].some((key) => this.unsynced.has(key)));
+    const past = this.segments.filter(
+      ({ newest, owners }) =>
+        later(newest, KEPT) < now && ![...owners.keys()].some((key) => this.unsynced.has(key)),
+    );
     this.segments = this.segments.filter((segment) => !past.includes(segment));
     for (const { number } of past) await this.disk.remove(fileOf(number));
   }
--- a/src/claim/memory.ts
+++ b/src/claim/memory.ts
@@ -17,7 +17,10 @@
   private readonly held = new Map<string, Held>();
   private count = 0;
 
-  constructor(private readonly clock: Clock, private readonly bound: number) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly bound: number,
+  ) {}
 
   get size(): number {
     return this.held.size;
@@ -41,7 +44,11 @@
   }
 
   /** Some of the claims after a number, in order, and where to go on. */
-  page(after: number, wanted: (key: string) => boolean, kept: (key: string) => boolean = () => true): { claims: HeldClaim[]; next: number; more: boolean } {
+  page(
+    after: number,
+    wanted: (key: string) => boolean,
+    kept: (key: string) => boolean = () => true,
+  ): { claims: HeldClaim[]; next: number; more: boolean } {
     const claims: HeldClaim[] = [];
     const now = this.clock.now();
     let scanned = 0;
--- a/src/claim/recall.ts
+++ b/src/claim/recall.ts
@@ -9,10 +9,17 @@
   readonly claims: readonly HeldClaim[];
 }
 
-export const recallFrom = async (peers: Peers, address: string, set: number, node: string): Promise<Recalled | undefined> => {
+export const recallFrom = async (
+  peers: Peers,
+  address: string,
+  set: number,
+  node: string,
+): Promise<Recalled | undefined> => {
   const claims: HeldClaim[] = [];
-  for (let after = 0; ; ) {
-    const reply = (await peers.ask(address, Recall, { set, node, after }, LIMIT)).toMaybe().extract();
+  for (let after = 0; ;) {
+    const reply = (await peers.ask(address, Recall, { set, node, after }, LIMIT))
+      .toMaybe()
+      .extract();
     if (!reply) return undefined;
     claims.push(...reply.claims);
     if (!reply.more) return { whole: reply.whole, claims };
--- a/src/client/operate.ts
+++ b/src/client/operate.ts
@@ -26,11 +26,33 @@
   readonly outcome?: string;
 }
 
-export const operate = async <N extends CallName>({ node, key }: Target, call: N, body: Ask<N>, limit = 65_000): Promise<Outcome<Reply<N>>> => {
-  const client = createClient<paths>({ baseUrl: `http://${node}`, headers: { 'x-operator-key': key } });
-  const got = await attempt(call, node, () => client.POST(`/rpc/${call}` as never, { body, signal: AbortSignal.timeout(limit) } as never) as unknown as Promise<{ data?: Reply<N>; error?: Told; response: { status: number } }>, 'unknown');
+export const operate = async <N extends CallName>(
+  { node, key }: Target,
+  call: N,
+  body: Ask<N>,
+  limit = 65_000,
+): Promise<Outcome<Reply<N>>> => {
+  const client = createClient<paths>({
+    baseUrl: `http://${node}`,
+    headers: { 'x-operator-key': key },
+  });
+  const got = await attempt(
+    call,
+    node,
+    () =>
+      client.POST(
+        `/rpc/${call}` as never,
+        { body, signal: AbortSignal.timeout(limit) } as never,
+      ) as unknown as Promise<{ data?: Reply<N>; error?: Told; response: { status: number } }>,
+    'unknown',
+  );
   return got.chain(({ data, error, response }) => {
     if (data !== undefined) return Right(data);
-    return failed(error?.step ?? call, error?.peer ?? node, error?.reason ?? `status ${response.status}`, error?.outcome === 'declined' ? 'declined' : 'unknown');
+    return failed(
+      error?.step ?? call,
+      error?.peer ?? node,
+      error?.reason ?? `status ${response.status}`,
+      error?.outcome === 'declined' ? 'declined' : 'unknown',
+    );
   });
 };
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -56,45 +56,87 @@
   gauge(registry, 'requests_fresh', 'Requests let in since the start', () => passage.budget.fresh);
   gauge(registry, 'retries_spent', 'Retries spent since the start', () => passage.budget.spent);
   const claims = context.get<Claims>(names.claims);
-  gauge(registry, 'claims_open', 'Whether this router grants claims on ids', () => Number(claims.open));
+  gauge(registry, 'claims_open', 'Whether this router grants claims on ids', () =>
+    Number(claims.open),
+  );
   gauge(registry, 'claims_held', 'Ids remembered here', () => claims.size);
-  gauge(registry, 'claims_unkept', 'Ids that no majority of disks is known to hold', () => claims.unkeptSize);
+  gauge(
+    registry,
+    'claims_unkept',
+    'Ids that no majority of disks is known to hold',
+    () => claims.unkeptSize,
+  );
   gauge(registry, 'list_age_ms', 'Age of the engine list', () => Math.min(news.age, 1e9));
   gauge(registry, 'list_polls', 'Polls of the platform by this node', () => news.polls);
   gauge(registry, 'engines_placed', 'Engines with a confirmed place', () => news.placed().size);
   gauge(registry, 'standing_ms', 'How long standing still holds', () => standing.remaining);
-  gauge(registry, 'law_kept', 'Whether all enrolled routers keep the law that claims rest on; while not, none are made', () => Number(prefixes.lawful));
-  for (const name of prefixes.counts.keys()) gauge(registry, `index_${name}`, `Index: ${name}`, () => prefixes.counts.get(name) ?? 0);
+  gauge(
+    registry,
+    'law_kept',
+    'Whether all enrolled routers keep the law that claims rest on; while not, none are made',
+    () => Number(prefixes.lawful),
+  );
+  for (const name of prefixes.counts.keys())
+    gauge(registry, `index_${name}`, `Index: ${name}`, () => prefixes.counts.get(name) ?? 0);
 };
 
 const coreMetrics = (registry: Registry, context: INestApplicationContext): void => {
   const keeper = context.get<Keeper>(names.keeper);
   gauge(registry, 'claims_kept', 'Ids kept on this disk', () => keeper.size);
-  gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () => Number(keeper.whole));
+  gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () =>
+    Number(keeper.whole),
+  );
   gauge(registry, 'claim_writes', 'Synced writes of claims since the start', () => keeper.writes);
   gauge(registry, 'claims_written', 'Claims in those writes', () => keeper.kept);
 };
 
-const openServices = (context: INestApplicationContext, tokens: readonly string[]): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
+const openServices = (
+  context: INestApplicationContext,
+  tokens: readonly string[],
+): Map<string, unknown> => new Map(tokens.map((token) => [token, context.get<unknown>(token)]));
 
-const common = [names.operations, names.configurator, names.schema, names.keys, names.random, names.log];
+const common = [
+  names.operations,
+  names.configurator,
+  names.schema,
+  names.keys,
+  names.random,
+  names.log,
+];
 const routerOnly = [names.passage, names.forwarder, names.inForce];
 
 /** Runs the node until it is told to stop, and says with which code to exit. */
-export const runDaemon = async (role: 'core' | 'router', params: Params, reread: Reread, extension: Extension = noExtension): Promise<number> => {
-  const context = await NestFactory.createApplicationContext(role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension), { logger: false, abortOnError: false });
+export const runDaemon = async (
+  role: 'core' | 'router',
+  params: Params,
+  reread: Reread,
+  extension: Extension = noExtension,
+): Promise<number> => {
+  const context = await NestFactory.createApplicationContext(
+    role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension),
+    { logger: false, abortOnError: false },
+  );
   const log = context.get<Log>(names.log);
   const node = role === 'core' ? context.get(CoreNode) : context.get(RouterNode);
   const stop = context.get<AbortController>(names.stop);
   const refuse = ({ step, peer, reason }: Fault): number => {
-    log('start-failed', [['step', step], ['peer', peer], ['reason', reason]]);
+    log('start-failed', [
+      ['step', step],
+      ['peer', peer],
+      ['reason', reason],
+    ]);
     return 1;
   };
   context.get<Tracing>(names.tracing).serve(context.get<Peers>(names.peers));
   const started = await node.start();
   if (started.isLeft()) return refuse(started.extract() as Fault);
   const registry = new Registry();
-  gauge(registry, 'generation_in_force', 'The generation in force here', () => context.get<InForce>(names.inForce).generation);
+  gauge(
+    registry,
+    'generation_in_force',
+    'The generation in force here',
+    () => context.get<InForce>(names.inForce).generation,
+  );
   gauge(registry, 'resident_bytes', 'Resident memory', () => process.memoryUsage().rss);
   if (role === 'router') routerMetrics(registry, context);
   else coreMetrics(registry, context);
@@ -103,11 +145,32 @@
   const status: ReadyQuestion = () => (stopping ? 'stopping' : open ? node.ready() : 'starting');
   const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [])]);
   services.set(names.status, status).set(names.metrics, registry);
-  const opening: Array<() => Promise<Outcome<Face>>> = [() => openFace(params.listen.operators, BYTE_BOUND + 65_536, [OperatorsController, StatusController], services)];
-  if (role === 'router' && params.listen.callers) opening.push(() => openFace(params.listen.callers, params.passage.bodyBytes, [CallersController, StatusController], services));
+  const opening: Array<() => Promise<Outcome<Face>>> = [
+    () =>
+      openFace(
+        params.listen.operators,
+        BYTE_BOUND + 65_536,
+        [OperatorsController, StatusController],
+        services,
+      ),
+  ];
+  if (role === 'router' && params.listen.callers)
+    opening.push(() =>
+      openFace(
+        params.listen.callers,
+        params.passage.bodyBytes,
+        [CallersController, StatusController],
+        services,
+      ),
+    );
   if (role === 'router' && params.listen.requests) {
     const inForce = context.get<InForce>(names.inForce);
-    opening.push(() => new RequestsFace(context.get<RequestHandler>(names.forwarder), () => inForce.routes.limits).listen(params.listen.requests));
+    opening.push(() =>
+      new RequestsFace(
+        context.get<RequestHandler>(names.forwarder),
+        () => inForce.routes.limits,
+      ).listen(params.listen.requests),
+    );
   }
   opening.push(...extension.faces.map((open) => () => open(services)));
   const faces: Face[] = [];
@@ -117,7 +180,13 @@
     faces.push(face.unsafeCoerce());
   }
   open = true;
-  log('started', [['role', role], ['peers', params.listen.peers], ['operators', params.listen.operators], ['callers', (role === 'router' && params.listen.callers) || undefined], ['requests', (role === 'router' && params.listen.requests) || undefined]]);
+  log('started', [
+    ['role', role],
+    ['peers', params.listen.peers],
+    ['operators', params.listen.operators],
+    ['callers', (role === 'router' && params.listen.callers) || undefined],
+    ['requests', (role === 'router' && params.listen.requests) || undefined],
+  ]);
 
   let taken = params;
   const reload = async (asked: boolean): Promise<void> => {
@@ -125,18 +194,24 @@
       Left: ({ reason }) => log('reload-declined', [['reason', reason]]),
       Right: (next) => {
         const before = new Map<string, unknown>(Object.entries(taken));
-        const changed = Object.entries(next).filter(([key, value]) => !isDeepStrictEqual(value, before.get(key))).map(([key]) => key);
+        const changed = Object.entries(next)
+          .filter(([key, value]) => !isDeepStrictEqual(value, before.get(key)))
+          .map(([key]) => key);
         if (changed.length === 0 && !asked) return;
         taken = next;
         context.get<Keys>(names.keys).reload(next);
         context.get<Roster>(names.roster).reseed(next.seeds);
         context.get<View>(names.view).reseed(next.seeds);
-        log('reloaded', [['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')], ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')]]);
+        log('reloaded', [
+          ['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')],
+          ['needsRestart', changed.filter((key) => !RELOADABLE.has(key)).join(',')],
+        ]);
       },
     });
   };
   process.on('SIGHUP', () => void reload(true));
-  const rereading = params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
+  const rereading =
+    params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
   return new Promise((resolve) => {
     const end = (signal: string): void => {
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -10,9 +10,17 @@
 import { digestOf } from '../register/document.js';
 import { operate, type Target } from '../client/operate.js';
 
-export const exitCodes = new Map<string, number>([['accepted', 0], ['declined', 3], ['lost', 3], ['conflict', 3], ['invalid', 3], ['unknown', 4]]);
+export const exitCodes = new Map<string, number>([
+  ['accepted', 0],
+  ['declined', 3],
+  ['lost', 3],
+  ['conflict', 3],
+  ['invalid', 3],
+  ['unknown', 4],
+]);
 
-const show = (value: unknown): void => void process.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
+const show = (value: unknown): void =>
+  void process.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
 
 export const end = (outcome: Outcome<unknown>): void => {
   outcome.caseOf({
@@ -40,34 +48,87 @@
 
 export const common = (yargs: Argv): Argv<Common> =>
   yargs
-    .option('node', { type: 'string', demandOption: true, describe: 'Operator address of any node, IP:PORT' })
-    .option('key', { type: 'string', default: process.env['RUDDERRIDGE_KEY'] ?? '', describe: 'Operator key; RUDDERRIDGE_KEY by default' })
-    .option('wait', { type: 'number', default: 10_000, describe: 'Milliseconds to wait for the outcome' })
-    .option('change', { type: 'string', describe: 'Change id, to repeat a change safely; a new one by default' })
-    .option('expects', { type: 'number', describe: 'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default' }) as Argv<Common>;
+    .option('node', {
+      type: 'string',
+      demandOption: true,
+      describe: 'Operator address of any node, IP:PORT',
+    })
+    .option('key', {
+      type: 'string',
+      default: process.env['RUDDERRIDGE_KEY'] ?? '',
+      describe: 'Operator key; RUDDERRIDGE_KEY by default',
+    })
+    .option('wait', {
+      type: 'number',
+      default: 10_000,
+      describe: 'Milliseconds to wait for the outcome',
+    })
+    .option('change', {
+      type: 'string',
+      describe: 'Change id, to repeat a change safely; a new one by default',
+    })
+    .option('expects', {
+      type: 'number',
+      describe:
+        'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default',
+    }) as Argv<Common>;
 
 const expected = async (argv: Common, name: string): Promise<Outcome<number>> => {
   const list = await operate(target(argv), 'doorway.list', {});
-  return list.map(({ doorways, removed }) => argv.expects ?? doorways.find(({ doorway }) => doorway.name === name)?.generation ?? removed.find((each) => each.name === name)?.generation ?? 0);
+  return list.map(
+    ({ doorways, removed }) =>
+      argv.expects ??
+      doorways.find(({ doorway }) => doorway.name === name)?.generation ??
+      removed.find((each) => each.name === name)?.generation ??
+      0,
+  );
 };
 
 export const doorwayCommand = (yargs: Argv): Argv =>
   yargs
-    .command('set <file>', 'Sets a doorway from a JSON or YAML file', (y) => common(y).positional('file', { type: 'string', demandOption: true }), async (argv) => {
-      const doorway = await attempt('doorway.read', argv.file, async () => parse(await readFile(argv.file, 'utf8')) as { name?: string });
-      if (doorway.isLeft()) {
-        end(doorway);
-        process.exitCode = 2;
-        return;
-      }
-      const value = doorway.unsafeCoerce();
-      const expects = await expected(argv, String(value?.name));
-      if (expects.isLeft()) return end(expects);
-      end(await operate(target(argv), 'doorway.set', { change: argv.change ?? randomUUID(), doorway: value as Schemas['Doorway'], expects: expects.unsafeCoerce(), wait: argv.wait }));
-    })
     .command(
-      'apply <file>', 'Sets and removes many doorways in one change, all of it or nothing',
-      (y) => common(y).positional('file', { type: 'string', demandOption: true, describe: 'JSON or YAML: doorways: [...], remove: [names]' }).option('dry-run', { type: 'boolean', default: false, describe: 'Only shows what would change' }),
+      'set <file>',
+      'Sets a doorway from a JSON or YAML file',
+      (y) => common(y).positional('file', { type: 'string', demandOption: true }),
+      async (argv) => {
+        const doorway = await attempt(
+          'doorway.read',
+          argv.file,
+          async () => parse(await readFile(argv.file, 'utf8')) as { name?: string },
+        );
+        if (doorway.isLeft()) {
+          end(doorway);
+          process.exitCode = 2;
+          return;
+        }
+        const value = doorway.unsafeCoerce();
+        const expects = await expected(argv, String(value?.name));
+        if (expects.isLeft()) return end(expects);
+        end(
+          await operate(target(argv), 'doorway.set', {
+            change: argv.change ?? randomUUID(),
+            doorway: value as Schemas['Doorway'],
+            expects: expects.unsafeCoerce(),
+            wait: argv.wait,
+          }),
+        );
+      },
+    )
+    .command(
+      'apply <file>',
+      'Sets and removes many doorways in one change, all of it or nothing',
+      (y) =>
+        common(y)
+          .positional('file', {
+            type: 'string',
+            demandOption: true,
+            describe: 'JSON or YAML: doorways: [...], remove: [names]',
+          })
+          .option('dry-run', {
+            type: 'boolean',
+            default: false,
+            describe: 'Only shows what would change',
+          }),
       async (argv) => {
         const read = await readWanted(argv.file);
         if (read.isLeft()) {
@@ -79,24 +140,78 @@
         if (list.isLeft()) return end(list);
         const { sets, removes, shown } = compare(read.unsafeCoerce(), list.unsafeCoerce());
         if (argv.dryRun) return show({ generation: list.unsafeCoerce().generation, ...shown });
-        if (sets.length + removes.length === 0) return show({ outcome: 'accepted', reason: 'nothing to change', ...shown });
-        end(await operate(target(argv), 'doorway.apply', { change: argv.change ?? randomUUID(), sets, removes, wait: argv.wait }));
+        if (sets.length + removes.length === 0)
+          return show({ outcome: 'accepted', reason: 'nothing to change', ...shown });
+        end(
+          await operate(target(argv), 'doorway.apply', {
+            change: argv.change ?? randomUUID(),
+            sets,
+            removes,
+            wait: argv.wait,
+          }),
+        );
       },
     )
-    .command('remove <name>', 'Removes a doorway', (y) => common(y).positional('name', { type: 'string', demandOption: true }), async (argv) => {
-      const expects = await expected(argv, argv.name);
-      if (expects.isLeft()) return end(expects);
-      end(await operate(target(argv), 'doorway.remove', { change: argv.change ?? randomUUID(), name: argv.name, expects: expects.unsafeCoerce(), wait: argv.wait }));
-    })
-    .command(['claim <name>', 'renew <name>'], 'Claims a doorway name, or renews the claim', (y) => common(y).positional('name', { type: 'string', demandOption: true }).option('duration', { type: 'number', default: 600_000, describe: 'Milliseconds until the claim lapses' }), async (argv) => {
-      const list = await operate(target(argv), 'doorway.list', {});
-      if (list.isLeft()) return end(list);
-      const renewal = argv.expects ?? list.unsafeCoerce().claims.find(({ name }) => name === argv.name)?.renewal ?? 0;
-      end(await operate(target(argv), 'doorway.claim', { change: argv.change ?? randomUUID(), name: argv.name, expects: renewal, duration: argv.duration, wait: argv.wait }));
-    })
-    .command('get <name>', 'Shows one doorway', (y) => common(y).positional('name', { type: 'string', demandOption: true }), async (argv) => end(await operate(target(argv), 'doorway.get', { name: argv.name })))
-    .command('list', 'Shows all doorways, removed names and claims', common, async (argv) => end(await operate(target(argv), 'doorway.list', {})))
-    .command('outcome <id>', 'Says what became of a change', (y) => common(y).positional('id', { type: 'string', demandOption: true }), async (argv) => end(await operate(target(argv), 'change.outcome', { change: argv.id, wait: argv.wait })))
+    .command(
+      'remove <name>',
+      'Removes a doorway',
+      (y) => common(y).positional('name', { type: 'string', demandOption: true }),
+      async (argv) => {
+        const expects = await expected(argv, argv.name);
+        if (expects.isLeft()) return end(expects);
+        end(
+          await operate(target(argv), 'doorway.remove', {
+            change: argv.change ?? randomUUID(),
+            name: argv.name,
+            expects: expects.unsafeCoerce(),
+            wait: argv.wait,
+          }),
+        );
+      },
+    )
+    .command(
+      ['claim <name>', 'renew <name>'],
+      'Claims a doorway name, or renews the claim',
+      (y) =>
+        common(y).positional('name', { type: 'string', demandOption: true }).option('duration', {
+          type: 'number',
+          default: 600_000,
+          describe: 'Milliseconds until the claim lapses',
+        }),
+      async (argv) => {
+        const list = await operate(target(argv), 'doorway.list', {});
+        if (list.isLeft()) return end(list);
+        const renewal =
+          argv.expects ??
+          list.unsafeCoerce().claims.find(({ name }) => name === argv.name)?.renewal ??
+          0;
+        end(
+          await operate(target(argv), 'doorway.claim', {
+            change: argv.change ?? randomUUID(),
+            name: argv.name,
+            expects: renewal,
+            duration: argv.duration,
+            wait: argv.wait,
+          }),
+        );
+      },
+    )
+    .command(
+      'get <name>',
+      'Shows one doorway',
+      (y) => common(y).positional('name', { type: 'string', demandOption: true }),
+      async (argv) => end(await operate(target(argv), 'doorway.get', { name: argv.name })),
+    )
+    .command('list', 'Shows all doorways, removed names and claims', common, async (argv) =>
+      end(await operate(target(argv), 'doorway.list', {})),
+    )
+    .command(
+      'outcome <id>',
+      'Says what became of a change',
+      (y) => common(y).positional('id', { type: 'string', demandOption: true }),
+      async (argv) =>
+        end(await operate(target(argv), 'change.outcome', { change: argv.id, wait: argv.wait })),
+    )
     .demandCommand(1, 'name what to do with the doorway');
 
 interface Wanted {
@@ -106,8 +221,13 @@
 
 const readWanted = (file: string): Promise<Outcome<Wanted>> =>
   attempt('doorway.read', file, async () => {
-    const { doorways = [], remove = [], ...rest } = (parse(await readFile(file, 'utf8')) ?? {}) as Partial<Wanted>;
-    if (!Array.isArray(doorways) || !Array.isArray(remove) || Object.keys(rest).length) throw new Error('expected doorways: [...] and remove: [names], and nothing else');
+    const {
+      doorways = [],
+      remove = [],
+      ...rest
+    } = (parse(await readFile(file, 'utf8')) ?? {}) as Partial<Wanted>;
+    if (!Array.isArray(doorways) || !Array.isArray(remove) || Object.keys(rest).length)
+      throw new Error('expected doorways: [...] and remove: [names], and nothing else');
     doorways.forEach((doorway, at) => {
       const checked = checkDoorway(doorway);
       if (checked.isLeft()) throw new Error(`doorways[${at}]: ${checked.extract().reason}`);
@@ -119,13 +239,24 @@
   });
 
 /** What a file wants against what is there: each item with the generation it is at now. */
-const compare = ({ doorways, remove }: Wanted, list: Schemas['DoorwayListReply']): { sets: Schemas['DoorwayApplyAsk']['sets']; removes: Schemas['DoorwayApplyAsk']['removes']; shown: object } => {
-  const there = new Map(list.doorways.map(({ doorway, generation }) => [doorway.name, { doorway, generation }]));
+const compare = (
+  { doorways, remove }: Wanted,
+  list: Schemas['DoorwayListReply'],
+): {
+  sets: Schemas['DoorwayApplyAsk']['sets'];
+  removes: Schemas['DoorwayApplyAsk']['removes'];
+  shown: object;
+} => {
+  const there = new Map(
+    list.doorways.map(({ doorway, generation }) => [doorway.name, { doorway, generation }]),
+  );
   const gone = new Map(list.removed.map(({ name, generation }) => [name, generation]));
   const at = (name: string): number => there.get(name)?.generation ?? gone.get(name) ?? 0;
   const differs = (doorway: Schemas['Doorway']): string[] => {
     const before = new Map(Object.entries(there.get(doorway.name)?.doorway ?? {}));
-    return Object.entries(doorway).filter(([key, value]) => !isDeepStrictEqual(before.get(key), value)).map(([key]) => key);
+    return Object.entries(doorway)
+      .filter(([key, value]) => !isDeepStrictEqual(before.get(key), value))
+      .map(([key]) => key);
   };
   const changed = doorways.filter((doorway) => differs(doorway).length > 0);
   return {
@@ -133,7 +264,13 @@
     removes: remove.map((name) => ({ name, expects: at(name) })),
     shown: {
       added: changed.filter(({ name }) => !there.has(name)).map(({ name }) => name),
-      changed: changed.filter(({ name }) => there.has(name)).map((doorway) => ({ name: doorway.name, generation: at(doorway.name), fields: differs(doorway) })),
+      changed: changed
+        .filter(({ name }) => there.has(name))
+        .map((doorway) => ({
+          name: doorway.name,
+          generation: at(doorway.name),
+          fields: differs(doorway),
+        })),
       removed: remove,
       unchanged: doorways.filter((doorway) => !changed.includes(doorway)).map(({ name }) => name),
     },
@@ -142,13 +279,41 @@
 
 export const configCommand = (yargs: Argv): Argv =>
   yargs
-    .command('show', 'Shows the newest generation', common, async (argv) => end((await operate(target(argv), 'config.at', { generation: 0 })).map(readable)))
-    .command('at <generation>', 'Shows one generation', (y) => common(y).positional('generation', { type: 'number', demandOption: true }), async (argv) => end((await operate(target(argv), 'config.at', { generation: argv.generation })).map(readable)))
-    .command('history', 'Lists generations with who changed what', (y) => common(y).option('from', { type: 'number', default: 1 }).option('count', { type: 'number', default: 100 }), async (argv) => end(await operate(target(argv), 'config.history', { from: argv.from, count: argv.count })))
-    .command('export <file>', 'Writes the whole history to a file, with a digest over it', (y) => common(y).positional('file', { type: 'string', demandOption: true }), async (argv) => end(await exportAll(target(argv), argv.file)))
+    .command('show', 'Shows the newest generation', common, async (argv) =>
+      end((await operate(target(argv), 'config.at', { generation: 0 })).map(readable)),
+    )
+    .command(
+      'at <generation>',
+      'Shows one generation',
+      (y) => common(y).positional('generation', { type: 'number', demandOption: true }),
+      async (argv) =>
+        end(
+          (await operate(target(argv), 'config.at', { generation: argv.generation })).map(readable),
+        ),
+    )
+    .command(
+      'history',
+      'Lists generations with who changed what',
+      (y) =>
+        common(y)
+          .option('from', { type: 'number', default: 1 })
+          .option('count', { type: 'number', default: 100 }),
+      async (argv) =>
+        end(await operate(target(argv), 'config.history', { from: argv.from, count: argv.count })),
+    )
+    .command(
+      'export <file>',
+      'Writes the whole history to a file, with a digest over it',
+      (y) => common(y).positional('file', { type: 'string', demandOption: true }),
+      async (argv) => end(await exportAll(target(argv), argv.file)),
+    )
     .demandCommand(1, 'name what to do with the configuration');
 
-const readable = ({ generation, digest, document }: Schemas['ConfigReply']): unknown => ({ generation, digest, document: JSON.parse(document) as unknown });
+const readable = ({ generation, digest, document }: Schemas['ConfigReply']): unknown => ({
+  generation,
+  digest,
+  document: JSON.parse(document) as unknown,
+});
 
 const exportAll = async (to: Target, file: string): Promise<Outcome<unknown>> => {
   const newest = await operate(to, 'config.at', { generation: 0 });
@@ -160,7 +325,10 @@
     if (one.isLeft()) return one;
     const { digest, document } = one.unsafeCoerce();
     const chained = (JSON.parse(document) as { previous: string }).previous;
-    if (digestOf(document) !== digest || chained !== previous) return attempt('config.export', to.node, () => Promise.reject(new Error(`generation ${generation} does not follow the one before it`)));
+    if (digestOf(document) !== digest || chained !== previous)
+      return attempt('config.export', to.node, () =>
+        Promise.reject(new Error(`generation ${generation} does not follow the one before it`)),
+      );
     previous = digest;
     lines.push(document);
   }
@@ -173,40 +341,92 @@
 
 export const nodeCommand = (yargs: Argv): Argv =>
   yargs
-    .command('list', 'Nodes heard of, and nodes with standing', common, async (argv) => end(await operate(target(argv), 'node.list', {})))
-    .command('engines', 'Engines as one node has them', common, async (argv) => end(await operate(target(argv), 'engine.list', {})))
-    .command('retire <name>', 'Takes a router that is gone for good out of the enrolment', (y) => common(y).positional('name', { type: 'string', demandOption: true }), async (argv) => end(await operate(target(argv), 'node.retire', { change: argv.change ?? randomUUID(), name: argv.name, wait: argv.wait })))
+    .command('list', 'Nodes heard of, and nodes with standing', common, async (argv) =>
+      end(await operate(target(argv), 'node.list', {})),
+    )
+    .command('engines', 'Engines as one node has them', common, async (argv) =>
+      end(await operate(target(argv), 'engine.list', {})),
+    )
+    .command(
+      'retire <name>',
+      'Takes a router that is gone for good out of the enrolment',
+      (y) => common(y).positional('name', { type: 'string', demandOption: true }),
+      async (argv) =>
+        end(
+          await operate(target(argv), 'node.retire', {
+            change: argv.change ?? randomUUID(),
+            name: argv.name,
+            wait: argv.wait,
+          }),
+        ),
+    )
     .demandCommand(1, 'name what to ask');
 
 export const traceCommand = (yargs: Argv): Argv =>
   common(yargs)
-    .positional('what', { type: 'string', demandOption: true, describe: 'A change id, or a generation as a number' })
+    .positional('what', {
+      type: 'string',
+      demandOption: true,
+      describe: 'A change id, or a generation as a number',
+    })
     .option('json', { type: 'boolean', default: false }) as Argv;
 
 export const runTrace = async (argv: Common & { what: string; json: boolean }): Promise<void> => {
-  const traced = await operate(target(argv), 'change.trace', /^[0-9]+$/.test(argv.what) ? { generation: Number(argv.what) } : { change: argv.what });
+  const traced = await operate(
+    target(argv),
+    'change.trace',
+    /^[0-9]+$/.test(argv.what) ? { generation: Number(argv.what) } : { change: argv.what },
+  );
   if (argv.json || traced.isLeft()) return end(traced);
   const { generation, changes, nodes, silent } = traced.unsafeCoerce();
   process.stdout.write(`generation ${generation} changes ${changes.join(' ') || '-'}\n`);
-  for (const { name, role, steps } of nodes) process.stdout.write(`${name} ${role} ${steps.map(({ step, after, ballot }) => `${step}+${after}ms${ballot ? `(${ballot})` : ''}`).join(' ') || 'nothing noted'}\n`);
+  for (const { name, role, steps } of nodes)
+    process.stdout.write(
+      `${name} ${role} ${steps.map(({ step, after, ballot }) => `${step}+${after}ms${ballot ? `(${ballot})` : ''}`).join(' ') || 'nothing noted'}\n`,
+    );
   for (const name of silent) process.stdout.write(`${name} silent\n`);
 };
 
 export const coreSetCommand = (yargs: Argv): Argv =>
   yargs
-    .command('show', 'The core members and their state', common, async (argv) => end(await operate(target(argv), 'core.show', {})))
-    .command('form <members..>', 'Forms the core group, once, from newcomers at these peer addresses', (y) => common(y).positional('members', { type: 'string', array: true, demandOption: true }), async (argv) => end(await operate(target(argv), 'core.form', { members: argv.members })))
-    .command('add <address>', 'Gives the newcomer at a peer address a seat', (y) => common(y).positional('address', { type: 'string', demandOption: true }), async (argv) => end(await seat(argv, argv.address)))
-    .command('remove <member>', 'Takes a seat away, by id or peer address', (y) => common(y).positional('member', { type: 'string', demandOption: true }), async (argv) => end(await unseat(argv, argv.member)))
+    .command('show', 'The core members and their state', common, async (argv) =>
+      end(await operate(target(argv), 'core.show', {})),
+    )
+    .command(
+      'form <members..>',
+      'Forms the core group, once, from newcomers at these peer addresses',
+      (y) => common(y).positional('members', { type: 'string', array: true, demandOption: true }),
+      async (argv) => end(await operate(target(argv), 'core.form', { members: argv.members })),
+    )
+    .command(
+      'add <address>',
+      'Gives the newcomer at a peer address a seat',
+      (y) => common(y).positional('address', { type: 'string', demandOption: true }),
+      async (argv) => end(await seat(argv, argv.address)),
+    )
+    .command(
+      'remove <member>',
+      'Takes a seat away, by id or peer address',
+      (y) => common(y).positional('member', { type: 'string', demandOption: true }),
+      async (argv) => end(await unseat(argv, argv.member)),
+    )
     .command(
       'replace <old> <new>',
       'Replaces a member (id or peer address) by the newcomer at a peer address; the same address after a lost disk',
-      (y) => common(y).positional('old', { type: 'string', demandOption: true }).positional('new', { type: 'string', demandOption: true }),
+      (y) =>
+        common(y)
+          .positional('old', { type: 'string', demandOption: true })
+          .positional('new', { type: 'string', demandOption: true }),
       async (argv) => {
         const core = await operate(target(argv), 'core.show', {});
         if (core.isLeft()) return end(core);
-        const old = core.unsafeCoerce().members.find(({ id, address }) => id === argv.old || address === argv.old);
-        const steps = old?.state === 'voting' && old.address !== argv.new ? [() => seat(argv, argv.new), () => unseat(argv, argv.old)] : [() => unseat(argv, argv.old), () => seat(argv, argv.new)];
+        const old = core
+          .unsafeCoerce()
+          .members.find(({ id, address }) => id === argv.old || address === argv.old);
+        const steps =
+          old?.state === 'voting' && old.address !== argv.new
+            ? [() => seat(argv, argv.new), () => unseat(argv, argv.old)]
+            : [() => unseat(argv, argv.old), () => seat(argv, argv.new)];
         for (const step of steps) {
           const done = await step();
           end(done);
@@ -221,7 +441,12 @@
 const seat = async (argv: Common, address: string): Promise<Outcome<Changed>> => {
   const core = await operate(target(argv), 'core.show', {});
   if (core.isLeft()) return core as Outcome<never>;
-  return operate(target(argv), 'core.seat', { change: argv.change ?? randomUUID(), address, expects: argv.expects ?? core.unsafeCoerce().number, wait: argv.wait });
+  return operate(target(argv), 'core.seat', {
+    change: argv.change ?? randomUUID(),
+    address,
+    expects: argv.expects ?? core.unsafeCoerce().number,
+    wait: argv.wait,
+  });
 };
 
 const unseat = async (argv: Common, member: string): Promise<Outcome<Changed>> => {
@@ -229,5 +454,10 @@
   if (core.isLeft()) return core as Outcome<never>;
   const { number, members } = core.unsafeCoerce();
   const id = members.find((each) => each.id === member || each.address === member)?.id ?? member;
-  return operate(target(argv), 'core.unseat', { change: argv.change ?? randomUUID(), id, expects: argv.expects ?? number, wait: argv.wait });
+  return operate(target(argv), 'core.unseat', {
+    change: argv.change ?? randomUUID(),
+    id,
+    expects: argv.expects ?? number,
+    wait: argv.wait,
+  });
 };
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -60,15 +60,46 @@
     this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
-    const succession = new Succession(this.member, this.params.listen.peers, this.params.core.replaceAfter, this.peers, this.roster, this.proposer, this.clock, this.random, this.log);
+    const succession = new Succession(
+      this.member,
+      this.params.listen.peers,
+      this.params.core.replaceAfter,
+      this.peers,
+      this.roster,
+      this.proposer,
+      this.clock,
+      this.random,
+      this.log,
+    );
     succession.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     if (this.member.newest) this.roster.learn(this.member.newest.core);
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (_, items, settled) => this.member.takeSettled(items, settled), this.params.listen.peers, undefined, this.params.feed.wait, () => this.member.settledGeneration);
+    const follower = new Follower(
+      this.peers,
+      this.roster,
+      this.proposer,
+      this.clock,
+      this.random,
+      this.log,
+      (_, items, settled) => this.member.takeSettled(items, settled),
+      this.params.listen.peers,
+      undefined,
+      this.params.feed.wait,
+      () => this.member.settledGeneration,
+    );
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
-    const repair = new Repair(this.member, this.peers, this.roster, this.clock, this.random, this.log, this.params.listen.peers, this.params.core.keep + this.params.core.keepBytes > 0);
+    const repair = new Repair(
+      this.member,
+      this.peers,
+      this.roster,
+      this.clock,
+      this.random,
+      this.log,
+      this.params.listen.peers,
+      this.params.core.keep + this.params.core.keepBytes > 0,
+    );
     void repair.run(this.stop.signal);
     void succession.run(this.stop.signal);
     void keepRecovering(this.member, this.clock, this.stop.signal);
@@ -116,8 +147,15 @@
     const at = this.params.seeds.indexOf(this.params.listen.peers);
     if (at < 0) return;
     await this.clock.sleep(at * FORM_TURN, this.stop.signal);
-    while (!this.stop.signal.aborted && (this.member.newest?.generation ?? 0) <= 1 && this.member.settledGeneration === 0) {
-      const formed = await this.operations.form(this.params.seeds, this.params.core.wanted || undefined);
+    while (
+      !this.stop.signal.aborted &&
+      (this.member.newest?.generation ?? 0) <= 1 &&
+      this.member.settledGeneration === 0
+    ) {
+      const formed = await this.operations.form(
+        this.params.seeds,
+        this.params.core.wanted || undefined,
+      );
       if (formed.isRight()) return;
       this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
       await this.clock.sleep(FORM_PAUSE, this.stop.signal);
@@ -130,32 +168,83 @@
   static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: CoreModule,
-      providers: extended([
-        ...nodeProviders(params, 'core'),
-        { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
-        {
-          provide: names.member,
-          inject: [names.disk, names.peers, names.clock, names.random, names.log],
-          useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) => new Member(new Store(disk, params.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, clock, random, log, params.core.stall),
-        },
-        {
-          provide: names.keeper,
-          inject: [names.disk, names.member, names.peers, names.clock, names.log],
-          useFactory: (disk: Disk, member: Member, peers: Peers, clock: Clock, log: Log) => new Keeper(disk, params.fleet, member, peers, clock, log),
-        },
-        {
-          provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.clock, names.acceptance],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, undefined, clock, acceptance),
-        },
-        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
-        {
-          provide: names.configurator,
-          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
-        },
-        CoreNode,
-      ], services),
+      providers: extended(
+        [
+          ...nodeProviders(params, 'core'),
+          { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
+          {
+            provide: names.member,
+            inject: [names.disk, names.peers, names.clock, names.random, names.log],
+            useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
+              new Member(
+                new Store(disk, params.fleet, {
+                  generations: params.core.keep,
+                  bytes: params.core.keepBytes,
+                }),
+                peers,
+                clock,
+                random,
+                log,
+                params.core.stall,
+              ),
+          },
+          {
+            provide: names.keeper,
+            inject: [names.disk, names.member, names.peers, names.clock, names.log],
+            useFactory: (disk: Disk, member: Member, peers: Peers, clock: Clock, log: Log) =>
+              new Keeper(disk, params.fleet, member, peers, clock, log),
+          },
+          {
+            provide: names.operations,
+            inject: [
+              names.peers,
+              names.roster,
+              names.proposer,
+              names.inForce,
+              names.view,
+              names.clock,
+              names.acceptance,
+            ],
+            useFactory: (
+              peers: Peers,
+              roster: Roster,
+              proposer: Proposer,
+              inForce: InForce,
+              view: View,
+              clock: Clock,
+              acceptance: Acceptance,
+            ) =>
+              new Operations(peers, roster, proposer, inForce, view, undefined, clock, acceptance),
+          },
+          {
+            provide: names.acceptance,
+            inject: [names.peers, names.roster, names.clock],
+            useFactory: (peers: Peers, roster: Roster, clock: Clock) =>
+              new Acceptance(peers, roster, clock, params.lease),
+          },
+          {
+            provide: names.configurator,
+            inject: [
+              names.peers,
+              names.roster,
+              names.proposer,
+              names.acceptance,
+              names.inForce,
+              names.clock,
+            ],
+            useFactory: (
+              peers: Peers,
+              roster: Roster,
+              proposer: Proposer,
+              acceptance: Acceptance,
+              inForce: InForce,
+              clock: Clock,
+            ) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+          },
+          CoreNode,
+        ],
+        services,
+      ),
     };
   }
 }
--- a/src/doorway/match.ts
+++ b/src/doorway/match.ts
@@ -13,16 +13,24 @@
   readonly tag: string;
 }
 
-const rank = ({ match }: Doorway): number => (match.tag === undefined ? 0 : 4) + (match.path === undefined ? 0 : 2) + (match.model === undefined ? 0 : 1);
+const rank = ({ match }: Doorway): number =>
+  (match.tag === undefined ? 0 : 4) +
+  (match.path === undefined ? 0 : 2) +
+  (match.model === undefined ? 0 : 1);
 
 const fits = ({ match }: Doorway, asked: Asked): boolean =>
-  (match.tag === undefined || match.tag === asked.tag) && (match.path === undefined || match.path === asked.path) && (match.model === undefined || match.model === asked.model);
+  (match.tag === undefined || match.tag === asked.tag) &&
+  (match.path === undefined || match.path === asked.path) &&
+  (match.model === undefined || match.model === asked.model);
 
 export class Compiled {
   private readonly byFirm = new Map<string, Placed[]>();
   private readonly byName = new Map<string, Placed>();
 
-  constructor(readonly generation: Generation, placed: Iterable<Placed>) {
+  constructor(
+    readonly generation: Generation,
+    placed: Iterable<Placed>,
+  ) {
     for (const each of placed) {
       this.byName.set(each.doorway.name, each);
       const firm = this.byFirm.get(each.doorway.firm) ?? [];
@@ -50,7 +58,8 @@
   swap(document: Document): boolean {
     if (document.generation <= this.generation) return false;
     this.compiled = new Compiled(document.generation, document.doorways.values());
-    if (document.configuration !== this.table.configuration) this.table = new RouteTable(document.configuration);
+    if (document.configuration !== this.table.configuration)
+      this.table = new RouteTable(document.configuration);
     this.document = document;
     return true;
   }
--- a/src/faces/callers/sinks.ts
+++ b/src/faces/callers/sinks.ts
@@ -12,7 +12,10 @@
   private readonly leave = new AbortController();
   readonly gone = this.leave.signal;
 
-  constructor(protected readonly reply: FastifyReply, protected readonly requestId: string) {
+  constructor(
+    protected readonly reply: FastifyReply,
+    protected readonly requestId: string,
+  ) {
     reply.raw.once('close', () => {
       if (!reply.raw.writableFinished) this.leave.abort();
     });
@@ -31,7 +34,12 @@
     if (!this.begun) {
       this.begun = true;
       this.reply.hijack();
-      raw.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache', 'x-request-id': this.requestId, 'x-engine-id': engine });
+      raw.writeHead(200, {
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-cache',
+        'x-request-id': this.requestId,
+        'x-engine-id': engine,
+      });
     }
     if (raw.destroyed) return false;
     if (raw.write(event.raw)) return true;
@@ -77,13 +85,34 @@
 
   complete(): void {
     const content = this.pieces.map((piece) => piece.choices?.[0]?.delta?.content ?? '').join('');
-    const finish = this.pieces.map((piece) => piece.choices?.[0]?.finish_reason).find((reason) => typeof reason === 'string');
+    const finish = this.pieces
+      .map((piece) => piece.choices?.[0]?.finish_reason)
+      .find((reason) => typeof reason === 'string');
     const { id, model, created } = this.pieces[0] ?? {};
     const usage = this.pieces.find((piece) => piece.usage)?.usage;
-    void this.reply.status(200).header('x-request-id', this.requestId).send({ id, object: 'chat.completion', created, model, choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: finish }], usage });
+    void this.reply
+      .status(200)
+      .header('x-request-id', this.requestId)
+      .send({
+        id,
+        object: 'chat.completion',
+        created,
+        model,
+        choices: [{ index: 0, message: { role: 'assistant', content }, finish_reason: finish }],
+        usage,
+      });
   }
 
   broken({ step, peer, reason }: Fault): void {
-    void this.reply.status(502).header('x-request-id', this.requestId).send({ error: { message: reason, type: 'unknown', code: step }, outcome: 'unknown', reason, step, peer });
+    void this.reply
+      .status(502)
+      .header('x-request-id', this.requestId)
+      .send({
+        error: { message: reason, type: 'unknown', code: step },
+        outcome: 'unknown',
+        reason,
+        step,
+        peer,
+      });
   }
 }
--- a/src/faces/common/face.ts
+++ b/src/faces/common/face.ts
@@ -8,14 +8,31 @@
 @Module({})
 class FaceModule {
   static with(controllers: Type[], services: ReadonlyMap<string, unknown>): DynamicModule {
-    return { module: FaceModule, controllers, providers: [...services].map(([provide, useValue]) => ({ provide, useValue })) };
+    return {
+      module: FaceModule,
+      controllers,
+      providers: [...services].map(([provide, useValue]) => ({ provide, useValue })),
+    };
   }
 }
 
-export const openFace = (address: string, bodyLimit: number, controllers: Type[], services: ReadonlyMap<string, unknown>): Promise<Outcome<NestFastifyApplication>> =>
+export const openFace = (
+  address: string,
+  bodyLimit: number,
+  controllers: Type[],
+  services: ReadonlyMap<string, unknown>,
+): Promise<Outcome<NestFastifyApplication>> =>
   attempt('face.listen', address, async () => {
-    const adapter = new FastifyAdapter({ bodyLimit, forceCloseConnections: true, keepAliveTimeout: 30_000 });
-    const app = await NestFactory.create<NestFastifyApplication>(FaceModule.with(controllers, services), adapter, { logger: false, abortOnError: false });
+    const adapter = new FastifyAdapter({
+      bodyLimit,
+      forceCloseConnections: true,
+      keepAliveTimeout: 30_000,
+    });
+    const app = await NestFactory.create<NestFastifyApplication>(
+      FaceModule.with(controllers, services),
+      adapter,
+      { logger: false, abortOnError: false },
+    );
     const { host, port } = parseAddress(address);
     await app.listen(port, host);
     return app;
--- a/src/faces/common/status.ts
+++ b/src/faces/common/status.ts
@@ -8,7 +8,10 @@
 
 @Controller()
 export class StatusController {
-  constructor(@Inject(names.status) private readonly status: ReadyQuestion, @Inject(names.metrics) private readonly metrics: Registry) {}
+  constructor(
+    @Inject(names.status) private readonly status: ReadyQuestion,
+    @Inject(names.metrics) private readonly metrics: Registry,
+  ) {}
 
   @Get('live')
   live(): { live: boolean } {
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -15,51 +15,109 @@
 export class OperatorsController {
   private readonly calls: ReadonlyMap<string, Run>;
 
-  constructor(@Inject(names.operations) operations: Operations, @Inject(names.configurator) routes: ConfigurationCalls, @Inject(names.schema) schema: SchemaCheck, @Inject(names.keys) private readonly keys: Keys) {
+  constructor(
+    @Inject(names.operations) operations: Operations,
+    @Inject(names.configurator) routes: ConfigurationCalls,
+    @Inject(names.schema) schema: SchemaCheck,
+    @Inject(names.keys) private readonly keys: Keys,
+  ) {
     const checked =
-      <K extends keyof Schemas>(name: K, act: (ask: Schemas[K], operator: Operator) => Promise<Outcome<unknown>> | Outcome<unknown>): Run =>
+      <K extends keyof Schemas>(
+        name: K,
+        act: (ask: Schemas[K], operator: Operator) => Promise<Outcome<unknown>> | Outcome<unknown>,
+      ): Run =>
       async (operator, body) => {
         const ask = schema.check(name, body);
         return ask.isLeft() ? ask : act(ask.unsafeCoerce(), operator);
       };
     this.calls = new Map<string, Run>([
-      ['doorway.set', checked('DoorwaySetAsk', (ask, operator) => operations.setDoorway(operator, ask))],
-      ['doorway.remove', checked('DoorwayRemoveAsk', (ask, operator) => operations.removeDoorway(operator, ask))],
-      ['doorway.apply', checked('DoorwayApplyAsk', (ask, operator) => operations.applyDoorways(operator, ask))],
-      ['doorway.claim', checked('DoorwayClaimAsk', (ask, operator) => operations.claimDoorway(operator, ask))],
+      [
+        'doorway.set',
+        checked('DoorwaySetAsk', (ask, operator) => operations.setDoorway(operator, ask)),
+      ],
+      [
+        'doorway.remove',
+        checked('DoorwayRemoveAsk', (ask, operator) => operations.removeDoorway(operator, ask)),
+      ],
+      [
+        'doorway.apply',
+        checked('DoorwayApplyAsk', (ask, operator) => operations.applyDoorways(operator, ask)),
+      ],
+      [
+        'doorway.claim',
+        checked('DoorwayClaimAsk', (ask, operator) => operations.claimDoorway(operator, ask)),
+      ],
       ['doorway.get', checked('NamedAsk', ({ name }) => operations.get(name))],
       ['doorway.list', checked('NothingAsk', () => operations.list())],
       ['change.outcome', checked('ChangeAsk', (ask) => operations.outcome(ask))],
       ['config.at', checked('AtAsk', ({ generation }) => operations.at(generation))],
       ['config.history', checked('HistoryAsk', (ask) => operations.history(ask))],
       ['change.trace', checked('TraceAsk', (ask) => operations.trace(ask))],
-      ['routes.put', checked('RoutesPutAsk', async ({ configuration, expects, wait }) => Right(await routes.replace(configuration, expects, wait)))],
-      ['routes.patch', checked('RoutesPatchAsk', async ({ patch, expects, wait }) => Right(await routes.patch(patch, expects, wait)))],
-      ['routes.show', checked('RoutesShowAsk', async ({ wait }) => (await routes.read(wait)).map((configuration) => ({ configuration })))],
+      [
+        'routes.put',
+        checked('RoutesPutAsk', async ({ configuration, expects, wait }) =>
+          Right(await routes.replace(configuration, expects, wait)),
+        ),
+      ],
+      [
+        'routes.patch',
+        checked('RoutesPatchAsk', async ({ patch, expects, wait }) =>
+          Right(await routes.patch(patch, expects, wait)),
+        ),
+      ],
+      [
+        'routes.show',
+        checked('RoutesShowAsk', async ({ wait }) =>
+          (await routes.read(wait)).map((configuration) => ({ configuration })),
+        ),
+      ],
       ['node.list', checked('NothingAsk', () => operations.nodes())],
       ['node.retire', checked('RetireAsk', (ask, operator) => operations.retire(operator, ask))],
       ['engine.list', checked('NothingAsk', () => operations.engines())],
       ['core.form', checked('FormAsk', ({ members }) => operations.form(members))],
       ['core.seat', checked('CoreSeatAsk', (ask, operator) => operations.seat(operator, ask))],
-      ['core.unseat', checked('CoreUnseatAsk', (ask, operator) => operations.unseat(operator, ask))],
+      [
+        'core.unseat',
+        checked('CoreUnseatAsk', (ask, operator) => operations.unseat(operator, ask)),
+      ],
       ['core.show', checked('NothingAsk', () => operations.core())],
     ]);
   }
 
   @Post(':call')
-  async run(@Param('call') call: string, @Headers('x-operator-key') key: string | undefined, @Body() body: unknown, @Res() reply: FastifyReply): Promise<void> {
+  async run(
+    @Param('call') call: string,
+    @Headers('x-operator-key') key: string | undefined,
+    @Body() body: unknown,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
     const operator = key === undefined ? undefined : this.keys.operator(key);
     const run = this.calls.get(call);
-    if (!operator) return this.answer(reply, 401, failed('operator.key', 'operator', 'the key is missing or not known'));
-    if (!run) return this.answer(reply, 404, failed('operator.call', 'operator', `there is no call ${call}`));
-    const done = await run(operator, body ?? {}).catch((thrown: unknown) => failed('operator.call', call, reasonOf(thrown), 'unknown'));
+    if (!operator)
+      return this.answer(
+        reply,
+        401,
+        failed('operator.key', 'operator', 'the key is missing or not known'),
+      );
+    if (!run)
+      return this.answer(
+        reply,
+        404,
+        failed('operator.call', 'operator', `there is no call ${call}`),
+      );
+    const done = await run(operator, body ?? {}).catch((thrown: unknown) =>
+      failed('operator.call', call, reasonOf(thrown), 'unknown'),
+    );
     this.answer(reply, 422, done);
   }
 
   private answer(reply: FastifyReply, status: number, outcome: Outcome<unknown>): void {
     outcome.caseOf({
       Right: (value) => void reply.status(200).send(value),
-      Left: ({ step, peer, reason, certainty }: Fault) => void reply.status(certainty === 'unknown' ? 504 : status).send({ outcome: certainty, step, peer, reason }),
+      Left: ({ step, peer, reason, certainty }: Fault) =>
+        void reply
+          .status(certainty === 'unknown' ? 504 : status)
+          .send({ outcome: certainty, step, peer, reason }),
     });
   }
 }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -27,8 +27,19 @@
   private halted = false;
 
   /** `limits` gives those in force; the same object as long as they are the same. */
-  constructor(private readonly handler: RequestHandler, private readonly limits: () => Limits) {
-    this.server = createServer({ maxHeaderSize: HEADER_BOUND, insecureHTTPParser: false, noDelay: true, requestTimeout: 0, headersTimeout: HEADER_TIMEOUT, connectionsCheckingInterval: CHECK_EVERY, keepAliveTimeout: IDLE_TIMEOUT });
+  constructor(
+    private readonly handler: RequestHandler,
+    private readonly limits: () => Limits,
+  ) {
+    this.server = createServer({
+      maxHeaderSize: HEADER_BOUND,
+      insecureHTTPParser: false,
+      noDelay: true,
+      requestTimeout: 0,
+      headersTimeout: HEADER_TIMEOUT,
+      connectionsCheckingInterval: CHECK_EVERY,
+      keepAliveTimeout: IDLE_TIMEOUT,
+    });
     this.server.on('connection', () => this.heed());
     this.server.on('request', (request, response) => this.take(request, response));
     this.heed();
@@ -37,7 +48,9 @@
   listen(address: string): Promise<Outcome<Face>> {
     const { host, port } = parseAddress(address);
     return new Promise((resolve) => {
-      this.server.once('error', (thrown) => resolve(failed('requests.listen', address, reasonOf(thrown))));
+      this.server.once('error', (thrown) =>
+        resolve(failed('requests.listen', address, reasonOf(thrown))),
+      );
       this.server.listen({ host, port, backlog: BACKLOG }, () => resolve(Right(this)));
     });
   }
@@ -77,6 +90,7 @@
     if (limits === this.heeded) return;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
-    this.server.keepAliveTimeout = Math.floor((limits.idleTimeout ?? IDLE_TIMEOUT) / 1000) * 1000 + 999;
+    this.server.keepAliveTimeout =
+      Math.floor((limits.idleTimeout ?? IDLE_TIMEOUT) / 1000) * 1000 + 999;
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -42,9 +42,13 @@
 
 export const freePorts = async (count: number): Promise<number[]> => {
   const servers = await Promise.all(
-    Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-      const server = createServer().listen(0, '127.0.0.1', () => resolve(server));
-    })),
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer().listen(0, '127.0.0.1', () => resolve(server));
+        }),
+    ),
   );
   const ports = servers.map((server) => (server.address() as { port: number }).port);
   await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
@@ -83,19 +87,62 @@
     }
     for (const name of engineNames) this.engines.set(name, next());
     const seeds = coreNames.map((name) => this.peers.get(name)!);
-    const keyed = firms.map((name) => ({ name, callerKeys: [digestOf(callerKey(name))], operatorKeys: [digestOf(operatorKey(name))] }));
+    const keyed = firms.map((name) => ({
+      name,
+      callerKeys: [digestOf(callerKey(name))],
+      operatorKeys: [digestOf(operatorKey(name))],
+    }));
     [...coreNames, ...routerNames].forEach((name, at) => {
       const core = coreNames.includes(name);
-      const listen = { callers: this.callers.get(name) ?? '127.0.0.1:1', operators: this.operators.get(name)!, peers: this.peers.get(name)!, requests: this.requests.get(name) ?? '' };
-      const params = { fleet: 'local', name, zone: zones[at % zones.length], listen, seeds, firms: keyed, platform: { url: `http://${this.platform}/engines` }, ...(core ? { folder: join(folder, name), form: true } : {}), ...this.plan.params };
+      const listen = {
+        callers: this.callers.get(name) ?? '127.0.0.1:1',
+        operators: this.operators.get(name)!,
+        peers: this.peers.get(name)!,
+        requests: this.requests.get(name) ?? '',
+      };
+      const params = {
+        fleet: 'local',
+        name,
+        zone: zones[at % zones.length],
+        listen,
+        seeds,
+        firms: keyed,
+        platform: { url: `http://${this.platform}/engines` },
+        ...(core ? { folder: join(folder, name), form: true } : {}),
+        ...this.plan.params,
+      };
       writeFileSync(join(folder, `${name}.json`), JSON.stringify(params, null, 2));
     });
-    this.run('platform', ['stand', 'platform', '--address', this.platform, '--lag', String(this.plan.lag ?? 100), '--per-second', String(this.plan.perSecond ?? 10)]);
-    for (const name of engineNames) this.run(name, ['stand', 'engine', '--identifier', name, '--address', this.engines.get(name)!, ...(this.plan.engineFlags ?? [])]);
-    for (const name of coreNames) this.run(name, ['core', '--params', join(folder, `${name}.json`)]);
-    for (const name of routerNames) this.run(name, ['router', '--params', join(folder, `${name}.json`)]);
-    await this.until('the platform', async () => (await this.tell(this.platform, '/stand/counts')).answered !== undefined);
-    for (const [at, name] of engineNames.entries()) await this.list(this.listed(name, zones[at % zones.length]!));
+    this.run('platform', [
+      'stand',
+      'platform',
+      '--address',
+      this.platform,
+      '--lag',
+      String(this.plan.lag ?? 100),
+      '--per-second',
+      String(this.plan.perSecond ?? 10),
+    ]);
+    for (const name of engineNames)
+      this.run(name, [
+        'stand',
+        'engine',
+        '--identifier',
+        name,
+        '--address',
+        this.engines.get(name)!,
+        ...(this.plan.engineFlags ?? []),
+      ]);
+    for (const name of coreNames)
+      this.run(name, ['core', '--params', join(folder, `${name}.json`)]);
+    for (const name of routerNames)
+      this.run(name, ['router', '--params', join(folder, `${name}.json`)]);
+    await this.until(
+      'the platform',
+      async () => (await this.tell(this.platform, '/stand/counts')).answered !== undefined,
+    );
+    for (const [at, name] of engineNames.entries())
+      await this.list(this.listed(name, zones[at % zones.length]!));
   }
 
   listed(name: string, zone: string, identifier = name): Listed {
@@ -103,7 +150,18 @@
       const at = this.plan.engineFlags?.indexOf(key) ?? -1;
       return at >= 0 ? Number(this.plan.engineFlags![at + 1]) : otherwise;
     };
-    return { identifier, address: this.engines.get(name)!, model: 'family', adapters: [], weight_generation: 'w1', zone, labels: { pool: 'shared', group: Number(name.split('-')[1]) % 2 === 0 ? 'even' : 'odd' }, cache_capacity_tokens: flag('--capacity', 524_288), prefill_rate: flag('--prefill-rate', 8000), leaving: false };
+    return {
+      identifier,
+      address: this.engines.get(name)!,
+      model: 'family',
+      adapters: [],
+      weight_generation: 'w1',
+      zone,
+      labels: { pool: 'shared', group: Number(name.split('-')[1]) % 2 === 0 ? 'even' : 'odd' },
+      cache_capacity_tokens: flag('--capacity', 524_288),
+      prefill_rate: flag('--prefill-rate', 8000),
+      leaving: false,
+    };
   }
 
   list(entry: Listed): Promise<unknown> {
@@ -111,33 +169,68 @@
   }
 
   async tell(address: string, path: string, body: unknown = {}): Promise<Record<string, unknown>> {
-    const reply = await request(`http://${address}${path}`, { method: 'POST', body: JSON.stringify(body), headersTimeout: 2000, bodyTimeout: 2000 });
+    const reply = await request(`http://${address}${path}`, {
+      method: 'POST',
+      body: JSON.stringify(body),
+      headersTimeout: 2000,
+      bodyTimeout: 2000,
+    });
     return (await reply.body.json()) as Record<string, unknown>;
   }
 
   async runs(): Promise<{ runs: RunRecord[]; overreach: number; claims: number }> {
-    const all = await Promise.all([...this.engines.values()].map((address) => this.tell(address, '/stand/records') as Promise<unknown>)) as Array<{ records: RunRecord[]; judged: { claims: number; overreach: number } }>;
-    return { runs: all.flatMap(({ records }) => records), overreach: all.reduce((sum, { judged }) => sum + judged.overreach, 0), claims: all.reduce((sum, { judged }) => sum + judged.claims, 0) };
+    const all = (await Promise.all(
+      [...this.engines.values()].map(
+        (address) => this.tell(address, '/stand/records') as Promise<unknown>,
+      ),
+    )) as Array<{ records: RunRecord[]; judged: { claims: number; overreach: number } }>;
+    return {
+      runs: all.flatMap(({ records }) => records),
+      overreach: all.reduce((sum, { judged }) => sum + judged.overreach, 0),
+      claims: all.reduce((sum, { judged }) => sum + judged.claims, 0),
+    };
   }
 
   /** Sets a doorway through a node and returns what the operator was told. */
-  async setDoorway(node: string, doorway: Schemas['Doorway'], expects: number, change: string, wait = 10_000): Promise<Schemas['ChangedReply'] | undefined> {
-    const told = await operate({ node: this.operators.get(node)!, key: operatorKey(doorway.firm) }, 'doorway.set', { change, doorway, expects, wait });
+  async setDoorway(
+    node: string,
+    doorway: Schemas['Doorway'],
+    expects: number,
+    change: string,
+    wait = 10_000,
+  ): Promise<Schemas['ChangedReply'] | undefined> {
+    const told = await operate(
+      { node: this.operators.get(node)!, key: operatorKey(doorway.firm) },
+      'doorway.set',
+      { change, doorway, expects, wait },
+    );
     return told.toMaybe().extract();
   }
 
   async ready(names: Iterable<string>, limit = 30_000): Promise<void> {
-    for (const name of names) await this.until(`${name} to be ready`, async () => (await request(`http://${this.operators.get(name)!}/ready`)).statusCode === 200, limit);
+    for (const name of names)
+      await this.until(
+        `${name} to be ready`,
+        async () => (await request(`http://${this.operators.get(name)!}/ready`)).statusCode === 200,
+        limit,
+      );
   }
 
   /** Until each router is enrolled and grants claims on ids, so that what may not be repeated is let in too. */
   async claiming(names: Iterable<string>): Promise<void> {
-    for (const name of names) await this.until(`${name} to grant claims`, async () => (await this.metric(name, 'claims_open')) === 1);
+    for (const name of names)
+      await this.until(
+        `${name} to grant claims`,
+        async () => (await this.metric(name, 'claims_open')) === 1,
+      );
   }
 
   async metric(name: string, metric: string): Promise<number> {
     const text = await (await request(`http://${this.operators.get(name)!}/metrics`)).body.text();
-    return text.split('\n').filter((line) => line.startsWith(`rudderridge_${metric}`)).reduce((sum, line) => sum + Number(line.split(' ').pop()), 0);
+    return text
+      .split('\n')
+      .filter((line) => line.startsWith(`rudderridge_${metric}`))
+      .reduce((sum, line) => sum + Number(line.split(' ').pop()), 0);
   }
 
   pid(name: string): number {
@@ -150,7 +243,8 @@
 
   exited(name: string): Promise<number | null> {
     const child = this.running.get(name)!.child;
-    if (child.exitCode !== null || child.signalCode !== null) return Promise.resolve(child.exitCode);
+    if (child.exitCode !== null || child.signalCode !== null)
+      return Promise.resolve(child.exitCode);
     return new Promise((resolve) => child.once('exit', (code) => resolve(code)));
   }
 
@@ -182,7 +276,9 @@
 
   private run(name: string, args: readonly string[]): void {
     const log = createWriteStream(join(this.plan.folder, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [program, ...args], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const child = spawn(process.execPath, [program, ...args], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
     this.running.set(name, { args, child });
--- a/src/fleet/opaque.ts
+++ b/src/fleet/opaque.ts
@@ -11,7 +11,12 @@
 import type { Configuration, Patch, Route, Share } from '../route/shape.js';
 import { OpaqueCaller, type Asking } from '../stand/opaque/caller.js';
 import { OpaqueEngine, type OpaqueEngineParams } from '../stand/opaque/engine.js';
-import { judgeOpaque, type OpaqueBounds, type OpaqueFinding, type SentConfiguration } from '../stand/opaque/judge.js';
+import {
+  judgeOpaque,
+  type OpaqueBounds,
+  type OpaqueFinding,
+  type SentConfiguration,
+} from '../stand/opaque/judge.js';
 import type { Arrival, Asked } from '../stand/opaque/record.js';
 import { operatorKey, type Fleet } from './fleet.js';
 
@@ -37,13 +42,21 @@
   private readonly stop = new AbortController();
   private readonly calls: Array<Promise<Asked>> = [];
 
-  constructor(readonly fleet: Fleet, seed: number, private readonly engine: Partial<OpaqueEngineParams> = {}) {
+  constructor(
+    readonly fleet: Fleet,
+    seed: number,
+    private readonly engine: Partial<OpaqueEngineParams> = {},
+  ) {
     this.random = new SeededRandom(seed);
     this.caller = new OpaqueCaller(this.clock, new SeededRandom(seed + 1));
   }
 
   /** Starts an engine, at an address that was another's if told, and has it listed. */
-  async startEngine(identifier: string, service: string, address = '127.0.0.1:0'): Promise<OpaqueEngine> {
+  async startEngine(
+    identifier: string,
+    service: string,
+    address = '127.0.0.1:0',
+  ): Promise<OpaqueEngine> {
     const engine = new OpaqueEngine({ ...this.engine, identifier, service, address }, this.clock);
     const bound = await engine.listen();
     this.engines.set(identifier, engine);
@@ -75,25 +88,42 @@
 
   /** Sends a change through a node; what gets no clear answer is sent again unchanged, as operators do. */
   async put(node: string, configuration: Configuration, expects: number): Promise<Told> {
-    return this.send(configuration, () => operate(this.target(node), 'routes.put', { configuration: { ...configuration }, expects, wait: 5000 }));
+    return this.send(configuration, () =>
+      operate(this.target(node), 'routes.put', {
+        configuration: { ...configuration },
+        expects,
+        wait: 5000,
+      }),
+    );
   }
 
   async patch(node: string, patch: Patch, whole: Configuration, expects: number): Promise<Told> {
-    return this.send(whole, () => operate(this.target(node), 'routes.patch', { patch: { ...patch }, expects, wait: 5000 }));
+    return this.send(whole, () =>
+      operate(this.target(node), 'routes.patch', { patch: { ...patch }, expects, wait: 5000 }),
+    );
   }
 
   async shown(node: string): Promise<unknown> {
-    return (await operate(this.target(node), 'routes.show', { wait: 5000 })).toMaybe().extract()?.configuration;
+    return (await operate(this.target(node), 'routes.show', { wait: 5000 })).toMaybe().extract()
+      ?.configuration;
   }
 
   /** Follows which routers call themselves ready, as a platform does before it passes callers on to them. */
   async follow(): Promise<void> {
     while (!this.stop.signal.aborted) {
-      await Promise.all([...this.fleet.requests.keys()].map(async (name) => {
-        const well = await request(`http://${this.fleet.operators.get(name)!}/ready`, { headersTimeout: 500, bodyTimeout: 500 }).then(async (reply) => (await reply.body.dump(), reply.statusCode === 200), () => false);
-        if (well) this.ready.add(name);
-        else this.ready.delete(name);
-      }));
+      await Promise.all(
+        [...this.fleet.requests.keys()].map(async (name) => {
+          const well = await request(`http://${this.fleet.operators.get(name)!}/ready`, {
+            headersTimeout: 500,
+            bodyTimeout: 500,
+          }).then(
+            async (reply) => (await reply.body.dump(), reply.statusCode === 200),
+            () => false,
+          );
+          if (well) this.ready.add(name);
+          else this.ready.delete(name);
+        }),
+      );
       await pause(READY_EVERY);
     }
   }
@@ -101,7 +131,18 @@
   ask(name: string, asking: Kind['asking'], router?: string): Promise<Asked> {
     const names = this.ready.size ? [...this.ready] : [...this.fleet.requests.keys()];
     const choose = (): string => this.fleet.requests.get(router ?? pick(this.random, names)!)!;
-    const asked = this.caller.ask({ name, method: 'POST', body: Buffer.from(name), deadline: 8000, silence: 4000, furtherTries: router === undefined ? 2 : 0, ...asking }, choose);
+    const asked = this.caller.ask(
+      {
+        name,
+        method: 'POST',
+        body: Buffer.from(name),
+        deadline: 8000,
+        silence: 4000,
+        furtherTries: router === undefined ? 2 : 0,
+        ...asking,
+      },
+      choose,
+    );
     this.calls.push(asked);
     return asked;
   }
@@ -133,30 +174,79 @@
   }
 
   judged(bounds: OpaqueBounds): OpaqueFinding[] {
-    return judgeOpaque({ asked: this.caller.asked, arrivals: this.arrivals, configurations: this.configurations, leaving: this.leaving, bounds });
+    return judgeOpaque({
+      asked: this.caller.asked,
+      arrivals: this.arrivals,
+      configurations: this.configurations,
+      leaving: this.leaving,
+      bounds,
+    });
   }
 
   private target(node: string): { node: string; key: string } {
     return { node: this.fleet.operators.get(node)!, key: operatorKey(this.fleet.plan.firms[0]!) };
   }
 
-  private async send(configuration: Configuration, call: () => ReturnType<typeof operate<'routes.put'>>): Promise<Told> {
+  private async send(
+    configuration: Configuration,
+    call: () => ReturnType<typeof operate<'routes.put'>>,
+  ): Promise<Told> {
     const sentAt = this.clock.wall();
-    const at = this.configurations.push({ configuration, sentAt, acceptedAt: undefined, refused: false }) - 1;
+    const at =
+      this.configurations.push({ configuration, sentAt, acceptedAt: undefined, refused: false }) -
+      1;
     let told: Told = 'unknown';
     for (let tries = 0; told === 'unknown' && tries < 10; tries++) {
       if (tries > 0) await pause(200);
       told = (await call()).map(({ outcome }) => outcome).orDefault('unknown');
     }
-    this.configurations[at] = { configuration, sentAt, acceptedAt: told === 'accepted' ? this.clock.wall() : undefined, refused: told === 'conflict' || told === 'invalid' };
+    this.configurations[at] = {
+      configuration,
+      sentAt,
+      acceptedAt: told === 'accepted' ? this.clock.wall() : undefined,
+      refused: told === 'conflict' || told === 'invalid',
+    };
     return told;
   }
 
-  private list(identifier: string, service: string, address: string, leaving: boolean): Promise<unknown> {
+  private list(
+    identifier: string,
+    service: string,
+    address: string,
+    leaving: boolean,
+  ): Promise<unknown> {
     const { slots, cacheTokens } = this.engines.get(identifier)!.params;
-    return this.fleet.list({ identifier, address, model: 'm', adapters: [], weight_generation: '1', zone: this.fleet.plan.zones[0]!, labels: {}, cache_capacity_tokens: cacheTokens, prefill_rate: 8000, leaving, service, slots });
+    return this.fleet.list({
+      identifier,
+      address,
+      model: 'm',
+      adapters: [],
+      weight_generation: '1',
+      zone: this.fleet.plan.zones[0]!,
+      labels: {},
+      cache_capacity_tokens: cacheTokens,
+      prefill_rate: 8000,
+      leaving,
+      service,
+      slots,
+    });
   }
 }
 
 /** A route to one service or split over several, for scenes. */
-export const routeTo = (name: string, to: string | readonly Share[], over: Partial<Route> = {}): Route => ({ name, host: 'rail.example', prefix: `/${name}/`, kind: 'idempotent', timeout: 8000, target: 1000, gap: 500, attempts: 2, ...(typeof to === 'string' ? { service: to } : { split: to }), ...over });
+export const routeTo = (
+  name: string,
+  to: string | readonly Share[],
+  over: Partial<Route> = {},
+): Route => ({
+  name,
+  host: 'rail.example',
+  prefix: `/${name}/`,
+  kind: 'idempotent',
+  timeout: 8000,
+  target: 1000,
+  gap: 500,
+  attempts: 2,
+  ...(typeof to === 'string' ? { service: to } : { split: to }),
+  ...over,
+});
--- a/src/fleet/scenario.ts
+++ b/src/fleet/scenario.ts
@@ -9,7 +9,11 @@
 import { Fleet, type FleetPlan } from './fleet.js';
 import { drive, summary, type Called, type TrafficPlan } from './traffic.js';
 
-export type Fault = (fleet: Fleet, left: Map<string, number>, note: (fact: string, value: unknown) => void) => Promise<void>;
+export type Fault = (
+  fleet: Fleet,
+  left: Map<string, number>,
+  note: (fact: string, value: unknown) => void,
+) => Promise<void>;
 
 export interface Result {
   readonly scenario: string;
@@ -23,14 +27,30 @@
 export const doorways = (): Schemas['Doorway'][] =>
   firms.flatMap((firm) =>
     (['short', 'long'] as const).map((tag) => ({
-      name: `${firm}-${tag}`, firm, match: { model: 'family', tag }, engines: firm === 'sahel' ? [{ label: 'group', value: 'even' }] : [{ label: 'pool', value: 'shared' }],
-      repeatable: tag === 'long', resume: tag === 'long' && firm === 'sahel', limits: { firstToken: tag === 'short' ? 4000 : 10_000, total: 30_000 }, line: 200, share: tag === 'short' ? 4 : 1,
+      name: `${firm}-${tag}`,
+      firm,
+      match: { model: 'family', tag },
+      engines:
+        firm === 'sahel'
+          ? [{ label: 'group', value: 'even' }]
+          : [{ label: 'pool', value: 'shared' }],
+      repeatable: tag === 'long',
+      resume: tag === 'long' && firm === 'sahel',
+      limits: { firstToken: tag === 'short' ? 4000 : 10_000, total: 30_000 },
+      line: 200,
+      share: tag === 'short' ? 4 : 1,
     })),
   );
 
 export const openDoorways = async (fleet: Fleet): Promise<void> => {
   await fleet.ready(['core-1', 'core-2', 'core-3'].filter((name) => fleet.operators.has(name)));
-  for (const doorway of doorways()) await fleet.until(`doorway ${doorway.name}`, async () => (await fleet.setDoorway('core-1', doorway, 0, `open-${doorway.name}`))?.outcome === 'accepted');
+  for (const doorway of doorways())
+    await fleet.until(
+      `doorway ${doorway.name}`,
+      async () =>
+        (await fleet.setDoorway('core-1', doorway, 0, `open-${doorway.name}`))?.outcome ===
+        'accepted',
+    );
   await fleet.ready([...fleet.callers.keys()]);
   await fleet.claiming(fleet.callers.keys());
 };
@@ -55,7 +75,12 @@
   }
 }
 
-export const play = async (scenario: string, plan: FleetPlan, traffic: Omit<TrafficPlan, 'firms' | 'routers'>, fault: Fault): Promise<Result> => {
+export const play = async (
+  scenario: string,
+  plan: FleetPlan,
+  traffic: Omit<TrafficPlan, 'firms' | 'routers'>,
+  fault: Fault,
+): Promise<Result> => {
   const fleet = new Fleet(plan);
   const left = new Map<string, number>();
   const facts = new Map<string, unknown>();
@@ -73,13 +98,45 @@
       const firm = calls.find(({ id }) => id === request)?.firm;
       return firm !== 'sahel' || evens.has(engine.split('+')[0]!);
     };
-    const findings = judge({ callers: calls, runs: recorder.all, resumes: (request) => calls.some(({ id, firm, kind }) => id === request && firm === 'sahel' && kind === 'long'), allowed, left, overreach: recorder.overreach });
-    const retries = await Promise.all([...fleet.callers.keys()].map((name) => fleet.metric(name, 'retries_spent').catch(() => 0)));
+    const findings = judge({
+      callers: calls,
+      runs: recorder.all,
+      resumes: (request) =>
+        calls.some(({ id, firm, kind }) => id === request && firm === 'sahel' && kind === 'long'),
+      allowed,
+      left,
+      overreach: recorder.overreach,
+    });
+    const retries = await Promise.all(
+      [...fleet.callers.keys()].map((name) => fleet.metric(name, 'retries_spent').catch(() => 0)),
+    );
     const blocks = recorder.all.reduce((sum, run) => sum + run.blocks, 0);
     const hits = recorder.all.reduce((sum, run) => sum + run.hits, 0);
-    const perEngine = [...fleet.engines.keys()].map((name) => recorder.all.filter(({ engine }) => engine.split('+')[0] === name).length);
-    const lastAfterLeaving = [...left].map(([engine, since]) => Math.max(0, ...recorder.all.filter((run) => run.engine === engine).map(({ at }) => at - since)));
-    return { scenario, findings, figures: { ...summary(calls), runs: recorder.all.length, hitShare: Number((hits / blocks).toFixed(3)), claimedShareOfHits: Number((recorder.claims / hits).toFixed(3)), perEngine, ...(lastAfterLeaving.length ? { lastAfterLeavingMs: lastAfterLeaving } : {}), claimedBlocks: recorder.claims, overreach: recorder.overreach, retries: retries.reduce((sum, each) => sum + each, 0), ...Object.fromEntries(facts) } };
+    const perEngine = [...fleet.engines.keys()].map(
+      (name) => recorder.all.filter(({ engine }) => engine.split('+')[0] === name).length,
+    );
+    const lastAfterLeaving = [...left].map(([engine, since]) =>
+      Math.max(
+        0,
+        ...recorder.all.filter((run) => run.engine === engine).map(({ at }) => at - since),
+      ),
+    );
+    return {
+      scenario,
+      findings,
+      figures: {
+        ...summary(calls),
+        runs: recorder.all.length,
+        hitShare: Number((hits / blocks).toFixed(3)),
+        claimedShareOfHits: Number((recorder.claims / hits).toFixed(3)),
+        perEngine,
+        ...(lastAfterLeaving.length ? { lastAfterLeavingMs: lastAfterLeaving } : {}),
+        claimedBlocks: recorder.claims,
+        overreach: recorder.overreach,
+        retries: retries.reduce((sum, each) => sum + each, 0),
+        ...Object.fromEntries(facts),
+      },
+    };
   } finally {
     await fleet.stop();
   }
@@ -89,97 +146,149 @@
 
 export const faults = new Map<string, Fault>([
   ['calm', async () => undefined],
-  ['router-killed', async (fleet) => {
-    await seconds(2);
-    await fleet.kill('router-1');
-    await seconds(2);
-    fleet.again('router-1');
-  }],
-  ['core-killed', async (fleet) => {
-    await seconds(2);
-    await fleet.kill('core-2');
-    await seconds(2);
-    fleet.again('core-2');
-  }],
-  ['router-frozen', async (fleet) => {
-    await seconds(2);
-    fleet.signal('router-2', 'SIGSTOP');
-    await seconds(7);
-    fleet.signal('router-2', 'SIGCONT');
-  }],
-  ['herd-killed', async (fleet, _, note) => {
-    await seconds(2);
-    const names = [...fleet.callers.keys()];
-    await Promise.all(names.map((name) => fleet.kill(name)));
-    const from = performance.now();
-    for (const name of names) fleet.again(name);
-    await fleet.ready(names);
-    note('backAfterMs', Math.round(performance.now() - from));
-    await fleet.claiming(names);
-    note('claimsBackAfterMs', Math.round(performance.now() - from));
-  }],
-  ['all-killed', async (fleet, _, note) => {
-    await seconds(2);
-    const names = [...fleet.operators.keys()];
-    await Promise.all(names.map((name) => fleet.kill(name)));
-    const from = performance.now();
-    for (const name of names) fleet.again(name);
-    await fleet.ready([...fleet.callers.keys()]);
-    note('backAfterMs', Math.round(performance.now() - from));
-    await fleet.claiming(fleet.callers.keys());
-    note('claimsBackAfterMs', Math.round(performance.now() - from));
-  }],
-  ['engine-leaves', async (fleet, left) => {
-    await seconds(2);
-    left.set('engine-2', Date.now());
-    await fleet.tell(fleet.platform, '/stand/leave', { identifier: 'engine-2' });
-    await seconds(4);
-  }],
-  ['engine-replaced', async (fleet) => {
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-4')!, '/stand/behave', { identifier: 'engine-4+new' });
-    await seconds(2);
-    await fleet.tell(fleet.platform, '/stand/drop', { identifier: 'engine-4' });
-    await fleet.list({ ...fleet.listed('engine-4', 'a', 'engine-4+new'), labels: { pool: 'shared', group: 'even' } });
-    await seconds(2);
-  }],
-  ['address-reused', async (fleet) => {
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { identifier: 'engine-9' });
-    await seconds(3);
-  }],
-  ['engine-cuts', async (fleet) => {
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'cut' });
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'no-marker' });
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'foreign' });
-    await seconds(2);
-    await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'well' });
-  }],
-  ['engine-dark', async (fleet) => {
-    await seconds(2);
-    fleet.signal('engine-2', 'SIGSTOP');
-    await seconds(5);
-    fleet.signal('engine-2', 'SIGCONT');
-  }],
-  ['router-drains', async (fleet, _, note) => {
-    await seconds(2);
-    const from = performance.now();
-    fleet.signal('router-1', 'SIGTERM');
-    note('exitCode', await fleet.exited('router-1'));
-    note('drainedAfterMs', Math.round(performance.now() - from));
-    fleet.again('router-1');
-  }],
-  ['doorway-storm', async (fleet, _, note) => {
-    await seconds(1);
-    const from = performance.now();
-    const base = doorways()[0]!;
-    const told = await Promise.all(Array.from({ length: 200 }, (__, at) => fleet.setDoorway(['core-1', 'core-2', 'router-1', 'router-2'][at % 4]!, { ...base, name: `storm-${at}`, match: { tag: `storm-${at}` } }, 0, `storm-${at}`, 20_000)));
-    const outcomes = new Map<string, number>();
-    for (const each of told) outcomes.set(each?.outcome ?? 'fault', (outcomes.get(each?.outcome ?? 'fault') ?? 0) + 1);
-    note('stormMs', Math.round(performance.now() - from));
-    note('storm', Object.fromEntries(outcomes));
-  }],
+  [
+    'router-killed',
+    async (fleet) => {
+      await seconds(2);
+      await fleet.kill('router-1');
+      await seconds(2);
+      fleet.again('router-1');
+    },
+  ],
+  [
+    'core-killed',
+    async (fleet) => {
+      await seconds(2);
+      await fleet.kill('core-2');
+      await seconds(2);
+      fleet.again('core-2');
+    },
+  ],
+  [
+    'router-frozen',
+    async (fleet) => {
+      await seconds(2);
+      fleet.signal('router-2', 'SIGSTOP');
+      await seconds(7);
+      fleet.signal('router-2', 'SIGCONT');
+    },
+  ],
+  [
+    'herd-killed',
+    async (fleet, _, note) => {
+      await seconds(2);
+      const names = [...fleet.callers.keys()];
+      await Promise.all(names.map((name) => fleet.kill(name)));
+      const from = performance.now();
+      for (const name of names) fleet.again(name);
+      await fleet.ready(names);
+      note('backAfterMs', Math.round(performance.now() - from));
+      await fleet.claiming(names);
+      note('claimsBackAfterMs', Math.round(performance.now() - from));
+    },
+  ],
+  [
+    'all-killed',
+    async (fleet, _, note) => {
+      await seconds(2);
+      const names = [...fleet.operators.keys()];
+      await Promise.all(names.map((name) => fleet.kill(name)));
+      const from = performance.now();
+      for (const name of names) fleet.again(name);
+      await fleet.ready([...fleet.callers.keys()]);
+      note('backAfterMs', Math.round(performance.now() - from));
+      await fleet.claiming(fleet.callers.keys());
+      note('claimsBackAfterMs', Math.round(performance.now() - from));
+    },
+  ],
+  [
+    'engine-leaves',
+    async (fleet, left) => {
+      await seconds(2);
+      left.set('engine-2', Date.now());
+      await fleet.tell(fleet.platform, '/stand/leave', { identifier: 'engine-2' });
+      await seconds(4);
+    },
+  ],
+  [
+    'engine-replaced',
+    async (fleet) => {
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-4')!, '/stand/behave', {
+        identifier: 'engine-4+new',
+      });
+      await seconds(2);
+      await fleet.tell(fleet.platform, '/stand/drop', { identifier: 'engine-4' });
+      await fleet.list({
+        ...fleet.listed('engine-4', 'a', 'engine-4+new'),
+        labels: { pool: 'shared', group: 'even' },
+      });
+      await seconds(2);
+    },
+  ],
+  [
+    'address-reused',
+    async (fleet) => {
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { identifier: 'engine-9' });
+      await seconds(3);
+    },
+  ],
+  [
+    'engine-cuts',
+    async (fleet) => {
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'cut' });
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'no-marker' });
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'foreign' });
+      await seconds(2);
+      await fleet.tell(fleet.engines.get('engine-2')!, '/stand/behave', { behaviour: 'well' });
+    },
+  ],
+  [
+    'engine-dark',
+    async (fleet) => {
+      await seconds(2);
+      fleet.signal('engine-2', 'SIGSTOP');
+      await seconds(5);
+      fleet.signal('engine-2', 'SIGCONT');
+    },
+  ],
+  [
+    'router-drains',
+    async (fleet, _, note) => {
+      await seconds(2);
+      const from = performance.now();
+      fleet.signal('router-1', 'SIGTERM');
+      note('exitCode', await fleet.exited('router-1'));
+      note('drainedAfterMs', Math.round(performance.now() - from));
+      fleet.again('router-1');
+    },
+  ],
+  [
+    'doorway-storm',
+    async (fleet, _, note) => {
+      await seconds(1);
+      const from = performance.now();
+      const base = doorways()[0]!;
+      const told = await Promise.all(
+        Array.from({ length: 200 }, (__, at) =>
+          fleet.setDoorway(
+            ['core-1', 'core-2', 'router-1', 'router-2'][at % 4]!,
+            { ...base, name: `storm-${at}`, match: { tag: `storm-${at}` } },
+            0,
+            `storm-${at}`,
+            20_000,
+          ),
+        ),
+      );
+      const outcomes = new Map<string, number>();
+      for (const each of told)
+        outcomes.set(each?.outcome ?? 'fault', (outcomes.get(each?.outcome ?? 'fault') ?? 0) + 1);
+      note('stormMs', Math.round(performance.now() - from));
+      note('storm', Object.fromEntries(outcomes));
+    },
+  ],
 ]);
--- a/src/fleet/slopes/child.ts
+++ b/src/fleet/slopes/child.ts
@@ -32,14 +32,23 @@
 
 /** One child process of this tool, ended by its own id. */
 export class Child<T = unknown> {
-  private constructor(private readonly process: ChildProcess, readonly ready: T) {}
+  private constructor(
+    private readonly process: ChildProcess,
+    readonly ready: T,
+  ) {}
 
   static async start<T>(role: string, plan: unknown, gc = false): Promise<Child<T>> {
-    const child = fork(fileURLToPath(import.meta.url), [role], { execArgv: gc ? ['--expose-gc'] : [], stdio: ['ignore', 'ignore', 'inherit', 'ipc'], env: { ...process.env, DEBUG: 'none' } });
+    const child = fork(fileURLToPath(import.meta.url), [role], {
+      execArgv: gc ? ['--expose-gc'] : [],
+      stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
+      env: { ...process.env, DEBUG: 'none' },
+    });
     child.send({ plan });
     const ready = await new Promise<T>((resolve, reject) => {
       child.once('message', (message: { ready: T }) => resolve(message.ready));
-      child.once('exit', (code) => reject(new Error(`a ${role} process ended with ${code} before it was ready`)));
+      child.once('exit', (code) =>
+        reject(new Error(`a ${role} process ended with ${code} before it was ready`)),
+      );
     });
     return new Child(child, ready);
   }
@@ -74,10 +83,14 @@
 
 const serve = async (name: string): Promise<void> => {
   const role = await roles.get(name)!();
-  const { plan } = await new Promise<{ plan: never }>((resolve) => process.once('message', resolve));
+  const { plan } = await new Promise<{ plan: never }>((resolve) =>
+    process.once('message', resolve),
+  );
   const { ready, answer } = await role(plan);
   process.on('message', ({ question }: { question: unknown }) => {
-    void Promise.resolve(answer(question)).then((told) => process.send!({ usage: usageNow(), told }));
+    void Promise.resolve(answer(question)).then((told) =>
+      process.send!({ usage: usageNow(), told }),
+    );
   });
   process.on('disconnect', () => process.exit(0));
   process.send!({ ready });
--- a/src/fleet/slopes/counts.ts
+++ b/src/fleet/slopes/counts.ts
@@ -29,7 +29,8 @@
 /** Changes one by one, two virtual seconds apart, against the rates at rest. */
 const changesOf = async (plane: ControlPlane, rest: RoleRates): Promise<Record<string, number>> => {
   let version = 1;
-  if (!(await plane.configure(configurationOf(Math.max(1, plane.plan.items), 1), 0))) return { configured: 0 };
+  if (!(await plane.configure(configurationOf(Math.max(1, plane.plan.items), 1), 0)))
+    return { configured: 0 };
   const configureMs = await plane.inForce(1);
   await plane.world.run(plane.world.now + 3000);
   const everywhere: number[] = [];
@@ -37,7 +38,10 @@
   const began = plane.world.now;
   const counted = await plane.during(async () => {
     for (let change = 0; change < CHANGES; change++) {
-      const told = await plane.change(patchOf(change % Math.max(1, plane.plan.items), version + 1), version);
+      const told = await plane.change(
+        patchOf(change % Math.max(1, plane.plan.items), version + 1),
+        version,
+      );
       version += 1;
       everywhere.push(told.everywhere);
       accepted.push(told.accepted);
@@ -45,10 +49,17 @@
     }
   });
   const seconds = (plane.world.now - began) / 1000;
-  const extra = (role: RoleRates): number => ((received(role) - received(rest)) * seconds) / CHANGES;
+  const extra = (role: RoleRates): number =>
+    ((received(role) - received(rest)) * seconds) / CHANGES;
   return {
-    configured: 1, firstMs: rounded(configureMs), changeMs: rounded(spreadOf(everywhere).median), changeMsMost: rounded(Math.max(...everywhere)), acceptedMs: rounded(spreadOf(accepted).median),
-    bytesPerChange: rounded(extra(counted.router)), coreBytesSentPerChange: rounded((counted.core.all.sentBytes.sum * seconds) / CHANGES), documentBytes: plane.documentBytes,
+    configured: 1,
+    firstMs: rounded(configureMs),
+    changeMs: rounded(spreadOf(everywhere).median),
+    changeMsMost: rounded(Math.max(...everywhere)),
+    acceptedMs: rounded(spreadOf(accepted).median),
+    bytesPerChange: rounded(extra(counted.router)),
+    coreBytesSentPerChange: rounded((counted.core.all.sentBytes.sum * seconds) / CHANGES),
+    documentBytes: plane.documentBytes,
   };
 };
 
@@ -56,9 +67,20 @@
 const stormOf = async (plane: ControlPlane): Promise<Record<string, number>> => {
   const began = plane.world.now;
   const first = plane.version;
-  for (let version = first; version < first + STORM; version++) if ((await plane.patched(patchOf(version % Math.max(1, plane.plan.items), version + 1), version)) !== 'accepted') return { stormed: 0 };
+  for (let version = first; version < first + STORM; version++)
+    if (
+      (await plane.patched(
+        patchOf(version % Math.max(1, plane.plan.items), version + 1),
+        version,
+      )) !== 'accepted'
+    )
+      return { stormed: 0 };
   const acceptedMs = plane.world.now - began;
-  return { stormed: STORM, stormAcceptedMs: rounded(acceptedMs), stormLagMs: rounded(await plane.inForce(first + STORM)) };
+  return {
+    stormed: STORM,
+    stormAcceptedMs: rounded(acceptedMs),
+    stormLagMs: rounded(await plane.inForce(first + STORM)),
+  };
 };
 
 /** A change while two regions are cut apart: in force at once in the region that has the majority, everywhere after healing. */
@@ -73,7 +95,10 @@
 };
 
 /** Entries of the engine list that change one by one, and what a router receives for each. */
-const listChangesOf = async (plane: ControlPlane, rest: RoleRates): Promise<Record<string, number>> => {
+const listChangesOf = async (
+  plane: ControlPlane,
+  rest: RoleRates,
+): Promise<Record<string, number>> => {
   const began = plane.world.now;
   const counted = await plane.during(async () => {
     for (let change = 0; change < CHANGES; change++) {
@@ -82,10 +107,21 @@
     }
   });
   const seconds = (plane.world.now - began) / 1000;
-  return { bytesPerListChange: rounded(((received(counted.router) - received(rest)) * seconds) / CHANGES), bytesPerListChangeMostSent: rounded(((counted.router.all.sentBytes.most - rest.all.sentBytes.most) * seconds) / CHANGES) };
+  return {
+    bytesPerListChange: rounded(((received(counted.router) - received(rest)) * seconds) / CHANGES),
+    bytesPerListChangeMostSent: rounded(
+      ((counted.router.all.sentBytes.most - rest.all.sentBytes.most) * seconds) / CHANGES,
+    ),
+  };
 };
 
-export const countPoint = async ({ sweep, at, plan, seconds, trials }: CountAsk): Promise<Point> => {
+export const countPoint = async ({
+  sweep,
+  at,
+  plan,
+  seconds,
+  trials,
+}: CountAsk): Promise<Point> => {
   const plane = new ControlPlane(plan);
   const settled = await plane.start();
   const startedAfter = plane.world.now;
@@ -93,11 +129,32 @@
   void plane.pollers;
   const roles = await plane.quiet(seconds);
   const { cores, routers, engines, items, seed } = plan;
-  const figures = { settled: Number(settled), settledAfterMs: rounded(startedAfter), pollsPerSecond: rounded((plane.polls - polls) / seconds), pollers: plane.pollers, knownRouters: plane.knownRouters, countedRouters: plane.countedRouters };
+  const figures = {
+    settled: Number(settled),
+    settledAfterMs: rounded(startedAfter),
+    pollsPerSecond: rounded((plane.polls - polls) / seconds),
+    pollers: plane.pollers,
+    knownRouters: plane.knownRouters,
+    countedRouters: plane.countedRouters,
+  };
   const listChanges = engines > 0 ? await listChangesOf(plane, roles.router) : {};
   const changes = await changesOf(plane, roles.router);
-  const more = trials && changes['configured'] === 1 ? { ...(await stormOf(plane)), ...(await cutOf(plane)) } : {};
-  return { sweep, at, plan: { cores, routers, engines, items, seed }, seconds, roles, figures: { ...figures, ...listChanges, ...changes, ...more }, load: loadavg().map(rounded) };
+  const more =
+    trials && changes['configured'] === 1
+      ? { ...(await stormOf(plane)), ...(await cutOf(plane)) }
+      : {};
+  return {
+    sweep,
+    at,
+    plan: { cores, routers, engines, items, seed },
+    seconds,
+    roles,
+    figures: { ...figures, ...listChanges, ...changes, ...more },
+    load: loadavg().map(rounded),
+  };
 };
 
-export const count = ((ask: CountAsk) => countPoint(ask).then((ready) => ({ ready, answer: () => undefined }))) satisfies (plan: CountAsk) => unknown as Role;
+export const count = ((ask: CountAsk) =>
+  countPoint(ask).then((ready) => ({ ready, answer: () => undefined }))) satisfies (
+  plan: CountAsk,
+) => unknown as Role;
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -27,7 +27,9 @@
 
 const events = async (response: ServerResponse, count: number, gap: number): Promise<void> => {
   for (let at = 1; at <= count && !response.destroyed; at++) {
-    response.write(`id: ${at}\ndata: {"text":"some words of an answer, as long as they come","at":${at}}\n\n`);
+    response.write(
+      `id: ${at}\ndata: {"text":"some words of an answer, as long as they come","at":${at}}\n\n`,
+    );
     if (gap > 0 && at < count) await pause(gap);
   }
   response.end();
@@ -38,7 +40,11 @@
   ready: await portOf((request, response) => {
     const [count, gap] = request.url!.split('/').slice(-2).map(Number);
     request.resume().on('end', () => {
-      response.writeHead(200, { ...SEAL, 'x-request-id': request.headers['x-request-id'] ?? '', 'content-type': 'text/event-stream' });
+      response.writeHead(200, {
+        ...SEAL,
+        'x-request-id': request.headers['x-request-id'] ?? '',
+        'content-type': 'text/event-stream',
+      });
       void events(response, count!, gap!);
     });
   }),
@@ -54,15 +60,55 @@
 export const forwarder = (async ({ ports, engines }: ForwarderPlan) => {
   const params = checkParams({ name: 'router-1' }).unsafeCoerce();
   const listed = new Map(
-    Array.from({ length: engines }, (_, at): [string, Engine] => [`engine-${at}`, {
-      identifier: `engine-${at}`, address: `127.0.0.1:${ports[at % ports.length]}`, model: 'model', adapters: new Set<string>(), weightGeneration: 'w1', zone: 'zone-1', labels: new Map<string, string>(),
-      cacheCapacity: 262_144, prefillRate: 51_000, leaving: false, service: SERVICE, slots: 4096,
-    }]),
+    Array.from({ length: engines }, (_, at): [string, Engine] => [
+      `engine-${at}`,
+      {
+        identifier: `engine-${at}`,
+        address: `127.0.0.1:${ports[at % ports.length]}`,
+        model: 'model',
+        adapters: new Set<string>(),
+        weightGeneration: 'w1',
+        zone: 'zone-1',
+        labels: new Map<string, string>(),
+        cacheCapacity: 262_144,
+        prefillRate: 51_000,
+        leaving: false,
+        service: SERVICE,
+        slots: 4096,
+      },
+    ]),
   );
-  const services = new Map<string, unknown>([[names.log, silentLog], [names.standing, { holds: () => true, serves: () => true, nodes: 1 }], [names.news, { placed: () => listed, listed }]]);
-  const context = await NestFactory.createApplicationContext(RouterModule.with(params, { services, faces: [] }), { logger: false, abortOnError: false });
-  const route = { name: 'route', host: 'slopes.example', prefix: '/', kind: 'streaming' as const, timeout: 600_000, target: 600_000, gap: 600_000, service: SERVICE, attempts: 2 };
-  context.get<InForce>(names.inForce).swap({ ...genesis('slopes', []), configuration: { version: 1, routes: [route], services: [{ name: SERVICE, connections: 4096 }] } });
+  const services = new Map<string, unknown>([
+    [names.log, silentLog],
+    [names.standing, { holds: () => true, serves: () => true, nodes: 1 }],
+    [names.news, { placed: () => listed, listed }],
+  ]);
+  const context = await NestFactory.createApplicationContext(
+    RouterModule.with(params, { services, faces: [] }),
+    { logger: false, abortOnError: false },
+  );
+  const route = {
+    name: 'route',
+    host: 'slopes.example',
+    prefix: '/',
+    kind: 'streaming' as const,
+    timeout: 600_000,
+    target: 600_000,
+    gap: 600_000,
+    service: SERVICE,
+    attempts: 2,
+  };
+  context.get<InForce>(names.inForce).swap({
+    ...genesis('slopes', []),
+    configuration: {
+      version: 1,
+      routes: [route],
+      services: [{ name: SERVICE, connections: 4096 }],
+    },
+  });
   const handler = context.get<Forwarder>(names.forwarder);
-  return { ready: await portOf((request, response) => handler.handle(request, response)), answer: () => ({ open: handler.open }) };
+  return {
+    ready: await portOf((request, response) => handler.handle(request, response)),
+    answer: () => ({ open: handler.open }),
+  };
 }) satisfies (plan: ForwarderPlan) => unknown as Role;
--- a/src/fleet/slopes/hollow.ts
+++ b/src/fleet/slopes/hollow.ts
@@ -39,11 +39,27 @@
 const startOne = async (over: object, cores: ReadonlySet<string>): Promise<Node> => {
   const params = checkParams(over).unsafeCoerce();
   const traffic = new Traffic();
-  const net = new CountedNet(new TcpNet(), traffic, (peer) => (cores.has(peer) ? 'core' : 'router'));
-  const services = new Map<string, unknown>([[names.net, net], [names.log, silentLog]]);
-  const context = await NestFactory.createApplicationContext(RouterModule.with(params, { services, faces: [] }), { logger: false, abortOnError: false });
-  (await context.get(RouterNode).start()).ifLeft(({ reason }) => process.stderr.write(`${params.name}: ${reason}\n`));
-  return { name: params.name, standing: context.get(names.standing), inForce: context.get(names.inForce), news: context.get(names.news), traffic };
+  const net = new CountedNet(new TcpNet(), traffic, (peer) =>
+    cores.has(peer) ? 'core' : 'router',
+  );
+  const services = new Map<string, unknown>([
+    [names.net, net],
+    [names.log, silentLog],
+  ]);
+  const context = await NestFactory.createApplicationContext(
+    RouterModule.with(params, { services, faces: [] }),
+    { logger: false, abortOnError: false },
+  );
+  (await context.get(RouterNode).start()).ifLeft(({ reason }) =>
+    process.stderr.write(`${params.name}: ${reason}\n`),
+  );
+  return {
+    name: params.name,
+    standing: context.get(names.standing),
+    inForce: context.get(names.inForce),
+    news: context.get(names.news),
+    traffic,
+  };
 };
 
 export const hollow = (async ({ params, cores }: HollowPlan) => {
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -16,8 +16,16 @@
 export const ZONES = 8;
 
 export const listedEngine = (at: number): Listed => ({
-  identifier: `engine-${String(at).padStart(5, '0')}-a1b2c3`, address: `10.${20 + (at >> 16)}.${(at >> 8) & 255}.${at & 255}:8000`, model: `family-${at % 3}`, adapters: [], weight_generation: 'w1',
-  zone: `zone-${at % ZONES}`, labels: { group: `group-${at % 8}`, pool: 'shared' }, cache_capacity_tokens: 524_288, prefill_rate: 8000, leaving: false,
+  identifier: `engine-${String(at).padStart(5, '0')}-a1b2c3`,
+  address: `10.${20 + (at >> 16)}.${(at >> 8) & 255}.${at & 255}:8000`,
+  model: `family-${at % 3}`,
+  adapters: [],
+  weight_generation: 'w1',
+  zone: `zone-${at % ZONES}`,
+  labels: { group: `group-${at % 8}`, pool: 'shared' },
+  cache_capacity_tokens: 524_288,
+  prefill_rate: 8000,
+  leaving: false,
 });
 
 const CALM = 5000;
@@ -47,14 +55,42 @@
     const net: SimSite['net'] = (inner, node) => {
       const traffic = new Traffic();
       this.traffics.set(node, traffic);
-      return new CountedNet(inner, traffic, (peer) => kinds.get(peer) ?? (peer.startsWith('sim-core') ? 'core' : 'router'));
+      return new CountedNet(
+        inner,
+        traffic,
+        (peer) => kinds.get(peer) ?? (peer.startsWith('sim-core') ? 'core' : 'router'),
+      );
     };
-    const site: SimSite = { fleet: 'slopes', seeds, over: { form: true, law: { routers: 10_000 }, ...plan.over }, net };
-    seeds.forEach((seed, at) => this.cores.push(simCore(world, `core-${at}`, seed, `zone-${CORE_ZONES[at % ZONES]}`, new SimDisk(world), site)));
+    const site: SimSite = {
+      fleet: 'slopes',
+      seeds,
+      over: { form: true, law: { routers: 10_000 }, ...plan.over },
+      net,
+    };
+    seeds.forEach((seed, at) =>
+      this.cores.push(
+        simCore(
+          world,
+          `core-${at}`,
+          seed,
+          `zone-${CORE_ZONES[at % ZONES]}`,
+          new SimDisk(world),
+          site,
+        ),
+      ),
+    );
     for (const { node } of this.cores) void node.start();
     await world.run(1500);
     for (let at = 0; at < plan.routers; at++) {
-      const router = simRouter(world, `router-${at}`, address(at, 2), `zone-${at % ZONES}`, site, (host) => this.fetchFor(host), () => undefined);
+      const router = simRouter(
+        world,
+        `router-${at}`,
+        address(at, 2),
+        `zone-${at % ZONES}`,
+        site,
+        (host) => this.fetchFor(host),
+        () => undefined,
+      );
       this.routers.push(router);
       void router.node.start();
       await world.run(world.now + 10);
@@ -71,7 +107,9 @@
   }
 
   steady(): boolean {
-    return this.routers.every(({ standing, news }) => standing.holds() && news.placed().size === this.engines.length);
+    return this.routers.every(
+      ({ standing, news }) => standing.holds() && news.placed().size === this.engines.length,
+    );
   }
 
   /** Reads of the platform's list so far, by all routers. */
@@ -113,25 +151,44 @@
     const after = this.sums();
     const seconds = (this.world.now - began) / 1000;
     return {
-      core: ratesOf(this.cores.map(({ host }) => host.name), before, after, seconds),
-      router: ratesOf(this.routers.map(({ host }) => host.name), before, after, seconds),
+      core: ratesOf(
+        this.cores.map(({ host }) => host.name),
+        before,
+        after,
+        seconds,
+      ),
+      router: ratesOf(
+        this.routers.map(({ host }) => host.name),
+        before,
+        after,
+        seconds,
+      ),
     };
   }
 
   /** Puts a whole configuration in place of the one in force; says whether it was accepted. */
   async configure(configuration: Configuration, expects: number): Promise<boolean> {
-    return (await this.world.until(this.cores[0]!.configurator.replace(configuration, expects, 20_000))).outcome === 'accepted';
+    return (
+      (await this.world.until(this.cores[0]!.configurator.replace(configuration, expects, 20_000)))
+        .outcome === 'accepted'
+    );
   }
 
   /** Patches the configuration; gives the ms until it was told accepted and until it was in force at all routers given. */
-  async change(patch: Patch, expects: number, routers: readonly SimRouter[] = this.routers, limit = 30_000): Promise<{ accepted: number; everywhere: number }> {
+  async change(
+    patch: Patch,
+    expects: number,
+    routers: readonly SimRouter[] = this.routers,
+    limit = 30_000,
+  ): Promise<{ accepted: number; everywhere: number }> {
     const began = this.world.now;
     let accepted = NaN;
     void this.cores[0]!.configurator.patch(patch, expects, 20_000).then(({ outcome }) => {
       if (outcome === 'accepted') accepted = this.world.now - began;
     });
     const everywhere = await this.inForce(patch.version, routers, limit);
-    if (Number.isNaN(accepted)) await this.world.run(this.world.now + 3000, () => !Number.isNaN(accepted));
+    if (Number.isNaN(accepted))
+      await this.world.run(this.world.now + 3000, () => !Number.isNaN(accepted));
     return { accepted, everywhere };
   }
 
@@ -148,14 +205,20 @@
 
   /** Patches the configuration and waits for the answer only. */
   async patched(patch: Patch, expects: number): Promise<string> {
-    return (await this.world.until(this.cores[0]!.configurator.patch(patch, expects, 20_000))).outcome;
+    return (await this.world.until(this.cores[0]!.configurator.patch(patch, expects, 20_000)))
+      .outcome;
   }
 
   /** The ms from now until a version is in force at all routers given. */
-  async inForce(version: number, routers: readonly SimRouter[] = this.routers, limit = 30_000): Promise<number> {
+  async inForce(
+    version: number,
+    routers: readonly SimRouter[] = this.routers,
+    limit = 30_000,
+  ): Promise<number> {
     const began = this.world.now;
     while (this.world.now - began < limit) {
-      if (routers.every(({ inForce }) => inForce.routes.version >= version)) return this.world.now - began;
+      if (routers.every(({ inForce }) => inForce.routes.version >= version))
+        return this.world.now - began;
       await this.world.run(this.world.now + 5);
     }
     return NaN;
@@ -163,15 +226,22 @@
 
   /** Cuts the two regions of four zones from each other; what comes back mends the cut. */
   partRegions(): { heal: () => void; near: SimRouter[] } {
-    const far = ({ params }: { params: { zone: string } }): boolean => Number(params.zone.split('-')[1]) >= REGION;
+    const far = ({ params }: { params: { zone: string } }): boolean =>
+      Number(params.zone.split('-')[1]) >= REGION;
     const all = [...this.cores, ...this.routers];
-    const names = (wanted: boolean): string[] => all.filter((node) => far(node) === wanted).map(({ host }) => host.name);
-    return { heal: this.world.part(names(false), names(true)), near: this.routers.filter((router) => !far(router)) };
+    const names = (wanted: boolean): string[] =>
+      all.filter((node) => far(node) === wanted).map(({ host }) => host.name);
+    return {
+      heal: this.world.part(names(false), names(true)),
+      near: this.routers.filter((router) => !far(router)),
+    };
   }
 
   /** One engine of the list changes, as when it is replaced. */
   changeEngine(at: number, identifier: string): void {
-    this.engines = this.engines.map((engine, place) => (place === at ? { ...engine, identifier } : engine));
+    this.engines = this.engines.map((engine, place) =>
+      place === at ? { ...engine, identifier } : engine,
+    );
   }
 
   private sums(): Sums {
@@ -179,6 +249,11 @@
   }
 
   private fetchFor(host: Host): Fetch {
-    return () => new Promise((resolve) => host.later(2, () => resolve(Right({ text: JSON.stringify({ engines: this.engines }), wait: 0 }))));
+    return () =>
+      new Promise((resolve) =>
+        host.later(2, () =>
+          resolve(Right({ text: JSON.stringify({ engines: this.engines }), wait: 0 })),
+        ),
+      );
   }
 }
--- a/src/fleet/slopes/prefixes.ts
+++ b/src/fleet/slopes/prefixes.ts
@@ -25,8 +25,22 @@
   const held = new PartIndex(() => 1);
   let stored = 0;
   const at = (number: number) => {
-    const root = held.root({ model: `model-${number % MODELS}`, weightGeneration: 'w1', firm: `service-${number % services}` });
-    return { root, blocks: blocksOfParts([{ id: `system-${number}`, tokens: 900 }, { id: `tools-${number}`, tokens: 3100 }], root), engine: `engine-${(number * 7919) % engines}` };
+    const root = held.root({
+      model: `model-${number % MODELS}`,
+      weightGeneration: 'w1',
+      firm: `service-${number % services}`,
+    });
+    return {
+      root,
+      blocks: blocksOfParts(
+        [
+          { id: `system-${number}`, tokens: 900 },
+          { id: `tools-${number}`, tokens: 3100 },
+        ],
+        root,
+      ),
+      engine: `engine-${(number * 7919) % engines}`,
+    };
   };
   const answer = ((to: number): IndexTold => {
     const began = performance.now();
@@ -42,7 +56,12 @@
       if ((held.find(root, blocks).get(engine) ?? 0) === 2) found += 1;
     }
     const ended = performance.now();
-    return { claims: held.counts.get('claims') ?? 0, storeMicros: ((between - began) * 1000) / Math.max(1, to - from), findMicros: ((ended - between) * 1000) / LOOKUPS, found: found / LOOKUPS };
+    return {
+      claims: held.counts.get('claims') ?? 0,
+      storeMicros: ((between - began) * 1000) / Math.max(1, to - from),
+      findMicros: ((ended - between) * 1000) / LOOKUPS,
+      found: found / LOOKUPS,
+    };
   }) as (question: unknown) => IndexTold;
   return Promise.resolve({ ready: true, answer });
 }) satisfies (plan: IndexPlan) => unknown as Role;
--- a/src/fleet/slopes/routing.ts
+++ b/src/fleet/slopes/routing.ts
@@ -8,11 +8,26 @@
 
 const rounded = (value: number): number => Number(value.toPrecision(5));
 
-const figuresAt = (sweep: string, at: number, seconds: number, figures: Record<string, number>): Point => ({
-  sweep, at, plan: { cores: 0, routers: 1, engines: 0, items: 0, seed: 0 }, seconds: rounded(seconds), roles: {}, figures, load: loadavg().map(rounded),
+const figuresAt = (
+  sweep: string,
+  at: number,
+  seconds: number,
+  figures: Record<string, number>,
+): Point => ({
+  sweep,
+  at,
+  plan: { cores: 0, routers: 1, engines: 0, items: 0, seed: 0 },
+  seconds: rounded(seconds),
+  roles: {},
+  figures,
+  load: loadavg().map(rounded),
 });
 
-const PROMPT = { 'x-model': 'model', 'x-token-counts': '4200,200', 'x-prompt-parts': 'system:900,tools:3100,own:200' };
+const PROMPT = {
+  'x-model': 'model',
+  'x-token-counts': '4200,200',
+  'x-prompt-parts': 'system:900,tools:3100,own:200',
+};
 
 interface Bench {
   readonly forwarder: Child<number>;
@@ -22,14 +37,34 @@
 
 const openBench = async (engines: number): Promise<Bench> => {
   const engine = await Child.start<number>('engine', {});
-  const forwarder = await Child.start<number>('forwarder', { ports: [engine.ready], engines }, true);
+  const forwarder = await Child.start<number>(
+    'forwarder',
+    { ports: [engine.ready], engines },
+    true,
+  );
   const agent = new Agent({ keepAlive: true, maxSockets: Infinity });
-  return { forwarder, agent, end: async () => void (agent.destroy(), await forwarder.end(), await engine.end()) };
+  return {
+    forwarder,
+    agent,
+    end: async () => void (agent.destroy(), await forwarder.end(), await engine.end()),
+  };
 };
 
 let asked = 0;
 const send = (bench: Bench, path: string, body: Buffer): ClientRequest =>
-  ask({ host: '127.0.0.1', port: bench.forwarder.ready, path, method: 'POST', agent: bench.agent, headers: { host: 'slopes.example', 'x-request-id': `slopes-${++asked}`, 'content-length': body.length, ...PROMPT } });
+  ask({
+    host: '127.0.0.1',
+    port: bench.forwarder.ready,
+    path,
+    method: 'POST',
+    agent: bench.agent,
+    headers: {
+      host: 'slopes.example',
+      'x-request-id': `slopes-${++asked}`,
+      'content-length': body.length,
+      ...PROMPT,
+    },
+  });
 
 const once = (bench: Bench, path: string, body: Buffer): Promise<number> =>
   new Promise((resolve, reject) => {
@@ -42,12 +77,20 @@
 const BODY = Buffer.alloc(16_384, 'words ');
 
 /** Requests one after the other on some connections, each answered with a number of events at once. */
-const load = async (bench: Bench, events: number, gap: number, count: number, lines: number): Promise<number> => {
+const load = async (
+  bench: Bench,
+  events: number,
+  gap: number,
+  count: number,
+  lines: number,
+): Promise<number> => {
   let left = count;
   let good = 0;
-  await Promise.all(Array.from({ length: lines }, async () => {
-    while (left-- > 0) if ((await once(bench, `/${events}/${gap}`, BODY)) === 200) good += 1;
-  }));
+  await Promise.all(
+    Array.from({ length: lines }, async () => {
+      while (left-- > 0) if ((await once(bench, `/${events}/${gap}`, BODY)) === 200) good += 1;
+    }),
+  );
   return good;
 };
 
@@ -60,7 +103,13 @@
     const began = performance.now();
     const good = await load(bench, 1, 0, 3000, 8);
     const after = (await bench.forwarder.ask()).usage;
-    points.push(figuresAt('request by engines', engines, (performance.now() - began) / 1000, { requests: good, processorMicrosPerRequest: rounded(((after.processor - before.processor) * 1e6) / 3000), rss: after.rss }));
+    points.push(
+      figuresAt('request by engines', engines, (performance.now() - began) / 1000, {
+        requests: good,
+        processorMicrosPerRequest: rounded(((after.processor - before.processor) * 1e6) / 3000),
+        rss: after.rss,
+      }),
+    );
     await bench.end();
   }
   return points;
@@ -76,7 +125,12 @@
     const began = performance.now();
     const good = await load(bench, events, 2, 1000, 50);
     const after = (await bench.forwarder.ask()).usage;
-    points.push(figuresAt('request by events', events, (performance.now() - began) / 1000, { requests: good, processorMicrosPerRequest: rounded(((after.processor - before.processor) * 1e6) / 1000) }));
+    points.push(
+      figuresAt('request by events', events, (performance.now() - began) / 1000, {
+        requests: good,
+        processorMicrosPerRequest: rounded(((after.processor - before.processor) * 1e6) / 1000),
+      }),
+    );
     await bench.end();
   }
   return points;
@@ -92,12 +146,20 @@
       const sent = send(bench, '/1000/30000', BODY);
       sent.on('error', () => undefined);
       sent.end(BODY);
-      await new Promise<void>((resolve) => sent.on('response', (answer) => answer.once('data', () => resolve())));
+      await new Promise<void>((resolve) =>
+        sent.on('response', (answer) => answer.once('data', () => resolve())),
+      );
       open.push(sent);
     }
     await pause(500);
     const { usage, told } = await bench.forwarder.ask<{ open: number }>();
-    points.push(figuresAt('memory by open streams', streams, 0, { open: told.open, rss: usage.rss, heap: usage.heap }));
+    points.push(
+      figuresAt('memory by open streams', streams, 0, {
+        open: told.open,
+        rss: usage.rss,
+        heap: usage.heap,
+      }),
+    );
   }
   for (const sent of open) sent.destroy();
   await bench.end();
@@ -111,7 +173,16 @@
   for (const count of counts) {
     const began = performance.now();
     const { usage, told } = await child.ask<IndexTold>(count);
-    points.push(figuresAt('index by shared prefixes', count, (performance.now() - began) / 1000, { heap: usage.heap - empty.heap, rss: usage.rss, bytesPerPrefix: rounded((usage.heap - empty.heap) / count), findMicros: rounded(told.findMicros), storeMicros: rounded(told.storeMicros), found: told.found }));
+    points.push(
+      figuresAt('index by shared prefixes', count, (performance.now() - began) / 1000, {
+        heap: usage.heap - empty.heap,
+        rss: usage.rss,
+        bytesPerPrefix: rounded((usage.heap - empty.heap) / count),
+        findMicros: rounded(told.findMicros),
+        storeMicros: rounded(told.storeMicros),
+        found: told.found,
+      }),
+    );
   }
   await child.end();
   return points;
--- a/src/fleet/slopes/run.ts
+++ b/src/fleet/slopes/run.ts
@@ -25,29 +25,79 @@
 type Part = (ask: RunAsk, keep: (points: readonly Point[]) => void) => Promise<void>;
 
 /** Each point in a process of its own, some at once. */
-const counted = async (asks: readonly CountAsk[], atOnce: number, keep: (points: readonly Point[]) => void): Promise<void> => {
+const counted = async (
+  asks: readonly CountAsk[],
+  atOnce: number,
+  keep: (points: readonly Point[]) => void,
+): Promise<void> => {
   const waiting = [...asks];
-  await Promise.all(Array.from({ length: atOnce }, async () => {
-    for (let ask = waiting.shift(); ask; ask = waiting.shift()) {
-      const child = await Child.start<Point>('count', ask);
-      keep([child.ready]);
-      await child.end();
-    }
-  }));
+  await Promise.all(
+    Array.from({ length: atOnce }, async () => {
+      for (let ask = waiting.shift(); ask; ask = waiting.shift()) {
+        const child = await Child.start<Point>('count', ask);
+        keep([child.ready]);
+        await child.end();
+      }
+    }),
+  );
 };
 
 const countSizes: Part = ({ cores, sizes, seconds, seed, over, atOnce }, keep) =>
-  counted(cores.flatMap((count) => sizes.map((at) => ({ sweep: `routers, ${count} cores`, at, plan: { cores: count, routers: at, engines: 50, items: 0, seed, over }, seconds, trials: true }))), atOnce, keep);
+  counted(
+    cores.flatMap((count) =>
+      sizes.map((at) => ({
+        sweep: `routers, ${count} cores`,
+        at,
+        plan: { cores: count, routers: at, engines: 50, items: 0, seed, over },
+        seconds,
+        trials: true,
+      })),
+    ),
+    atOnce,
+    keep,
+  );
 
 const countEngines: Part = ({ engines, seconds, seed, over, atOnce }, keep) =>
-  counted(engines.map((at) => ({ sweep: 'engines', at, plan: { cores: 3, routers: 20, engines: at, items: 0, seed, over }, seconds, trials: false })), atOnce, keep);
+  counted(
+    engines.map((at) => ({
+      sweep: 'engines',
+      at,
+      plan: { cores: 3, routers: 20, engines: at, items: 0, seed, over },
+      seconds,
+      trials: false,
+    })),
+    atOnce,
+    keep,
+  );
 
 const countItems: Part = ({ items, seconds, seed, over, atOnce }, keep) =>
-  counted(items.map((at) => ({ sweep: 'items', at, plan: { cores: 3, routers: 10, engines: 50, items: at, seed, over }, seconds, trials: false })), atOnce, keep);
+  counted(
+    items.map((at) => ({
+      sweep: 'items',
+      at,
+      plan: { cores: 3, routers: 10, engines: 50, items: at, seed, over },
+      seconds,
+      trials: false,
+    })),
+    atOnce,
+    keep,
+  );
 
 /** One size after the other, since each takes several processors. */
 const processes: Part = async ({ cores, sizes, seconds, over }, keep) => {
-  for (const count of cores) for (const at of sizes) keep([await loopbackPoint({ sweep: `processor, ${count} cores`, at, cores: count, routers: at, engines: 50, over, seconds })]);
+  for (const count of cores)
+    for (const at of sizes)
+      keep([
+        await loopbackPoint({
+          sweep: `processor, ${count} cores`,
+          at,
+          cores: count,
+          routers: at,
+          engines: 50,
+          over,
+          seconds,
+        }),
+      ]);
 };
 
 export const parts: ReadonlyMap<string, Part> = new Map<string, Part>([
@@ -65,9 +115,11 @@
   const wanted = ask.parts.includes('all') ? [...parts.keys()] : ask.parts;
   for (const name of wanted) {
     const part = parts.get(name);
-    if (!part) throw new Error(`there is no part ${name}; there are ${[...parts.keys()].join(', ')}`);
+    if (!part)
+      throw new Error(`there is no part ${name}; there are ${[...parts.keys()].join(', ')}`);
     await part(ask, (points) => {
-      for (const { sweep, at, figures } of points) process.stdout.write(`${sweep} ${at}: ${JSON.stringify(figures)}\n`);
+      for (const { sweep, at, figures } of points)
+        process.stdout.write(`${sweep} ${at}: ${JSON.stringify(figures)}\n`);
       drawPlot(keepPoints(ask.out, points), ask.out.replace(/\.json$/, '.svg'));
     });
   }
--- a/src/fleet/slopes/shape.ts
+++ b/src/fleet/slopes/shape.ts
@@ -21,7 +21,13 @@
 export interface RoleRates {
   readonly all: { readonly [K in keyof Rates]: Spread };
   /** By call and by the kind of the other end; medians over the nodes, with the most of any node. */
-  readonly byCall: ReadonlyArray<{ readonly call: string; readonly peer: string; readonly way: string; readonly messages: Spread; readonly bytes: Spread }>;
+  readonly byCall: ReadonlyArray<{
+    readonly call: string;
+    readonly peer: string;
+    readonly way: string;
+    readonly messages: Spread;
+    readonly bytes: Spread;
+  }>;
 }
 
 export interface ControlPlan {
@@ -75,7 +81,11 @@
 }
 
 export interface RunFile {
-  readonly machine: { readonly processors: number; readonly memoryBytes: number; readonly node: string };
+  readonly machine: {
+    readonly processors: number;
+    readonly memoryBytes: number;
+    readonly node: string;
+  };
   readonly points: readonly Point[];
   readonly fits: readonly Fit[];
   readonly predictions: readonly Prediction[];
--- a/src/fleet/slopes/usage.ts
+++ b/src/fleet/slopes/usage.ts
@@ -18,6 +18,12 @@
   const stat = readFileSync(`/proc/${pid}/stat`, 'latin1');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
   const status = readFileSync(`/proc/${pid}/status`, 'latin1');
-  const kilobytes = (name: string): number => Number(new RegExp(`^${name}:\\s+(\\d+)`, 'm').exec(status)?.[1] ?? 0) * PAGE;
-  return { processor: (Number(fields[11]) + Number(fields[12])) / TICKS, rss: kilobytes('VmRSS'), peak: kilobytes('VmHWM'), own: kilobytes('RssAnon') };
+  const kilobytes = (name: string): number =>
+    Number(new RegExp(`^${name}:\\s+(\\d+)`, 'm').exec(status)?.[1] ?? 0) * PAGE;
+  return {
+    processor: (Number(fields[11]) + Number(fields[12])) / TICKS,
+    rss: kilobytes('VmRSS'),
+    peak: kilobytes('VmHWM'),
+    own: kilobytes('RssAnon'),
+  };
 };
--- a/src/fleet/traffic.ts
+++ b/src/fleet/traffic.ts
@@ -25,7 +25,12 @@
   readonly firm: string;
 }
 
-const timetable = (firm: string, number: number): string => Array.from({ length: 120 }, (_, at) => `${firm} train ${number * 1000 + at} leaves yard ${at % 7} at ${at % 24}:${(at * 7) % 60}`).join('\n');
+const timetable = (firm: string, number: number): string =>
+  Array.from(
+    { length: 120 },
+    (_, at) =>
+      `${firm} train ${number * 1000 + at} leaves yard ${at % 7} at ${at % 24}:${(at * 7) % 60}`,
+  ).join('\n');
 
 export const drive = async (plan: TrafficPlan): Promise<Called[]> => {
   const random = new SeededRandom(plan.seed);
@@ -39,9 +44,24 @@
     const kind = random.fraction() < plan.longPerSecond / perSecond ? 'long' : 'short';
     const firm = pick(random, plan.firms)!;
     const group = plan.hot ? 0 : Math.floor(random.fraction() * (plan.groups ?? 4));
-    const system = kind === 'long' || plan.hot ? timetable(firm, group) : `You answer short questions for ${firm}, desk ${group}. `.repeat(6);
+    const system =
+      kind === 'long' || plan.hot
+        ? timetable(firm, group)
+        : `You answer short questions for ${firm}, desk ${group}. `.repeat(6);
     const router = pick(random, plan.routers())!;
-    const ask = { router, key: callerKey(firm), id: `q${plan.seed}-${at}`, model: 'family', messages: [{ role: 'system', content: system }, { role: 'user', content: `request ${at}: when, and how much?` }], maxTokens: kind === 'long' ? 24 : 16, repeatable: kind === 'long', tag: kind };
+    const ask = {
+      router,
+      key: callerKey(firm),
+      id: `q${plan.seed}-${at}`,
+      model: 'family',
+      messages: [
+        { role: 'system', content: system },
+        { role: 'user', content: `request ${at}: when, and how much?` },
+      ],
+      maxTokens: kind === 'long' ? 24 : 16,
+      repeatable: kind === 'long',
+      tag: kind,
+    };
     calls.push(callOnce(ask).then((record) => ({ ...record, kind, firm })));
   }
   return Promise.all(calls);
@@ -55,12 +75,29 @@
 export const summary = (calls: readonly Called[]): object => {
   const of = (kind: string): readonly Called[] => calls.filter((call) => call.kind === kind);
   const spread = (some: readonly Called[]): object => {
-    const times = some.filter(({ outcome }) => outcome === 'result').map(({ firstPiece, began }) => firstPiece - began);
-    return { p10: Math.round(median(times, 0.1)), p50: Math.round(median(times)), p90: Math.round(median(times, 0.9)), p99: Math.round(median(times, 0.99)) };
+    const times = some
+      .filter(({ outcome }) => outcome === 'result')
+      .map(({ firstPiece, began }) => firstPiece - began);
+    return {
+      p10: Math.round(median(times, 0.1)),
+      p50: Math.round(median(times)),
+      p90: Math.round(median(times, 0.9)),
+      p99: Math.round(median(times, 0.99)),
+    };
   };
   const outcomes = new Map<string, number>();
   for (const { outcome } of calls) outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
   const reasons = new Map<string, number>();
-  for (const { outcome, reason } of calls) if (outcome !== 'result') reasons.set(`${outcome}: ${reason.replace(/\d+/g, 'N')}`, (reasons.get(`${outcome}: ${reason.replace(/\d+/g, 'N')}`) ?? 0) + 1);
-  return { calls: calls.length, outcomes: Object.fromEntries(outcomes), firstPieceMs: { short: spread(of('short')), long: spread(of('long')) }, reasons: Object.fromEntries(reasons) };
+  for (const { outcome, reason } of calls)
+    if (outcome !== 'result')
+      reasons.set(
+        `${outcome}: ${reason.replace(/\d+/g, 'N')}`,
+        (reasons.get(`${outcome}: ${reason.replace(/\d+/g, 'N')}`) ?? 0) + 1,
+      );
+  return {
+    calls: calls.length,
+    outcomes: Object.fromEntries(outcomes),
+    firstPieceMs: { short: spread(of('short')), long: spread(of('long')) },
+    reasons: Object.fromEntries(reasons),
+  };
 };
--- a/src/forward/budget.ts
+++ b/src/forward/budget.ts
@@ -19,7 +19,11 @@
   private readonly services = new Map<string, Counts>();
 
   /** `ratio` of fresh requests within `window` ms. */
-  constructor(private readonly ratio: number, private readonly window: number, private readonly clock: Clock) {}
+  constructor(
+    private readonly ratio: number,
+    private readonly window: number,
+    private readonly clock: Clock,
+  ) {}
 
   /** A request that is sent for the first time. */
   note(service: string): void {
@@ -39,14 +43,20 @@
     const now = Math.floor(this.clock.now() / (this.window / SLICES));
     const known = this.services.get(service);
     if (!known) {
-      const made: Counts = { fresh: new Array<number>(SLICES).fill(0), again: new Array<number>(REPEATED).fill(0), at: now };
+      const made: Counts = {
+        fresh: new Array<number>(SLICES).fill(0),
+        again: new Array<number>(REPEATED).fill(0),
+        at: now,
+      };
       this.services.set(service, made);
       return made;
     }
-    for (let at = Math.max(known.at, now - REPEATED) + 1; at <= now; at++) known.fresh[at % SLICES] = known.again[at % REPEATED] = 0;
+    for (let at = Math.max(known.at, now - REPEATED) + 1; at <= now; at++)
+      known.fresh[at % SLICES] = known.again[at % REPEATED] = 0;
     known.at = now;
     return known;
   }
 }
 
-const sum = (numbers: readonly number[]): number => numbers.reduce((total, each) => total + each, 0);
+const sum = (numbers: readonly number[]): number =>
+  numbers.reduce((total, each) => total + each, 0);
--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -14,7 +14,11 @@
   readonly gone = this.leave.signal;
   private ends = false;
 
-  constructor(private readonly request: IncomingMessage, private readonly response: ServerResponse, private readonly closing: () => boolean) {
+  constructor(
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    private readonly closing: () => boolean,
+  ) {
     this.fields = fieldsOf(request.rawHeaders);
     response.once('close', () => {
       if (!response.writableFinished) this.leave.abort();
@@ -43,7 +47,10 @@
   /** Whether the body's coding, where it has one, is one we can tell the end of. */
   get framed(): boolean {
     const codings = this.fields.filter(([name]) => name.toLowerCase() === 'transfer-encoding');
-    return codings.length === 0 || (codings.length === 1 && codings[0]![1].trim().toLowerCase() === 'chunked');
+    return (
+      codings.length === 0 ||
+      (codings.length === 1 && codings[0]![1].trim().toLowerCase() === 'chunked')
+    );
   }
 
   /** Whether nothing may follow on this connection. */
@@ -58,7 +65,10 @@
 
   private get bodied(): boolean {
     const told = this.request.headers['content-length'];
-    return this.request.headers['transfer-encoding'] !== undefined || (told !== undefined && Number(told) > 0);
+    return (
+      this.request.headers['transfer-encoding'] !== undefined ||
+      (told !== undefined && Number(told) > 0)
+    );
   }
 
   /** The whole body; undefined where the request has none. */
@@ -69,7 +79,10 @@
       request.resume();
       return Promise.resolve(Right(undefined));
     }
-    if (told !== undefined && Number(told) > bound) return Promise.resolve(failed('caller.body', 'caller', `a body of ${told} bytes is over the bound of ${bound}`));
+    if (told !== undefined && Number(told) > bound)
+      return Promise.resolve(
+        failed('caller.body', 'caller', `a body of ${told} bytes is over the bound of ${bound}`),
+      );
     return new Promise((resolve) => {
       const chunks: Buffer[] = [];
       let bytes = 0;
@@ -81,8 +94,12 @@
         }
         chunks.push(chunk);
       });
-      request.once('end', () => resolve(Right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))));
-      request.once('close', () => resolve(failed('caller.body', 'caller', 'the caller left before its request was whole')));
+      request.once('end', () =>
+        resolve(Right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))),
+      );
+      request.once('close', () =>
+        resolve(failed('caller.body', 'caller', 'the caller left before its request was whole')),
+      );
     });
   }
 
@@ -91,8 +108,12 @@
     const { response } = this;
     if (response.headersSent || response.destroyed) return this.cut();
     const body = `${JSON.stringify({ error: reason })}\n`;
-    const fields: Array<[string, string]> = [['Content-Type', 'application/json'], ['Content-Length', String(Buffer.byteLength(body))]];
-    if (retryAfter !== undefined) fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
+    const fields: Array<[string, string]> = [
+      ['Content-Type', 'application/json'],
+      ['Content-Length', String(Buffer.byteLength(body))],
+    ];
+    if (retryAfter !== undefined)
+      fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
     const unread = !this.request.complete && this.bodied;
     this.ends ||= this.closing() || unread || !response.shouldKeepAlive;
     if (this.ends) fields.push(['Connection', 'close']);
--- a/src/forward/chart.ts
+++ b/src/forward/chart.ts
@@ -4,7 +4,20 @@
  */
 import type { Journal } from '../kernel/journal/journal.js';
 
-export type ForwardState = 'received' | 'routed' | 'read' | 'placed' | 'sent' | 'answered' | 'streaming' | 'resuming' | 'complete' | 'refused' | 'unknown' | 'broken' | 'left';
+export type ForwardState =
+  | 'received'
+  | 'routed'
+  | 'read'
+  | 'placed'
+  | 'sent'
+  | 'answered'
+  | 'streaming'
+  | 'resuming'
+  | 'complete'
+  | 'refused'
+  | 'unknown'
+  | 'broken'
+  | 'left';
 
 const steps = new Map<ForwardState, ReadonlySet<ForwardState>>([
   ['received', new Set<ForwardState>(['routed', 'refused', 'left'])],
@@ -23,13 +36,27 @@
 ]);
 
 export type ForwardEvent =
-  | { readonly kind: 'step'; readonly request: string; readonly from: ForwardState; readonly to: ForwardState; readonly peer: string }
-  | { readonly kind: 'fault'; readonly request: string; readonly from: ForwardState; readonly to: ForwardState };
+  | {
+      readonly kind: 'step';
+      readonly request: string;
+      readonly from: ForwardState;
+      readonly to: ForwardState;
+      readonly peer: string;
+    }
+  | {
+      readonly kind: 'fault';
+      readonly request: string;
+      readonly from: ForwardState;
+      readonly to: ForwardState;
+    };
 
 export class ForwardChart {
   private held: ForwardState = 'received';
 
-  constructor(readonly request: string, private readonly journal: Journal<ForwardEvent>) {}
+  constructor(
+    readonly request: string,
+    private readonly journal: Journal<ForwardEvent>,
+  ) {}
 
   get state(): ForwardState {
     return this.held;
--- a/src/forward/dialect.ts
+++ b/src/forward/dialect.ts
@@ -45,11 +45,20 @@
     return at > 0 && tokens > 0 ? [{ id: pair.slice(0, at).trim(), tokens }] : [];
   });
 
-export const readPrompt = (model: string | undefined, counts: string | undefined, parts: string | undefined): Prompt | undefined => {
+export const readPrompt = (
+  model: string | undefined,
+  counts: string | undefined,
+  parts: string | undefined,
+): Prompt | undefined => {
   if (model === undefined) return undefined;
   const [tokens, output] = (counts ?? '').split(',');
   const read = readParts(parts);
-  return { model, tokens: count(tokens) || read.reduce((sum, part) => sum + part.tokens, 0), output: count(output), parts: read };
+  return {
+    model,
+    tokens: count(tokens) || read.reduce((sum, part) => sum + part.tokens, 0),
+    output: count(output),
+    parts: read,
+  };
 };
 
 export const ownDialect: Dialect = {
@@ -59,5 +68,6 @@
   seal: 'x-answer-seal',
   notRun: 'x-not-run',
   urgency: 'x-urgency',
-  prompt: (header) => readPrompt(header('x-model'), header('x-token-counts'), header('x-prompt-parts')),
+  prompt: (header) =>
+    readPrompt(header('x-model'), header('x-token-counts'), header('x-prompt-parts')),
 };
--- a/src/forward/events.ts
+++ b/src/forward/events.ts
@@ -16,7 +16,9 @@
 
   /** The events that are whole now; undefined when one grows over the bound of 1 MiB. */
   push(chunk: Uint8Array): WholeEvent[] | undefined {
-    this.held = this.held.length ? Buffer.concat([this.held, chunk]) : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
+    this.held = this.held.length
+      ? Buffer.concat([this.held, chunk])
+      : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
     const events: WholeEvent[] = [];
     let start = 0;
     for (let end = this.blank(start); end > 0; end = this.blank(start)) {
@@ -43,4 +45,5 @@
   }
 }
 
-const idOf = (raw: Buffer): string | undefined => /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(raw.toString('latin1'))?.[1];
+const idOf = (raw: Buffer): string | undefined =>
+  /(?:^|\n)id:[ ]?([^\r\n]*)/.exec(raw.toString('latin1'))?.[1];
