--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -17,7 +17,15 @@
 import { ForwardChart, type ForwardEvent } from './chart.js';
 import type { Dialect } from './dialect.js';
 import type { RequestHandler } from './face.js';
-import { attemptsOf, DEFAULT_WAIT, UNSENT_BOUND, type Attempt, type ForwardParams, type Job, type Pool } from './job.js';
+import {
+  attemptsOf,
+  DEFAULT_WAIT,
+  UNSENT_BOUND,
+  type Attempt,
+  type ForwardParams,
+  type Job,
+  type Pool,
+} from './job.js';
 import type { Links } from './link.js';
 import { Pourer } from './pour.js';
 import { Sender } from './sender.js';
@@ -62,7 +70,10 @@
     void this.turns
       .take(request.socket, caller, () => this.carry(caller))
       .catch((thrown: unknown) => {
-        this.log('fault', [['step', 'forward'], ['reason', String(thrown)]]);
+        this.log('fault', [
+          ['step', 'forward'],
+          ['reason', String(thrown)],
+        ]);
         caller.cut();
       })
       .finally(() => {
@@ -74,7 +85,11 @@
   async drain(limit: number): Promise<number> {
     this.closing = true;
     const stop = new AbortController();
-    if (this.running.size > 0) await Promise.race([new Promise<void>((resolve) => (this.emptied = resolve)), this.clock.sleep(limit, stop.signal)]);
+    if (this.running.size > 0)
+      await Promise.race([
+        new Promise<void>((resolve) => (this.emptied = resolve)),
+        this.clock.sleep(limit, stop.signal),
+      ]);
     stop.abort();
     return this.running.size;
   }
@@ -98,22 +113,29 @@
       caller.refuse(status, reason, retryAfter);
     };
     const table = this.inForce.routes;
-    if (table.version === 0 || !this.mayServe()) return refuse(503, 'no configuration is in force here', DEFAULT_WAIT);
+    if (table.version === 0 || !this.mayServe())
+      return refuse(503, 'no configuration is in force here', DEFAULT_WAIT);
     if (!caller.framed) {
       caller.forgo();
       return refuse(400, 'a transfer coding that is not chunked alone');
     }
-    if (table.limits.headerBytes !== undefined && caller.headerBytes > table.limits.headerBytes) return refuse(431, `a header of over ${table.limits.headerBytes} bytes`);
+    if (table.limits.headerBytes !== undefined && caller.headerBytes > table.limits.headerBytes)
+      return refuse(431, `a header of over ${table.limits.headerBytes} bytes`);
     const route = table.match(caller.field('host') ?? '', caller.target);
     if (!route) return refuse(404, 'no route has this host and path');
-    if (!id) return refuse(400, `the field ${this.dialect.requestId} is missing or stands more than once`);
+    if (!id)
+      return refuse(400, `the field ${this.dialect.requestId} is missing or stands more than once`);
     const service = this.pickService(route);
     if (!service) return refuse(503, 'the route names no service', DEFAULT_WAIT);
     chart.step('routed');
     const bound = table.limits.bodyBytes ?? this.params.bodyBytes;
-    if (this.held > this.params.heldBytes) return refuse(503, 'too many bytes are held here', DEFAULT_WAIT);
+    if (this.held > this.params.heldBytes)
+      return refuse(503, 'too many bytes are held here', DEFAULT_WAIT);
     const told = Number(caller.field(this.dialect.deadline));
-    const patience = Math.min(route.timeout, Number.isFinite(told) && told > 0 ? told : this.params.timeout);
+    const patience = Math.min(
+      route.timeout,
+      Number.isFinite(told) && told > 0 ? told : this.params.timeout,
+    );
     const body = await within(this.clock, patience, caller.body(bound));
     if (!body) return refuse(408, 'its time was over before it was read whole');
     if (body.isLeft()) {
@@ -122,8 +144,18 @@
     }
     chart.step('read');
     const job: Job = {
-      caller, route, service, id, chart, begun, body: body.extract() as Buffer | undefined, limit: (begun + patience) as Moment,
-      prompt: this.dialect.prompt((name) => caller.field(name)), tried: new Set(), sends: 0, unsent: 0,
+      caller,
+      route,
+      service,
+      id,
+      chart,
+      begun,
+      body: body.extract() as Buffer | undefined,
+      limit: (begun + patience) as Moment,
+      prompt: this.dialect.prompt((name) => caller.field(name)),
+      tried: new Set(),
+      sends: 0,
+      unsent: 0,
     };
     const size = job.body?.length ?? 0;
     this.held += size;
@@ -132,7 +164,10 @@
   }
 
   /** Sends until an answer begins, or says why there is none. */
-  private async attempt(job: Job, refuse: (status: number, reason: string, retryAfter?: number) => void): Promise<void> {
+  private async attempt(
+    job: Job,
+    refuse: (status: number, reason: string, retryAfter?: number) => void,
+  ): Promise<void> {
     const { caller, route, chart } = job;
     const attempts = attemptsOf(route);
     let mayHaveRun = false;
@@ -143,7 +178,8 @@
       caller.refuse(status, reason);
     };
     /** Refused only while it certainly did not run. */
-    const giveUp = (reason: string, wait: number): void => (mayHaveRun ? unknown(reason) : refuse(503, reason, wait));
+    const giveUp = (reason: string, wait: number): void =>
+      mayHaveRun ? unknown(reason) : refuse(503, reason, wait);
     for (;;) {
       const placed = this.sender.place(job);
       if ('wait' in placed) return giveUp(placed.reason, placed.wait);
@@ -162,11 +198,18 @@
           chart.step('read');
           continue;
         case 'not-run':
-          if (job.sends >= attempts || !this.budget.take(job.service.name)) return giveUp('the engine has no room', attempt.retryAfter ?? DEFAULT_WAIT);
+          if (job.sends >= attempts || !this.budget.take(job.service.name))
+            return giveUp('the engine has no room', attempt.retryAfter ?? DEFAULT_WAIT);
           break;
         case 'unknown':
           mayHaveRun = true;
-          if (this.clock.now() >= job.limit || !mayRepeat(route) || job.sends >= attempts || !this.budget.take(job.service.name)) return unknown(attempt.fault.reason);
+          if (
+            this.clock.now() >= job.limit ||
+            !mayRepeat(route) ||
+            job.sends >= attempts ||
+            !this.budget.take(job.service.name)
+          )
+            return unknown(attempt.fault.reason);
           break;
       }
       this.count('repeats');
@@ -207,9 +250,17 @@
 const firstToBegin = (attempts: readonly Promise<Attempt>[]): Promise<readonly [number, Attempt]> =>
   new Promise((resolve) => {
     const ended: Array<readonly [number, Attempt]> = [];
-    attempts.forEach((attempt, at) => void attempt.then((told) => {
-      ended.push([at, told]);
-      if (told.kind === 'head' || told.kind === 'left') resolve([at, told]);
-      else if (ended.length === attempts.length) resolve(ended.find(([, { kind }]) => kind === 'unknown') ?? ended.find(([, { kind }]) => kind === 'not-run') ?? ended[0]!);
-    }));
+    attempts.forEach(
+      (attempt, at) =>
+        void attempt.then((told) => {
+          ended.push([at, told]);
+          if (told.kind === 'head' || told.kind === 'left') resolve([at, told]);
+          else if (ended.length === attempts.length)
+            resolve(
+              ended.find(([, { kind }]) => kind === 'unknown') ??
+                ended.find(([, { kind }]) => kind === 'not-run') ??
+                ended[0]!,
+            );
+        }),
+    );
   });
--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -44,7 +44,12 @@
 
 export interface Links {
   /** Sends a request and waits for the head of its answer; "declined" means that nothing was sent. The signal ends it at any point. */
-  send(engine: Engine, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>>;
+  send(
+    engine: Engine,
+    outgoing: Outgoing,
+    patience: Patience,
+    signal: AbortSignal,
+  ): Promise<Outcome<Answer>>;
   /** Whether one more request can be sent without going over the engine's bound on links. */
   open(engine: Engine, bound: number): boolean;
   prune(listed: ReadonlyMap<string, Engine>): void;
@@ -82,10 +87,25 @@
   private headed = false;
   private kept = false;
 
-  constructor(private readonly engine: Engine, private readonly clock: Clock, private readonly method: string, private readonly close: () => void, private readonly whole: () => void, private readonly put: (fields: Fields) => void, private readonly hear: () => void, private readonly lastHeard: () => Moment) {}
+  constructor(
+    private readonly engine: Engine,
+    private readonly clock: Clock,
+    private readonly method: string,
+    private readonly close: () => void,
+    private readonly whole: () => void,
+    private readonly put: (fields: Fields) => void,
+    private readonly hear: () => void,
+    private readonly lastHeard: () => Moment,
+  ) {}
 
   get framed(): boolean {
-    return this.status === 204 || this.status === 304 || this.method === 'HEAD' || only(this.fields, 'content-length') !== undefined || only(this.fields, 'transfer-encoding')?.trim().toLowerCase() === 'chunked';
+    return (
+      this.status === 204 ||
+      this.status === 304 ||
+      this.method === 'HEAD' ||
+      only(this.fields, 'content-length') !== undefined ||
+      only(this.fields, 'transfer-encoding')?.trim().toLowerCase() === 'chunked'
+    );
   }
 
   readonly handler: Dispatcher.DispatchHandler = {
@@ -115,7 +135,14 @@
       this.wake();
     },
     onResponseError: (_, error) => {
-      this.over = Left(fault('link.exchange', this.engine.address, reasonOf(error), this.sent ? 'unknown' : 'declined'));
+      this.over = Left(
+        fault(
+          'link.exchange',
+          this.engine.address,
+          reasonOf(error),
+          this.sent ? 'unknown' : 'declined',
+        ),
+      );
       this.close();
       this.wake();
     },
@@ -126,11 +153,19 @@
     if (this.headed) return Right(this);
     this.close();
     if (waited) return this.over as unknown as Outcome<Answer>;
-    return failed('link.head', this.engine.address, 'no answer within patience', this.sent ? 'unknown' : 'declined');
+    return failed(
+      'link.head',
+      this.engine.address,
+      'no answer within patience',
+      this.sent ? 'unknown' : 'declined',
+    );
   }
 
   async next(patience: Patience): Promise<Outcome<Uint8Array | undefined>> {
-    const waited = await this.until(() => this.held.length > 0 || this.over !== undefined, patience);
+    const waited = await this.until(
+      () => this.held.length > 0 || this.over !== undefined,
+      patience,
+    );
     const chunk = this.held.shift();
     if (chunk) {
       const paused = this.heldBytes > HELD_BOUND;
@@ -160,7 +195,8 @@
   private async until(question: () => boolean, { soft, hard }: Patience): Promise<boolean> {
     const begun = this.clock.now();
     while (!question()) {
-      const left = Math.min(begun + hard, Math.max(begun, this.lastHeard()) + soft) - this.clock.now();
+      const left =
+        Math.min(begun + hard, Math.max(begun, this.lastHeard()) + soft) - this.clock.now();
       if (left <= 0) return false;
       await within(this.clock, left, new Promise<void>((resolve) => (this.wake = resolve)));
     }
@@ -176,9 +212,18 @@
   opened = 0;
 
   /** `connectLimit`: ms for a socket to come up; `keep`: ms that an idle link is kept when the engine names no time. */
-  constructor(private readonly clock: Clock, private readonly connectLimit: number, private readonly keep: number) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly connectLimit: number,
+    private readonly keep: number,
+  ) {}
 
-  async send(engine: Engine, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>> {
+  async send(
+    engine: Engine,
+    outgoing: Outgoing,
+    patience: Patience,
+    signal: AbortSignal,
+  ): Promise<Outcome<Answer>> {
     for (;;) {
       const reused = this.takeKept(engine);
       const link = reused ?? this.dial(engine);
@@ -193,7 +238,8 @@
   }
 
   prune(listed: ReadonlyMap<string, Engine>): void {
-    for (const identifier of this.heard.keys()) if (!listed.has(identifier)) this.heard.delete(identifier);
+    for (const identifier of this.heard.keys())
+      if (!listed.has(identifier)) this.heard.delete(identifier);
     for (const [identifier, links] of this.kept) {
       const engine = listed.get(identifier);
       if (engine && engine.address === links[0]?.engine.address) continue;
@@ -206,7 +252,12 @@
     this.prune(new Map());
   }
 
-  private async exchange(link: Link, outgoing: Outgoing, patience: Patience, signal: AbortSignal): Promise<Outcome<Answer>> {
+  private async exchange(
+    link: Link,
+    outgoing: Outgoing,
+    patience: Patience,
+    signal: AbortSignal,
+  ): Promise<Outcome<Answer>> {
     const { client, engine } = link;
     this.count(engine, 1);
     let open = true;
@@ -223,10 +274,27 @@
     signal.addEventListener('abort', close, { once: true });
     const hear = (): void => void this.heard.set(engine.identifier, this.clock.now());
     const lastHeard = (): Moment => this.heard.get(engine.identifier) ?? (-Infinity as Moment);
-    const exchange = new Exchange(engine, this.clock, outgoing.method, close, over, (fields) => this.put(link, fields), hear, lastHeard);
+    const exchange = new Exchange(
+      engine,
+      this.clock,
+      outgoing.method,
+      close,
+      over,
+      (fields) => this.put(link, fields),
+      hear,
+      lastHeard,
+    );
     const headers = outgoing.fields.flat();
     try {
-      client.dispatch({ path: outgoing.target, method: outgoing.method as Dispatcher.HttpMethod, headers, body: outgoing.body ?? null }, exchange.handler);
+      client.dispatch(
+        {
+          path: outgoing.target,
+          method: outgoing.method as Dispatcher.HttpMethod,
+          headers,
+          body: outgoing.body ?? null,
+        },
+        exchange.handler,
+      );
     } catch (thrown) {
       close();
       return failed('link.dispatch', engine.address, reasonOf(thrown));
@@ -244,8 +312,11 @@
 
   private put(link: Link, fields: Fields): void {
     const { client, engine } = link;
-    const closing = fields.some(([name, value]) => name.toLowerCase() === 'connection' && /\bclose\b/i.test(value));
-    if (closing || client.closed || client.destroyed) return void client.destroy().catch(() => undefined);
+    const closing = fields.some(
+      ([name, value]) => name.toLowerCase() === 'connection' && /\bclose\b/i.test(value),
+    );
+    if (closing || client.closed || client.destroyed)
+      return void client.destroy().catch(() => undefined);
     const told = /timeout=(\d+)/i.exec(only(fields, 'keep-alive') ?? '')?.[1];
     const life = told === undefined ? this.keep : Math.min(this.keep, Number(told) * 1000 * 0.7);
     link.idleSince = this.clock.now();
@@ -260,7 +331,8 @@
     if (!links) return undefined;
     const now = this.clock.now();
     for (let link = links.pop(); link; link = links.pop()) {
-      if (link.engine.address === engine.address && !link.client.destroyed && now < link.until) return link;
+      if (link.engine.address === engine.address && !link.client.destroyed && now < link.until)
+        return link;
       void link.client.destroy().catch(() => undefined);
     }
     this.kept.delete(engine.identifier);
@@ -270,7 +342,14 @@
   private dial(engine: Engine): Link {
     this.opened += 1;
     const client = new Client(`http://${engine.address}`, {
-      connect: connectOnce(this.connectLimit), pipelining: 1, keepAliveTimeout: this.keep + 1000, keepAliveTimeoutThreshold: 200, keepAliveMaxTimeout: 600_000, bodyTimeout: 0, headersTimeout: 0, maxHeaderSize: 65_536,
+      connect: connectOnce(this.connectLimit),
+      pipelining: 1,
+      keepAliveTimeout: this.keep + 1000,
+      keepAliveTimeoutThreshold: 200,
+      keepAliveMaxTimeout: 600_000,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+      maxHeaderSize: 65_536,
     });
     client.on('connectionError', () => undefined);
     return { client, engine, idleSince: this.clock.now(), until: this.clock.now() };
--- a/src/forward/pour.ts
+++ b/src/forward/pour.ts
@@ -9,21 +9,38 @@
 import type { RepeatBudget } from './budget.js';
 import { EventCutter } from './events.js';
 import { endToEnd } from './fields.js';
-import { attemptsOf, UNSENT_BOUND, type ForwardParams, type Head, type Job, type Trail } from './job.js';
+import {
+  attemptsOf,
+  UNSENT_BOUND,
+  type ForwardParams,
+  type Head,
+  type Job,
+  type Trail,
+} from './job.js';
 import type { Sender } from './sender.js';
 
 export class Pourer {
-  constructor(private readonly sender: Sender, private readonly budget: RepeatBudget, private readonly params: ForwardParams, private readonly clock: Clock, private readonly log: Log, private readonly count: (what: string) => void) {}
+  constructor(
+    private readonly sender: Sender,
+    private readonly budget: RepeatBudget,
+    private readonly params: ForwardParams,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly count: (what: string) => void,
+  ) {}
 
   /** Hands the answer on, and goes on elsewhere where a stream broke and may. */
   async pass(job: Job, begun: Head): Promise<void> {
     const { caller, route, chart } = job;
     const { status, fields } = begun.answer;
-    const resumable = status >= 200 && status < 300 && route.kind === 'streaming' && route.resume === true;
-    const trail: Trail | undefined = resumable ? { last: caller.field('last-event-id'), handed: false } : undefined;
+    const resumable =
+      status >= 200 && status < 300 && route.kind === 'streaming' && route.resume === true;
+    const trail: Trail | undefined = resumable
+      ? { last: caller.field('last-event-id'), handed: false }
+      : undefined;
     caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
     chart.step('streaming', begun.ticket.engine.identifier);
-    for (let current = begun; ; ) {
+    for (let current = begun; ;) {
       const ended = await this.pour(job, current, trail);
       if (ended === 'left') return void chart.step('left');
       if (ended === 'whole') {
@@ -43,7 +60,11 @@
   }
 
   /** Pours one engine's answer out until its end. */
-  private async pour(job: Job, { answer, ticket, first, whole }: Head, trail: Trail | undefined): Promise<'whole' | 'broken' | 'left'> {
+  private async pour(
+    job: Job,
+    { answer, ticket, first, whole }: Head,
+    trail: Trail | undefined,
+  ): Promise<'whole' | 'broken' | 'left'> {
     const { caller, route } = job;
     const cutter = trail && new EventCutter();
     const over = (how: TicketEnd): 'whole' | 'broken' | 'left' => {
@@ -52,11 +73,15 @@
       return how === 'whole' || how === 'left' ? how : 'broken';
     };
     let chunk = first;
-    for (let ended = whole; ; ) {
+    for (let ended = whole; ;) {
       if (chunk && !cutter && !(await caller.write(chunk))) return over('left');
       for (const { raw, id } of chunk && cutter ? (cutter.push(chunk) ?? [overlong]) : []) {
         if (id !== undefined && !follows(trail!, id)) {
-          this.log('answer-broke', [['peer', ticket.engine.address], ['reason', `event ${id.slice(0, 40)} does not follow ${trail!.last ?? 'none'}`], ['request', job.id]]);
+          this.log('answer-broke', [
+            ['peer', ticket.engine.address],
+            ['reason', `event ${id.slice(0, 40)} does not follow ${trail!.last ?? 'none'}`],
+            ['request', job.id],
+          ]);
           return over('failed');
         }
         if (!(await caller.write(raw))) return over('left');
@@ -69,10 +94,20 @@
         return over('whole');
       }
       const left = Math.max(1, job.limit - this.clock.now());
-      const next = await answer.next({ soft: trail && route.gap !== undefined ? Math.max(this.params.gapLeast, route.gap * this.params.gapShare) : left, hard: left });
+      const next = await answer.next({
+        soft:
+          trail && route.gap !== undefined
+            ? Math.max(this.params.gapLeast, route.gap * this.params.gapShare)
+            : left,
+        hard: left,
+      });
       if (caller.gone.aborted) return over('left');
       if (next.isLeft()) {
-        this.log('answer-broke', [['peer', ticket.engine.address], ['reason', (next.extract() as Fault).reason], ['request', job.id]]);
+        this.log('answer-broke', [
+          ['peer', ticket.engine.address],
+          ['reason', (next.extract() as Fault).reason],
+          ['request', job.id],
+        ]);
         return over('failed');
       }
       chunk = next.extract() as Uint8Array | undefined;
@@ -85,7 +120,12 @@
   private async resume(job: Job, trail: Trail): Promise<Head | undefined> {
     const attempts = attemptsOf(job.route);
     job.chart.step('resuming');
-    while (job.sends < attempts && job.unsent < UNSENT_BOUND && this.clock.now() < job.limit && this.budget.take(job.service.name)) {
+    while (
+      job.sends < attempts &&
+      job.unsent < UNSENT_BOUND &&
+      this.clock.now() < job.limit &&
+      this.budget.take(job.service.name)
+    ) {
       this.count('resumes');
       const placed = this.sender.place(job);
       if ('wait' in placed) return undefined;
@@ -102,7 +142,8 @@
 }
 
 /** Whether an event may be handed on behind what was: none was yet, or its id is the next one. */
-const follows = (trail: Trail, id: string): boolean => (!trail.handed && trail.last === undefined) || Number(id) === Number(trail.last) + 1;
+const follows = (trail: Trail, id: string): boolean =>
+  (!trail.handed && trail.last === undefined) || Number(id) === Number(trail.last) + 1;
 
 /** Stands for an event over the bound; its id follows nothing. */
 const overlong = { raw: new Uint8Array(), id: 'NaN' };
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -11,11 +11,22 @@
 import { mayRepeat, type Service } from '../route/shape.js';
 import type { Dialect, Prompt } from './dialect.js';
 import { endToEnd, only, type Fields } from './fields.js';
-import { attemptsOf, DEFAULT_WAIT, type Attempt, type ForwardParams, type Job, type Pool, type Trail } from './job.js';
+import {
+  attemptsOf,
+  DEFAULT_WAIT,
+  type Attempt,
+  type ForwardParams,
+  type Job,
+  type Pool,
+  type Trail,
+} from './job.js';
 import type { Answer, Links, Outgoing, Patience } from './link.js';
 
 export class Sender {
-  private byService: { of: ReadonlyMap<string, Engine>; engines: Map<string, Engine[]> } = { of: new Map(), engines: new Map() };
+  private byService: { of: ReadonlyMap<string, Engine>; engines: Map<string, Engine[]> } = {
+    of: new Map(),
+    engines: new Map(),
+  };
 
   /** `mayServe` is asked immediately before each send; `routers` says how many routers share the engines' links. */
   constructor(
@@ -35,17 +46,37 @@
     const { route, service } = job;
     const now = this.clock.now();
     if (!this.mayServe()) return { wait: DEFAULT_WAIT, reason: 'this node may not serve now' };
-    const engines = this.engines(service, job.prompt).filter((engine) => !job.tried.has(engine.identifier) && this.links.open(engine, this.linkBound(service)));
+    const engines = this.engines(service, job.prompt).filter(
+      (engine) =>
+        !job.tried.has(engine.identifier) && this.links.open(engine, this.linkBound(service)),
+    );
     if (engines.length === 0) return { wait: DEFAULT_WAIT, reason: 'no engine can be asked' };
     const left = job.limit - now;
     if (left <= 0) return { wait: DEFAULT_WAIT, reason: 'its time is over' };
     const target = Math.max(1, Math.min(left, (route.target ?? left) - (now - job.begun)));
-    const placement = this.placer.place({ service, prompt: job.prompt, priority: route.priority ?? 0, target, deadline: left, affinity: route.affinity ?? false }, engines);
-    return placement.kind === 'placed' ? placement.ticket : { wait: placement.retryAfter, reason: placement.reason };
+    const placement = this.placer.place(
+      {
+        service,
+        prompt: job.prompt,
+        priority: route.priority ?? 0,
+        target,
+        deadline: left,
+        affinity: route.affinity ?? false,
+      },
+      engines,
+    );
+    return placement.kind === 'placed'
+      ? placement.ticket
+      : { wait: placement.retryAfter, reason: placement.reason };
   }
 
   /** Sends to the ticket's engine, behind what was handed on where there is any; the controller gives it up. */
-  async send(job: Job, ticket: Ticket, trail?: Trail, giveUp = new AbortController()): Promise<Attempt> {
+  async send(
+    job: Job,
+    ticket: Ticket,
+    trail?: Trail,
+    giveUp = new AbortController(),
+  ): Promise<Attempt> {
     const { caller } = job;
     const { engine } = ticket;
     const { signal } = giveUp;
@@ -54,7 +85,12 @@
       return { kind: 'left' };
     };
     job.tried.add(engine.identifier);
-    const outgoing: Outgoing = { method: caller.method, target: caller.target, body: job.body, fields: this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last) };
+    const outgoing: Outgoing = {
+      method: caller.method,
+      target: caller.target,
+      body: job.body,
+      fields: this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last),
+    };
     if (caller.gone.aborted) return left();
     caller.gone.addEventListener('abort', () => giveUp.abort(), { once: true });
     job.sends += 1;
@@ -71,7 +107,12 @@
         job.sends -= 1;
         return { kind: 'unsent' };
       }
-      this.log('send-failed', [['step', fault.step], ['peer', fault.peer], ['reason', fault.reason], ['request', job.id]]);
+      this.log('send-failed', [
+        ['step', fault.step],
+        ['peer', fault.peer],
+        ['reason', fault.reason],
+        ['request', job.id],
+      ]);
       return { kind: 'unknown', fault };
     }
     const answer = head.extract() as Answer;
@@ -81,7 +122,12 @@
       if (judged.kind === 'not-run') answer.settle();
       else answer.drop();
       ticket.end(judged.kind === 'not-run' ? 'turned-away' : 'failed');
-      if (judged.kind === 'unknown') this.log('answer-declined', [['peer', engine.address], ['reason', judged.fault.reason], ['request', job.id]]);
+      if (judged.kind === 'unknown')
+        this.log('answer-declined', [
+          ['peer', engine.address],
+          ['reason', judged.fault.reason],
+          ['request', job.id],
+        ]);
       return judged;
     }
     const first = await answer.next(patience());
@@ -100,24 +146,41 @@
 
   /** After how many ms without a byte a second send may go out beside this one; undefined where none may. */
   lateAfter({ route, prompt, sends }: Job, { expected = 0 }: Ticket): number | undefined {
-    if (!mayRepeat(route) || route.target === undefined || sends + 1 >= attemptsOf(route)) return undefined;
+    if (!mayRepeat(route) || route.target === undefined || sends + 1 >= attemptsOf(route))
+      return undefined;
     if (prompt && prompt.tokens > this.params.hedgeTokens) return undefined;
     return Math.max(route.target * this.params.impatience, expected * this.params.surprise);
   }
 
   /** A stream that goes on elsewhere is not left at an engine that says nothing to anyone here; any other bears silence. */
-  private patience({ limit, route }: Job, { expected = 0 }: Ticket, trail: Trail | undefined): Patience {
+  private patience(
+    { limit, route }: Job,
+    { expected = 0 }: Ticket,
+    trail: Trail | undefined,
+  ): Patience {
     const hard = Math.max(1, limit - this.clock.now());
-    return { soft: trail && route.target !== undefined ? Math.max(route.target, expected * this.params.surprise) : hard, hard };
+    return {
+      soft:
+        trail && route.target !== undefined
+          ? Math.max(route.target, expected * this.params.surprise)
+          : hard,
+      hard,
+    };
   }
 
   /** What is wrong with the head of an answer; undefined when it may be handed on. */
-  private judge(job: Job, { status, fields, framed }: Answer): Extract<Attempt, { kind: 'not-run' | 'unknown' }> | undefined {
+  private judge(
+    job: Job,
+    { status, fields, framed }: Answer,
+  ): Extract<Attempt, { kind: 'not-run' | 'unknown' }> | undefined {
     const field = (name: string): string | undefined => only(fields, name);
     const own = field(this.dialect.requestId) === job.id;
     if (own && (status === 421 || (field(this.dialect.notRun) !== undefined && status !== 400))) {
       const wait = Number(field('retry-after'));
-      return { kind: 'not-run', retryAfter: Number.isFinite(wait) && wait > 0 ? wait * 1000 : undefined };
+      return {
+        kind: 'not-run',
+        retryAfter: Number.isFinite(wait) && wait > 0 ? wait * 1000 : undefined,
+      };
     }
     const success = status >= 200 && status < 300;
     const reason = [
@@ -125,24 +188,42 @@
       !framed && 'an answer whose end can not be told',
       success && field(this.dialect.seal) === undefined && 'a success without the seal',
       success && field('content-encoding') !== undefined && 'an encoded body nobody asked for',
-      (status === 408 || status === 429 || status === 503) && `status ${status} without the word that it did not run`,
+      (status === 408 || status === 429 || status === 503) &&
+        `status ${status} without the word that it did not run`,
       status >= 500 && mayRepeat(job.route) && `status ${status}`,
     ].find(Boolean);
-    return reason ? { kind: 'unknown', fault: { step: 'forward.answer', peer: '', reason, certainty: 'unknown' } } : undefined;
+    return reason
+      ? {
+          kind: 'unknown',
+          fault: { step: 'forward.answer', peer: '', reason, certainty: 'unknown' },
+        }
+      : undefined;
   }
 
   private outgoing(job: Job, ticket: Ticket, left: number, after: string | undefined): Fields {
     const { dialect } = this;
-    const own = new Set(['content-length', dialect.deadline, dialect.expectInstance, dialect.urgency, ...(after === undefined ? [] : ['last-event-id'])]);
+    const own = new Set([
+      'content-length',
+      dialect.deadline,
+      dialect.expectInstance,
+      dialect.urgency,
+      ...(after === undefined ? [] : ['last-event-id']),
+    ]);
     const fields = endToEnd(job.caller.fields, own);
-    fields.push([dialect.deadline, String(Math.max(1, Math.floor(left)))], [dialect.expectInstance, ticket.engine.identifier], [dialect.urgency, String(ticket.urgency)]);
+    fields.push(
+      [dialect.deadline, String(Math.max(1, Math.floor(left)))],
+      [dialect.expectInstance, ticket.engine.identifier],
+      [dialect.urgency, String(ticket.urgency)],
+    );
     if (after !== undefined) fields.push(['last-event-id', after]);
     return fields;
   }
 
   /** This router's part of the links that an engine takes from all callers. */
   private linkBound(service: Service): number {
-    return service.connections === undefined ? Infinity : Math.max(1, Math.floor((service.connections * 0.9) / Math.max(1, this.routers())));
+    return service.connections === undefined
+      ? Infinity
+      : Math.max(1, Math.floor((service.connections * 0.9) / Math.max(1, this.routers())));
   }
 
   private engines(service: Service, prompt: Prompt | undefined): readonly Engine[] {
@@ -159,7 +240,9 @@
     }
     const all = this.byService.engines.get(service.name) ?? [];
     if (!prompt) return all;
-    const fit = all.filter((engine) => engine.model === prompt.model || engine.adapters.has(prompt.model));
+    const fit = all.filter(
+      (engine) => engine.model === prompt.model || engine.adapters.has(prompt.model),
+    );
     return fit.length ? fit : all;
   }
 }
--- a/src/forward/turns.ts
+++ b/src/forward/turns.ts
@@ -16,7 +16,9 @@
   /** Runs when the connection's earlier requests have ended, or never. */
   take(socket: Socket, caller: Caller, run: () => Promise<void>): Promise<void> {
     const before = this.newest.get(socket);
-    const ended = before ? before.ended.then(() => (before.caller.last ? caller.forgo() : run())) : run();
+    const ended = before
+      ? before.ended.then(() => (before.caller.last ? caller.forgo() : run()))
+      : run();
     this.newest.set(socket, { caller, ended: ended.catch(() => undefined) });
     return ended;
   }
--- a/src/index/hash.ts
+++ b/src/index/hash.ts
@@ -22,9 +22,11 @@
   readonly firm: string;
 }
 
-export const namespaceKey = ({ model, weightGeneration, firm }: Namespace): string => JSON.stringify([model, weightGeneration, firm]);
+export const namespaceKey = ({ model, weightGeneration, firm }: Namespace): string =>
+  JSON.stringify([model, weightGeneration, firm]);
 
-export const rootHash = (namespace: Namespace): string => short(['namespace\u0000', namespaceKey(namespace)]);
+export const rootHash = (namespace: Namespace): string =>
+  short(['namespace\u0000', namespaceKey(namespace)]);
 
 export const blocksOf = (bytes: Uint8Array, size: number, parent: string): Block[] => {
   const blocks: Block[] = [];
@@ -38,8 +40,13 @@
 };
 
 /** The bytes an engine's cache is keyed by: the ordered parts of the prompt, each led by its role. */
-export const promptBytes = (messages: ReadonlyArray<{ role: string; content: string }>): Uint8Array =>
-  Buffer.from(messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n', 'utf8');
+export const promptBytes = (
+  messages: ReadonlyArray<{ role: string; content: string }>,
+): Uint8Array =>
+  Buffer.from(
+    messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + '<assistant>\n',
+    'utf8',
+  );
 
 /** A part of a prompt that is named rather than shown: what the prompt tells stands for its bytes. */
 export interface NamedPart {
--- a/src/index/ledger.ts
+++ b/src/index/ledger.ts
@@ -17,7 +17,10 @@
   readonly depth: number;
 }
 
-const byAge = (a: Claim, b: Claim): number => a.touched - b.touched || b.depth - a.depth || (a.external < b.external ? -1 : a.external > b.external ? 1 : 0);
+const byAge = (a: Claim, b: Claim): number =>
+  a.touched - b.touched ||
+  b.depth - a.depth ||
+  (a.external < b.external ? -1 : a.external > b.external ? 1 : 0);
 
 export class Ledger {
   private readonly byBlock = new Map<string, Claim>();
@@ -25,7 +28,11 @@
   private readonly unseen: Array<{ at: Moment; tokens: number }> = [];
   private unseenTokens = 0;
 
-  constructor(private readonly capacity: number, private readonly blockTokens: number, private readonly others: (span: number) => number) {}
+  constructor(
+    private readonly capacity: number,
+    private readonly blockTokens: number,
+    private readonly others: (span: number) => number,
+  ) {}
 
   /** Notes a block as touched; an older touch never replaces a newer one. */
   touch(claim: Claim): void {
@@ -55,8 +62,13 @@
   lapse(now: Moment, flying: number): Claim[] {
     const gone: Claim[] = [];
     for (let oldest = this.aged.minKey(); oldest; oldest = this.aged.minKey()) {
-      while (this.unseen[0] && this.unseen[0].at < oldest.touched) this.unseenTokens -= this.unseen.shift()!.tokens;
-      const pushed = this.byBlock.size * this.blockTokens + flying + this.unseenTokens + this.others(now - oldest.touched);
+      while (this.unseen[0] && this.unseen[0].at < oldest.touched)
+        this.unseenTokens -= this.unseen.shift()!.tokens;
+      const pushed =
+        this.byBlock.size * this.blockTokens +
+        flying +
+        this.unseenTokens +
+        this.others(now - oldest.touched);
       if (pushed <= this.capacity) break;
       this.drop(oldest.external);
       gone.push(oldest);
--- a/src/index/parts.ts
+++ b/src/index/parts.ts
@@ -55,7 +55,10 @@
 export class PartIndex {
   private readonly trees = new Map<string, Tree>();
   private readonly roots = new Map<string, string>();
-  private readonly held = new Map<string, { readonly recency: Recency; readonly weights: string }>();
+  private readonly held = new Map<
+    string,
+    { readonly recency: Recency; readonly weights: string }
+  >();
 
   /** `routers` tells how many routers are thought to send to the engines, this one counted. */
   constructor(private readonly routers: () => number) {}
@@ -87,16 +90,30 @@
    * The engine has read these blocks, or found them kept. The last `own` of them belong to the request or its session:
    * every router sends as many of such, so they weigh for all routers; shared ones are the same for all.
    */
-  store(engine: string, weights: string, root: string, blocks: readonly SizedBlock[], own: number, capacity: number): void {
+  store(
+    engine: string,
+    weights: string,
+    root: string,
+    blocks: readonly SizedBlock[],
+    own: number,
+    capacity: number,
+  ): void {
     const tree = this.tree(root);
     const { recency } = this.holding(engine, weights);
     if (finish(tree.store(engine, undefined, blocks)) === 'rejected') return;
     const others = Math.max(1, this.routers());
     for (let at = blocks.length - 1; at >= 0; at--) {
       const { external, tokens } = blocks[at]!;
-      recency.touch(external, { tree, weight: at >= blocks.length - own ? tokens * others : tokens });
+      recency.touch(external, {
+        tree,
+        weight: at >= blocks.length - own ? tokens * others : tokens,
+      });
     }
-    for (const [external, of] of recency.lapse(capacity, Math.max(LEAST_SHARE, Math.floor(BLOCKS_BOUND / this.held.size)))) finish(of.remove(engine, external));
+    for (const [external, of] of recency.lapse(
+      capacity,
+      Math.max(LEAST_SHARE, Math.floor(BLOCKS_BOUND / this.held.size)),
+    ))
+      finish(of.remove(engine, external));
   }
 
   /** What was claimed for an engine turned out not to be there. */
@@ -112,11 +129,13 @@
 
   /** An identifier that is gone, or whose weights changed, holds nothing any more. */
   listed(engines: ReadonlyMap<string, { readonly weightGeneration: string }>): void {
-    for (const [engine, { weights }] of this.held) if (engines.get(engine)?.weightGeneration !== weights) this.forget(engine);
+    for (const [engine, { weights }] of this.held)
+      if (engines.get(engine)?.weightGeneration !== weights) this.forget(engine);
   }
 
   get counts(): ReadonlyMap<string, number> {
-    const sum = (of: (tree: Tree) => number): number => [...this.trees.values()].reduce((total, tree) => total + of(tree), 0);
+    const sum = (of: (tree: Tree) => number): number =>
+      [...this.trees.values()].reduce((total, tree) => total + of(tree), 0);
     return new Map([
       ['claims', [...this.held.values()].reduce((total, { recency }) => total + recency.size, 0)],
       ['rejected', sum((tree) => tree.rejected)],
@@ -131,7 +150,10 @@
     this.held.delete(engine);
   }
 
-  private holding(engine: string, weights: string): { readonly recency: Recency; readonly weights: string } {
+  private holding(
+    engine: string,
+    weights: string,
+  ): { readonly recency: Recency; readonly weights: string } {
     const known = this.held.get(engine);
     if (known && known.weights === weights) return known;
     if (known) this.forget(engine);
--- a/src/index/prefixes.ts
+++ b/src/index/prefixes.ts
@@ -36,7 +36,11 @@
   /** Whether the law that bounds the others' touches is kept by all; while it isn't, nothing is claimed. */
   lawful = true;
 
-  constructor(private readonly clock: Clock, private readonly law: LawParams, private readonly blockTokens: number) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly law: LawParams,
+    private readonly blockTokens: number,
+  ) {}
 
   /** How many leading blocks each engine surely holds now. */
   find(namespace: Namespace, blocks: readonly Block[]): Map<string, number> {
@@ -66,8 +70,11 @@
     if (held.broken) return;
     const tree = this.tree(event.namespace);
     const verdict = finish(tree.store(engine.identifier, event.parent, event.blocks));
-    if (verdict === 'rejected') return held.ledger.lostSight(event.touched, event.blocks.length * this.blockTokens);
-    event.blocks.forEach(({ external }, at) => held.ledger.touch({ external, tree, touched: event.touched, depth: event.depth + at }));
+    if (verdict === 'rejected')
+      return held.ledger.lostSight(event.touched, event.blocks.length * this.blockTokens);
+    event.blocks.forEach(({ external }, at) =>
+      held.ledger.touch({ external, tree, touched: event.touched, depth: event.depth + at }),
+    );
     this.lapse(engine.identifier, held);
   }
 
@@ -105,7 +112,8 @@
   }
 
   get counts(): ReadonlyMap<string, number> {
-    const sum = (of: (tree: Tree) => number): number => [...this.trees.values()].reduce((total, tree) => total + of(tree), 0);
+    const sum = (of: (tree: Tree) => number): number =>
+      [...this.trees.values()].reduce((total, tree) => total + of(tree), 0);
     return new Map([
       ['claims', [...this.engines.values()].reduce((total, { ledger }) => total + ledger.size, 0)],
       ['rejected', sum((tree) => tree.rejected)],
@@ -118,15 +126,24 @@
   }
 
   private lapse(identifier: string, held: Held): void {
-    for (const claim of held.ledger.lapse(later(this.clock.strict(), SLACK), held.flying)) finish(claim.tree.remove(identifier, claim.external));
+    for (const claim of held.ledger.lapse(later(this.clock.strict(), SLACK), held.flying))
+      finish(claim.tree.remove(identifier, claim.external));
   }
 
   private held(engine: Engine): Held {
     const known = this.engines.get(engine.identifier);
     if (known) return known;
     const law = lawFor(engine, this.law);
-    const ledger = new Ledger(engine.cacheCapacity, this.blockTokens, (span) => othersBound(law, span));
-    const made: Held = { ledger, weightGeneration: engine.weightGeneration, next: 1, broken: false, flying: 0 };
+    const ledger = new Ledger(engine.cacheCapacity, this.blockTokens, (span) =>
+      othersBound(law, span),
+    );
+    const made: Held = {
+      ledger,
+      weightGeneration: engine.weightGeneration,
+      next: 1,
+      broken: false,
+      flying: 0,
+    };
     this.engines.set(engine.identifier, made);
     return made;
   }
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -22,7 +22,12 @@
 type Plan =
   | { readonly kind: 'extend'; readonly vertex: Vertex; readonly blocks: readonly Block[] }
   | { readonly kind: 'attach'; readonly vertex: Vertex; readonly blocks: readonly Block[] }
-  | { readonly kind: 'cover'; readonly vertex: Vertex; readonly cutoff: number; readonly rest: readonly Block[] }
+  | {
+      readonly kind: 'cover';
+      readonly vertex: Vertex;
+      readonly cutoff: number;
+      readonly rest: readonly Block[];
+    }
   | { readonly kind: 'split'; readonly vertex: Vertex; readonly at: number };
 
 export class Tree {
@@ -33,7 +38,11 @@
   retries = 0;
 
   /** Stores a run of blocks for an engine behind a parent block that it covers, or at the root. */
-  *store(engine: string, parent: string | undefined, blocks: readonly Block[]): Steps<StoreVerdict> {
+  *store(
+    engine: string,
+    parent: string | undefined,
+    blocks: readonly Block[],
+  ): Steps<StoreVerdict> {
     let rest = blocks;
     let behind = parent;
     while (rest.length > 0) {
@@ -49,7 +58,11 @@
       }
       const version = plan.vertex.version;
       yield;
-      if (plan.vertex.version !== version || plan.vertex.detached || !this.commit(engine, plan, at.vertex, at.place)) {
+      if (
+        plan.vertex.version !== version ||
+        plan.vertex.detached ||
+        !this.commit(engine, plan, at.vertex, at.place)
+      ) {
         this.retries += 1;
         continue;
       }
@@ -100,7 +113,12 @@
       yield;
       const { edge } = child;
       let same = 0;
-      while (same < edge.length && depth + same < blocks.length && edge[same]!.external === blocks[depth + same]!.external) same += 1;
+      while (
+        same < edge.length &&
+        depth + same < blocks.length &&
+        edge[same]!.external === blocks[depth + same]!.external
+      )
+        same += 1;
       if (same === 0) break;
       const whole = same === edge.length;
       const still = new Set<string>();
@@ -129,7 +147,12 @@
       const { edge } = child;
       const cutoff = child.coverage(engine);
       let same = 0;
-      while (same < cutoff && depth + same < blocks.length && edge[same]!.external === blocks[depth + same]!.external) same += 1;
+      while (
+        same < cutoff &&
+        depth + same < blocks.length &&
+        edge[same]!.external === blocks[depth + same]!.external
+      )
+        same += 1;
       depth += same;
       if (same < edge.length) break;
       vertex = child;
@@ -153,7 +176,10 @@
     for (const vertex of touched) this.tidy(vertex);
   }
 
-  private locate(engine: string, parent: string | undefined): { vertex: Vertex; place: number } | undefined {
+  private locate(
+    engine: string,
+    parent: string | undefined,
+  ): { vertex: Vertex; place: number } | undefined {
     if (parent === undefined) return { vertex: this.root, place: -1 };
     const vertex = this.resolve(engine, parent, 'tail');
     const place = vertex?.places.get(parent);
@@ -198,7 +224,12 @@
 
   private planAlong(vertex: Vertex, from: number, blocks: readonly Block[]): Plan {
     let same = 0;
-    while (from + same < vertex.edge.length && same < blocks.length && vertex.edge[from + same]!.external === blocks[same]!.external) same += 1;
+    while (
+      from + same < vertex.edge.length &&
+      same < blocks.length &&
+      vertex.edge[from + same]!.external === blocks[same]!.external
+    )
+      same += 1;
     if (same > 0) return { kind: 'cover', vertex, cutoff: from + same, rest: blocks.slice(same) };
     return { kind: 'split', vertex, at: from };
   }
--- a/src/index/vertex.ts
+++ b/src/index/vertex.ts
@@ -15,7 +15,10 @@
   internal = false;
   detached = false;
 
-  constructor(edge: readonly Block[], public parent: Vertex | undefined) {
+  constructor(
+    edge: readonly Block[],
+    public parent: Vertex | undefined,
+  ) {
     this.edge = [...edge];
     this.edge.forEach(({ external }, place) => this.places.set(external, place));
   }
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -30,7 +30,10 @@
   private lead: number;
   private skew = 0;
 
-  constructor(private readonly now: () => number, private readonly wall: () => number) {
+  constructor(
+    private readonly now: () => number,
+    private readonly wall: () => number,
+  ) {
     this.lead = wall() - now();
   }
 
@@ -48,7 +51,10 @@
 
 @Injectable()
 export class SystemClock implements Clock {
-  private readonly reckoner = new Reckoner(() => this.now(), () => this.wall());
+  private readonly reckoner = new Reckoner(
+    () => this.now(),
+    () => this.wall(),
+  );
 
   now(): Moment {
     return performance.now() as Moment;
@@ -77,9 +83,16 @@
 }
 
 /** Waits for a promise until a limit; the promise goes on by itself when the limit comes first. */
-export const within = async <T>(clock: Clock, limit: Duration, promise: Promise<T>): Promise<T | undefined> => {
+export const within = async <T>(
+  clock: Clock,
+  limit: Duration,
+  promise: Promise<T>,
+): Promise<T | undefined> => {
   const stop = new AbortController();
-  const value = await Promise.race([promise, clock.sleep(limit, stop.signal).then(() => undefined)]);
+  const value = await Promise.race([
+    promise,
+    clock.sleep(limit, stop.signal).then(() => undefined),
+  ]);
   stop.abort('over');
   return value;
 };
--- a/src/kernel/disk/disk.ts
+++ b/src/kernel/disk/disk.ts
@@ -35,27 +35,32 @@
   constructor(private readonly root: string) {}
 
   write(path: string, bytes: Uint8Array): Promise<Outcome<void>> {
-    return attempt('disk.write', path, async () => {
-      const target = join(this.root, path);
-      const aside = `${target}.aside-${process.pid}-${++this.asides}`;
-      const made = await mkdir(dirname(target), { recursive: true });
-      if (made) await syncFolder(dirname(made));
-      await this.tidy(dirname(target));
-      try {
-        const handle = await open(aside, 'w', 0o600);
+    return attempt(
+      'disk.write',
+      path,
+      async () => {
+        const target = join(this.root, path);
+        const aside = `${target}.aside-${process.pid}-${++this.asides}`;
+        const made = await mkdir(dirname(target), { recursive: true });
+        if (made) await syncFolder(dirname(made));
+        await this.tidy(dirname(target));
         try {
-          await handle.writeFile(bytes);
-          await handle.sync();
-        } finally {
-          await handle.close();
+          const handle = await open(aside, 'w', 0o600);
+          try {
+            await handle.writeFile(bytes);
+            await handle.sync();
+          } finally {
+            await handle.close();
+          }
+          await rename(aside, target);
+        } catch (thrown) {
+          await rm(aside, { force: true }).catch(() => undefined);
+          throw thrown;
         }
-        await rename(aside, target);
-      } catch (thrown) {
-        await rm(aside, { force: true }).catch(() => undefined);
-        throw thrown;
-      }
-      await syncFolder(dirname(target));
-    }, 'unknown');
+        await syncFolder(dirname(target));
+      },
+      'unknown',
+    );
   }
 
   read(path: string): Promise<Outcome<Uint8Array | undefined>> {
@@ -72,7 +77,9 @@
   list(folder: string): Promise<Outcome<string[]>> {
     return attempt('disk.list', folder, async () => {
       try {
-        return (await readdir(join(this.root, folder))).filter((name) => !name.includes('.aside-')).sort();
+        return (await readdir(join(this.root, folder)))
+          .filter((name) => !name.includes('.aside-'))
+          .sort();
       } catch (thrown) {
         if (absent(thrown)) return [];
         throw thrown;
@@ -84,7 +91,9 @@
   private async tidy(folder: string): Promise<void> {
     if (this.tidied.has(folder)) return;
     this.tidied.add(folder);
-    const left = (await readdir(folder)).filter((name) => name.includes('.aside-') && !name.includes(`.aside-${process.pid}-`));
+    const left = (await readdir(folder)).filter(
+      (name) => name.includes('.aside-') && !name.includes(`.aside-${process.pid}-`),
+    );
     await Promise.all(left.map((name) => rm(join(folder, name), { force: true })));
   }
 
--- a/src/kernel/fault/fault.ts
+++ b/src/kernel/fault/fault.ts
@@ -16,10 +16,19 @@
 
 export type Outcome<T> = Either<Fault, T>;
 
-export const fault = (step: string, peer: string, reason: string, certainty: Certainty = 'declined'): Fault => ({ step, peer, reason, certainty });
+export const fault = (
+  step: string,
+  peer: string,
+  reason: string,
+  certainty: Certainty = 'declined',
+): Fault => ({ step, peer, reason, certainty });
 
-export const failed = <T = never>(step: string, peer: string, reason: string, certainty: Certainty = 'declined'): Outcome<T> =>
-  Left(fault(step, peer, reason, certainty));
+export const failed = <T = never>(
+  step: string,
+  peer: string,
+  reason: string,
+  certainty: Certainty = 'declined',
+): Outcome<T> => Left(fault(step, peer, reason, certainty));
 
 export const reasonOf = (thrown: unknown): string => {
   if (!(thrown instanceof Error)) return String(thrown);
@@ -27,7 +36,12 @@
   return code && !thrown.message.includes(code) ? `${code} ${thrown.message}` : thrown.message;
 };
 
-export const attempt = async <T>(step: string, peer: string, act: () => Promise<T> | T, certainty: Certainty = 'declined'): Promise<Outcome<T>> => {
+export const attempt = async <T>(
+  step: string,
+  peer: string,
+  act: () => Promise<T> | T,
+  certainty: Certainty = 'declined',
+): Promise<Outcome<T>> => {
   try {
     return Right(await act());
   } catch (thrown) {
--- a/src/kernel/log/log.ts
+++ b/src/kernel/log/log.ts
@@ -17,10 +17,18 @@
   if (!process.env['DEBUG']) debug.enable('rudderridge:*');
   const print = debug('rudderridge:event');
   print.log = (...args: unknown[]): void => void process.stderr.write(`${format(...args)}\n`);
-  (debug as unknown as { formatArgs: (args: unknown[]) => void }).formatArgs = (): void => undefined;
+  (debug as unknown as { formatArgs: (args: unknown[]) => void }).formatArgs = (): void =>
+    undefined;
   return (event, fields = []) => {
-    const pairs = fields.filter(([, value]) => value !== undefined).map(([key, value]) => `${key}=${quoted(value!)}`);
-    print('%s', [`at=${new Date().toISOString()}`, `node=${quoted(node)}`, `event=${event}`, ...pairs].join(' '));
+    const pairs = fields
+      .filter(([, value]) => value !== undefined)
+      .map(([key, value]) => `${key}=${quoted(value!)}`);
+    print(
+      '%s',
+      [`at=${new Date().toISOString()}`, `node=${quoted(node)}`, `event=${event}`, ...pairs].join(
+        ' ',
+      ),
+    );
   };
 };
 
--- a/src/kernel/net/net.ts
+++ b/src/kernel/net/net.ts
@@ -59,7 +59,10 @@
   private readonly inbox = new Inbox();
   private pending: Buffer = Buffer.alloc(0);
 
-  constructor(private readonly socket: Socket, readonly peer: string) {
+  constructor(
+    private readonly socket: Socket,
+    readonly peer: string,
+  ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk) => this.collect(chunk));
     socket.on('error', () => socket.destroy());
@@ -106,7 +109,10 @@
 
 export const parseAddress = (address: string): { host: string; port: number } => {
   const cut = address.lastIndexOf(':');
-  return { host: address.slice(0, cut).replace(/^\[|\]$/g, ''), port: Number(address.slice(cut + 1)) };
+  return {
+    host: address.slice(0, cut).replace(/^\[|\]$/g, ''),
+    port: Number(address.slice(cut + 1)),
+  };
 };
 
 @Injectable()
@@ -114,7 +120,9 @@
   listen(address: string, accept: (channel: Channel) => void): Promise<Outcome<Listener>> {
     const { host, port } = parseAddress(address);
     return new Promise((resolve) => {
-      const server: Server = createServer((socket) => accept(new SocketChannel(socket, `${socket.remoteAddress}:${socket.remotePort}`)));
+      const server: Server = createServer((socket) =>
+        accept(new SocketChannel(socket, `${socket.remoteAddress}:${socket.remotePort}`)),
+      );
       server.maxConnections = 4096;
       server.once('error', (thrown) => resolve(failed('net.listen', address, reasonOf(thrown))));
       server.listen(port, host, () => {
--- a/src/kernel/random/random.ts
+++ b/src/kernel/random/random.ts
@@ -37,12 +37,16 @@
   }
 
   identity(): string {
-    const word = (): string => Math.floor(this.fraction() * 0x100000000).toString(16).padStart(8, '0');
+    const word = (): string =>
+      Math.floor(this.fraction() * 0x100000000)
+        .toString(16)
+        .padStart(8, '0');
     return word() + word();
   }
 }
 
-export const pick = <T>(random: Random, items: readonly T[]): T | undefined => items[Math.floor(random.fraction() * items.length)];
+export const pick = <T>(random: Random, items: readonly T[]): T | undefined =>
+  items[Math.floor(random.fraction() * items.length)];
 
 export const shuffled = <T>(random: Random, items: readonly T[]): T[] => {
   const copy = [...items];
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -15,12 +15,19 @@
 const SLACK = 100;
 
 export class Acceptance {
-  constructor(private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {}
+  constructor(
+    private readonly peers: Peers,
+    private readonly roster: Roster,
+    private readonly clock: Clock,
+    private readonly terms: LeaseTerms = TERMS,
+  ) {}
 
   /** Waits, at most so many ms, until a settled generation may be called accepted. */
   of(generation: number, duration: number): Promise<Accord> {
     const limit = Math.max(0, duration);
-    return this.terms.lapse === 'stop' ? seekAccord(generation, limit, this.peers, this.roster, this.clock) : this.reports(generation, Math.min(limit, this.terms.patience));
+    return this.terms.lapse === 'stop'
+      ? seekAccord(generation, limit, this.peers, this.roster, this.clock)
+      : this.reports(generation, Math.min(limit, this.terms.patience));
   }
 
   private async reports(generation: number, patience: number): Promise<Accord> {
@@ -31,6 +38,10 @@
       (all) => sound(all).filter(({ vouched }) => vouched).length >= majority(members.length),
     );
     const replies = patience > 0 ? await within(this.clock, patience, asking) : undefined;
-    return { everywhere: true, silent: [...new Set(sound(replies ?? []).flatMap(({ silent }) => silent))], reasons: [] };
+    return {
+      everywhere: true,
+      silent: [...new Set(sound(replies ?? []).flatMap(({ silent }) => silent))],
+      reasons: [],
+    };
   }
 }
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -16,15 +16,26 @@
   readonly reasons: readonly string[];
 }
 
-export const seekAccord = async (generation: number, duration: number, peers: Peers, roster: Roster, clock: Clock): Promise<Accord> => {
+export const seekAccord = async (
+  generation: number,
+  duration: number,
+  peers: Peers,
+  roster: Roster,
+  clock: Clock,
+): Promise<Accord> => {
   const limit = clock.now() + duration;
   const vouchers = new Set<string>();
   const reported = new Set<string>();
   let enrolled: readonly string[] | undefined;
   const done = (members: readonly { id: string }[]): boolean => {
-    const core = members.length > 0 && members.filter(({ id }) => vouchers.has(id)).length >= majority(members.length);
+    const core =
+      members.length > 0 &&
+      members.filter(({ id }) => vouchers.has(id)).length >= majority(members.length);
     if (!core || !enrolled) return false;
-    return enrolled.length === 0 || enrolled.filter((name) => reported.has(name)).length >= majority(enrolled.length);
+    return (
+      enrolled.length === 0 ||
+      enrolled.filter((name) => reported.has(name)).length >= majority(enrolled.length)
+    );
   };
   for (let pause = 50; ; pause = 100) {
     const { members } = roster.core;
@@ -34,11 +45,17 @@
     const replies = await gather(
       open.map(({ address }) => address),
       async (address) => {
-        const reply = await peers.ask(address, Vouch, { generation, wait: Math.max(0, Math.min(left, 1000)) }, Math.max(50, Math.min(left, 1000)) + 200);
+        const reply = await peers.ask(
+          address,
+          Vouch,
+          { generation, wait: Math.max(0, Math.min(left, 1000)) },
+          Math.max(50, Math.min(left, 1000)) + 200,
+        );
         reply.ifRight((told) => {
           if (told.reason.startsWith('holds only')) return;
           enrolled = told.enrolled;
-          for (const { node, generation: at } of told.reports) if (at >= generation) reported.add(node);
+          for (const { node, generation: at } of told.reports)
+            if (at >= generation) reported.add(node);
           const seat = open.find((each) => each.address === address);
           if (told.vouched && seat) vouchers.add(seat.id);
         });
@@ -48,8 +65,18 @@
     );
     if (done(members)) return { everywhere: true, silent: [], reasons: [] };
     if (clock.now() >= limit) {
-      const silent = new Set([...sound(replies).flatMap((reply) => reply.silent), ...(enrolled ?? []).filter((name) => !reported.has(name))]);
-      const reasons = replies.map(([address, reply]) => reply.caseOf({ Left: ({ reason }) => `${address}: ${reason}`, Right: ({ reason }) => (reason ? `${address}: ${reason}` : '') })).filter(Boolean);
+      const silent = new Set([
+        ...sound(replies).flatMap((reply) => reply.silent),
+        ...(enrolled ?? []).filter((name) => !reported.has(name)),
+      ]);
+      const reasons = replies
+        .map(([address, reply]) =>
+          reply.caseOf({
+            Left: ({ reason }) => `${address}: ${reason}`,
+            Right: ({ reason }) => (reason ? `${address}: ${reason}` : ''),
+          }),
+        )
+        .filter(Boolean);
       return { everywhere: false, silent: [...silent], reasons };
     }
     await clock.sleep(pause);
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -2,34 +2,107 @@
 import { call } from '../wire/call.js';
 import { flag, list, number, struct, text } from '../wire/field.js';
 
-export interface RenewAsk { node: string; incarnation: string; address: string; zone: string; generation: number; report: number }
+export interface RenewAsk {
+  node: string;
+  incarnation: string;
+  address: string;
+  zone: string;
+  generation: number;
+  report: number;
+}
 /** `nodes`: how many nodes hold leases of this member, the asker counted. */
-export interface RenewReply { granted: boolean; duration: number; reason: string; nodes: number }
+export interface RenewReply {
+  granted: boolean;
+  duration: number;
+  reason: string;
+  nodes: number;
+}
 export const Renew = call<RenewAsk, RenewReply>(
-  16, 'lease.renew',
-  struct({ node: text, incarnation: text, address: text, zone: text, generation: number, report: number }),
+  16,
+  'lease.renew',
+  struct({
+    node: text,
+    incarnation: text,
+    address: text,
+    zone: text,
+    generation: number,
+    report: number,
+  }),
   struct({ granted: flag, duration: number, reason: text, nodes: number }),
 );
 
-export const Goodbye = call<{ node: string; incarnation: string }, { known: boolean }>(17, 'lease.goodbye', struct({ node: text, incarnation: text }), struct({ known: flag }));
+export const Goodbye = call<{ node: string; incarnation: string }, { known: boolean }>(
+  17,
+  'lease.goodbye',
+  struct({ node: text, incarnation: text }),
+  struct({ known: flag }),
+);
 
-export interface Report { node: string; generation: number }
+export interface Report {
+  node: string;
+  generation: number;
+}
 const reportField = struct<Report>({ node: text, generation: number });
-export interface VouchReply { vouched: boolean; silent: string[]; reason: string; enrolled: string[]; reports: Report[] }
+export interface VouchReply {
+  vouched: boolean;
+  silent: string[];
+  reason: string;
+  enrolled: string[];
+  reports: Report[];
+}
 export const Vouch = call<{ generation: number; wait: number }, VouchReply>(
-  18, 'lease.vouch',
+  18,
+  'lease.vouch',
   struct({ generation: number, wait: number }),
-  struct({ vouched: flag, silent: list(text), reason: text, enrolled: list(text), reports: list(reportField) }),
+  struct({
+    vouched: flag,
+    silent: list(text),
+    reason: text,
+    enrolled: list(text),
+    reports: list(reportField),
+  }),
 );
 
-export interface Standee { node: string; incarnation: string; address: string; zone: string; generation: number; remaining: number }
+export interface Standee {
+  node: string;
+  incarnation: string;
+  address: string;
+  zone: string;
+  generation: number;
+  remaining: number;
+}
 export const Standees = call<{ from: string }, { standees: Standee[] }>(
-  19, 'lease.standees',
+  19,
+  'lease.standees',
   struct({ from: text }),
-  struct({ standees: list(struct<Standee>({ node: text, incarnation: text, address: text, zone: text, generation: number, remaining: number })) }),
+  struct({
+    standees: list(
+      struct<Standee>({
+        node: text,
+        incarnation: text,
+        address: text,
+        zone: text,
+        generation: number,
+        remaining: number,
+      }),
+    ),
+  }),
 );
 
 /** One router vouching for another: it will report nothing newer than the generation until the lease ends. */
-export interface VowAsk { node: string; generation: number }
-export interface VowReply { node: string; granted: boolean; duration: number; reason: string }
-export const Vow = call<VowAsk, VowReply>(20, 'lease.vow', struct({ node: text, generation: number }), struct({ node: text, granted: flag, duration: number, reason: text }));
+export interface VowAsk {
+  node: string;
+  generation: number;
+}
+export interface VowReply {
+  node: string;
+  granted: boolean;
+  duration: number;
+  reason: string;
+}
+export const Vow = call<VowAsk, VowReply>(
+  20,
+  'lease.vow',
+  struct({ node: text, generation: number }),
+  struct({ node: text, granted: flag, duration: number, reason: text }),
+);
--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -40,11 +40,22 @@
     while (!signal.aborted) {
       const document = this.inForce.whole;
       const there = document?.enrolled.get(this.node);
-      if (document && document.enrolledAt !== seen.enrolledAt) seen = { enrolledAt: document.enrolledAt, since: this.clock.now() };
+      if (document && document.enrolledAt !== seen.enrolledAt)
+        seen = { enrolledAt: document.enrolledAt, since: this.clock.now() };
       const calm = this.clock.now() - seen.since >= CALM;
-      if (document && calm && !this.leaving && this.standing.holds() && (there?.address !== this.own.address || there.law !== this.own.law)) {
+      if (
+        document &&
+        calm &&
+        !this.leaving &&
+        this.standing.holds() &&
+        (there?.address !== this.own.address || there.law !== this.own.law)
+      ) {
         const expects = document.enrolledAt;
-        await this.change(there ? { kind: 'retire', name: this.node, expects } : { kind: 'enrol', name: this.node, enrolled: this.own, expects });
+        await this.change(
+          there
+            ? { kind: 'retire', name: this.node, expects }
+            : { kind: 'enrol', name: this.node, enrolled: this.own, expects },
+        );
       }
       await this.clock.sleep(EVERY * (0.25 + 1.5 * this.random.fraction()), signal);
     }
@@ -62,10 +73,20 @@
     }
   }
 
-  private async change(act: Extract<Act, { kind: 'enrol' | 'retire' }>, limit = LIMIT): Promise<void> {
+  private async change(
+    act: Extract<Act, { kind: 'enrol' | 'retire' }>,
+    limit = LIMIT,
+  ): Promise<void> {
     const end = this.clock.now() + limit;
-    if (act.expects > 0 && !(await seekAccord(act.expects, limit, this.peers, this.roster, this.clock)).everywhere) return;
-    const told = await this.proposer.propose({ id: `enrol-${this.random.identity()}`, firm: '', who: this.node, act }, Math.max(1, end - this.clock.now()));
+    if (
+      act.expects > 0 &&
+      !(await seekAccord(act.expects, limit, this.peers, this.roster, this.clock)).everywhere
+    )
+      return;
+    const told = await this.proposer.propose(
+      { id: `enrol-${this.random.identity()}`, firm: '', who: this.node, act },
+      Math.max(1, end - this.clock.now()),
+    );
     const done = told.map(({ kind }) => kind === 'applied').orDefault(false);
     if (done) this.log('enrolment', [['act', act.kind]]);
   }
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -9,7 +9,15 @@
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Member } from '../register/member.js';
 import type { Peers } from '../wire/peers.js';
-import { Goodbye, Renew, Standees, Vouch, type RenewAsk, type RenewReply, type VouchReply } from './calls.js';
+import {
+  Goodbye,
+  Renew,
+  Standees,
+  Vouch,
+  type RenewAsk,
+  type RenewReply,
+  type VouchReply,
+} from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
 const BOUND = 1024;
@@ -28,7 +36,12 @@
   private seated: Moment | undefined;
   private readonly newborn: boolean;
 
-  constructor(private readonly member: Member, private readonly peers: Peers, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {
+  constructor(
+    private readonly member: Member,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    private readonly terms: LeaseTerms = TERMS,
+  ) {
     this.newborn = !member.state().formed;
   }
 
@@ -39,24 +52,45 @@
       this.wake();
       return Right({ known });
     });
-    this.peers.handle(Vouch, ({ generation, wait }) => this.vouch(generation, Math.min(wait, WAIT_BOUND)));
+    this.peers.handle(Vouch, ({ generation, wait }) =>
+      this.vouch(generation, Math.min(wait, WAIT_BOUND)),
+    );
     this.peers.handle(Standees, () => {
       this.sweep();
       const now = this.clock.now();
-      return Right({ standees: [...this.grants.values()].map(({ node, incarnation, address, zone, generation, until }) => ({ node, incarnation, address, zone, generation, remaining: until - now })) });
+      return Right({
+        standees: [...this.grants.values()].map(
+          ({ node, incarnation, address, zone, generation, until }) => ({
+            node,
+            incarnation,
+            address,
+            zone,
+            generation,
+            remaining: until - now,
+          }),
+        ),
+      });
     });
   }
 
   private renew(ask: RenewAsk): RenewReply {
     const state = this.member.state();
     if (state.voting) this.seated ??= this.clock.now();
-    const declined = (reason: string): RenewReply => ({ granted: false, duration: 0, reason, nodes: 0 });
+    const declined = (reason: string): RenewReply => ({
+      granted: false,
+      duration: 0,
+      reason,
+      nodes: 0,
+    });
     if (!state.voting) return declined(state.reason);
-    if (ask.generation < state.generation) return declined(`generation ${state.generation} is newer than ${ask.generation}`);
+    if (ask.generation < state.generation)
+      return declined(`generation ${state.generation} is newer than ${ask.generation}`);
     const key = `${ask.node}/${ask.incarnation}`;
     this.sweep();
-    if (!this.grants.has(key) && this.grants.size >= BOUND) return declined(`${BOUND} nodes stand already`);
-    if (this.reports.size < BOUND || this.reports.has(ask.node)) this.reports.set(ask.node, Math.max(ask.report, this.reports.get(ask.node) ?? 0));
+    if (!this.grants.has(key) && this.grants.size >= BOUND)
+      return declined(`${BOUND} nodes stand already`);
+    if (this.reports.size < BOUND || this.reports.has(ask.node))
+      this.reports.set(ask.node, Math.max(ask.report, this.reports.get(ask.node) ?? 0));
     this.grants.set(key, { ...ask, until: (this.clock.now() + this.terms.duration) as Moment });
     this.wake();
     return { granted: true, duration: this.terms.duration, reason: '', nodes: this.grants.size };
@@ -78,19 +112,35 @@
   private judge(generation: number): VouchReply {
     const known = this.member.newest;
     const enrolled = [...(known?.enrolled.keys() ?? [])];
-    return { ...this.weigh(generation), enrolled, reports: [...this.reports].map(([node, reported]) => ({ node, generation: reported })) };
+    return {
+      ...this.weigh(generation),
+      enrolled,
+      reports: [...this.reports].map(([node, reported]) => ({ node, generation: reported })),
+    };
   }
 
   private weigh(generation: number): Omit<VouchReply, 'enrolled' | 'reports'> {
     const state = this.member.state();
     if (!state.voting) return { vouched: false, silent: [], reason: state.reason };
-    if (state.generation < generation) return { vouched: false, silent: [], reason: `holds only generation ${state.generation}` };
+    if (state.generation < generation)
+      return { vouched: false, silent: [], reason: `holds only generation ${state.generation}` };
     this.seated ??= this.clock.now();
     const founder = this.newborn && this.member.founder;
-    if (this.terms.lapse === 'stop' && !founder && this.clock.now() < this.seated + this.terms.duration) return { vouched: false, silent: [], reason: 'voting for less than one lease' };
+    if (
+      this.terms.lapse === 'stop' &&
+      !founder &&
+      this.clock.now() < this.seated + this.terms.duration
+    )
+      return { vouched: false, silent: [], reason: 'voting for less than one lease' };
     this.sweep();
-    const silent = [...this.grants.values()].filter((grant) => grant.generation < generation).map(({ node }) => node);
-    return { vouched: silent.length === 0, silent, reason: silent.length ? 'nodes still stand on an older generation' : '' };
+    const silent = [...this.grants.values()]
+      .filter((grant) => grant.generation < generation)
+      .map(({ node }) => node);
+    return {
+      vouched: silent.length === 0,
+      silent,
+      reason: silent.length ? 'nodes still stand on an older generation' : '',
+    };
   }
 
   private sweep(): void {
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -36,7 +36,16 @@
   private reported = 0;
   private counted = 0;
 
-  constructor(private readonly self: Self, private readonly inForce: InForce, private readonly vows: Vows, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly log: Log, private readonly terms: LeaseTerms = TERMS) {}
+  constructor(
+    private readonly self: Self,
+    private readonly inForce: InForce,
+    private readonly vows: Vows,
+    private readonly peers: Peers,
+    private readonly roster: Roster,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly terms: LeaseTerms = TERMS,
+  ) {}
 
   holds(): boolean {
     return !this.leaving && this.remaining > 0;
@@ -44,7 +53,9 @@
 
   /** Whether this node may serve with what it has in force. */
   serves(): boolean {
-    return this.terms.lapse === 'stop' ? this.holds() : !this.leaving && this.inForce.generation > 0;
+    return this.terms.lapse === 'stop'
+      ? this.holds()
+      : !this.leaving && this.inForce.generation > 0;
   }
 
   get remaining(): number {
@@ -70,10 +81,14 @@
           resolve();
         };
       });
-      if (this.inForce.generation > 0 && !this.leaving) await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
+      if (this.inForce.generation > 0 && !this.leaving)
+        await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
-        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [['generation', this.inForce.generation], ['by', this.clock.strict() < this.until ? 'core' : 'routers']]);
+        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [
+          ['generation', this.inForce.generation],
+          ['by', this.clock.strict() < this.until ? 'core' : 'routers'],
+        ]);
       }
       if (!woken && !signal.aborted) await within(this.clock, this.terms.renew, nudged);
     }
@@ -86,7 +101,11 @@
   async leave(): Promise<void> {
     this.leaving = true;
     const { node, incarnation } = this.self;
-    await gather(this.roster.addresses, (address) => this.peers.ask(address, Goodbye, { node, incarnation }, this.limit), () => false);
+    await gather(
+      this.roster.addresses,
+      (address) => this.peers.ask(address, Goodbye, { node, incarnation }, this.limit),
+      () => false,
+    );
   }
 
   private async renew(): Promise<void> {
@@ -94,10 +113,17 @@
     const { report } = this.vows;
     const { members } = this.roster.core;
     const quorum = majority(members.length);
-    const granted = (replies: readonly RenewReply[]): RenewReply[] => replies.filter((reply) => reply.granted);
+    const granted = (replies: readonly RenewReply[]): RenewReply[] =>
+      replies.filter((reply) => reply.granted);
     const replies = await gather(
       members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Renew, { ...this.self, generation: this.inForce.generation, report }, this.limit),
+      (address) =>
+        this.peers.ask(
+          address,
+          Renew,
+          { ...this.self, generation: this.inForce.generation, report },
+          this.limit,
+        ),
       (all) => granted(sound(all)).length >= quorum,
     );
     const grants = granted(sound(replies));
@@ -113,7 +139,8 @@
   private async seekVows(): Promise<void> {
     const document = this.inForce.whole;
     const asked = this.clock.strict();
-    if (!document?.enrolled.has(this.self.node) || this.until - asked > this.terms.duration * WORRY) return;
+    if (!document?.enrolled.has(this.self.node) || this.until - asked > this.terms.duration * WORRY)
+      return;
     const quorum = majority(document.enrolled.size);
     const others = [...document.enrolled].filter(([name]) => name !== this.self.node);
     const names = new Map(others.map(([name, { address }]) => [address, name]));
@@ -121,7 +148,12 @@
     await gather(
       others.map(([, { address }]) => address),
       async (address) => {
-        const reply = await this.peers.ask(address, Vow, { node: this.self.node, generation: document.generation }, this.limit);
+        const reply = await this.peers.ask(
+          address,
+          Vow,
+          { node: this.self.node, generation: document.generation },
+          this.limit,
+        );
         reply.ifRight((vow) => {
           if (vow.granted && vow.node === names.get(address)) granted.add(vow.node);
         });
@@ -129,6 +161,7 @@
       },
       () => granted.size >= quorum,
     );
-    if (granted.size >= quorum) this.vouched = Math.max(this.vouched, asked + this.terms.duration) as Moment;
+    if (granted.size >= quorum)
+      this.vouched = Math.max(this.vouched, asked + this.terms.duration) as Moment;
   }
 }
--- a/src/lease/vows.ts
+++ b/src/lease/vows.ts
@@ -20,7 +20,13 @@
   private readonly started: Moment;
   private enrolledBefore: boolean | undefined;
 
-  constructor(private readonly node: string, private readonly inForce: InForce, private readonly peers: Peers, private readonly clock: Clock, private readonly terms: LeaseTerms = TERMS) {
+  constructor(
+    private readonly node: string,
+    private readonly inForce: InForce,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    private readonly terms: LeaseTerms = TERMS,
+  ) {
     this.started = clock.now();
   }
 
@@ -47,7 +53,12 @@
   }
 
   private grant({ node, generation }: VowAsk): VowReply {
-    const declined = (reason: string): VowReply => ({ node: this.node, granted: false, duration: 0, reason });
+    const declined = (reason: string): VowReply => ({
+      node: this.node,
+      granted: false,
+      duration: 0,
+      reason,
+    });
     const own = this.inForce.generation;
     if (own === 0) return declined('nothing is in force here yet');
     if (own > generation) return declined(`generation ${own} is in force here`);
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,7 +4,14 @@
 import { hideBin } from 'yargs/helpers';
 import { runDaemon } from './command/daemon.js';
 import { routesCommand } from './command/routes.js';
-import { configCommand, coreSetCommand, doorwayCommand, nodeCommand, runTrace, traceCommand } from './command/operators.js';
+import {
+  configCommand,
+  coreSetCommand,
+  doorwayCommand,
+  nodeCommand,
+  runTrace,
+  traceCommand,
+} from './command/operators.js';
 import type { Fault } from './kernel/fault/fault.js';
 import { readParams } from './params/read.js';
 import { standCommand } from './stand/command.js';
@@ -34,11 +41,22 @@
     .option('peers', { type: 'string', describe: 'Address for peers, IP:PORT' })
     .option('seeds', { type: 'string', array: true, describe: 'Seed addresses of other processes' })
     .option('folder', { type: 'string', describe: 'Data folder (core)' })
-    .option('form', { type: 'boolean', describe: 'Let the first seed form the core group from empty seeds' })
-    .option('platform', { type: 'string', describe: 'URL of the platform\'s list of engines' }) as Argv<DaemonFlags>;
+    .option('form', {
+      type: 'boolean',
+      describe: 'Let the first seed form the core group from empty seeds',
+    })
+    .option('platform', {
+      type: 'string',
+      describe: "URL of the platform's list of engines",
+    }) as Argv<DaemonFlags>;
 
 const flagLayer = (argv: DaemonFlags): unknown => ({
-  name: argv.name, fleet: argv.fleet, zone: argv.zone, seeds: argv.seeds, folder: argv.folder, form: argv.form,
+  name: argv.name,
+  fleet: argv.fleet,
+  zone: argv.zone,
+  seeds: argv.seeds,
+  folder: argv.folder,
+  form: argv.form,
   listen: { callers: argv.callers, operators: argv.operators, peers: argv.peers },
   platform: { url: argv.platform },
 });
@@ -48,28 +66,57 @@
   process.exitCode = 2;
 };
 
-const daemon = (role: 'core' | 'router') => async (argv: DaemonFlags): Promise<void> => {
-  const reread = (): ReturnType<typeof readParams> => readParams(argv.params, flagLayer(argv));
-  const read = await reread();
-  if (read.isLeft()) return bad(read.extract() as Fault);
-  process.exit(await runDaemon(role, read.unsafeCoerce(), reread));
-};
+const daemon =
+  (role: 'core' | 'router') =>
+  async (argv: DaemonFlags): Promise<void> => {
+    const reread = (): ReturnType<typeof readParams> => readParams(argv.params, flagLayer(argv));
+    const read = await reread();
+    if (read.isLeft()) return bad(read.extract() as Fault);
+    process.exit(await runDaemon(role, read.unsafeCoerce(), reread));
+  };
 
 await yargs(hideBin(process.argv))
   .scriptName('rudderridge')
   .usage('$0 COMMAND: a router fleet for language model engines')
-  .command('core', 'Runs a control machine, which keeps the register on its disk', daemonFlags, daemon('core'))
-  .command('router', 'Runs a router, which carries requests to engines', daemonFlags, daemon('router'))
+  .command(
+    'core',
+    'Runs a control machine, which keeps the register on its disk',
+    daemonFlags,
+    daemon('core'),
+  )
+  .command(
+    'router',
+    'Runs a router, which carries requests to engines',
+    daemonFlags,
+    daemon('router'),
+  )
   .command('doorway', 'Sets, removes, claims and shows doorways', doorwayCommand)
   .command('routes', 'Puts, patches and shows the configuration of routes', routesCommand)
   .command('config', 'Shows and exports the configuration', configCommand)
   .command('node', 'Shows nodes and engines', nodeCommand)
   .command('core-set', 'Forms and shows the core group', coreSetCommand)
-  .command('trace <what>', 'Follows one change or generation through all nodes', traceCommand, (argv) => runTrace(argv as unknown as Parameters<typeof runTrace>[0]))
-  .command('check-params <file>', 'Checks a params file', (y) => y.positional('file', { type: 'string', demandOption: true }), async (argv) => {
-    (await readParams(argv.file, {})).caseOf({ Left: bad, Right: (params) => void process.stdout.write(`${JSON.stringify(params, null, 2)}\n`) });
-  })
-  .command('stand', 'Stand-ins for engines, the platform and callers, for trying and testing', standCommand)
+  .command(
+    'trace <what>',
+    'Follows one change or generation through all nodes',
+    traceCommand,
+    (argv) => runTrace(argv as unknown as Parameters<typeof runTrace>[0]),
+  )
+  .command(
+    'check-params <file>',
+    'Checks a params file',
+    (y) => y.positional('file', { type: 'string', demandOption: true }),
+    async (argv) => {
+      (await readParams(argv.file, {})).caseOf({
+        Left: bad,
+        Right: (params) => void process.stdout.write(`${JSON.stringify(params, null, 2)}\n`),
+      });
+    },
+  )
+  .command(
+    'stand',
+    'Stand-ins for engines, the platform and callers, for trying and testing',
+    standCommand,
+  )
   .demandCommand(1, 'name a command')
   .strict()
   .fail((message, error, y) => {
--- a/src/node/extension.ts
+++ b/src/node/extension.ts
@@ -25,7 +25,12 @@
 export const noExtension: Extension = { services: new Map(), faces: [] };
 
 /** The providers of a module with some of its services replaced. */
-export const extended = (providers: readonly Provider[], services: ReadonlyMap<string, unknown>): Provider[] => [
-  ...providers.filter((provider) => !('provide' in provider && services.has(String(provider.provide)))),
+export const extended = (
+  providers: readonly Provider[],
+  services: ReadonlyMap<string, unknown>,
+): Provider[] => [
+  ...providers.filter(
+    (provider) => !('provide' in provider && services.has(String(provider.provide))),
+  ),
   ...[...services].map(([provide, useValue]) => ({ provide, useValue })),
 ];
--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -4,13 +4,31 @@
 import type { PassageEvent } from '../passage/chart.js';
 
 export const gauge = (registry: Registry, name: string, help: string, read: () => number): void => {
-  const made: Gauge = new Gauge({ name: `rudderridge_${name}`, help, registers: [registry], collect: () => made.set(read()) });
+  const made: Gauge = new Gauge({
+    name: `rudderridge_${name}`,
+    help,
+    registers: [registry],
+    collect: () => made.set(read()),
+  });
 };
 
 export const countPassages = (registry: Registry, journal: Journal<PassageEvent>): void => {
-  const steps = new Counter({ name: 'rudderridge_request_steps_total', help: 'Requests that came to each state', labelNames: ['state'], registers: [registry] });
-  const faults = new Counter({ name: 'rudderridge_request_faults_total', help: 'Illegal steps that were tried', registers: [registry] });
-  const retries = new Counter({ name: 'rudderridge_request_retries_total', help: 'Requests sent to a second engine', registers: [registry] });
+  const steps = new Counter({
+    name: 'rudderridge_request_steps_total',
+    help: 'Requests that came to each state',
+    labelNames: ['state'],
+    registers: [registry],
+  });
+  const faults = new Counter({
+    name: 'rudderridge_request_faults_total',
+    help: 'Illegal steps that were tried',
+    registers: [registry],
+  });
+  const retries = new Counter({
+    name: 'rudderridge_request_retries_total',
+    help: 'Requests sent to a second engine',
+    registers: [registry],
+  });
   journal.view(undefined, (_, { event }) => {
     if (event.kind === 'step') steps.inc({ state: event.to });
     else if (event.kind === 'retry') retries.inc();
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -22,25 +22,62 @@
   { provide: names.clock, useClass: SystemClock },
   { provide: names.net, useClass: TcpNet },
   { provide: names.random, useClass: SystemRandom },
-  { provide: names.tracing, inject: [names.clock], useFactory: (clock: Clock) => new Tracing(params.name, clock) },
-  { provide: names.log, inject: [names.tracing], useFactory: (tracing: Tracing) => tracing.tap(openLog(params.name)) },
+  {
+    provide: names.tracing,
+    inject: [names.clock],
+    useFactory: (clock: Clock) => new Tracing(params.name, clock),
+  },
+  {
+    provide: names.log,
+    inject: [names.tracing],
+    useFactory: (tracing: Tracing) => tracing.tap(openLog(params.name)),
+  },
   { provide: names.stop, useValue: new AbortController() },
   { provide: names.keys, useFactory: () => new Keys(params) },
   { provide: names.dialect, useValue: ownDialect },
   { provide: names.schema, useClass: SchemaCheck },
   { provide: names.inForce, useClass: InForce },
-  { provide: names.self, inject: [names.random], useFactory: (random: Random): Hello => ({ fleet: params.fleet, name: params.name, incarnation: random.identity() }) },
-  { provide: names.peers, inject: [names.net, names.clock, names.log, names.self], useFactory: (net: Net, clock: Clock, log: Log, self: Hello) => new Peers(net, clock, log, self) },
+  {
+    provide: names.self,
+    inject: [names.random],
+    useFactory: (random: Random): Hello => ({
+      fleet: params.fleet,
+      name: params.name,
+      incarnation: random.identity(),
+    }),
+  },
+  {
+    provide: names.peers,
+    inject: [names.net, names.clock, names.log, names.self],
+    useFactory: (net: Net, clock: Clock, log: Log, self: Hello) => new Peers(net, clock, log, self),
+  },
   { provide: names.roster, useFactory: () => new Roster(params.seeds) },
   {
     provide: names.view,
     inject: [names.peers, names.clock, names.random, names.self],
     useFactory: (peers: Peers, clock: Clock, random: Random, self: Hello) =>
-      new View({ name: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, clock, random, params.view.every),
+      new View(
+        {
+          name: self.name,
+          incarnation: self.incarnation,
+          address: params.listen.peers,
+          zone: params.zone,
+          role,
+          age: 0,
+          beat: 0,
+          suspect: false,
+        },
+        params.seeds,
+        peers,
+        clock,
+        random,
+        params.view.every,
+      ),
   },
   {
     provide: names.proposer,
     inject: [names.peers, names.roster, names.clock, names.random, names.log],
-    useFactory: (peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) => new Proposer(peers, roster, clock, random, log),
+    useFactory: (peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) =>
+      new Proposer(peers, roster, clock, random, log),
   },
 ];
--- a/src/passage/chart.ts
+++ b/src/passage/chart.ts
@@ -4,7 +4,18 @@
  */
 import type { Journal } from '../kernel/journal/journal.js';
 
-export type State = 'received' | 'matched' | 'lined' | 'placed' | 'sent' | 'streaming' | 'resuming' | 'complete' | 'declined' | 'unknown' | 'broken';
+export type State =
+  | 'received'
+  | 'matched'
+  | 'lined'
+  | 'placed'
+  | 'sent'
+  | 'streaming'
+  | 'resuming'
+  | 'complete'
+  | 'declined'
+  | 'unknown'
+  | 'broken';
 
 const ways = new Map<State, ReadonlySet<State>>([
   ['received', new Set<State>(['matched', 'declined'])],
@@ -21,14 +32,23 @@
 ]);
 
 export type PassageEvent =
-  | { readonly kind: 'step'; readonly request: string; readonly from: State; readonly to: State; readonly peer: string }
+  | {
+      readonly kind: 'step';
+      readonly request: string;
+      readonly from: State;
+      readonly to: State;
+      readonly peer: string;
+    }
   | { readonly kind: 'fault'; readonly request: string; readonly from: State; readonly to: State }
   | { readonly kind: 'retry'; readonly request: string; readonly peer: string };
 
 export class Chart {
   private held: State = 'received';
 
-  constructor(readonly request: string, private readonly journal: Journal<PassageEvent>) {}
+  constructor(
+    readonly request: string,
+    private readonly journal: Journal<PassageEvent>,
+  ) {}
 
   get state(): State {
     return this.held;
--- a/src/passage/ids.ts
+++ b/src/passage/ids.ts
@@ -7,7 +7,11 @@
 export class TakenIds {
   private readonly taken = new Map<string, Moment>();
 
-  constructor(private readonly clock: Clock, private readonly bound = 200_000, private readonly kept = 600_000) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly bound = 200_000,
+    private readonly kept = 600_000,
+  ) {}
 
   take(firm: string, id: string): 'taken' | 'known' | 'full' {
     const now = this.clock.now();
--- a/src/passage/line.ts
+++ b/src/passage/line.ts
@@ -35,14 +35,17 @@
     const line = this.lines.get(liner.doorway);
     const at = line?.waiting.indexOf(liner) ?? -1;
     if (at >= 0) line!.waiting.splice(at, 1);
-    if (line && line.waiting.length === 0 && line.served <= this.floor) this.lines.delete(liner.doorway);
+    if (line && line.waiting.length === 0 && line.served <= this.floor)
+      this.lines.delete(liner.doorway);
   }
 
   /** Lets on as many as can go. */
   serve(): void {
-    for (let moved = true; moved; ) {
+    for (let moved = true; moved;) {
       moved = false;
-      const order = [...this.lines.values()].filter(({ waiting }) => waiting.length > 0).sort((a, b) => a.served - b.served);
+      const order = [...this.lines.values()]
+        .filter(({ waiting }) => waiting.length > 0)
+        .sort((a, b) => a.served - b.served);
       for (const line of order) {
         const head = line.waiting[0]!;
         if (!head.attempt()) continue;
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -46,7 +46,8 @@
   readonly retryAfter: number | undefined;
 }
 
-export type Ending = { readonly outcome: 'result' } | { readonly outcome: 'broken'; readonly fault: Fault } | Decline;
+export type Ending =
+  { readonly outcome: 'result' } | { readonly outcome: 'broken'; readonly fault: Fault } | Decline;
 
 export interface PassageParams {
   readonly inFlight: number;
@@ -88,7 +89,10 @@
   claimed: boolean;
 }
 
-type Leg = { readonly kind: 'over'; readonly ending: Ending } | { readonly kind: 'broken'; readonly fault: Fault } | { readonly kind: 'again'; readonly fault: Fault; readonly sent: boolean };
+type Leg =
+  | { readonly kind: 'over'; readonly ending: Ending }
+  | { readonly kind: 'broken'; readonly fault: Fault }
+  | { readonly kind: 'again'; readonly fault: Fault; readonly sent: boolean };
 
 const over = (ending: Ending): Leg => ({ kind: 'over', ending });
 
@@ -133,7 +137,14 @@
     const ending = await this.through(request, sink, chart);
     const settled = ending.outcome === 'result' ? 'complete' : ending.outcome;
     if (!chart.ended) chart.step(settled);
-    if (ending.outcome !== 'result') this.log('request-ended', [['outcome', ending.outcome], ['request', request.id], ['step', ending.fault.step], ['peer', ending.fault.peer], ['reason', ending.fault.reason]]);
+    if (ending.outcome !== 'result')
+      this.log('request-ended', [
+        ['outcome', ending.outcome],
+        ['request', request.id],
+        ['step', ending.fault.step],
+        ['peer', ending.fault.peer],
+        ['reason', ending.fault.reason],
+      ]);
     return ending;
   }
 
@@ -156,32 +167,89 @@
     return Math.ceil((prompt.length * this.params.blockTokens) / this.params.blockBytes);
   }
 
-  private decline(step: string, peer: string, reason: string, status: number, retryAfter?: number): Decline {
+  private decline(
+    step: string,
+    peer: string,
+    reason: string,
+    status: number,
+    retryAfter?: number,
+  ): Decline {
     return { outcome: 'declined', status, fault: fault(step, peer, reason), retryAfter };
   }
 
   private async through(request: CallerRequest, sink: Sink, chart: Chart): Promise<Ending> {
     if (this.draining) return this.decline('receive', this.node, 'this node is stopping', 503, 1);
-    if (!this.standing.serves()) return this.decline('receive', this.node, 'this node has no standing', 503, 1);
+    if (!this.standing.serves())
+      return this.decline('receive', this.node, 'this node has no standing', 503, 1);
     const placed = this.inForce.current.match(request);
-    if (!placed) return this.decline('match', this.node, `no doorway of ${request.firm} matches model ${request.model}`, 404);
+    if (!placed)
+      return this.decline(
+        'match',
+        this.node,
+        `no doorway of ${request.firm} matches model ${request.model}`,
+        404,
+      );
     chart.step('matched');
     const prompt = promptBytes(request.messages);
     const tokens = this.tokensOf(prompt);
     const reply = request.maxTokens ?? this.law.largestReply;
-    if (tokens > this.law.largestPrompt) return this.decline('match', this.node, `the prompt has about ${tokens} tokens, the most is ${this.law.largestPrompt}`, 413);
-    if (reply > this.law.largestReply) return this.decline('match', this.node, `max_tokens is ${reply}, the most is ${this.law.largestReply}`, 400);
-    const repeatable = request.repeatable === undefined ? placed.doorway.repeatable : request.repeatable && placed.doorway.repeatable;
+    if (tokens > this.law.largestPrompt)
+      return this.decline(
+        'match',
+        this.node,
+        `the prompt has about ${tokens} tokens, the most is ${this.law.largestPrompt}`,
+        413,
+      );
+    if (reply > this.law.largestReply)
+      return this.decline(
+        'match',
+        this.node,
+        `max_tokens is ${reply}, the most is ${this.law.largestReply}`,
+        400,
+      );
+    const repeatable =
+      request.repeatable === undefined
+        ? placed.doorway.repeatable
+        : request.repeatable && placed.doorway.repeatable;
     if (!repeatable) {
       const taken = this.ids.take(request.firm, request.id);
-      if (taken === 'full') return this.decline('claim', this.node, 'too many request ids are remembered', 503, 5);
-      if (taken === 'known') return { outcome: 'unknown', status: 409, fault: fault('claim', this.node, 'this request id was used before; its outcome is not told again', 'unknown'), retryAfter: undefined };
+      if (taken === 'full')
+        return this.decline('claim', this.node, 'too many request ids are remembered', 503, 5);
+      if (taken === 'known')
+        return {
+          outcome: 'unknown',
+          status: 409,
+          fault: fault(
+            'claim',
+            this.node,
+            'this request id was used before; its outcome is not told again',
+            'unknown',
+          ),
+          retryAfter: undefined,
+        };
     }
     const now = this.clock.now();
     const { limits } = placed.doorway;
     const total = (now + Math.min(limits.total, request.limit ?? Infinity)) as Moment;
     const firstToken = Math.min(now + limits.firstToken, total) as Moment;
-    const trip: Trip = { request, chart, sink, placed, repeatable, firstToken, total, prompt, tokens, reply, blocks: new Map(), avoid: new Set(), handed: { text: '', pieces: 0, id: '', weightGeneration: '', plain: true }, resumed: false, owner: `${this.node}/${++this.owners}`, claimed: false };
+    const trip: Trip = {
+      request,
+      chart,
+      sink,
+      placed,
+      repeatable,
+      firstToken,
+      total,
+      prompt,
+      tokens,
+      reply,
+      blocks: new Map(),
+      avoid: new Set(),
+      handed: { text: '', pieces: 0, id: '', weightGeneration: '', plain: true },
+      resumed: false,
+      owner: `${this.node}/${++this.owners}`,
+      claimed: false,
+    };
     const abort = new AbortController();
     const leave = (): void => abort.abort();
     sink.gone.addEventListener('abort', leave, { once: true });
@@ -208,9 +276,11 @@
     const told = (ending: Ending): Ending => {
       if (ending.outcome === 'result') return ending;
       if (trip.resumed) return broken(ending.fault);
-      return unsure && ending.outcome === 'declined' ? { outcome: 'unknown', status: 502, fault: unsure, retryAfter: undefined } : ending;
+      return unsure && ending.outcome === 'declined'
+        ? { outcome: 'unknown', status: 502, fault: unsure, retryAfter: undefined }
+        : ending;
     };
-    for (let replacements = 0; ; ) {
+    for (let replacements = 0; ;) {
       const slot = await this.line(trip, signal);
       if ('outcome' in slot) return told(slot);
       const leg = await this.leg(trip, slot, signal);
@@ -231,7 +301,12 @@
       const certain = reason.certainty === 'declined';
       const enough = sent ? retried || !this.budget.spend() : ++replacements > REPLACEMENTS;
       retried ||= sent;
-      if (enough) return told(certain ? { outcome: 'declined', status: 503, fault: reason, retryAfter: 1 } : { outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined });
+      if (enough)
+        return told(
+          certain
+            ? { outcome: 'declined', status: 503, fault: reason, retryAfter: 1 }
+            : { outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined },
+        );
       if (sent) this.journal.append({ kind: 'retry', request: trip.request.id, peer: reason.peer });
     }
   }
@@ -240,12 +315,20 @@
   private rest(trip: Trip): Trip | undefined {
     const { handed, request } = trip;
     const placed = this.inForce.current.match(request);
-    const may = trip.repeatable && placed?.doorway.name === trip.placed.doorway.name && placed.doorway.resume && handed.plain && !trip.sink.gone.aborted;
+    const may =
+      trip.repeatable &&
+      placed?.doorway.name === trip.placed.doorway.name &&
+      placed.doorway.resume &&
+      handed.plain &&
+      !trip.sink.gone.aborted;
     const prompt = Buffer.concat([trip.prompt, Buffer.from(handed.text, 'utf8')]);
     const tokens = this.tokensOf(prompt);
     const reply = trip.reply - handed.pieces;
     if (!may || reply < 1 || tokens > this.law.largestPrompt) return undefined;
-    const firstToken = Math.min(this.clock.now() + placed.doorway.limits.firstToken, trip.total) as Moment;
+    const firstToken = Math.min(
+      this.clock.now() + placed.doorway.limits.firstToken,
+      trip.total,
+    ) as Moment;
     return { ...trip, firstToken, prompt, tokens, reply, blocks: new Map(), resumed: true };
   }
 
@@ -259,7 +342,16 @@
         signal.removeEventListener('abort', cancel);
         resolve(result);
       };
-      const cancel = (): void => settle(this.decline('line', 'caller', 'the caller left, or this node had to stop, before it was sent', 503, 1));
+      const cancel = (): void =>
+        settle(
+          this.decline(
+            'line',
+            'caller',
+            'the caller left, or this node had to stop, before it was sent',
+            503,
+            1,
+          ),
+        );
       const { doorway } = trip.placed;
       const liner: Liner = {
         doorway: doorway.name,
@@ -274,9 +366,13 @@
       };
       if (signal.aborted) return cancel();
       signal.addEventListener('abort', cancel, { once: true });
-      if (!this.lines.enter(liner)) return settle(this.decline('line', this.node, `the line of doorway ${doorway.name} is full`, 429, 1));
+      if (!this.lines.enter(liner))
+        return settle(
+          this.decline('line', this.node, `the line of doorway ${doorway.name} is full`, 429, 1),
+        );
       void this.clock.sleep(trip.firstToken - this.clock.now(), timer.signal).then(() => {
-        if (!timer.signal.aborted) settle(this.decline('line', this.node, 'no engine opened within the limit', 503, 1));
+        if (!timer.signal.aborted)
+          settle(this.decline('line', this.node, 'no engine opened within the limit', 503, 1));
       });
       this.lines.serve();
       void this.tick();
@@ -297,12 +393,31 @@
   private tryPlace(trip: Trip): Slot | Decline | undefined {
     if (this.flying >= this.params.inFlight) return undefined;
     const { request } = trip;
-    if (!this.standing.serves()) return this.decline('place', this.node, 'this node lost its standing', 503, 1);
+    if (!this.standing.serves())
+      return this.decline('place', this.node, 'this node lost its standing', 503, 1);
     const placed = this.inForce.current.match(request);
-    if (placed?.doorway.name !== trip.placed.doorway.name) return this.decline('place', this.node, 'the doorway changed while the request waited', 503, 1);
-    const fits = (engine: Engine): boolean => !trip.resumed || engine.weightGeneration === trip.handed.weightGeneration;
-    const allowed = [...this.news.placed().values()].filter((engine) => !engine.leaving && fits(engine) && allows(placed.doorway.engines, request.model, engine));
-    if (allowed.length === 0) return this.decline('place', this.node, 'no engine with a confirmed place may serve this', 503, 2);
+    if (placed?.doorway.name !== trip.placed.doorway.name)
+      return this.decline(
+        'place',
+        this.node,
+        'the doorway changed while the request waited',
+        503,
+        1,
+      );
+    const fits = (engine: Engine): boolean =>
+      !trip.resumed || engine.weightGeneration === trip.handed.weightGeneration;
+    const allowed = [...this.news.placed().values()].filter(
+      (engine) =>
+        !engine.leaving && fits(engine) && allows(placed.doorway.engines, request.model, engine),
+    );
+    if (allowed.length === 0)
+      return this.decline(
+        'place',
+        this.node,
+        'no engine with a confirmed place may serve this',
+        503,
+        2,
+      );
     const fresh = allowed.filter(({ identifier }) => !trip.avoid.has(identifier));
     const open = fresh.length ? fresh : allowed;
     const usable = this.soundness.usable(open.map(({ identifier }) => identifier));
@@ -310,11 +425,15 @@
     const overlaps = new Map<string, number>();
     for (const weightGeneration of new Set(engines.map((engine) => engine.weightGeneration))) {
       const namespace = this.namespace(trip, weightGeneration);
-      for (const [identifier, count] of this.prefixes.find(namespace, this.blocks(trip, namespace))) overlaps.set(identifier, count);
+      for (const [identifier, count] of this.prefixes.find(namespace, this.blocks(trip, namespace)))
+        overlaps.set(identifier, count);
     }
     const need: Need = {
       prompt: trip.tokens,
-      blocks: (engine) => this.blocks(trip, this.namespace(trip, engine.weightGeneration)).map(({ external }) => external),
+      blocks: (engine) =>
+        this.blocks(trip, this.namespace(trip, engine.weightGeneration)).map(
+          ({ external }) => external,
+        ),
       blockTokens: this.params.blockTokens,
       extra: trip.reply + this.params.blockTokens,
     };
@@ -322,7 +441,14 @@
     const left = trip.firstToken - this.clock.now();
     if (!choice) return this.decline('place', this.node, 'no engine is usable now', 503, 1);
     const wait = 'wait' in choice ? choice.wait : choice.estimate;
-    if (wait > left) return this.decline('place', this.node, `the first token would take about ${Math.ceil(wait)} ms, the limit leaves ${Math.ceil(left)}`, 503, Math.max(1, Math.ceil((wait - left) / 1000)));
+    if (wait > left)
+      return this.decline(
+        'place',
+        this.node,
+        `the first token would take about ${Math.ceil(wait)} ms, the limit leaves ${Math.ceil(left)}`,
+        503,
+        Math.max(1, Math.ceil((wait - left) / 1000)),
+      );
     if ('wait' in choice) return undefined;
     this.flying += 1;
     this.soundness.begin(choice.engine.identifier);
@@ -335,20 +461,22 @@
     const made: string[] = [];
     const unclaimed = await this.claim(trip);
     const opened = unclaimed ? undefined : await this.channels.open(engine);
-    const leg = unclaimed ?? await opened!.caseOf<Promise<Leg>>({
-      Left: async (reason) => {
-        this.soundness.bad(engine.identifier);
-        return { kind: 'again', fault: reason, sent: false };
-      },
-      Right: async (channel) => {
-        const barred = this.barred(trip, engine, signal);
-        if (barred) {
-          channel.close();
-          return barred;
-        }
-        return this.send(trip, slot, channel, signal, made);
-      },
-    });
+    const leg =
+      unclaimed ??
+      (await opened!.caseOf<Promise<Leg>>({
+        Left: async (reason) => {
+          this.soundness.bad(engine.identifier);
+          return { kind: 'again', fault: reason, sent: false };
+        },
+        Right: async (channel) => {
+          const barred = this.barred(trip, engine, signal);
+          if (barred) {
+            channel.close();
+            return barred;
+          }
+          return this.send(trip, slot, channel, signal, made);
+        },
+      }));
     this.flying -= 1;
     this.chooser.free(slot, made, this.params.blockTokens);
     this.stir();
@@ -361,32 +489,100 @@
     const taken = await this.claims.take(trip.request.firm, trip.request.id, trip.owner);
     trip.claimed = taken === 'taken';
     if (trip.claimed) return undefined;
-    if (taken === 'known') return over({ outcome: 'unknown', status: 409, fault: fault('claim', this.node, 'this request id was used before; its outcome is not told again', 'unknown'), retryAfter: undefined });
-    return over(this.decline('claim', this.node, 'the id could not be claimed at the routers that keep it', 503, 1));
+    if (taken === 'known')
+      return over({
+        outcome: 'unknown',
+        status: 409,
+        fault: fault(
+          'claim',
+          this.node,
+          'this request id was used before; its outcome is not told again',
+          'unknown',
+        ),
+        retryAfter: undefined,
+      });
+    return over(
+      this.decline(
+        'claim',
+        this.node,
+        'the id could not be claimed at the routers that keep it',
+        503,
+        1,
+      ),
+    );
   }
 
   /** What forbids the send at the very last moment, if anything. */
   private barred(trip: Trip, engine: Engine, signal: AbortSignal): Leg | undefined {
-    const decline = (step: string, reason: string): Leg => over(this.decline(step, this.node, reason, 503, 1));
-    if (signal.aborted) return decline('send', 'the caller left, or this node had to stop, before it was sent');
+    const decline = (step: string, reason: string): Leg =>
+      over(this.decline(step, this.node, reason, 503, 1));
+    if (signal.aborted)
+      return decline('send', 'the caller left, or this node had to stop, before it was sent');
     if (!this.standing.serves()) return decline('send', 'this node lost its standing');
-    if (this.clock.now() >= trip.firstToken) return decline('send', 'the limit came before it was sent');
+    if (this.clock.now() >= trip.firstToken)
+      return decline('send', 'the limit came before it was sent');
     const placed = this.inForce.current.match(trip.request);
     const there = this.news.placed().get(engine.identifier);
-    const still = placed?.doorway.name === trip.placed.doorway.name && allows(placed.doorway.engines, trip.request.model, engine);
-    const here = there && !there.leaving && there.address === engine.address && there.weightGeneration === engine.weightGeneration && allows(placed?.doorway.engines ?? [], trip.request.model, there);
+    const still =
+      placed?.doorway.name === trip.placed.doorway.name &&
+      allows(placed.doorway.engines, trip.request.model, engine);
+    const here =
+      there &&
+      !there.leaving &&
+      there.address === engine.address &&
+      there.weightGeneration === engine.weightGeneration &&
+      allows(placed?.doorway.engines ?? [], trip.request.model, there);
     if (still && here) return undefined;
-    return { kind: 'again', fault: fault('send', engine.identifier, still ? 'the engine lost its place' : 'the doorway no longer allows the engine'), sent: false };
+    return {
+      kind: 'again',
+      fault: fault(
+        'send',
+        engine.identifier,
+        still ? 'the engine lost its place' : 'the doorway no longer allows the engine',
+      ),
+      sent: false,
+    };
   }
 
-  private async send(trip: Trip, slot: Slot, channel: EngineChannel, signal: AbortSignal, made: string[]): Promise<Leg> {
+  private async send(
+    trip: Trip,
+    slot: Slot,
+    channel: EngineChannel,
+    signal: AbortSignal,
+    made: string[],
+  ): Promise<Leg> {
     const { engine } = slot;
     const passageId = `${this.node}-${++this.sends}-${trip.request.id}`.slice(0, 200);
     const namespace = this.namespace(trip, engine.weightGeneration);
     const asked = Object.fromEntries(trip.request.body);
-    const goesOn = trip.resumed ? { messages: [...(asked['messages'] as unknown[]), { role: 'assistant', content: trip.handed.text }], add_generation_prompt: false, continue_final_message: true, echo: true } : {};
-    const body = JSON.stringify({ ...asked, ...goesOn, stream: true, stream_options: { include_usage: true }, max_tokens: trip.reply });
-    const headers = new Map([['content-type', 'application/json'], ['x-request-id', passageId], ['x-caller-request-id', trip.request.id], ['x-firm', trip.request.firm], ['x-claimed-blocks', String(Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens))]]);
+    const goesOn = trip.resumed
+      ? {
+          messages: [
+            ...(asked['messages'] as unknown[]),
+            { role: 'assistant', content: trip.handed.text },
+          ],
+          add_generation_prompt: false,
+          continue_final_message: true,
+          echo: true,
+        }
+      : {};
+    const body = JSON.stringify({
+      ...asked,
+      ...goesOn,
+      stream: true,
+      stream_options: { include_usage: true },
+      max_tokens: trip.reply,
+    });
+    const headers = new Map([
+      ['content-type', 'application/json'],
+      ['x-request-id', passageId],
+      ['x-caller-request-id', trip.request.id],
+      ['x-firm', trip.request.firm],
+      [
+        'x-claimed-blocks',
+        String(Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens)),
+      ],
+    ]);
     const reserve = trip.tokens + trip.reply + this.params.blockTokens;
     const sentAt = this.clock.strict();
     this.prefixes.fly(engine, reserve);
@@ -398,12 +594,24 @@
     const leg = await this.converse(trip, slot, channel, stop, passageId, body, headers, {
       prompt: () => {
         const blocks = this.blocks(trip, namespace);
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), { namespace, parent: undefined, depth: 0, blocks, touched: sentAt });
+        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
+          namespace,
+          parent: undefined,
+          depth: 0,
+          blocks,
+          touched: sentAt,
+        });
         stored += blocks.length;
         made.push(...blocks.map(({ external }) => external));
       },
       decoded: (blocks, parent, depth) => {
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), { namespace, parent, depth, blocks, touched: sentAt });
+        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
+          namespace,
+          parent,
+          depth,
+          blocks,
+          touched: sentAt,
+        });
         stored += blocks.length;
         made.push(...blocks.map(({ external }) => external));
       },
@@ -413,15 +621,34 @@
         if (count >= claimed) return;
         const blocks = this.blocks(trip, namespace);
         this.prefixes.shorten(engine, namespace, blocks, count);
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), { namespace, parent: undefined, depth: 0, blocks, touched: sentAt });
+        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
+          namespace,
+          parent: undefined,
+          depth: 0,
+          blocks,
+          touched: sentAt,
+        });
       },
     });
     signal.removeEventListener('abort', cancel);
-    this.prefixes.land(engine, reserve, Math.max(this.params.blockTokens, reserve - stored * this.params.blockTokens));
+    this.prefixes.land(
+      engine,
+      reserve,
+      Math.max(this.params.blockTokens, reserve - stored * this.params.blockTokens),
+    );
     return leg;
   }
 
-  private async converse(trip: Trip, slot: Slot, channel: EngineChannel, stop: AbortController, passageId: string, body: string, headers: ReadonlyMap<string, string>, note: Notes): Promise<Leg> {
+  private async converse(
+    trip: Trip,
+    slot: Slot,
+    channel: EngineChannel,
+    stop: AbortController,
+    passageId: string,
+    body: string,
+    headers: ReadonlyMap<string, string>,
+    note: Notes,
+  ): Promise<Leg> {
     const { engine } = slot;
     const peer = engine.identifier;
     const giveUp = (reason: Fault): Leg => {
@@ -429,12 +656,18 @@
       channel.close();
       if (reason.certainty === 'declined') return { kind: 'again', fault: reason, sent: true };
       this.soundness.bad(peer);
-      if (trip.repeatable && trip.chart.state === 'sent' && !trip.sink.gone.aborted) return { kind: 'again', fault: reason, sent: true };
-      if (trip.chart.state !== 'streaming') return over({ outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined });
+      if (trip.repeatable && trip.chart.state === 'sent' && !trip.sink.gone.aborted)
+        return { kind: 'again', fault: reason, sent: true };
+      if (trip.chart.state !== 'streaming')
+        return over({ outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined });
       return { kind: 'broken', fault: reason };
     };
-    const wait = async <T>(promise: Promise<T>, limit: number): Promise<T | undefined> => within(this.clock, Math.max(1, limit), promise);
-    const replied = await wait(channel.send('/v1/chat/completions', headers, body, stop.signal), trip.firstToken - this.clock.now());
+    const wait = async <T>(promise: Promise<T>, limit: number): Promise<T | undefined> =>
+      within(this.clock, Math.max(1, limit), promise);
+    const replied = await wait(
+      channel.send('/v1/chat/completions', headers, body, stop.signal),
+      trip.firstToken - this.clock.now(),
+    );
     if (!replied) return giveUp(fault('engine.head', peer, 'no reply within the limit', 'unknown'));
     if (replied.isLeft()) {
       const reason = replied.extract() as Fault;
@@ -445,41 +678,73 @@
       return giveUp(reason);
     }
     const reply = replied.unsafeCoerce();
-    const foreign = reply.headers['x-request-id'] !== passageId || reply.headers['x-engine-id'] !== engine.identifier;
-    if (foreign) return giveUp(fault('engine.head', peer, 'the reply belongs to another request or engine', 'unknown'));
+    const foreign =
+      reply.headers['x-request-id'] !== passageId ||
+      reply.headers['x-engine-id'] !== engine.identifier;
+    if (foreign)
+      return giveUp(
+        fault('engine.head', peer, 'the reply belongs to another request or engine', 'unknown'),
+      );
     this.report(engine, reply);
     if (reply.statusCode !== 200) return giveUp(await this.notServed(reply, peer));
     const reader = new SseReader();
     const chunks = reply.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
-    const decode = new Decoding(trip.prompt, this.blocks(trip, this.namespace(trip, engine.weightGeneration)), this.params.blockBytes, rootHash(this.namespace(trip, engine.weightGeneration)), note);
+    const decode = new Decoding(
+      trip.prompt,
+      this.blocks(trip, this.namespace(trip, engine.weightGeneration)),
+      this.params.blockBytes,
+      rootHash(this.namespace(trip, engine.weightGeneration)),
+      note,
+    );
     let finished = false;
     let chunkId: string | undefined;
     const { handed } = trip;
     /** What the engine must repeat before anything new. */
     let owed = trip.resumed ? handed.text : '';
     for (;;) {
-      const limit = Math.min(trip.chart.state === 'sent' ? trip.firstToken - this.clock.now() : this.params.silence, trip.total - this.clock.now());
-      const next = await wait(chunks.next().catch((thrown: unknown) => ({ thrown })), limit);
+      const limit = Math.min(
+        trip.chart.state === 'sent' ? trip.firstToken - this.clock.now() : this.params.silence,
+        trip.total - this.clock.now(),
+      );
+      const next = await wait(
+        chunks.next().catch((thrown: unknown) => ({ thrown })),
+        limit,
+      );
       if (!next) return giveUp(fault('engine.stream', peer, 'silent past the limit', 'unknown'));
-      if ('thrown' in next) return giveUp(fault('engine.stream', peer, String(next.thrown), 'unknown'));
-      if (next.done) return giveUp(fault('engine.stream', peer, 'ended without its end marker', 'unknown'));
+      if ('thrown' in next)
+        return giveUp(fault('engine.stream', peer, String(next.thrown), 'unknown'));
+      if (next.done)
+        return giveUp(fault('engine.stream', peer, 'ended without its end marker', 'unknown'));
       const events: Outcome<SseEvent[]> = reader.push(next.value, peer);
       if (events.isLeft()) return giveUp(events.extract() as Fault);
       for (const event of events.unsafeCoerce()) {
         if (event.data === '[DONE]') {
-          if (!finished || owed || !reader.empty) return giveUp(fault('engine.stream', peer, 'an end marker out of place', 'unknown'));
+          if (!finished || owed || !reader.empty)
+            return giveUp(fault('engine.stream', peer, 'an end marker out of place', 'unknown'));
           if (trip.chart.state === 'sent') trip.chart.step('streaming', peer);
-          if (!(await trip.sink.write(event, peer))) return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
+          if (!(await trip.sink.write(event, peer)))
+            return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
           trip.sink.complete();
           trip.chart.step('complete', peer);
           this.soundness.good(peer);
           return over({ outcome: 'result' });
         }
         const chunk = readChunk(event.data);
-        if (!chunk || (chunkId !== undefined && chunk.id !== chunkId)) return giveUp(fault('engine.stream', peer, 'a piece that is not of this result', 'unknown'));
+        if (!chunk || (chunkId !== undefined && chunk.id !== chunkId))
+          return giveUp(
+            fault('engine.stream', peer, 'a piece that is not of this result', 'unknown'),
+          );
         chunkId = chunk.id;
         const repeated = chunk.content.slice(0, owed.length);
-        if (!owed.startsWith(repeated) || (owed.length > repeated.length && chunk.finished)) return giveUp(fault('engine.resume', peer, 'does not go on exactly where the stream broke', 'unknown'));
+        if (!owed.startsWith(repeated) || (owed.length > repeated.length && chunk.finished))
+          return giveUp(
+            fault(
+              'engine.resume',
+              peer,
+              'does not go on exactly where the stream broke',
+              'unknown',
+            ),
+          );
         const content = chunk.content.slice(repeated.length);
         const silent = trip.resumed && !content && !chunk.finished && owed !== '';
         owed = owed.slice(repeated.length);
@@ -499,7 +764,8 @@
         handed.text += content;
         handed.pieces += content ? 1 : 0;
         handed.plain &&= chunk.plain && !finished;
-        if (!(await trip.sink.write(shown, peer))) return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
+        if (!(await trip.sink.write(shown, peer)))
+          return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
       }
     }
   }
@@ -511,7 +777,11 @@
 
   /** Only an explicit word that it was not run makes a sent request declined. */
   private async notServed(reply: EngineReply, peer: string): Promise<Fault> {
-    const text = await within(this.clock, 1000, reply.body.text().catch(() => ''));
+    const text = await within(
+      this.clock,
+      1000,
+      reply.body.text().catch(() => ''),
+    );
     let code: unknown;
     try {
       code = (JSON.parse(text ?? '') as { error?: { code?: unknown } }).error?.code;
@@ -519,7 +789,12 @@
       code = undefined;
     }
     const notRun = (reply.statusCode === 429 || reply.statusCode === 503) && code === 'not_run';
-    return fault('engine.head', peer, `status ${reply.statusCode}`, notRun ? 'declined' : 'unknown');
+    return fault(
+      'engine.head',
+      peer,
+      `status ${reply.statusCode}`,
+      notRun ? 'declined' : 'unknown',
+    );
   }
 
   private namespace({ request }: Trip, weightGeneration: string): Namespace {
--- a/src/passage/pieces.ts
+++ b/src/passage/pieces.ts
@@ -18,7 +18,13 @@
   private last: string;
   private depth: number;
 
-  constructor(prompt: Uint8Array, blocks: readonly Block[], private readonly size: number, root: string, private readonly note: Notes) {
+  constructor(
+    prompt: Uint8Array,
+    blocks: readonly Block[],
+    private readonly size: number,
+    root: string,
+    private readonly note: Notes,
+  ) {
     this.pending = Buffer.from(prompt.subarray(blocks.length * size));
     this.last = blocks[blocks.length - 1]?.external ?? root;
     this.depth = blocks.length;
@@ -39,7 +45,10 @@
 
 /** A piece of the rest, under the name the stream began with. */
 export const renamed = (event: SseEvent, id: string, content: string): SseEvent => {
-  const piece = JSON.parse(event.data) as { id: string; choices?: Array<{ delta?: { content?: string } }> };
+  const piece = JSON.parse(event.data) as {
+    id: string;
+    choices?: Array<{ delta?: { content?: string } }>;
+  };
   const delta = piece.choices?.[0]?.delta;
   if (delta?.content !== undefined) delta.content = content;
   const data = JSON.stringify({ ...piece, id });
@@ -56,13 +65,25 @@
 
 export const readChunk = (data: string): Chunk | undefined => {
   try {
-    const raw = JSON.parse(data) as { id?: unknown; choices?: Array<{ delta?: { content?: unknown }; finish_reason?: unknown }>; usage?: { prompt_tokens_details?: { cached_tokens?: unknown } } };
+    const raw = JSON.parse(data) as {
+      id?: unknown;
+      choices?: Array<{ delta?: { content?: unknown }; finish_reason?: unknown }>;
+      usage?: { prompt_tokens_details?: { cached_tokens?: unknown } };
+    };
     if (typeof raw.id !== 'string') return undefined;
     const first = raw.choices?.[0];
     const content = typeof first?.delta?.content === 'string' ? first.delta.content : '';
     const cached = raw.usage?.prompt_tokens_details?.cached_tokens;
-    const plain = Object.keys(first?.delta ?? {}).every((key) => key === 'role' || key === 'content');
-    return { id: raw.id, plain, content, finished: typeof first?.finish_reason === 'string', cached: typeof cached === 'number' ? cached : undefined };
+    const plain = Object.keys(first?.delta ?? {}).every(
+      (key) => key === 'role' || key === 'content',
+    );
+    return {
+      id: raw.id,
+      plain,
+      content,
+      finished: typeof first?.finish_reason === 'string',
+      cached: typeof cached === 'number' ? cached : undefined,
+    };
   } catch {
     return undefined;
   }
--- a/src/passage/retry.ts
+++ b/src/passage/retry.ts
@@ -8,7 +8,10 @@
   fresh = 0;
   spent = 0;
 
-  constructor(private readonly share = 0.05, private readonly kept = 1) {}
+  constructor(
+    private readonly share = 0.05,
+    private readonly kept = 1,
+  ) {}
 
   noteFresh(): void {
     this.fresh += 1;
--- a/src/passage/sse.ts
+++ b/src/passage/sse.ts
@@ -26,10 +26,15 @@
     for (let end = /\r?\n\r?\n/.exec(this.pending); end; end = /\r?\n\r?\n/.exec(this.pending)) {
       const raw = this.pending.slice(0, end.index);
       this.pending = this.pending.slice(end.index + end[0].length);
-      const data = raw.split(/\r?\n/).filter((line) => line.startsWith('data:')).map((line) => line.slice(5).replace(/^ /, '')).join('\n');
+      const data = raw
+        .split(/\r?\n/)
+        .filter((line) => line.startsWith('data:'))
+        .map((line) => line.slice(5).replace(/^ /, ''))
+        .join('\n');
       if (data) events.push({ raw: `${raw}\n\n`, data });
     }
-    if (this.pending.length > EVENT_BOUND) return failed('stream.decode', peer, 'an event outgrew its bound', 'unknown');
+    if (this.pending.length > EVENT_BOUND)
+      return failed('stream.decode', peer, 'an event outgrew its bound', 'unknown');
     return Right(events);
   }
 
--- a/src/place/choose.ts
+++ b/src/place/choose.ts
@@ -50,12 +50,23 @@
   private readonly born: Moment;
   private turn = 0;
 
-  constructor(private readonly params: PlaceParams, private readonly law: LawParams, private readonly zone: string, private readonly clock: Clock, private readonly random: Random, private readonly policy: Policy) {
+  constructor(
+    private readonly params: PlaceParams,
+    private readonly law: LawParams,
+    private readonly zone: string,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly policy: Policy,
+  ) {
     this.born = clock.now();
   }
 
   /** The best engine now, or how long until one may open; undefined when there is none to wait for. */
-  choose(engines: readonly Engine[], overlaps: ReadonlyMap<string, number>, need: Need): Choice | { readonly wait: number } | undefined {
+  choose(
+    engines: readonly Engine[],
+    overlaps: ReadonlyMap<string, number>,
+    need: Need,
+  ): Choice | { readonly wait: number } | undefined {
     if (engines.length === 0) return undefined;
     let soonest = Infinity;
     let best: Choice[] = [];
@@ -65,14 +76,24 @@
         soonest = Math.min(soonest, wait);
         continue;
       }
-      const overlap = Math.min((overlaps.get(engine.identifier) ?? 0) * need.blockTokens, need.prompt);
-      const choice = { engine, overlap, estimate: this.estimate(engine, need.prompt - (this.policy === 'index' ? overlap : 0)) };
+      const overlap = Math.min(
+        (overlaps.get(engine.identifier) ?? 0) * need.blockTokens,
+        need.prompt,
+      );
+      const choice = {
+        engine,
+        overlap,
+        estimate: this.estimate(engine, need.prompt - (this.policy === 'index' ? overlap : 0)),
+      };
       const lead = best[0] ? choice.estimate - best[0].estimate : -1;
       if (this.policy === 'round-robin' || Math.abs(lead) < 0.5) best.push(choice);
       else if (lead < 0) best = [choice];
     }
     if (best.length === 0) return { wait: soonest };
-    const at = this.policy === 'round-robin' ? this.turn++ % best.length : Math.floor(this.random.fraction() * best.length);
+    const at =
+      this.policy === 'round-robin'
+        ? this.turn++ % best.length
+        : Math.floor(this.random.fraction() * best.length);
     return best[at];
   }
 
@@ -88,7 +109,12 @@
     const fresh = need.prompt - overlap;
     busy.ahead += fresh;
     busy.flying += 1;
-    return { engine, payment: this.allowance(engine).pay(need.blocks(engine), need.blockTokens, need.extra), fresh, begun: false };
+    return {
+      engine,
+      payment: this.allowance(engine).pay(need.blocks(engine), need.blockTokens, need.extra),
+      fresh,
+      begun: false,
+    };
   }
 
   /** The first piece came: the engine's prefill for this request is done. */
@@ -111,10 +137,11 @@
   }
 
   listed(engines: ReadonlyMap<string, Engine>): void {
-    for (const [identifier, busy] of this.busyness) if (!engines.has(identifier) && busy.flying === 0) {
-      this.busyness.delete(identifier);
-      this.allowances.delete(identifier);
-    }
+    for (const [identifier, busy] of this.busyness)
+      if (!engines.has(identifier) && busy.flying === 0) {
+        this.busyness.delete(identifier);
+        this.allowances.delete(identifier);
+      }
   }
 
   private opens(engine: Engine, need: Need): number {
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -23,13 +23,20 @@
 }
 
 /** The law as one text, the same for all routers that keep the same. */
-export const lawText = ({ routers, largestPrompt, largestReply, rateShare }: LawParams): string => `${routers}/${largestPrompt}/${largestReply}/${rateShare}`;
+export const lawText = ({ routers, largestPrompt, largestReply, rateShare }: LawParams): string =>
+  `${routers}/${largestPrompt}/${largestReply}/${rateShare}`;
 
 /** Why no claim can be made under this law beside the routers enrolled; empty when they can. */
-export const lawBroken = (law: LawParams, enrolled: ReadonlyMap<string, { readonly law: string }>): string => {
-  if (enrolled.size > law.routers) return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
+export const lawBroken = (
+  law: LawParams,
+  enrolled: ReadonlyMap<string, { readonly law: string }>,
+): string => {
+  if (enrolled.size > law.routers)
+    return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
   const [other] = [...enrolled].find(([, each]) => each.law !== lawText(law)) ?? [];
-  return other === undefined ? '' : `${other} keeps another law: ${enrolled.get(other)!.law}, not ${lawText(law)}`;
+  return other === undefined
+    ? ''
+    : `${other} keeps another law: ${enrolled.get(other)!.law}, not ${lawText(law)}`;
 };
 
 /** The last block of a request may be counted whole; blocks are at most this large. */
@@ -43,7 +50,8 @@
 });
 
 /** The most distinct tokens all other routers together may have touched at the engine within a span. */
-export const othersBound = (law: Law, span: number): number => law.others * (law.warm + 2 * law.largest + (law.rate * Math.max(0, span)) / 1000);
+export const othersBound = (law: Law, span: number): number =>
+  law.others * (law.warm + 2 * law.largest + (law.rate * Math.max(0, span)) / 1000);
 
 export interface Payment {
   readonly blocks: readonly string[];
@@ -58,7 +66,11 @@
   private flying = 0;
 
   /** The bucket is empty when the process is born, so that a process that restarts often keeps the law too. */
-  constructor(private readonly law: Law, private readonly clock: Clock, private filled: Moment) {}
+  constructor(
+    private readonly law: Law,
+    private readonly clock: Clock,
+    private filled: Moment,
+  ) {}
 
   /** What a request would have to pay. */
   cost(blocks: readonly string[], blockTokens: number, extra: number): number {
@@ -100,7 +112,10 @@
 
   private fill(): void {
     const now = this.clock.now();
-    this.level = Math.min(this.law.largest, this.level + ((now - this.filled) * this.law.rate) / 1000);
+    this.level = Math.min(
+      this.law.largest,
+      this.level + ((now - this.filled) * this.law.rate) / 1000,
+    );
     this.filled = now;
   }
 }
--- a/src/place/least.ts
+++ b/src/place/least.ts
@@ -35,6 +35,7 @@
   }
 
   listed(engines: ReadonlyMap<string, Engine>): void {
-    for (const identifier of this.flying.keys()) if (!engines.has(identifier)) this.flying.delete(identifier);
+    for (const identifier of this.flying.keys())
+      if (!engines.has(identifier)) this.flying.delete(identifier);
   }
 }
--- a/src/place/placer.ts
+++ b/src/place/placer.ts
@@ -34,7 +34,9 @@
   end(how: TicketEnd): void;
 }
 
-export type Placement = { readonly kind: 'placed'; readonly ticket: Ticket } | { readonly kind: 'full'; readonly retryAfter: number; readonly reason: string };
+export type Placement =
+  | { readonly kind: 'placed'; readonly ticket: Ticket }
+  | { readonly kind: 'full'; readonly retryAfter: number; readonly reason: string };
 
 export interface Placer {
   /** `engines` are those that may serve the request (of the service, not leaving, not yet tried). */
--- a/src/place/prefix.ts
+++ b/src/place/prefix.ts
@@ -17,7 +17,12 @@
 import { PlacedTicket } from './prefix/ticket.js';
 import { defaultWeights, type PrefixPlacerParams, type Weights } from './prefix/weights.js';
 
-export { defaultWeights, prefixPlacerDefaults, type PrefixPlacerParams, type Weights } from './prefix/weights.js';
+export {
+  defaultWeights,
+  prefixPlacerDefaults,
+  type PrefixPlacerParams,
+  type Weights,
+} from './prefix/weights.js';
 
 /** The shortest wait a refusal names, in milliseconds. */
 const LEAST_WAIT = 10;
@@ -28,7 +33,12 @@
   private readonly loads = new Map<string, EngineLoad>();
   private readonly records = new ServiceRecords();
 
-  constructor(private readonly params: PrefixPlacerParams, private readonly clock: Clock, private readonly random: Random, private readonly weights: Weights = defaultWeights) {
+  constructor(
+    private readonly params: PrefixPlacerParams,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly weights: Weights = defaultWeights,
+  ) {
     this.index = new PartIndex(params.routers);
     this.soundness = new Soundness(clock);
   }
@@ -51,13 +61,18 @@
     }
     if (open.engines.length > 0) return this.send(ask, open, now);
     if (doubtful.engines.length > 0) return this.send(ask, doubtful, now);
-    return this.full(ask, Number.isFinite(soonest) ? soonest : this.records.of(ask.service).pace.base, 'no-room');
+    return this.full(
+      ask,
+      Number.isFinite(soonest) ? soonest : this.records.of(ask.service).pace.base,
+      'no-room',
+    );
   }
 
   listed(engines: ReadonlyMap<string, Engine>): void {
     this.index.listed(engines);
     this.soundness.forget(engines);
-    for (const identifier of this.loads.keys()) if (!engines.has(identifier)) this.loads.delete(identifier);
+    for (const identifier of this.loads.keys())
+      if (!engines.has(identifier)) this.loads.delete(identifier);
   }
 
   get counts(): ReadonlyMap<string, number> {
@@ -69,10 +84,30 @@
     const record = this.records.of(service);
     const prefixes = prompt && new PromptPrefixes(this.index, service.name, prompt);
     const { zone, zoneCost } = this.params;
-    const best = new Choice(ask, candidates, prefixes, record, this.weights, zone, zoneCost, now).best(this.random);
+    const best = new Choice(
+      ask,
+      candidates,
+      prefixes,
+      record,
+      this.weights,
+      zone,
+      zoneCost,
+      now,
+    ).best(this.random);
     const limit = ask.priority === 0 ? this.weights.fullHigh : this.weights.fullLow;
-    if (best.estimate > ask.target && this.occupied(service, candidates) >= limit) return this.full(ask, best.estimate - ask.target, 'late');
-    return { kind: 'placed', ticket: new PlacedTicket(best, record, prefixes, service.engine?.cacheTokens ?? this.params.cacheTokens, this.soundness, this.clock) };
+    if (best.estimate > ask.target && this.occupied(service, candidates) >= limit)
+      return this.full(ask, best.estimate - ask.target, 'late');
+    return {
+      kind: 'placed',
+      ticket: new PlacedTicket(
+        best,
+        record,
+        prefixes,
+        service.engine?.cacheTokens ?? this.params.cacheTokens,
+        this.soundness,
+        this.clock,
+      ),
+    };
   }
 
   /** The share of the engines' places thought to be taken: the other routers are taken to have as many there as this one. */
@@ -87,7 +122,14 @@
   }
 
   private full(ask: PlaceAsk, wait: number, reason: string): Placement {
-    return { kind: 'full', retryAfter: Math.min(ask.deadline / 3, Math.max(LEAST_WAIT, wait) * (0.75 + this.random.fraction() / 2)), reason };
+    return {
+      kind: 'full',
+      retryAfter: Math.min(
+        ask.deadline / 3,
+        Math.max(LEAST_WAIT, wait) * (0.75 + this.random.fraction() / 2),
+      ),
+      reason,
+    };
   }
 
   private sound(engines: readonly Engine[]): readonly Engine[] {
--- a/src/place/prefix/choice.ts
+++ b/src/place/prefix/choice.ts
@@ -35,7 +35,8 @@
 }
 
 /** Bands of three for each priority; within one, what is read sooner comes first. */
-export const urgencyOf = (priority: number, read: number): number => (priority >= 3 ? 9 : priority * 3 + (read <= 2048 ? 0 : read <= 8192 ? 1 : 2));
+export const urgencyOf = (priority: number, read: number): number =>
+  priority >= 3 ? 9 : priority * 3 + (read <= 2048 ? 0 : read <= 8192 ? 1 : 2);
 
 /** Up to so many engines all are looked at one by one. */
 const FEW = 16;
@@ -50,19 +51,31 @@
   private readonly loads: readonly EngineLoad[];
 
   constructor(
-    private readonly ask: PlaceAsk, { engines, loads }: Candidates, private readonly prefixes: PromptPrefixes | undefined,
-    private readonly record: ServiceRecord, private readonly weights: Weights, private readonly zone: string, private readonly zoneCost: number, private readonly now: number,
+    private readonly ask: PlaceAsk,
+    { engines, loads }: Candidates,
+    private readonly prefixes: PromptPrefixes | undefined,
+    private readonly record: ServiceRecord,
+    private readonly weights: Weights,
+    private readonly zone: string,
+    private readonly zoneCost: number,
+    private readonly now: number,
   ) {
     this.engines = engines;
     this.loads = loads;
     this.binding = prefixes !== undefined && prefixes.shared >= weights.binding;
     const hashes = loads.map(({ hash }) => hash);
-    const count = weights.favour > 0 && record.blocking.share >= weights.splitFrom ? record.split.share(engines.length, weights.favour) : engines.length;
+    const count =
+      weights.favour > 0 && record.blocking.share >= weights.splitFrom
+        ? record.split.share(engines.length, weights.favour)
+        : engines.length;
     this.border = count === engines.length ? undefined : record.split.pull(hashes, count, now);
     if (!this.binding) return;
     const homes: number[] = [];
     for (let at = 0; at < engines.length; at++) if (this.home(at)) homes.push(at);
-    leaders(prefixes!.key, homes.map((at) => hashes[at]!)).forEach((at, rank) => this.ranks.set(homes[at]!, rank));
+    leaders(
+      prefixes!.key,
+      homes.map((at) => hashes[at]!),
+    ).forEach((at, rank) => this.ranks.set(homes[at]!, rank));
   }
 
   best(random: Random): Option {
@@ -81,9 +94,18 @@
 
   /** Few at home and one that isn't, at random. */
   private some(random: Random): readonly number[] {
-    const { engines: { length }, weights: { choices } } = this;
+    const {
+      engines: { length },
+      weights: { choices },
+    } = this;
     const picked = new Set<number>();
-    const order = length <= FEW ? shuffled(random, this.engines.map((_, at) => at)) : undefined;
+    const order =
+      length <= FEW
+        ? shuffled(
+            random,
+            this.engines.map((_, at) => at),
+          )
+        : undefined;
     const wanted = { homes: choices, foreign: this.border === undefined ? 0 : 1 };
     for (let step = 0; step < length && (wanted.homes > 0 || wanted.foreign > 0); step++) {
       const at = order ? order[step]! : Math.floor(random.fraction() * length);
@@ -99,7 +121,8 @@
   private worthwhile(random: Random): readonly number[] {
     const { engines, prefixes } = this;
     if (engines.length <= FEW) {
-      for (const weights of new Set(engines.map(({ weightGeneration }) => weightGeneration))) prefixes!.holders(weights);
+      for (const weights of new Set(engines.map(({ weightGeneration }) => weightGeneration)))
+        prefixes!.holders(weights);
       return engines.map((_, at) => at);
     }
     const picked = new Set(this.ranks.keys());
@@ -116,13 +139,22 @@
 
   /** An engine where a long prompt of this node's is being read, to learn how far it blocks, when that can't do harm. */
   private probe(): Option | undefined {
-    const { blocking, reading, pace: { base, perToken } } = this.record;
+    const {
+      blocking,
+      reading,
+      pace: { base, perToken },
+    } = this.record;
     if (reading === 0 || !blocking.wanted(this.now)) return undefined;
     for (let at = 0; at < this.engines.length; at++) {
       if (!this.loads[at]!.beside(urgencyOf(this.ask.priority, 0), base / perToken)) continue;
       const option = this.option(at);
       const { before, beside } = option.ahead;
-      if (before > 0 || beside < base || (!blocking.atAnyPrice && option.estimate + beside > 0.75 * this.ask.target)) continue;
+      if (
+        before > 0 ||
+        beside < base ||
+        (!blocking.atAnyPrice && option.estimate + beside > 0.75 * this.ask.target)
+      )
+        continue;
       blocking.ask(this.now);
       return option;
     }
@@ -130,7 +162,10 @@
   }
 
   private home(at: number): boolean {
-    return this.border === undefined || this.record.split.isLong(this.loads[at]!.hash, this.border) === this.binding;
+    return (
+      this.border === undefined ||
+      this.record.split.isLong(this.loads[at]!.hash, this.border) === this.binding
+    );
   }
 
   private option(at: number): Option {
@@ -149,9 +184,16 @@
     const late = load.lateness(this.now);
     const estimate = base + wait + late + read * perToken;
     const beyond = weights.beyond * Math.max(0, estimate - weights.comfort * ask.target);
-    const foreign = this.home(at) ? 0 : ask.target * (binding ? weights.foreignLong : weights.foreignShort);
+    const foreign = this.home(at)
+      ? 0
+      : ask.target * (binding ? weights.foreignLong : weights.foreignShort);
     const waits = binding ? weights.wait * wait + weights.late * late : wait + late;
-    const cost = waits + weights.read * read * perToken + beyond + foreign + (engine.zone === this.zone ? 0 : this.zoneCost + weights.foreignZone * ask.target);
+    const cost =
+      waits +
+      weights.read * read * perToken +
+      beyond +
+      foreign +
+      (engine.zone === this.zone ? 0 : this.zoneCost + weights.foreignZone * ask.target);
     return { engine, load, rank, read, kept, urgency, ahead, late, estimate, cost };
   }
 }
--- a/src/place/prefix/load.ts
+++ b/src/place/prefix/load.ts
@@ -75,7 +75,8 @@
   /** The newest less urgent one that is being read and brings so many tokens. */
   beside(urgency: number, least: number): Reading | undefined {
     let newest: Reading | undefined;
-    for (const reading of this.readings) if (reading.urgency > urgency && reading.tokens >= least) newest = reading;
+    for (const reading of this.readings)
+      if (reading.urgency > urgency && reading.tokens >= least) newest = reading;
     return newest;
   }
 
@@ -89,7 +90,8 @@
   /** By how many ms first tokens are late here, as last seen and fading, or as the one now waited for longest shows. */
   lateness(now: number): number {
     const faded = this.late * Math.exp((this.lateAt - now) / FADE);
-    for (const oldest of this.readings) return Math.max(faded, now - oldest.sentAt - oldest.expected);
+    for (const oldest of this.readings)
+      return Math.max(faded, now - oldest.sentAt - oldest.expected);
     return faded;
   }
 
--- a/src/place/prefix/order.ts
+++ b/src/place/prefix/order.ts
@@ -15,7 +15,8 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 };
 
-export const attraction = (key: number, engine: number): number => mixed(key ^ Math.imul(engine, 0x9e3779b1));
+export const attraction = (key: number, engine: number): number =>
+  mixed(key ^ Math.imul(engine, 0x9e3779b1));
 
 /** How many of the first places are told apart; all later ones are one. */
 export const RANKS = 4;
--- a/src/place/prefix/pace.ts
+++ b/src/place/prefix/pace.ts
@@ -14,7 +14,11 @@
   private stale = false;
   private kept: number;
 
-  constructor(private readonly size: number, private readonly share: number, start: number) {
+  constructor(
+    private readonly size: number,
+    private readonly share: number,
+    start: number,
+  ) {
     this.samples = [start, start, start];
     this.kept = start;
   }
--- a/src/place/prefix/prefixes.ts
+++ b/src/place/prefix/prefixes.ts
@@ -18,8 +18,15 @@
   readonly shared: number;
   private readonly chains = new Map<string, Chain>();
 
-  constructor(private readonly index: PartIndex, private readonly service: string, readonly prompt: Prompt) {
-    this.shared = Math.min(prompt.tokens, prompt.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0));
+  constructor(
+    private readonly index: PartIndex,
+    private readonly service: string,
+    readonly prompt: Prompt,
+  ) {
+    this.shared = Math.min(
+      prompt.tokens,
+      prompt.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0),
+    );
   }
 
   /** The first parts that hold at least half of what is shared stand for the prefix. */
@@ -38,7 +45,14 @@
   keptAt(engine: Engine): number {
     const { root, blocks, held } = this.chain(engine.weightGeneration);
     let sum = 0;
-    for (let at = held ? (held.get(engine.identifier) ?? 0) : this.index.depth(engine.identifier, root, blocks); at > 0; at--) sum += blocks[at - 1]!.tokens;
+    for (
+      let at = held
+        ? (held.get(engine.identifier) ?? 0)
+        : this.index.depth(engine.identifier, root, blocks);
+      at > 0;
+      at--
+    )
+      sum += blocks[at - 1]!.tokens;
     return Math.min(sum, this.prompt.tokens);
   }
 
@@ -58,7 +72,11 @@
   private chain(weights: string): Chain {
     const known = this.chains.get(weights);
     if (known) return known;
-    const root = this.index.root({ model: this.prompt.model, weightGeneration: weights, firm: this.service });
+    const root = this.index.root({
+      model: this.prompt.model,
+      weightGeneration: weights,
+      firm: this.service,
+    });
     const blocks = blocksOfParts(this.prompt.parts, root);
     const made: Chain = { root, blocks };
     this.chains.set(weights, made);
--- a/src/place/prefix/service.ts
+++ b/src/place/prefix/service.ts
@@ -27,7 +27,8 @@
   of({ name }: Service): ServiceRecord {
     const known = this.records.get(name);
     if (known) return known;
-    if (this.records.size >= SERVICES_BOUND) this.records.delete(this.records.keys().next().value as string);
+    if (this.records.size >= SERVICES_BOUND)
+      this.records.delete(this.records.keys().next().value as string);
     const made = new ServiceRecord(name);
     this.records.set(name, made);
     return made;
--- a/src/place/prefix/split.ts
+++ b/src/place/prefix/split.ts
@@ -39,7 +39,8 @@
   /** From which pull on an engine is for long prompts; the order of the engines is looked at again now and then. */
   pull(engines: readonly number[], count: number, now: number): number {
     const { border } = this;
-    if (border.count !== count || border.of !== engines.length || now - border.at > LOOK) this.border = { count, of: engines.length, at: now, pull: pullOf(this.key, engines, count) };
+    if (border.count !== count || border.of !== engines.length || now - border.at > LOOK)
+      this.border = { count, of: engines.length, at: now, pull: pullOf(this.key, engines, count) };
     return this.border.pull;
   }
 
--- a/src/place/prefix/ticket.ts
+++ b/src/place/prefix/ticket.ts
@@ -21,10 +21,22 @@
   private begun = false;
   private ended = false;
 
-  constructor(private readonly option: Option, private readonly record: ServiceRecord, private readonly prefixes: PromptPrefixes | undefined, private readonly capacity: number, private readonly soundness: Soundness, private readonly clock: Clock) {
+  constructor(
+    private readonly option: Option,
+    private readonly record: ServiceRecord,
+    private readonly prefixes: PromptPrefixes | undefined,
+    private readonly capacity: number,
+    private readonly soundness: Soundness,
+    private readonly clock: Clock,
+  ) {
     this.sentAt = clock.now();
     const { load, estimate, late, read, urgency } = option;
-    this.reading = { sentAt: this.sentAt, expected: estimate - Math.max(0, late), tokens: read, urgency };
+    this.reading = {
+      sentAt: this.sentAt,
+      expected: estimate - Math.max(0, late),
+      tokens: read,
+      urgency,
+    };
     const least = record.pace.base / record.pace.perToken;
     this.beside = load.beside(urgency, least);
     this.long = read >= least;
@@ -69,7 +81,8 @@
     if (how === 'whole') this.soundness.good(engine.identifier);
     else if (how === 'failed') this.soundness.bad(engine.identifier);
     else if (how === 'turned-away') load.turnedAway(now);
-    else if (!this.begun && took > this.reading.expected) load.noteLate(now, took - this.reading.expected);
+    else if (!this.begun && took > this.reading.expected)
+      load.noteLate(now, took - this.reading.expected);
   }
 
   private read(now: number): void {
@@ -78,15 +91,25 @@
   }
 
   private learn(now: number, took: number): void {
-    const { load, rank, read, kept, ahead: { before, beside } } = this.option;
+    const {
+      load,
+      rank,
+      read,
+      kept,
+      ahead: { before, beside },
+    } = this.option;
     const { pace, blocking, belief } = this.record;
     if (this.beside) {
       const { readAt } = this.beside;
       if (readAt === undefined) blocking.observe(false);
-      else if (readAt - this.sentAt > pace.base + read * pace.perToken + MISSED) blocking.observe(true);
+      else if (readAt - this.sentAt > pace.base + read * pace.perToken + MISSED)
+        blocking.observe(true);
     }
     const unknown = this.prefixes ? Math.max(0, this.prefixes.shared - kept) : 0;
-    const least = pace.base + before + (this.prefixes ? this.prefixes.prompt.tokens - kept - unknown : 0) * pace.perToken;
+    const least =
+      pace.base +
+      before +
+      (this.prefixes ? this.prefixes.prompt.tokens - kept - unknown : 0) * pace.perToken;
     const guess = unknown * pace.perToken;
     // Where a good part was not known to be kept, the time tells whether it was.
     if (guess > pace.base) {
--- a/src/place/prefix/weights.ts
+++ b/src/place/prefix/weights.ts
@@ -11,7 +11,13 @@
   readonly cacheTokens: number;
 }
 
-export const prefixPlacerDefaults: PrefixPlacerParams = { zone: '', zoneCost: 0, routers: () => 1, slots: 64, cacheTokens: 262_144 };
+export const prefixPlacerDefaults: PrefixPlacerParams = {
+  zone: '',
+  zoneCost: 0,
+  routers: () => 1,
+  slots: 64,
+  cacheTokens: 262_144,
+};
 
 export interface Weights {
   /** Shared parts of at least this many tokens bind a request to the engines that are preferred for them. */
@@ -41,5 +47,18 @@
 }
 
 export const defaultWeights: Weights = {
-  binding: 1024, choices: 3, read: 4, wait: 0.5, late: 0.3, comfort: 0.5, beyond: 0, favour: 1.6, splitFrom: 0.45, foreignShort: 0.2, foreignLong: 0.3, foreignZone: 0.1, fullHigh: 0.9, fullLow: 0.6,
+  binding: 1024,
+  choices: 3,
+  read: 4,
+  wait: 0.5,
+  late: 0.3,
+  comfort: 0.5,
+  beyond: 0,
+  favour: 1.6,
+  splitFrom: 0.45,
+  foreignShort: 0.2,
+  foreignLong: 0.3,
+  foreignZone: 0.1,
+  fullHigh: 0.9,
+  fullLow: 0.6,
 };
--- a/src/pool/channel.ts
+++ b/src/pool/channel.ts
@@ -27,7 +27,12 @@
 
 export interface EngineChannel {
   readonly engine: Engine;
-  send(path: string, headers: ReadonlyMap<string, string>, body: string, signal: AbortSignal): Promise<Outcome<EngineReply>>;
+  send(
+    path: string,
+    headers: ReadonlyMap<string, string>,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<Outcome<EngineReply>>;
   close(): void;
 }
 
@@ -50,7 +55,10 @@
 export class Channels implements EngineChannels {
   private readonly kept = new Map<string, Socketed[]>();
 
-  constructor(private readonly clock: Clock, private readonly verifyLimit = 500) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly verifyLimit = 500,
+  ) {}
 
   /** A channel on which the engine has just proved to be the one wanted. */
   async open(engine: Engine): Promise<Outcome<EngineChannel>> {
@@ -59,11 +67,27 @@
       const reused = this.takeKept(engine);
       const socketed = reused ?? { client: this.dial(engine), engine, idleSince: this.clock.now() };
       const identified = await attempt(step, engine.address, async () => {
-        const reply = await socketed.client.request({ path: '/identity', method: 'GET', headersTimeout: this.verifyLimit, bodyTimeout: this.verifyLimit, signal: AbortSignal.timeout(this.verifyLimit) });
+        const reply = await socketed.client.request({
+          path: '/identity',
+          method: 'GET',
+          headersTimeout: this.verifyLimit,
+          bodyTimeout: this.verifyLimit,
+          signal: AbortSignal.timeout(this.verifyLimit),
+        });
         const text = await reply.body.text();
-        return reply.statusCode === 200 ? (JSON.parse(text) as { identifier?: unknown }).identifier : undefined;
+        return reply.statusCode === 200
+          ? (JSON.parse(text) as { identifier?: unknown }).identifier
+          : undefined;
       });
-      const verified = identified.chain((identifier) => (identifier === engine.identifier ? Right(socketed) : failed<Socketed>(step, engine.address, `the address answers as ${String(identifier).slice(0, 80)}, not ${engine.identifier}`)));
+      const verified = identified.chain((identifier) =>
+        identifier === engine.identifier
+          ? Right(socketed)
+          : failed<Socketed>(
+              step,
+              engine.address,
+              `the address answers as ${String(identifier).slice(0, 80)}, not ${engine.identifier}`,
+            ),
+      );
       if (verified.isRight()) return Right(this.wrap(socketed));
       void socketed.client.destroy().catch(() => undefined);
       if (!reused) return verified as Outcome<never>;
@@ -73,7 +97,8 @@
   /** Gives a channel back for a later use, or closes it. */
   keep(engine: Engine, client: Client): void {
     const line = this.kept.get(engine.identifier) ?? [];
-    if (client.closed || client.destroyed || line.length >= KEPT_BOUND) return void client.destroy().catch(() => undefined);
+    if (client.closed || client.destroyed || line.length >= KEPT_BOUND)
+      return void client.destroy().catch(() => undefined);
     line.push({ client, engine, idleSince: this.clock.now() });
     this.kept.set(engine.identifier, line);
   }
@@ -81,7 +106,8 @@
   /** Closes what is kept for engines that are no longer listed. */
   prune(listed: ReadonlyMap<string, Engine>): void {
     for (const [identifier, line] of this.kept) {
-      if (listed.get(identifier)?.address === line[0]?.engine.address && listed.has(identifier)) continue;
+      if (listed.get(identifier)?.address === line[0]?.engine.address && listed.has(identifier))
+        continue;
       for (const { client } of line) void client.destroy().catch(() => undefined);
       this.kept.delete(identifier);
     }
@@ -94,25 +120,46 @@
   private takeKept(engine: Engine): Socketed | undefined {
     const line = this.kept.get(engine.identifier) ?? [];
     for (let socketed = line.pop(); socketed; socketed = line.pop()) {
-      if (socketed.engine.address === engine.address && !socketed.client.destroyed && this.clock.now() - socketed.idleSince < KEPT_FOR) return socketed;
+      if (
+        socketed.engine.address === engine.address &&
+        !socketed.client.destroyed &&
+        this.clock.now() - socketed.idleSince < KEPT_FOR
+      )
+        return socketed;
       void socketed.client.destroy().catch(() => undefined);
     }
     return undefined;
   }
 
   private dial(engine: Engine): Client {
-    return new Client(`http://${engine.address}`, { connect: connectOnce(this.verifyLimit), pipelining: 1, keepAliveTimeout: 30_000, bodyTimeout: 0, headersTimeout: 0 });
+    return new Client(`http://${engine.address}`, {
+      connect: connectOnce(this.verifyLimit),
+      pipelining: 1,
+      keepAliveTimeout: 30_000,
+      bodyTimeout: 0,
+      headersTimeout: 0,
+    });
   }
 
   private wrap({ client, engine }: Socketed): EngineChannel {
     return {
       engine,
       send: async (path, headers, body, signal) => {
-        const reply = await attempt('channel.send', engine.address, () => client.request({ path, method: 'POST', headers: [...headers].flat(), body, signal }), 'unknown');
-        return reply.mapLeft((fault) => (fault.reason === 'channel-ended' ? { ...fault, certainty: 'declined' as const } : fault)).map((data) => {
-          data.body.once('end', () => this.keep(engine, client));
-          return data;
-        });
+        const reply = await attempt(
+          'channel.send',
+          engine.address,
+          () =>
+            client.request({ path, method: 'POST', headers: [...headers].flat(), body, signal }),
+          'unknown',
+        );
+        return reply
+          .mapLeft((fault) =>
+            fault.reason === 'channel-ended' ? { ...fault, certainty: 'declined' as const } : fault,
+          )
+          .map((data) => {
+            data.body.once('end', () => this.keep(engine, client));
+            return data;
+          });
       },
       close: () => void client.destroy().catch(() => undefined),
     };
--- a/src/pool/engine.ts
+++ b/src/pool/engine.ts
@@ -1,14 +1,29 @@
 /** An engine as the platform's list names it, and the check of that list; what the engine says of itself adds nothing. */
-import { Array as List, Boolean as Flag, Number as Numeric, Object as Shape, Record as Table, String as Text, type Static } from 'runtypes';
+import {
+  Array as List,
+  Boolean as Flag,
+  Number as Numeric,
+  Object as Shape,
+  Record as Table,
+  String as Text,
+  type Static,
+} from 'runtypes';
 import { bounded, explain } from '../doorway/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { Right } from 'purify-ts';
 
-const Positive = Numeric.withConstraint((n) => (Number.isFinite(n) && n > 0) || 'expected a number above 0');
-const Address = Text.withConstraint((value) => /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/.test(value) || 'expected IP:PORT');
+const Positive = Numeric.withConstraint(
+  (n) => (Number.isFinite(n) && n > 0) || 'expected a number above 0',
+);
+const Address = Text.withConstraint(
+  (value) =>
+    /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/.test(value) || 'expected IP:PORT',
+);
 
 export const EngineShape = Shape({
-  identifier: Text.withConstraint((value) => (value.length > 0 && value.length <= 200) || 'expected 1 to 200 characters'),
+  identifier: Text.withConstraint(
+    (value) => (value.length > 0 && value.length <= 200) || 'expected 1 to 200 characters',
+  ),
   address: Address,
   model: Text,
   adapters: List(Text),
@@ -26,7 +41,12 @@
 /** An entry of the list as a platform, or who speaks for it, writes it. */
 export type Listed = Static<typeof EngineShape>;
 
-export const ListShape = Shape({ engines: bounded(List(EngineShape), (engines) => engines.length <= 4096 || 'expected at most 4096 engines') });
+export const ListShape = Shape({
+  engines: bounded(
+    List(EngineShape),
+    (engines) => engines.length <= 4096 || 'expected at most 4096 engines',
+  ),
+});
 
 export interface Engine {
   readonly identifier: string;
@@ -79,5 +99,12 @@
 };
 
 /** Whether a doorway's labels and a request's model let this engine serve it; the law needs to know its cache and rate. */
-export const allows = (labels: ReadonlyArray<{ label: string; value: string }>, model: string, engine: Engine): boolean =>
-  engine.cacheCapacity > 0 && engine.prefillRate > 0 && (engine.model === model || engine.adapters.has(model)) && labels.every(({ label, value }) => engine.labels.get(label) === value);
+export const allows = (
+  labels: ReadonlyArray<{ label: string; value: string }>,
+  model: string,
+  engine: Engine,
+): boolean =>
+  engine.cacheCapacity > 0 &&
+  engine.prefillRate > 0 &&
+  (engine.model === model || engine.adapters.has(model)) &&
+  labels.every(({ label, value }) => engine.labels.get(label) === value);
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -22,10 +22,25 @@
 import { parseList, type Engine } from './engine.js';
 
 /** `number` counts the news of the one asked; an ask that names its newest waits for the next, at most `wait` ms. */
-export interface NewsAsk { number: number; digest: string; wait: number }
+export interface NewsAsk {
+  number: number;
+  digest: string;
+  wait: number;
+}
 /** `held` is how long the ask was kept open, in milliseconds; `list` is empty when the asker holds the one of that digest. */
-export interface NewsReply { number: number; held: number; age: number; digest: string; list: Uint8Array }
-export const News = call<NewsAsk, NewsReply>(48, 'pool.news', struct({ number, digest: text, wait: number }), struct({ number, held: number, age: number, digest: text, list: blob }));
+export interface NewsReply {
+  number: number;
+  held: number;
+  age: number;
+  digest: string;
+  list: Uint8Array;
+}
+export const News = call<NewsAsk, NewsReply>(
+  48,
+  'pool.news',
+  struct({ number, digest: text, wait: number }),
+  struct({ number, held: number, age: number, digest: text, list: blob }),
+);
 
 const DUTY = 'list';
 const ASK_LIMIT = 400;
@@ -38,17 +53,29 @@
 export type Fetch = (limit: number) => Promise<Outcome<{ text: string; wait: number }>>;
 
 /** Reads the list over HTTP; a 429 gives the wait it asks for. */
-export const fetchList = (url: string): Fetch => async (limit) => {
-  const got = await attempt('pool.poll', url, async () => {
-    const reply = await request(url, { headersTimeout: limit, bodyTimeout: limit, signal: AbortSignal.timeout(limit) });
-    const text = await reply.body.text();
-    return { status: reply.statusCode, text: text.length > LIST_BOUND ? '' : text, wait: Number(reply.headers['retry-after'] ?? 0) * 1000 };
-  });
-  return got.chain(({ status, text, wait }) => {
-    if (status === 429) return Right({ text: '', wait: Math.max(wait, 250) });
-    return status === 200 && text ? Right({ text, wait: 0 }) : failed('pool.poll', url, `status ${status}`);
-  });
-};
+export const fetchList =
+  (url: string): Fetch =>
+  async (limit) => {
+    const got = await attempt('pool.poll', url, async () => {
+      const reply = await request(url, {
+        headersTimeout: limit,
+        bodyTimeout: limit,
+        signal: AbortSignal.timeout(limit),
+      });
+      const text = await reply.body.text();
+      return {
+        status: reply.statusCode,
+        text: text.length > LIST_BOUND ? '' : text,
+        wait: Number(reply.headers['retry-after'] ?? 0) * 1000,
+      };
+    });
+    return got.chain(({ status, text, wait }) => {
+      if (status === 429) return Right({ text: '', wait: Math.max(wait, 250) });
+      return status === 200 && text
+        ? Right({ text, wait: 0 })
+        : failed('pool.poll', url, `status ${status}`);
+    });
+  };
 
 export interface PollParams {
   readonly every: number;
@@ -89,7 +116,13 @@
       if (number === this.number && !this.late) await this.next(Math.min(wait, WAIT_BOUND));
       if (this.late) await this.poll(this.params.every);
       if (!this.text) return failed('pool.news', this.view.self.name, 'no news here yet');
-      return Right({ number: this.number, held: this.clock.now() - asked, age: this.age, digest: this.digest, list: digest === this.digest ? Buffer.alloc(0) : Buffer.from(this.text) });
+      return Right({
+        number: this.number,
+        held: this.clock.now() - asked,
+        age: this.age,
+        digest: this.digest,
+        list: digest === this.digest ? Buffer.alloc(0) : Buffer.from(this.text),
+      });
     });
   }
 
@@ -163,14 +196,24 @@
     const asked = this.clock.strict();
     const wait = this.params.every * 1.25;
     const known = this.source.address === address ? this.source.number : 0;
-    const reply = await this.peers.ask(address, News, { number: known, digest: this.digest, wait }, wait + ASK_LIMIT);
+    const reply = await this.peers.ask(
+      address,
+      News,
+      { number: known, digest: this.digest, wait },
+      wait + ASK_LIMIT,
+    );
     return reply.caseOf({
       Left: ({ step }) => step === News.name,
       Right: ({ number, held, age, digest, list }) => {
         this.source = { address, number };
         if (age > this.worry) return false;
         const same = digest === this.digest;
-        if (same || list.length > 0) this.take(same ? this.text : Buffer.from(list).toString('utf8'), (asked + held - age) as Moment, address);
+        if (same || list.length > 0)
+          this.take(
+            same ? this.text : Buffer.from(list).toString('utf8'),
+            (asked + held - age) as Moment,
+            address,
+          );
         return true;
       },
     });
@@ -189,7 +232,11 @@
     const asked = this.clock.strict();
     const got = await this.fetch(POLL_LIMIT);
     got.caseOf({
-      Left: ({ reason, peer }) => this.log('poll-failed', [['peer', peer], ['reason', reason]]),
+      Left: ({ reason, peer }) =>
+        this.log('poll-failed', [
+          ['peer', peer],
+          ['reason', reason],
+        ]),
       Right: ({ text, wait }) => {
         if (wait) this.notBefore = later(this.clock.now(), wait);
         else this.take(text, asked, 'platform');
@@ -201,12 +248,20 @@
     if (origin <= this.origin) return;
     if (text !== this.text) {
       const parsed = parseList(text, peer);
-      if (parsed.isLeft()) return this.log('list-declined', [['peer', peer], ['reason', parsed.extract().reason]]);
+      if (parsed.isLeft())
+        return this.log('list-declined', [
+          ['peer', peer],
+          ['reason', parsed.extract().reason],
+        ]);
       const engines = parsed.unsafeCoerce();
       this.text = text;
       this.digest = digestOf(text).slice(0, 16);
       this.engines = new Map(engines.map((engine) => [engine.identifier, engine]));
-      this.log('list-taken', [['engines', engines.length], ['leaving', engines.filter(({ leaving }) => leaving).length], ['peer', peer]]);
+      this.log('list-taken', [
+        ['engines', engines.length],
+        ['leaving', engines.filter(({ leaving }) => leaving).length],
+        ['peer', peer],
+      ]);
       this.onNews(this.engines);
     }
     this.origin = origin;
--- a/src/pool/soundness.ts
+++ b/src/pool/soundness.ts
@@ -24,7 +24,10 @@
   }
 
   bad(identifier: string): void {
-    const record = this.records.get(identifier) ?? { aside: ASIDE_FIRST / 2, until: -Infinity as Moment };
+    const record = this.records.get(identifier) ?? {
+      aside: ASIDE_FIRST / 2,
+      until: -Infinity as Moment,
+    };
     record.aside = Math.min(ASIDE_MOST, record.aside * 2);
     record.until = (this.clock.now() + record.aside) as Moment;
     this.records.set(identifier, record);
@@ -33,11 +36,13 @@
   /** A request is on its way: when the engine's time aside has passed, this one is the probe, and others wait for it. */
   begin(identifier: string): void {
     const record = this.records.get(identifier);
-    if (record && record.until <= this.clock.now()) record.until = (this.clock.now() + PROBE) as Moment;
+    if (record && record.until <= this.clock.now())
+      record.until = (this.clock.now() + PROBE) as Moment;
   }
 
   forget(listed: ReadonlyMap<string, unknown>): void {
-    for (const identifier of this.records.keys()) if (!listed.has(identifier)) this.records.delete(identifier);
+    for (const identifier of this.records.keys())
+      if (!listed.has(identifier)) this.records.delete(identifier);
   }
 
   /** Whether there is nothing against any engine. */
@@ -48,7 +53,9 @@
   /** The identifiers to use out of the ones that could serve. */
   usable(identifiers: readonly string[]): Set<string> {
     const now = this.clock.now();
-    const aside = identifiers.filter((identifier) => (this.records.get(identifier)?.until ?? now) > now);
+    const aside = identifiers.filter(
+      (identifier) => (this.records.get(identifier)?.until ?? now) > now,
+    );
     aside.sort((a, b) => this.records.get(a)!.until - this.records.get(b)!.until);
     const most = Math.floor(identifiers.length / 2);
     const out = new Set(aside.slice(Math.max(0, aside.length - most)));
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -3,59 +3,148 @@
 import { blob, flag, list, number, struct, text, type Field } from '../wire/field.js';
 import { ballotField, type Ballot } from './ballot.js';
 
-export interface PrepareAsk { set: number; ballot: Ballot }
-export interface PrepareReply { promised: boolean; highest: Ballot; accepted: Ballot; settled: number; document: Uint8Array }
+export interface PrepareAsk {
+  set: number;
+  ballot: Ballot;
+}
+export interface PrepareReply {
+  promised: boolean;
+  highest: Ballot;
+  accepted: Ballot;
+  settled: number;
+  document: Uint8Array;
+}
 export const Prepare = call<PrepareAsk, PrepareReply>(
-  1, 'register.prepare',
+  1,
+  'register.prepare',
   struct({ set: number, ballot: ballotField }),
-  struct({ promised: flag, highest: ballotField, accepted: ballotField, settled: number, document: blob }),
+  struct({
+    promised: flag,
+    highest: ballotField,
+    accepted: ballotField,
+    settled: number,
+    document: blob,
+  }),
 );
 
-export interface AcceptAsk { set: number; ballot: Ballot; document: Uint8Array }
-export interface AcceptReply { accepted: boolean; highest: Ballot }
+export interface AcceptAsk {
+  set: number;
+  ballot: Ballot;
+  document: Uint8Array;
+}
+export interface AcceptReply {
+  accepted: boolean;
+  highest: Ballot;
+}
 export const Accept = call<AcceptAsk, AcceptReply>(
-  2, 'register.accept',
+  2,
+  'register.accept',
   struct({ set: number, ballot: ballotField, document: blob }),
   struct({ accepted: flag, highest: ballotField }),
 );
 
-export interface SettledTell { generation: number; ballot: Ballot; digest: string }
+export interface SettledTell {
+  generation: number;
+  ballot: Ballot;
+  digest: string;
+}
 export const Settled = call<SettledTell, { known: boolean }>(
-  3, 'register.settled',
+  3,
+  'register.settled',
   struct({ generation: number, ballot: ballotField, digest: text }),
   struct({ known: flag }),
 );
 
 /** `sure`: all this member ever voted for is in what it tells, whether or not it can vote now. */
-export interface StateReply { member: string; formed: boolean; voting: boolean; sure?: boolean; reason: string; accepted: Ballot; generation: number; settled: number; core: string; whole: string }
+export interface StateReply {
+  member: string;
+  formed: boolean;
+  voting: boolean;
+  sure?: boolean;
+  reason: string;
+  accepted: Ballot;
+  generation: number;
+  settled: number;
+  core: string;
+  whole: string;
+}
 export const State = call<{ from: string }, StateReply>(
-  4, 'register.state',
+  4,
+  'register.state',
   struct({ from: text }),
-  struct({ member: text, formed: flag, voting: flag, sure: flag, reason: text, accepted: ballotField, generation: number, settled: number, core: text, whole: text }),
+  struct({
+    member: text,
+    formed: flag,
+    voting: flag,
+    sure: flag,
+    reason: text,
+    accepted: ballotField,
+    generation: number,
+    settled: number,
+    core: text,
+    whole: text,
+  }),
 );
 
-export interface FeedItem { ballot: Ballot; document: Uint8Array }
+export interface FeedItem {
+  ballot: Ballot;
+  document: Uint8Array;
+}
 /** An item as it is sent: whole when `base` is 0, else the delta from that generation, with the digest of what it makes. */
-export interface FeedFrame extends FeedItem { base: number; digest: string }
-export interface FeedReply { settled: number; checkpoint: boolean; items: FeedFrame[] }
+export interface FeedFrame extends FeedItem {
+  base: number;
+  digest: string;
+}
+export interface FeedReply {
+  settled: number;
+  checkpoint: boolean;
+  items: FeedFrame[];
+}
 /** `deltas`: the asker holds the generation it names, and takes what follows as deltas. */
-export interface FeedAsk { from: number; wait: number; deltas?: boolean }
+export interface FeedAsk {
+  from: number;
+  wait: number;
+  deltas?: boolean;
+}
 export const Feed = call<FeedAsk, FeedReply>(
-  5, 'register.feed',
+  5,
+  'register.feed',
   struct<FeedAsk>({ from: number, wait: number, deltas: flag as Field<boolean | undefined> }),
-  struct({ settled: number, checkpoint: flag, items: list(struct<FeedFrame>({ ballot: ballotField, document: blob, base: number, digest: text })) }),
+  struct({
+    settled: number,
+    checkpoint: flag,
+    items: list(
+      struct<FeedFrame>({ ballot: ballotField, document: blob, base: number, digest: text }),
+    ),
+  }),
 );
 
 /** A whole generation as it is sent. */
-export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({ ballot, document, base: 0, digest: '' });
+export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({
+  ballot,
+  document,
+  base: 0,
+  digest: '',
+});
 
 /** Waits until something settled beyond a generation, without taking it: how a follower notices a source that is behind. */
-export const Tip = call<{ from: number; wait: number }, { settled: number }>(9, 'register.tip', struct({ from: number, wait: number }), struct({ settled: number }));
+export const Tip = call<{ from: number; wait: number }, { settled: number }>(
+  9,
+  'register.tip',
+  struct({ from: number, wait: number }),
+  struct({ settled: number }),
+);
 
-export const Form = call<{ document: Uint8Array }, { formed: boolean }>(6, 'register.form', struct({ document: blob }), struct({ formed: flag }));
+export const Form = call<{ document: Uint8Array }, { formed: boolean }>(
+  6,
+  'register.form',
+  struct({ document: blob }),
+  struct({ formed: flag }),
+);
 
 export const History = call<{ generation: number }, { items: FeedItem[] }>(
-  7, 'register.history',
+  7,
+  'register.history',
   struct({ generation: number }),
   struct({ items: list(struct<FeedItem>({ ballot: ballotField, document: blob })) }),
 );
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -66,7 +66,10 @@
   settle(document: Document, digest: string, filed: Filed): boolean {
     const { generation, previous } = document;
     if (generation <= this.newest) return false;
-    this.before = this.current?.generation === generation - 1 && filed.document.length >= DELTA_LEAST ? this.current : undefined;
+    this.before =
+      this.current?.generation === generation - 1 && filed.document.length >= DELTA_LEAST
+        ? this.current
+        : undefined;
     this.newest = generation;
     this.current = document;
     this.digests.set(generation, digest);
@@ -100,7 +103,13 @@
       const digest = this.digests.get(generation)!;
       const filed = this.recent.get(generation);
       const made = deltaOf(before, current, digest);
-      if (made && filed && made.length < filed.document.length) this.deltas.set(generation, { ballot: filed.ballot, document: made, base: generation - 1, digest });
+      if (made && filed && made.length < filed.document.length)
+        this.deltas.set(generation, {
+          ballot: filed.ballot,
+          document: made,
+          base: generation - 1,
+          digest,
+        });
       shed(this.deltas, (item) => item.document.length);
     }
     return this.deltas.get(generation);
@@ -114,7 +123,8 @@
   raise(floor: number): void {
     if (floor <= this.lowest) return;
     this.lowest = floor;
-    for (const generation of this.digests.keys()) if (generation < floor) this.digests.delete(generation);
+    for (const generation of this.digests.keys())
+      if (generation < floor) this.digests.delete(generation);
   }
 
   /** One digest over all from the floor up, or nothing while some links are not known. */
@@ -122,13 +132,15 @@
     const { lowest: from, newest: to } = this;
     const { size } = this.digests;
     if (to === 0 || size < to - from + 1) return '';
-    if (this.whole.from !== from || this.whole.to !== to || this.whole.size !== size) this.whole = { from, to, size, digest: this.rangeDigest(from, to) };
+    if (this.whole.from !== from || this.whole.to !== to || this.whole.size !== size)
+      this.whole = { from, to, size, digest: this.rangeDigest(from, to) };
     return this.whole.digest;
   }
 
   rangeDigest(from: number, to: number): string {
     const digests: string[] = [];
-    for (let generation = from; generation <= to; generation++) digests.push(this.digests.get(generation) ?? '');
+    for (let generation = from; generation <= to; generation++)
+      digests.push(this.digests.get(generation) ?? '');
     return digestOf(digests.join(' '));
   }
 
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -6,7 +6,20 @@
  */
 import { checkApart } from '../doorway/shape.js';
 import { checkMeaning, mergePatch } from '../route/check.js';
-import { changeDigest, digestOf, encodeDocument, slim, type Act, type Change, type Claim, type ConfigureAct, type Document, type DoorwayAct, type Generation, type Kept } from './document.js';
+import {
+  changeDigest,
+  digestOf,
+  encodeDocument,
+  slim,
+  type Act,
+  type Change,
+  type Claim,
+  type ConfigureAct,
+  type Document,
+  type DoorwayAct,
+  type Generation,
+  type Kept,
+} from './document.js';
 
 export const WINDOW = 2048;
 /** How many versions of the configuration are remembered with the requests that made them. */
@@ -22,48 +35,89 @@
   | { readonly kind: 'lost'; readonly reason: string; readonly inPlace?: number }
   | { readonly kind: 'declined'; readonly reason: string };
 
+const standing = (document: Document, name: string): Generation =>
+  document.doorways.get(name)?.generation ?? document.removed.get(name) ?? 0;
 
-const standing = (document: Document, name: string): Generation => document.doorways.get(name)?.generation ?? document.removed.get(name) ?? 0;
-
-const lost = (name: string, expects: number, held: number): Verdict => ({ kind: 'lost', reason: `doorway ${name} is at generation ${held}, not ${expects}` });
+const lost = (name: string, expects: number, held: number): Verdict => ({
+  kind: 'lost',
+  reason: `doorway ${name} is at generation ${held}, not ${expects}`,
+});
 const declined = (reason: string): Verdict => ({ kind: 'declined', reason });
 
-const renewed = (claims: ReadonlyMap<string, Claim>, name: string, firm: string, duration?: number): Map<string, Claim> => {
+const renewed = (
+  claims: ReadonlyMap<string, Claim>,
+  name: string,
+  firm: string,
+  duration?: number,
+): Map<string, Claim> => {
   const before = claims.get(name);
-  return new Map(claims).set(name, { firm, renewal: (before?.renewal ?? 0) + 1, duration: duration ?? before?.duration ?? 600_000 });
+  return new Map(claims).set(name, {
+    firm,
+    renewal: (before?.renewal ?? 0) + 1,
+    duration: duration ?? before?.duration ?? 600_000,
+  });
 };
 
 /** The core set changes by one member at a time, so that majorities before and after always meet. */
-const reseat = (document: Document, act: Extract<Act, { kind: 'seat' | 'unseat' }>): Document | Verdict => {
+const reseat = (
+  document: Document,
+  act: Extract<Act, { kind: 'seat' | 'unseat' }>,
+): Document | Verdict => {
   const { number, wanted, members } = document.core;
-  if (act.expects !== number) return { kind: 'lost', reason: `the core set is number ${number}, not ${act.expects}` };
+  if (act.expects !== number)
+    return { kind: 'lost', reason: `the core set is number ${number}, not ${act.expects}` };
   if (act.kind === 'unseat') {
     const left = members.filter(({ id }) => id !== act.id);
     if (left.length === members.length) return declined(`${act.id} has no seat`);
     if (left.length === 0) return declined('the last member can not be removed');
-    return { ...document, core: { number: number + 1, wanted: act.vacant ? wanted : left.length, members: left } };
+    return {
+      ...document,
+      core: { number: number + 1, wanted: act.vacant ? wanted : left.length, members: left },
+    };
   }
-  if (members.some(({ id, address }) => id === act.seat.id || address === act.seat.address)) return declined(`${act.seat.address} has a seat already`);
+  if (members.some(({ id, address }) => id === act.seat.id || address === act.seat.address))
+    return declined(`${act.seat.address} has a seat already`);
   if (members.length >= CORE_BOUND) return declined(`there are ${CORE_BOUND} members already`);
-  return { ...document, core: { number: number + 1, wanted: Math.max(wanted, members.length + 1), members: [...members, act.seat] } };
+  return {
+    ...document,
+    core: {
+      number: number + 1,
+      wanted: Math.max(wanted, members.length + 1),
+      members: [...members, act.seat],
+    },
+  };
 };
 
 /** Enrolled routers change one at a time too, each building on the last. */
-const reenrol = (document: Document, act: Extract<Act, { kind: 'enrol' | 'retire' }>, next: Generation): Document | Verdict => {
-  if (act.expects !== document.enrolledAt) return { kind: 'lost', reason: `the enrolment is at generation ${document.enrolledAt}, not ${act.expects}` };
+const reenrol = (
+  document: Document,
+  act: Extract<Act, { kind: 'enrol' | 'retire' }>,
+  next: Generation,
+): Document | Verdict => {
+  if (act.expects !== document.enrolledAt)
+    return {
+      kind: 'lost',
+      reason: `the enrolment is at generation ${document.enrolledAt}, not ${act.expects}`,
+    };
   const enrolled = new Map(document.enrolled);
   if (act.kind === 'retire') {
     if (!enrolled.delete(act.name)) return declined(`${act.name} is not enrolled`);
   } else {
     if (enrolled.has(act.name)) return declined(`${act.name} is enrolled already; retire it first`);
-    if (enrolled.size >= ENROLLED_BOUND) return declined(`${ENROLLED_BOUND} routers are enrolled already`);
+    if (enrolled.size >= ENROLLED_BOUND)
+      return declined(`${ENROLLED_BOUND} routers are enrolled already`);
     enrolled.set(act.name, act.enrolled);
   }
   return { ...document, enrolled, enrolledAt: next };
 };
 
 /** Sets or removes one doorway; whether all doorways can be told apart is looked at by the caller. */
-const place = (document: Document, act: DoorwayAct, firm: string, next: Generation): Document | Verdict => {
+const place = (
+  document: Document,
+  act: DoorwayAct,
+  firm: string,
+  next: Generation,
+): Document | Verdict => {
   const name = act.kind === 'set' ? act.doorway.name : act.name;
   const owner = document.doorways.get(name)?.doorway.firm;
   if (owner && owner !== firm) return declined(`doorway ${name} belongs to ${owner}`);
@@ -71,16 +125,19 @@
   if (act.kind === 'remove') {
     if (!owner && held === act.expects) return declined(`there is no doorway ${name}`);
     if (held !== act.expects) return lost(name, act.expects, held);
-    if (document.removed.size >= REMOVED_BOUND) return declined(`${REMOVED_BOUND} removed names are kept already`);
+    if (document.removed.size >= REMOVED_BOUND)
+      return declined(`${REMOVED_BOUND} removed names are kept already`);
     const doorways = new Map(document.doorways);
     doorways.delete(name);
     return { ...document, doorways, removed: new Map(document.removed).set(name, next) };
   }
   const claim = document.claims.get(name);
-  if (act.doorway.firm !== firm) return declined(`${firm} may not set a doorway of ${act.doorway.firm}`);
+  if (act.doorway.firm !== firm)
+    return declined(`${firm} may not set a doorway of ${act.doorway.firm}`);
   if (claim && claim.firm !== firm) return declined(`${name} is claimed by ${claim.firm}`);
   if (held !== act.expects) return lost(name, act.expects, held);
-  if (!owner && document.doorways.size >= DOORWAY_BOUND) return declined(`there are ${DOORWAY_BOUND} doorways already`);
+  if (!owner && document.doorways.size >= DOORWAY_BOUND)
+    return declined(`there are ${DOORWAY_BOUND} doorways already`);
   const doorways = new Map(document.doorways).set(name, { doorway: act.doorway, generation: next });
   const removed = new Map(document.removed);
   removed.delete(name);
@@ -88,7 +145,12 @@
 };
 
 /** All of the items, each on what is there before any of them, or nothing; what stands in the way is named by its place. */
-const placeAll = (document: Document, items: readonly DoorwayAct[], firm: string, next: Generation): Document | Verdict => {
+const placeAll = (
+  document: Document,
+  items: readonly DoorwayAct[],
+  firm: string,
+  next: Generation,
+): Document | Verdict => {
   const seen = new Set<string>();
   let draft = document;
   for (const [at, item] of items.entries()) {
@@ -97,7 +159,8 @@
     if (seen.has(name)) return declined(`${where}${name} is named twice`);
     seen.add(name);
     const placed = place(draft, item, firm, next);
-    if ('kind' in placed) return 'reason' in placed ? { ...placed, reason: `${where}${placed.reason}` } : placed;
+    if ('kind' in placed)
+      return 'reason' in placed ? { ...placed, reason: `${where}${placed.reason}` } : placed;
     draft = placed;
   }
   const apart = checkApart([...draft.doorways.values()].map(({ doorway }) => doorway));
@@ -107,11 +170,25 @@
 /** The next configuration, as a function of the one in place: another version there means that the change lost. */
 const configure = (document: Document, act: ConfigureAct, next: Generation): Document | Verdict => {
   const { version = 0 } = document.configuration ?? {};
-  if (act.expects !== version) return { kind: 'lost', reason: `version ${version} is in place, not ${act.expects}`, inPlace: version };
-  if (!Number.isSafeInteger(act.version) || act.version <= version) return declined(`version ${act.version} is not above ${version}, which is in place`);
-  const made = act.whole ? checkMeaning(act.whole).map(() => act.whole!) : mergePatch(document.configuration, act.patch ?? { version: act.version, set: {}, remove: {} });
+  if (act.expects !== version)
+    return {
+      kind: 'lost',
+      reason: `version ${version} is in place, not ${act.expects}`,
+      inPlace: version,
+    };
+  if (!Number.isSafeInteger(act.version) || act.version <= version)
+    return declined(`version ${act.version} is not above ${version}, which is in place`);
+  const made = act.whole
+    ? checkMeaning(act.whole).map(() => act.whole!)
+    : mergePatch(
+        document.configuration,
+        act.patch ?? { version: act.version, set: {}, remove: {} },
+      );
   if (made.isLeft()) return declined(made.extract().reason);
-  const versions = new Map(document.versions).set(act.version, { generation: next, digest: act.digest });
+  const versions = new Map(document.versions).set(act.version, {
+    generation: next,
+    digest: act.digest,
+  });
   for (const old of versions.keys()) {
     if (versions.size <= VERSIONS) break;
     versions.delete(old);
@@ -139,8 +216,13 @@
       const owner = document.doorways.get(act.name)?.doorway.firm;
       if (owner && owner !== firm) return declined(`doorway ${act.name} belongs to ${owner}`);
       const claim = document.claims.get(act.name);
-      if ((claim?.renewal ?? 0) !== act.expects) return { kind: 'lost', reason: `the claim on ${act.name} is at renewal ${claim?.renewal ?? 0}, not ${act.expects}` };
-      if (claim && claim.firm !== firm && !act.takeover) return declined(`${act.name} is claimed by ${claim.firm}`);
+      if ((claim?.renewal ?? 0) !== act.expects)
+        return {
+          kind: 'lost',
+          reason: `the claim on ${act.name} is at renewal ${claim?.renewal ?? 0}, not ${act.expects}`,
+        };
+      if (claim && claim.firm !== firm && !act.takeover)
+        return declined(`${act.name} is claimed by ${claim.firm}`);
       return { ...document, claims: renewed(document.claims, act.name, firm, act.duration) };
     }
   }
@@ -152,7 +234,10 @@
 }
 
 /** What became of this very change before, where it is still remembered; another one under its name differs in its digest. */
-const remembered = (document: Document, change: Change): { kept: Kept; same: boolean } | undefined => {
+const remembered = (
+  document: Document,
+  change: Change,
+): { kept: Kept; same: boolean } | undefined => {
   const { act, id } = change;
   if (act.kind === 'configure') {
     const kept = document.versions.get(act.version);
@@ -164,7 +249,10 @@
 
 const remember = (document: Document, change: Change, next: Generation): Document => {
   if (change.act.kind === 'configure') return document;
-  const outcomes = new Map(document.outcomes).set(change.id, { generation: next, digest: changeDigest(change) });
+  const outcomes = new Map(document.outcomes).set(change.id, {
+    generation: next,
+    digest: changeDigest(change),
+  });
   for (const id of outcomes.keys()) {
     if (outcomes.size <= WINDOW) break;
     outcomes.delete(id);
@@ -180,12 +268,20 @@
   for (const change of changes) {
     const before = remembered(draft, change);
     if (before) {
-      verdicts.set(change.id, before.same ? { kind: 'applied', generation: before.kept.generation } : declined('this change id was used for another change'));
+      verdicts.set(
+        change.id,
+        before.same
+          ? { kind: 'applied', generation: before.kept.generation }
+          : declined('this change id was used for another change'),
+      );
       continue;
     }
     const altered = alter(draft, change, next);
     if (!('kind' in altered) && altered.core.number > base.core.number + 1) {
-      verdicts.set(change.id, { kind: 'lost', reason: 'another change of the core set came first' });
+      verdicts.set(change.id, {
+        kind: 'lost',
+        reason: 'another change of the core set came first',
+      });
       continue;
     }
     if ('kind' in altered) {
@@ -197,5 +293,8 @@
     verdicts.set(change.id, { kind: 'applied', generation: next });
   }
   if (cause.length === 0) return { document: base, verdicts };
-  return { document: { ...draft, generation: next, previous: digestOf(encodeDocument(base)), cause }, verdicts };
+  return {
+    document: { ...draft, generation: next, previous: digestOf(encodeDocument(base)), cause },
+    verdicts,
+  };
 };
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -27,14 +27,19 @@
   readonly head: Record<string, unknown>;
   readonly tables: Record<string, TableDelta>;
   /** Absent when nothing of it changed. */
-  readonly configuration?: { readonly head: Record<string, unknown>; readonly routes: ItemsDelta; readonly services: ItemsDelta };
+  readonly configuration?: {
+    readonly head: Record<string, unknown>;
+    readonly routes: ItemsDelta;
+    readonly services: ItemsDelta;
+  };
 }
 
 const TABLES = ['doorways', 'removed', 'claims', 'outcomes', 'enrolled', 'versions'] as const;
 
 type Table = ReadonlyMap<string | number, unknown>;
 
-const same = (a: unknown, b: unknown): boolean => a === b || JSON.stringify(a) === JSON.stringify(b);
+const same = (a: unknown, b: unknown): boolean =>
+  a === b || JSON.stringify(a) === JSON.stringify(b);
 
 const tableDelta = (before: Table, after: Table): TableDelta => ({
   set: [...after].filter(([key, value]) => !before.has(key) || !same(before.get(key), value)),
@@ -52,38 +57,73 @@
 const itemsDelta = (before: readonly Named[], after: readonly Named[]): ItemsDelta => {
   const known = new Map(before.map((item) => [item.name, item]));
   const names = new Set(after.map(({ name }) => name));
-  return { set: after.filter((item) => !same(known.get(item.name), item)), drop: before.filter(({ name }) => !names.has(name)).map(({ name }) => name) };
+  return {
+    set: after.filter((item) => !same(known.get(item.name), item)),
+    drop: before.filter(({ name }) => !names.has(name)).map(({ name }) => name),
+  };
 };
 
 /** What is set takes the place of its namesake, or comes last. */
-const applyItems = <T extends Named>(before: readonly T[], { set, drop }: ItemsDelta): readonly T[] => {
+const applyItems = <T extends Named>(
+  before: readonly T[],
+  { set, drop }: ItemsDelta,
+): readonly T[] => {
   if (set.length === 0 && drop.length === 0) return before;
   const fresh = new Map((set as readonly T[]).map((item) => [item.name, item]));
   const gone = new Set(drop);
-  const kept = before.filter(({ name }) => !gone.has(name)).map((item) => {
-    const other = fresh.get(item.name);
-    fresh.delete(item.name);
-    return other ?? item;
-  });
+  const kept = before
+    .filter(({ name }) => !gone.has(name))
+    .map((item) => {
+      const other = fresh.get(item.name);
+      fresh.delete(item.name);
+      return other ?? item;
+    });
   return [...kept, ...fresh.values()];
 };
 
-const headOf = (document: Document): Record<string, unknown> => Object.fromEntries(Object.entries(document).filter(([name]) => name !== 'configuration' && !(TABLES as readonly string[]).includes(name)));
-
-const configurationHead = (configuration: Configuration): Record<string, unknown> => Object.fromEntries(Object.entries(configuration).map(([name, value]) => [name, name === 'routes' || name === 'services' ? [] : (value as unknown)]));
-
-const configurationDelta = (before: Configuration | undefined, after: Configuration | undefined): Delta['configuration'] => {
+const headOf = (document: Document): Record<string, unknown> =>
+  Object.fromEntries(
+    Object.entries(document).filter(
+      ([name]) => name !== 'configuration' && !(TABLES as readonly string[]).includes(name),
+    ),
+  );
+
+const configurationHead = (configuration: Configuration): Record<string, unknown> =>
+  Object.fromEntries(
+    Object.entries(configuration).map(([name, value]) => [
+      name,
+      name === 'routes' || name === 'services' ? [] : (value as unknown),
+    ]),
+  );
+
+const configurationDelta = (
+  before: Configuration | undefined,
+  after: Configuration | undefined,
+): Delta['configuration'] => {
   if (!after || before === after) return undefined;
   const routes = itemsDelta(before?.routes ?? [], after.routes);
   const services = itemsDelta(before?.services ?? [], after.services);
-  if (before && before.version === after.version && routes.set.length + routes.drop.length + services.set.length + services.drop.length === 0) return undefined;
+  if (
+    before &&
+    before.version === after.version &&
+    routes.set.length + routes.drop.length + services.set.length + services.drop.length === 0
+  )
+    return undefined;
   return { head: configurationHead(after), routes, services };
 };
 
 /** The delta from one document to the next, or nothing when the next can't be had by one. */
-export const deltaOf = (before: Document, after: Document, digest: Digest): Uint8Array | undefined => {
+export const deltaOf = (
+  before: Document,
+  after: Document,
+  digest: Digest,
+): Uint8Array | undefined => {
   const configuration = configurationDelta(before.configuration, after.configuration);
-  const delta: Delta = { head: headOf(after), tables: Object.fromEntries(TABLES.map((name) => [name, tableDelta(before[name], after[name])])), ...(configuration && { configuration }) };
+  const delta: Delta = {
+    head: headOf(after),
+    tables: Object.fromEntries(TABLES.map((name) => [name, tableDelta(before[name], after[name])])),
+    ...(configuration && { configuration }),
+  };
   const bytes = Buffer.from(JSON.stringify(delta));
   const applied = applyDelta(before, bytes, digest, 'self');
   return applied.isRight() ? bytes : undefined;
@@ -95,18 +135,31 @@
 }
 
 /** The document that a delta makes of the one it was made from; only with the digest it must have. */
-export const applyDelta = (before: Document, bytes: Uint8Array, digest: Digest, peer: string): Outcome<Rebuilt> => {
+export const applyDelta = (
+  before: Document,
+  bytes: Uint8Array,
+  digest: Digest,
+  peer: string,
+): Outcome<Rebuilt> => {
   try {
-    const { head, tables, configuration } = JSON.parse(Buffer.from(bytes).toString('utf8')) as Delta;
+    const { head, tables, configuration } = JSON.parse(
+      Buffer.from(bytes).toString('utf8'),
+    ) as Delta;
     const after = {
       ...head,
       ...Object.fromEntries(TABLES.map((name) => [name, applyTable(before[name], tables[name]!)])),
       configuration: configuration
-        ? { ...configuration.head, routes: applyItems(before.configuration?.routes ?? [], configuration.routes), services: applyItems(before.configuration?.services ?? [], configuration.services) }
+        ? {
+            ...configuration.head,
+            routes: applyItems(before.configuration?.routes ?? [], configuration.routes),
+            services: applyItems(before.configuration?.services ?? [], configuration.services),
+          }
         : before.configuration,
     } as unknown as Document;
     const whole = encodeDocument(after);
-    return digestOf(whole) === digest ? Right({ document: after, bytes: whole }) : failed('delta.apply', peer, 'does not make the document it should');
+    return digestOf(whole) === digest
+      ? Right({ document: after, bytes: whole })
+      : failed('delta.apply', peer, 'does not make the document it should');
   } catch (thrown) {
     return failed('delta.apply', peer, String(thrown));
   }
