--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -60,10 +60,26 @@
   | DoorwayAct
   /** Many doorways at once: all of it or nothing. */
   | { readonly kind: 'apply'; readonly items: readonly DoorwayAct[] }
-  | { readonly kind: 'claim'; readonly name: string; readonly duration: number; readonly expects: number; readonly takeover: boolean }
+  | {
+      readonly kind: 'claim';
+      readonly name: string;
+      readonly duration: number;
+      readonly expects: number;
+      readonly takeover: boolean;
+    }
   | { readonly kind: 'seat'; readonly seat: Seat; readonly expects: number }
-  | { readonly kind: 'unseat'; readonly id: string; readonly vacant: boolean; readonly expects: number }
-  | { readonly kind: 'enrol'; readonly name: string; readonly enrolled: Enrolled; readonly expects: Generation }
+  | {
+      readonly kind: 'unseat';
+      readonly id: string;
+      readonly vacant: boolean;
+      readonly expects: number;
+    }
+  | {
+      readonly kind: 'enrol';
+      readonly name: string;
+      readonly enrolled: Enrolled;
+      readonly expects: Generation;
+    }
   | { readonly kind: 'retire'; readonly name: string; readonly expects: Generation }
   | ConfigureAct;
 
@@ -98,7 +114,10 @@
   readonly cause: readonly Change[];
 }
 
-interface Raw extends Omit<Document, 'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled' | 'versions'> {
+interface Raw extends Omit<
+  Document,
+  'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled' | 'versions'
+> {
   versions?: Array<[number, Kept]>;
   enrolled: Array<[string, Enrolled]>;
   doorways: Array<[string, Placed]>;
@@ -107,7 +126,8 @@
   outcomes: Array<[ChangeId, Kept]>;
 }
 
-const digestOf = (bytes: Uint8Array | string): Digest => createHash('sha256').update(bytes).digest('hex');
+const digestOf = (bytes: Uint8Array | string): Digest =>
+  createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
 /** A change as the history keeps it, without the whole of a configuration. */
@@ -117,9 +137,15 @@
   return { ...change, act: { kind, version, expects, digest } };
 };
 
-export const changeDigest = (change: Change): Digest => digestOf(JSON.stringify([change.firm, change.act], (key, value: unknown) => (key === 'takeover' ? undefined : value)));
+export const changeDigest = (change: Change): Digest =>
+  digestOf(
+    JSON.stringify([change.firm, change.act], (key, value: unknown) =>
+      key === 'takeover' ? undefined : value,
+    ),
+  );
 
-const pairs = <V>(table: ReadonlyMap<string, V>): Array<[string, V]> => [...table].sort(([a], [b]) => (a < b ? -1 : 1));
+const pairs = <V>(table: ReadonlyMap<string, V>): Array<[string, V]> =>
+  [...table].sort(([a], [b]) => (a < b ? -1 : 1));
 
 export const encodeDocument = (document: Document): Uint8Array =>
   Buffer.from(
@@ -143,7 +169,8 @@
 export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
-    if (!Number.isSafeInteger(raw.generation) || typeof raw.fleet !== 'string') return failed('document.decode', peer, 'not a generation of ours');
+    if (!Number.isSafeInteger(raw.generation) || typeof raw.fleet !== 'string')
+      return failed('document.decode', peer, 'not a generation of ours');
     return Right({
       fleet: raw.fleet,
       generation: raw.generation,
@@ -164,7 +191,11 @@
   }
 };
 
-export const genesis = (fleet: string, members: readonly Seat[], wanted = members.length): Document => ({
+export const genesis = (
+  fleet: string,
+  members: readonly Seat[],
+  wanted = members.length,
+): Document => ({
   fleet,
   generation: 1,
   previous: '',
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -11,7 +11,15 @@
 import type { Log } from '../kernel/log/log.js';
 import { pick, shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, State, Tip, type FeedFrame, type FeedItem, type FeedReply, type StateReply } from './calls.js';
+import {
+  Feed,
+  State,
+  Tip,
+  type FeedFrame,
+  type FeedItem,
+  type FeedReply,
+  type StateReply,
+} from './calls.js';
 import { applyDelta, type Rebuilt } from './delta.js';
 import { decodeDocument, digestOf, type Document } from './document.js';
 import { gather, sound, type Replies } from './gather.js';
@@ -31,9 +39,15 @@
 const NEIGHBOURS = 3;
 
 /** The whole of what a frame tells: itself, or what its delta makes of the generation before. */
-const rebuild = ({ base, digest, document: bytes }: FeedFrame, before: Document | undefined, peer: string): Outcome<Rebuilt> => {
+const rebuild = (
+  { base, digest, document: bytes }: FeedFrame,
+  before: Document | undefined,
+  peer: string,
+): Outcome<Rebuilt> => {
   if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
-  return before?.generation === base ? applyDelta(before, bytes, digest, peer) : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
+  return before?.generation === base
+    ? applyDelta(before, bytes, digest, peer)
+    : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
 };
 
 export class Follower {
@@ -54,7 +68,12 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-    private readonly take: (documents: readonly Document[], items: readonly FeedItem[], settled: number, frames: readonly FeedFrame[]) => Promise<void> | void,
+    private readonly take: (
+      documents: readonly Document[],
+      items: readonly FeedItem[],
+      settled: number,
+      frames: readonly FeedFrame[],
+    ) => Promise<void> | void,
     private readonly self = '',
     private readonly relay?: Relay,
     private readonly wait = WAIT,
@@ -66,10 +85,15 @@
     void this.watch(signal);
     while (!signal.aborted) {
       const source = this.floor === undefined ? await this.begin() : await this.seek();
-      if (this.floor !== undefined && !(source && (await this.followOne(source, signal))) && !signal.aborted) {
+      if (
+        this.floor !== undefined &&
+        !(source && (await this.followOne(source, signal))) &&
+        !signal.aborted
+      ) {
         await this.askNeighbours();
         await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
-      } else if (this.floor === undefined) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      } else if (this.floor === undefined)
+        await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
   }
 
@@ -87,31 +111,66 @@
   private async seek(): Promise<string | undefined> {
     const least = Math.max(this.held, this.floor ?? 0);
     const needed = Math.max(least, this.known);
-    const others = shuffled(this.random, this.roster.addresses.filter((address) => address !== this.self));
-    const fit = (all: Replies<StateReply>): string | undefined => all.find(([, reply]) => reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false))?.[0];
-    const replies = await gather(others, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, SEEK_LIMIT), (all) => fit(all) !== undefined);
-    return fit(replies) ?? replies.find(([, reply]) => reply.map(({ settled }) => settled >= least).orDefault(false))?.[0];
+    const others = shuffled(
+      this.random,
+      this.roster.addresses.filter((address) => address !== this.self),
+    );
+    const fit = (all: Replies<StateReply>): string | undefined =>
+      all.find(([, reply]) =>
+        reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false),
+      )?.[0];
+    const replies = await gather(
+      others,
+      (address) => this.peers.ask(address, State, { from: this.peers.self.name }, SEEK_LIMIT),
+      (all) => fit(all) !== undefined,
+    );
+    return (
+      fit(replies) ??
+      replies.find(([, reply]) =>
+        reply.map(({ settled }) => settled >= least).orDefault(false),
+      )?.[0]
+    );
   }
 
   /** Asks another member than the source how far it is, again and again. */
   private async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const other = pick(this.random, this.roster.addresses.filter((address) => address !== this.self && address !== this.source));
+      const other = pick(
+        this.random,
+        this.roster.addresses.filter((address) => address !== this.self && address !== this.source),
+      );
       const from = Math.max(this.held, this.known);
-      const reply = other && this.source ? await this.peers.ask(other, Tip, { from, wait: this.wait }, this.wait + SLACK) : undefined;
+      const reply =
+        other && this.source
+          ? await this.peers.ask(other, Tip, { from, wait: this.wait }, this.wait + SLACK)
+          : undefined;
       const settled = reply?.map((tip) => tip.settled).orDefault(0) ?? 0;
       if (settled > from) {
         this.known = settled;
-        void this.clock.sleep(GRACE).then(() => Math.max(this.held, this.own()) < settled && this.outrun());
-      } else if (!reply?.isRight()) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+        void this.clock
+          .sleep(GRACE)
+          .then(() => Math.max(this.held, this.own()) < settled && this.outrun());
+      } else if (!reply?.isRight())
+        await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
   }
 
   /** Without the core, takes what some neighbours have. */
   private async askNeighbours(): Promise<void> {
     const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
-    const replies = await gather(some, (address) => this.peers.ask(address, Feed, { from: this.held, wait: 0, deltas: this.base !== undefined }, SEEK_LIMIT), (all) => sound(all).some(({ items }) => items.length > 0));
-    for (const [address, reply] of replies) if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
+    const replies = await gather(
+      some,
+      (address) =>
+        this.peers.ask(
+          address,
+          Feed,
+          { from: this.held, wait: 0, deltas: this.base !== undefined },
+          SEEK_LIMIT,
+        ),
+      (all) => sound(all).some(({ items }) => items.length > 0),
+    );
+    for (const [address, reply] of replies)
+      if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
   }
 
   /** Follows one source until it has nothing to give; says whether it gave anything. */
@@ -127,8 +186,20 @@
       const left = new Promise<undefined>((resolve) => {
         this.outrun = (): void => resolve(undefined);
       });
-      const reply = await Promise.race([this.peers.ask(source, Feed, { from: this.held, wait: this.wait, deltas: this.base !== undefined }, this.wait + SLACK), left]);
-      if (!reply) this.log('feed-left', [['peer', source], ['generation', this.known]]);
+      const reply = await Promise.race([
+        this.peers.ask(
+          source,
+          Feed,
+          { from: this.held, wait: this.wait, deltas: this.base !== undefined },
+          this.wait + SLACK,
+        ),
+        left,
+      ]);
+      if (!reply)
+        this.log('feed-left', [
+          ['peer', source],
+          ['generation', this.known],
+        ]);
       if (!reply || reply.isLeft()) return answered;
       if (!(await this.consume(source, reply.extract() as FeedReply))) return answered;
     }
@@ -150,17 +221,29 @@
       const { document: next, bytes } = rebuilt.unsafeCoerce();
       if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
       if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
-        this.log('feed-declined', [['peer', source], ['generation', next.generation], ['reason', 'does not follow the one held']]);
+        this.log('feed-declined', [
+          ['peer', source],
+          ['generation', next.generation],
+          ['reason', 'does not follow the one held'],
+        ]);
         return false;
       }
-      held = { generation: next.generation, digest: frame.base > 0 ? frame.digest : digestOf(bytes), document: next };
+      held = {
+        generation: next.generation,
+        digest: frame.base > 0 ? frame.digest : digestOf(bytes),
+        document: next,
+      };
       documents.push(next);
       frames.push(frame);
       taken.push({ ballot: frame.ballot, document: bytes });
       this.roster.learn(next.core);
     }
     if (documents.length === 0) return true;
-    for (const { generation } of documents) this.log('fed', [['generation', generation], ['peer', source]]);
+    for (const { generation } of documents)
+      this.log('fed', [
+        ['generation', generation],
+        ['peer', source],
+      ]);
     await this.take(documents, taken, settled, frames);
     this.held = held.generation;
     this.digest = held.digest;
--- a/src/register/gather.ts
+++ b/src/register/gather.ts
@@ -3,7 +3,11 @@
 
 export type Replies<R> = ReadonlyArray<readonly [address: string, reply: Outcome<R>]>;
 
-export const gather = <R>(addresses: readonly string[], ask: (address: string) => Promise<Outcome<R>>, enough: (replies: Replies<R>) => boolean): Promise<Replies<R>> =>
+export const gather = <R>(
+  addresses: readonly string[],
+  ask: (address: string) => Promise<Outcome<R>>,
+  enough: (replies: Replies<R>) => boolean,
+): Promise<Replies<R>> =>
   new Promise((resolve) => {
     const replies: Array<readonly [string, Outcome<R>]> = [];
     if (addresses.length === 0) return resolve(replies);
@@ -15,6 +19,7 @@
     }
   });
 
-export const sound = <R>(replies: Replies<R>): R[] => replies.flatMap(([, reply]) => (reply.isRight() ? [reply.extract() as R] : []));
+export const sound = <R>(replies: Replies<R>): R[] =>
+  replies.flatMap(([, reply]) => (reply.isRight() ? [reply.extract() as R] : []));
 
 export const majority = (count: number): number => Math.floor(count / 2) + 1;
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -13,7 +13,26 @@
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, FIRST, type Ballot } from './ballot.js';
 import { Chain } from './chain.js';
-import { Accept, Feed, Form, History, Prepare, Settled, State, Tip, wholeFrame, type AcceptAsk, type AcceptReply, type FeedAsk, type FeedItem, type FeedReply, type PrepareAsk, type PrepareReply, type SettledTell, type StateReply } from './calls.js';
+import {
+  Accept,
+  Feed,
+  Form,
+  History,
+  Prepare,
+  Settled,
+  State,
+  Tip,
+  wholeFrame,
+  type AcceptAsk,
+  type AcceptReply,
+  type FeedAsk,
+  type FeedItem,
+  type FeedReply,
+  type PrepareAsk,
+  type PrepareReply,
+  type SettledTell,
+  type StateReply,
+} from './calls.js';
 import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
 import type { Filed, Found, Store } from './store.js';
 
@@ -40,7 +59,14 @@
   private doubtful = false;
   private turn: Promise<unknown> = Promise.resolve();
 
-  constructor(private readonly store: Store, private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly stall = STALL) {
+  constructor(
+    private readonly store: Store,
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+    private readonly stall = STALL,
+  ) {
     this.chain = new Chain(clock);
   }
 
@@ -51,12 +77,15 @@
     if (member) this.id = member;
     else {
       this.id = this.random.identity();
-      if (this.accepted || compareBallots(this.promised, FIRST) > 0) this.doubt('votes on disk without an identity');
+      if (this.accepted || compareBallots(this.promised, FIRST) > 0)
+        this.doubt('votes on disk without an identity');
       await this.write(this.store.keepIdentity(this.id));
     }
     this.peers.handle(Prepare, (ask) => this.alone(() => this.prepare(ask)));
     this.peers.handle(Accept, (ask) => this.alone(() => this.accept(ask)));
-    this.peers.handle(Settled, async (tell, peer) => Right({ known: await this.learn(tell, peer) }));
+    this.peers.handle(Settled, async (tell, peer) =>
+      Right({ known: await this.learn(tell, peer) }),
+    );
     this.peers.handle(State, () => Right(this.state()));
     this.peers.handle(Feed, (ask) => this.feed(ask));
     this.peers.handle(Tip, async ({ from, wait }) => {
@@ -73,16 +102,26 @@
     const opened = await this.store.open();
     if (opened.isLeft()) return opened;
     const found = opened.unsafeCoerce();
-    if (found.accepted && (!this.accepted || compareBallots(found.accepted.ballot, this.accepted.ballot) >= 0)) {
+    if (
+      found.accepted &&
+      (!this.accepted || compareBallots(found.accepted.ballot, this.accepted.ballot) >= 0)
+    ) {
       const parsed = decodeDocument(found.accepted.document, 'disk');
       if (parsed.isLeft()) return parsed as Outcome<never>;
       this.accepted = { ...found.accepted, parsed: parsed.unsafeCoerce() };
     } else if (this.accepted) this.doubt('lost from the disk: what was accepted');
     if (compareBallots(found.promised, this.promised) > 0) this.promised = found.promised;
-    if (this.accepted && compareBallots(this.accepted.ballot, this.promised) > 0) this.promised = this.accepted.ballot;
+    if (this.accepted && compareBallots(this.accepted.ballot, this.promised) > 0)
+      this.promised = this.accepted.ballot;
     const newest = this.accepted?.parsed.generation ?? 0;
-    const doubtful = found.spoilt.filter((path) => !path.startsWith('generations/') || Number(path.slice(12)) >= newest);
-    for (const path of found.spoilt) this.log('file-spoilt', [['path', path], ['votes', !doubtful.includes(path)]]);
+    const doubtful = found.spoilt.filter(
+      (path) => !path.startsWith('generations/') || Number(path.slice(12)) >= newest,
+    );
+    for (const path of found.spoilt)
+      this.log('file-spoilt', [
+        ['path', path],
+        ['votes', !doubtful.includes(path)],
+      ]);
     if (doubtful.length) this.doubt(`spoilt on disk: ${doubtful.join(' ')}`);
     return opened;
   }
@@ -99,11 +138,18 @@
       const loaded = await this.load();
       if (loaded.isLeft()) return false;
       const found = loaded.unsafeCoerce();
-      if (found.member !== undefined && found.member !== this.id) this.doubt('lost from the disk: the identity, which is that of another member');
-      if (found.member === undefined && (this.accepted || compareBallots(before, FIRST) > 0)) this.doubt('lost from the disk: the identity');
+      if (found.member !== undefined && found.member !== this.id)
+        this.doubt('lost from the disk: the identity, which is that of another member');
+      if (found.member === undefined && (this.accepted || compareBallots(before, FIRST) > 0))
+        this.doubt('lost from the disk: the identity');
       const onDisk = [found.promised, found.accepted?.ballot ?? FIRST];
-      if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0)) this.doubt('lost from the disk: a promise');
-      if (this.doubtful || (found.member === undefined && (await this.store.keepIdentity(this.id)).isLeft())) return false;
+      if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0))
+        this.doubt('lost from the disk: a promise');
+      if (
+        this.doubtful ||
+        (found.member === undefined && (await this.store.keepIdentity(this.id)).isLeft())
+      )
+        return false;
       this.troubled = false;
       this.impairment = '';
       const missed = this.chain.filed(this.chain.settled);
@@ -163,7 +209,8 @@
   /** Puts a settled generation in place of a missing, spoilt or never chosen one. */
   mend(generation: number, item: FeedItem): Promise<boolean> {
     return this.alone(async () => {
-      if (this.impairment || digestOf(item.document) !== this.chain.digest(generation)) return false;
+      if (this.impairment || digestOf(item.document) !== this.chain.digest(generation))
+        return false;
       if (!(await this.write(this.store.keepGeneration(generation, item)))) return false;
       this.link(generation, item.document);
       this.log('generation-mended', [['generation', generation]]);
@@ -208,7 +255,9 @@
     const kept = await within(this.clock, this.stall, writing);
     if (kept?.isRight()) return true;
     this.troubled = true;
-    this.impair(kept ? (kept.extract() as Fault).reason : `the disk did not answer within ${this.stall} ms`);
+    this.impair(
+      kept ? (kept.extract() as Fault).reason : `the disk did not answer within ${this.stall} ms`,
+    );
     return false;
   }
 
@@ -230,7 +279,8 @@
     if (this.impairment) return failed(step, this.id, `does not vote: ${this.impairment}`);
     if (!this.accepted) return failed(step, this.id, 'does not vote: not formed');
     if (!this.seated()) return failed(step, this.id, 'does not vote: not in the core set');
-    if (!this.sets.some(({ number }) => number === set)) return failed(step, this.id, `core set ${this.accepted.parsed.core.number}, not ${set}`);
+    if (!this.sets.some(({ number }) => number === set))
+      return failed(step, this.id, `core set ${this.accepted.parsed.core.number}, not ${set}`);
     return Right(this.accepted);
   }
 
@@ -240,25 +290,39 @@
     const held = may.unsafeCoerce();
     const promised = compareBallots(ballot, this.promised) > 0;
     if (promised) {
-      if (!(await this.write(this.store.keepPromise(ballot)))) return failed('member.prepare', this.id, 'could not keep a promise', 'unknown');
+      if (!(await this.write(this.store.keepPromise(ballot))))
+        return failed('member.prepare', this.id, 'could not keep a promise', 'unknown');
       this.promised = ballot;
       this.log('promised', [['ballot', ballotText(ballot)]]);
     }
-    return Right({ promised, highest: this.promised, accepted: held.ballot, settled: this.chain.settled, document: promised ? held.document : Buffer.alloc(0) });
+    return Right({
+      promised,
+      highest: this.promised,
+      accepted: held.ballot,
+      settled: this.chain.settled,
+      document: promised ? held.document : Buffer.alloc(0),
+    });
   }
 
   private async accept({ set, ballot, document }: AcceptAsk): Promise<Outcome<AcceptReply>> {
     const may = this.mayVote('member.accept', set);
     if (may.isLeft()) return may as Outcome<never>;
-    if (compareBallots(ballot, this.promised) < 0) return Right({ accepted: false, highest: this.promised });
+    if (compareBallots(ballot, this.promised) < 0)
+      return Right({ accepted: false, highest: this.promised });
     const decoded = decodeDocument(document, 'proposer');
     if (decoded.isLeft()) return decoded as Outcome<never>;
     const parsed = decoded.unsafeCoerce();
     const under = this.sets.find(({ number }) => number === set);
-    if (!(await this.write(this.store.keepGeneration(parsed.generation, { ballot, document, under })))) return failed('member.accept', this.id, 'could not keep a generation', 'unknown');
+    if (
+      !(await this.write(this.store.keepGeneration(parsed.generation, { ballot, document, under })))
+    )
+      return failed('member.accept', this.id, 'could not keep a generation', 'unknown');
     this.promised = ballot;
     this.accepted = { ballot, document, parsed, under };
-    this.log('accepted', [['generation', parsed.generation], ['ballot', ballotText(ballot)]]);
+    this.log('accepted', [
+      ['generation', parsed.generation],
+      ['ballot', ballotText(ballot)],
+    ]);
     return Right({ accepted: true, highest: ballot });
   }
 
@@ -268,13 +332,18 @@
     const parsed = decoded.unsafeCoerce();
     if (this.impairment) return failed('member.form', this.id, this.impairment);
     if (this.accepted) return Right({ formed: false });
-    if (parsed.generation !== 1 || !parsed.core.members.some(({ id }) => id === this.id)) return failed('member.form', this.id, 'not named in that core set');
+    if (parsed.generation !== 1 || !parsed.core.members.some(({ id }) => id === this.id))
+      return failed('member.form', this.id, 'not named in that core set');
     const ballot = { counter: 1, node: 'genesis', incarnation: '' };
-    if (!(await this.write(this.store.keepGeneration(1, { ballot, document })))) return failed('member.form', this.id, 'could not keep the first generation', 'unknown');
+    if (!(await this.write(this.store.keepGeneration(1, { ballot, document }))))
+      return failed('member.form', this.id, 'could not keep the first generation', 'unknown');
     this.accepted = { ballot, document, parsed };
     if (compareBallots(ballot, this.promised) > 0) this.promised = ballot;
     this.founder = true;
-    this.log('formed', [['member', this.id], ['core', parsed.core.members.map(({ address }) => address).join(',')]]);
+    this.log('formed', [
+      ['member', this.id],
+      ['core', parsed.core.members.map(({ address }) => address).join(',')],
+    ]);
     return Right({ formed: true });
   }
 
@@ -283,14 +352,23 @@
     if (this.held(tell)) return true;
     return this.alone(async () => {
       const held = this.held(tell);
-      if (!held && this.accepted) this.log('settled-unheld', [['generation', tell.generation], ['ballot', tell.ballot.counter], ['peer', peer]]);
+      if (!held && this.accepted)
+        this.log('settled-unheld', [
+          ['generation', tell.generation],
+          ['ballot', tell.ballot.counter],
+          ['peer', peer],
+        ]);
       return Promise.resolve(held);
     });
   }
 
   private held({ generation, digest }: SettledTell): boolean {
     if (generation <= this.chain.settled) return true;
-    if (this.accepted?.parsed.generation !== generation || digestOf(this.accepted.document) !== digest) return false;
+    if (
+      this.accepted?.parsed.generation !== generation ||
+      digestOf(this.accepted.document) !== digest
+    )
+      return false;
     this.settle(this.accepted.parsed, this.accepted);
     return true;
   }
@@ -300,7 +378,11 @@
     const newer = !held || compareBallots(filed.ballot, held.ballot) > 0;
     if (!newer) {
       const present = await this.store.readGeneration(document.generation);
-      const same = present.map((there) => there !== undefined && digestOf(there.document) === digestOf(filed.document)).orDefault(false);
+      const same = present
+        .map(
+          (there) => there !== undefined && digestOf(there.document) === digestOf(filed.document),
+        )
+        .orDefault(false);
       if (same || document.generation >= held.parsed.generation) return true;
     }
     if (this.impairment) return false;
@@ -310,7 +392,12 @@
   }
 
   private link(generation: number, document: Uint8Array): void {
-    this.chain.link(generation, decodeDocument(document, 'disk').map((parsed) => parsed.previous).orDefault(''));
+    this.chain.link(
+      generation,
+      decodeDocument(document, 'disk')
+        .map((parsed) => parsed.previous)
+        .orDefault(''),
+    );
   }
 
   private settle(document: Document, filed: Filed): void {
@@ -321,13 +408,16 @@
 
   /** Takes generations away that need not be kept, save what this member has accepted. */
   private prune(): void {
-    const floor = this.store.floor(Math.min(this.chain.settled, this.accepted?.parsed.generation ?? 0));
+    const floor = this.store.floor(
+      Math.min(this.chain.settled, this.accepted?.parsed.generation ?? 0),
+    );
     this.chain.raise(floor);
     this.store.prune(floor);
   }
 
   private async feed({ from, wait, deltas = false }: FeedAsk): Promise<Outcome<FeedReply>> {
-    if (this.chain.settled <= from && from > 0 && this.impairment) return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
+    if (this.chain.settled <= from && from > 0 && this.impairment)
+      return failed('member.feed', this.id, `does not vote and may be behind: ${this.impairment}`);
     if (this.chain.settled <= from) await this.chain.beyond(from, Math.min(wait, WAIT_BOUND));
     const settled = this.chain.settled;
     if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
@@ -340,10 +430,13 @@
 
   /** The settled generation asked for, from memory or disk, only when it belongs to the chain that settled. */
   private async history(generation: number): Promise<Outcome<{ items: FeedItem[] }>> {
-    if (generation < this.chain.floor || generation > this.chain.settled) return Right({ items: [] });
+    if (generation < this.chain.floor || generation > this.chain.settled)
+      return Right({ items: [] });
     const filed = this.chain.filed(generation);
     if (filed) return Right({ items: [filed] });
     const read = await this.store.readGeneration(generation);
-    return read.map((held) => ({ items: held && digestOf(held.document) === this.chain.digest(generation) ? [held] : [] }));
+    return read.map((held) => ({
+      items: held && digestOf(held.document) === this.chain.digest(generation) ? [held] : [],
+    }));
   }
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -20,7 +20,14 @@
 import { ballotText, compareBallots, type Ballot } from './ballot.js';
 import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
-import { decodeDocument, digestOf, encodeDocument, type Change, type CoreSet, type Document } from './document.js';
+import {
+  decodeDocument,
+  digestOf,
+  encodeDocument,
+  type Change,
+  type CoreSet,
+  type Document,
+} from './document.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
 import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
@@ -65,9 +72,15 @@
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
   propose(change: Change, duration: number): Promise<Outcome<Verdict>> {
-    if (this.waiting.length >= WAITING_BOUND) return Promise.resolve(failed('register.line', 'self', 'too many changes wait here'));
+    if (this.waiting.length >= WAITING_BOUND)
+      return Promise.resolve(failed('register.line', 'self', 'too many changes wait here'));
     return new Promise((tell) => {
-      this.waiting.push({ change, limit: (this.clock.now() + duration) as Moment, unsure: false, tell });
+      this.waiting.push({
+        change,
+        limit: (this.clock.now() + duration) as Moment,
+        unsure: false,
+        tell,
+      });
       if (!this.busy) void this.work();
     });
   }
@@ -96,14 +109,26 @@
       const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
-          return state?.sure && members.some((seat) => seat.id === state.member && seat.address === address) ? [[address, state] as const] : [];
+          return state?.sure &&
+            members.some((seat) => seat.id === state.member && seat.address === address)
+            ? [[address, state] as const]
+            : [];
         });
-      const replies = surest(await gather(members.map(({ address }) => address), (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => surest(all).length >= quorum));
+      const replies = surest(
+        await gather(
+          members.map(({ address }) => address),
+          (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+          (all) => surest(all).length >= quorum,
+        ),
+      );
       for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
       if (this.roster.core.number !== number) continue;
       const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
-      const sources = replies.filter(([, { settled }]) => settled >= generation).map(([address]) => address);
-      if (number > 0 && replies.length >= quorum && sources.length > 0) return Right({ generation, sources });
+      const sources = replies
+        .filter(([, { settled }]) => settled >= generation)
+        .map(([address]) => address);
+      if (number > 0 && replies.length >= quorum && sources.length > 0)
+        return Right({ generation, sources });
       break;
     }
     return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
@@ -123,7 +148,10 @@
       const now = this.clock.now();
       for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
         const reason = 'the limit came before a majority of the core settled it';
-        this.finish(item, failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'));
+        this.finish(
+          item,
+          failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+        );
       }
     }
     this.busy = false;
@@ -139,11 +167,18 @@
   private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
-      this.log('round-failed', [['step', read.extract().step], ['peer', read.extract().peer], ['reason', read.extract().reason]]);
+      this.log('round-failed', [
+        ['step', read.extract().step],
+        ['peer', read.extract().peer],
+        ['reason', read.extract().reason],
+      ]);
       return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
-    const { document: next, verdicts } = applyChanges(document, batch.map(({ change }) => change));
+    const { document: next, verdicts } = applyChanges(
+      document,
+      batch.map(({ change }) => change),
+    );
     const certain = batch.filter(({ change }) => {
       const verdict = verdicts.get(change.id);
       return verdict && (verdict.kind !== 'applied' || verdict.generation <= document.generation);
@@ -154,10 +189,18 @@
     }
     const proposed = batch.filter((item) => !certain.includes(item));
     for (const item of proposed) item.unsure = true;
-    this.log('proposed', [['generation', next.generation], ['ballot', ballotText(ballot)], ['changes', next.cause.map(({ id }) => id).join(',')]]);
+    this.log('proposed', [
+      ['generation', next.generation],
+      ['ballot', ballotText(ballot)],
+      ['changes', next.cause.map(({ id }) => id).join(',')],
+    ]);
     const accepted = await this.accept(core, ballot, next);
     if (accepted.isLeft()) {
-      this.log('round-unsure', [['generation', next.generation], ['changes', proposed.length], ['reason', accepted.extract().reason]]);
+      this.log('round-unsure', [
+        ['generation', next.generation],
+        ['changes', proposed.length],
+        ['reason', accepted.extract().reason],
+      ]);
       return accepted;
     }
     for (const item of batch) this.finish(item, Right(verdicts.get(item.change.id)!));
@@ -191,35 +234,60 @@
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
     let { ballot, replies } = await this.seekPromises(core);
-    const outdated = promisesOf(replies).length < quorum ? sound(replies).filter((reply) => isOutdated(reply, ballot)) : [];
+    const outdated =
+      promisesOf(replies).length < quorum
+        ? sound(replies).filter((reply) => isOutdated(reply, ballot))
+        : [];
     if (outdated.length > 0) {
-      const contested = outdated.some(({ highest, accepted }) => compareBallots(highest, accepted) > 0);
+      const contested = outdated.some(
+        ({ highest, accepted }) => compareBallots(highest, accepted) > 0,
+      );
       if (contested) await this.backOff(0);
       ({ ballot, replies } = await this.seekPromises(core));
     }
     const promises = promisesOf(replies);
     if (promises.length < quorum) {
       if (replies.some(([, reply]) => reply.isLeft())) await this.refreshCore();
-      const reasons = replies.map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : '')).filter(Boolean);
-      return failed(sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare', 'core', `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`);
+      const reasons = replies
+        .map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : ''))
+        .filter(Boolean);
+      return failed(
+        sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare',
+        'core',
+        `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`,
+      );
     }
-    const newest = promises.reduce((best, reply) => (compareBallots(reply.accepted, best.accepted) > 0 ? reply : best));
+    const newest = promises.reduce((best, reply) =>
+      compareBallots(reply.accepted, best.accepted) > 0 ? reply : best,
+    );
     return decodeDocument(newest.document, 'core').map((document) => {
       const settled = isSettled(promises, newest, document.generation, quorum);
-      if (settled && promises.some((reply) => reply.settled < document.generation)) this.announce(core, newest.accepted, document, newest.document);
+      if (settled && promises.some((reply) => reply.settled < document.generation))
+        this.announce(core, newest.accepted, document, newest.document);
       return { ballot, core, document, settled };
     });
   }
 
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(core: CoreSet): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
-    const ballot: Ballot = { counter: ++this.counter, node: this.peers.self.name, incarnation: this.peers.self.incarnation };
+  private async seekPromises(
+    core: CoreSet,
+  ): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+    const ballot: Ballot = {
+      counter: ++this.counter,
+      node: this.peers.self.name,
+      incarnation: this.peers.self.incarnation,
+    };
     const replies = await gather(
       core.members.map(({ address }) => address),
       (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
-      (all) => decided(all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)), core.members.length),
+      (all) =>
+        decided(
+          all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)),
+          core.members.length,
+        ),
     );
-    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
+    for (const { highest } of sound(replies))
+      this.counter = Math.max(this.counter, highest.counter);
     return { ballot, replies };
   }
 
@@ -229,12 +297,24 @@
     const bytes = encodeDocument(document);
     const replies = await gather(
       addresses,
-      (address) => this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
-      (all) => decided(all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)), core.members.length),
+      (address) =>
+        this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
+      (all) =>
+        decided(
+          all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
+          core.members.length,
+        ),
     );
-    for (const { highest } of sound(replies)) this.counter = Math.max(this.counter, highest.counter);
+    for (const { highest } of sound(replies))
+      this.counter = Math.max(this.counter, highest.counter);
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
-    if (votes < quorum) return failed(sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept', 'core', `${votes} of ${quorum} votes`, 'unknown');
+    if (votes < quorum)
+      return failed(
+        sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept',
+        'core',
+        `${votes} of ${quorum} votes`,
+        'unknown',
+      );
     this.announce(core, ballot, document, bytes);
     this.roster.learn(document.core);
     return Right(undefined);
@@ -242,8 +322,16 @@
 
   private announce(core: CoreSet, ballot: Ballot, document: Document, bytes: Uint8Array): void {
     const digest = digestOf(bytes);
-    const addresses = new Set([...core.members, ...document.core.members].map(({ address }) => address));
-    for (const address of addresses) void this.peers.ask(address, Settled, { generation: document.generation, ballot, digest }, ASK_LIMIT);
+    const addresses = new Set(
+      [...core.members, ...document.core.members].map(({ address }) => address),
+    );
+    for (const address of addresses)
+      void this.peers.ask(
+        address,
+        Settled,
+        { generation: document.generation, ballot, digest },
+        ASK_LIMIT,
+      );
   }
 
   /** Finds the core set from the leads while none is known. */
@@ -254,8 +342,14 @@
   /** Asks the leads for a newer core set, until one tells it or a majority of the one known knows no other. */
   private async refreshCore(): Promise<void> {
     const { number, members } = this.roster.core;
-    const enough = (told: readonly StateReply[]): boolean => told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) || (number > 0 && told.length >= majority(members.length));
-    const replies = await gather(this.roster.leads, (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT), (all) => enough(sound(all)));
+    const enough = (told: readonly StateReply[]): boolean =>
+      told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) ||
+      (number > 0 && told.length >= majority(members.length));
+    const replies = await gather(
+      this.roster.leads,
+      (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+      (all) => enough(sound(all)),
+    );
     for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as CoreSet);
   }
 
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -6,7 +6,11 @@
 
 const EVERY = 300;
 
-export const keepRecovering = async (member: Member, clock: Clock, signal: AbortSignal): Promise<void> => {
+export const keepRecovering = async (
+  member: Member,
+  clock: Clock,
+  signal: AbortSignal,
+): Promise<void> => {
   while (!signal.aborted) {
     await member.recover();
     await clock.sleep(EVERY, signal);
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -23,26 +23,41 @@
   private whole: FeedItem | undefined;
   private newest = 0;
 
-  constructor(private readonly peers: Peers, private readonly neighbours: () => readonly string[]) {}
+  constructor(
+    private readonly peers: Peers,
+    private readonly neighbours: () => readonly string[],
+  ) {}
 
   serve(): void {
     this.peers.handle(Feed, ({ from, deltas = false }) => {
-      if (!this.whole) return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
+      if (!this.whole)
+        return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
       if (from >= this.newest) return Right({ settled: this.newest, checkpoint: false, items: [] });
       const items: FeedFrame[] = [];
       let bytes = 0;
       for (let generation = from + 1; from > 0 && generation <= this.newest; generation++) {
-        const frame = generation === this.newest && !deltas ? wholeFrame(this.whole) : this.recent.get(generation);
+        const frame =
+          generation === this.newest && !deltas
+            ? wholeFrame(this.whole)
+            : this.recent.get(generation);
         bytes += frame?.document.length ?? 0;
         if (!frame || (frame.base > 0 && !deltas) || bytes > BYTES) break;
         items.push(frame);
       }
-      return Right(items.length ? { settled: this.newest, checkpoint: false, items } : { settled: this.newest, checkpoint: true, items: [wholeFrame(this.whole)] });
+      return Right(
+        items.length
+          ? { settled: this.newest, checkpoint: false, items }
+          : { settled: this.newest, checkpoint: true, items: [wholeFrame(this.whole)] },
+      );
     });
   }
 
   /** What came into force here: as it came, and the newest one whole. */
-  note(items: readonly FeedItem[], documents: readonly Document[], frames: readonly FeedFrame[] = items.map(wholeFrame)): void {
+  note(
+    items: readonly FeedItem[],
+    documents: readonly Document[],
+    frames: readonly FeedFrame[] = items.map(wholeFrame),
+  ): void {
     documents.forEach(({ generation }, at) => {
       this.recent.set(generation, frames[at]!);
       if (generation > this.newest) {
@@ -60,12 +75,38 @@
 
   /** The generation from which a router that has nothing may begin, by the word of a majority of the enrolled routers. */
   async floor(): Promise<number | undefined> {
-    const first = sound(await gather(this.neighbours(), (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT), () => false));
-    const newest = first.flatMap(({ items }) => items.map((item) => decodeDocument(item.document, 'neighbour')).flatMap((read) => (read.isRight() ? [read.unsafeCoerce()] : []))).reduce<Document | undefined>((best, each) => (!best || each.generation > best.generation ? each : best), undefined);
-    if (!newest || newest.fleet !== this.peers.self.fleet || newest.enrolled.size === 0) return undefined;
-    const addresses = [...newest.enrolled].filter(([name]) => name !== this.peers.self.name).map(([, { address }]) => address);
-    const told = sound(await gather(addresses, (address) => this.peers.ask(address, Feed, { from: newest.generation, wait: 0 }, ASK_LIMIT), () => false));
-    const enough = told.length >= majority(newest.enrolled.size) && told.every(({ settled }) => settled <= newest.generation);
+    const first = sound(
+      await gather(
+        this.neighbours(),
+        (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT),
+        () => false,
+      ),
+    );
+    const newest = first
+      .flatMap(({ items }) =>
+        items
+          .map((item) => decodeDocument(item.document, 'neighbour'))
+          .flatMap((read) => (read.isRight() ? [read.unsafeCoerce()] : [])),
+      )
+      .reduce<Document | undefined>(
+        (best, each) => (!best || each.generation > best.generation ? each : best),
+        undefined,
+      );
+    if (!newest || newest.fleet !== this.peers.self.fleet || newest.enrolled.size === 0)
+      return undefined;
+    const addresses = [...newest.enrolled]
+      .filter(([name]) => name !== this.peers.self.name)
+      .map(([, { address }]) => address);
+    const told = sound(
+      await gather(
+        addresses,
+        (address) => this.peers.ask(address, Feed, { from: newest.generation, wait: 0 }, ASK_LIMIT),
+        () => false,
+      ),
+    );
+    const enough =
+      told.length >= majority(newest.enrolled.size) &&
+      told.every(({ settled }) => settled <= newest.generation);
     return enough ? newest.generation : undefined;
   }
 }
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -23,7 +23,16 @@
   private scrub = 0;
   private missing = 0;
 
-  constructor(private readonly member: Member, private readonly peers: Peers, private readonly roster: Roster, private readonly clock: Clock, private readonly random: Random, private readonly log: Log, private readonly self: string, private readonly pruned = false) {}
+  constructor(
+    private readonly member: Member,
+    private readonly peers: Peers,
+    private readonly roster: Roster,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+    private readonly self: string,
+    private readonly pruned = false,
+  ) {}
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -37,7 +46,8 @@
   private async walk(signal: AbortSignal): Promise<void> {
     const top = this.member.settledGeneration;
     const bottom = Math.max(this.cursor, this.member.chain.floor - 1);
-    for (let generation = top; generation > bottom && !signal.aborted; generation--) if (!(await this.check(generation))) return;
+    for (let generation = top; generation > bottom && !signal.aborted; generation--)
+      if (!(await this.check(generation))) return;
     this.cursor = Math.max(this.cursor, top);
   }
 
@@ -47,9 +57,13 @@
     const from = Math.max(this.scrub + 1, this.member.chain.floor);
     const to = Math.min(this.cursor, from + RANGE - 1);
     const digests: string[] = [];
-    for (let generation = from; generation <= to; generation++) digests.push((await this.member.inspect(generation)) ?? '');
+    for (let generation = from; generation <= to; generation++)
+      digests.push((await this.member.inspect(generation)) ?? '');
     if (digestOf(digests.join(' ')) !== this.member.chain.rangeDigest(from, to)) {
-      this.log('range-differs', [['from', from], ['to', to]]);
+      this.log('range-differs', [
+        ['from', from],
+        ['to', to],
+      ]);
       for (let generation = from; generation <= to; generation++) await this.check(generation);
     }
     this.scrub = to >= this.cursor ? 0 : to;
@@ -59,7 +73,10 @@
     const wanted = this.member.chain.digest(generation);
     if (wanted === undefined) return false;
     if ((await this.member.inspect(generation)) === wanted) return true;
-    const others = shuffled(this.random, this.roster.addresses.filter((each) => each !== this.self));
+    const others = shuffled(
+      this.random,
+      this.roster.addresses.filter((each) => each !== this.self),
+    );
     let without = 0;
     for (const address of others) {
       const reply = await this.peers.ask(address, History, { generation }, ASK_LIMIT);
@@ -69,7 +86,8 @@
     }
     if (this.missing !== generation) this.log('generation-missing', [['generation', generation]]);
     this.missing = generation;
-    if (this.pruned && others.length > 0 && without === others.length) this.member.chain.raise(generation + 1);
+    if (this.pruned && others.length > 0 && without === others.length)
+      this.member.chain.raise(generation + 1);
     return false;
   }
 }
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -30,16 +30,23 @@
   return Buffer.concat([Buffer.from(`${digest} ${plain}\n`), body]);
 };
 
-export const unseal = (path: string, bytes: Uint8Array): Outcome<{ head: Map<string, unknown>; body: Uint8Array }> => {
+export const unseal = (
+  path: string,
+  bytes: Uint8Array,
+): Outcome<{ head: Map<string, unknown>; body: Uint8Array }> => {
   const buffer = Buffer.from(bytes);
   const end = buffer.indexOf(10);
   const digest = buffer.subarray(0, 64).toString('latin1');
-  if (end < 66 || digestOf(buffer.subarray(65)) !== digest) return failed('store.unseal', path, 'does not match its digest');
-  const head = new Map(JSON.parse(buffer.subarray(65, end).toString('utf8')) as Array<[string, unknown]>);
+  if (end < 66 || digestOf(buffer.subarray(65)) !== digest)
+    return failed('store.unseal', path, 'does not match its digest');
+  const head = new Map(
+    JSON.parse(buffer.subarray(65, end).toString('utf8')) as Array<[string, unknown]>,
+  );
   return Right({ head, body: buffer.subarray(end + 1) });
 };
 
-const fileOf = (generation: number): string => `generations/${String(generation).padStart(12, '0')}`;
+const fileOf = (generation: number): string =>
+  `generations/${String(generation).padStart(12, '0')}`;
 
 /** How much of the past is kept on disk; 0 keeps all. */
 export interface Keeping {
@@ -53,11 +60,17 @@
   private readonly sizes = new Map<number, number>();
   private readonly pending = new Set<Promise<unknown>>();
 
-  constructor(private readonly disk: Disk, private readonly fleet: string, private readonly keeping: Keeping = { generations: 0, bytes: 0 }) {}
+  constructor(
+    private readonly disk: Disk,
+    private readonly fleet: string,
+    private readonly keeping: Keeping = { generations: 0, bytes: 0 },
+  ) {}
 
   async open(): Promise<Outcome<Found>> {
     const spoilt: string[] = [];
-    const take = async (path: string): Promise<Outcome<{ head: Map<string, unknown>; body: Uint8Array } | undefined>> => {
+    const take = async (
+      path: string,
+    ): Promise<Outcome<{ head: Map<string, unknown>; body: Uint8Array } | undefined>> => {
       const bytes = await this.disk.read(path);
       if (bytes.isLeft()) return bytes;
       const held = bytes.extract() as Uint8Array | undefined;
@@ -90,28 +103,77 @@
       const ballot = held.head.get('ballot') as Ballot;
       generations.set(Number(name), ballot);
       this.sizes.set(Number(name), held.body.length);
-      if (!accepted || compareBallots(ballot, accepted.ballot) > 0) accepted = { ballot, document: held.body, under: held.head.get('under') as CoreSet | undefined };
+      if (!accepted || compareBallots(ballot, accepted.ballot) > 0)
+        accepted = {
+          ballot,
+          document: held.body,
+          under: held.head.get('under') as CoreSet | undefined,
+        };
     }
-    const promised = ((promise.extract() as { head: Map<string, unknown> } | undefined)?.head.get('ballot') as Ballot | undefined) ?? FIRST;
-    return Right({ member: (identity.extract() as { head: Map<string, unknown> } | undefined)?.head.get('id') as string | undefined, promised, accepted, generations, spoilt });
+    const promised =
+      ((promise.extract() as { head: Map<string, unknown> } | undefined)?.head.get('ballot') as
+        Ballot | undefined) ?? FIRST;
+    return Right({
+      member: (identity.extract() as { head: Map<string, unknown> } | undefined)?.head.get('id') as
+        string | undefined,
+      promised,
+      accepted,
+      generations,
+      spoilt,
+    });
   }
 
   keepIdentity(id: string): Promise<Outcome<void>> {
-    return this.write('member', seal(new Map([['fleet', this.fleet], ['id', id]]), Buffer.alloc(0)));
+    return this.write(
+      'member',
+      seal(
+        new Map([
+          ['fleet', this.fleet],
+          ['id', id],
+        ]),
+        Buffer.alloc(0),
+      ),
+    );
   }
 
   keepPromise(ballot: Ballot): Promise<Outcome<void>> {
-    return this.write('promise', seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', ballot]]), Buffer.alloc(0)));
+    return this.write(
+      'promise',
+      seal(
+        new Map<string, unknown>([
+          ['fleet', this.fleet],
+          ['ballot', ballot],
+        ]),
+        Buffer.alloc(0),
+      ),
+    );
   }
 
   keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
     this.sizes.set(generation, filed.document.length);
-    return this.write(fileOf(generation), seal(new Map<string, unknown>([['fleet', this.fleet], ['ballot', filed.ballot], ['under', filed.under]]), filed.document));
+    return this.write(
+      fileOf(generation),
+      seal(
+        new Map<string, unknown>([
+          ['fleet', this.fleet],
+          ['ballot', filed.ballot],
+          ['under', filed.under],
+        ]),
+        filed.document,
+      ),
+    );
   }
 
   async readGeneration(generation: number): Promise<Outcome<Filed | undefined>> {
     const bytes = await this.disk.read(fileOf(generation));
-    return bytes.chain((held) => (held ? unseal(fileOf(generation), held).map(({ head, body }) => ({ ballot: head.get('ballot') as Ballot, document: body })) : Right(undefined)));
+    return bytes.chain((held) =>
+      held
+        ? unseal(fileOf(generation), held).map(({ head, body }) => ({
+            ballot: head.get('ballot') as Ballot,
+            document: body,
+          }))
+        : Right(undefined),
+    );
   }
 
   /** Until no write is on its way any more, whatever becomes of it. */
--- a/src/register/succession.ts
+++ b/src/register/succession.ts
@@ -25,7 +25,12 @@
 import type { Proposer } from './proposer.js';
 import type { Roster } from './roster.js';
 
-export const Announce = call<Seat, { heard: boolean }>(8, 'register.announce', struct<{ id: string; address: string }>({ id: text, address: text }), struct({ heard: flag }));
+export const Announce = call<Seat, { heard: boolean }>(
+  8,
+  'register.announce',
+  struct<{ id: string; address: string }>({ id: text, address: text }),
+  struct({ heard: flag }),
+);
 
 const EVERY = 1000;
 const ASK_LIMIT = 700;
@@ -58,7 +63,8 @@
 
   serve(): void {
     this.peers.handle(Announce, (seat) => {
-      if (!this.newcomers.has(seat.id) && this.newcomers.size >= NEWCOMERS) this.newcomers.delete(this.newcomers.keys().next().value as string);
+      if (!this.newcomers.has(seat.id) && this.newcomers.size >= NEWCOMERS)
+        this.newcomers.delete(this.newcomers.keys().next().value as string);
       this.newcomers.set(seat.id, { seat, at: this.clock.now() });
       if (this.clock.now() - this.looked > this.every / 4) this.wake();
       return Right({ heard: true });
@@ -66,14 +72,17 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    const ended = new Promise<void>((resolve) => signal.addEventListener('abort', () => resolve(), { once: true }));
+    const ended = new Promise<void>((resolve) =>
+      signal.addEventListener('abort', () => resolve(), { once: true }),
+    );
     while (!signal.aborted) {
       const news = new Promise<void>((resolve) => (this.wake = resolve));
       const { voting, reason } = this.member.state();
       const newcomer = !voting && (reason === '' || reason === 'not in the core set');
       if (voting && (await this.watch())) continue;
       if (newcomer) await this.announce();
-      const pause = (newcomer ? this.every / ANNOUNCED : this.every) * (0.75 + 0.5 * this.random.fraction());
+      const pause =
+        (newcomer ? this.every / ANNOUNCED : this.every) * (0.75 + 0.5 * this.random.fraction());
       await within(this.clock, pause, Promise.race([news, ended]));
     }
   }
@@ -82,7 +91,15 @@
     await this.proposer.learnCore();
     const leads = this.roster.leads.filter((lead) => lead !== this.address);
     const { limit } = this;
-    await within(this.clock, limit / 2, Promise.all(leads.map((lead) => this.peers.ask(lead, Announce, { id: this.member.id, address: this.address }, limit))));
+    await within(
+      this.clock,
+      limit / 2,
+      Promise.all(
+        leads.map((lead) =>
+          this.peers.ask(lead, Announce, { id: this.member.id, address: this.address }, limit),
+        ),
+      ),
+    );
   }
 
   private get limit(): number {
@@ -95,28 +112,62 @@
     const now = this.clock.now();
     const away = now - this.looked > 3 * this.every + ASK_LIMIT;
     this.looked = now;
-    const replies = await Promise.all(members.map(async ({ id, address }) => (id === this.member.id ? this.member.state() : (await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit)).toMaybe().extract())));
+    const replies = await Promise.all(
+      members.map(async ({ id, address }) =>
+        id === this.member.id
+          ? this.member.state()
+          : (await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit))
+              .toMaybe()
+              .extract(),
+      ),
+    );
     const here = members.filter(({ id }, at) => replies[at]?.member === id);
     const swapped = members.filter(({ id }, at) => replies[at] && replies[at].member !== id);
-    for (const { id } of members) if (away || !this.answered.has(id) || here.some((seat) => seat.id === id)) this.answered.set(id, this.clock.now());
-    for (const id of this.answered.keys()) if (!members.some((seat) => seat.id === id)) this.answered.delete(id);
+    for (const { id } of members)
+      if (away || !this.answered.has(id) || here.some((seat) => seat.id === id))
+        this.answered.set(id, this.clock.now());
+    for (const id of this.answered.keys())
+      if (!members.some((seat) => seat.id === id)) this.answered.delete(id);
     if (this.after === 0) return false;
     const silent = members.filter(({ id }) => now - this.answered.get(id)! > this.after);
     const replaceable = swapped.length ? swapped : silent;
-    const [holder] = holders(`succession-${number}`, members.filter((seat) => !silent.includes(seat) && !swapped.includes(seat)).map(({ id }) => id));
-    const spares = [...this.newcomers.values()].filter(({ seat, at }) => now - at < FRESH * this.every && !members.some(({ id }) => id === seat.id)).map(({ seat }) => seat);
+    const [holder] = holders(
+      `succession-${number}`,
+      members
+        .filter((seat) => !silent.includes(seat) && !swapped.includes(seat))
+        .map(({ id }) => id),
+    );
+    const spares = [...this.newcomers.values()]
+      .filter(
+        ({ seat, at }) =>
+          now - at < FRESH * this.every && !members.some(({ id }) => id === seat.id),
+      )
+      .map(({ seat }) => seat);
     const next = spares.find((seat) => !members.some(({ address }) => address === seat.address));
-    const gone = here.length >= majority(members.length - 1) ? replaceable.find((seat) => seat.id !== this.member.id) : undefined;
+    const gone =
+      here.length >= majority(members.length - 1)
+        ? replaceable.find((seat) => seat.id !== this.member.id)
+        : undefined;
     if (holder !== this.member.id) return false;
-    if (next && members.length < wanted) return this.act({ kind: 'seat', seat: next, expects: number });
-    return gone && spares.length > 0 ? this.act({ kind: 'unseat', id: gone.id, vacant: true, expects: number }) : false;
+    if (next && members.length < wanted)
+      return this.act({ kind: 'seat', seat: next, expects: number });
+    return gone && spares.length > 0
+      ? this.act({ kind: 'unseat', id: gone.id, vacant: true, expects: number })
+      : false;
   }
 
   private async act(act: Extract<Act, { kind: 'seat' | 'unseat' }>): Promise<boolean> {
     const id = `succession-${this.random.identity()}`;
-    const told = await this.proposer.propose({ id, firm: '', who: this.peers.self.name, act }, 5000);
+    const told = await this.proposer.propose(
+      { id, firm: '', who: this.peers.self.name, act },
+      5000,
+    );
     const done = told.map(({ kind }) => kind === 'applied').orDefault(false);
-    this.log('succession', [['act', act.kind], ['member', act.kind === 'seat' ? act.seat.id : act.id], ['done', done]]);
+    this.log('succession', [
+      ['act', act.kind],
+      ['member', act.kind === 'seat' ? act.seat.id : act.id],
+      ['done', done],
+    ]);
     return done;
   }
 }
--- a/src/route/shape.ts
+++ b/src/route/shape.ts
@@ -76,13 +76,21 @@
 /** A change to named items of the configuration: what is set replaces by name or is added, what is removed goes. */
 export interface Patch {
   readonly version: number;
-  readonly set: { readonly routes?: readonly Route[]; readonly services?: readonly Service[]; readonly limits?: Limits };
+  readonly set: {
+    readonly routes?: readonly Route[];
+    readonly services?: readonly Service[];
+    readonly limits?: Limits;
+  };
   readonly remove: { readonly routes?: readonly string[]; readonly services?: readonly string[] };
   readonly extra?: Extra;
 }
 
 /** The services a route may send to, with their weights; those of no weight left out. */
-export const sharesOf = (route: Route): readonly Share[] => (route.split ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }])).filter(({ weight }) => weight > 0);
+export const sharesOf = (route: Route): readonly Share[] =>
+  (
+    route.split ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }])
+  ).filter(({ weight }) => weight > 0);
 
 /** Whether a request of this route may run more than once. */
-export const mayRepeat = (route: Route): boolean => route.kind === 'idempotent' || (route.kind === 'streaming' && route.resume === true);
+export const mayRepeat = (route: Route): boolean =>
+  route.kind === 'idempotent' || (route.kind === 'streaming' && route.resume === true);
--- a/src/route/table.ts
+++ b/src/route/table.ts
@@ -13,7 +13,9 @@
   constructor(readonly configuration: Configuration | undefined) {
     this.version = configuration?.version ?? 0;
     this.limits = configuration?.limits ?? {};
-    this.services = new Map((configuration?.services ?? []).map((service) => [service.name, service]));
+    this.services = new Map(
+      (configuration?.services ?? []).map((service) => [service.name, service]),
+    );
     for (const route of configuration?.routes ?? []) {
       const host = route.host.toLowerCase();
       const prefixes = this.hosts.get(host) ?? new Map<string, Route>();
@@ -28,7 +30,11 @@
     if (!prefixes) return undefined;
     const query = target.indexOf('?');
     const path = query < 0 ? target : target.slice(0, query);
-    for (let at = path.lastIndexOf('/'); at >= 0; at = at === 0 ? -1 : path.lastIndexOf('/', at - 1)) {
+    for (
+      let at = path.lastIndexOf('/');
+      at >= 0;
+      at = at === 0 ? -1 : path.lastIndexOf('/', at - 1)
+    ) {
       const route = prefixes.get(path.slice(0, at + 1));
       if (route) return route;
     }
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -49,7 +49,8 @@
 const HANDOVER = 1000;
 
 /** How many routers there are: a view has room for some only, and the core knows who holds leases, while it is there. */
-const routersOf = (view: View, standing: Standing): number => Math.max(view.live('router').length, standing.nodes);
+const routersOf = (view: View, standing: Standing): number =>
+  Math.max(view.live('router').length, standing.nodes);
 
 @Injectable()
 export class RouterNode {
@@ -83,19 +84,37 @@
     if (this.params.claims.enabled) this.claims.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
-    const relay = new Relay(this.peers, () => this.view.live('router').filter(({ name }) => name !== this.params.name).map(({ address }) => address));
+    const relay = new Relay(this.peers, () =>
+      this.view
+        .live('router')
+        .filter(({ name }) => name !== this.params.name)
+        .map(({ address }) => address),
+    );
     relay.serve();
-    this.view.lead(() => [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address));
-    const follower = new Follower(this.peers, this.roster, this.proposer, this.clock, this.random, this.log, (documents, items, _settled, frames) => {
-      const newest = documents[documents.length - 1]!;
-      relay.note(items, documents, frames);
-      if (!this.inForce.swap(newest)) return;
-      this.operations.noteClaims(newest);
-      this.log('in-force', [['generation', newest.generation]]);
-      this.heedLaw(newest);
-      this.standing.renewNow();
-      this.passage.stir();
-    }, '', relay, this.params.feed.wait);
+    this.view.lead(() =>
+      [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address),
+    );
+    const follower = new Follower(
+      this.peers,
+      this.roster,
+      this.proposer,
+      this.clock,
+      this.random,
+      this.log,
+      (documents, items, _settled, frames) => {
+        const newest = documents[documents.length - 1]!;
+        relay.note(items, documents, frames);
+        if (!this.inForce.swap(newest)) return;
+        this.operations.noteClaims(newest);
+        this.log('in-force', [['generation', newest.generation]]);
+        this.heedLaw(newest);
+        this.standing.renewNow();
+        this.passage.stir();
+      },
+      '',
+      relay,
+      this.params.feed.wait,
+    );
     const { signal } = this.stop;
     void this.view.run(signal);
     void this.news.run(signal);
@@ -103,8 +122,23 @@
     void follower.run(signal);
     if (this.params.claims.enabled) void this.claims.run(signal);
     if (this.params.lease.lapse === 'serve') return served;
-    const own = { address: this.params.listen.peers, zone: this.params.zone, law: lawText(this.params.law) };
-    this.enrolment = new Enrolment(this.params.name, own, this.inForce, this.standing, this.proposer, this.peers, this.roster, this.clock, this.random, this.log);
+    const own = {
+      address: this.params.listen.peers,
+      zone: this.params.zone,
+      law: lawText(this.params.law),
+    };
+    this.enrolment = new Enrolment(
+      this.params.name,
+      own,
+      this.inForce,
+      this.standing,
+      this.proposer,
+      this.peers,
+      this.roster,
+      this.clock,
+      this.random,
+      this.log,
+    );
     void this.enrolment.run(signal);
     return served;
   }
@@ -112,13 +146,16 @@
   /** Claims rest on what all routers promise about their own traffic; when one promises otherwise, none are made. */
   private heedLaw({ enrolled }: Document): void {
     const reason = lawBroken(this.params.law, enrolled);
-    if (this.prefixes.lawful !== (reason === '')) this.log(reason ? 'law-broken' : 'law-kept', [['reason', reason || undefined]]);
+    if (this.prefixes.lawful !== (reason === ''))
+      this.log(reason ? 'law-broken' : 'law-kept', [['reason', reason || undefined]]);
     this.prefixes.lawful = reason === '';
   }
 
   ready(): string {
-    if (!this.standing.serves()) return this.params.lease.lapse === 'stop' ? 'no standing' : 'nothing is in force yet';
-    if (this.params.listen.requests && this.inForce.routes.version === 0) return 'no routes are in force';
+    if (!this.standing.serves())
+      return this.params.lease.lapse === 'stop' ? 'no standing' : 'nothing is in force yet';
+    if (this.params.listen.requests && this.inForce.routes.version === 0)
+      return 'no routes are in force';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
@@ -127,7 +164,9 @@
   async drain(): Promise<number> {
     const began = this.clock.now();
     const left = await this.passage.drain(this.params.drain);
-    await this.enrolment?.leave(Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)));
+    await this.enrolment?.leave(
+      Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)),
+    );
     await this.standing.leave();
     this.channels.close();
     return left;
@@ -139,67 +178,320 @@
   static with(params: Params, { services }: Extension): DynamicModule {
     return {
       module: RouterModule,
-      providers: extended([
-        ...nodeProviders(params, 'router'),
-        { provide: names.journal, inject: [names.clock], useFactory: (clock: Clock) => new Journal<PassageEvent>(clock) },
-        { provide: names.channels, inject: [names.clock], useFactory: (clock: Clock) => new Channels(clock) },
-        { provide: names.soundness, inject: [names.clock], useFactory: (clock: Clock) => new Soundness(clock) },
-        { provide: names.prefixes, inject: [names.clock], useFactory: (clock: Clock) => new Prefixes(clock, params.law, params.index.blockTokens) },
-        { provide: names.chooser, inject: [names.clock, names.random], useFactory: (clock: Clock, random: Random) => new Chooser(params.place, params.law, params.zone, clock, random, params.place.policy) },
-        { provide: names.listSource, useValue: fetchList(params.platform.url) },
-        {
-          provide: names.news,
-          inject: [names.listSource, names.view, names.peers, names.clock, names.random, names.log, names.channels, names.soundness, names.prefixes, names.chooser, names.links, names.placer],
-          useFactory: (source: Fetch, view: View, peers: Peers, clock: Clock, random: Random, log: Log, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser, links: Links, placer: Placer) =>
-            new Newsroom(source, params.platform, view, peers, clock, random, log, (engines) => {
-              channels.prune(engines);
-              soundness.forget(engines);
-              prefixes.listed(engines);
-              chooser.listed(engines);
-              links.prune(engines);
-              placer.listed(engines);
-            }),
-        },
-        { provide: names.vows, inject: [names.inForce, names.peers, names.clock], useFactory: (inForce: InForce, peers: Peers, clock: Clock) => new Vows(params.name, inForce, peers, clock, params.lease) },
-        {
-          provide: names.standing,
-          inject: [names.self, names.inForce, names.vows, names.peers, names.roster, names.clock, names.log],
-          useFactory: (self: Hello, inForce: InForce, vows: Vows, peers: Peers, roster: Roster, clock: Clock, log: Log) =>
-            new Standing({ node: self.name, incarnation: self.incarnation, address: params.listen.peers, zone: params.zone }, inForce, vows, peers, roster, clock, log, params.lease),
-        },
-        { provide: names.claims, inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log], useFactory: (inForce: InForce, peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) => new Claims(params.name, inForce, peers, roster, clock, random, log, params.claims.enabled) },
-        {
-          provide: names.passage,
-          inject: [names.standing, names.inForce, names.news, names.channels, names.soundness, names.prefixes, names.chooser, names.clock, names.journal, names.log, names.self, names.claims],
-          useFactory: (standing: Standing, inForce: InForce, news: Newsroom, channels: Channels, soundness: Soundness, prefixes: Prefixes, chooser: Chooser, clock: Clock, journal: Journal<PassageEvent>, log: Log, self: Hello, claims: Claims) =>
-            new Passage(`${self.name}-${self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log),
-        },
-        {
-          provide: names.operations,
-          inject: [names.peers, names.roster, names.proposer, names.inForce, names.view, names.news, names.clock, names.acceptance],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, inForce: InForce, view: View, news: Newsroom, clock: Clock, acceptance: Acceptance) => new Operations(peers, roster, proposer, inForce, view, news, clock, acceptance),
-        },
-        {
-          provide: names.placer,
-          inject: [names.view, names.standing, names.clock, names.random],
-          useFactory: (view: View, standing: Standing, clock: Clock, random: Random): Placer =>
-            params.place.policy === 'index' ? new PrefixPlacer({ ...prefixPlacerDefaults, zone: params.zone, zoneCost: params.place.zoneCost, routers: () => routersOf(view, standing) }, clock, random) : new LeastLoadPlacer(random),
-        },
-        { provide: names.links, inject: [names.clock], useFactory: (clock: Clock) => new HttpLinks(clock, params.forward.connect, params.forward.keepLinks) },
-        {
-          provide: names.forwarder,
-          inject: [names.inForce, names.standing, names.news, names.links, names.placer, names.dialect, names.view, names.clock, names.random, names.log],
-          useFactory: (inForce: InForce, standing: Standing, news: Newsroom, links: Links, placer: Placer, dialect: Dialect, view: View, clock: Clock, random: Random, log: Log) =>
-            new Forwarder(inForce, () => standing.serves(), news, links, placer, new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock), dialect, () => routersOf(view, standing), params.forward, clock, random, new Journal<ForwardEvent>(clock), log),
-        },
-        { provide: names.acceptance, inject: [names.peers, names.roster, names.clock], useFactory: (peers: Peers, roster: Roster, clock: Clock) => new Acceptance(peers, roster, clock, params.lease) },
-        {
-          provide: names.configurator,
-          inject: [names.peers, names.roster, names.proposer, names.acceptance, names.inForce, names.clock],
-          useFactory: (peers: Peers, roster: Roster, proposer: Proposer, acceptance: Acceptance, inForce: InForce, clock: Clock) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
-        },
-        RouterNode,
-      ], services),
+      providers: extended(
+        [
+          ...nodeProviders(params, 'router'),
+          {
+            provide: names.journal,
+            inject: [names.clock],
+            useFactory: (clock: Clock) => new Journal<PassageEvent>(clock),
+          },
+          {
+            provide: names.channels,
+            inject: [names.clock],
+            useFactory: (clock: Clock) => new Channels(clock),
+          },
+          {
+            provide: names.soundness,
+            inject: [names.clock],
+            useFactory: (clock: Clock) => new Soundness(clock),
+          },
+          {
+            provide: names.prefixes,
+            inject: [names.clock],
+            useFactory: (clock: Clock) => new Prefixes(clock, params.law, params.index.blockTokens),
+          },
+          {
+            provide: names.chooser,
+            inject: [names.clock, names.random],
+            useFactory: (clock: Clock, random: Random) =>
+              new Chooser(
+                params.place,
+                params.law,
+                params.zone,
+                clock,
+                random,
+                params.place.policy,
+              ),
+          },
+          { provide: names.listSource, useValue: fetchList(params.platform.url) },
+          {
+            provide: names.news,
+            inject: [
+              names.listSource,
+              names.view,
+              names.peers,
+              names.clock,
+              names.random,
+              names.log,
+              names.channels,
+              names.soundness,
+              names.prefixes,
+              names.chooser,
+              names.links,
+              names.placer,
+            ],
+            useFactory: (
+              source: Fetch,
+              view: View,
+              peers: Peers,
+              clock: Clock,
+              random: Random,
+              log: Log,
+              channels: Channels,
+              soundness: Soundness,
+              prefixes: Prefixes,
+              chooser: Chooser,
+              links: Links,
+              placer: Placer,
+            ) =>
+              new Newsroom(source, params.platform, view, peers, clock, random, log, (engines) => {
+                channels.prune(engines);
+                soundness.forget(engines);
+                prefixes.listed(engines);
+                chooser.listed(engines);
+                links.prune(engines);
+                placer.listed(engines);
+              }),
+          },
+          {
+            provide: names.vows,
+            inject: [names.inForce, names.peers, names.clock],
+            useFactory: (inForce: InForce, peers: Peers, clock: Clock) =>
+              new Vows(params.name, inForce, peers, clock, params.lease),
+          },
+          {
+            provide: names.standing,
+            inject: [
+              names.self,
+              names.inForce,
+              names.vows,
+              names.peers,
+              names.roster,
+              names.clock,
+              names.log,
+            ],
+            useFactory: (
+              self: Hello,
+              inForce: InForce,
+              vows: Vows,
+              peers: Peers,
+              roster: Roster,
+              clock: Clock,
+              log: Log,
+            ) =>
+              new Standing(
+                {
+                  node: self.name,
+                  incarnation: self.incarnation,
+                  address: params.listen.peers,
+                  zone: params.zone,
+                },
+                inForce,
+                vows,
+                peers,
+                roster,
+                clock,
+                log,
+                params.lease,
+              ),
+          },
+          {
+            provide: names.claims,
+            inject: [
+              names.inForce,
+              names.peers,
+              names.roster,
+              names.clock,
+              names.random,
+              names.log,
+            ],
+            useFactory: (
+              inForce: InForce,
+              peers: Peers,
+              roster: Roster,
+              clock: Clock,
+              random: Random,
+              log: Log,
+            ) =>
+              new Claims(
+                params.name,
+                inForce,
+                peers,
+                roster,
+                clock,
+                random,
+                log,
+                params.claims.enabled,
+              ),
+          },
+          {
+            provide: names.passage,
+            inject: [
+              names.standing,
+              names.inForce,
+              names.news,
+              names.channels,
+              names.soundness,
+              names.prefixes,
+              names.chooser,
+              names.clock,
+              names.journal,
+              names.log,
+              names.self,
+              names.claims,
+            ],
+            useFactory: (
+              standing: Standing,
+              inForce: InForce,
+              news: Newsroom,
+              channels: Channels,
+              soundness: Soundness,
+              prefixes: Prefixes,
+              chooser: Chooser,
+              clock: Clock,
+              journal: Journal<PassageEvent>,
+              log: Log,
+              self: Hello,
+              claims: Claims,
+            ) =>
+              new Passage(
+                `${self.name}-${self.incarnation}`,
+                standing,
+                inForce,
+                news,
+                channels,
+                soundness,
+                prefixes,
+                chooser,
+                new Lines(),
+                new RetryBudget(params.passage.retryShare),
+                new TakenIds(clock),
+                claims,
+                { ...params.passage, ...params.index },
+                params.law,
+                clock,
+                journal,
+                log,
+              ),
+          },
+          {
+            provide: names.operations,
+            inject: [
+              names.peers,
+              names.roster,
+              names.proposer,
+              names.inForce,
+              names.view,
+              names.news,
+              names.clock,
+              names.acceptance,
+            ],
+            useFactory: (
+              peers: Peers,
+              roster: Roster,
+              proposer: Proposer,
+              inForce: InForce,
+              view: View,
+              news: Newsroom,
+              clock: Clock,
+              acceptance: Acceptance,
+            ) => new Operations(peers, roster, proposer, inForce, view, news, clock, acceptance),
+          },
+          {
+            provide: names.placer,
+            inject: [names.view, names.standing, names.clock, names.random],
+            useFactory: (view: View, standing: Standing, clock: Clock, random: Random): Placer =>
+              params.place.policy === 'index'
+                ? new PrefixPlacer(
+                    {
+                      ...prefixPlacerDefaults,
+                      zone: params.zone,
+                      zoneCost: params.place.zoneCost,
+                      routers: () => routersOf(view, standing),
+                    },
+                    clock,
+                    random,
+                  )
+                : new LeastLoadPlacer(random),
+          },
+          {
+            provide: names.links,
+            inject: [names.clock],
+            useFactory: (clock: Clock) =>
+              new HttpLinks(clock, params.forward.connect, params.forward.keepLinks),
+          },
+          {
+            provide: names.forwarder,
+            inject: [
+              names.inForce,
+              names.standing,
+              names.news,
+              names.links,
+              names.placer,
+              names.dialect,
+              names.view,
+              names.clock,
+              names.random,
+              names.log,
+            ],
+            useFactory: (
+              inForce: InForce,
+              standing: Standing,
+              news: Newsroom,
+              links: Links,
+              placer: Placer,
+              dialect: Dialect,
+              view: View,
+              clock: Clock,
+              random: Random,
+              log: Log,
+            ) =>
+              new Forwarder(
+                inForce,
+                () => standing.serves(),
+                news,
+                links,
+                placer,
+                new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock),
+                dialect,
+                () => routersOf(view, standing),
+                params.forward,
+                clock,
+                random,
+                new Journal<ForwardEvent>(clock),
+                log,
+              ),
+          },
+          {
+            provide: names.acceptance,
+            inject: [names.peers, names.roster, names.clock],
+            useFactory: (peers: Peers, roster: Roster, clock: Clock) =>
+              new Acceptance(peers, roster, clock, params.lease),
+          },
+          {
+            provide: names.configurator,
+            inject: [
+              names.peers,
+              names.roster,
+              names.proposer,
+              names.acceptance,
+              names.inForce,
+              names.clock,
+            ],
+            useFactory: (
+              peers: Peers,
+              roster: Roster,
+              proposer: Proposer,
+              acceptance: Acceptance,
+              inForce: InForce,
+              clock: Clock,
+            ) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+          },
+          RouterNode,
+        ],
+        services,
+      ),
     };
   }
 }
--- a/src/sim/batch/engine.ts
+++ b/src/sim/batch/engine.ts
@@ -46,7 +46,10 @@
   pinned: string[] = [];
   own = 0;
 
-  constructor(readonly work: Work, readonly number: number) {
+  constructor(
+    readonly work: Work,
+    readonly number: number,
+  ) {
     let key = '';
     this.keys = work.parts.map(({ id }) => (key = `${key}/${id}`));
     this.tokens = work.parts.reduce((sum, { tokens }) => sum + tokens, 0);
@@ -69,7 +72,12 @@
   private dead = false;
   private count = 0;
 
-  constructor(private readonly params: BatchParams, private readonly time: Timeline, private readonly slowness: () => number, private readonly seen: (shared: number, kept: number) => void) {}
+  constructor(
+    private readonly params: BatchParams,
+    private readonly time: Timeline,
+    private readonly slowness: () => number,
+    private readonly seen: (shared: number, kept: number) => void,
+  ) {}
 
   /** Takes a request; what is returned gives it up. */
   take(work: Work): () => void {
@@ -96,7 +104,10 @@
 
   /** Prompt tokens still to be read. */
   get unread(): number {
-    return this.running.reduce((sum, { left }) => sum + left, 0) + this.waiting.reduce((sum, { tokens }) => sum + tokens, 0);
+    return (
+      this.running.reduce((sum, { left }) => sum + left, 0) +
+      this.waiting.reduce((sum, { tokens }) => sum + tokens, 0)
+    );
   }
 
   /** Prompt tokens that would have to be read, as things are kept now. */
@@ -129,14 +140,22 @@
     }
     this.tally.steps += 1;
     const readers = this.running.filter(({ left }) => left > 0);
-    readers.sort((a, b) => (this.params.chunks === 'urgent' ? a.work.urgency - b.work.urgency : 0) || (this.params.chunks === 'even' ? a.left - b.left : 0) || a.number - b.number);
+    readers.sort(
+      (a, b) =>
+        (this.params.chunks === 'urgent' ? a.work.urgency - b.work.urgency : 0) ||
+        (this.params.chunks === 'even' ? a.left - b.left : 0) ||
+        a.number - b.number,
+    );
     const writers = this.running.filter(({ left }) => left <= 0);
     let chunk = 0;
     let pairs = 0;
     const done: Run[] = [];
     for (const [at, run] of readers.entries()) {
       const room = this.params.chunk - chunk;
-      const share = Math.min(run.left, this.params.chunks === 'even' ? Math.ceil(room / (readers.length - at)) : room);
+      const share = Math.min(
+        run.left,
+        this.params.chunks === 'even' ? Math.ceil(room / (readers.length - at)) : room,
+      );
       if (share <= 0) break;
       pairs += share * (run.context + share / 2);
       run.left -= share;
@@ -146,7 +165,13 @@
     }
     const { step, stepPerRunning, contextPerK, rate, pairsPerM } = this.params;
     const context = writers.reduce((sum, run) => sum + run.context, 0);
-    const took = (step + stepPerRunning * writers.length + (contextPerK * context) / 1000 + chunk / rate + (pairsPerM * pairs) / 1e6) * this.slowness();
+    const took =
+      (step +
+        stepPerRunning * writers.length +
+        (contextPerK * context) / 1000 +
+        chunk / rate +
+        (pairsPerM * pairs) / 1e6) *
+      this.slowness();
     this.tally.read += chunk;
     this.time.after(took, () => this.stepped(writers, done));
   }
@@ -165,8 +190,10 @@
     run.context += 1;
     const { output, event } = run.work;
     const last = run.made >= output;
-    if (run.made === 1) this.time.after(this.params.first, () => !run.cancelled && !this.dead && event(last));
-    else if (last || (run.made - 1) % this.params.stride === 0) this.time.after(this.params.first, () => !run.cancelled && !this.dead && event(last));
+    if (run.made === 1)
+      this.time.after(this.params.first, () => !run.cancelled && !this.dead && event(last));
+    else if (last || (run.made - 1) % this.params.stride === 0)
+      this.time.after(this.params.first, () => !run.cancelled && !this.dead && event(last));
     if (!last) return;
     this.leave(run);
     this.running.splice(this.running.indexOf(run), 1);
@@ -209,7 +236,14 @@
   /** Puts back the newest of the least urgent, if it is less urgent than this. */
   private putBack(urgency: number): boolean {
     let worst: Run | undefined;
-    for (const run of this.running) if (run.work.urgency > urgency && (!worst || run.work.urgency > worst.work.urgency || (run.work.urgency === worst.work.urgency && run.number > worst.number))) worst = run;
+    for (const run of this.running)
+      if (
+        run.work.urgency > urgency &&
+        (!worst ||
+          run.work.urgency > worst.work.urgency ||
+          (run.work.urgency === worst.work.urgency && run.number > worst.number))
+      )
+        worst = run;
     if (!worst) return false;
     this.leave(worst);
     this.running.splice(this.running.indexOf(worst), 1);
--- a/src/sim/batch/figures.ts
+++ b/src/sim/batch/figures.ts
@@ -1,7 +1,8 @@
 /** What a run of the batch simulation is judged by. */
 import type { Kind } from './traffic.js';
 
-const at = (sorted: readonly number[], share: number): number => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+const at = (sorted: readonly number[], share: number): number =>
+  sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 
 class KindTally {
   owed = 0;
@@ -50,10 +51,16 @@
 const SLICE = 100;
 
 const WINDOW = 2000;
-const WORTH = new Map<Kind, readonly [number, number]>([['long', [2, 0.6]], ['short', [3, 0.9]]]);
+const WORTH = new Map<Kind, readonly [number, number]>([
+  ['long', [2, 0.6]],
+  ['short', [3, 0.9]],
+]);
 
 export class Tally {
-  private readonly kinds = new Map<Kind, KindTally>([['long', new KindTally()], ['short', new KindTally()]]);
+  private readonly kinds = new Map<Kind, KindTally>([
+    ['long', new KindTally()],
+    ['short', new KindTally()],
+  ]);
   private readonly windows = new Map<number, { owed: number; earned: number }>();
   private shared = 0;
   private kept = 0;
@@ -113,15 +120,30 @@
     const of = (kind: Kind): KindFigures => {
       const { owed, inTime, served, refused, lost, firsts } = this.kinds.get(kind)!;
       const sorted = [...firsts].sort((a, b) => a - b);
-      return { owed, inTime: inTime / owed, served: served / owed, refusals: refused / owed, lost: lost / owed, p50: at(sorted, 0.5), p99: at(sorted, 0.99) };
+      return {
+        owed,
+        inTime: inTime / owed,
+        served: served / owed,
+        refusals: refused / owed,
+        lost: lost / owed,
+        p50: at(sorted, 0.5),
+        p99: at(sorted, 0.99),
+      };
     };
     const windows = [...this.windows.values()];
-    const sum = (pick: (window: { owed: number; earned: number }) => number): number => windows.reduce((total, window) => total + pick(window), 0);
+    const sum = (pick: (window: { owed: number; earned: number }) => number): number =>
+      windows.reduce((total, window) => total + pick(window), 0);
     return {
-      long: of('long'), short: of('short'),
+      long: of('long'),
+      short: of('short'),
       worth: sum(({ earned }) => earned) / sum(({ owed }) => owed),
       worst: Math.min(...windows.map(({ earned, owed }) => earned / owed)),
-      read: this.read / this.prompted, hits: this.kept / this.shared, herd: this.lead / this.looks, putBack: this.putBack, local: this.locals / this.sends, dispersion: this.dispersion,
+      read: this.read / this.prompted,
+      hits: this.kept / this.shared,
+      herd: this.lead / this.looks,
+      putBack: this.putBack,
+      local: this.locals / this.sends,
+      dispersion: this.dispersion,
     };
   }
 
--- a/src/sim/batch/rivals.ts
+++ b/src/sim/batch/rivals.ts
@@ -3,7 +3,13 @@
 import type { Random } from '../../kernel/random/random.js';
 import type { PlaceAsk, Placement, Placer } from '../../place/placer.js';
 import { hashOf, leaders } from '../../place/prefix/order.js';
-import { defaultWeights, PrefixPlacer, prefixPlacerDefaults, type PrefixPlacerParams, type Weights } from '../../place/prefix.js';
+import {
+  defaultWeights,
+  PrefixPlacer,
+  prefixPlacerDefaults,
+  type PrefixPlacerParams,
+  type Weights,
+} from '../../place/prefix.js';
 import type { Engine } from '../../pool/engine.js';
 
 export const ways = ['round-robin', 'least-own', 'hash-only', 'prefix', 'oracle'] as const;
@@ -16,7 +22,11 @@
   private readonly flying = new Map<string, number>();
   private turn: number;
 
-  constructor(private readonly way: Way, private readonly random: Random, private readonly insight: Insight) {
+  constructor(
+    private readonly way: Way,
+    private readonly random: Random,
+    private readonly insight: Insight,
+  ) {
     this.turn = Math.floor(random.fraction() * 1000);
   }
 
@@ -26,14 +36,29 @@
     const { identifier } = engine;
     this.flying.set(identifier, (this.flying.get(identifier) ?? 0) + 1);
     const end = (): void => void this.flying.set(identifier, this.flying.get(identifier)! - 1);
-    return { kind: 'placed', ticket: { engine, urgency: Math.min(9, ask.priority * 3), head: () => undefined, piece: () => undefined, end } };
+    return {
+      kind: 'placed',
+      ticket: {
+        engine,
+        urgency: Math.min(9, ask.priority * 3),
+        head: () => undefined,
+        piece: () => undefined,
+        end,
+      },
+    };
   }
 
   listed(): void {}
 
   private pick(ask: PlaceAsk, engines: readonly Engine[]): Engine | undefined {
     const parts = ask.prompt?.parts ?? [];
-    if (this.way === 'hash-only' && parts.length > 1 && parts[0]!.tokens >= 1024) return engines[leaders(hashOf(parts[0]!.id), engines.map(({ identifier }) => hashOf(identifier)))[0]!];
+    if (this.way === 'hash-only' && parts.length > 1 && parts[0]!.tokens >= 1024)
+      return engines[
+        leaders(
+          hashOf(parts[0]!.id),
+          engines.map(({ identifier }) => hashOf(identifier)),
+        )[0]!
+      ];
     if (this.way === 'oracle') {
       const costs = engines.map((engine) => this.insight(engine, ask));
       return engines[costs.indexOf(Math.min(...costs))];
@@ -45,5 +70,17 @@
   }
 }
 
-export const placerOf = (way: Way, clock: Clock, random: Random, params: Partial<PrefixPlacerParams>, insight: Insight, weights: Partial<Weights> = {}): Placer =>
-  way === 'prefix' ? new PrefixPlacer({ ...prefixPlacerDefaults, ...params }, clock, random, { ...defaultWeights, ...weights }) : new Simple(way, random, insight);
+export const placerOf = (
+  way: Way,
+  clock: Clock,
+  random: Random,
+  params: Partial<PrefixPlacerParams>,
+  insight: Insight,
+  weights: Partial<Weights> = {},
+): Placer =>
+  way === 'prefix'
+    ? new PrefixPlacer({ ...prefixPlacerDefaults, ...params }, clock, random, {
+        ...defaultWeights,
+        ...weights,
+      })
+    : new Simple(way, random, insight);
--- a/src/sim/batch/run.ts
+++ b/src/sim/batch/run.ts
@@ -35,21 +35,49 @@
   readonly batch: BatchEngine;
 }
 
-const KINDS = new Map([['long', { priority: 1, target: 800, deadline: 10_000, gap: 200 }], ['short', { priority: 0, target: 400, deadline: 5000, gap: 200 }]] as const);
+const KINDS = new Map([
+  ['long', { priority: 1, target: 800, deadline: 10_000, gap: 200 }],
+  ['short', { priority: 0, target: 400, deadline: 5000, gap: 200 }],
+] as const);
 const LATENCY = 1.4;
 const WARMUP = 4000;
 
-export const play = (scenario: Scenario, way: Way, seed: number, weights: Partial<Weights> = {}): Figures => {
+export const play = (
+  scenario: Scenario,
+  way: Way,
+  seed: number,
+  weights: Partial<Weights> = {},
+): Figures => {
   const time = new Timeline();
   const tally = new Tally();
-  const service: Service = { name: 'svc', engine: { slots: scenario.batch.slots, cacheTokens: scenario.batch.memory } };
+  const service: Service = {
+    name: 'svc',
+    engine: { slots: scenario.batch.slots, cacheTokens: scenario.batch.memory },
+  };
   const members = new Map<string, Member>();
   const batches: BatchEngine[] = [];
   let born = 0;
   const bear = (): void => {
     const number = born++;
-    const engine: Engine = { identifier: `engine-${seed}-${number}`, address: '', model: 'm', adapters: new Set(), weightGeneration: '1', zone: `z${number % scenario.zones}`, labels: new Map(), cacheCapacity: scenario.batch.memory, prefillRate: 1, leaving: false, slots: scenario.batch.slots };
-    const batch = new BatchEngine(scenario.batch, time, () => (scenario.slow && number === 0 ? scenario.slow.x : 1), (shared, kept) => time.now() > WARMUP && tally.seen(shared, kept));
+    const engine: Engine = {
+      identifier: `engine-${seed}-${number}`,
+      address: '',
+      model: 'm',
+      adapters: new Set(),
+      weightGeneration: '1',
+      zone: `z${number % scenario.zones}`,
+      labels: new Map(),
+      cacheCapacity: scenario.batch.memory,
+      prefillRate: 1,
+      leaving: false,
+      slots: scenario.batch.slots,
+    };
+    const batch = new BatchEngine(
+      scenario.batch,
+      time,
+      () => (scenario.slow && number === 0 ? scenario.slow.x : 1),
+      (shared, kept) => time.now() > WARMUP && tally.seen(shared, kept),
+    );
     batches.push(batch);
     members.set(engine.identifier, { engine, batch });
   };
@@ -58,7 +86,16 @@
     const { batch } = members.get(engine.identifier)!;
     return batch.unread + 3 * batch.fresh(ask.prompt!.parts);
   };
-  const routers: Placer[] = Array.from({ length: scenario.routers }, (_, at) => placerOf(way, time, new SeededRandom(seed * 1000 + at), { routers: () => scenario.routers, zone: `z${at % scenario.zones}` }, insight, weights));
+  const routers: Placer[] = Array.from({ length: scenario.routers }, (_, at) =>
+    placerOf(
+      way,
+      time,
+      new SeededRandom(seed * 1000 + at),
+      { routers: () => scenario.routers, zone: `z${at % scenario.zones}` },
+      insight,
+      weights,
+    ),
+  );
   const listed = (): void => {
     const engines = new Map([...members].map(([identifier, { engine }]) => [identifier, engine]));
     for (const router of routers) router.listed(engines);
@@ -79,8 +116,18 @@
       if (tries >= 1 || wait > left) tally.lost(demand.kind);
       else time.after(wait, () => attempt(demand, tries + 1, began));
     };
-    const ask: PlaceAsk = { service, prompt: { model: 'm', tokens, output: demand.output, parts: demand.parts }, priority, target: Math.max(1, began + target - time.now()), deadline: left, affinity: true };
-    const placement = router.place(ask, [...members.values()].map(({ engine }) => engine));
+    const ask: PlaceAsk = {
+      service,
+      prompt: { model: 'm', tokens, output: demand.output, parts: demand.parts },
+      priority,
+      target: Math.max(1, began + target - time.now()),
+      deadline: left,
+      affinity: true,
+    };
+    const placement = router.place(
+      ask,
+      [...members.values()].map(({ engine }) => engine),
+    );
     if (placement.kind === 'full') {
       if (began > WARMUP) tally.refused(demand.kind);
       return again(Math.min(placement.retryAfter, left / 3));
@@ -118,13 +165,20 @@
       again(50);
     };
     time.after(latency, () => {
-      giveUp = member.batch.take({ parts: demand.parts, output: demand.output, urgency: ticket.urgency, event: (last) => time.after(latency, () => event(last)), refused: () => time.after(latency, refused) });
+      giveUp = member.batch.take({
+        parts: demand.parts,
+        output: demand.output,
+        urgency: ticket.urgency,
+        event: (last) => time.after(latency, () => event(last)),
+        refused: () => time.after(latency, refused),
+      });
     });
     const silence = Math.min(left, Math.max(2000, 4 * target));
     const watch = (): void => {
       if (over) return;
       const due = (events === 0 ? began : lastAt) + silence;
-      if (time.now() < Math.min(due, began + deadline)) return time.after(Math.min(due, began + deadline) - time.now() + 0.01, watch);
+      if (time.now() < Math.min(due, began + deadline))
+        return time.after(Math.min(due, began + deadline) - time.now() + 0.01, watch);
       over = true;
       giveUp();
       ticket.end('left');
--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -25,7 +25,10 @@
   private readonly strikes: Strikes;
   private readonly lapsed = new Set<string>();
 
-  constructor(private readonly plan: DayPlan, private readonly seed: number) {
+  constructor(
+    private readonly plan: DayPlan,
+    private readonly seed: number,
+  ) {
     this.stage = new Stage(plan, seed, this.tally);
     this.operators = new Operators(this.stage);
     this.traffic = new Traffic(this.stage);
@@ -58,8 +61,13 @@
     for (const { host, standing, inForce } of routers.values()) {
       if (host.dead) continue;
       const holds = standing.holds();
-      if (holds && inForce.generation < accepted) this.tally.find('accepted-not-in-force', `${host.name} stands on ${inForce.generation}, accepted is ${accepted}, at ${Math.round(world.now)}`);
-      if (!holds && inForce.generation > 0 && !this.lapsed.has(host.name)) this.tally.note('lapsedStandings');
+      if (holds && inForce.generation < accepted)
+        this.tally.find(
+          'accepted-not-in-force',
+          `${host.name} stands on ${inForce.generation}, accepted is ${accepted}, at ${Math.round(world.now)}`,
+        );
+      if (!holds && inForce.generation > 0 && !this.lapsed.has(host.name))
+        this.tally.note('lapsedStandings');
       if (holds) this.lapsed.delete(host.name);
       else this.lapsed.add(host.name);
     }
@@ -77,8 +85,15 @@
       return undefined;
     }
     const final = read.unsafeCoerce();
-    for (const { host, inForce } of stage.routers.values()) if (!host.dead && inForce.generation < operators.accepted) tally.find('slid-back', `${host.name} at ${inForce.generation}, accepted ${operators.accepted}`);
-    const core = [...stage.cores.values()].find(({ host, member }) => !host.dead && member.state().voting);
+    for (const { host, inForce } of stage.routers.values())
+      if (!host.dead && inForce.generation < operators.accepted)
+        tally.find(
+          'slid-back',
+          `${host.name} at ${inForce.generation}, accepted ${operators.accepted}`,
+        );
+    const core = [...stage.cores.values()].find(
+      ({ host, member }) => !host.dead && member.state().voting,
+    );
     if (!core) {
       tally.find('unreadable', 'no member votes');
       return final;
@@ -87,15 +102,26 @@
     history.caseOf({
       Left: ({ reason }) => tally.find('history-not-whole', reason),
       Right: ({ generations, settled }) => {
-        if (generations.length !== settled) tally.find('history-not-whole', `${generations.length} of ${settled}`);
+        if (generations.length !== settled)
+          tally.find('history-not-whole', `${generations.length} of ${settled}`);
         tally.note('historyRead', generations.length);
-        operators.check(final, new Set(generations.flatMap(({ changes }) => changes.map(({ id }) => id))));
+        operators.check(
+          final,
+          new Set(generations.flatMap(({ changes }) => changes.map(({ id }) => id))),
+        );
       },
     });
-    for (const name of stage.lostFor) if (!stage.cores.get(name)?.member.state().voting) tally.find('not-replaced', name);
-    const wholes = new Set([...stage.cores.values()].filter(({ host, member }) => !host.dead && member.state().voting).map(({ member }) => member.wholeDigest));
+    for (const name of stage.lostFor)
+      if (!stage.cores.get(name)?.member.state().voting) tally.find('not-replaced', name);
+    const wholes = new Set(
+      [...stage.cores.values()]
+        .filter(({ host, member }) => !host.dead && member.state().voting)
+        .map(({ member }) => member.wholeDigest),
+    );
     if (wholes.size !== 1 || wholes.has('')) tally.find('histories-differ', [...wholes].join(' '));
-    const kept = (await world.until(core.operations.at(0))).chain(({ document }) => decodeDocument(Buffer.from(document), 'core'));
+    const kept = (await world.until(core.operations.at(0))).chain(({ document }) =>
+      decodeDocument(Buffer.from(document), 'core'),
+    );
     if (kept.isLeft()) tally.find('unreadable', 'the newest generation');
     return final;
   }
@@ -105,19 +131,50 @@
     const { facts } = stage;
     const at = new Map(facts.runs.map((run) => [`${run.request}/${run.engine}`, run.at]));
     const doorways = new Map(traffic.calls.map(({ id, doorway }) => [id, doorway]));
-    const allowed = (request: string, engine: string): boolean => !final || operators.allows(doorways.get(request) ?? '', engine, at.get(`${request}/${engine}`)!, final);
-    const callers = traffic.calls.map((call) => (call.outcome === 'declined' && traffic.resent.has(call.id) ? { ...call, outcome: 'silent' as const } : call));
-    const judged = judge({ callers, runs: facts.runs, resumes: (request) => doorways.get(request) === 'sahel-long', allowed, left: stage.left, overreach: facts.overreach });
+    const allowed = (request: string, engine: string): boolean =>
+      !final ||
+      operators.allows(doorways.get(request) ?? '', engine, at.get(`${request}/${engine}`)!, final);
+    const callers = traffic.calls.map((call) =>
+      call.outcome === 'declined' && traffic.resent.has(call.id)
+        ? { ...call, outcome: 'silent' as const }
+        : call,
+    );
+    const judged = judge({
+      callers,
+      runs: facts.runs,
+      resumes: (request) => doorways.get(request) === 'sahel-long',
+      allowed,
+      left: stage.left,
+      overreach: facts.overreach,
+    });
     if (traffic.stillOut) tally.find('not-back', 'no result since the outage');
-    for (const back of [...traffic.backAfter, ...traffic.onceBackAfter]) if (back > BACK) tally.find('late-back', `${back} ms`);
-    for (const { host, journal } of stage.routers.values()) for (const { event } of journal.tail()) if (event.kind === 'fault') tally.find('illegal-step', `${host.name}: ${event.from} to ${event.to}`, event.request);
+    for (const back of [...traffic.backAfter, ...traffic.onceBackAfter])
+      if (back > BACK) tally.find('late-back', `${back} ms`);
+    for (const { host, journal } of stage.routers.values())
+      for (const { event } of journal.tail())
+        if (event.kind === 'fault')
+          tally.find('illegal-step', `${host.name}: ${event.from} to ${event.to}`, event.request);
     const retryShareMost = this.retries();
     tally.note('claimsCompared', facts.claims);
-    tally.note('resumed', callers.filter(({ id, outcome }) => outcome === 'result' && facts.runs.some((run) => run.request === id && run.continues && run.ended === 'done')).length);
-    const count = (values: readonly string[]): Map<string, number> => values.reduce((counts, value) => counts.set(value, (counts.get(value) ?? 0) + 1), new Map<string, number>());
+    tally.note(
+      'resumed',
+      callers.filter(
+        ({ id, outcome }) =>
+          outcome === 'result' &&
+          facts.runs.some((run) => run.request === id && run.continues && run.ended === 'done'),
+      ).length,
+    );
+    const count = (values: readonly string[]): Map<string, number> =>
+      values.reduce(
+        (counts, value) => counts.set(value, (counts.get(value) ?? 0) + 1),
+        new Map<string, number>(),
+      );
     return {
       seed: this.seed,
-      findings: [...tally.findings.slice(0, FINDINGS), ...judged.slice(0, FINDINGS)] as ReadonlyArray<Finding>,
+      findings: [
+        ...tally.findings.slice(0, FINDINGS),
+        ...judged.slice(0, FINDINGS),
+      ] as ReadonlyArray<Finding>,
       faults: tally.faults,
       outcomes: count(traffic.calls.map(({ outcome }) => outcome)),
       changes: count(operators.told.map(({ outcome }) => outcome)),
@@ -137,7 +194,9 @@
     const { facts, routers } = this.stage;
     const seen = new Set<string>();
     const again: number[] = [];
-    const repeatable = new Set(this.traffic.calls.filter((call) => call.repeatable).map(({ id }) => id));
+    const repeatable = new Set(
+      this.traffic.calls.filter((call) => call.repeatable).map(({ id }) => id),
+    );
     for (const { request, at } of [...facts.runs].sort((a, b) => a.at - b.at)) {
       if (seen.has(request) && repeatable.has(request)) again.push(at);
       seen.add(request);
@@ -149,11 +208,13 @@
       const within = (moment: number): boolean => moment > end - WINDOW && moment <= end;
       const spent = again.filter(within).length;
       const fresh = began.filter(within).length;
-      if (spent > fresh * 0.05 + routers.size) this.tally.find('retry-share', `${spent} of ${fresh} within 10 s`);
+      if (spent > fresh * 0.05 + routers.size)
+        this.tally.find('retry-share', `${spent} of ${fresh} within 10 s`);
       most = Math.max(most, spent / Math.max(1, fresh));
     }
     return most;
   }
 }
 
-export const playDay = (plan: DayPlan, seed: number): Promise<DayResult> => new Day(plan, seed).run();
+export const playDay = (plan: DayPlan, seed: number): Promise<DayResult> =>
+  new Day(plan, seed).run();
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -41,7 +41,10 @@
       for (let tries = 0; ; tries++) {
         const told = await this.change(name, 0, 'all', `open-${name}`, 5000);
         if (told.outcome === 'accepted') break;
-        if (tries > 20) throw new Error(`seed ${this.stage.seed}: could not open ${name}: ${JSON.stringify(told)}`);
+        if (tries > 20)
+          throw new Error(
+            `seed ${this.stage.seed}: could not open ${name}: ${JSON.stringify(told)}`,
+          );
         await this.stage.pause(500);
       }
     }
@@ -51,7 +54,17 @@
   work(from: number, span: number): void {
     const { world, random } = this.stage;
     for (let at = 500; at < span; at += 400 + random.fraction() * 4000) {
-      world.at(from - world.now + at, () => this.rivals(random.fraction() < 0.1 ? 12 : random.fraction() < 0.2 ? 3 : random.fraction() < 0.4 ? 2 : 1));
+      world.at(from - world.now + at, () =>
+        this.rivals(
+          random.fraction() < 0.1
+            ? 12
+            : random.fraction() < 0.2
+              ? 3
+              : random.fraction() < 0.4
+                ? 2
+                : 1,
+        ),
+      );
     }
   }
 
@@ -61,7 +74,14 @@
     const name = pick(random, this.names)!;
     const newest = this.newest(name);
     if (count > 1) this.stage.tally.note('rivals', count);
-    for (let each = 0; each < count; each++) void this.change(name, newest, pick(random, ['even', 'odd', 'all'] as const)!, `c${++this.number}`, 4000 + random.fraction() * 4000);
+    for (let each = 0; each < count; each++)
+      void this.change(
+        name,
+        newest,
+        pick(random, ['even', 'odd', 'all'] as const)!,
+        `c${++this.number}`,
+        4000 + random.fraction() * 4000,
+      );
   }
 
   /** All doorways of one firm in one change, and maybe a rival that does the same. */
@@ -74,34 +94,86 @@
     for (let each = 0; each < rivals; each++) {
       const groups = pick(random, ['even', 'odd', 'all'] as const)!;
       const id = `c${++this.number}`;
-      const sets = names.map((name, at) => ({ doorway: this.doorway(name, groups), expects: expects[at]! }));
-      const wanted = names.map((doorway, at): Told => ({ id, doorway, expects: expects[at]!, groups, asked: this.stage.world.now, outcome: 'silent', generation: 0, at: Infinity }));
-      void this.ask(wanted, 5000, (operations) => operations.applyDoorways({ firm, who: 'operator' }, { change: id, sets, removes: [], wait: 5000 }));
+      const sets = names.map((name, at) => ({
+        doorway: this.doorway(name, groups),
+        expects: expects[at]!,
+      }));
+      const wanted = names.map((doorway, at): Told => ({
+        id,
+        doorway,
+        expects: expects[at]!,
+        groups,
+        asked: this.stage.world.now,
+        outcome: 'silent',
+        generation: 0,
+        at: Infinity,
+      }));
+      void this.ask(wanted, 5000, (operations) =>
+        operations.applyDoorways(
+          { firm, who: 'operator' },
+          { change: id, sets, removes: [], wait: 5000 },
+        ),
+      );
     }
   }
 
   /** One change through some living node; what the operator was told is kept. */
-  async change(doorway: string, expects: number, groups: Groups, id = `c${++this.number}`, wait = 5000): Promise<Told> {
+  async change(
+    doorway: string,
+    expects: number,
+    groups: Groups,
+    id = `c${++this.number}`,
+    wait = 5000,
+  ): Promise<Told> {
     const spec = this.doorway(doorway, groups);
-    const told: Told = { id, doorway, expects, groups, asked: this.stage.world.now, outcome: 'silent', generation: 0, at: Infinity };
-    await this.ask([told], wait, (operations) => operations.setDoorway({ firm: spec.firm, who: 'operator' }, { change: id, doorway: spec, expects, wait }));
+    const told: Told = {
+      id,
+      doorway,
+      expects,
+      groups,
+      asked: this.stage.world.now,
+      outcome: 'silent',
+      generation: 0,
+      at: Infinity,
+    };
+    await this.ask([told], wait, (operations) =>
+      operations.setDoorway(
+        { firm: spec.firm, who: 'operator' },
+        { change: id, doorway: spec, expects, wait },
+      ),
+    );
     return told;
   }
 
   /** The newest generation of a doorway that any operator was told of. */
   newest(name: string): number {
-    return Math.max(0, ...this.told.filter((each) => each.doorway === name && each.generation > 0).map(({ generation }) => generation));
+    return Math.max(
+      0,
+      ...this.told
+        .filter((each) => each.doorway === name && each.generation > 0)
+        .map(({ generation }) => generation),
+    );
   }
 
-  private async ask(wanted: readonly Told[], wait: number, act: (operations: Operations) => ReturnType<Operations['setDoorway']>): Promise<void> {
+  private async ask(
+    wanted: readonly Told[],
+    wait: number,
+    act: (operations: Operations) => ReturnType<Operations['setDoorway']>,
+  ): Promise<void> {
     const { stage } = this;
     const { world, tally } = stage;
-    const via = pick(stage.random, [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead));
+    const via = pick(
+      stage.random,
+      [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead),
+    );
     this.told.push(...wanted);
     if (!via) return;
     const told = { ...wanted[0]! };
     const calm = stage.calmFor(CALM);
-    const done = await Promise.race([act(via.operations), stage.pause(wait + 3000).then(() => undefined)]);
+    const done = await Promise.race([
+      act(via.operations),
+      stage.pause(wait + 3000).then(() => undefined),
+    ]);
     done?.caseOf({
       Left: ({ certainty }: Failure) => {
         told.outcome = certainty;
@@ -112,15 +184,22 @@
       },
     });
     told.at = world.now;
-    for (const each of wanted) Object.assign(each, { outcome: told.outcome, generation: told.generation, at: told.at });
+    for (const each of wanted)
+      Object.assign(each, { outcome: told.outcome, generation: told.generation, at: told.at });
     const took = Math.round(told.at - told.asked);
     if (told.outcome === 'accepted') {
       this.accepted = Math.max(this.accepted, told.generation);
       tally.note('acceptedInForce');
-    } else if (told.outcome !== 'silent' && told.outcome !== 'unknown') tally.note('declinedChanges');
+    } else if (told.outcome !== 'silent' && told.outcome !== 'unknown')
+      tally.note('declinedChanges');
     if (calm && stage.calmFor(CALM)) {
       if (told.outcome === 'accepted') this.calmAccepted.push(took);
-      if ((told.outcome === 'accepted' && took > PROMISED) || told.outcome === 'unknown') tally.find('slow-accepted', `${told.outcome} after ${took} ms with no failure under way`, told.id);
+      if ((told.outcome === 'accepted' && took > PROMISED) || told.outcome === 'unknown')
+        tally.find(
+          'slow-accepted',
+          `${told.outcome} after ${took} ms with no failure under way`,
+          told.id,
+        );
     }
   }
 
@@ -130,14 +209,26 @@
     const wins = new Map<string, Told[]>();
     for (const told of this.told) {
       const applied = final.outcomes.get(told.id);
-      if (told.outcome === 'accepted' && applied?.generation !== told.generation) tally.find('accepted-lost', `told ${told.generation}, kept ${applied?.generation}`, told.id);
-      if (told.outcome === 'accepted' && !history.has(told.id)) tally.find('accepted-lost', 'not in the history', told.id);
-      if ((told.outcome === 'lost' || told.outcome === 'declined') && (applied || history.has(told.id))) tally.find('declined-took-effect', `in generation ${applied?.generation}`, told.id);
+      if (told.outcome === 'accepted' && applied?.generation !== told.generation)
+        tally.find(
+          'accepted-lost',
+          `told ${told.generation}, kept ${applied?.generation}`,
+          told.id,
+        );
+      if (told.outcome === 'accepted' && !history.has(told.id))
+        tally.find('accepted-lost', 'not in the history', told.id);
+      if (
+        (told.outcome === 'lost' || told.outcome === 'declined') &&
+        (applied || history.has(told.id))
+      )
+        tally.find('declined-took-effect', `in generation ${applied?.generation}`, told.id);
       if (!applied) continue;
       const key = `${told.doorway}@${told.expects}`;
       wins.set(key, [...(wins.get(key) ?? []), told]);
     }
-    for (const [key, winners] of wins) if (winners.length > 1) tally.find('rivals-both-won', winners.map(({ id }) => id).join(' '), key);
+    for (const [key, winners] of wins)
+      if (winners.length > 1)
+        tally.find('rivals-both-won', winners.map(({ id }) => id).join(' '), key);
   }
 
   /** Whether some value of a doorway that could be in force at a moment allows an engine. */
@@ -145,18 +236,34 @@
     if (!engine.startsWith('engine-')) return false;
     const number = Number(engine.split('+')[0]!.split('-')[1]);
     const placeOf = ({ id }: Told): number => final.outcomes.get(id)!.generation;
-    const values = this.told.filter((told) => told.doorway === doorway && final.outcomes.has(told.id)).sort((a, b) => placeOf(a) - placeOf(b));
+    const values = this.told
+      .filter((told) => told.doorway === doorway && final.outcomes.has(told.id))
+      .sort((a, b) => placeOf(a) - placeOf(b));
     return values.some((told, place) => {
-      const superseded = values.slice(place + 1).some((next) => next.outcome === 'accepted' && next.at < at - 20);
-      return !superseded && (told.groups === 'all' || (told.groups === 'even') === (number % 2 === 0));
+      const superseded = values
+        .slice(place + 1)
+        .some((next) => next.outcome === 'accepted' && next.at < at - 20);
+      return (
+        !superseded && (told.groups === 'all' || (told.groups === 'even') === (number % 2 === 0))
+      );
     });
   }
 
   private doorway(name: string, groups: Groups): Schemas['Doorway'] {
     const [firm, tag] = name.split('-') as [string, 'short' | 'long'];
     return {
-      name, firm, match: { tag }, engines: groups === 'all' ? [{ label: 'pool', value: 'shared' }] : [{ label: 'group', value: groups }],
-      repeatable: tag === 'long', resume: name === 'sahel-long', limits: { firstToken: tag === 'short' ? 3000 : 8000, total: 15_000 }, line: 200, share: tag === 'short' ? 4 : 1,
+      name,
+      firm,
+      match: { tag },
+      engines:
+        groups === 'all'
+          ? [{ label: 'pool', value: 'shared' }]
+          : [{ label: 'group', value: groups }],
+      repeatable: tag === 'long',
+      resume: name === 'sahel-long',
+      limits: { firstToken: tag === 'short' ? 3000 : 8000, total: 15_000 },
+      line: 200,
+      share: tag === 'short' ? 4 : 1,
     };
   }
 }
--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -46,7 +46,11 @@
   private failures = 0;
   private calmSince = 0;
 
-  constructor(readonly plan: DayPlan, readonly seed: number, readonly tally: Tally) {
+  constructor(
+    readonly plan: DayPlan,
+    readonly seed: number,
+    readonly tally: Tally,
+  ) {
     this.world = new World(seed);
     this.random = new SeededRandom(seed * 7919 + 13);
   }
@@ -54,13 +58,25 @@
   start(): void {
     const { plan } = this;
     this.publish();
-    for (let at = 1; at <= plan.engines; at++) this.startEngine({ identifier: `engine-${at}`, address: `127.0.0.1:${3000 + at}`, zone: this.zone(at), group: at % 2 === 0 ? 'even' : 'odd', weightGeneration: 'w1', leaving: false });
+    for (let at = 1; at <= plan.engines; at++)
+      this.startEngine({
+        identifier: `engine-${at}`,
+        address: `127.0.0.1:${3000 + at}`,
+        zone: this.zone(at),
+        group: at % 2 === 0 ? 'even' : 'odd',
+        weightGeneration: 'w1',
+        leaving: false,
+      });
     for (let at = 1; at <= plan.cores; at++) this.startCore(`core-${at}`);
     for (let at = 1; at <= plan.routers; at++) this.startRouter(`router-${at}`);
   }
 
   get site(): { fleet: string; seeds: string[]; over: object } {
-    return { fleet: this.plan.name, seeds: Array.from({ length: this.plan.cores }, (_, at) => `127.0.0.1:${1001 + at}`), over: { form: true, core: { replaceAfter: 3000 }, law: { routers: this.plan.routers } } };
+    return {
+      fleet: this.plan.name,
+      seeds: Array.from({ length: this.plan.cores }, (_, at) => `127.0.0.1:${1001 + at}`),
+      over: { form: true, core: { replaceAfter: 3000 }, law: { routers: this.plan.routers } },
+    };
   }
 
   get coreNames(): string[] {
@@ -77,7 +93,12 @@
 
   /** An engine that runs and is on the list. */
   someEngine(): SimEngine | undefined {
-    return pick(this.random, [...this.engines.values()].filter(({ host, identifier }) => !host.dead && this.listed.get(identifier)?.leaving === false));
+    return pick(
+      this.random,
+      [...this.engines.values()].filter(
+        ({ host, identifier }) => !host.dead && this.listed.get(identifier)?.leaving === false,
+      ),
+    );
   }
 
   pause(duration: number): Promise<void> {
@@ -103,7 +124,10 @@
     const disk = this.disks.get(key) ?? new SimDisk(this.world);
     this.disks.set(key, disk);
     const at = Number(name.split('-')[1]);
-    const core = simCore(this.world, name, `127.0.0.1:${1000 + at}`, this.zone(at), disk, { ...this.site, fleet });
+    const core = simCore(this.world, name, `127.0.0.1:${1000 + at}`, this.zone(at), disk, {
+      ...this.site,
+      fleet,
+    });
     if (fleet === this.plan.name) this.cores.set(name, core);
     void core.node.start();
     return core;
@@ -111,7 +135,15 @@
 
   startRouter(name: string): void {
     const at = Number(name.split('-')[1]);
-    const router = simRouter(this.world, name, `127.0.0.1:${2000 + at}`, this.zone(at), this.site, (host) => this.fetchFor(host), (address) => this.engines.get(address));
+    const router = simRouter(
+      this.world,
+      name,
+      `127.0.0.1:${2000 + at}`,
+      this.zone(at),
+      this.site,
+      (host) => this.fetchFor(host),
+      (address) => this.engines.get(address),
+    );
     this.routers.set(name, router);
     void router.node.start();
   }
@@ -149,7 +181,18 @@
   }
 
   startEngine(listed: Listed): void {
-    this.engines.set(listed.address, new SimEngine(this.world, listed.identifier, listed.address, CAPACITY, RATE, this.facts, listed.weightGeneration));
+    this.engines.set(
+      listed.address,
+      new SimEngine(
+        this.world,
+        listed.identifier,
+        listed.address,
+        CAPACITY,
+        RATE,
+        this.facts,
+        listed.weightGeneration,
+      ),
+    );
     this.listed.set(listed.identifier, listed);
     this.publish();
   }
@@ -167,8 +210,24 @@
     const entry = this.listed.get(engine.identifier);
     if (!entry) return;
     engine.host.kill();
-    const fresh = { ...entry, identifier: `${engine.identifier.split('+')[0]}+${++this.replacements}`, weightGeneration: weightGeneration ?? entry.weightGeneration, leaving: false };
-    this.engines.set(engine.address, new SimEngine(this.world, fresh.identifier, fresh.address, CAPACITY, RATE, this.facts, fresh.weightGeneration));
+    const fresh = {
+      ...entry,
+      identifier: `${engine.identifier.split('+')[0]}+${++this.replacements}`,
+      weightGeneration: weightGeneration ?? entry.weightGeneration,
+      leaving: false,
+    };
+    this.engines.set(
+      engine.address,
+      new SimEngine(
+        this.world,
+        fresh.identifier,
+        fresh.address,
+        CAPACITY,
+        RATE,
+        this.facts,
+        fresh.weightGeneration,
+      ),
+    );
     this.world.at(400, () => {
       this.listed.delete(engine.identifier);
       this.listed.set(fresh.identifier, fresh);
@@ -181,7 +240,16 @@
     const entry = this.listed.get(engine.identifier);
     if (!entry) return;
     engine.host.kill();
-    const stranger = new SimEngine(this.world, `stranger-${++this.replacements}`, engine.address, CAPACITY, RATE, this.facts, entry.weightGeneration, () => this.tally.note('strangersDialled'));
+    const stranger = new SimEngine(
+      this.world,
+      `stranger-${++this.replacements}`,
+      engine.address,
+      CAPACITY,
+      RATE,
+      this.facts,
+      entry.weightGeneration,
+      () => this.tally.note('strangersDialled'),
+    );
     this.engines.set(engine.address, stranger);
     this.world.at(lasts, () => this.replace(engine));
   }
@@ -191,7 +259,15 @@
   }
 
   private publish(): void {
-    const engines = [...this.listed.values()].map(({ group, weightGeneration, ...entry }) => ({ ...entry, model: 'family', adapters: [], weight_generation: weightGeneration, labels: { group, pool: 'shared' }, cache_capacity_tokens: CAPACITY, prefill_rate: RATE }));
+    const engines = [...this.listed.values()].map(({ group, weightGeneration, ...entry }) => ({
+      ...entry,
+      model: 'family',
+      adapters: [],
+      weight_generation: weightGeneration,
+      labels: { group, pool: 'shared' },
+      cache_capacity_tokens: CAPACITY,
+      prefill_rate: RATE,
+    }));
     this.shown.push({ at: this.world.now, text: JSON.stringify({ engines }) });
   }
 
@@ -202,10 +278,14 @@
         host.later(limit, () => resolve(failed('pool.poll', 'platform', 'no answer')));
         world.at(world.delay(), () => {
           if (world.isCut(host.name, 'platform')) return;
-          while (this.reads[0] !== undefined && this.reads[0] < world.now - 1000) this.reads.shift();
-          if (this.reads.length >= READS_A_SECOND) return host.later(world.delay(), () => resolve(Right({ text: '', wait: 1000 })));
+          while (this.reads[0] !== undefined && this.reads[0] < world.now - 1000)
+            this.reads.shift();
+          if (this.reads.length >= READS_A_SECOND)
+            return host.later(world.delay(), () => resolve(Right({ text: '', wait: 1000 })));
           this.reads.push(world.now);
-          const text = this.shown.filter(({ at }) => at <= world.now - this.lag).at(-1)?.text ?? this.shown[0]!.text;
+          const text =
+            this.shown.filter(({ at }) => at <= world.now - this.lag).at(-1)?.text ??
+            this.shown[0]!.text;
           host.later(world.delay(), () => resolve(Right({ text, wait: 0 })));
         });
       });
--- a/src/sim/day/strikes.ts
+++ b/src/sim/day/strikes.ts
@@ -19,8 +19,18 @@
   private readonly draining = new Set<string>();
   private readonly strikes: ReadonlyMap<FaultName, Strike>;
 
-  constructor(private readonly stage: Stage, private readonly traffic: Traffic, private readonly operators: Operators) {
-    this.strikes = new Map<FaultName, Strike>([...this.onCores(), ...this.onDisks(), ...this.onRouters(), ...this.onEngines(), ...this.onAll()]);
+  constructor(
+    private readonly stage: Stage,
+    private readonly traffic: Traffic,
+    private readonly operators: Operators,
+  ) {
+    this.strikes = new Map<FaultName, Strike>([
+      ...this.onCores(),
+      ...this.onDisks(),
+      ...this.onRouters(),
+      ...this.onEngines(),
+      ...this.onAll(),
+    ]);
   }
 
   /** Draws failures from the seed over a span of the day, and maybe one that closes it. */
@@ -34,7 +44,10 @@
       const lasts = 500 + random.fraction() * 9000;
       world.at(from - world.now + at, () => this.strike(fault, lasts));
     }
-    if (plan.closings.length && random.fraction() < 0.4) world.at(from - world.now + span - 1500, () => this.strike(pick(random, plan.closings)!, 1000));
+    if (plan.closings.length && random.fraction() < 0.4)
+      world.at(from - world.now + span - 1500, () =>
+        this.strike(pick(random, plan.closings)!, 1000),
+      );
   }
 
   strike(fault: FaultName, lasts: number): void {
@@ -89,38 +102,79 @@
     return [
       ['core-killed', (lasts) => stage.killCore(one(), lasts)],
       ['core-power', (lasts) => losesPower(one(), lasts)],
-      ['core-power-two', (lasts) => stage.coreNames.slice(0, 2).forEach((name) => losesPower(name, lasts))],
-      ['core-frozen', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'freeze', lasts)],
-      ['core-suspended', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'suspend', lasts)],
-      ['core-all-killed', (lasts) => stage.coreNames.forEach((name) => stage.killCore(name, lasts))],
-      ['core-split', (lasts) => {
-        const name = one();
-        this.during(lasts, world.part([name], stage.coreNames.filter((other) => other !== name)));
-      }],
-      ['core-cut-off', (lasts) => this.during(lasts, world.part(stage.coreNames, stage.routerNames))],
-      ['core-one-way', (lasts) => {
-        const name = one();
-        const others = [...stage.coreNames, ...stage.routerNames];
-        this.during(lasts, random.fraction() < 0.5 ? world.cut([name], others) : world.cut(others, [name]));
-      }],
-      ['core-disk-lost', (lasts) => {
-        if (!oneLost()) stage.loseCore(one(), lasts, false);
-      }],
-      ['core-moved', (lasts) => {
-        if (!oneLost()) stage.loseCore(one(), lasts, true);
-      }],
+      [
+        'core-power-two',
+        (lasts) => stage.coreNames.slice(0, 2).forEach((name) => losesPower(name, lasts)),
+      ],
+      [
+        'core-frozen',
+        (lasts) =>
+          this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'freeze', lasts),
+      ],
+      [
+        'core-suspended',
+        (lasts) =>
+          this.still(stage.some<{ readonly host: Host }>(stage.cores)[1].host, 'suspend', lasts),
+      ],
+      [
+        'core-all-killed',
+        (lasts) => stage.coreNames.forEach((name) => stage.killCore(name, lasts)),
+      ],
+      [
+        'core-split',
+        (lasts) => {
+          const name = one();
+          this.during(
+            lasts,
+            world.part(
+              [name],
+              stage.coreNames.filter((other) => other !== name),
+            ),
+          );
+        },
+      ],
+      [
+        'core-cut-off',
+        (lasts) => this.during(lasts, world.part(stage.coreNames, stage.routerNames)),
+      ],
+      [
+        'core-one-way',
+        (lasts) => {
+          const name = one();
+          const others = [...stage.coreNames, ...stage.routerNames];
+          this.during(
+            lasts,
+            random.fraction() < 0.5 ? world.cut([name], others) : world.cut(others, [name]),
+          );
+        },
+      ],
+      [
+        'core-disk-lost',
+        (lasts) => {
+          if (!oneLost()) stage.loseCore(one(), lasts, false);
+        },
+      ],
+      [
+        'core-moved',
+        (lasts) => {
+          if (!oneLost()) stage.loseCore(one(), lasts, true);
+        },
+      ],
       ['core-acked-then-lost', (lasts) => void this.ackedThenLost(lasts)],
-      ['seed-foreign', (lasts) => {
-        const name = one();
-        const done = stage.disturb();
-        stage.cores.get(name)!.host.kill();
-        const { host } = stage.startCore(name, 'another-fleet');
-        world.at(lasts, () => {
-          host.kill();
-          stage.startCore(name);
-          done();
-        });
-      }],
+      [
+        'seed-foreign',
+        (lasts) => {
+          const name = one();
+          const done = stage.disturb();
+          stage.cores.get(name)!.host.kill();
+          const { host } = stage.startCore(name, 'another-fleet');
+          world.at(lasts, () => {
+            host.kill();
+            stage.startCore(name);
+            done();
+          });
+        },
+      ],
     ];
   }
 
@@ -138,26 +192,35 @@
   private onDisks(): Array<[FaultName, Strike]> {
     const { stage } = this;
     return [
-      ['disk-stalled', (lasts) => {
-        const disk = stage.disks.get(stage.some(stage.cores)[0])!;
-        disk.stalled = true;
-        this.during(lasts, () => (disk.stalled = false));
-      }],
-      ['disk-full', (lasts) => {
-        const [name] = stage.some(stage.cores);
-        const disk = stage.disks.get(name)!;
-        disk.full = true;
-        this.during(lasts, () => {
-          disk.full = false;
-          if (stage.cores.has(name)) stage.killCore(name, 200);
-        });
-      }],
-      ['disk-slow', (lasts) => {
-        for (const disk of stage.disks.values()) disk.latency = 120;
-        this.during(lasts, () => {
-          for (const disk of stage.disks.values()) disk.latency = 2;
-        });
-      }],
+      [
+        'disk-stalled',
+        (lasts) => {
+          const disk = stage.disks.get(stage.some(stage.cores)[0])!;
+          disk.stalled = true;
+          this.during(lasts, () => (disk.stalled = false));
+        },
+      ],
+      [
+        'disk-full',
+        (lasts) => {
+          const [name] = stage.some(stage.cores);
+          const disk = stage.disks.get(name)!;
+          disk.full = true;
+          this.during(lasts, () => {
+            disk.full = false;
+            if (stage.cores.has(name)) stage.killCore(name, 200);
+          });
+        },
+      ],
+      [
+        'disk-slow',
+        (lasts) => {
+          for (const disk of stage.disks.values()) disk.latency = 120;
+          this.during(lasts, () => {
+            for (const disk of stage.disks.values()) disk.latency = 2;
+          });
+        },
+      ],
     ];
   }
 
@@ -165,24 +228,54 @@
     const { stage } = this;
     const { world, random } = stage;
     const one = (): string => stage.some(stage.routers)[0];
-    const away = (name: string): string[] => [...stage.coreNames, ...stage.routerNames.filter((other) => other !== name), 'platform'];
+    const away = (name: string): string[] => [
+      ...stage.coreNames,
+      ...stage.routerNames.filter((other) => other !== name),
+      'platform',
+    ];
     return [
       ['router-killed', (lasts) => stage.killRouter(one(), lasts)],
-      ['router-herd', (lasts) => stage.routerNames.slice(0, Math.ceil(stage.routers.size * 0.75)).forEach((name) => stage.killRouter(name, lasts))],
-      ['router-all-killed', () => {
-        stage.routerNames.forEach((name) => stage.killRouter(name, RESTART));
-        this.outage();
-      }],
-      ['router-frozen', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'freeze', lasts)],
-      ['router-suspended', (lasts) => this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'suspend', lasts)],
-      ['router-isolated', (lasts) => {
-        const name = one();
-        this.during(lasts, world.part([name], away(name)));
-      }],
-      ['router-one-way', (lasts) => {
-        const name = one();
-        this.during(lasts, random.fraction() < 0.5 ? world.cut([name], away(name)) : world.cut(away(name), [name]));
-      }],
+      [
+        'router-herd',
+        (lasts) =>
+          stage.routerNames
+            .slice(0, Math.ceil(stage.routers.size * 0.75))
+            .forEach((name) => stage.killRouter(name, lasts)),
+      ],
+      [
+        'router-all-killed',
+        () => {
+          stage.routerNames.forEach((name) => stage.killRouter(name, RESTART));
+          this.outage();
+        },
+      ],
+      [
+        'router-frozen',
+        (lasts) =>
+          this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'freeze', lasts),
+      ],
+      [
+        'router-suspended',
+        (lasts) =>
+          this.still(stage.some<{ readonly host: Host }>(stage.routers)[1].host, 'suspend', lasts),
+      ],
+      [
+        'router-isolated',
+        (lasts) => {
+          const name = one();
+          this.during(lasts, world.part([name], away(name)));
+        },
+      ],
+      [
+        'router-one-way',
+        (lasts) => {
+          const name = one();
+          this.during(
+            lasts,
+            random.fraction() < 0.5 ? world.cut([name], away(name)) : world.cut(away(name), [name]),
+          );
+        },
+      ],
       ['router-drains', (lasts) => void this.drain(one(), lasts)],
       ['routers-rolled', () => void this.roll()],
     ];
@@ -197,7 +290,8 @@
     const taken = passage.open;
     stage.tally.note('takenAtStop', taken);
     const left = await Promise.race([node.drain(), stage.pause(9000).then(() => -1)]);
-    if (left !== 0 && !host.dead) stage.tally.find('drain-broke-off', `${name} broke off ${left} of ${taken}`);
+    if (left !== 0 && !host.dead)
+      stage.tally.find('drain-broke-off', `${name} broke off ${left} of ${taken}`);
     stage.killRouter(name, lasts);
     draining.delete(name);
     done();
@@ -215,61 +309,113 @@
     const { stage, traffic } = this;
     const { world, random } = stage;
     return [
-      ['engine-killed', (lasts) => {
-        const engine = stage.someEngine();
-        engine?.host.kill();
-        this.during(lasts, () => engine && stage.replace(engine));
-      }],
-      ['engine-replaced', () => {
-        const engine = stage.someEngine();
-        if (engine) stage.replace(engine);
-      }],
-      ['engine-dark', (lasts) => {
-        const engine = stage.someEngine();
-        engine?.host.freeze();
-        this.during(lasts, () => engine?.host.thaw());
-      }],
-      ['engine-leaves', (lasts) => {
-        const engine = stage.someEngine();
-        if (!engine) return;
-        stage.markLeaving(engine);
-        world.at(5000 + lasts, () => stage.replace(engine));
-      }],
-      ['engine-misbehaves', (lasts) => {
-        const engine = stage.someEngine();
-        if (!engine) return;
-        engine.behaviour = pick(random, ['cut', 'no-marker', 'foreign', 'not-run', 'stall'] as const satisfies readonly Behaviour[])!;
-        this.during(lasts, () => (engine.behaviour = 'well'));
-      }],
-      ['engines-fail', (lasts) => {
-        const engines = [...stage.engines.values()].filter(({ host }) => !host.dead).slice(0, 2);
-        traffic.flow(world.now, 3000 + lasts, 10, 40);
-        world.at(2000, () => engines.forEach((engine) => (engine.behaviour = pick(random, ['foreign', 'stall', 'not-run'] as const)!)));
-        this.during(2500 + lasts, () => engines.forEach((engine) => (engine.behaviour = 'well')));
-      }],
-      ['streams-break', (lasts) => {
-        const cutting = [...stage.engines.values()].filter(({ host }) => !host.dead);
-        const kinds = ['cut', 'well', 'well', 'cut', 'restarts', 'well', 'well', 'garbles'] as const;
-        traffic.flow(world.now, 3000 + lasts, 10, 40);
-        world.at(2000, () => cutting.forEach((engine, at) => (engine.behaviour = kinds[at % kinds.length]!)));
-        this.during(2500 + lasts, () => cutting.forEach((engine) => (engine.behaviour = 'well')));
-      }],
+      [
+        'engine-killed',
+        (lasts) => {
+          const engine = stage.someEngine();
+          engine?.host.kill();
+          this.during(lasts, () => engine && stage.replace(engine));
+        },
+      ],
+      [
+        'engine-replaced',
+        () => {
+          const engine = stage.someEngine();
+          if (engine) stage.replace(engine);
+        },
+      ],
+      [
+        'engine-dark',
+        (lasts) => {
+          const engine = stage.someEngine();
+          engine?.host.freeze();
+          this.during(lasts, () => engine?.host.thaw());
+        },
+      ],
+      [
+        'engine-leaves',
+        (lasts) => {
+          const engine = stage.someEngine();
+          if (!engine) return;
+          stage.markLeaving(engine);
+          world.at(5000 + lasts, () => stage.replace(engine));
+        },
+      ],
+      [
+        'engine-misbehaves',
+        (lasts) => {
+          const engine = stage.someEngine();
+          if (!engine) return;
+          engine.behaviour = pick(random, [
+            'cut',
+            'no-marker',
+            'foreign',
+            'not-run',
+            'stall',
+          ] as const satisfies readonly Behaviour[])!;
+          this.during(lasts, () => (engine.behaviour = 'well'));
+        },
+      ],
+      [
+        'engines-fail',
+        (lasts) => {
+          const engines = [...stage.engines.values()].filter(({ host }) => !host.dead).slice(0, 2);
+          traffic.flow(world.now, 3000 + lasts, 10, 40);
+          world.at(2000, () =>
+            engines.forEach(
+              (engine) =>
+                (engine.behaviour = pick(random, ['foreign', 'stall', 'not-run'] as const)!),
+            ),
+          );
+          this.during(2500 + lasts, () => engines.forEach((engine) => (engine.behaviour = 'well')));
+        },
+      ],
+      [
+        'streams-break',
+        (lasts) => {
+          const cutting = [...stage.engines.values()].filter(({ host }) => !host.dead);
+          const kinds = [
+            'cut',
+            'well',
+            'well',
+            'cut',
+            'restarts',
+            'well',
+            'well',
+            'garbles',
+          ] as const;
+          traffic.flow(world.now, 3000 + lasts, 10, 40);
+          world.at(2000, () =>
+            cutting.forEach((engine, at) => (engine.behaviour = kinds[at % kinds.length]!)),
+          );
+          this.during(2500 + lasts, () => cutting.forEach((engine) => (engine.behaviour = 'well')));
+        },
+      ],
       ['engines-released', () => void this.release()],
-      ['address-reused', (lasts) => {
-        const engine = stage.someEngine();
-        if (engine) stage.reuse(engine, 500 + lasts / 2);
-      }],
-      ['platform-dark', (lasts) => {
-        this.during(lasts, world.part(stage.routerNames, ['platform']));
-        world.at(300, () => {
+      [
+        'address-reused',
+        (lasts) => {
           const engine = stage.someEngine();
-          if (engine) stage.markLeaving(engine);
-        });
-      }],
-      ['platform-slow', (lasts) => {
-        stage.lag = 450;
-        this.during(lasts, () => (stage.lag = 300));
-      }],
+          if (engine) stage.reuse(engine, 500 + lasts / 2);
+        },
+      ],
+      [
+        'platform-dark',
+        (lasts) => {
+          this.during(lasts, world.part(stage.routerNames, ['platform']));
+          world.at(300, () => {
+            const engine = stage.someEngine();
+            if (engine) stage.markLeaving(engine);
+          });
+        },
+      ],
+      [
+        'platform-slow',
+        (lasts) => {
+          stage.lag = 450;
+          this.during(lasts, () => (stage.lag = 300));
+        },
+      ],
     ];
   }
 
@@ -288,28 +434,55 @@
     const { stage, traffic, operators } = this;
     const { world, random } = stage;
     return [
-      ['clocks-jump', () => {
-        for (const { host } of [stage.some(stage.cores)[1], stage.some(stage.routers)[1], stage.some(stage.routers)[1]]) host.jump((random.fraction() - 0.5) * pick(random, [200, 8000, 7_200_000])!);
-        this.during(3000, () => undefined);
-      }],
-      ['lossy-net', (lasts) => {
-        world.net.mishap = () => (random.fraction() < 0.05 ? 'drop' : random.fraction() < 0.02 ? 'twice' : random.fraction() < 0.03 ? 'late' : 'pass');
-        this.during(lasts, () => (world.net.mishap = () => 'pass'));
-      }],
-      ['all-killed', () => {
-        stage.coreNames.forEach((name) => stage.killCore(name, RESTART));
-        stage.routerNames.forEach((name) => stage.killRouter(name, RESTART));
-        this.outage();
-      }],
+      [
+        'clocks-jump',
+        () => {
+          for (const { host } of [
+            stage.some(stage.cores)[1],
+            stage.some(stage.routers)[1],
+            stage.some(stage.routers)[1],
+          ])
+            host.jump((random.fraction() - 0.5) * pick(random, [200, 8000, 7_200_000])!);
+          this.during(3000, () => undefined);
+        },
+      ],
+      [
+        'lossy-net',
+        (lasts) => {
+          world.net.mishap = () =>
+            random.fraction() < 0.05
+              ? 'drop'
+              : random.fraction() < 0.02
+                ? 'twice'
+                : random.fraction() < 0.03
+                  ? 'late'
+                  : 'pass';
+          this.during(lasts, () => (world.net.mishap = () => 'pass'));
+        },
+      ],
+      [
+        'all-killed',
+        () => {
+          stage.coreNames.forEach((name) => stage.killCore(name, RESTART));
+          stage.routerNames.forEach((name) => stage.killRouter(name, RESTART));
+          this.outage();
+        },
+      ],
       ['crowd', () => traffic.flow(world.now, 1500, 150, 4)],
       ['hot-prefix', () => traffic.flow(world.now, 4000, 4, 24, true)],
-      ['doorway-storm', () => {
-        for (let at = 0; at < 40; at++) world.at(at * 50, () => operators.rivals(1 + (at % 2)));
-      }],
+      [
+        'doorway-storm',
+        () => {
+          for (let at = 0; at < 40; at++) world.at(at * 50, () => operators.rivals(1 + (at % 2)));
+        },
+      ],
       ['doorway-race', () => operators.rivals(3)],
-      ['doorways-at-once', () => {
-        for (let at = 0; at < 6; at++) world.at(at * 400, () => operators.many(1 + (at % 3)));
-      }],
+      [
+        'doorways-at-once',
+        () => {
+          for (let at = 0; at < 6; at++) world.at(at * 400, () => operators.many(1 + (at % 3)));
+        },
+      ],
     ];
   }
 }
--- a/src/sim/day/traffic.ts
+++ b/src/sim/day/traffic.ts
@@ -19,7 +19,10 @@
 /** Ids are sent again after up to this long. */
 const AGAIN = 25_000;
 const GRACE = 500;
-const LIMITS: ReadonlyMap<Kind, number> = new Map([['short', 3000], ['long', 8000]]);
+const LIMITS: ReadonlyMap<Kind, number> = new Map([
+  ['short', 3000],
+  ['long', 8000],
+]);
 const TOTAL = 15_000;
 
 export class Traffic {
@@ -53,15 +56,38 @@
     return this.outage !== undefined || this.onceOutage !== undefined;
   }
 
-  private call(kind: Kind, hot: boolean, again?: { readonly number: number; readonly firm: string; readonly group: number }): void {
+  private call(
+    kind: Kind,
+    hot: boolean,
+    again?: { readonly number: number; readonly firm: string; readonly group: number },
+  ): void {
     const { stage } = this;
     const { world, random, tally } = stage;
     const router = pick(random, [...stage.routers.values()])!;
     const firm = again?.firm ?? (hot ? 'sahel' : pick(random, ['sahel', 'aconcagua'])!);
     const number = again?.number ?? this.calls.length;
     const group = again?.group ?? (hot ? 0 : Math.floor(random.fraction() * 3));
-    const system = kind === 'long' ? `timetable ${firm} ${group}: ${'train leaves yard '.repeat(250)}` : `desk ${firm} ${group}: answer briefly. `.repeat(8);
-    const record: Call = { id: `q${number}`, repeatable: kind === 'long', began: world.now, firstPiece: 0, ended: 0, status: 0, outcome: 'silent', reason: '', retryAfter: '', engine: '', text: '', pieces: 0, firm, kind, doorway: `${firm}-${kind}` };
+    const system =
+      kind === 'long'
+        ? `timetable ${firm} ${group}: ${'train leaves yard '.repeat(250)}`
+        : `desk ${firm} ${group}: answer briefly. `.repeat(8);
+    const record: Call = {
+      id: `q${number}`,
+      repeatable: kind === 'long',
+      began: world.now,
+      firstPiece: 0,
+      ended: 0,
+      status: 0,
+      outcome: 'silent',
+      reason: '',
+      retryAfter: '',
+      engine: '',
+      text: '',
+      pieces: 0,
+      firm,
+      kind,
+      doorway: `${firm}-${kind}`,
+    };
     if (!again) this.calls.push(record);
     if (!again && kind === 'short' && random.fraction() < 0.25) {
       this.resent.add(record.id);
@@ -73,20 +99,51 @@
     }
     if (again) {
       tally.note('idsSentAgain');
-      if (stage.facts.runs.some(({ request }) => request === record.id)) tally.note('idsSentAgainAfterRun');
+      if (stage.facts.runs.some(({ request }) => request === record.id))
+        tally.note('idsSentAgainAfterRun');
     }
-    if ([...stage.left].some(([engine, since]) => world.now - since > 2500 && world.now - since < 20_000 && stage.engines.get(stage.listed.get(engine)?.address ?? '')?.host.dead === false)) tally.note('sentNearLeaving');
-    const request = readRequest({ firm, path: '/v1/chat/completions', headers: new Map([['x-request-id', record.id], ['x-tag', kind], ['x-repeatable', kind === 'long' ? 'yes' : 'no']]), body: { model: 'family', stream: true, messages: [{ role: 'system', content: system }, { role: 'user', content: `question ${number}` }], max_tokens: 16 }, freshId: 'x' }).unsafeCoerce();
+    if (
+      [...stage.left].some(
+        ([engine, since]) =>
+          world.now - since > 2500 &&
+          world.now - since < 20_000 &&
+          stage.engines.get(stage.listed.get(engine)?.address ?? '')?.host.dead === false,
+      )
+    )
+      tally.note('sentNearLeaving');
+    const request = readRequest({
+      firm,
+      path: '/v1/chat/completions',
+      headers: new Map([
+        ['x-request-id', record.id],
+        ['x-tag', kind],
+        ['x-repeatable', kind === 'long' ? 'yes' : 'no'],
+      ]),
+      body: {
+        model: 'family',
+        stream: true,
+        messages: [
+          { role: 'system', content: system },
+          { role: 'user', content: `question ${number}` },
+        ],
+        max_tokens: 16,
+      },
+      freshId: 'x',
+    }).unsafeCoerce();
     const gone = new AbortController();
     if (random.fraction() < 0.03) world.at(random.fraction() * 300, () => gone.abort());
     const sink: Sink = {
       gone: gone.signal,
       write: (event, engine) => {
         if (router.host.dead) return Promise.resolve(false);
-        if (record.outcome === 'broken' || record.outcome === 'result') tally.find('spliced', 'a piece after the end', record.id);
+        if (record.outcome === 'broken' || record.outcome === 'result')
+          tally.find('spliced', 'a piece after the end', record.id);
         record.firstPiece ||= world.now;
         record.engine = engine;
-        if (event.data !== '[DONE]') record.text += (JSON.parse(event.data) as { choices: Array<{ delta: { content?: string } }> }).choices[0]?.delta.content ?? '';
+        if (event.data !== '[DONE]')
+          record.text +=
+            (JSON.parse(event.data) as { choices: Array<{ delta: { content?: string } }> })
+              .choices[0]?.delta.content ?? '';
         else record.outcome = 'result';
         return Promise.resolve(!gone.signal.aborted);
       },
@@ -106,18 +163,30 @@
         record.outcome = ending.outcome;
         record.reason = ending.fault.reason;
         if (ending.outcome === 'broken') return;
-        if (ending.outcome === 'declined' && ending.status >= 429 && ending.retryAfter === undefined) tally.find('no-retry-after', record.reason, record.id);
+        if (
+          ending.outcome === 'declined' &&
+          ending.status >= 429 &&
+          ending.retryAfter === undefined
+        )
+          tally.find('no-retry-after', record.reason, record.id);
         const most = ending.outcome === 'declined' ? LIMITS.get(kind)! : TOTAL;
-        if (clock.now() - received > most + GRACE) tally.find('late-answer', `${ending.outcome} after ${Math.round(clock.now() - received)} ms: ${record.reason}`, record.id);
+        if (clock.now() - received > most + GRACE)
+          tally.find(
+            'late-answer',
+            `${ending.outcome} after ${Math.round(clock.now() - received)} ms: ${record.reason}`,
+            record.id,
+          );
       });
     });
   }
 
   private back(kind: Kind): void {
-    if (this.outage !== undefined) this.backAfter.push(Math.round(this.stage.world.now - this.outage));
+    if (this.outage !== undefined)
+      this.backAfter.push(Math.round(this.stage.world.now - this.outage));
     this.outage = undefined;
     if (kind === 'long') return;
-    if (this.onceOutage !== undefined) this.onceBackAfter.push(Math.round(this.stage.world.now - this.onceOutage));
+    if (this.onceOutage !== undefined)
+      this.onceBackAfter.push(Math.round(this.stage.world.now - this.onceOutage));
     this.onceOutage = undefined;
   }
 }
--- a/src/sim/engine.ts
+++ b/src/sim/engine.ts
@@ -20,7 +20,8 @@
   claims: number;
 }
 
-export type Behaviour = 'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall' | 'restarts' | 'garbles';
+export type Behaviour =
+  'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall' | 'restarts' | 'garbles';
 
 export class SimEngine {
   readonly host: Host;
@@ -29,26 +30,59 @@
   private prefillFree = 0;
 
   constructor(
-    private readonly world: World, readonly identifier: string, readonly address: string, capacity: number, private readonly rate: number, private readonly facts: EngineFacts,
-    private readonly weightGeneration = 'w1', readonly dialled: () => void = () => undefined,
+    private readonly world: World,
+    readonly identifier: string,
+    readonly address: string,
+    capacity: number,
+    private readonly rate: number,
+    private readonly facts: EngineFacts,
+    private readonly weightGeneration = 'w1',
+    readonly dialled: () => void = () => undefined,
   ) {
     this.host = new Host(world, identifier, address);
     this.cache = new BlockCache(Math.floor(capacity / TOKENS));
   }
 
   /** Takes a request; the pieces come out through `put`, which is asked whether the other side still listens. */
-  run(headers: ReadonlyMap<string, string>, body: string, head: (status: number, passage: string, text?: string) => void, put: (text: string) => boolean, end: (how: 'end' | 'reset') => void): void {
+  run(
+    headers: ReadonlyMap<string, string>,
+    body: string,
+    head: (status: number, passage: string, text?: string) => void,
+    put: (text: string) => boolean,
+    end: (how: 'end' | 'reset') => void,
+  ): void {
     const { world, host, cache } = this;
-    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens: number; continue_final_message?: boolean; echo?: boolean };
+    const asked = JSON.parse(body) as {
+      model: string;
+      messages: Array<{ role: string; content: string }>;
+      max_tokens: number;
+      continue_final_message?: boolean;
+      echo?: boolean;
+    };
     const continues = asked.continue_final_message ? asked.messages.pop()!.content : '';
     const passage = headers.get('x-request-id')!;
     const firm = headers.get('x-firm')!;
-    if (this.behaviour === 'not-run') return head(503, passage, JSON.stringify({ error: { code: 'not_run' } }));
-    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + `<assistant>\n${continues}`);
+    if (this.behaviour === 'not-run')
+      return head(503, passage, JSON.stringify({ error: { code: 'not_run' } }));
+    const prompt = Buffer.from(
+      asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') +
+        `<assistant>\n${continues}`,
+    );
     const space = `${asked.model}|${this.weightGeneration}|${firm}`;
     const names = BlockCache.names(space, prompt, BLOCK);
     const hits = cache.hits(names);
-    const record: RunRecord = { engine: this.identifier, passage, request: headers.get('x-caller-request-id')!, firm, at: world.now, text: '', continues, ended: 'running', blocks: names.length, hits };
+    const record: RunRecord = {
+      engine: this.identifier,
+      passage,
+      request: headers.get('x-caller-request-id')!,
+      firm,
+      at: world.now,
+      text: '',
+      continues,
+      ended: 'running',
+      blocks: names.length,
+      hits,
+    };
     this.facts.runs.push(record);
     const claimed = Number(headers.get('x-claimed-blocks') ?? 0);
     this.facts.claims += claimed;
@@ -63,8 +97,12 @@
       let written = prompt.toString('utf8');
       const begun = continues.split(' ').length - 1;
       const count = Math.min(asked.max_tokens + begun, 14);
-      const piece = (delta: object, finish: string | null): string => `data: ${JSON.stringify({ id: passage, choices: [{ delta, finish_reason: finish }] })}\n\n`;
-      const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
+      const piece = (delta: object, finish: string | null): string =>
+        `data: ${JSON.stringify({ id: passage, choices: [{ delta, finish_reason: finish }] })}\n\n`;
+      const mark = createHash('sha1')
+        .update(`${passage}|${this.identifier}`)
+        .digest('hex')
+        .slice(0, 6);
       const decode = (at: number): void => {
         if (at === 4 + begun && this.behaviour === 'cut') {
           record.ended = 'cut';
@@ -81,7 +119,11 @@
           record.text += word;
           return host.later(12, () => decode(at + 1));
         }
-        const whole = BlockCache.names(space, Buffer.from(written).subarray(0, Buffer.byteLength(written) - 1), BLOCK).slice(names.length);
+        const whole = BlockCache.names(
+          space,
+          Buffer.from(written).subarray(0, Buffer.byteLength(written) - 1),
+          BLOCK,
+        ).slice(names.length);
         cache.take(whole);
         cache.release([...names, ...whole]);
         record.ended = 'done';
@@ -91,7 +133,8 @@
       };
       if (continues && asked.echo && this.behaviour !== 'restarts') {
         const echoed = this.behaviour === 'garbles' ? continues.replace(/\d/, 'x') : continues;
-        for (let at = 0; at < echoed.length; at += 40) put(piece({ content: echoed.slice(at, at + 40) }, null));
+        for (let at = 0; at < echoed.length; at += 40)
+          put(piece({ content: echoed.slice(at, at + 40) }, null));
       }
       decode(begun);
     });
@@ -119,7 +162,8 @@
   [Symbol.asyncIterator](): AsyncIterator<Uint8Array> {
     return {
       next: async () => {
-        const put = this.held.shift() ?? (await new Promise<Put>((resolve) => (this.waiter = resolve)));
+        const put =
+          this.held.shift() ?? (await new Promise<Put>((resolve) => (this.waiter = resolve)));
         if (put === 'end') return { done: true, value: undefined };
         if ('thrown' in put) throw put.thrown;
         return { done: false, value: Buffer.from(put.text) };
@@ -129,7 +173,10 @@
 }
 
 export class SimChannels implements EngineChannels {
-  constructor(private readonly host: Host, private readonly engineAt: (address: string) => SimEngine | undefined) {}
+  constructor(
+    private readonly host: Host,
+    private readonly engineAt: (address: string) => SimEngine | undefined,
+  ) {}
 
   prune(): void {}
 
@@ -145,12 +192,22 @@
     }
     const answered = await new Promise<boolean>((resolve) => {
       host.later(500, () => resolve(false));
-      if (!this.severed(there)) world.at(world.delay(), () => there.host.reach(() => world.at(world.delay(), () => host.reach(() => resolve(!this.severed(there))))));
+      if (!this.severed(there))
+        world.at(world.delay(), () =>
+          there.host.reach(() =>
+            world.at(world.delay(), () => host.reach(() => resolve(!this.severed(there)))),
+          ),
+        );
     });
     if (!answered) return failed('channel.verify', engine.address, 'no answer within 500 ms');
     there.dialled();
-    if (there.identifier !== engine.identifier) return failed('channel.verify', engine.address, `the address answers as ${there.identifier}`);
-    return Right({ engine, send: (_, headers, body, signal) => this.send(there, headers, body, signal), close: () => undefined });
+    if (there.identifier !== engine.identifier)
+      return failed('channel.verify', engine.address, `the address answers as ${there.identifier}`);
+    return Right({
+      engine,
+      send: (_, headers, body, signal) => this.send(there, headers, body, signal),
+      close: () => undefined,
+    });
   }
 
   private severed(there: SimEngine): boolean {
@@ -158,7 +215,12 @@
     return world.isCut(name, there.host.name) || world.isCut(there.host.name, name);
   }
 
-  private send(there: SimEngine, headers: ReadonlyMap<string, string>, body: string, signal: AbortSignal): Promise<Outcome<EngineReply>> {
+  private send(
+    there: SimEngine,
+    headers: ReadonlyMap<string, string>,
+    body: string,
+    signal: AbortSignal,
+  ): Promise<Outcome<EngineReply>> {
     const { host } = this;
     const { world } = host;
     const pieces = new Pieces();
@@ -177,10 +239,14 @@
           pieces.push({ thrown: new Error('ECONNRESET') });
         });
       };
-      signal.addEventListener('abort', () => {
-        resolve(failed('channel.send', there.address, 'aborted', 'unknown'));
-        pieces.push({ thrown: new Error('aborted') });
-      }, { once: true });
+      signal.addEventListener(
+        'abort',
+        () => {
+          resolve(failed('channel.send', there.address, 'aborted', 'unknown'));
+          pieces.push({ thrown: new Error('aborted') });
+        },
+        { once: true },
+      );
       watch();
       let arrival = 0;
       const ordered = (act: () => void): boolean => {
@@ -195,14 +261,23 @@
           there.run(
             headers,
             body,
-            (statusCode, passage, text = '') => void ordered(() => {
-              pieces.whole = text;
-              resolve(Right({ statusCode, headers: { 'x-request-id': passage, 'x-engine-id': there.identifier }, body: pieces }));
-            }),
+            (statusCode, passage, text = '') =>
+              void ordered(() => {
+                pieces.whole = text;
+                resolve(
+                  Right({
+                    statusCode,
+                    headers: { 'x-request-id': passage, 'x-engine-id': there.identifier },
+                    body: pieces,
+                  }),
+                );
+              }),
             (text) => ordered(() => pieces.push({ text })),
             (how) => {
               over = true;
-              ordered(() => pieces.push(how === 'end' ? 'end' : { thrown: new Error('ECONNRESET') }));
+              ordered(() =>
+                pieces.push(how === 'end' ? 'end' : { thrown: new Error('ECONNRESET') }),
+              );
             },
           );
         }),
--- a/src/sim/explore.ts
+++ b/src/sim/explore.ts
@@ -14,11 +14,15 @@
 
 const mishaps: readonly Mishap[] = ['drop', 'twice', 'late'];
 
-export const explore = async (act: (script: Script) => Promise<number>, pairs: number): Promise<Explored> => {
+export const explore = async (
+  act: (script: Script) => Promise<number>,
+  pairs: number,
+): Promise<Explored> => {
   const choices = await act(new Map());
   let runs = 1;
   const singles: Array<readonly [number, Mishap]> = [];
-  for (let choice = 0; choice < choices; choice++) for (const mishap of mishaps) singles.push([choice, mishap]);
+  for (let choice = 0; choice < choices; choice++)
+    for (const mishap of mishaps) singles.push([choice, mishap]);
   const attempt = async (script: Script): Promise<void> => {
     runs += 1;
     try {
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -61,31 +61,105 @@
   readonly node: CoreNode;
 }
 
-export const simBase = (world: World, name: string, address: string, zone: string, role: 'core' | 'router', site: SimSite, outer: Log = silentLog): SimBase => {
+export const simBase = (
+  world: World,
+  name: string,
+  address: string,
+  zone: string,
+  role: 'core' | 'router',
+  site: SimSite,
+  outer: Log = silentLog,
+): SimBase => {
   const host = new Host(world, name, address);
   const tracing = new Tracing(name, host.clock);
   const log = tracing.tap(outer);
-  const params = checkParams({ fleet: site.fleet, name, zone, seeds: site.seeds, listen: { peers: address, callers: address, operators: address } }, site.over ?? {}).unsafeCoerce();
+  const params = checkParams(
+    {
+      fleet: site.fleet,
+      name,
+      zone,
+      seeds: site.seeds,
+      listen: { peers: address, callers: address, operators: address },
+    },
+    site.over ?? {},
+  ).unsafeCoerce();
   const self = { fleet: site.fleet, name, incarnation: host.random.identity() };
   const peers = new Peers(site.net?.(host.net, name) ?? host.net, host.clock, log, self);
   tracing.serve(peers);
   const roster = new Roster(params.seeds);
   const proposer = new Proposer(peers, roster, host.clock, host.random, log);
-  const view = new View({ name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false }, params.seeds, peers, host.clock, host.random, params.view.every);
+  const view = new View(
+    { name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false },
+    params.seeds,
+    peers,
+    host.clock,
+    host.random,
+    params.view.every,
+  );
   const inForce = new InForce();
   const acceptance = new Acceptance(peers, roster, host.clock, params.lease);
   const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
-  return { host, log, params, peers, roster, proposer, inForce, view, stop: new AbortController(), acceptance, configurator };
+  return {
+    host,
+    log,
+    params,
+    peers,
+    roster,
+    proposer,
+    inForce,
+    view,
+    stop: new AbortController(),
+    acceptance,
+    configurator,
+  };
 };
 
-export const simCore = (world: World, name: string, address: string, zone: string, disk: SimDisk, site: SimSite, outer: Log = silentLog): SimCore => {
+export const simCore = (
+  world: World,
+  name: string,
+  address: string,
+  zone: string,
+  disk: SimDisk,
+  site: SimSite,
+  outer: Log = silentLog,
+): SimCore => {
   const base = simBase(world, name, address, zone, 'core', site, outer);
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
   const folder = disk.open(host);
-  const member = new Member(new Store(folder, site.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }), peers, host.clock, host.random, log, params.core.stall);
+  const member = new Member(
+    new Store(folder, site.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }),
+    peers,
+    host.clock,
+    host.random,
+    log,
+    params.core.stall,
+  );
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, undefined, host.clock, base.acceptance);
-  const node = new CoreNode(params, peers, member, keeper, roster, proposer, inForce, view, operations, host.clock, host.random, log, stop);
+  const operations = new Operations(
+    peers,
+    roster,
+    proposer,
+    inForce,
+    view,
+    undefined,
+    host.clock,
+    base.acceptance,
+  );
+  const node = new CoreNode(
+    params,
+    peers,
+    member,
+    keeper,
+    roster,
+    proposer,
+    inForce,
+    view,
+    operations,
+    host.clock,
+    host.random,
+    log,
+    stop,
+  );
   return { ...base, member, keeper, operations, node };
 };
 
@@ -100,7 +174,16 @@
   readonly node: RouterNode;
 }
 
-export const simRouter = (world: World, name: string, address: string, zone: string, site: SimSite, fetch: (host: Host) => Fetch, engineAt: (address: string) => SimEngine | undefined, outer: Log = silentLog): SimRouter => {
+export const simRouter = (
+  world: World,
+  name: string,
+  address: string,
+  zone: string,
+  site: SimSite,
+  fetch: (host: Host) => Fetch,
+  engineAt: (address: string) => SimEngine | undefined,
+  outer: Log = silentLog,
+): SimRouter => {
   const base = simBase(world, name, address, zone, 'router', site, outer);
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
   const { clock, random } = host;
@@ -109,16 +192,89 @@
   const soundness = new Soundness(clock);
   const prefixes = new Prefixes(clock, params.law, params.index.blockTokens);
   const chooser = new Chooser(params.place, params.law, zone, clock, random, params.place.policy);
-  const news = new Newsroom(fetch(host), params.platform, view, peers, clock, random, log, (engines) => {
-    soundness.forget(engines);
-    prefixes.listed(engines);
-    chooser.listed(engines);
-  });
+  const news = new Newsroom(
+    fetch(host),
+    params.platform,
+    view,
+    peers,
+    clock,
+    random,
+    log,
+    (engines) => {
+      soundness.forget(engines);
+      prefixes.listed(engines);
+      chooser.listed(engines);
+    },
+  );
   const vows = new Vows(name, inForce, peers, clock, params.lease);
-  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone }, inForce, vows, peers, roster, clock, log, params.lease);
-  const claims = new Claims(name, inForce, peers, roster, clock, random, log, params.claims.enabled);
-  const passage = new Passage(`${name}-${peers.self.incarnation}`, standing, inForce, news, channels, soundness, prefixes, chooser, new Lines(), new RetryBudget(params.passage.retryShare), new TakenIds(clock), claims, { ...params.passage, ...params.index }, params.law, clock, journal, log);
-  const operations = new Operations(peers, roster, proposer, inForce, view, news, clock, base.acceptance);
-  const node = new RouterNode(params, peers, roster, proposer, inForce, standing, vows, view, news, claims, prefixes, passage, channels, operations, clock, random, log, stop);
+  const standing = new Standing(
+    { node: name, incarnation: peers.self.incarnation, address, zone },
+    inForce,
+    vows,
+    peers,
+    roster,
+    clock,
+    log,
+    params.lease,
+  );
+  const claims = new Claims(
+    name,
+    inForce,
+    peers,
+    roster,
+    clock,
+    random,
+    log,
+    params.claims.enabled,
+  );
+  const passage = new Passage(
+    `${name}-${peers.self.incarnation}`,
+    standing,
+    inForce,
+    news,
+    channels,
+    soundness,
+    prefixes,
+    chooser,
+    new Lines(),
+    new RetryBudget(params.passage.retryShare),
+    new TakenIds(clock),
+    claims,
+    { ...params.passage, ...params.index },
+    params.law,
+    clock,
+    journal,
+    log,
+  );
+  const operations = new Operations(
+    peers,
+    roster,
+    proposer,
+    inForce,
+    view,
+    news,
+    clock,
+    base.acceptance,
+  );
+  const node = new RouterNode(
+    params,
+    peers,
+    roster,
+    proposer,
+    inForce,
+    standing,
+    vows,
+    view,
+    news,
+    claims,
+    prefixes,
+    passage,
+    channels,
+    operations,
+    clock,
+    random,
+    log,
+    stop,
+  );
   return { ...base, standing, news, claims, prefixes, passage, operations, journal, node };
 };
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -27,7 +27,7 @@
   push(due: Due): void {
     const { heap } = this;
     heap.push(due);
-    for (let at = heap.length - 1; at > 0; ) {
+    for (let at = heap.length - 1; at > 0;) {
       const above = (at - 1) >> 1;
       if (!before(heap[at]!, heap[above]!)) break;
       [heap[at], heap[above]] = [heap[above]!, heap[at]!];
@@ -41,9 +41,10 @@
     const last = heap.pop();
     if (!first || !last || heap.length === 0) return first;
     heap[0] = last;
-    for (let at = 0; ; ) {
+    for (let at = 0; ;) {
       let least = at;
-      for (const below of [2 * at + 1, 2 * at + 2]) if (below < heap.length && before(heap[below]!, heap[least]!)) least = below;
+      for (const below of [2 * at + 1, 2 * at + 2])
+        if (below < heap.length && before(heap[below]!, heap[least]!)) least = below;
       if (least === at) return first;
       [heap[at], heap[least]] = [heap[least]!, heap[at]!];
       at = least;
@@ -73,7 +74,10 @@
   private readonly agenda = new Agenda();
   /** How many faults under way cut each way. */
   private readonly cuts = new Map<string, number>();
-  private readonly listeners = new Map<string, { host: Host; accept: (channel: Channel) => void }>();
+  private readonly listeners = new Map<
+    string,
+    { host: Host; accept: (channel: Channel) => void }
+  >();
   private count = 0;
 
   constructor(readonly seed: number) {
@@ -110,8 +114,11 @@
 
   /** Cuts the ways from some hosts to others, in that direction only; what comes back mends just this cut. */
   cut(some: readonly string[], others: readonly string[]): () => void {
-    const ways = some.flatMap((from) => others.filter((to) => to !== from).map((to) => `${from}>${to}`));
-    const add = (by: number): void => ways.forEach((way) => this.cuts.set(way, Math.max(0, (this.cuts.get(way) ?? 0) + by)));
+    const ways = some.flatMap((from) =>
+      others.filter((to) => to !== from).map((to) => `${from}>${to}`),
+    );
+    const add = (by: number): void =>
+      ways.forEach((way) => this.cuts.set(way, Math.max(0, (this.cuts.get(way) ?? 0) + by)));
     add(1);
     return () => add(-1);
   }
@@ -163,7 +170,11 @@
   readonly net: Net;
   readonly random: Random;
 
-  constructor(readonly world: World, readonly name: string, readonly address: string) {
+  constructor(
+    readonly world: World,
+    readonly name: string,
+    readonly address: string,
+  ) {
     this.clock = new SimClock(this);
     this.net = new SimNet(this);
     this.random = new SeededRandom(Math.floor(world.random.fraction() * 0x7fffffff) + 1);
@@ -228,7 +239,10 @@
   private readonly reckoner: Reckoner;
 
   constructor(private readonly host: Host) {
-    this.reckoner = new Reckoner(() => this.now(), () => this.wall());
+    this.reckoner = new Reckoner(
+      () => this.now(),
+      () => this.wall(),
+    );
   }
 
   now(): Moment {
@@ -262,7 +276,10 @@
   other: SimChannel | undefined;
   private lastArrival = 0;
 
-  constructor(private readonly host: Host, readonly peer: string) {
+  constructor(
+    private readonly host: Host,
+    readonly peer: string,
+  ) {
     host.own(this);
   }
 
@@ -305,7 +322,8 @@
     const { other } = this;
     if (!other) return;
     const { world } = this.host;
-    if (!world.isCut(this.host.name, other.host.name)) world.at(world.delay(), () => other.host.reach(() => other.end()));
+    if (!world.isCut(this.host.name, other.host.name))
+      world.at(world.delay(), () => other.host.reach(() => other.end()));
   }
 
   private end(): void {
@@ -329,11 +347,21 @@
     const { world } = host;
     return new Promise((resolve) => {
       const found = world.listenerAt(address);
-      if (found && (world.isCut(host.name, found.host.name) || world.isCut(found.host.name, host.name))) {
-        return host.later(limit, () => resolve(failed('net.dial', address, `no channel within ${limit} ms`)));
+      if (
+        found &&
+        (world.isCut(host.name, found.host.name) || world.isCut(found.host.name, host.name))
+      ) {
+        return host.later(limit, () =>
+          resolve(failed('net.dial', address, `no channel within ${limit} ms`)),
+        );
       }
-      if (!found) return host.later(world.delay(), () => resolve(failed('net.dial', address, 'ECONNREFUSED')));
-      host.later(limit, () => resolve(failed('net.dial', address, `no channel within ${limit} ms`)));
+      if (!found)
+        return host.later(world.delay(), () =>
+          resolve(failed('net.dial', address, 'ECONNREFUSED')),
+        );
+      host.later(limit, () =>
+        resolve(failed('net.dial', address, `no channel within ${limit} ms`)),
+      );
       world.at(world.delay(), () =>
         found.host.reach(() => {
           const near = new SimChannel(host, address);
@@ -370,7 +398,11 @@
 
   spoil(path: string): void {
     const bytes = this.files.get(path);
-    if (bytes) this.files.set(path, bytes.map((byte, at) => (at === bytes.length - 2 ? byte ^ 0x55 : byte)));
+    if (bytes)
+      this.files.set(
+        path,
+        bytes.map((byte, at) => (at === bytes.length - 2 ? byte ^ 0x55 : byte)),
+      );
   }
 
   open(host: Host): Disk {
@@ -389,18 +421,35 @@
               if (cut === 'after') this.files.set(path, copy);
               return this.onPowerCut();
             }
-            if (this.full) return host.reach(() => resolve(failed('disk.write', path, 'ENOSPC', 'unknown')));
+            if (this.full)
+              return host.reach(() => resolve(failed('disk.write', path, 'ENOSPC', 'unknown')));
             this.files.set(path, copy);
             host.reach(() => resolve(Right(undefined)));
           };
           this.world.at(this.latency * (0.5 + this.world.random.fraction()), act);
         }),
-      read: (path) => new Promise((resolve) => host.later(0.1, () => resolve(Right(this.files.get(path))))),
-      remove: (path) => new Promise((resolve) => host.later(0.1, () => {
-        this.files.delete(path);
-        resolve(Right(undefined));
-      })),
-      list: (folder) => new Promise((resolve) => host.later(0.1, () => resolve(Right([...this.files.keys()].filter((path) => path.startsWith(`${folder}/`)).map((path) => path.slice(folder.length + 1)).sort())))),
+      read: (path) =>
+        new Promise((resolve) => host.later(0.1, () => resolve(Right(this.files.get(path))))),
+      remove: (path) =>
+        new Promise((resolve) =>
+          host.later(0.1, () => {
+            this.files.delete(path);
+            resolve(Right(undefined));
+          }),
+        ),
+      list: (folder) =>
+        new Promise((resolve) =>
+          host.later(0.1, () =>
+            resolve(
+              Right(
+                [...this.files.keys()]
+                  .filter((path) => path.startsWith(`${folder}/`))
+                  .map((path) => path.slice(folder.length + 1))
+                  .sort(),
+              ),
+            ),
+          ),
+        ),
     };
   }
 }
--- a/src/stand/caller/caller.ts
+++ b/src/stand/caller/caller.ts
@@ -36,10 +36,42 @@
 const agent = new Agent({ connections: 512, pipelining: 1, keepAliveTimeout: 1000 });
 
 export const callOnce = async (ask: CallerAsk): Promise<CallerRecord> => {
-  const record: CallerRecord = { id: ask.id, repeatable: ask.repeatable, began: performance.now(), firstPiece: 0, ended: 0, status: 0, outcome: 'silent', reason: '', retryAfter: '', engine: '', text: '', pieces: 0 };
-  const headers = { 'content-type': 'application/json', authorization: `Bearer ${ask.key}`, 'x-request-id': ask.id, 'x-repeatable': ask.repeatable ? 'yes' : 'no', ...(ask.tag ? { 'x-tag': ask.tag } : {}), ...(ask.limit ? { 'x-limit-ms': String(ask.limit) } : {}) };
+  const record: CallerRecord = {
+    id: ask.id,
+    repeatable: ask.repeatable,
+    began: performance.now(),
+    firstPiece: 0,
+    ended: 0,
+    status: 0,
+    outcome: 'silent',
+    reason: '',
+    retryAfter: '',
+    engine: '',
+    text: '',
+    pieces: 0,
+  };
+  const headers = {
+    'content-type': 'application/json',
+    authorization: `Bearer ${ask.key}`,
+    'x-request-id': ask.id,
+    'x-repeatable': ask.repeatable ? 'yes' : 'no',
+    ...(ask.tag ? { 'x-tag': ask.tag } : {}),
+    ...(ask.limit ? { 'x-limit-ms': String(ask.limit) } : {}),
+  };
   try {
-    const reply = await request(`http://${ask.router}${ask.path ?? '/v1/chat/completions'}`, { dispatcher: agent, method: 'POST', headers, body: JSON.stringify({ model: ask.model, stream: true, messages: ask.messages, max_tokens: ask.maxTokens }), headersTimeout: 60_000, bodyTimeout: 60_000 });
+    const reply = await request(`http://${ask.router}${ask.path ?? '/v1/chat/completions'}`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers,
+      body: JSON.stringify({
+        model: ask.model,
+        stream: true,
+        messages: ask.messages,
+        max_tokens: ask.maxTokens,
+      }),
+      headersTimeout: 60_000,
+      bodyTimeout: 60_000,
+    });
     record.status = reply.statusCode;
     record.retryAfter = String(reply.headers['retry-after'] ?? '');
     record.engine = String(reply.headers['x-engine-id'] ?? '');
@@ -67,7 +99,11 @@
 
 const take = (record: CallerRecord, event: string): void => {
   if (record.firstPiece === 0) record.firstPiece = performance.now();
-  const data = event.split('\n').filter((line) => line.startsWith('data: ')).map((line) => line.slice(6)).join('\n');
+  const data = event
+    .split('\n')
+    .filter((line) => line.startsWith('data: '))
+    .map((line) => line.slice(6))
+    .join('\n');
   if (event.startsWith('event: error')) {
     record.reason = (JSON.parse(data) as { reason?: string }).reason ?? 'broken';
     return;
@@ -76,7 +112,9 @@
     record.outcome = 'result';
     return;
   }
-  const content = (JSON.parse(data) as { choices?: Array<{ delta?: { content?: string } }> }).choices?.[0]?.delta?.content ?? '';
+  const content =
+    (JSON.parse(data) as { choices?: Array<{ delta?: { content?: string } }> }).choices?.[0]?.delta
+      ?.content ?? '';
   if (content) record.pieces += 1;
   record.text += content;
 };
--- a/src/stand/engine/cache.ts
+++ b/src/stand/engine/cache.ts
@@ -13,7 +13,14 @@
   /** Names of the whole blocks of a sequence, in order. */
   static names(space: string, bytes: Uint8Array, size: number): string[] {
     const names: string[] = [];
-    for (let end = size; end <= bytes.length; end += size) names.push(createHash('sha1').update(space).update('\u0000').update(bytes.subarray(0, end)).digest('hex'));
+    for (let end = size; end <= bytes.length; end += size)
+      names.push(
+        createHash('sha1')
+          .update(space)
+          .update('\u0000')
+          .update(bytes.subarray(0, end))
+          .digest('hex'),
+      );
     return names;
   }
 
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -59,12 +59,16 @@
 
   listen(): Promise<string> {
     const { host, port } = parseAddress(this.params.address);
-    const server = createServer((request, response) => void this.answer(request, response).catch(() => response.destroy()));
+    const server = createServer(
+      (request, response) => void this.answer(request, response).catch(() => response.destroy()),
+    );
     server.keepAliveTimeout = 60_000;
     this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, host, () => resolve(`${host}:${(server.address() as { port: number }).port}`));
+      server.listen(port, host, () =>
+        resolve(`${host}:${(server.address() as { port: number }).port}`),
+      );
     });
   }
 
@@ -96,33 +100,68 @@
     if (this.behaviour === 'dark') return;
     const body = await readAll(request);
     const url = request.url ?? '';
-    if (url === '/identity') return this.json(response, 200, { identifier: this.identifier, model: this.params.model });
-    if (url === '/stand/records') return this.json(response, 200, { identifier: this.identifier, records: this.records, judged: this.judged });
+    if (url === '/identity')
+      return this.json(response, 200, { identifier: this.identifier, model: this.params.model });
+    if (url === '/stand/records')
+      return this.json(response, 200, {
+        identifier: this.identifier,
+        records: this.records,
+        judged: this.judged,
+      });
     if (url === '/stand/behave') {
-      const { behaviour, identifier } = JSON.parse(body) as { behaviour?: Behaviour; identifier?: string };
+      const { behaviour, identifier } = JSON.parse(body) as {
+        behaviour?: Behaviour;
+        identifier?: string;
+      };
       if (behaviour) this.behaviour = behaviour;
       if (identifier) this.restart(identifier);
       this.json(response, 200, { identifier: this.identifier, behaviour: this.behaviour });
       if (identifier) response.once('finish', () => this.server?.closeAllConnections());
       return;
     }
-    if (url !== '/v1/chat/completions' || request.method !== 'POST') return this.json(response, 404, { error: { code: 'not_found' } });
+    if (url !== '/v1/chat/completions' || request.method !== 'POST')
+      return this.json(response, 404, { error: { code: 'not_found' } });
     await this.chat(request, response, body);
   }
 
-  private json(response: ServerResponse, status: number, value: unknown, headers: Record<string, string> = {}): void {
-    response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(JSON.stringify(value));
+  private json(
+    response: ServerResponse,
+    status: number,
+    value: unknown,
+    headers: Record<string, string> = {},
+  ): void {
+    response
+      .writeHead(status, { 'content-type': 'application/json', ...headers })
+      .end(JSON.stringify(value));
   }
 
-  private async chat(request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
-    const asked = JSON.parse(body) as { model: string; messages: Array<{ role: string; content: string }>; max_tokens?: number; continue_final_message?: boolean; echo?: boolean };
+  private async chat(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const asked = JSON.parse(body) as {
+      model: string;
+      messages: Array<{ role: string; content: string }>;
+      max_tokens?: number;
+      continue_final_message?: boolean;
+      echo?: boolean;
+    };
     const continues = asked.continue_final_message ? asked.messages.pop()!.content : '';
     const passage = String(request.headers['x-request-id'] ?? '');
     const caller = String(request.headers['x-caller-request-id'] ?? '');
     const firm = String(request.headers['x-firm'] ?? '');
-    const own = { 'x-request-id': this.behaviour === 'foreign' ? 'someone-else' : passage, 'x-engine-id': this.identifier, 'x-tokens-ahead': String(this.ahead) };
-    if (this.behaviour === 'busy' || this.ahead > this.params.waitingBound) return this.json(response, 429, { error: { code: 'not_run', message: 'too busy' } }, own);
-    const prompt = Buffer.from(asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') + `<assistant>\n${continues}`);
+    const own = {
+      'x-request-id': this.behaviour === 'foreign' ? 'someone-else' : passage,
+      'x-engine-id': this.identifier,
+      'x-tokens-ahead': String(this.ahead),
+    };
+    if (this.behaviour === 'busy' || this.ahead > this.params.waitingBound)
+      return this.json(response, 429, { error: { code: 'not_run', message: 'too busy' } }, own);
+    const prompt = Buffer.from(
+      asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') +
+        `<assistant>\n${continues}`,
+    );
     const space = this.space(asked.model, firm);
     let gone = false;
     response.once('close', () => (gone = true));
@@ -130,7 +169,18 @@
     const names = BlockCache.names(space, prompt, this.params.blockBytes);
     const claimed = request.headers['x-claimed-blocks'];
     const hits = cache.hits(names);
-    const record: RunRecord = { engine: this.identifier, passage, request: caller, firm, at: Date.now(), continues, text: '', ended: 'running', blocks: names.length, hits };
+    const record: RunRecord = {
+      engine: this.identifier,
+      passage,
+      request: caller,
+      firm,
+      at: Date.now(),
+      continues,
+      text: '',
+      ended: 'running',
+      blocks: names.length,
+      hits,
+    };
     this.records.push(record);
     if (claimed !== undefined) {
       this.claims += Number(claimed);
@@ -145,30 +195,48 @@
     if (this.behaviour === 'stall') return;
     response.writeHead(200, { 'content-type': 'text/event-stream', ...own });
     const id = `chatcmpl-${passage}`;
-    const piece = (delta: object, finish: string | null, usage?: object): string => `data: ${JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model: asked.model, choices: usage ? [] : [{ index: 0, delta, finish_reason: finish }], ...(usage ? { usage } : {}) })}\n\n`;
+    const piece = (delta: object, finish: string | null, usage?: object): string =>
+      `data: ${JSON.stringify({ id, object: 'chat.completion.chunk', created: 0, model: asked.model, choices: usage ? [] : [{ index: 0, delta, finish_reason: finish }], ...(usage ? { usage } : {}) })}\n\n`;
     const begun = continues.split(' ').length - 1;
     const count = Math.min((asked.max_tokens ?? 16) + begun, 16 + (passage.length % 5));
     let written = prompt.toString('utf8');
-    const mark = createHash('sha1').update(`${passage}|${this.identifier}`).digest('hex').slice(0, 6);
+    const mark = createHash('sha1')
+      .update(`${passage}|${this.identifier}`)
+      .digest('hex')
+      .slice(0, 6);
     if (continues && asked.echo) response.write(piece({ content: continues }, null));
     for (let at = begun; at < count && !gone; at++) {
       const word = `w${String(at).padStart(2, '0')}-${mark} `;
       record.text += word;
       written += word;
       response.write(piece({ content: word }, null));
-      if (at === begun + 4 && (this.behaviour === 'cut' || (this.behaviour === 'cut-first' && !continues))) {
+      if (
+        at === begun + 4 &&
+        (this.behaviour === 'cut' || (this.behaviour === 'cut-first' && !continues))
+      ) {
         record.ended = 'cut';
         cache.release(pinned);
         return void response.destroy();
       }
       await pause(1000 / this.params.decodeRate);
     }
-    const whole = BlockCache.names(space, Buffer.from(written).subarray(0, Buffer.byteLength(written) - 1), this.params.blockBytes).slice(names.length);
+    const whole = BlockCache.names(
+      space,
+      Buffer.from(written).subarray(0, Buffer.byteLength(written) - 1),
+      this.params.blockBytes,
+    ).slice(names.length);
     cache.take(whole);
     cache.release([...pinned, ...whole]);
     record.ended = gone ? 'cut' : 'done';
     response.write(piece({}, 'stop'));
-    response.write(piece({}, null, { prompt_tokens: tokens, completion_tokens: count, total_tokens: tokens + count, prompt_tokens_details: { cached_tokens: cached } }));
+    response.write(
+      piece({}, null, {
+        prompt_tokens: tokens,
+        completion_tokens: count,
+        total_tokens: tokens + count,
+        prompt_tokens_details: { cached_tokens: cached },
+      }),
+    );
     if (this.behaviour !== 'no-marker') response.write('data: [DONE]\n\n');
     response.end();
   }
--- a/src/stand/opaque/answer.ts
+++ b/src/stand/opaque/answer.ts
@@ -68,7 +68,14 @@
     const length = fields.get('content-length');
     const coding = fields.get('transfer-encoding');
     if (length !== undefined && coding !== undefined) return this.bad('both a length and a coding');
-    this.framing = this.method === 'HEAD' || status === 204 || status === 304 ? 'none' : coding !== undefined ? 'chunked' : length !== undefined ? 'length' : 'close';
+    this.framing =
+      this.method === 'HEAD' || status === 204 || status === 304
+        ? 'none'
+        : coding !== undefined
+          ? 'chunked'
+          : length !== undefined
+            ? 'length'
+            : 'close';
     this.left = Number(length ?? 0);
     if (this.framing === 'none' || (this.framing === 'length' && this.left === 0)) this.finish();
     return true;
@@ -82,7 +89,8 @@
     const size = parseInt(told[1]!, 16);
     const whole = end + 2 + size + 2;
     if (this.pending.length < whole) return false;
-    if (this.pending.subarray(whole - 2, whole).toString('latin1') !== '\r\n') return this.bad('no end of a chunk');
+    if (this.pending.subarray(whole - 2, whole).toString('latin1') !== '\r\n')
+      return this.bad('no end of a chunk');
     this.take(whole, this.pending.subarray(end + 2, whole - 2));
     if (size === 0) this.finish();
     return true;
--- a/src/stand/opaque/batch.ts
+++ b/src/stand/opaque/batch.ts
@@ -52,7 +52,10 @@
   /** How many times slower than told. */
   slowness = 1;
 
-  constructor(private readonly params: BatchParams, private readonly clock: Clock) {
+  constructor(
+    private readonly params: BatchParams,
+    private readonly clock: Clock,
+  ) {
     this.cache = new PartCache(params.cacheTokens);
   }
 
@@ -66,7 +69,15 @@
     const ahead = this.waiting.filter(({ work: { urgency } }) => urgency <= work.urgency).length;
     const free = Math.max(0, this.params.slots - this.running.length);
     if (larger || ahead >= this.params.queue + free) return undefined;
-    const place: Place = { work, order: ++this.orders, names: PartCache.names(work.model, work.parts), unread: 0, made: 0, held: 0, ran: false };
+    const place: Place = {
+      work,
+      order: ++this.orders,
+      names: PartCache.names(work.model, work.parts),
+      unread: 0,
+      made: 0,
+      held: 0,
+      ran: false,
+    };
     this.waiting.push(place);
     void this.run();
     return () => this.remove(place);
@@ -91,7 +102,12 @@
       this.admit();
       const ready = this.running.filter(({ unread }) => unread === 0);
       const read = this.readPieces();
-      await this.clock.sleep((this.params.stepBase + this.params.stepEach * this.running.length + read / this.params.readRate) * this.slowness);
+      await this.clock.sleep(
+        (this.params.stepBase +
+          this.params.stepEach * this.running.length +
+          read / this.params.readRate) *
+          this.slowness,
+      );
       for (const place of ready) this.token(place);
     }
     this.turning = false;
@@ -101,8 +117,10 @@
     this.waiting.sort((a, b) => a.work.urgency - b.work.urgency || a.order - b.order);
     for (let next = this.waiting[0]; next; next = this.waiting[0]) {
       const { work, names, made } = next;
-      const rest = Math.max(0, work.tokens - names.reduce((sum, [, tokens]) => sum + tokens, 0)) + made;
-      const room = (): boolean => this.running.length < this.params.slots && this.cache.fits(names, rest + 1);
+      const rest =
+        Math.max(0, work.tokens - names.reduce((sum, [, tokens]) => sum + tokens, 0)) + made;
+      const room = (): boolean =>
+        this.running.length < this.params.slots && this.cache.fits(names, rest + 1);
       while (!room() && this.putBackFor(next));
       if (!room()) return;
       this.waiting.shift();
@@ -127,7 +145,9 @@
   }
 
   private leastUrgent(): Place | undefined {
-    return [...this.running].sort((a, b) => b.work.urgency - a.work.urgency || b.order - a.order)[0];
+    return [...this.running].sort(
+      (a, b) => b.work.urgency - a.work.urgency || b.order - a.order,
+    )[0];
   }
 
   private putBack(place: Place): void {
@@ -159,7 +179,8 @@
     this.cache.hold(1);
     place.work.token();
     if (place.made < place.work.output) {
-      while (this.cache.used > this.params.cacheTokens && this.running.length > 1) this.putBack(this.leastUrgent()!);
+      while (this.cache.used > this.params.cacheTokens && this.running.length > 1)
+        this.putBack(this.leastUrgent()!);
       return;
     }
     if (!this.running.includes(place)) return;
