--- a/src/stand/opaque/caller.ts
+++ b/src/stand/opaque/caller.ts
@@ -36,10 +36,25 @@
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const finals: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
 
-export const bytesOfRequest = (asking: Pick<Asking, 'method' | 'target' | 'host' | 'body' | 'chunked'>, fields: ReadonlyArray<readonly [string, string]>): Buffer => {
+export const bytesOfRequest = (
+  asking: Pick<Asking, 'method' | 'target' | 'host' | 'body' | 'chunked'>,
+  fields: ReadonlyArray<readonly [string, string]>,
+): Buffer => {
   const { method, target, host, body, chunked = 0 } = asking;
-  const framing = chunked > 0 ? ['Transfer-Encoding: chunked'] : body.length > 0 || method === 'POST' || method === 'PUT' ? [`Content-Length: ${body.length}`] : [];
-  const head = [`${method} ${target} HTTP/1.1`, `Host: ${host}`, ...fields.map(([name, value]) => `${name}: ${value}`), ...framing, '', ''].join('\r\n');
+  const framing =
+    chunked > 0
+      ? ['Transfer-Encoding: chunked']
+      : body.length > 0 || method === 'POST' || method === 'PUT'
+        ? [`Content-Length: ${body.length}`]
+        : [];
+  const head = [
+    `${method} ${target} HTTP/1.1`,
+    `Host: ${host}`,
+    ...fields.map(([name, value]) => `${name}: ${value}`),
+    ...framing,
+    '',
+    '',
+  ].join('\r\n');
   const pieces: Buffer[] = [Buffer.from(head, 'latin1')];
   if (chunked > 0) {
     for (let at = 0; at < body.length; at += chunked) {
@@ -54,12 +69,31 @@
 export class OpaqueCaller {
   readonly asked: Asked[] = [];
 
-  constructor(private readonly clock: Clock, private readonly random: Random, private readonly dialect: Dialect = ownDialect) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly dialect: Dialect = ownDialect,
+  ) {}
 
   /** Asks until it is answered, told no for good, or out of tries or time; `router` gives an address for each try. */
-  async ask(asking: Asking, router: (attempt: number) => string, gone?: AbortSignal): Promise<Asked> {
+  async ask(
+    asking: Asking,
+    router: (attempt: number) => string,
+    gone?: AbortSignal,
+  ): Promise<Asked> {
     const { name, host, target, method, repeatable, resume = false } = asking;
-    const asked: Asked = { name, host, target, method, repeatable, resume, digest: digestOfRequest(method, target, asking.body), began: this.clock.wall(), tries: [], outcome: 'failed' };
+    const asked: Asked = {
+      name,
+      host,
+      target,
+      method,
+      repeatable,
+      resume,
+      digest: digestOfRequest(method, target, asking.body),
+      began: this.clock.wall(),
+      tries: [],
+      outcome: 'failed',
+    };
     this.asked.push(asked);
     const end = this.clock.now() + asking.deadline;
     for (let attempt = 0; attempt <= asking.furtherTries; attempt++) {
@@ -77,15 +111,49 @@
       const unrun = !told.connected || (told.complete && promises.has(told.status));
       if (!repeatable && !unrun) break;
       const rest = end - this.clock.now();
-      if (told.retryAfter !== undefined) await this.clock.sleep(Math.min(told.retryAfter, rest / 3));
+      if (told.retryAfter !== undefined)
+        await this.clock.sleep(Math.min(told.retryAfter, rest / 3));
     }
     return asked;
   }
 
-  private tryOnce(asking: Asking, router: string, left: number, after: number, asked: Asked, gone?: AbortSignal): Promise<Try> {
-    const told: Try = { id: this.random.identity(), router, at: this.clock.wall(), after, ended: 0, connected: false, status: 0, answeredId: '', seal: '', encoding: '', retryAfter: undefined, body: '', events: [], stream: false, complete: false, malformed: '', surplus: 0, reason: '', firstAt: 0 };
+  private tryOnce(
+    asking: Asking,
+    router: string,
+    left: number,
+    after: number,
+    asked: Asked,
+    gone?: AbortSignal,
+  ): Promise<Try> {
+    const told: Try = {
+      id: this.random.identity(),
+      router,
+      at: this.clock.wall(),
+      after,
+      ended: 0,
+      connected: false,
+      status: 0,
+      answeredId: '',
+      seal: '',
+      encoding: '',
+      retryAfter: undefined,
+      body: '',
+      events: [],
+      stream: false,
+      complete: false,
+      malformed: '',
+      surplus: 0,
+      reason: '',
+      firstAt: 0,
+    };
     asked.tries.push(told);
-    const fields: Array<readonly [string, string]> = [...(asking.fields ?? []), [this.dialect.requestId, told.id], [this.dialect.deadline, String(Math.floor(left))], ...(after > 0 ? [['Last-Event-Id', String(after)] as const] : []), ['Connection', 'close']];
+    const fields: Array<readonly [string, string]> = [
+      ...(asking.fields ?? []),
+      [this.dialect.requestId, told.id],
+      [this.dialect.deadline, String(Math.floor(left))],
+      ...(after > 0 ? [['Last-Event-Id', String(after)] as const] : []),
+      ['Connection', 'close'],
+    ];
     const { host, port } = parseAddress(router);
     const reader = new AnswerReader(asking.method);
     return new Promise((resolve) => {
@@ -108,7 +176,9 @@
       const watch = async (): Promise<void> => {
         while (!timers.signal.aborted) {
           const now = this.clock.now();
-          const limit = told.connected ? heard + asking.silence : heard + Math.min(CONNECT, asking.silence);
+          const limit = told.connected
+            ? heard + asking.silence
+            : heard + Math.min(CONNECT, asking.silence);
           if (now >= limit) return over(told.connected ? 'silent' : 'no connection');
           await this.clock.sleep(limit - now, timers.signal);
         }
@@ -123,7 +193,8 @@
       socket.on('data', (chunk: Buffer) => {
         heard = this.clock.now();
         reader.push(chunk);
-        if (told.firstAt === 0 && (reader.answers[0]?.body.length ?? 0) > 0) told.firstAt = this.clock.wall();
+        if (told.firstAt === 0 && (reader.answers[0]?.body.length ?? 0) > 0)
+          told.firstAt = this.clock.wall();
         if (!asking.pauses) return;
         socket.pause();
         void this.clock.sleep(asking.pauses, timers.signal).then(() => socket.resume());
@@ -136,7 +207,9 @@
   private read(told: Try, reader: AnswerReader, reason: string): void {
     const [answer] = reader.answers;
     told.malformed = reader.malformed;
-    told.surplus = Math.max(0, reader.answers.length - 1) + (reader.answers[0]?.complete && reader.rest > 0 ? 1 : 0);
+    told.surplus =
+      Math.max(0, reader.answers.length - 1) +
+      (reader.answers[0]?.complete && reader.rest > 0 ? 1 : 0);
     if (!answer) {
       told.reason = reason;
       return;
@@ -151,7 +224,8 @@
     told.retryAfter = fields.has('retry-after') && Number.isFinite(wait) ? wait * 1000 : undefined;
     told.body = body.toString('latin1');
     told.stream = (fields.get('content-type') ?? '').startsWith('text/event-stream');
-    if (told.stream) told.events.push(...told.body.split(/(?<=\n\n)/).filter((event) => event.endsWith('\n\n')));
+    if (told.stream)
+      told.events.push(...told.body.split(/(?<=\n\n)/).filter((event) => event.endsWith('\n\n')));
     if (!complete) told.reason = reason;
   }
 }
--- a/src/stand/opaque/engine.ts
+++ b/src/stand/opaque/engine.ts
@@ -31,8 +31,22 @@
 }
 
 export const defaultOpaqueEngine: OpaqueEngineParams = {
-  identifier: 'engine-1', service: 'drafts', address: '127.0.0.1:0', probePath: '/health', stride: 4, plainTokens: 4, idle: 60_000, connections: 1024, retryAfter: 0.5,
-  slots: 16, queue: 8, stepBase: 1, stepEach: 0.05, readRate: 50, readPiece: 2000, cacheTokens: 400_000,
+  identifier: 'engine-1',
+  service: 'drafts',
+  address: '127.0.0.1:0',
+  probePath: '/health',
+  stride: 4,
+  plainTokens: 4,
+  idle: 60_000,
+  connections: 1024,
+  retryAfter: 0.5,
+  slots: 16,
+  queue: 8,
+  stepBase: 1,
+  stepEach: 0.05,
+  readRate: 50,
+  readPiece: 2000,
+  cacheTokens: 400_000,
 };
 
 export class OpaqueEngine {
@@ -46,16 +60,26 @@
   readonly batch: Batch;
   readonly params: OpaqueEngineParams;
   private readonly server: Server;
-  private readonly sockets = new Map<Socket, { readonly number: number; busy: number; owed: Buffer[] }>();
+  private readonly sockets = new Map<
+    Socket,
+    { readonly number: number; busy: number; owed: Buffer[] }
+  >();
   private connected = 0;
   /** Where it listens. */
   address = '';
   private runs = 0;
 
-  constructor(params: Partial<OpaqueEngineParams>, private readonly clock: Clock, private readonly dialect: Dialect = ownDialect) {
+  constructor(
+    params: Partial<OpaqueEngineParams>,
+    private readonly clock: Clock,
+    private readonly dialect: Dialect = ownDialect,
+  ) {
     this.params = { ...defaultOpaqueEngine, ...params };
     this.batch = new Batch(this.params, clock);
-    this.server = createServer({ keepAliveTimeout: this.params.idle, requestTimeout: 0, headersTimeout: 0 }, (request, response) => this.take(request, response));
+    this.server = createServer(
+      { keepAliveTimeout: this.params.idle, requestTimeout: 0, headersTimeout: 0 },
+      (request, response) => this.take(request, response),
+    );
     this.server.on('connection', (socket: Socket) => {
       if (this.sockets.size >= this.params.connections) return void socket.resetAndDestroy();
       this.sockets.set(socket, { number: ++this.connected, busy: 0, owed: [] });
@@ -69,7 +93,9 @@
     const { host, port } = parseAddress(this.params.address);
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
-      this.server.listen(port, host, () => resolve((this.address = `${host}:${(this.server.address() as { port: number }).port}`)));
+      this.server.listen(port, host, () =>
+        resolve((this.address = `${host}:${(this.server.address() as { port: number }).port}`)),
+      );
     });
   }
 
@@ -106,7 +132,12 @@
     request.once('end', () => this.answer(request, response, Buffer.concat(chunks), line));
   }
 
-  private answer(request: IncomingMessage, response: ServerResponse, body: Buffer, line: { number: number; owed: Buffer[] }): void {
+  private answer(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: Buffer,
+    line: { number: number; owed: Buffer[] },
+  ): void {
     const field = (name: string): string | undefined => request.headers[name] as string | undefined;
     const target = request.url ?? '';
     const method = request.method ?? '';
@@ -114,12 +145,39 @@
     const prompt = this.dialect.prompt(field);
     const total = prompt ? Math.max(1, Math.ceil(prompt.output / this.params.stride)) : 1;
     const arrival: Arrival = {
-      engine: this.params.identifier, service: this.params.service, id, method, target, host: field('host') ?? '', fields: request.rawHeaders, bytes: body.length, digest: digestOfRequest(method, target, body),
-      at: this.clock.wall(), connection: line.number, probe: method === 'GET' && target === this.params.probePath, after: Number(field('last-event-id') ?? 0) || 0, urgency: Number(field(this.dialect.urgency) ?? 5),
-      ran: 0, read: 0, hits: 0, status: 0, seal: '', made: [], stream: prompt !== undefined, total, ended: 'running',
+      engine: this.params.identifier,
+      service: this.params.service,
+      id,
+      method,
+      target,
+      host: field('host') ?? '',
+      fields: request.rawHeaders,
+      bytes: body.length,
+      digest: digestOfRequest(method, target, body),
+      at: this.clock.wall(),
+      connection: line.number,
+      probe: method === 'GET' && target === this.params.probePath,
+      after: Number(field('last-event-id') ?? 0) || 0,
+      urgency: Number(field(this.dialect.urgency) ?? 5),
+      ran: 0,
+      read: 0,
+      hits: 0,
+      status: 0,
+      seal: '',
+      made: [],
+      stream: prompt !== undefined,
+      total,
+      ended: 'running',
     };
     this.arrivals.push(arrival);
-    const reply = new Reply(arrival, response, request.socket, this.dialect, this.troubles, this.draining || this.closing);
+    const reply = new Reply(
+      arrival,
+      response,
+      request.socket,
+      this.dialect,
+      this.troubles,
+      this.draining || this.closing,
+    );
     if (arrival.probe) return reply.probe(!this.draining);
     const expected = field(this.dialect.expectInstance);
     if (!id) return reply.refuse(400);
@@ -128,12 +186,18 @@
     if (away) return reply.refuse(away === 'full' ? 503 : 429, this.params.retryAfter);
     const begins = this.startsAt(arrival);
     const events = Math.max(0, total - begins);
-    const output = prompt ? Math.max(1, prompt.output - begins * this.params.stride) : this.params.plainTokens;
+    const output = prompt
+      ? Math.max(1, prompt.output - begins * this.params.stride)
+      : this.params.plainTokens;
     let tokens = 0;
     const patience = Number(field(this.dialect.deadline));
     const deadline = new AbortController();
     const leave = this.batch.submit({
-      model: prompt?.model ?? '', parts: prompt?.parts ?? [], tokens: (prompt?.tokens ?? 0) + begins * this.params.stride, output, urgency: arrival.urgency,
+      model: prompt?.model ?? '',
+      parts: prompt?.parts ?? [],
+      tokens: (prompt?.tokens ?? 0) + begins * this.params.stride,
+      output,
+      urgency: arrival.urgency,
       begun: (read, hits) => {
         arrival.ran = this.clock.wall();
         arrival.read = read;
@@ -143,7 +207,8 @@
       },
       token: () => {
         tokens += 1;
-        if (prompt && tokens % this.params.stride === 0 && arrival.made.length < events - 1) reply.event(begins + arrival.made.length + 1);
+        if (prompt && tokens % this.params.stride === 0 && arrival.made.length < events - 1)
+          reply.event(begins + arrival.made.length + 1);
       },
       whole: () => {
         deadline.abort();
@@ -176,6 +241,12 @@
   private startsAt({ after, stream }: Arrival): number {
     if (!stream || after === 0) return 0;
     const wrong = this.troubles.strikes('anew', 'skips', 'repeats');
-    return wrong === 'anew' ? 0 : wrong === 'skips' ? after + 1 : wrong === 'repeats' ? after - 1 : after;
+    return wrong === 'anew'
+      ? 0
+      : wrong === 'skips'
+        ? after + 1
+        : wrong === 'repeats'
+          ? after - 1
+          : after;
   }
 }
--- a/src/stand/opaque/judge.ts
+++ b/src/stand/opaque/judge.ts
@@ -67,38 +67,83 @@
   const byId = new Map<string, Arrival[]>();
   for (const arrival of arrivals) byId.set(arrival.id, [...(byId.get(arrival.id) ?? []), arrival]);
   const tries = new Map<string, { asked: Asked; told: Try }>();
-  for (const asked of evidence.asked) for (const told of asked.tries) tries.set(told.id, { asked, told });
-  const tables = evidence.configurations.map((sent) => ({ ...sent, table: new RouteTable(sent.configuration) }));
+  for (const asked of evidence.asked)
+    for (const told of asked.tries) tries.set(told.id, { asked, told });
+  const tables = evidence.configurations.map((sent) => ({
+    ...sent,
+    table: new RouteTable(sent.configuration),
+  }));
   for (const { asked, told } of tries.values()) {
     const its = byId.get(told.id) ?? [];
     const ran = its.filter((arrival) => arrival.ran > 0);
-    if (!asked.repeatable && ran.length > 1) find('ran-twice', told.id, ran.map(({ engine }) => engine).join(' '));
-    if (told.complete && [408, 421, 429, 503].includes(told.status) && ran.length > 0) find('refused-but-ran', told.id, `${told.status} though ${ran.map(({ engine }) => engine).join(' ')} ran it`);
+    if (!asked.repeatable && ran.length > 1)
+      find('ran-twice', told.id, ran.map(({ engine }) => engine).join(' '));
+    if (told.complete && [408, 421, 429, 503].includes(told.status) && ran.length > 0)
+      find(
+        'refused-but-ran',
+        told.id,
+        `${told.status} though ${ran.map(({ engine }) => engine).join(' ')} ran it`,
+      );
     for (const [breach, detail] of answerBreaches(asked, told, its)) find(breach, told.id, detail);
-    if (told.complete && told.status === 404 && ran.length === 0 && tables.some(({ refused }) => !refused)) {
+    if (
+      told.complete &&
+      told.status === 404 &&
+      ran.length === 0 &&
+      tables.some(({ refused }) => !refused)
+    ) {
       const current = inForceAt(tables, told.at, evidence.bounds.apply);
-      if (current.length > 0 && current.every(({ table }) => table.match(asked.host, asked.target))) find('stale-configuration', told.id, '404 though every version that may be in force has its route');
+      if (current.length > 0 && current.every(({ table }) => table.match(asked.host, asked.target)))
+        find(
+          'stale-configuration',
+          told.id,
+          '404 though every version that may be in force has its route',
+        );
     }
   }
   for (const arrival of arrivals) {
     const of = tries.get(arrival.id);
     if (arrival.ran > 0) {
-      if (!of) find('unasked', arrival.id, `${arrival.method} ${arrival.target} at ${arrival.engine}`);
-      else if (of.asked.digest !== arrival.digest) find('unasked', arrival.id, `changed on its way to ${arrival.engine}: ${arrival.method} ${arrival.target}, ${arrival.bytes} bytes`);
+      if (!of)
+        find('unasked', arrival.id, `${arrival.method} ${arrival.target} at ${arrival.engine}`);
+      else if (of.asked.digest !== arrival.digest)
+        find(
+          'unasked',
+          arrival.id,
+          `changed on its way to ${arrival.engine}: ${arrival.method} ${arrival.target}, ${arrival.bytes} bytes`,
+        );
       const allows = ({ table }: { table: RouteTable }): boolean => {
         const route = table.match(arrival.host, arrival.target);
-        return route !== undefined && sharesOf(route).some(({ service }) => service === arrival.service);
+        return (
+          route !== undefined && sharesOf(route).some(({ service }) => service === arrival.service)
+        );
       };
-      if (!tables.some(allows)) find('route', arrival.id, `${arrival.service} at ${arrival.engine}`);
+      if (!tables.some(allows))
+        find('route', arrival.id, `${arrival.service} at ${arrival.engine}`);
       else if (of) {
         const current = inForceAt(tables, of.told.at, evidence.bounds.apply);
-        if (current.length > 0 && !current.some(allows)) find('stale-configuration', arrival.id, `${arrival.service} by an older version than ${Math.min(...current.map(({ configuration }) => configuration.version))}`);
+        if (current.length > 0 && !current.some(allows))
+          find(
+            'stale-configuration',
+            arrival.id,
+            `${arrival.service} by an older version than ${Math.min(...current.map(({ configuration }) => configuration.version))}`,
+          );
       }
     }
     const since = evidence.leaving.get(arrival.engine);
-    if (since !== undefined && arrival.at > since + evidence.bounds.drain && arrival.status !== 421) find('after-leaving', arrival.id, `${arrival.engine} ${Math.round(arrival.at - since)} ms after`);
+    if (since !== undefined && arrival.at > since + evidence.bounds.drain && arrival.status !== 421)
+      find(
+        'after-leaving',
+        arrival.id,
+        `${arrival.engine} ${Math.round(arrival.at - since)} ms after`,
+      );
   }
-  for (const detail of budgetBreaches(evidence.asked, arrivals, (asked) => servicesOf(tables, asked), evidence.bounds)) find('retry-share', '', detail);
+  for (const detail of budgetBreaches(
+    evidence.asked,
+    arrivals,
+    (asked) => servicesOf(tables, asked),
+    evidence.bounds,
+  ))
+    find('retry-share', '', detail);
   return findings;
 };
 
@@ -108,14 +153,18 @@
 
 /** The versions that may be in force for a request sent at a moment: the newest accepted long enough before, and newer ones. */
 const inForceAt = (tables: readonly Tabled[], at: number, apply: number): Tabled[] => {
-  const accepted = tables.filter(({ acceptedAt }) => acceptedAt !== undefined && acceptedAt + apply < at);
+  const accepted = tables.filter(
+    ({ acceptedAt }) => acceptedAt !== undefined && acceptedAt + apply < at,
+  );
   if (accepted.length === 0) return [];
   const least = Math.max(...accepted.map(({ configuration }) => configuration.version));
   return tables.filter(({ configuration, refused }) => !refused && configuration.version >= least);
 };
 
 const servicesOf = (tables: readonly Tabled[], { host, target }: Asked): ReadonlySet<string> =>
-  new Set(tables.flatMap(({ table }) => {
-    const route = table.match(host, target);
-    return route ? sharesOf(route).map(({ service }) => service) : [];
-  }));
+  new Set(
+    tables.flatMap(({ table }) => {
+      const route = table.match(host, target);
+      return route ? sharesOf(route).map(({ service }) => service) : [];
+    }),
+  );
--- a/src/stand/opaque/parts.ts
+++ b/src/stand/opaque/parts.ts
@@ -39,7 +39,10 @@
 
   /** Whether the parts and so many tokens besides fit now. */
   fits(names: ReadonlyArray<readonly [string, number]>, besides: number): boolean {
-    const fresh = names.reduce((sum, [name, tokens]) => sum + ((this.kept.get(name)?.pins ?? 0) > 0 ? 0 : tokens), 0);
+    const fresh = names.reduce(
+      (sum, [name, tokens]) => sum + ((this.kept.get(name)?.pins ?? 0) > 0 ? 0 : tokens),
+      0,
+    );
     return this.used + fresh + besides <= this.capacity;
   }
 
--- a/src/stand/opaque/record.ts
+++ b/src/stand/opaque/record.ts
@@ -79,6 +79,7 @@
   outcome: 'served' | 'refused' | 'failed';
 }
 
-export const digestOfRequest = (method: string, target: string, body: Uint8Array): string => createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex').slice(0, 24);
+export const digestOfRequest = (method: string, target: string, body: Uint8Array): string =>
+  createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex').slice(0, 24);
 
 export const eventId = (event: string): number => Number(/^id: ?(\d+)$/m.exec(event)?.[1] ?? 0);
--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -13,7 +13,14 @@
   private over = false;
   private stalled = false;
 
-  constructor(private readonly arrival: Arrival, private readonly response: ServerResponse, private readonly socket: Socket, private readonly dialect: Dialect, private readonly troubles: Troubles, private readonly last: boolean) {}
+  constructor(
+    private readonly arrival: Arrival,
+    private readonly response: ServerResponse,
+    private readonly socket: Socket,
+    private readonly dialect: Dialect,
+    private readonly troubles: Troubles,
+    private readonly last: boolean,
+  ) {}
 
   probe(well: boolean): void {
     this.end('whole', well ? 200 : 503, { 'x-engine-id': this.arrival.engine }, '');
@@ -21,20 +28,42 @@
 
   /** Turned away unrun, and said so. */
   refuse(status: number, retryAfter?: number): void {
-    this.end('refused', status, { [this.dialect.notRun]: '1', ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }) }, '');
+    this.end(
+      'refused',
+      status,
+      {
+        [this.dialect.notRun]: '1',
+        ...(retryAfter === undefined ? {} : { 'retry-after': String(retryAfter) }),
+      },
+      '',
+    );
   }
 
   /** It runs: what goes wrong before any answer shows now. */
   begun(): void {
-    const trouble = this.troubles.strikes('reset', 'closed', 'silent', 'failure', 'unmarked-full', 'garbled');
+    const trouble = this.troubles.strikes(
+      'reset',
+      'closed',
+      'silent',
+      'failure',
+      'unmarked-full',
+      'garbled',
+    );
     switch (trouble) {
-      case 'reset': return this.break('cut', () => this.socket.resetAndDestroy());
-      case 'closed': return this.break('cut', () => this.socket.end());
-      case 'silent': return this.break('cut', () => undefined);
-      case 'failure': return this.end('failed', 500, {}, 'failed');
-      case 'unmarked-full': return this.end('failed', 503, {}, 'failed');
-      case 'garbled': return this.break('cut', () => this.socket.write(GARBLED));
-      case undefined: return;
+      case 'reset':
+        return this.break('cut', () => this.socket.resetAndDestroy());
+      case 'closed':
+        return this.break('cut', () => this.socket.end());
+      case 'silent':
+        return this.break('cut', () => undefined);
+      case 'failure':
+        return this.end('failed', 500, {}, 'failed');
+      case 'unmarked-full':
+        return this.end('failed', 503, {}, 'failed');
+      case 'garbled':
+        return this.break('cut', () => this.socket.write(GARBLED));
+      case undefined:
+        return;
     }
   }
 
@@ -58,7 +87,8 @@
     if (this.over) return;
     const lead = JSON.stringify({ run: this.arrival.seal, digest: this.arrival.digest });
     const text = lead + '.'.repeat(Math.max(0, bytes - lead.length));
-    if (!this.headed) this.head(text.length < PIECE ? { 'content-length': String(text.length) } : {});
+    if (!this.headed)
+      this.head(text.length < PIECE ? { 'content-length': String(text.length) } : {});
     this.pump(text, 0, Math.min(PIECE, Math.ceil(text.length / 4)), whole);
   }
 
@@ -68,7 +98,8 @@
       if (at * 4 >= this.troubles.after * text.length && this.midway()) return;
       const piece = text.slice(at, at + size);
       this.arrival.made[0] = (this.arrival.made[0] ?? '') + piece;
-      if (!this.response.write(piece)) return void this.response.once('drain', () => this.pump(text, at + size, size, whole));
+      if (!this.response.write(piece))
+        return void this.response.once('drain', () => this.pump(text, at + size, size, whole));
     }
     whole();
   }
@@ -85,7 +116,11 @@
     const trouble = this.troubles.strikes('surplus', 'late', 'late-refusal');
     this.response.end();
     if (trouble === 'surplus') this.socket.write(this.copy());
-    return trouble === 'late' ? this.copy() : trouble === 'late-refusal' ? this.refusal() : undefined;
+    return trouble === 'late'
+      ? this.copy()
+      : trouble === 'late-refusal'
+        ? this.refusal()
+        : undefined;
   }
 
   /** The deadline came while it ran. */
@@ -100,7 +135,13 @@
     const { arrival } = this;
     arrival.status = 200;
     const wrong = this.troubles.strikes('foreign', 'unsealed', 'encoded', 'unframed');
-    const names = { ...(wrong === 'unframed' && more['content-length'] !== undefined ? {} : more), [this.dialect.requestId]: wrong === 'foreign' ? `${arrival.id}-other` : arrival.id, ...(wrong === 'unsealed' ? {} : { [this.dialect.seal]: arrival.seal }), ...(wrong === 'encoded' ? { 'content-encoding': 'br' } : {}), ...this.leaving() };
+    const names = {
+      ...(wrong === 'unframed' && more['content-length'] !== undefined ? {} : more),
+      [this.dialect.requestId]: wrong === 'foreign' ? `${arrival.id}-other` : arrival.id,
+      ...(wrong === 'unsealed' ? {} : { [this.dialect.seal]: arrival.seal }),
+      ...(wrong === 'encoded' ? { 'content-encoding': 'br' } : {}),
+      ...this.leaving(),
+    };
     if (wrong === 'unframed') {
       this.response.useChunkedEncodingByDefault = false;
       this.response.shouldKeepAlive = false;
@@ -109,15 +150,20 @@
   }
 
   private midway(event = ''): boolean {
-    const trouble = this.troubles.strikes('cut', 'cut-reset', 'stalled', 'garbled-midway', ...(event ? (['cut-inside'] as const) : []));
+    const trouble = this.troubles.strikes(
+      'cut',
+      'cut-reset',
+      'stalled',
+      'garbled-midway',
+      ...(event ? (['cut-inside'] as const) : []),
+    );
     if (!trouble) return false;
     if (trouble === 'stalled') this.stalled = true;
     else if (trouble === 'cut-inside') {
       const half = event.slice(0, event.length / 2);
       this.arrival.made.push(half);
       this.break('cut', () => this.response.write(half, () => this.socket.end()));
-    }
-    else if (trouble === 'cut') this.break('cut', () => this.socket.end());
+    } else if (trouble === 'cut') this.break('cut', () => this.socket.end());
     else if (trouble === 'cut-reset') this.break('cut', () => this.socket.resetAndDestroy());
     else {
       if (!this.arrival.stream) this.arrival.made[0] = (this.arrival.made[0] ?? '') + GARBLED;
@@ -132,13 +178,25 @@
     act();
   }
 
-  private end(how: 'refused' | 'failed' | 'whole', status: number, names: Readonly<Record<string, string>>, body: string): void {
+  private end(
+    how: 'refused' | 'failed' | 'whole',
+    status: number,
+    names: Readonly<Record<string, string>>,
+    body: string,
+  ): void {
     if (this.over || this.response.destroyed) return;
     this.over = true;
     this.arrival.ended = how;
     this.arrival.status = status;
     if (how === 'failed') this.arrival.made[0] = body;
-    this.response.writeHead(status, { ...names, ...(this.arrival.id ? { [this.dialect.requestId]: this.arrival.id } : {}), ...(how === 'failed' ? { [this.dialect.seal]: this.arrival.seal } : {}), ...this.leaving() }).end(body);
+    this.response
+      .writeHead(status, {
+        ...names,
+        ...(this.arrival.id ? { [this.dialect.requestId]: this.arrival.id } : {}),
+        ...(how === 'failed' ? { [this.dialect.seal]: this.arrival.seal } : {}),
+        ...this.leaving(),
+      })
+      .end(body);
   }
 
   private leaving(): Record<string, string> {
@@ -146,11 +204,15 @@
   }
 
   private refusal(): Buffer {
-    return Buffer.from(`HTTP/1.1 503 Service Unavailable\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.notRun}: 1\r\ncontent-length: 0\r\n\r\n`);
+    return Buffer.from(
+      `HTTP/1.1 503 Service Unavailable\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.notRun}: 1\r\ncontent-length: 0\r\n\r\n`,
+    );
   }
 
   private copy(): Buffer {
     const body = this.arrival.made.join('');
-    return Buffer.from(`HTTP/1.1 200 OK\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.seal}: ${this.arrival.seal}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+    return Buffer.from(
+      `HTTP/1.1 200 OK\r\n${this.dialect.requestId}: ${this.arrival.id}\r\n${this.dialect.seal}: ${this.arrival.seal}\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
   }
 }
--- a/src/stand/opaque/trouble.ts
+++ b/src/stand/opaque/trouble.ts
@@ -4,21 +4,37 @@
  */
 export type TroubleKind =
   /** Turned away, with the word that it did not run: 503 and 429. */
-  | 'full' | 'busy'
+  | 'full'
+  | 'busy'
   /** After run, before the head: the connection is reset, closed, or nothing comes. */
-  | 'reset' | 'closed' | 'silent'
+  | 'reset'
+  | 'closed'
+  | 'silent'
   /** After run: 500; 503 without the word that it did not run; bytes that are no answer. */
-  | 'failure' | 'unmarked-full' | 'garbled'
+  | 'failure'
+  | 'unmarked-full'
+  | 'garbled'
   /** A whole answer that should not be taken: under another id, without seal, encoded, without a told end. */
-  | 'foreign' | 'unsealed' | 'encoded' | 'unframed'
+  | 'foreign'
+  | 'unsealed'
+  | 'encoded'
+  | 'unframed'
   /** In the middle: the connection ends, is reset, goes silent, or carries bytes that are no chunk. */
-  | 'cut' | 'cut-reset' | 'stalled' | 'garbled-midway'
+  | 'cut'
+  | 'cut-reset'
+  | 'stalled'
+  | 'garbled-midway'
   /** A stream ends within an event; or behind its last one, without its end. */
-  | 'cut-inside' | 'cut-end'
+  | 'cut-inside'
+  | 'cut-end'
   /** The answer a second time, at once or in the place of the next one on the connection; or a refusal there. */
-  | 'surplus' | 'late' | 'late-refusal'
+  | 'surplus'
+  | 'late'
+  | 'late-refusal'
   /** A stream taken up at the wrong place: from its beginning, one event too late, one event again. */
-  | 'anew' | 'skips' | 'repeats';
+  | 'anew'
+  | 'skips'
+  | 'repeats';
 
 export class Troubles {
   private readonly told = new Map<TroubleKind, number>();
--- a/src/stand/platform/platform.ts
+++ b/src/stand/platform/platform.ts
@@ -24,7 +24,10 @@
   answered = 0;
   declined = 0;
 
-  constructor(private readonly params: PlatformStandParams, private readonly clock: Clock = new SystemClock()) {
+  constructor(
+    private readonly params: PlatformStandParams,
+    private readonly clock: Clock = new SystemClock(),
+  ) {
     this.publish();
   }
 
@@ -46,18 +49,27 @@
   listen(): Promise<string> {
     const { host, port } = parseAddress(this.params.address);
     const server = createServer((request, response) => {
-      const send = (status: number, text: string, headers: Record<string, string> = {}): void => void response.writeHead(status, { 'content-type': 'application/json', ...headers }).end(text);
+      const send = (status: number, text: string, headers: Record<string, string> = {}): void =>
+        void response
+          .writeHead(status, { 'content-type': 'application/json', ...headers })
+          .end(text);
       const url = new URL(request.url ?? '/', 'http://platform');
       if (url.pathname === '/engines') {
-        const page = this.read(url.searchParams.get('zone') ?? undefined, url.searchParams.get('page') ?? undefined);
+        const page = this.read(
+          url.searchParams.get('zone') ?? undefined,
+          url.searchParams.get('page') ?? undefined,
+        );
         if (!page) return send(429, '{"error":{"code":"rate_limited"}}', { 'retry-after': '1' });
         return send(200, JSON.stringify(page));
       }
       void readAll(request).then((body) => {
         if (request.url === '/stand/put') this.put(JSON.parse(body) as Listed);
-        else if (request.url === '/stand/leave') this.leave((JSON.parse(body) as { identifier: string }).identifier);
-        else if (request.url === '/stand/drop') this.drop((JSON.parse(body) as { identifier: string }).identifier);
-        else if (request.url === '/stand/counts') return send(200, JSON.stringify({ answered: this.answered, declined: this.declined }));
+        else if (request.url === '/stand/leave')
+          this.leave((JSON.parse(body) as { identifier: string }).identifier);
+        else if (request.url === '/stand/drop')
+          this.drop((JSON.parse(body) as { identifier: string }).identifier);
+        else if (request.url === '/stand/counts')
+          return send(200, JSON.stringify({ answered: this.answered, declined: this.declined }));
         else return send(404, '{}');
         send(200, '{}');
       });
@@ -65,7 +77,9 @@
     this.server = server;
     return new Promise((resolve, reject) => {
       server.once('error', reject);
-      server.listen(port, host, () => resolve(`${host}:${(server.address() as { port: number }).port}`));
+      server.listen(port, host, () =>
+        resolve(`${host}:${(server.address() as { port: number }).port}`),
+      );
     });
   }
 
@@ -75,7 +89,10 @@
   }
 
   /** One page of what is shown now, and the next page's name; undefined over the rate. */
-  read(zone?: string, page?: string): { engines: readonly Listed[]; next: string | null } | undefined {
+  read(
+    zone?: string,
+    page?: string,
+  ): { engines: readonly Listed[]; next: string | null } | undefined {
     const now = this.clock.wall();
     while (this.reads[0] !== undefined && this.reads[0] <= now - 1000) this.reads.shift();
     if (this.reads.length >= this.params.perSecond) {
--- a/src/trace/tracing.ts
+++ b/src/trace/tracing.ts
@@ -11,15 +11,35 @@
 import { list, number, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 
-export interface TraceStep { step: string; after: number; ballot: string }
-export interface TraceReply { node: string; steps: TraceStep[] }
+export interface TraceStep {
+  step: string;
+  after: number;
+  ballot: string;
+}
+export interface TraceReply {
+  node: string;
+  steps: TraceStep[];
+}
 export const Trace = call<{ generation: number }, TraceReply>(
-  64, 'trace.steps',
+  64,
+  'trace.steps',
   struct({ generation: number }),
-  struct({ node: text, steps: list(struct<TraceStep>({ step: text, after: number, ballot: text })) }),
+  struct({
+    node: text,
+    steps: list(struct<TraceStep>({ step: text, after: number, ballot: text })),
+  }),
 );
 
-const STEPS = new Set(['proposed', 'promised', 'accepted', 'settled', 'fed', 'in-force', 'reported', 'generation-mended']);
+const STEPS = new Set([
+  'proposed',
+  'promised',
+  'accepted',
+  'settled',
+  'fed',
+  'in-force',
+  'reported',
+  'generation-mended',
+]);
 const BOUND = 4096;
 
 interface Noted {
@@ -31,7 +51,10 @@
 export class Tracing {
   private readonly journal: Journal<Noted>;
 
-  constructor(private readonly node: string, clock: Clock) {
+  constructor(
+    private readonly node: string,
+    clock: Clock,
+  ) {
     this.journal = new Journal<Noted>(clock, BOUND);
   }
 
@@ -44,21 +67,34 @@
   }
 
   serve(peers: Peers): void {
-    peers.handle(Trace, ({ generation }) => Right({ node: this.node, steps: this.steps(generation) }));
+    peers.handle(Trace, ({ generation }) =>
+      Right({ node: this.node, steps: this.steps(generation) }),
+    );
   }
 
   steps(generation: number): TraceStep[] {
     const tail = this.journal.tail();
     const own = tail.filter(({ event }) => event.generation === generation);
     const ballots = new Set(own.map(({ event }) => event.ballot).filter(Boolean));
-    const all = tail.filter(({ event }) => event.generation === generation || (event.step === 'promised' && ballots.has(event.ballot)));
+    const all = tail.filter(
+      ({ event }) =>
+        event.generation === generation || (event.step === 'promised' && ballots.has(event.ballot)),
+    );
     const first = all[0]?.moment ?? 0;
-    return all.slice(0, 256).map(({ moment, event }) => ({ step: event.step, after: Math.round((moment - first) * 100) / 100, ballot: event.ballot }));
+    return all.slice(0, 256).map(({ moment, event }) => ({
+      step: event.step,
+      after: Math.round((moment - first) * 100) / 100,
+      ballot: event.ballot,
+    }));
   }
 
   private note(step: string, fields: Fields): void {
     const held = new Map(fields);
     const generation = held.get('generation');
-    this.journal.append({ step, generation: typeof generation === 'number' ? generation : undefined, ballot: String(held.get('ballot') ?? '') });
+    this.journal.append({
+      step,
+      generation: typeof generation === 'number' ? generation : undefined,
+      ballot: String(held.get('ballot') ?? ''),
+    });
   }
 }
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -28,11 +28,35 @@
   suspect: boolean;
 }
 
-const neighbourField = struct<Neighbour>({ name: text, incarnation: text, address: text, zone: text, role: text, age: short, beat: word, suspect: flag });
+const neighbourField = struct<Neighbour>({
+  name: text,
+  incarnation: text,
+  address: text,
+  zone: text,
+  role: text,
+  age: short,
+  beat: word,
+  suspect: flag,
+});
 
-export const Shuffle = call<{ entries: Neighbour[] }, { entries: Neighbour[] }>(32, 'view.shuffle', struct({ entries: list(neighbourField) }), struct({ entries: list(neighbourField) }));
-export const Probe = call<{ address: string }, { reached: boolean }>(33, 'view.probe', struct({ address: text }), struct({ reached: flag }));
-export const Ping = call<{ from: string }, { name: string }>(34, 'view.ping', struct({ from: text }), struct({ name: text }));
+export const Shuffle = call<{ entries: Neighbour[] }, { entries: Neighbour[] }>(
+  32,
+  'view.shuffle',
+  struct({ entries: list(neighbourField) }),
+  struct({ entries: list(neighbourField) }),
+);
+export const Probe = call<{ address: string }, { reached: boolean }>(
+  33,
+  'view.probe',
+  struct({ address: text }),
+  struct({ reached: flag }),
+);
+export const Ping = call<{ from: string }, { name: string }>(
+  34,
+  'view.ping',
+  struct({ from: text }),
+  struct({ name: text }),
+);
 
 const VIEW = 24;
 const SWAP = 8;
@@ -58,23 +82,41 @@
   private readonly entries = new Map<string, Neighbour>();
   private readonly suspects = new Map<string, number>();
   private readonly gone = new Map<string, Gone>();
-  private readonly duties = new Map<string, { readonly role: string; readonly weights: Map<string, string> }>();
+  private readonly duties = new Map<
+    string,
+    { readonly role: string; readonly weights: Map<string, string> }
+  >();
   private turns = 0;
   private leads: () => readonly string[] = () => [];
 
-  constructor(readonly self: Neighbour, private seeds: readonly string[], private readonly peers: Peers, private readonly clock: Clock, private readonly random: Random, private readonly every = EVERY) {}
+  constructor(
+    readonly self: Neighbour,
+    private seeds: readonly string[],
+    private readonly peers: Peers,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly every = EVERY,
+  ) {}
 
   serve(): void {
     this.peers.handle(Shuffle, ({ entries }) => {
       const [sender] = entries;
       const mine = this.sample();
-      const doubted = sender && (this.gone.get(sender.name)?.entry ?? this.entries.get(sender.name));
-      if (doubted?.suspect && doubted.incarnation === sender?.incarnation) mine.push({ ...doubted });
+      const doubted =
+        sender && (this.gone.get(sender.name)?.entry ?? this.entries.get(sender.name));
+      if (doubted?.suspect && doubted.incarnation === sender?.incarnation)
+        mine.push({ ...doubted });
       this.merge(entries);
       return Right({ entries: mine });
     });
     this.peers.handle(Ping, () => Right({ name: this.self.name }));
-    this.peers.handle(Probe, async ({ address }) => Right({ reached: (await this.peers.ask(address, Ping, { from: this.self.name }, PROBE_LIMIT)).isRight() }));
+    this.peers.handle(Probe, async ({ address }) =>
+      Right({
+        reached: (
+          await this.peers.ask(address, Ping, { from: this.self.name }, PROBE_LIMIT)
+        ).isRight(),
+      }),
+    );
   }
 
   async run(signal: AbortSignal): Promise<void> {
@@ -107,7 +149,9 @@
 
   /** The nodes of a role that were heard of lately and not taken for gone, this one included when it has the role. */
   live(role: string): Neighbour[] {
-    return [this.self, ...this.entries.values()].filter((entry) => entry.role === role && entry.age <= STALE);
+    return [this.self, ...this.entries.values()].filter(
+      (entry) => entry.role === role && entry.age <= STALE,
+    );
   }
 
   /** A neighbour did not answer in some other matter; the next turns see to it. */
@@ -124,18 +168,31 @@
     }
     for (const [name, since] of this.suspects) if (this.turns - since > SUSPECTED) this.bury(name);
     for (const [name, { turn }] of this.gone) if (this.turns - turn > GONE) this.gone.delete(name);
-    const known = new Set([this.self.address, ...[...this.entries.values()].map(({ address }) => address)]);
-    const missing = pick(this.random, this.leads().filter((address) => !known.has(address)));
+    const known = new Set([
+      this.self.address,
+      ...[...this.entries.values()].map(({ address }) => address),
+    ]);
+    const missing = pick(
+      this.random,
+      this.leads().filter((address) => !known.has(address)),
+    );
     if (missing) void this.swap(missing);
-    const oldest = [...this.entries.values()].reduce<Neighbour | undefined>((best, entry) => (!best || entry.age > best.age ? entry : best), undefined);
+    const oldest = [...this.entries.values()].reduce<Neighbour | undefined>(
+      (best, entry) => (!best || entry.age > best.age ? entry : best),
+      undefined,
+    );
     if (!oldest || this.entries.size < 3 || this.turns % 8 === 0) {
-      const seed = pick(this.random, this.seeds.filter((address) => address !== this.self.address));
+      const seed = pick(
+        this.random,
+        this.seeds.filter((address) => address !== this.self.address),
+      );
       if (seed) void this.swap(seed);
     }
     if (!oldest) return;
     const { name, incarnation } = oldest;
     oldest.age = Math.max(0, oldest.age - STALE);
-    if ((await this.swap(oldest.address)) || (await this.reachedByOthers(oldest))) return this.clear(name);
+    if ((await this.swap(oldest.address)) || (await this.reachedByOthers(oldest)))
+      return this.clear(name);
     const entry = this.entries.get(name);
     if (entry?.incarnation === incarnation) this.suspect(entry);
   }
@@ -147,8 +204,13 @@
   }
 
   private async reachedByOthers({ name, address }: Neighbour): Promise<boolean> {
-    const helpers = shuffled(this.random, [...this.entries.values()].filter((entry) => entry.name !== name && !entry.suspect)).slice(0, HELPERS);
-    const told = await Promise.all(helpers.map((helper) => this.peers.ask(helper.address, Probe, { address }, PROBE_LIMIT * 2)));
+    const helpers = shuffled(
+      this.random,
+      [...this.entries.values()].filter((entry) => entry.name !== name && !entry.suspect),
+    ).slice(0, HELPERS);
+    const told = await Promise.all(
+      helpers.map((helper) => this.peers.ask(helper.address, Probe, { address }, PROBE_LIMIT * 2)),
+    );
     return told.some((reply) => reply.map(({ reached }) => reached).orDefault(false));
   }
 
@@ -179,7 +241,12 @@
     const sound = [...this.entries.values()].filter(({ suspect }) => !suspect);
     const heads = this.heads;
     const others = shuffled(this.random, sound);
-    const ordered = this.full ? [...others.filter((entry) => heads.has(entry)), ...others.filter((entry) => !heads.has(entry))] : others;
+    const ordered = this.full
+      ? [
+          ...others.filter((entry) => heads.has(entry)),
+          ...others.filter((entry) => !heads.has(entry)),
+        ]
+      : others;
     return [{ ...this.self, age: 0 }, ...[...doubted, ...ordered].slice(0, SWAP - 1)];
   }
 
@@ -187,10 +254,15 @@
   private get heads(): Set<Neighbour> {
     const heads = new Set<Neighbour>();
     for (const [duty, { role, weights }] of this.duties) {
-      const live = [...this.entries.values()].filter((entry) => entry.role === role && entry.age <= STALE);
+      const live = [...this.entries.values()].filter(
+        (entry) => entry.role === role && entry.age <= STALE,
+      );
       if (weights.size > VIEW * 4) weights.clear();
       for (const { name } of live) if (!weights.has(name)) weights.set(name, weight(duty, name));
-      live.sort((a, b) => (weights.get(a.name)! < weights.get(b.name)! ? 1 : -1)).slice(0, HEADS).forEach((entry) => heads.add(entry));
+      live
+        .sort((a, b) => (weights.get(a.name)! < weights.get(b.name)! ? 1 : -1))
+        .slice(0, HEADS)
+        .forEach((entry) => heads.add(entry));
     }
     return heads;
   }
@@ -199,13 +271,20 @@
     for (const entry of entries.slice(0, SWAP + 1)) this.take(entry);
     if (this.entries.size <= VIEW) return;
     const heads = this.heads;
-    const rest = [...this.entries.values()].filter((entry) => !heads.has(entry)).sort((a, b) => b.age - a.age);
+    const rest = [...this.entries.values()]
+      .filter((entry) => !heads.has(entry))
+      .sort((a, b) => b.age - a.age);
     for (const { name } of rest.slice(0, this.entries.size - VIEW)) this.forget(name);
   }
 
   private take(entry: Neighbour): void {
     if (entry.name === this.self.name) {
-      if (entry.suspect && entry.incarnation === this.self.incarnation && entry.beat >= this.self.beat) this.self.beat = entry.beat + 1;
+      if (
+        entry.suspect &&
+        entry.incarnation === this.self.incarnation &&
+        entry.beat >= this.self.beat
+      )
+        this.self.beat = entry.beat + 1;
       return;
     }
     const buried = this.gone.get(entry.name)?.entry;
--- a/src/wire/call.ts
+++ b/src/wire/call.ts
@@ -19,7 +19,12 @@
 /** Every call that was defined, by its code, for those who count frames. */
 export const callNames = new Map<number, string>();
 
-export const call = <A, R>(code: number, name: string, ask: Field<A>, reply: Field<R>): Call<A, R> => {
+export const call = <A, R>(
+  code: number,
+  name: string,
+  ask: Field<A>,
+  reply: Field<R>,
+): Call<A, R> => {
   callNames.set(code, name);
   return { code, name, ask, reply };
 };
@@ -35,15 +40,27 @@
   body: Uint8Array;
 }
 
-const frameField = struct<Frame>({ magic: word, wire: byte, stage: byte, code: byte, number: word, body: blob });
+const frameField = struct<Frame>({
+  magic: word,
+  wire: byte,
+  stage: byte,
+  code: byte,
+  number: word,
+  body: blob,
+});
 
-export const encodeFrame = (stage: number, code: number, number: number, body: Uint8Array): Uint8Array =>
-  encode(frameField, { magic: MAGIC, wire: WIRE, stage, code, number, body });
+export const encodeFrame = (
+  stage: number,
+  code: number,
+  number: number,
+  body: Uint8Array,
+): Uint8Array => encode(frameField, { magic: MAGIC, wire: WIRE, stage, code, number, body });
 
 export const decodeFrame = (bytes: Uint8Array, peer: string): Outcome<Frame> =>
   decode(frameField, bytes, 'wire.frame', peer).chain((frame) => {
     if (frame.magic !== MAGIC) return failed('wire.frame', peer, 'not spoken by this program');
-    if (frame.wire !== WIRE) return failed('wire.frame', peer, `wire generation ${frame.wire}, expected ${WIRE}`);
+    if (frame.wire !== WIRE)
+      return failed('wire.frame', peer, `wire generation ${frame.wire}, expected ${WIRE}`);
     return Right(frame);
   });
 
--- a/src/wire/field.ts
+++ b/src/wire/field.ts
@@ -90,15 +90,22 @@
 export const text: Field<string> = new Text(r.uint16, 'utf8');
 export const blob = new r.Buffer(r.uint32);
 export const list = <T>(item: Field<T>): Field<T[]> => new List(item);
-export const struct = <T>(fields: { readonly [K in keyof T]: Field<T[K]> }): Field<T> => new Row<T>(fields);
+export const struct = <T>(fields: { readonly [K in keyof T]: Field<T[K]> }): Field<T> =>
+  new Row<T>(fields);
 
 export const encode = <T>(field: Field<T>, value: T): Uint8Array => field.toBuffer(value);
 
-export const decode = <T>(field: Field<T>, bytes: Uint8Array, step: string, peer: string): Outcome<T> => {
+export const decode = <T>(
+  field: Field<T>,
+  bytes: Uint8Array,
+  step: string,
+  peer: string,
+): Outcome<T> => {
   try {
     const stream = new r.DecodeStream(bytes);
     const value = field.decode(stream);
-    if (stream.pos !== bytes.length) return failed(step, peer, `a frame of ${bytes.length} bytes holds ${stream.pos}`);
+    if (stream.pos !== bytes.length)
+      return failed(step, peer, `a frame of ${bytes.length} bytes holds ${stream.pos}`);
     return Right(value);
   } catch (thrown) {
     return failed(step, peer, `not a frame of ours: ${reasonOf(thrown)}`);
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -9,7 +9,17 @@
 import { failed, reasonOf, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Channel, Listener, Net } from '../kernel/net/net.js';
-import { declineField, decodeFrame, encodeFrame, HELLO, helloField, Stage, type Call, type Frame, type Hello } from './call.js';
+import {
+  declineField,
+  decodeFrame,
+  encodeFrame,
+  HELLO,
+  helloField,
+  Stage,
+  type Call,
+  type Frame,
+  type Hello,
+} from './call.js';
 import { decode, encode } from './field.js';
 
 type Handler = (body: Uint8Array, peer: string) => Promise<Outcome<Uint8Array>>;
@@ -32,9 +42,17 @@
   private calls = 0;
   private closed = false;
 
-  constructor(private readonly net: Net, private readonly clock: Clock, private readonly log: Log, readonly self: Hello) {}
-
-  handle<A, R>(call: Call<A, R>, act: (ask: A, peer: string) => Promise<Outcome<R>> | Outcome<R>): void {
+  constructor(
+    private readonly net: Net,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    readonly self: Hello,
+  ) {}
+
+  handle<A, R>(
+    call: Call<A, R>,
+    act: (ask: A, peer: string) => Promise<Outcome<R>> | Outcome<R>,
+  ): void {
     this.handlers.set(call.code, async (body, peer) => {
       const ask = decode(call.ask, body, `${call.name}.ask`, peer);
       if (ask.isLeft()) return ask;
@@ -57,7 +75,8 @@
     if (!opened) return failed(`${call.name}.dial`, address, `no channel within ${limit} ms`);
     if (opened.isLeft()) return opened as Outcome<R>;
     const line = opened.extract() as Line;
-    if (line.waiting.size >= WAITING_BOUND) return failed(`${call.name}.send`, address, 'too many calls waiting');
+    if (line.waiting.size >= WAITING_BOUND)
+      return failed(`${call.name}.send`, address, 'too many calls waiting');
     const number = (this.calls = (this.calls + 1) % 0xffffffff);
     const arrival = new Promise<Frame | undefined>((resolve) => line.waiting.set(number, resolve));
     if (!line.channel.send(encodeFrame(Stage.ask, call.code, number, encode(call.ask, ask)))) {
@@ -65,12 +84,24 @@
       return failed(`${call.name}.send`, address, 'the channel is closed');
     }
     const stop = new AbortController();
-    const frame = await Promise.race([arrival, this.clock.sleep(Math.max(1, end - this.clock.now()), stop.signal).then(() => 'late' as const)]);
+    const frame = await Promise.race([
+      arrival,
+      this.clock
+        .sleep(Math.max(1, end - this.clock.now()), stop.signal)
+        .then(() => 'late' as const),
+    ]);
     stop.abort('over');
     line.waiting.delete(number);
     if (frame === 'late' && line.heard < end - limit) this.abandon(address, line, opened);
-    if (frame === 'late') return failed(`${call.name}.reply`, address, `no reply within ${limit} ms`, 'unknown');
-    if (!frame) return failed(`${call.name}.reply`, address, 'the channel closed before the reply', 'unknown');
+    if (frame === 'late')
+      return failed(`${call.name}.reply`, address, `no reply within ${limit} ms`, 'unknown');
+    if (!frame)
+      return failed(
+        `${call.name}.reply`,
+        address,
+        'the channel closed before the reply',
+        'unknown',
+      );
     if (frame.stage === Stage.decline) {
       const decline = decode(declineField, frame.body, `${call.name}.decline`, address);
       return decline.chain(({ reason }) => failed(call.name, address, reason));
@@ -82,13 +113,17 @@
     this.closed = true;
     this.listener?.close();
     for (const channel of this.accepted) channel.close();
-    for (const line of this.lines.values()) void line.then((opened) => opened.ifRight(({ channel }) => channel.close()));
+    for (const line of this.lines.values())
+      void line.then((opened) => opened.ifRight(({ channel }) => channel.close()));
     this.lines.clear();
   }
 
   /** Nothing at all came back for a whole limit: the other end may be gone without a word, so the next ask dials anew. */
   private abandon(address: string, line: Line, opened: Outcome<Line>): void {
-    this.log('channel-closed', [['peer', address], ['reason', 'silent for a whole limit']]);
+    this.log('channel-closed', [
+      ['peer', address],
+      ['reason', 'silent for a whole limit'],
+    ]);
     line.channel.close();
     const known = this.lines.get(address);
     void known?.then((current) => {
@@ -114,8 +149,16 @@
     const channel = dialled.extract() as Channel;
     channel.send(encodeFrame(Stage.ask, HELLO, 0, encode(helloField, this.self)));
     const bytes = await within(this.clock, limit, channel.receive());
-    const hello = bytes ? decodeFrame(bytes, address).chain((frame) => decode(helloField, frame.body, 'wire.hello', address)) : failed<Hello>('wire.hello', address, 'no hello came back');
-    const sound = hello.chain((they) => (they.fleet === this.self.fleet ? Right(they) : failed<Hello>('wire.hello', address, `belongs to fleet ${they.fleet}`)));
+    const hello = bytes
+      ? decodeFrame(bytes, address).chain((frame) =>
+          decode(helloField, frame.body, 'wire.hello', address),
+        )
+      : failed<Hello>('wire.hello', address, 'no hello came back');
+    const sound = hello.chain((they) =>
+      they.fleet === this.self.fleet
+        ? Right(they)
+        : failed<Hello>('wire.hello', address, `belongs to fleet ${they.fleet}`),
+    );
     if (sound.isLeft()) {
       channel.close();
       return sound;
@@ -129,7 +172,10 @@
     for (let bytes = await line.channel.receive(); bytes; bytes = await line.channel.receive()) {
       const frame = decodeFrame(bytes, address);
       if (frame.isLeft()) {
-        this.log('channel-closed', [['peer', address], ['reason', frame.extract().reason]]);
+        this.log('channel-closed', [
+          ['peer', address],
+          ['reason', frame.extract().reason],
+        ]);
         break;
       }
       const reply = frame.extract() as Frame;
@@ -145,7 +191,11 @@
   private async answer(channel: Channel): Promise<void> {
     this.accepted.add(channel);
     const reason = await this.converse(channel);
-    if (reason) this.log('channel-closed', [['peer', channel.peer], ['reason', reason]]);
+    if (reason)
+      this.log('channel-closed', [
+        ['peer', channel.peer],
+        ['reason', reason],
+      ]);
     channel.close();
     this.accepted.delete(channel);
   }
@@ -153,7 +203,11 @@
   private async converse(channel: Channel): Promise<string | undefined> {
     const first = await within(this.clock, HELLO_LIMIT, channel.receive());
     if (!first) return 'no hello';
-    const hello = decodeFrame(first, channel.peer).chain((frame) => (frame.code === HELLO ? decode(helloField, frame.body, 'wire.hello', channel.peer) : failed<Hello>('wire.hello', channel.peer, 'spoke before its hello')));
+    const hello = decodeFrame(first, channel.peer).chain((frame) =>
+      frame.code === HELLO
+        ? decode(helloField, frame.body, 'wire.hello', channel.peer)
+        : failed<Hello>('wire.hello', channel.peer, 'spoke before its hello'),
+    );
     if (hello.isLeft()) return hello.extract().reason;
     const they = hello.extract() as Hello;
     channel.send(encodeFrame(Stage.reply, HELLO, 0, encode(helloField, this.self)));
@@ -170,11 +224,26 @@
     return undefined;
   }
 
-  private async respond(channel: Channel, frame: Frame, handler: Handler, peer: string): Promise<void> {
-    const reply = await handler(frame.body, peer).catch((thrown: unknown) => failed<Uint8Array>('wire.handler', peer, reasonOf(thrown)));
+  private async respond(
+    channel: Channel,
+    frame: Frame,
+    handler: Handler,
+    peer: string,
+  ): Promise<void> {
+    const reply = await handler(frame.body, peer).catch((thrown: unknown) =>
+      failed<Uint8Array>('wire.handler', peer, reasonOf(thrown)),
+    );
     reply.caseOf({
       Right: (body) => channel.send(encodeFrame(Stage.reply, frame.code, frame.number, body)),
-      Left: ({ step, reason }) => channel.send(encodeFrame(Stage.decline, frame.code, frame.number, encode(declineField, { reason: `${step}: ${reason}`.slice(0, 2000) }))),
+      Left: ({ step, reason }) =>
+        channel.send(
+          encodeFrame(
+            Stage.decline,
+            frame.code,
+            frame.number,
+            encode(declineField, { reason: `${step}: ${reason}`.slice(0, 2000) }),
+          ),
+        ),
     });
   }
 }
--- a/src/wire/traffic.ts
+++ b/src/wire/traffic.ts
@@ -46,7 +46,11 @@
 }
 
 class CountedChannel implements Channel {
-  constructor(private readonly inner: Channel, private readonly traffic: Traffic, private readonly kind: string) {}
+  constructor(
+    private readonly inner: Channel,
+    private readonly traffic: Traffic,
+    private readonly kind: string,
+  ) {}
 
   get peer(): string {
     return this.inner.peer;
@@ -71,7 +75,11 @@
 
 export class CountedNet implements Net {
   /** `kindOf` tells what an address or the name of a channel's other end stands for. */
-  constructor(private readonly inner: Net, private readonly traffic: Traffic, private readonly kindOf: (peer: string) => string = () => 'node') {}
+  constructor(
+    private readonly inner: Net,
+    private readonly traffic: Traffic,
+    private readonly kindOf: (peer: string) => string = () => 'node',
+  ) {}
 
   listen(address: string, accept: (channel: Channel) => void): Promise<Outcome<Listener>> {
     return this.inner.listen(address, (channel) => accept(this.counted(channel)));
--- a/test/checker/channel.test.ts
+++ b/test/checker/channel.test.ts
@@ -9,8 +9,24 @@
 
 const open = (world: World, name: string, address: string): { host: Host; peers: Peers } => {
   const host = new Host(world, name, address);
-  const peers = new Peers(host.net, host.clock, silentLog, { fleet: 'f', name, incarnation: host.random.identity() });
-  peers.handle(State, () => Right({ member: name, formed: false, voting: false, reason: '', accepted: FIRST, generation: 0, settled: 0, core: '', whole: '' }));
+  const peers = new Peers(host.net, host.clock, silentLog, {
+    fleet: 'f',
+    name,
+    incarnation: host.random.identity(),
+  });
+  peers.handle(State, () =>
+    Right({
+      member: name,
+      formed: false,
+      voting: false,
+      reason: '',
+      accepted: FIRST,
+      generation: 0,
+      settled: 0,
+      core: '',
+      whole: '',
+    }),
+  );
   void peers.serve(address);
   return { host, peers };
 };
@@ -19,7 +35,8 @@
   const world = new World(1);
   const { peers } = open(world, 'a', '127.0.0.1:1');
   const first = open(world, 'b', '127.0.0.1:2');
-  const ask = async (): Promise<boolean> => (await world.until(peers.ask('127.0.0.1:2', State, { from: 'a' }, 500))).isRight();
+  const ask = async (): Promise<boolean> =>
+    (await world.until(peers.ask('127.0.0.1:2', State, { from: 'a' }, 500))).isRight();
   expect(await ask()).toBe(true);
   world.part(['a'], ['b']);
   first.host.kill();
--- a/test/checker/configure.test.ts
+++ b/test/checker/configure.test.ts
@@ -15,7 +15,13 @@
 const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const watched = new Set([Prepare.code, Accept.code, Settled.code]);
 const site = { fleet: 'f', seeds: addresses, over: { form: true } };
-const version = (number: number): Configuration => ({ version: number, routes: [{ name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' }], services: [{ name: 's' }] });
+const version = (number: number): Configuration => ({
+  version: number,
+  routes: [
+    { name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' },
+  ],
+  services: [{ name: 's' }],
+});
 
 interface Power {
   readonly member: number;
@@ -40,13 +46,17 @@
   }
 
   async formed(): Promise<void> {
-    expect(await this.world.run(10_000, () => this.cores.every(({ inForce }) => inForce.generation > 0))).toBe(true);
+    expect(
+      await this.world.run(10_000, () => this.cores.every(({ inForce }) => inForce.generation > 0)),
+    ).toBe(true);
   }
 
   /** Sends a version again, to one node after the other, until it has a clear answer. */
   async settle(number: number, expects: number): Promise<ConfigureReply['outcome']> {
     for (let at = 0; ; at++) {
-      const { outcome } = await this.world.until(this.cores[at % 3]!.configurator.replace(version(number), expects, 8000));
+      const { outcome } = await this.world.until(
+        this.cores[at % 3]!.configurator.replace(version(number), expects, 8000),
+      );
       if (outcome !== 'unknown') return outcome;
     }
   }
@@ -73,7 +83,12 @@
     return script.get(choices++) ?? 'pass';
   };
   const answers: Array<ConfigureReply | undefined> = [undefined, undefined];
-  [3, 5].forEach((number, at) => void cores[at]!.configurator.replace(version(number), 0, 4000).then((reply) => (answers[at] = reply)));
+  [3, 5].forEach(
+    (number, at) =>
+      void cores[at]!.configurator.replace(version(number), 0, 4000).then(
+        (reply) => (answers[at] = reply),
+      ),
+  );
   await world.run(world.now + 6000);
   const made = choices;
   world.net.mishap = () => 'pass';
@@ -99,7 +114,14 @@
 
 test('and when power goes at any sync, before it or right after', async () => {
   for (let member = 0; member < 3; member++)
-    for (let write = 1; write <= 5; write++) for (const moment of ['before', 'after'] as const) for (const lost of [undefined, 5, 14]) await run(lost === undefined ? new Map() : new Map([[lost, 'drop']]), { member, write, moment });
+    for (let write = 1; write <= 5; write++)
+      for (const moment of ['before', 'after'] as const)
+        for (const lost of [undefined, 5, 14])
+          await run(lost === undefined ? new Map() : new Map([[lost, 'drop']]), {
+            member,
+            write,
+            moment,
+          });
 });
 
 test('what was acknowledged is read back from every node after all are killed, and after one disk is lost with it', async () => {
@@ -107,8 +129,20 @@
     const fleet = new Fleet();
     const { world, cores, disks } = fleet;
     await fleet.formed();
-    expect((await world.until(cores[0]!.configurator.replace(version(4), 0, 4000))).outcome).toBe('accepted');
-    expect((await world.until(cores[2]!.configurator.patch({ version: 6, set: { services: [{ name: 't' }] }, remove: {} }, 4, 4000))).outcome).toBe('accepted');
+    expect((await world.until(cores[0]!.configurator.replace(version(4), 0, 4000))).outcome).toBe(
+      'accepted',
+    );
+    expect(
+      (
+        await world.until(
+          cores[2]!.configurator.patch(
+            { version: 6, set: { services: [{ name: 't' }] }, remove: {} },
+            4,
+            4000,
+          ),
+        )
+      ).outcome,
+    ).toBe('accepted');
     cores.forEach(({ host }) => host.kill());
     if (lost !== undefined) disks[lost]!.lose();
     for (const at of [0, 1, 2]) cores[at] = fleet.start(at);
@@ -125,11 +159,22 @@
   await fleet.formed();
   cores[1]!.host.kill();
   cores[2]!.host.freeze();
-  const refused = await world.until(cores[0]!.configurator.replace({ ...version(4), services: [] }, 0, 3000));
-  expect(refused).toMatchObject({ outcome: 'invalid', version: 0, reason: 'route a: service names s, which is no service' });
-  expect((await world.until(cores[0]!.configurator.replace({ ...version(4), services: [] }, 2, 3000))).outcome).toBe('conflict');
+  const refused = await world.until(
+    cores[0]!.configurator.replace({ ...version(4), services: [] }, 0, 3000),
+  );
+  expect(refused).toMatchObject({
+    outcome: 'invalid',
+    version: 0,
+    reason: 'route a: service names s, which is no service',
+  });
+  expect(
+    (await world.until(cores[0]!.configurator.replace({ ...version(4), services: [] }, 2, 3000)))
+      .outcome,
+  ).toBe('conflict');
   const before = world.now;
-  expect((await world.until(cores[0]!.configurator.replace(version(4), 0, 3000))).outcome).toBe('unknown');
+  expect((await world.until(cores[0]!.configurator.replace(version(4), 0, 3000))).outcome).toBe(
+    'unknown',
+  );
   expect(world.now - before).toBeLessThanOrEqual(3010);
   expect((await world.until(cores[0]!.configurator.read(1500))).isLeft()).toBe(true);
   cores[2]!.host.thaw();
--- a/test/checker/coreset.test.ts
+++ b/test/checker/coreset.test.ts
@@ -22,7 +22,10 @@
   private changes = 0;
   private claims = 0;
 
-  constructor(seed: number, private readonly replaceAfter = 0) {
+  constructor(
+    seed: number,
+    private readonly replaceAfter = 0,
+  ) {
     this.world = new World(seed);
     for (const at of [1, 2, 3]) this.start(at);
     this.client = simBase(this.world, 'client', '127.0.0.1:90', 'z', 'router', site);
@@ -31,7 +34,10 @@
   start(at: number): SimCore {
     const disk = this.disks.get(at) ?? new SimDisk(this.world);
     this.disks.set(at, disk);
-    const core = simCore(this.world, `core-${at}`, `127.0.0.1:${at}`, 'z', disk, { ...site, over: { form: true, core: { replaceAfter: this.replaceAfter } } });
+    const core = simCore(this.world, `core-${at}`, `127.0.0.1:${at}`, 'z', disk, {
+      ...site,
+      over: { form: true, core: { replaceAfter: this.replaceAfter } },
+    });
     this.cores.set(at, core);
     void core.node.start();
     return core;
@@ -42,7 +48,12 @@
   }
 
   async claim(): Promise<string> {
-    const change: Change = { id: `c${++this.changes}`, firm: 's', who: 'o', act: { kind: 'claim', name: 'n', duration: 1, expects: this.claims, takeover: false } };
+    const change: Change = {
+      id: `c${++this.changes}`,
+      firm: 's',
+      who: 'o',
+      act: { kind: 'claim', name: 'n', duration: 1, expects: this.claims, takeover: false },
+    };
     const told = await this.world.until(this.client.proposer.propose(change, 15_000));
     if (told.map(({ kind }) => kind === 'applied').orDefault(false)) this.claims += 1;
     return told.map(({ kind }) => kind as string).orDefault('fault');
@@ -50,13 +61,31 @@
 
   async seat(via: number, address: string): Promise<Schemas['ChangedReply']> {
     const { operations, roster } = this.at(via);
-    return (await this.world.until(operations.seat(operator, { change: `c${++this.changes}`, address, expects: roster.core.number, wait: 15_000 }))).unsafeCoerce();
+    return (
+      await this.world.until(
+        operations.seat(operator, {
+          change: `c${++this.changes}`,
+          address,
+          expects: roster.core.number,
+          wait: 15_000,
+        }),
+      )
+    ).unsafeCoerce();
   }
 
   async unseat(via: number, number: number): Promise<Schemas['ChangedReply']> {
     const { operations, roster } = this.at(via);
     const { id } = roster.core.members.find(({ address }) => address === `127.0.0.1:${number}`)!;
-    return (await this.world.until(operations.unseat(operator, { change: `c${++this.changes}`, id, expects: roster.core.number, wait: 15_000 }))).unsafeCoerce();
+    return (
+      await this.world.until(
+        operations.unseat(operator, {
+          change: `c${++this.changes}`,
+          id,
+          expects: roster.core.number,
+          wait: 15_000,
+        }),
+      )
+    ).unsafeCoerce();
   }
 
   get claimed(): number {
@@ -105,11 +134,15 @@
   expect((await core.world.until(router.proposer.read(4000))).isLeft()).toBe(true);
   core.start(1);
   await core.world.run(core.world.now + 3000);
-  expect((await core.world.until(router.proposer.read(10_000))).map(({ claims }) => claims.get('n')!.renewal).extract()).toBe(core.claimed);
+  expect(
+    (await core.world.until(router.proposer.read(10_000)))
+      .map(({ claims }) => claims.get('n')!.renewal)
+      .extract(),
+  ).toBe(core.claimed);
   expect(router.roster.addresses).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:4']);
 });
 
-test('a member silent for the param\'s time is replaced by a newcomer by itself, at a new address or on a lost disk; without a newcomer nothing changes', async () => {
+test("a member silent for the param's time is replaced by a newcomer by itself, at a new address or on a lost disk; without a newcomer nothing changes", async () => {
   const core = new Core(4, 3000);
   await core.world.run(3000);
   await core.claim();
@@ -118,7 +151,10 @@
   expect(core.at(1).roster.core.number).toBe(1);
   core.start(4);
   await core.world.run(core.world.now + 8000);
-  expect(core.at(1).roster.core).toMatchObject({ number: 3, members: [{ address: '127.0.0.1:1' }, { address: '127.0.0.1:2' }, { address: '127.0.0.1:4' }] });
+  expect(core.at(1).roster.core).toMatchObject({
+    number: 3,
+    members: [{ address: '127.0.0.1:1' }, { address: '127.0.0.1:2' }, { address: '127.0.0.1:4' }],
+  });
   core.at(2).host.kill();
   core.disks.get(2)!.lose();
   core.start(2);
@@ -139,17 +175,34 @@
   core.start(3);
   core.world.at(2500, () => core.at(2).host.thaw());
   await core.world.run(core.world.now + 20_000);
-  expect(core.at(1).roster.core.members.map(({ address }) => address).sort()).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']);
+  expect(
+    core
+      .at(1)
+      .roster.core.members.map(({ address }) => address)
+      .sort(),
+  ).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']);
   expect([1, 2, 3].map((at) => core.at(at).member.state().voting)).toEqual([true, true, true]);
   core.at(2).host.kill();
   core.at(3).host.kill();
   await core.world.run(core.world.now + 500);
   const { id } = core.at(1).roster.core.members.find(({ address }) => address === '127.0.0.1:2')!;
-  const told = await core.world.until(core.at(1).operations.unseat(operator, { change: 'x', id, expects: core.at(1).roster.core.number, wait: 3000 }));
-  expect(told.swap().map(({ step }) => step).extract()).toBe('core.unseat');
+  const told = await core.world.until(
+    core.at(1).operations.unseat(operator, {
+      change: 'x',
+      id,
+      expects: core.at(1).roster.core.number,
+      wait: 3000,
+    }),
+  );
+  expect(
+    told
+      .swap()
+      .map(({ step }) => step)
+      .extract(),
+  ).toBe('core.unseat');
 });
 
-test('a sleeping member keeps its seat while another member\'s disk is lost for good, whenever that happens', async () => {
+test("a sleeping member keeps its seat while another member's disk is lost for good, whenever that happens", async () => {
   for (let lost = 400; lost <= 4000; lost += 300) {
     const core = new Core(8, 3000);
     await core.world.run(3000);
@@ -162,7 +215,10 @@
     });
     core.world.at(lost + 1100, () => core.start(2));
     await core.world.run(core.world.now + 25_000);
-    expect({ lost, voting: [1, 2, 3].map((at) => core.at(at).member.state().voting) }).toEqual({ lost, voting: [true, true, true] });
+    expect({ lost, voting: [1, 2, 3].map((at) => core.at(at).member.state().voting) }).toEqual({
+      lost,
+      voting: [true, true, true],
+    });
     expect(await core.claim()).toBe('applied');
   }
 });
@@ -172,7 +228,9 @@
   await core.world.run(3000);
   core.at(3).host.kill();
   core.start(4);
-  expect(await core.world.run(core.world.now + 9000, () => core.at(1).roster.core.number === 2)).toBe(true);
+  expect(
+    await core.world.run(core.world.now + 9000, () => core.at(1).roster.core.number === 2),
+  ).toBe(true);
   core.at(2).host.kill();
   await core.world.run(core.world.now + 12_000);
   core.start(2);
--- a/test/checker/delta.test.ts
+++ b/test/checker/delta.test.ts
@@ -7,11 +7,28 @@
 import { applyChanges } from '../../src/register/change.js';
 import { applyDelta, deltaOf } from '../../src/register/delta.js';
 import { Feed } from '../../src/register/calls.js';
-import { decodeDocument, digestOf, encodeDocument, genesis, type Act, type Document } from '../../src/register/document.js';
+import {
+  decodeDocument,
+  digestOf,
+  encodeDocument,
+  genesis,
+  type Act,
+  type Document,
+} from '../../src/register/document.js';
 import { configurationOf, patchOf } from '../../src/fleet/slopes/items.js';
 import { ControlPlane } from '../../src/fleet/slopes/plane.js';
 
-const doorway = (name: string, total: number) => ({ name, firm: 'f', match: { tag: name }, engines: [], repeatable: true, resume: false, limits: { firstToken: 100, total }, line: 10, share: 10 });
+const doorway = (name: string, total: number) => ({
+  name,
+  firm: 'f',
+  match: { tag: name },
+  engines: [],
+  repeatable: true,
+  resume: false,
+  limits: { firstToken: 100, total },
+  line: 10,
+  share: 10,
+});
 
 const someAct = (random: Random, document: Document): Act => {
   const version = document.configuration?.version ?? 0;
@@ -21,13 +38,36 @@
   const acts: Act[] = [
     { kind: 'set', doorway: doorway(name, 200 + Math.floor(random.fraction() * 100)), expects },
     { kind: 'remove', name, expects },
-    { kind: 'enrol', name, enrolled: { address: '127.0.0.1:1', zone: 'z', law: '' }, expects: document.enrolledAt },
+    {
+      kind: 'enrol',
+      name,
+      enrolled: { address: '127.0.0.1:1', zone: 'z', law: '' },
+      expects: document.enrolledAt,
+    },
     { kind: 'retire', name, expects: document.enrolledAt },
-    { kind: 'configure', version: version + 1 + Math.floor(random.fraction() * 3), expects: version, digest: String(random.fraction()), whole: configurationOf(1 + Math.floor(random.fraction() * 9), 1) },
+    {
+      kind: 'configure',
+      version: version + 1 + Math.floor(random.fraction() * 3),
+      expects: version,
+      digest: String(random.fraction()),
+      whole: configurationOf(1 + Math.floor(random.fraction() * 9), 1),
+    },
   ];
   if (routes.length > 1) {
-    acts.push({ kind: 'configure', version: version + 1, expects: version, digest: String(random.fraction()), patch: { ...patchOf(Math.floor(random.fraction() * 12), version + 1), version: version + 1 } });
-    acts.push({ kind: 'configure', version: version + 2, expects: version, digest: String(random.fraction()), patch: { version: version + 2, set: {}, remove: { routes: [pick(random, routes)!.name] } } });
+    acts.push({
+      kind: 'configure',
+      version: version + 1,
+      expects: version,
+      digest: String(random.fraction()),
+      patch: { ...patchOf(Math.floor(random.fraction() * 12), version + 1), version: version + 1 },
+    });
+    acts.push({
+      kind: 'configure',
+      version: version + 2,
+      expects: version,
+      digest: String(random.fraction()),
+      patch: { version: version + 2, set: {}, remove: { routes: [pick(random, routes)!.name] } },
+    });
   }
   return pick(random, acts)!;
 };
@@ -39,16 +79,29 @@
     const random = new SeededRandom(seed);
     let document = genesis('f', []);
     for (let step = 0; step < 60; step++) {
-      const changes = Array.from({ length: 1 + Math.floor(random.fraction() * 3) }, (_, at) => ({ id: `${seed}-${step}-${at}`, firm: 'f', who: 'w', act: someAct(random, document) }));
+      const changes = Array.from({ length: 1 + Math.floor(random.fraction() * 3) }, (_, at) => ({
+        id: `${seed}-${step}-${at}`,
+        firm: 'f',
+        who: 'w',
+        act: someAct(random, document),
+      }));
       const { document: next } = applyChanges(document, changes);
       if (next.generation === document.generation) continue;
       const bytes = encodeDocument(next);
       const read = decodeDocument(bytes, 'p').unsafeCoerce();
-      const delta = deltaOf(decodeDocument(encodeDocument(document), 'p').unsafeCoerce(), read, digestOf(bytes));
+      const delta = deltaOf(
+        decodeDocument(encodeDocument(document), 'p').unsafeCoerce(),
+        read,
+        digestOf(bytes),
+      );
       all += 1;
       if (delta) {
         made += 1;
-        expect(Buffer.from(applyDelta(document, delta, digestOf(bytes), 'p').unsafeCoerce().bytes).equals(Buffer.from(bytes))).toBe(true);
+        expect(
+          Buffer.from(
+            applyDelta(document, delta, digestOf(bytes), 'p').unsafeCoerce().bytes,
+          ).equals(Buffer.from(bytes)),
+        ).toBe(true);
         expect(applyDelta(next, delta, digestOf(`${seed}`), 'p').isLeft()).toBe(true);
       }
       document = next;
@@ -59,30 +112,51 @@
 });
 
 test('bytes that are no delta are not taken', () => {
-  for (const text of ['', '{', '[]', '{"head":{}}', 'null']) expect(applyDelta(genesis('f', []), Buffer.from(text), 'x', 'p').isLeft()).toBe(true);
+  for (const text of ['', '{', '[]', '{"head":{}}', 'null'])
+    expect(applyDelta(genesis('f', []), Buffer.from(text), 'x', 'p').isLeft()).toBe(true);
 });
 
 test('followers of a large configuration are sent what changed, and all come to the same document', async () => {
-  const plane = new ControlPlane({ cores: 3, routers: 6, engines: 1, items: 0, seed: 3, over: { lease: { lapse: 'serve' }, claims: { enabled: false } } });
+  const plane = new ControlPlane({
+    cores: 3,
+    routers: 6,
+    engines: 1,
+    items: 0,
+    seed: 3,
+    over: { lease: { lapse: 'serve' }, claims: { enabled: false } },
+  });
   expect(await plane.start()).toBe(true);
   expect(await plane.configure(configurationOf(1500, 1), 0)).toBe(true);
   await plane.inForce(1);
   const rates = await plane.during(async () => {
-    for (let version = 1; version <= 5; version++) expect((await plane.change(patchOf(version, version + 1), version)).everywhere).toBeLessThan(1000);
+    for (let version = 1; version <= 5; version++)
+      expect((await plane.change(patchOf(version, version + 1), version)).everywhere).toBeLessThan(
+        1000,
+      );
   });
   const whole = plane.cores[0]!.inForce.whole!;
-  const digests = new Set(plane.routers.map(({ inForce }) => digestOf(encodeDocument(inForce.whole!))));
+  const digests = new Set(
+    plane.routers.map(({ inForce }) => digestOf(encodeDocument(inForce.whole!))),
+  );
   expect([...digests]).toEqual([digestOf(encodeDocument(whole))]);
-  const fed = rates.router.byCall.filter(({ call, way, peer }) => call === 'register.feed' && way === 'received' && peer === 'core');
+  const fed = rates.router.byCall.filter(
+    ({ call, way, peer }) => call === 'register.feed' && way === 'received' && peer === 'core',
+  );
   const seconds = fed.reduce((sum, { messages }) => sum + messages.median, 0);
   expect(seconds).toBeGreaterThan(0);
-  expect(fed.reduce((sum, { bytes }) => sum + bytes.most, 0) / seconds).toBeLessThan(encodeDocument(whole).length / 50);
+  expect(fed.reduce((sum, { bytes }) => sum + bytes.most, 0) / seconds).toBeLessThan(
+    encodeDocument(whole).length / 50,
+  );
 
   const [router] = plane.routers;
   const [core] = plane.cores;
   const from = whole.generation - 1;
-  const asked = await plane.world.until(router!.peers.ask(core!.params.listen.peers, Feed, { from, wait: 0 }, 1000));
+  const asked = await plane.world.until(
+    router!.peers.ask(core!.params.listen.peers, Feed, { from, wait: 0 }, 1000),
+  );
   expect(asked.unsafeCoerce().items.map(({ base }) => base)).toEqual([0]);
-  const taken = await plane.world.until(router!.peers.ask(core!.params.listen.peers, Feed, { from, wait: 0, deltas: true }, 1000));
+  const taken = await plane.world.until(
+    router!.peers.ask(core!.params.listen.peers, Feed, { from, wait: 0, deltas: true }, 1000),
+  );
   expect(taken.unsafeCoerce().items.map(({ base }) => base)).toEqual([from]);
 });
--- a/test/checker/disk.test.ts
+++ b/test/checker/disk.test.ts
@@ -15,7 +15,22 @@
 import { SimDisk, World } from '../../src/sim/world.js';
 
 const seeds = [1, 2, 3].map((at) => `127.0.0.1:${at}`);
-const version = (number: number, routes = 1): Configuration => ({ version: number, routes: Array.from({ length: routes }, (_, at) => ({ name: `r${at}`, host: 'h', prefix: `/${at}/`, kind: 'idempotent', timeout: number, service: 's' }) as const), services: [{ name: 's' }] });
+const version = (number: number, routes = 1): Configuration => ({
+  version: number,
+  routes: Array.from(
+    { length: routes },
+    (_, at) =>
+      ({
+        name: `r${at}`,
+        host: 'h',
+        prefix: `/${at}/`,
+        kind: 'idempotent',
+        timeout: number,
+        service: 's',
+      }) as const,
+  ),
+  services: [{ name: 's' }],
+});
 
 class Core {
   readonly world: World;
@@ -24,7 +39,10 @@
   readonly client: SimBase;
   version = 0;
 
-  constructor(seed: number, private readonly core: object = {}) {
+  constructor(
+    seed: number,
+    private readonly core: object = {},
+  ) {
     this.world = new World(seed);
     this.disks = seeds.map(() => new SimDisk(this.world));
     this.cores = seeds.map((_, at) => this.start(at));
@@ -32,7 +50,17 @@
   }
 
   get site(): { fleet: string; seeds: string[]; over: object } {
-    return { fleet: 'f', seeds, over: { form: true, lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 }, feed: { wait: 500 }, claims: { enabled: false }, core: { replaceAfter: 1000, wanted: 3, ...this.core } } };
+    return {
+      fleet: 'f',
+      seeds,
+      over: {
+        form: true,
+        lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 },
+        feed: { wait: 500 },
+        claims: { enabled: false },
+        core: { replaceAfter: 1000, wanted: 3, ...this.core },
+      },
+    };
   }
 
   start(at: number): SimCore {
@@ -44,7 +72,11 @@
   async change(routes = 1): Promise<number> {
     const before = this.world.now;
     const next = this.version + 1;
-    expect(await this.world.until(this.client.configurator.replace(version(next, routes), this.version, 4000))).toMatchObject({ outcome: 'accepted' });
+    expect(
+      await this.world.until(
+        this.client.configurator.replace(version(next, routes), this.version, 4000),
+      ),
+    ).toMatchObject({ outcome: 'accepted' });
     this.version = next;
     return this.world.now - before;
   }
@@ -55,11 +87,18 @@
   }
 
   async votes(at: number, limit = 2500): Promise<boolean> {
-    return this.world.run(this.world.now + limit, () => this.cores[at]!.member.state().voting && this.cores[at]!.member.newest?.configuration?.version === this.version);
+    return this.world.run(
+      this.world.now + limit,
+      () =>
+        this.cores[at]!.member.state().voting &&
+        this.cores[at]!.member.newest?.configuration?.version === this.version,
+    );
   }
 
   files(at: number): string[] {
-    return [...this.disks[at]!.files.keys()].filter((path) => path.startsWith('generations/')).sort();
+    return [...this.disks[at]!.files.keys()]
+      .filter((path) => path.startsWith('generations/'))
+      .sort();
   }
 }
 
@@ -91,7 +130,11 @@
       core.disks[hit]!.stalled = true;
       const began = core.world.now;
       expect(await core.change()).toBeLessThan(1500);
-      for (const ask of [core.client.peers.ask(seeds[hit]!, State, { from: 'x' }, 100), core.client.peers.ask(seeds[hit]!, Feed, { from: 0, wait: 0 }, 100)]) expect((await core.world.until<{ isRight(): boolean }>(ask)).isRight()).toBe(true);
+      for (const ask of [
+        core.client.peers.ask(seeds[hit]!, State, { from: 'x' }, 100),
+        core.client.peers.ask(seeds[hit]!, Feed, { from: 0, wait: 0 }, 100),
+      ])
+        expect((await core.world.until<{ isRight(): boolean }>(ask)).isRight()).toBe(true);
       await core.change();
       await core.world.run(began + lasts);
       core.disks[hit]!.stalled = false;
@@ -100,7 +143,11 @@
       await core.change();
       core.cores[hit]!.host.kill();
       core.cores[hit] = core.start(hit);
-      expect((await core.world.until(core.client.configurator.read(4000))).map((configuration) => configuration?.version).extract()).toBe(core.version);
+      expect(
+        (await core.world.until(core.client.configurator.read(4000)))
+          .map((configuration) => configuration?.version)
+          .extract(),
+      ).toBe(core.version);
       await core.change();
     }
 });
@@ -124,7 +171,12 @@
   for (const disk of core.disks) disk.full = true;
   const told = await core.world.until(core.client.configurator.replace(version(2), 1, 2000));
   expect(told.outcome).toBe('unknown');
-  for (const { configurator } of core.cores) expect((await core.world.until(configurator.read(1000))).map((configuration) => configuration?.version).extract()).toBe(1);
+  for (const { configurator } of core.cores)
+    expect(
+      (await core.world.until(configurator.read(1000)))
+        .map((configuration) => configuration?.version)
+        .extract(),
+    ).toBe(1);
   for (const disk of core.disks) disk.full = false;
   await core.world.run(core.world.now + 1500);
   await core.change();
@@ -143,13 +195,19 @@
 });
 
 test('old generations go, by count and by bytes; histories stay whole, and a newcomer joins', async () => {
-  for (const [keep, most] of [[{ keep: 5 }, 6], [{ keepBytes: 200_000 }, 6]] as const) {
+  for (const [keep, most] of [
+    [{ keep: 5 }, 6],
+    [{ keepBytes: 200_000 }, 6],
+  ] as const) {
     const core = new Core(11, keep);
     await core.formed();
     for (let at = 0; at < 30; at++) await core.change(350);
     await core.world.run(core.world.now + 6000);
     for (const at of [0, 1, 2]) expect(core.files(at).length).toBeLessThanOrEqual(most);
-    for (const at of [0, 1, 2]) expect([...core.disks[at]!.files.values()].reduce((sum, { length }) => sum + length, 0)).toBeLessThan(300_000);
+    for (const at of [0, 1, 2])
+      expect(
+        [...core.disks[at]!.files.values()].reduce((sum, { length }) => sum + length, 0),
+      ).toBeLessThan(300_000);
     const wholes = core.cores.map(({ member }) => member.wholeDigest);
     expect(wholes[0]).not.toBe('');
     expect(new Set(wholes).size).toBe(1);
@@ -164,7 +222,11 @@
     expect(new Set(core.cores.map(({ member }) => member.wholeDigest)).size).toBe(1);
     const [newest] = core.files(1).slice(-1);
     const bytes = Buffer.from(core.disks[1]!.files.get(newest!)!);
-    expect(decodeDocument(bytes.subarray(bytes.indexOf(10) + 1), 'disk').map(({ configuration }) => configuration?.version).extract()).toBe(core.version);
+    expect(
+      decodeDocument(bytes.subarray(bytes.indexOf(10) + 1), 'disk')
+        .map(({ configuration }) => configuration?.version)
+        .extract(),
+    ).toBe(core.version);
   }
 });
 
--- a/test/checker/duty.test.ts
+++ b/test/checker/duty.test.ts
@@ -23,9 +23,22 @@
 const start = (world: World, at: number): Node => {
   const address = `10.0.0.${at}:1`;
   const traffic = new Traffic();
-  const base = simBase(world, `n${at}`, address, 'z', 'router', { fleet: 'f', seeds, net: (net) => new CountedNet(net, traffic) });
+  const base = simBase(world, `n${at}`, address, 'z', 'router', {
+    fleet: 'f',
+    seeds,
+    net: (net) => new CountedNet(net, traffic),
+  });
   const { host, view, peers, params, stop } = base;
-  const news = new Newsroom(() => Promise.resolve(Right({ text: list, wait: 0 })), params.platform, view, peers, host.clock, host.random, silentLog, () => undefined);
+  const news = new Newsroom(
+    () => Promise.resolve(Right({ text: list, wait: 0 })),
+    params.platform,
+    view,
+    peers,
+    host.clock,
+    host.random,
+    silentLog,
+    () => undefined,
+  );
   view.serve();
   news.serve();
   void peers.serve(address);
@@ -34,19 +47,33 @@
   return { ...base, news, traffic };
 };
 
-const pollsIn = async (world: World, nodes: readonly Node[], span: number): Promise<Map<string, number>> => {
+const pollsIn = async (
+  world: World,
+  nodes: readonly Node[],
+  span: number,
+): Promise<Map<string, number>> => {
   const before = nodes.map(({ news }) => news.polls);
   await world.run(world.now + span);
-  return new Map(nodes.flatMap(({ host, news }, at) => (news.polls > before[at]! ? [[host.name, news.polls - before[at]!] as const] : [])));
+  return new Map(
+    nodes.flatMap(({ host, news }, at) =>
+      news.polls > before[at]! ? [[host.name, news.polls - before[at]!] as const] : [],
+    ),
+  );
 };
 
-const askedIn = ({ traffic }: Node): number => traffic.counts.filter(({ call, way }) => call === 'pool.news' && way === 'received').reduce((sum, { messages }) => sum + messages, 0);
+const askedIn = ({ traffic }: Node): number =>
+  traffic.counts
+    .filter(({ call, way }) => call === 'pool.news' && way === 'received')
+    .reduce((sum, { messages }) => sum + messages, 0);
 
 test('one node reads the list for all, few ask it, and another follows it when it is killed', async () => {
   const world = new World(11);
   const nodes = Array.from({ length: NODES }, (_, at) => start(world, at + 1));
   await world.run(20_000);
-  const [first, second] = holders('list', nodes.map(({ host }) => host.name));
+  const [first, second] = holders(
+    'list',
+    nodes.map(({ host }) => host.name),
+  );
   const before = nodes.map(askedIn);
   const polls = await pollsIn(world, nodes, 6000);
   expect([...polls.keys()]).toEqual([first]);
--- a/test/checker/ids.test.ts
+++ b/test/checker/ids.test.ts
@@ -12,7 +12,8 @@
 
 const watched = new Set([Take.code, Keep.code, Release.code]);
 
-const take = (stage: Stage, at: number, id: string, owner: string): Promise<Taken> => stage.nodes[at]!.claims.take('firm', id, owner);
+const take = (stage: Stage, at: number, id: string, owner: string): Promise<Taken> =>
+  stage.nodes[at]!.claims.take('firm', id, owner);
 
 /** Two rivals at two nodes, then all nodes lose their memory, then a third. */
 const rivals = async (script: Script): Promise<number> => {
@@ -24,7 +25,9 @@
     if (!decoded.isRight() || !watched.has((decoded.extract() as Frame).code)) return 'pass';
     return choices < 24 ? (script.get(choices++) ?? 'pass') : 'pass';
   };
-  const told = await world.until(Promise.all([take(stage, 0, 'q', 'n/1/1'), take(stage, 1, 'q', 'm/1/1')]));
+  const told = await world.until(
+    Promise.all([take(stage, 0, 'q', 'n/1/1'), take(stage, 1, 'q', 'm/1/1')]),
+  );
   world.net.mishap = () => 'pass';
   await world.run(world.now + 3000);
   await stage.loseMemories();
@@ -42,23 +45,26 @@
 
 test('power goes at every synced write of a claim, before it or right after: what was told taken stays taken', async () => {
   let cuts = 0;
-  for (const how of ['before', 'after'] as const) for (let write = 1; write <= 3; write++) {
-    const stage = await openStage();
-    const { world, disks, cores, startCore } = stage;
-    const told = new Map<string, Taken>();
-    const first = disks[0]!.writes;
-    disks[0]!.powerCut = (number) => (number === first + write ? how : 'no');
-    disks[0]!.onPowerCut = () => {
-      cuts += 1;
-      cores[0]!.host.kill();
-      world.at(500, () => startCore(0));
-    };
-    for (let at = 0; at < 6; at++) told.set(`q${at}`, await world.until(take(stage, at % 3, `q${at}`, `x/1/${at}`)));
-    expect([...told.values()].filter((each) => each === 'taken').length).toBe(6);
-    await world.run(world.now + 3000);
-    await stage.loseMemories();
-    for (const id of told.keys()) expect(await world.until(take(stage, 0, id, `y/2/${id}`))).toBe('known');
-  }
+  for (const how of ['before', 'after'] as const)
+    for (let write = 1; write <= 3; write++) {
+      const stage = await openStage();
+      const { world, disks, cores, startCore } = stage;
+      const told = new Map<string, Taken>();
+      const first = disks[0]!.writes;
+      disks[0]!.powerCut = (number) => (number === first + write ? how : 'no');
+      disks[0]!.onPowerCut = () => {
+        cuts += 1;
+        cores[0]!.host.kill();
+        world.at(500, () => startCore(0));
+      };
+      for (let at = 0; at < 6; at++)
+        told.set(`q${at}`, await world.until(take(stage, at % 3, `q${at}`, `x/1/${at}`)));
+      expect([...told.values()].filter((each) => each === 'taken').length).toBe(6);
+      await world.run(world.now + 3000);
+      await stage.loseMemories();
+      for (const id of told.keys())
+        expect(await world.until(take(stage, 0, id, `y/2/${id}`))).toBe('known');
+    }
   expect(cuts).toBe(6);
 });
 
@@ -120,7 +126,12 @@
     disks[lost]!.lose();
     await world.run(world.now + 500);
     cores[lost] = startCore(lost);
-    expect(await world.run(world.now + 30_000, () => cores[lost]!.member.state().voting && cores[lost]!.keeper.whole)).toBe(true);
+    expect(
+      await world.run(
+        world.now + 30_000,
+        () => cores[lost]!.member.state().voting && cores[lost]!.keeper.whole,
+      ),
+    ).toBe(true);
   }
   await stage.loseMemories();
   expect(await world.until(take(stage, 1, 'q', 'm/2/1'))).toBe('known');
@@ -130,7 +141,9 @@
   const stage = await openStage();
   const { world, cores, disks } = stage;
   for (const disk of disks) disk.latency = 20;
-  const told = await world.until(Promise.all(Array.from({ length: 60 }, (_, at) => take(stage, at % 3, `q${at}`, `x/1/${at}`))));
+  const told = await world.until(
+    Promise.all(Array.from({ length: 60 }, (_, at) => take(stage, at % 3, `q${at}`, `x/1/${at}`))),
+  );
   expect(told.every((each) => each === 'taken')).toBe(true);
   await world.run(world.now + 1000);
   for (const { keeper } of cores) {
--- a/test/checker/news.test.ts
+++ b/test/checker/news.test.ts
@@ -20,7 +20,16 @@
   readonly news: Newsroom;
 }
 
-const engine = (identifier: string, leaving = false): Listed => ({ identifier, address: '127.0.0.1:99', model: 'm', adapters: [], weight_generation: '1', zone: 'z', labels: {}, leaving });
+const engine = (identifier: string, leaving = false): Listed => ({
+  identifier,
+  address: '127.0.0.1:99',
+  model: 'm',
+  adapters: [],
+  weight_generation: '1',
+  zone: 'z',
+  labels: {},
+  leaving,
+});
 
 class Platform {
   engines = [engine('a'), engine('b')];
@@ -42,14 +51,28 @@
   }
 }
 
-const start = async (seed: number): Promise<{ world: World; platform: Platform; readers: Reader[] }> => {
+const start = async (
+  seed: number,
+): Promise<{ world: World; platform: Platform; readers: Reader[] }> => {
   const world = new World(seed);
   const platform = new Platform(world);
   const readers = Array.from({ length: 8 }, (_, index): Reader => {
     const name = `r${index + 1}`;
-    const base = simBase(world, name, `127.0.0.1:${index + 1}`, 'z', 'router', { fleet: 'f', seeds });
+    const base = simBase(world, name, `127.0.0.1:${index + 1}`, 'z', 'router', {
+      fleet: 'f',
+      seeds,
+    });
     const { host, view, peers, stop } = base;
-    const news = new Newsroom(platform.fetchFor(base), { every: EVERY, slice: 4000, place: 0 }, view, peers, host.clock, host.random, silentLog, () => undefined);
+    const news = new Newsroom(
+      platform.fetchFor(base),
+      { every: EVERY, slice: 4000, place: 0 },
+      view,
+      peers,
+      host.clock,
+      host.random,
+      silentLog,
+      () => undefined,
+    );
     view.serve();
     news.serve();
     void peers.serve(`127.0.0.1:${index + 1}`);
@@ -88,7 +111,14 @@
   ['goes on', () => undefined],
   ['is killed', (_, { host }) => host.kill()],
   ['freezes', (_, { host }) => host.freeze()],
-  ['is cut off from all', (world, { name }, others) => void world.part([name], others.map((other) => other.name))],
+  [
+    'is cut off from all',
+    (world, { name }, others) =>
+      void world.part(
+        [name],
+        others.map((other) => other.name),
+      ),
+  ],
   ['is cut off from the platform', (world, { name }) => void world.part([name], ['platform'])],
 ]);
 
@@ -101,8 +131,15 @@
       const others = readers.filter((reader) => reader !== holder);
       end(world, holder, others);
       platform.engines = [engine('a'), engine('b', true)];
-      expect(await world.run(world.now + (DRAIN * 2) / 3, () => others.every(knows)), `seed ${seed}`).toBe(true);
-      if (['goes on', 'is cut off from the platform'].includes(what)) expect(await world.run(world.now + DRAIN / 3, () => knows(holder)), `holder, seed ${seed}`).toBe(true);
+      expect(
+        await world.run(world.now + (DRAIN * 2) / 3, () => others.every(knows)),
+        `seed ${seed}`,
+      ).toBe(true);
+      if (['goes on', 'is cut off from the platform'].includes(what))
+        expect(
+          await world.run(world.now + DRAIN / 3, () => knows(holder)),
+          `holder, seed ${seed}`,
+        ).toBe(true);
     }
   });
 
@@ -115,6 +152,11 @@
     const [second] = readers.filter(({ host }) => !host.dead);
     second!.host.kill();
     platform.engines = [engine('a'), engine('b', true)];
-    expect(await world.run(world.now + DRAIN, () => readers.every((reader) => reader.host.dead || knows(reader))), `seed ${seed}`).toBe(true);
+    expect(
+      await world.run(world.now + DRAIN, () =>
+        readers.every((reader) => reader.host.dead || knows(reader)),
+      ),
+      `seed ${seed}`,
+    ).toBe(true);
   }
 });
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -8,7 +8,13 @@
 import { silentLog } from '../../src/kernel/log/log.js';
 import { Accept, Form, History, Prepare, Settled } from '../../src/register/calls.js';
 import type { Verdict } from '../../src/register/change.js';
-import { decodeDocument, digestOf, encodeDocument, genesis, type Change } from '../../src/register/document.js';
+import {
+  decodeDocument,
+  digestOf,
+  encodeDocument,
+  genesis,
+  type Change,
+} from '../../src/register/document.js';
 import { Member } from '../../src/register/member.js';
 import { Store } from '../../src/register/store.js';
 import type { Outcome } from '../../src/kernel/fault/fault.js';
@@ -21,8 +27,23 @@
 const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const watched = new Set([Prepare.code, Accept.code, Settled.code]);
 
-const doorwayFor = (firm: string, path: string): Doorway => ({ name: 'quotes', firm, match: { path }, engines: [], repeatable: false, resume: false, limits: { firstToken: 1, total: 2 }, line: 1, share: 1 });
-const rival = (id: string): Change => ({ id, firm: 'sahel', who: id, act: { kind: 'set', doorway: doorwayFor('sahel', `/${id}`), expects: 0 } });
+const doorwayFor = (firm: string, path: string): Doorway => ({
+  name: 'quotes',
+  firm,
+  match: { path },
+  engines: [],
+  repeatable: false,
+  resume: false,
+  limits: { firstToken: 1, total: 2 },
+  line: 1,
+  share: 1,
+});
+const rival = (id: string): Change => ({
+  id,
+  firm: 'sahel',
+  who: id,
+  act: { kind: 'set', doorway: doorwayFor('sahel', `/${id}`), expects: 0 },
+});
 
 interface Power {
   readonly member: number;
@@ -32,8 +53,18 @@
 
 const startMember = async (world: World, disk: SimDisk, at: number): Promise<Member> => {
   const host = new Host(world, `core-${at}`, addresses[at]!);
-  const peers = new Peers(host.net, host.clock, silentLog, { fleet: 'f', name: host.name, incarnation: host.random.identity() });
-  const member = new Member(new Store(disk.open(host), 'f'), peers, host.clock, host.random, silentLog);
+  const peers = new Peers(host.net, host.clock, silentLog, {
+    fleet: 'f',
+    name: host.name,
+    incarnation: host.random.identity(),
+  });
+  const member = new Member(
+    new Store(disk.open(host), 'f'),
+    peers,
+    host.clock,
+    host.random,
+    silentLog,
+  );
   disk.onPowerCut = (): void => {
     host.kill();
     world.at(400, () => void startMember(world, disk, at));
@@ -46,11 +77,22 @@
 const run = async (script: Script, power?: Power): Promise<number> => {
   const world = new World(1);
   const disks = addresses.map(() => new SimDisk(world));
-  const members = await world.until(Promise.all(disks.map((disk, at) => startMember(world, disk, at))));
-  const bases: SimBase[] = ['p', 'q', 'reader'].map((name, at) => simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses }));
+  const members = await world.until(
+    Promise.all(disks.map((disk, at) => startMember(world, disk, at))),
+  );
+  const bases: SimBase[] = ['p', 'q', 'reader'].map((name, at) =>
+    simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses }),
+  );
   const [p, q, reader] = bases as [SimBase, SimBase, SimBase];
-  const document = encodeDocument(genesis('f', members.map(({ id }, at) => ({ id, address: addresses[at]! }))));
-  await world.until(Promise.all(addresses.map((address) => reader.peers.ask(address, Form, { document }, 1000))));
+  const document = encodeDocument(
+    genesis(
+      'f',
+      members.map(({ id }, at) => ({ id, address: addresses[at]! })),
+    ),
+  );
+  await world.until(
+    Promise.all(addresses.map((address) => reader.peers.ask(address, Form, { document }, 1000))),
+  );
   await world.until(Promise.all(bases.map(({ proposer }) => proposer.learnCore())));
   if (power) {
     const disk = disks[power.member]!;
@@ -63,7 +105,10 @@
     if (!decoded.isRight() || !watched.has((decoded.extract() as Frame).code)) return 'pass';
     return script.get(choices++) ?? 'pass';
   };
-  const told = await world.until(Promise.all([p.proposer.propose(rival('a'), 3000), q.proposer.propose(rival('b'), 3000)]), 30_000);
+  const told = await world.until(
+    Promise.all([p.proposer.propose(rival('a'), 3000), q.proposer.propose(rival('b'), 3000)]),
+    30_000,
+  );
   const made = choices;
   world.net.mishap = () => 'pass';
   await world.run(world.now + 5000);
@@ -74,7 +119,8 @@
     const outcome = told[at] as Outcome<Verdict>;
     outcome.caseOf({
       Right: (verdict) => {
-        if (verdict.kind === 'applied') expect(final.outcomes.get(id)?.generation).toBe(verdict.generation);
+        if (verdict.kind === 'applied')
+          expect(final.outcomes.get(id)?.generation).toBe(verdict.generation);
         else expect(final.outcomes.has(id)).toBe(false);
       },
       Left: ({ certainty }) => {
@@ -84,10 +130,28 @@
   });
   expect(final.outcomes.size).toBeLessThanOrEqual(1);
   const winner = [...final.outcomes.keys()][0];
-  expect(final.doorways.get('quotes')?.doorway.match.path).toBe(winner === undefined ? undefined : `/${winner}`);
-  const chains = await world.until(Promise.all(addresses.map((address) => Promise.all([1, 2, 3].map((generation) => reader.peers.ask(address, History, { generation }, 1000))))));
+  expect(final.doorways.get('quotes')?.doorway.match.path).toBe(
+    winner === undefined ? undefined : `/${winner}`,
+  );
+  const chains = await world.until(
+    Promise.all(
+      addresses.map((address) =>
+        Promise.all(
+          [1, 2, 3].map((generation) => reader.peers.ask(address, History, { generation }, 1000)),
+        ),
+      ),
+    ),
+  );
   for (const generation of [0, 1, 2]) {
-    const digests = new Set(chains.flatMap((chain) => chain[generation]!.map(({ items }) => items.map((item) => digestOf(encodeDocument(decodeDocument(item.document, 'x').unsafeCoerce())))).orDefault([])));
+    const digests = new Set(
+      chains.flatMap((chain) =>
+        chain[generation]!.map(({ items }) =>
+          items.map((item) =>
+            digestOf(encodeDocument(decodeDocument(item.document, 'x').unsafeCoerce())),
+          ),
+        ).orDefault([]),
+      ),
+    );
     expect(digests.size).toBeLessThanOrEqual(1);
   }
   return made;
@@ -105,7 +169,11 @@
     for (let write = 1; write <= 6; write++)
       for (const moment of ['before', 'after'] as const)
         for (const lost of [undefined, 3, 9, 15, 21, 27]) {
-          await run(lost === undefined ? new Map() : new Map([[lost, 'drop']]), { member, write, moment });
+          await run(lost === undefined ? new Map() : new Map([[lost, 'drop']]), {
+            member,
+            write,
+            moment,
+          });
           runs += 1;
         }
   expect(runs).toBe(216);
@@ -114,24 +182,44 @@
 test('a change whose proposer is cut off after a single vote is told unknown, and the next change settles it one way for good', async () => {
   const world = new World(9);
   const disks = addresses.map(() => new SimDisk(world));
-  const members = await world.until(Promise.all(disks.map((disk, at) => startMember(world, disk, at))));
-  const [p, reader] = ['p', 'reader'].map((name, at) => simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses })) as [SimBase, SimBase];
-  const document = encodeDocument(genesis('f', members.map(({ id }, at) => ({ id, address: addresses[at]! }))));
-  await world.until(Promise.all(addresses.map((address) => reader.peers.ask(address, Form, { document }, 1000))));
+  const members = await world.until(
+    Promise.all(disks.map((disk, at) => startMember(world, disk, at))),
+  );
+  const [p, reader] = ['p', 'reader'].map((name, at) =>
+    simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses }),
+  ) as [SimBase, SimBase];
+  const document = encodeDocument(
+    genesis(
+      'f',
+      members.map(({ id }, at) => ({ id, address: addresses[at]! })),
+    ),
+  );
+  await world.until(
+    Promise.all(addresses.map((address) => reader.peers.ask(address, Form, { document }, 1000))),
+  );
   await world.until(Promise.all([p, reader].map(({ proposer }) => proposer.learnCore())));
   world.net.mishap = (from, to, frame) => {
-    const decoded = decodeFrame(frame, from).map(({ code, stage }) => code === Accept.code && stage === 1).orDefault(false);
+    const decoded = decodeFrame(frame, from)
+      .map(({ code, stage }) => code === Accept.code && stage === 1)
+      .orDefault(false);
     if (decoded && from === 'p') world.part(['p'], ['core-1', 'core-2']);
     return decoded && to !== 'core-0' ? 'drop' : 'pass';
   };
   const told = await world.until(p.proposer.propose(rival('a'), 2500), 30_000);
-  expect(told.swap().map(({ certainty }) => certainty).extract()).toBe('unknown');
+  expect(
+    told
+      .swap()
+      .map(({ certainty }) => certainty)
+      .extract(),
+  ).toBe('unknown');
   world.net.mishap = () => 'pass';
   const other = await world.until(reader.proposer.propose(rival('b'), 5000));
   const won = other.map(({ kind }) => (kind === 'applied' ? 'b' : 'a')).extract();
   world.heal();
   await world.run(world.now + 6000);
-  expect([...(await world.until(reader.proposer.read(10_000))).unsafeCoerce().outcomes.keys()]).toEqual([won]);
+  expect([
+    ...(await world.until(reader.proposer.read(10_000))).unsafeCoerce().outcomes.keys(),
+  ]).toEqual([won]);
 });
 
 test('a change that was asked for long before the core is formed comes through next, though others keep changing and reading the register', async () => {
@@ -139,17 +227,46 @@
     for (let seed = 1; seed <= 20; seed++) {
       const world = new World(seed);
       const disks = addresses.map(() => new SimDisk(world));
-      const [early, other] = ['early', 'other'].map((name, at) => simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', { fleet: 'f', seeds: addresses })) as [SimBase, SimBase];
+      const [early, other] = ['early', 'other'].map((name, at) =>
+        simBase(world, name, `127.0.0.1:${10 + at}`, 'z', 'router', {
+          fleet: 'f',
+          seeds: addresses,
+        }),
+      ) as [SimBase, SimBase];
       const told = early.proposer.propose(rival('early'), 60_000);
       await world.run(3000 + 10 * seed);
-      const members = await world.until(Promise.all(disks.map((disk, at) => startMember(world, disk, at))));
-      const document = encodeDocument(genesis('f', members.map(({ id }, at) => ({ id, address: addresses[at]! }))));
-      await world.until(Promise.all(addresses.map((address) => other.peers.ask(address, Form, { document }, 1000))));
+      const members = await world.until(
+        Promise.all(disks.map((disk, at) => startMember(world, disk, at))),
+      );
+      const document = encodeDocument(
+        genesis(
+          'f',
+          members.map(({ id }, at) => ({ id, address: addresses[at]! })),
+        ),
+      );
+      await world.until(
+        Promise.all(addresses.map((address) => other.peers.ask(address, Form, { document }, 1000))),
+      );
       const formed = world.now;
       let settled = Infinity;
       void told.then(() => (settled = world.now));
       for (let turn = 1; turn <= 40; turn++) {
-        if (act === 'change') await world.until(other.proposer.propose({ id: `o${turn}`, firm: 'sahel', who: 'o', act: { kind: 'set', doorway: { ...doorwayFor('sahel', `/o${turn}`), name: `o${turn}` }, expects: 0 } }, 5000));
+        if (act === 'change')
+          await world.until(
+            other.proposer.propose(
+              {
+                id: `o${turn}`,
+                firm: 'sahel',
+                who: 'o',
+                act: {
+                  kind: 'set',
+                  doorway: { ...doorwayFor('sahel', `/o${turn}`), name: `o${turn}` },
+                  expects: 0,
+                },
+              },
+              5000,
+            ),
+          );
         else await world.until(other.proposer.read(5000));
         await world.run(world.now + 150);
       }
@@ -161,16 +278,38 @@
   const world = new World(4);
   const disk = new SimDisk(world);
   const member = await world.until(startMember(world, disk, 0));
-  const asker = simBase(world, 'p', '127.0.0.1:10', 'z', 'router', { fleet: 'f', seeds: addresses });
+  const asker = simBase(world, 'p', '127.0.0.1:10', 'z', 'router', {
+    fleet: 'f',
+    seeds: addresses,
+  });
   const first = genesis('f', [{ id: member.id, address: addresses[0]! }]);
-  await world.until(asker.peers.ask(addresses[0]!, Form, { document: encodeDocument(first) }, 1000));
+  await world.until(
+    asker.peers.ask(addresses[0]!, Form, { document: encodeDocument(first) }, 1000),
+  );
   disk.latency = 200;
-  const ballot = (counter: number): { counter: number; node: string; incarnation: string } => ({ counter, node: 'p', incarnation: 'i' });
+  const ballot = (counter: number): { counter: number; node: string; incarnation: string } => ({
+    counter,
+    node: 'p',
+    incarnation: 'i',
+  });
   const text = (path: string): string => Buffer.from(disk.files.get(path) ?? []).toString('utf8');
-  const prepare = (counter: number): Promise<boolean> => asker.peers.ask(addresses[0]!, Prepare, { set: 1, ballot: ballot(counter) }, 900).then((reply) => reply.isRight() && text('promise').includes(`"counter":${counter}`));
+  const prepare = (counter: number): Promise<boolean> =>
+    asker.peers
+      .ask(addresses[0]!, Prepare, { set: 1, ballot: ballot(counter) }, 900)
+      .then((reply) => reply.isRight() && text('promise').includes(`"counter":${counter}`));
   expect(await world.until(prepare(5))).toBe(true);
-  const next = encodeDocument({ ...first, generation: 2, previous: digestOf(encodeDocument(first)) });
-  const accept = (counter: number): Promise<boolean> => asker.peers.ask(addresses[0]!, Accept, { set: 1, ballot: ballot(counter), document: next }, 900).then((reply) => reply.isRight() && text('generations/000000000002').includes(`"counter":${counter}`));
+  const next = encodeDocument({
+    ...first,
+    generation: 2,
+    previous: digestOf(encodeDocument(first)),
+  });
+  const accept = (counter: number): Promise<boolean> =>
+    asker.peers
+      .ask(addresses[0]!, Accept, { set: 1, ballot: ballot(counter), document: next }, 900)
+      .then(
+        (reply) =>
+          reply.isRight() && text('generations/000000000002').includes(`"counter":${counter}`),
+      );
   expect(await world.until(accept(5))).toBe(true);
   disk.stalled = true;
   expect(await world.until(prepare(6))).toBe(false);
--- a/test/checker/repair.test.ts
+++ b/test/checker/repair.test.ts
@@ -1,14 +1,30 @@
 /** Repair of histories: a member that was away, one whose files spoil on the disk, one that holds what was never chosen. */
 import { expect, test } from 'vitest';
-import { decodeDocument, digestOf, encodeDocument, type Change } from '../../src/register/document.js';
+import {
+  decodeDocument,
+  digestOf,
+  encodeDocument,
+  type Change,
+} from '../../src/register/document.js';
 import { simBase, simCore, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk, World } from '../../src/sim/world.js';
 
 const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const site = { fleet: 'f', seeds: addresses, over: { form: true } };
-const claim = (at: number): Change => ({ id: `c${at}`, firm: 's', who: 'o', act: { kind: 'claim', name: 'n', duration: 1, expects: at, takeover: false } });
+const claim = (at: number): Change => ({
+  id: `c${at}`,
+  firm: 's',
+  who: 'o',
+  act: { kind: 'claim', name: 'n', duration: 1, expects: at, takeover: false },
+});
 
-const start = async (): Promise<{ world: World; disks: SimDisk[]; cores: SimCore[]; startCore: (at: number) => void; change: (from: number, to: number) => Promise<void> }> => {
+const start = async (): Promise<{
+  world: World;
+  disks: SimDisk[];
+  cores: SimCore[];
+  startCore: (at: number) => void;
+  change: (from: number, to: number) => Promise<void>;
+}> => {
   const world = new World(3);
   const disks = addresses.map(() => new SimDisk(world));
   const cores: SimCore[] = [];
@@ -20,13 +36,22 @@
   await world.run(3000);
   const operator = simBase(world, 'op', '127.0.0.1:20', 'z', 'router', site);
   const change = async (from: number, to: number): Promise<void> => {
-    for (let at = from; at < to; at++) expect((await world.until(operator.proposer.propose(claim(at), 20_000))).map(({ kind }) => kind).extract()).toBe('applied');
+    for (let at = from; at < to; at++)
+      expect(
+        (await world.until(operator.proposer.propose(claim(at), 20_000)))
+          .map(({ kind }) => kind)
+          .extract(),
+      ).toBe('applied');
   };
   return { world, disks, cores, startCore, change };
 };
 
-const bodyOf = (file: Uint8Array | undefined): string => Buffer.from(file ?? []).toString('utf8').replace(/^.*\n/, '');
-const wholes = (cores: readonly SimCore[]): string[] => cores.map(({ member }) => member.wholeDigest);
+const bodyOf = (file: Uint8Array | undefined): string =>
+  Buffer.from(file ?? [])
+    .toString('utf8')
+    .replace(/^.*\n/, '');
+const wholes = (cores: readonly SimCore[]): string[] =>
+  cores.map(({ member }) => member.wholeDigest);
 
 test('a member that was away while much changed becomes whole again', async () => {
   const { world, cores, startCore, change } = await start();
@@ -55,7 +80,10 @@
   disks[1]!.spoil('generations/000000000013');
   startCore(1);
   await world.run(world.now + 5000);
-  expect(cores[1]!.member.state()).toMatchObject({ voting: false, reason: expect.stringContaining('spoilt') as string });
+  expect(cores[1]!.member.state()).toMatchObject({
+    voting: false,
+    reason: expect.stringContaining('spoilt') as string,
+  });
   await change(12, 14);
 });
 
@@ -68,7 +96,9 @@
   const chosen = disks[1]!.files.get(path)!;
   const text = Buffer.from(chosen).toString('utf8');
   const body = text.slice(text.indexOf('\n') + 1);
-  const other = decodeDocument(Buffer.from(body), 'x').map((document) => encodeDocument({ ...document, claims: new Map() })).unsafeCoerce();
+  const other = decodeDocument(Buffer.from(body), 'x')
+    .map((document) => encodeDocument({ ...document, claims: new Map() }))
+    .unsafeCoerce();
   const head = text.slice(65, text.indexOf('\n')).replace(/"counter":\d+/, '"counter":1');
   const rest = Buffer.concat([Buffer.from(`${head}\n`), other]);
   disks[0]!.files.set(path, Buffer.concat([Buffer.from(`${digestOf(rest)} `), rest]));
--- a/test/checker/seats.test.ts
+++ b/test/checker/seats.test.ts
@@ -10,7 +10,13 @@
 
 const CATCH_UP = 4000;
 const at = (number: number): string => `127.0.0.1:${number}`;
-const version = (number: number): Configuration => ({ version: number, routes: [{ name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' }], services: [{ name: 's' }] });
+const version = (number: number): Configuration => ({
+  version: number,
+  routes: [
+    { name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' },
+  ],
+  services: [{ name: 's' }],
+});
 
 class Core {
   readonly world: World;
@@ -19,14 +25,27 @@
   readonly client: SimBase;
   private version = 0;
 
-  constructor(seed: number, private readonly wanted = 3) {
+  constructor(
+    seed: number,
+    private readonly wanted = 3,
+  ) {
     this.world = new World(seed);
     for (const number of [1, 2, 3]) this.start(number, [1, 2, 3], true);
     this.client = this.base('client', 90);
   }
 
   site(seeds: readonly number[], form = false): { fleet: string; seeds: string[]; over: object } {
-    return { fleet: 'f', seeds: seeds.map(at), over: { form, lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 }, feed: { wait: 500 }, claims: { enabled: false }, core: { replaceAfter: 1000, wanted: this.wanted } } };
+    return {
+      fleet: 'f',
+      seeds: seeds.map(at),
+      over: {
+        form,
+        lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 },
+        feed: { wait: 500 },
+        claims: { enabled: false },
+        core: { replaceAfter: 1000, wanted: this.wanted },
+      },
+    };
   }
 
   base(name: string, number: number, seeds: readonly number[] = [1, 2, 3]): SimBase {
@@ -36,7 +55,14 @@
   start(number: number, seeds: readonly number[] = [1, 2, 3], form = false): SimCore {
     const disk = this.disks.get(number) ?? new SimDisk(this.world);
     this.disks.set(number, disk);
-    const core = simCore(this.world, `core-${number}`, at(number), 'z', disk, this.site(seeds, form));
+    const core = simCore(
+      this.world,
+      `core-${number}`,
+      at(number),
+      'z',
+      disk,
+      this.site(seeds, form),
+    );
     this.cores.set(number, core);
     void core.node.start();
     return core;
@@ -50,7 +76,9 @@
   /** The next version is accepted, through a client with the first seeds. */
   async change(): Promise<void> {
     const next = this.version + 1;
-    expect(await this.world.until(this.client.configurator.replace(version(next), this.version, 4000))).toMatchObject({ outcome: 'accepted' });
+    expect(
+      await this.world.until(this.client.configurator.replace(version(next), this.version, 4000)),
+    ).toMatchObject({ outcome: 'accepted' });
     this.version = next;
   }
 
@@ -63,7 +91,9 @@
   }
 
   get seats(): string[] {
-    const [newest] = [...this.cores.values()].filter(({ host }) => !host.dead).sort((a, b) => b.member.knownCore.number - a.member.knownCore.number);
+    const [newest] = [...this.cores.values()]
+      .filter(({ host }) => !host.dead)
+      .sort((a, b) => b.member.knownCore.number - a.member.knownCore.number);
     return newest!.member.knownCore.members.map(({ address }) => address).sort();
   }
 
@@ -88,7 +118,12 @@
 
 test('a machine at a new address has the seat and the data in time, whenever it starts and whatever its seeds name', async () => {
   for (const lost of [1, 2, 3])
-    for (const [later, seeds] of [[0, [1, 2, 3]], [1000, [1, 2, 3]], [3000, [9, 8, (lost % 3) + 1]], [0, [lost, 4, ((lost + 1) % 3) + 1]]] as const) {
+    for (const [later, seeds] of [
+      [0, [1, 2, 3]],
+      [1000, [1, 2, 3]],
+      [3000, [9, 8, (lost % 3) + 1]],
+      [0, [lost, 4, ((lost + 1) % 3) + 1]],
+    ] as const) {
       const core = new Core(lost + later);
       await core.formed();
       core.kill(lost);
@@ -118,7 +153,11 @@
   const core = new Core(7);
   await core.formed();
   core.kill(3);
-  for (const [number, from] of [[4, 0], [5, 1], [6, 2]] as const) {
+  for (const [number, from] of [
+    [4, 0],
+    [5, 1],
+    [6, 2],
+  ] as const) {
     if (from) core.kill(from);
     core.start(number, [number - 1, number - 2, 1]);
     expect({ number, whole: await core.whole(number) }).toEqual({ number, whole: true });
@@ -128,9 +167,17 @@
   const back = core.start(3, [1, 2, 6]);
   await core.world.run(core.world.now + 3000);
   expect(back.member.state()).toMatchObject({ voting: false, reason: 'not in the core set' });
-  expect((await core.world.until(back.configurator.read(2000))).map((configuration) => configuration?.version).extract()).toBe(4);
+  expect(
+    (await core.world.until(back.configurator.read(2000)))
+      .map((configuration) => configuration?.version)
+      .extract(),
+  ).toBe(4);
   const late = core.base('late', 91, [1, 2, 5]);
-  expect((await core.world.until(late.configurator.read(2000))).map((configuration) => configuration?.version).extract()).toBe(4);
+  expect(
+    (await core.world.until(late.configurator.read(2000)))
+      .map((configuration) => configuration?.version)
+      .extract(),
+  ).toBe(4);
   core.kill(4);
   expect(await core.whole(3)).toBe(true);
 });
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -15,9 +15,21 @@
 const cores = [1, 2, 3];
 const routers = [1, 2, 3, 4];
 const seeds = cores.map((at) => `127.0.0.1:${at}`);
-const over = { form: true, lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 }, feed: { wait: 500 }, claims: { enabled: false }, core: { replaceAfter: 1000, wanted: 3 } };
+const over = {
+  form: true,
+  lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 },
+  feed: { wait: 500 },
+  claims: { enabled: false },
+  core: { replaceAfter: 1000, wanted: 3 },
+};
 const site = { fleet: 'f', seeds, over };
-const version = (number: number): Configuration => ({ version: number, routes: [{ name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' }], services: [{ name: 's' }] });
+const version = (number: number): Configuration => ({
+  version: number,
+  routes: [
+    { name: 'a', host: 'h', prefix: '/a/', kind: 'idempotent', timeout: number, service: 's' },
+  ],
+  services: [{ name: 's' }],
+});
 
 class Fleet {
   readonly world: World;
@@ -39,19 +51,31 @@
   }
 
   startRouter(at: number): SimRouter {
-    const router = simRouter(this.world, `router-${at}`, `127.0.0.1:${10 + at}`, 'z', site, () => () => Promise.resolve(failed('list', 'platform', 'there is none')), () => undefined);
+    const router = simRouter(
+      this.world,
+      `router-${at}`,
+      `127.0.0.1:${10 + at}`,
+      'z',
+      site,
+      () => () => Promise.resolve(failed('list', 'platform', 'there is none')),
+      () => undefined,
+    );
     void router.node.start();
     return router;
   }
 
   async ready(): Promise<void> {
-    expect(await this.world.run(10_000, () => this.routers.every(({ standing }) => standing.holds()))).toBe(true);
+    expect(
+      await this.world.run(10_000, () => this.routers.every(({ standing }) => standing.holds())),
+    ).toBe(true);
   }
 
   /** Puts a version in place through one core node; says how long the acknowledgement took. */
   async configure(at: number, number: number, expects: number): Promise<number> {
     const before = this.world.now;
-    const reply = await this.world.until(this.cores[at - 1]!.configurator.replace(version(number), expects, 4000));
+    const reply = await this.world.until(
+      this.cores[at - 1]!.configurator.replace(version(number), expects, 4000),
+    );
     expect(reply).toEqual({ outcome: 'accepted', version: number, reason: '' });
     return this.world.now - before;
   }
@@ -59,7 +83,11 @@
   /** How long until the routers given have a version in force. */
   async reaches(number: number, some = this.routers): Promise<number> {
     const before = this.world.now;
-    expect(await this.world.run(before + 5000, () => some.every(({ inForce }) => inForce.routes.version >= number))).toBe(true);
+    expect(
+      await this.world.run(before + 5000, () =>
+        some.every(({ inForce }) => inForce.routes.version >= number),
+      ),
+    ).toBe(true);
     return this.world.now - before;
   }
 }
@@ -100,19 +128,38 @@
         const fleet = new Fleet(hit);
         await fleet.ready();
         const core = fleet.cores[hit - 1]!;
-        if (strike === 'cut') fleet.world.part([`core-${hit}`], ['core-1', 'core-2', 'core-3', 'router-1', 'router-2', 'router-3', 'router-4']);
+        if (strike === 'cut')
+          fleet.world.part(
+            [`core-${hit}`],
+            ['core-1', 'core-2', 'core-3', 'router-1', 'router-2', 'router-3', 'router-4'],
+          );
         else if (strike === 'slow') fleet.disks[hit - 1]!.latency *= 50;
         else if (strike === 'stall') fleet.disks[hit - 1]!.stalled = true;
         else core.host[strike]();
         await fleet.world.run(fleet.world.now + ahead);
         const via = (hit % 3) + 1;
         const took = await fleet.configure(via, 4, 0);
-        expect({ strike, hit, ahead, fine: took < 1500 }).toEqual({ strike, hit, ahead, fine: true });
+        expect({ strike, hit, ahead, fine: took < 1500 }).toEqual({
+          strike,
+          hit,
+          ahead,
+          fine: true,
+        });
         const reached = await fleet.reaches(4);
-        expect({ strike, hit, ahead, fine: reached < 500 }).toEqual({ strike, hit, ahead, fine: true });
+        expect({ strike, hit, ahead, fine: reached < 500 }).toEqual({
+          strike,
+          hit,
+          ahead,
+          fine: true,
+        });
         await fleet.world.run(fleet.world.now + 1500);
         await fleet.configure(via, 6, 4);
-        expect({ strike, hit, ahead, fine: (await fleet.reaches(6)) < 500 }).toEqual({ strike, hit, ahead, fine: true });
+        expect({ strike, hit, ahead, fine: (await fleet.reaches(6)) < 500 }).toEqual({
+          strike,
+          hit,
+          ahead,
+          fine: true,
+        });
       }
 });
 
@@ -122,7 +169,9 @@
   await fleet.configure(1, 4, 0);
   fleet.cores.forEach(({ host }) => host.kill());
   await fleet.world.run(fleet.world.now + 20_000);
-  expect(fleet.routers.map(({ standing }) => [standing.holds(), standing.serves()])).toEqual(routers.map(() => [false, true]));
+  expect(fleet.routers.map(({ standing }) => [standing.holds(), standing.serves()])).toEqual(
+    routers.map(() => [false, true]),
+  );
   fleet.routers[0]!.host.kill();
   const restarted = fleet.startRouter(1);
   await fleet.world.run(fleet.world.now + 5000);
@@ -138,7 +187,11 @@
       const fleet = new Fleet(hit);
       await fleet.ready();
       await fleet.configure(1, 4, 0);
-      if (strike === 'cut') fleet.world.part([`core-${hit}`], routers.map((at) => `router-${at}`));
+      if (strike === 'cut')
+        fleet.world.part(
+          [`core-${hit}`],
+          routers.map((at) => `router-${at}`),
+        );
       else if (strike !== 'none') fleet.cores[hit - 1]!.host[strike]();
       fleet.routers[0]!.host.kill();
       const restarted = fleet.startRouter(1);
--- a/test/checker/slopes.test.ts
+++ b/test/checker/slopes.test.ts
@@ -10,7 +10,14 @@
 const over = { lease: { lapse: 'serve' }, claims: { enabled: false } };
 const BUDGET = 3000;
 
-const at = (routers: number): Promise<Point> => countPoint({ sweep: 'routers, 3 cores', at: routers, plan: { cores: 3, routers, engines: 50, items: 100, seed: 2, over }, seconds: 10, trials: true });
+const at = (routers: number): Promise<Point> =>
+  countPoint({
+    sweep: 'routers, 3 cores',
+    at: routers,
+    plan: { cores: 3, routers, engines: 50, items: 100, seed: 2, over },
+    seconds: 10,
+    trials: true,
+  });
 
 test('at rest a router keeps within its bytes, and what it sends hardly grows with the fleet', async () => {
   const [small, large] = [await at(5), await at(10)];
@@ -25,8 +32,13 @@
     expect(figures['bytesPerChange']).toBeLessThan(figures['documentBytes']! / 10);
   }
   expect(large.figures['countedRouters']).toBe(10);
-  expect(large.roles.router!.all.sentBytes.median).toBeLessThan(small.roles.router!.all.sentBytes.median * 2);
-  const perRouter = (large.roles.core!.all.receivedMessages.median - small.roles.core!.all.receivedMessages.median) / 5;
+  expect(large.roles.router!.all.sentBytes.median).toBeLessThan(
+    small.roles.router!.all.sentBytes.median * 2,
+  );
+  const perRouter =
+    (large.roles.core!.all.receivedMessages.median -
+      small.roles.core!.all.receivedMessages.median) /
+    5;
   expect(perRouter).toBeLessThan(3);
 });
 
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -12,7 +12,13 @@
 
 export const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 const site = { fleet: 'f', seeds: addresses, over: { form: true, core: { replaceAfter: 3000 } } };
-const places = new Map([['n', '127.0.0.1:11'], ['m', '127.0.0.1:12'], ['o', '127.0.0.1:13'], ['p', '127.0.0.1:14'], ['q', '127.0.0.1:15']]);
+const places = new Map([
+  ['n', '127.0.0.1:11'],
+  ['m', '127.0.0.1:12'],
+  ['o', '127.0.0.1:13'],
+  ['p', '127.0.0.1:14'],
+  ['q', '127.0.0.1:15'],
+]);
 
 export interface Node extends SimBase {
   readonly standing: Standing;
@@ -28,17 +34,48 @@
   vows.serve();
   const claims = new Claims(name, inForce, peers, roster, clock, random, silentLog);
   claims.serve();
-  const standing = new Standing({ node: name, incarnation: peers.self.incarnation, address, zone: 'z' }, inForce, vows, peers, roster, clock, silentLog);
-  const relay = new Relay(peers, () => (news ? [...places.values()].filter((other) => other !== address) : []));
+  const standing = new Standing(
+    { node: name, incarnation: peers.self.incarnation, address, zone: 'z' },
+    inForce,
+    vows,
+    peers,
+    roster,
+    clock,
+    silentLog,
+  );
+  const relay = new Relay(peers, () =>
+    news ? [...places.values()].filter((other) => other !== address) : [],
+  );
   relay.serve();
-  const follower = new Follower(peers, roster, proposer, clock, random, silentLog, (documents, items) => {
-    relay.note(items, documents);
-    if (inForce.swap(documents.at(-1)!)) standing.renewNow();
-  }, '', relay);
+  const follower = new Follower(
+    peers,
+    roster,
+    proposer,
+    clock,
+    random,
+    silentLog,
+    (documents, items) => {
+      relay.note(items, documents);
+      if (inForce.swap(documents.at(-1)!)) standing.renewNow();
+    },
+    '',
+    relay,
+  );
   void peers.serve(address);
   void standing.run(stop.signal);
   void claims.run(stop.signal);
-  void new Enrolment(name, { address, zone: 'z', law: '' }, inForce, standing, proposer, peers, roster, clock, random, silentLog).run(stop.signal);
+  void new Enrolment(
+    name,
+    { address, zone: 'z', law: '' },
+    inForce,
+    standing,
+    proposer,
+    peers,
+    roster,
+    clock,
+    random,
+    silentLog,
+  ).run(stop.signal);
   void follower.run(stop.signal);
   return { ...base, standing, claims };
 };
@@ -67,11 +104,19 @@
   };
   const cores = addresses.map((_, at) => startCore(at));
   const nodes = names.map((name) => startNode(world, name, news));
-  const settled = (): boolean => nodes.every(({ standing, inForce, claims }) => standing.holds() && inForce.whole!.enrolled.size === count && claims.open);
+  const settled = (): boolean =>
+    nodes.every(
+      ({ standing, inForce, claims }) =>
+        standing.holds() && inForce.whole!.enrolled.size === count && claims.open,
+    );
   expect(await world.run(30_000, settled)).toBe(true);
   const loseMemories = async (survivor?: number): Promise<void> => {
     nodes.forEach(({ host }, at) => at !== survivor && host.kill());
-    nodes.splice(0, count, ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name, news))));
+    nodes.splice(
+      0,
+      count,
+      ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name, news))),
+    );
     expect(await world.run(world.now + 30_000, settled)).toBe(true);
   };
   const restart = (at: number): void => {
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -31,7 +31,12 @@
   readonly mute?: boolean;
 }
 
-const change: Change = { id: 'c', firm: 's', who: 'o', act: { kind: 'claim', name: 'quotes', duration: 1000, expects: 0, takeover: false } };
+const change: Change = {
+  id: 'c',
+  firm: 's',
+  who: 'o',
+  act: { kind: 'claim', name: 'quotes', duration: 1000, expects: 0, takeover: false },
+};
 
 const run = async (script: Script, fault: Fault = {}): Promise<number> => {
   const { world, cores, nodes, startCore, operator } = await openStage(5, 3, !fault.mute);
@@ -51,24 +56,39 @@
     world.at(fault.suspend, () => nodes[0]!.host.thaw());
   }
   if (fault.jump !== undefined) for (const { host } of [nodes[0]!, ...cores]) host.jump(fault.jump);
-  if (fault.cut) world.part(['n'], ['core-0', 'core-1', 'core-2', ...(fault.cut === 'all' ? ['m', 'o'] : [])]);
+  if (fault.cut)
+    world.part(['n'], ['core-0', 'core-1', 'core-2', ...(fault.cut === 'all' ? ['m', 'o'] : [])]);
   if (fault.cut) await world.run(world.now + 7000);
   if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(fault.cut === 'core');
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict.map((told) => (told.kind === 'applied' ? told.generation : 0)).orDefault(0);
+  const generation = verdict
+    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+    .orDefault(0);
   for (const at of fault.restart ?? []) {
     cores[at]!.host.kill();
     world.at(50, () => (cores[at] = startCore(at)));
   }
   let accepted = false;
-  const seeking = seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock).then(({ everywhere }) => {
+  const seeking = seekAccord(
+    generation,
+    12_000,
+    operator.peers,
+    operator.roster,
+    operator.host.clock,
+  ).then(({ everywhere }) => {
     accepted = everywhere;
     return everywhere;
   });
-  const wrong = (): boolean => nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation) && accepted;
+  const wrong = (): boolean =>
+    nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation) &&
+    accepted;
   // A generation in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
   const calm = Object.keys(fault).length === 0;
-  const surelyOver = (): boolean => calm && accepted && choices >= CHOICES && nodes.every(({ inForce }) => inForce.generation >= generation);
+  const surelyOver = (): boolean =>
+    calm &&
+    accepted &&
+    choices >= CHOICES &&
+    nodes.every(({ inForce }) => inForce.generation >= generation);
   await world.run(world.now + 16_000, () => wrong() || surelyOver());
   expect(wrong()).toBe(false);
   expect(generation).toBe(5);
@@ -90,19 +110,26 @@
 });
 
 test('nor while a whole machine is suspended with its monotonic clock standing, or clocks are set forward or back', async () => {
-  for (const suspend of [200, 1500, 4000, 4990, 5200, 8000, 15_000]) await run(new Map(), { suspend });
+  for (const suspend of [200, 1500, 4000, 4990, 5200, 8000, 15_000])
+    await run(new Map(), { suspend });
   for (let after = 0; after < 1000; after += 40) await run(new Map(), { suspend: 8000, after });
-  for (const jump of [-3_600_000, -5000, 5000, 3_600_000]) for (const freeze of [0, 3000, 8000]) await run(new Map(), { jump, freeze });
-  for (const suspend of [3000, 8000]) for (const restart of [[0], [0, 1, 2]]) await run(new Map(), { suspend, restart });
+  for (const jump of [-3_600_000, -5000, 5000, 3_600_000])
+    for (const freeze of [0, 3000, 8000]) await run(new Map(), { jump, freeze });
+  for (const suspend of [3000, 8000])
+    for (const restart of [[0], [0, 1, 2]]) await run(new Map(), { suspend, restart });
 });
 
 test('nor when members are started again and have forgotten their grants', async () => {
-  for (const restart of [[0], [0, 1], [0, 1, 2]]) for (const freeze of [0, 3000, 7000]) await run(new Map(), { restart, freeze });
+  for (const restart of [[0], [0, 1], [0, 1, 2]])
+    for (const freeze of [0, 3000, 7000]) await run(new Map(), { restart, freeze });
 });
 
 test('nor while a node is cut off from the core and the others vouch for it, with lost, late and repeated frames', async () => {
-  for (const cut of ['core', 'all'] as const) for (const mute of [true, false]) await run(new Map(), { cut, mute });
-  for (const mishap of ['drop', 'late', 'twice'] as const) for (let choice = 0; choice < 60; choice += 4) await run(new Map([[choice, mishap]]), { cut: 'core', mute: choice % 8 === 0 });
+  for (const cut of ['core', 'all'] as const)
+    for (const mute of [true, false]) await run(new Map(), { cut, mute });
+  for (const mishap of ['drop', 'late', 'twice'] as const)
+    for (let choice = 0; choice < 60; choice += 4)
+      await run(new Map([[choice, mishap]]), { cut: 'core', mute: choice % 8 === 0 });
 });
 
 test('without the core the nodes go on for each other; a lone one does not; and changes are accepted again after', async () => {
@@ -120,8 +147,16 @@
   await world.run(world.now + 2500);
   expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict.map((told) => (told.kind === 'applied' ? told.generation : 0)).orDefault(0);
-  expect((await world.until(seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
+  const generation = verdict
+    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+    .orDefault(0);
+  expect(
+    (
+      await world.until(
+        seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock),
+      )
+    ).everywhere,
+  ).toBe(true);
 });
 
 test('without the core a node that starts begins from the others, and one cut off from it follows them', async () => {
@@ -135,7 +170,10 @@
   expect(nodes[2]!.inForce.generation).toBe(5);
   world.heal();
   cores.forEach((_, at) => startCore(at));
-  expect((await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
+  expect(
+    (await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock)))
+      .everywhere,
+  ).toBe(true);
 });
 
 test('nor does a node begin behind what was accepted, when only one that was cut off remembers anything', async () => {
@@ -145,16 +183,27 @@
     await world.run(world.now + 6000);
     const verdict = await world.until(operator.proposer.propose(change, 5000));
     expect(verdict.map(({ kind }) => kind).extract()).toBe('applied');
-    expect((await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock))).everywhere).toBe(true);
+    expect(
+      (
+        await world.until(
+          seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock),
+        )
+      ).everywhere,
+    ).toBe(true);
     await world.run(world.now + pause);
     for (const { host } of cores) host.kill();
     restart(1);
     restart(2);
     world.heal();
-    const behind = (): boolean => nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < 5);
+    const behind = (): boolean =>
+      nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < 5);
     expect(await world.run(world.now + 15_000, behind)).toBe(false);
     expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([4, 0, 0]);
     cores.forEach((_, at) => startCore(at));
-    expect(await world.run(world.now + 10_000, () => nodes.every(({ standing, inForce }) => standing.holds() && inForce.generation === 5))).toBe(true);
+    expect(
+      await world.run(world.now + 10_000, () =>
+        nodes.every(({ standing, inForce }) => standing.holds() && inForce.generation === 5),
+      ),
+    ).toBe(true);
   }
 });
--- a/test/checker/view.test.ts
+++ b/test/checker/view.test.ts
@@ -8,18 +8,31 @@
 
 const seeds = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
 
-const start = async (seed: number): Promise<{ world: World; nodes: Map<string, SimBase>; seen: (name: string) => number }> => {
+const start = async (
+  seed: number,
+): Promise<{ world: World; nodes: Map<string, SimBase>; seen: (name: string) => number }> => {
   const world = new World(seed);
   const nodes = new Map<string, SimBase>();
   for (let at = 1; at <= 11; at++) {
-    const node = simBase(world, `n${at}`, `127.0.0.1:${at}`, 'z', at <= 3 ? 'core' : 'router', { fleet: 'f', seeds });
+    const node = simBase(world, `n${at}`, `127.0.0.1:${at}`, 'z', at <= 3 ? 'core' : 'router', {
+      fleet: 'f',
+      seeds,
+    });
     nodes.set(`n${at}`, node);
     node.view.serve();
     void node.peers.serve(`127.0.0.1:${at}`);
     void node.view.run(node.stop.signal);
   }
-  const seen = (name: string): number => [...nodes].filter(([other, { host, view }]) => other !== name && !host.dead && ['core', 'router'].some((role) => view.live(role).some((entry) => entry.name === name))).length;
-  expect(await world.run(20_000, () => [...nodes.keys()].every((name) => seen(name) === 10))).toBe(true);
+  const seen = (name: string): number =>
+    [...nodes].filter(
+      ([other, { host, view }]) =>
+        other !== name &&
+        !host.dead &&
+        ['core', 'router'].some((role) => view.live(role).some((entry) => entry.name === name)),
+    ).length;
+  expect(await world.run(20_000, () => [...nodes.keys()].every((name) => seen(name) === 10))).toBe(
+    true,
+  );
   await world.run(world.now + 5000);
   return { world, nodes, seen };
 };
@@ -72,7 +85,13 @@
   let lost = 0;
   for (let step = 0; step < 200; step++) {
     await world.run(world.now + 100);
-    if (!nodes.get('n4')!.view.live('router').some(({ name }) => name === 'n9')) lost += 1;
+    if (
+      !nodes
+        .get('n4')!
+        .view.live('router')
+        .some(({ name }) => name === 'n9')
+    )
+      lost += 1;
   }
   expect(lost).toBe(0);
 });
--- a/test/days/engines.test.ts
+++ b/test/days/engines.test.ts
@@ -2,6 +2,31 @@
 import { eachAlone } from './play.js';
 
 eachAlone(
-  ['engine-killed', 'engine-replaced', 'engine-dark', 'engine-leaves', 'engine-misbehaves', 'engines-fail', 'streams-break', 'engines-released', 'address-reused', 'platform-dark', 'platform-slow', 'crowd', 'hot-prefix', 'doorway-storm', 'doorway-race', 'doorways-at-once'],
-  ['strangersDialled', 'sentNearLeaving', 'brokenStreams', 'retries', 'claimsCompared', 'rivals', 'resumed'],
+  [
+    'engine-killed',
+    'engine-replaced',
+    'engine-dark',
+    'engine-leaves',
+    'engine-misbehaves',
+    'engines-fail',
+    'streams-break',
+    'engines-released',
+    'address-reused',
+    'platform-dark',
+    'platform-slow',
+    'crowd',
+    'hot-prefix',
+    'doorway-storm',
+    'doorway-race',
+    'doorways-at-once',
+  ],
+  [
+    'strangersDialled',
+    'sentNearLeaving',
+    'brokenStreams',
+    'retries',
+    'claimsCompared',
+    'rivals',
+    'resumed',
+  ],
 );
--- a/test/days/incidents.test.ts
+++ b/test/days/incidents.test.ts
@@ -14,32 +14,70 @@
 class ServingStage extends Stage {
   override get site(): { fleet: string; seeds: string[]; over: object } {
     const { over, ...rest } = super.site;
-    return { ...rest, over: { ...over, claims: { enabled: false }, core: { replaceAfter }, lease: { duration, renew: duration / 3, lapse: 'serve', patience: 500 } } };
+    return {
+      ...rest,
+      over: {
+        ...over,
+        claims: { enabled: false },
+        core: { replaceAfter },
+        lease: { duration, renew: duration / 3, lapse: 'serve', patience: 500 },
+      },
+    };
   }
 
   configure(node: string, configuration: Configuration): Promise<string> {
-    return this.world.until(this.cores.get(node)!.configurator.replace(configuration, configuration.version - 1, wait)).then(({ outcome }) => outcome);
+    return this.world
+      .until(
+        this.cores.get(node)!.configurator.replace(configuration, configuration.version - 1, wait),
+      )
+      .then(({ outcome }) => outcome);
   }
 
   /** The version each core machine reads back from a majority, and the one each router has in force. */
   async versions(): Promise<{ read: Array<number | undefined>; inForce: number[] }> {
     const read: Array<number | undefined> = [];
-    for (const { configurator } of this.cores.values()) read.push((await this.world.until(configurator.read(wait))).toMaybe().chainNullable((value) => value).map(({ version }) => version).extract());
-    return { read, inForce: [...this.routers.values()].map(({ inForce }) => inForce.routes.version) };
+    for (const { configurator } of this.cores.values())
+      read.push(
+        (await this.world.until(configurator.read(wait)))
+          .toMaybe()
+          .chainNullable((value) => value)
+          .map(({ version }) => version)
+          .extract(),
+      );
+    return {
+      read,
+      inForce: [...this.routers.values()].map(({ inForce }) => inForce.routes.version),
+    };
   }
 
   get unready(): string[] {
-    return [...this.routers].flatMap(([name, { node }]) => (node.ready() ? [`${name}: ${node.ready()}`] : []));
+    return [...this.routers].flatMap(([name, { node }]) =>
+      node.ready() ? [`${name}: ${node.ready()}`] : [],
+    );
   }
 }
 
-const configuration = (version: number): Configuration => ({ version, routes: [{ name: 'a', host: 'h.example', prefix: `/${version}/`, kind: 'streaming', timeout: 5000, service: 's' }], services: [{ name: 's' }] });
+const configuration = (version: number): Configuration => ({
+  version,
+  routes: [
+    {
+      name: 'a',
+      host: 'h.example',
+      prefix: `/${version}/`,
+      kind: 'streaming',
+      timeout: 5000,
+      service: 's',
+    },
+  ],
+  services: [{ name: 's' }],
+});
 
 const open = async (site: string, seed: number): Promise<ServingStage> => {
   const stage = new ServingStage(sites.get(site)!, seed, new Tally());
   stage.start();
   await stage.world.run(6000);
-  for (const version of [1, 2, 3]) expect(await stage.configure('core-1', configuration(version))).toBe('accepted');
+  for (const version of [1, 2, 3])
+    expect(await stage.configure('core-1', configuration(version))).toBe('accepted');
   return stage;
 };
 
@@ -53,7 +91,10 @@
     for (const name of routers) stage.startRouter(name);
     await stage.world.run(stage.world.now + duration);
     expect(stage.unready).toEqual([]);
-    expect(await stage.versions()).toEqual({ read: cores.map(() => 3), inForce: routers.map(() => 3) });
+    expect(await stage.versions()).toEqual({
+      read: cores.map(() => 3),
+      inForce: routers.map(() => 3),
+    });
     expect(await stage.configure('core-2', configuration(4))).toBe('accepted');
   });
 
@@ -64,7 +105,12 @@
     const formed = stage.cores.get('core-1')!.member.id;
     const unready: string[] = [];
     const look = async (span: number): Promise<void> => {
-      for (const end = stage.world.now + span; stage.world.now < end; unready.push(...stage.unready)) await stage.world.run(stage.world.now + 50);
+      for (
+        const end = stage.world.now + span;
+        stage.world.now < end;
+        unready.push(...stage.unready)
+      )
+        await stage.world.run(stage.world.now + 50);
     };
     for (const { host } of stage.cores.values()) host.kill();
     stage.disks.get('core-1')!.lose();
@@ -76,7 +122,10 @@
     const { member } = stage.cores.get('core-1')!;
     expect(member.id).not.toBe(formed);
     expect(member.state()).toMatchObject({ voting: true });
-    expect(await stage.versions()).toEqual({ read: cores.map(() => 3), inForce: routers.map(() => 3) });
+    expect(await stage.versions()).toEqual({
+      read: cores.map(() => 3),
+      inForce: routers.map(() => 3),
+    });
     stage.cores.get('core-2')!.host.kill();
     expect(await stage.configure('core-3', configuration(4))).toBe('accepted');
   });
--- a/test/days/play.ts
+++ b/test/days/play.ts
@@ -1,16 +1,34 @@
 /** Plays simulated days in tests: a fixed set of seeds, judged, and the count of what really came up in them. */
 import { expect, test } from 'vitest';
 import { playDay } from '../../src/sim/day/day.js';
-import { dayOf, sites, type DayResult, type FaultName, type Situation } from '../../src/sim/day/plan.js';
+import {
+  dayOf,
+  sites,
+  type DayResult,
+  type FaultName,
+  type Situation,
+} from '../../src/sim/day/plan.js';
 
 /** Adds up how often a situation came up, and holds it against 0: what never came up was not proved. */
 const cameUp = (days: readonly DayResult[], situations: readonly Situation[]): void => {
-  const counts = Object.fromEntries(situations.map((situation) => [situation, days.reduce((sum, day) => sum + (day.situations.get(situation) ?? 0), 0)]));
-  expect(situations.filter((situation) => counts[situation] === 0), JSON.stringify(counts)).toEqual([]);
+  const counts = Object.fromEntries(
+    situations.map((situation) => [
+      situation,
+      days.reduce((sum, day) => sum + (day.situations.get(situation) ?? 0), 0),
+    ]),
+  );
+  expect(
+    situations.filter((situation) => counts[situation] === 0),
+    JSON.stringify(counts),
+  ).toEqual([]);
 };
 
 /** A day for each failure alone. */
-export const eachAlone = (faults: readonly FaultName[], situations: readonly Situation[], seed = 1): void => {
+export const eachAlone = (
+  faults: readonly FaultName[],
+  situations: readonly Situation[],
+  seed = 1,
+): void => {
   const days: DayResult[] = [];
   for (const fault of faults)
     test(`a day with ${fault}`, async () => {
@@ -24,7 +42,11 @@
 };
 
 /** Whole days of one site, failures drawn from the seed. */
-export const wholeDays = (site: string, seeds: readonly number[], situations: readonly Situation[]): void => {
+export const wholeDays = (
+  site: string,
+  seeds: readonly number[],
+  situations: readonly Situation[],
+): void => {
   const days: DayResult[] = [];
   for (const seed of seeds)
     test(`a day at ${site}, seed ${seed}`, async () => {
@@ -35,7 +57,9 @@
       expect(day.changes.get('accepted')).toBeGreaterThan(4);
     });
   test(`what must be proved came up at ${site}`, () => {
-    expect(new Set(days.flatMap(({ faults }) => faults.map((fault) => fault.split('@')[0]))).size).toBeGreaterThan(8);
+    expect(
+      new Set(days.flatMap(({ faults }) => faults.map((fault) => fault.split('@')[0]))).size,
+    ).toBeGreaterThan(8);
     cameUp(days, situations);
   });
 };
--- a/test/days/routers.test.ts
+++ b/test/days/routers.test.ts
@@ -2,6 +2,19 @@
 import { eachAlone } from './play.js';
 
 eachAlone(
-  ['router-killed', 'router-herd', 'router-all-killed', 'router-frozen', 'router-suspended', 'router-isolated', 'router-one-way', 'router-drains', 'routers-rolled', 'all-killed', 'clocks-jump', 'lossy-net'],
+  [
+    'router-killed',
+    'router-herd',
+    'router-all-killed',
+    'router-frozen',
+    'router-suspended',
+    'router-isolated',
+    'router-one-way',
+    'router-drains',
+    'routers-rolled',
+    'all-killed',
+    'clocks-jump',
+    'lossy-net',
+  ],
   ['idsSentAgainAfterRun', 'outages', 'takenAtStop', 'lapsedStandings', 'brokenStreams'],
 );
--- a/test/days/sahel.test.ts
+++ b/test/days/sahel.test.ts
@@ -4,7 +4,19 @@
 import { sites } from '../../src/sim/day/plan.js';
 import { wholeDays } from './play.js';
 
-wholeDays('sahel', [101, 102, 103, 104, 105, 106], ['rivals', 'acceptedInForce', 'declinedChanges', 'idsSentAgainAfterRun', 'brokenStreams', 'historyRead', 'claimsCompared']);
+wholeDays(
+  'sahel',
+  [101, 102, 103, 104, 105, 106],
+  [
+    'rivals',
+    'acceptedInForce',
+    'declinedChanges',
+    'idsSentAgainAfterRun',
+    'brokenStreams',
+    'historyRead',
+    'claimsCompared',
+  ],
+);
 
 test('one seed replays exactly', async () => {
   const plan = { ...sites.get('sahel')!, seconds: 12 };
--- a/test/days/start.test.ts
+++ b/test/days/start.test.ts
@@ -17,9 +17,15 @@
       void new Operators(stage).open();
       traffic.flow(3000, 6000, 24, 2);
       await stage.world.run(12_000);
-      const told = traffic.calls.filter(({ reason }) => !reason.includes('caller left') && !reason.includes('aborted'));
+      const told = traffic.calls.filter(
+        ({ reason }) => !reason.includes('caller left') && !reason.includes('aborted'),
+      );
       results += told.filter(({ outcome }) => outcome === 'result').length;
-      declined.push(...told.filter(({ outcome }) => outcome !== 'result').map(({ outcome, reason }) => `${outcome}: ${reason}`));
+      declined.push(
+        ...told
+          .filter(({ outcome }) => outcome !== 'result')
+          .map(({ outcome, reason }) => `${outcome}: ${reason}`),
+      );
     }
     expect(results).toBeGreaterThan(300);
     expect(declined.length, declined.join('; ')).toBeLessThanOrEqual(3);
--- a/test/days/stop.test.ts
+++ b/test/days/stop.test.ts
@@ -5,14 +5,18 @@
 import { Stage } from '../../src/sim/day/stage.js';
 import { Tally } from '../../src/sim/day/tally.js';
 
-const open = async (seed: number): Promise<{ stage: Stage; operators: Operators; change: () => Promise<number> }> => {
+const open = async (
+  seed: number,
+): Promise<{ stage: Stage; operators: Operators; change: () => Promise<number> }> => {
   const stage = new Stage(sites.get('sahel')!, seed, new Tally());
   const operators = new Operators(stage);
   stage.start();
   await stage.world.until(operators.open());
   await stage.world.run(stage.world.now + 6000);
   const change = async (): Promise<number> => {
-    const { outcome, asked, at } = await stage.world.until(operators.change('sahel-short', operators.newest('sahel-short'), 'all'));
+    const { outcome, asked, at } = await stage.world.until(
+      operators.change('sahel-short', operators.newest('sahel-short'), 'all'),
+    );
     return outcome === 'accepted' ? at - asked : Infinity;
   };
   return { stage, operators, change };
--- a/test/faces/requests.test.ts
+++ b/test/faces/requests.test.ts
@@ -1,5 +1,11 @@
 /** The face for requests on loopback: the limits in force, and the order of a planned stop. */
-import { Agent, request as httpRequest, type ClientRequest, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  Agent,
+  request as httpRequest,
+  type ClientRequest,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
 import { expect, test } from 'vitest';
 import { RequestsFace } from '../../src/faces/requests/face.js';
@@ -25,7 +31,14 @@
   const taken: Open['taken'] = [];
   const port = await freePort();
   const made = { taken, port, limits: {} as Limits };
-  const face = new RequestsFace({ open: 0, drain: () => Promise.resolve(0), handle: (request, response) => void taken.push({ request, response }) }, () => made.limits);
+  const face = new RequestsFace(
+    {
+      open: 0,
+      drain: () => Promise.resolve(0),
+      handle: (request, response) => void taken.push({ request, response }),
+    },
+    () => made.limits,
+  );
   expect((await face.listen(`127.0.0.1:${port}`)).isRight()).toBe(true);
   return Object.assign(made, { face });
 };
@@ -34,21 +47,31 @@
   while (!question()) await new Promise((resolve) => setImmediate(resolve));
 };
 
-const send = (port: number, agent: Agent): { asked: ClientRequest; answer: Promise<IncomingMessage> } => {
+const send = (
+  port: number,
+  agent: Agent,
+): { asked: ClientRequest; answer: Promise<IncomingMessage> } => {
   const asked = httpRequest({ host: '127.0.0.1', port, agent, method: 'POST', path: '/a/b?c' });
-  const answer = new Promise<IncomingMessage>((resolve, reject) => asked.once('response', (message) => resolve(message.resume())).once('error', reject));
+  const answer = new Promise<IncomingMessage>((resolve, reject) =>
+    asked.once('response', (message) => resolve(message.resume())).once('error', reject),
+  );
   asked.end('body');
   return { asked, answer };
 };
 
 test('callers are told how long they may stay idle, by the limits in force at the time', async () => {
-  const { face, port, taken } = await open().then((opened) => Object.assign(opened, { limits: { idleTimeout: 7000 } }));
+  const { face, port, taken } = await open().then((opened) =>
+    Object.assign(opened, { limits: { idleTimeout: 7000 } }),
+  );
   const agent = new Agent({ keepAlive: true });
   const { answer } = send(port, agent);
   await until(() => taken.length === 1);
   expect([taken[0]!.request.method, taken[0]!.request.url]).toEqual(['POST', '/a/b?c']);
   taken[0]!.response.writeHead(200).end('x');
-  expect((await answer).headers).toMatchObject({ connection: 'keep-alive', 'keep-alive': 'timeout=7' });
+  expect((await answer).headers).toMatchObject({
+    connection: 'keep-alive',
+    'keep-alive': 'timeout=7',
+  });
   agent.destroy();
   await face.close();
 });
@@ -82,7 +105,10 @@
   taken[0]!.response.end('the rest');
   await ended;
   for (let turn = 0; turn < 50; turn++) await new Promise((resolve) => setImmediate(resolve));
-  const next = send(port, agent).answer.then(() => 'answered', () => 'refused');
+  const next = send(port, agent).answer.then(
+    () => 'answered',
+    () => 'refused',
+  );
   await until(() => taken.length === 2 || socket.destroyed);
   expect(taken.length).toBe(1);
   expect(await next).toBe('refused');
--- a/test/forward/drain.test.ts
+++ b/test/forward/drain.test.ts
@@ -7,7 +7,10 @@
   const running = [stage.ask(), stage.ask()];
   await until('both run', () => stage.ran().length === 2);
   const drained = stage.forwarder.drain(5000);
-  expect(await Promise.all(running)).toMatchObject([{ status: 200, complete: true }, { status: 200, complete: true }]);
+  expect(await Promise.all(running)).toMatchObject([
+    { status: 200, complete: true },
+    { status: 200, complete: true },
+  ]);
   expect(await drained).toBe(0);
   await expectClean(stage);
 });
@@ -24,14 +27,18 @@
 
 test('answers given while it stops ask their callers to close, and are whole', async () => {
   const stage = await openStage({ engines: 1, engine: { stepBase: 10 } });
-  const request = (id: string): string => `POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${id}\r\n${prompt.map(([name, value]) => `${name}: ${value}\r\n`).join('')}Content-Length: 0\r\n\r\n`;
+  const request = (id: string): string =>
+    `POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${id}\r\n${prompt.map(([name, value]) => `${name}: ${value}\r\n`).join('')}Content-Length: 0\r\n\r\n`;
   const kept = raw(stage.front, [request('one')], 2);
   await until('it runs', () => stage.ran().length === 1);
   stage.forwarder.close();
   const late = raw(stage.front, [request('two')], 2);
   await until('the next one was taken too', () => stage.forwarder.open === 2);
   expect(await stage.forwarder.drain(5000)).toBe(0);
-  for (const { answers } of [await kept, await late]) expect(answers.map(({ complete, fields }) => [complete, fields.get('connection')])).toEqual([[true, 'close']]);
+  for (const { answers } of [await kept, await late])
+    expect(answers.map(({ complete, fields }) => [complete, fields.get('connection')])).toEqual([
+      [true, 'close'],
+    ]);
 });
 
 test('an engine that leaves gets nothing new and ends what it has', async () => {
@@ -74,9 +81,12 @@
   await expectClean(stage);
 });
 
-test('another service at an engine\'s old address runs nothing of ours', async () => {
+test("another service at an engine's old address runs nothing of ours", async () => {
   const stage = await openStage({ engines: 2, route: { kind: 'non_idempotent', attempts: 1 } });
-  stage.listed.set('engine-1', { ...stage.listed.get('engine-1')!, address: stage.listed.get('engine-2')!.address });
+  stage.listed.set('engine-1', {
+    ...stage.listed.get('engine-1')!,
+    address: stage.listed.get('engine-2')!.address,
+  });
   expect(await stage.ask()).toMatchObject({ status: 503 });
   expect(stage.ran()).toEqual([]);
   await expectClean(stage);
--- a/test/forward/face.test.ts
+++ b/test/forward/face.test.ts
@@ -12,7 +12,11 @@
 
 let ports = 20_000 + (process.pid % 20_000);
 
-const open = async (limits: Limits, route: Partial<Route> = { kind: 'non_idempotent' }, engine: { stepBase?: number } = {}): Promise<{ stage: Stage; face: RequestsFace; address: string }> => {
+const open = async (
+  limits: Limits,
+  route: Partial<Route> = { kind: 'non_idempotent' },
+  engine: { stepBase?: number } = {},
+): Promise<{ stage: Stage; face: RequestsFace; address: string }> => {
   const stage = await openStage({ engines: 1, engine, route, limits });
   for (;;) {
     const address = `127.0.0.1:${++ports}`;
@@ -39,7 +43,8 @@
   socket.once('close', () => (closed = true));
   return { reader, closed: () => closed, send: (text) => void socket.write(text) };
 };
-const request = (id: string, more = ''): string => `POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${id}\r\n${more || 'Content-Length: 0\r\n\r\n'}`;
+const request = (id: string, more = ''): string =>
+  `POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ${id}\r\n${more || 'Content-Length: 0\r\n\r\n'}`;
 
 test('an idle connection is closed, and its callers are told when', async () => {
   const { address, stage } = await open({ idleTimeout: 1000 });
@@ -61,13 +66,18 @@
   expect(stage.engines[0]!.requests).toEqual([]);
 });
 
-test('a body that does not come to its end is given up with the request\'s time, and told as not run', async () => {
+test("a body that does not come to its end is given up with the request's time, and told as not run", async () => {
   const { address, stage } = await open({});
-  for (const framing of ['Content-Length: 10\r\n\r\nabc', 'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n']) {
+  for (const framing of [
+    'Content-Length: 10\r\n\r\nabc',
+    'Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n',
+  ]) {
     const slow = line(address);
     slow.send(request('a', `X-Deadline-Ms: 300\r\n${framing}`));
     await until('it is closed', slow.closed);
-    expect(slow.reader.answers.map(({ status, complete }) => [status, complete])).toEqual([[408, true]]);
+    expect(slow.reader.answers.map(({ status, complete }) => [status, complete])).toEqual([
+      [408, true],
+    ]);
   }
   expect(stage.engines[0]!.requests).toEqual([]);
   await until('no request under way', () => stage.forwarder.open === 0);
@@ -81,7 +91,12 @@
   face.retire();
   idle.send(request('b'));
   await until('it is closed', idle.closed);
-  expect(idle.reader.answers.map(({ status, fields }) => [status, fields.get('connection')])).toEqual([[200, 'keep-alive'], [200, 'close']]);
+  expect(
+    idle.reader.answers.map(({ status, fields }) => [status, fields.get('connection')]),
+  ).toEqual([
+    [200, 'keep-alive'],
+    [200, 'close'],
+  ]);
   face.halt();
   const late = line(address);
   late.send(request('c'));
@@ -99,6 +114,15 @@
   face.retire();
   kept.send(request('b', streamed));
   await until('it is closed', kept.closed);
-  expect(kept.reader.answers.map(({ status, complete, fields }) => [status, complete, fields.get('connection')])).toEqual([[200, true, 'keep-alive'], [200, true, 'close']]);
+  expect(
+    kept.reader.answers.map(({ status, complete, fields }) => [
+      status,
+      complete,
+      fields.get('connection'),
+    ]),
+  ).toEqual([
+    [200, true, 'keep-alive'],
+    [200, true, 'close'],
+  ]);
   expect(stage.engines[0]!.requests).toHaveLength(2);
 });
--- a/test/forward/once.test.ts
+++ b/test/forward/once.test.ts
@@ -6,7 +6,16 @@
 import { expectClean, openStage, prompt, until } from './stage.js';
 
 /** After run, nothing tells whether it ran. */
-const unclear: readonly TroubleKind[] = ['reset', 'closed', 'garbled', 'unmarked-full', 'foreign', 'unsealed', 'encoded', 'unframed'];
+const unclear: readonly TroubleKind[] = [
+  'reset',
+  'closed',
+  'garbled',
+  'unmarked-full',
+  'foreign',
+  'unsealed',
+  'encoded',
+  'unframed',
+];
 
 for (const kind of unclear) {
   test(`what may run once is sent once, and not called refused: ${kind}`, async () => {
@@ -54,13 +63,20 @@
   await expectClean(stage);
 });
 
-for (const [word, kind] of [['full', 'non_idempotent'], ['busy', 'streaming'], ['full', 'idempotent']] as const) {
+for (const [word, kind] of [
+  ['full', 'non_idempotent'],
+  ['busy', 'streaming'],
+  ['full', 'idempotent'],
+] as const) {
   test(`on the engine's word that it did not run (${word}), a second one is asked, also for ${kind}`, async () => {
     const stage = await openStage({ route: { kind } });
     stage.engines[0]!.troubles.tell(word);
     expect(await stage.ask()).toMatchObject({ status: 200, complete: true });
     expect(stage.ran()).toEqual(['engine-2']);
-    expect(stage.ends).toEqual([['engine-1', 'turned-away'], ['engine-2', 'whole']]);
+    expect(stage.ends).toEqual([
+      ['engine-1', 'turned-away'],
+      ['engine-2', 'whole'],
+    ]);
     await expectClean(stage);
   });
 }
@@ -140,8 +156,16 @@
     for (let at = rush ? 10 : 1; at > 0; at--) if (budget.take('s')) again.push(world.now);
   }
   expect(again.length).toBeGreaterThan(fresh.length * 0.1);
-  const within = (moments: readonly number[], end: number): number => moments.filter((at) => at > end - window && at <= end).length;
-  const over = again.filter((end) => within(again.filter((at) => at <= end), end) > 0.2 * within(fresh, end));
+  const within = (moments: readonly number[], end: number): number =>
+    moments.filter((at) => at > end - window && at <= end).length;
+  const over = again.filter(
+    (end) =>
+      within(
+        again.filter((at) => at <= end),
+        end,
+      ) >
+      0.2 * within(fresh, end),
+  );
   expect(over).toEqual([]);
 });
 
--- a/test/forward/silence.test.ts
+++ b/test/forward/silence.test.ts
@@ -53,19 +53,42 @@
   for (let turn = 0; turn < 30; turn++) await new Promise((resolve) => setImmediate(resolve));
 };
 
-const stage = async (): Promise<{ clock: HandClock; links: HttpLinks; engine: Engine; taken: Map<string, ServerResponse> }> => {
+const stage = async (): Promise<{
+  clock: HandClock;
+  links: HttpLinks;
+  engine: Engine;
+  taken: Map<string, ServerResponse>;
+}> => {
   const taken = new Map<string, ServerResponse>();
-  const server = createServer((request: IncomingMessage, response) => void taken.set(request.url!, response));
+  const server = createServer(
+    (request: IncomingMessage, response) => void taken.set(request.url!, response),
+  );
   opened.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const clock = new HandClock();
-  const engine: Engine = { identifier: 'e', address, model: 'm', adapters: new Set(), weightGeneration: '1', zone: 'z', labels: new Map(), cacheCapacity: 1, prefillRate: 1, leaving: false };
+  const engine: Engine = {
+    identifier: 'e',
+    address,
+    model: 'm',
+    adapters: new Set(),
+    weightGeneration: '1',
+    zone: 'z',
+    labels: new Map(),
+    cacheCapacity: 1,
+    prefillRate: 1,
+    leaving: false,
+  };
   return { clock, links: new HttpLinks(clock, 5000, 5000), engine, taken };
 };
 
 const get = (links: HttpLinks, engine: Engine, target: string): Promise<Outcome<Answer>> =>
-  links.send(engine, { method: 'GET', target, fields: [['host', 'h']], body: undefined }, { soft: 50, hard: 1000 }, new AbortController().signal);
+  links.send(
+    engine,
+    { method: 'GET', target, fields: [['host', 'h']], body: undefined },
+    { soft: 50, hard: 1000 },
+    new AbortController().signal,
+  );
 
 test('an engine that speaks to another request is borne with, up to the hard limit', async () => {
   const { clock, links, engine, taken } = await stage();
--- a/test/forward/stage.ts
+++ b/test/forward/stage.ts
@@ -26,7 +26,11 @@
 import type { Asked, Try } from '../../src/stand/opaque/record.js';
 
 export const clock = new SystemClock();
-export const prompt = [['X-Model', 'm'], ['X-Token-Counts', '100,24'], ['X-Prompt-Parts', 'aa:60,bb:40']] as const;
+export const prompt = [
+  ['X-Model', 'm'],
+  ['X-Token-Counts', '100,24'],
+  ['X-Prompt-Parts', 'aa:60,bb:40'],
+] as const;
 
 export interface Stage {
   readonly front: string;
@@ -72,27 +76,82 @@
   throw new Error(`it never came to: ${what}`);
 };
 
-export const openStage = async ({ engines: count = 2, engine = {}, route: over = {}, limits, ratio = 100 }: Plan = {}): Promise<Stage> => {
-  const engines = Array.from({ length: count }, (_, at) => new OpaqueEngine({ identifier: `engine-${at + 1}`, service: 's', ...engine }, clock));
+export const openStage = async ({
+  engines: count = 2,
+  engine = {},
+  route: over = {},
+  limits,
+  ratio = 100,
+}: Plan = {}): Promise<Stage> => {
+  const engines = Array.from(
+    { length: count },
+    (_, at) => new OpaqueEngine({ identifier: `engine-${at + 1}`, service: 's', ...engine }, clock),
+  );
   started.push(...engines);
   const listed = new Map<string, Engine>();
   for (const each of engines) {
     const { identifier } = each.params;
-    listed.set(identifier, { identifier, address: await each.listen(), model: 'm', adapters: new Set(), weightGeneration: '1', zone: 'z', labels: new Map(), cacheCapacity: 1, prefillRate: 1, leaving: false, service: 's' });
+    listed.set(identifier, {
+      identifier,
+      address: await each.listen(),
+      model: 'm',
+      adapters: new Set(),
+      weightGeneration: '1',
+      zone: 'z',
+      labels: new Map(),
+      cacheCapacity: 1,
+      prefillRate: 1,
+      leaving: false,
+      service: 's',
+    });
   }
-  const route: Route = { name: 'r', host: 'h.example', prefix: '/a/', kind: 'streaming', timeout: 20_000, service: 's', attempts: 2, target: 10_000, gap: 700, ...over };
-  const configuration = { version: 1, routes: [route], services: [{ name: 's' }], ...(limits ? { limits } : {}) };
+  const route: Route = {
+    name: 'r',
+    host: 'h.example',
+    prefix: '/a/',
+    kind: 'streaming',
+    timeout: 20_000,
+    service: 's',
+    attempts: 2,
+    target: 10_000,
+    gap: 700,
+    ...over,
+  };
+  const configuration = {
+    version: 1,
+    routes: [route],
+    services: [{ name: 's' }],
+    ...(limits ? { limits } : {}),
+  };
   const inForce = new InForce();
   inForce.swap({ ...genesis('f', []), configuration });
   const ends: Array<readonly [string, TicketEnd]> = [];
   const placer: Placer = {
-    place: (_, [first]) => ({ kind: 'placed', ticket: { engine: first!, urgency: 3, head: () => undefined, piece: () => undefined, end: (how) => void ends.push([first!.identifier, how]) } }),
+    place: (_, [first]) => ({
+      kind: 'placed',
+      ticket: {
+        engine: first!,
+        urgency: 3,
+        head: () => undefined,
+        piece: () => undefined,
+        end: (how) => void ends.push([first!.identifier, how]),
+      },
+    }),
     listed: () => undefined,
   };
   const random = new SeededRandom(1);
   const journal = new Journal<ForwardEvent>(clock);
   const links = new HttpLinks(clock, 400, 5000);
-  const params = { bodyBytes: 1 << 20, heldBytes: 1 << 26, timeout: 5000, impatience: 0.7, surprise: 3, hedgeTokens: 4096, gapShare: 3, gapLeast: 300 };
+  const params = {
+    bodyBytes: 1 << 20,
+    heldBytes: 1 << 26,
+    timeout: 5000,
+    impatience: 0.7,
+    surprise: 3,
+    hedgeTokens: 4096,
+    gapShare: 3,
+    gapLeast: 300,
+  };
   /** As a pool does, a new map for each list. */
   let shown: { of: string; placed: ReadonlyMap<string, Engine> } = { of: '', placed: new Map() };
   const pool = {
@@ -102,7 +161,21 @@
       return shown.placed;
     },
   };
-  const forwarder = new Forwarder(inForce, () => true, pool, links, placer, new RepeatBudget(ratio, 10_000, clock), ownDialect, () => 1, params, clock, random, journal, () => undefined);
+  const forwarder = new Forwarder(
+    inForce,
+    () => true,
+    pool,
+    links,
+    placer,
+    new RepeatBudget(ratio, 10_000, clock),
+    ownDialect,
+    () => 1,
+    params,
+    clock,
+    random,
+    journal,
+    () => undefined,
+  );
   const server = createServer((request, response) => forwarder.handle(request, response));
   servers.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -110,12 +183,48 @@
   const caller = new OpaqueCaller(clock, random);
   const { kind, resume = false } = route;
   const asked = (more: Partial<Asking> = {}): Promise<Asked> =>
-    caller.ask({ name: 'n', host: 'h.example', target: '/a/b?c=d', method: 'POST', body: Buffer.from('body'), repeatable: kind === 'idempotent' || resume, resume, deadline: 20_000, silence: 20_000, furtherTries: 0, ...(kind === 'streaming' ? { fields: prompt } : {}), ...more }, () => front);
+    caller.ask(
+      {
+        name: 'n',
+        host: 'h.example',
+        target: '/a/b?c=d',
+        method: 'POST',
+        body: Buffer.from('body'),
+        repeatable: kind === 'idempotent' || resume,
+        resume,
+        deadline: 20_000,
+        silence: 20_000,
+        furtherTries: 0,
+        ...(kind === 'streaming' ? { fields: prompt } : {}),
+        ...more,
+      },
+      () => front,
+    );
   return {
-    front, forwarder, engines, listed, ends, links, caller, journal, asked,
+    front,
+    forwarder,
+    engines,
+    listed,
+    ends,
+    links,
+    caller,
+    journal,
+    asked,
     ask: async (more) => (await asked(more)).tries[0]!,
-    judged: () => judgeOpaque({ asked: caller.asked, arrivals: engines.flatMap(({ arrivals }) => arrivals), configurations: [{ configuration, sentAt: 0, acceptedAt: 0, refused: false }], leaving: new Map(), bounds: { drain: 3000, apply: 2000, ratio, window: 10_000, slack: 0 } }),
-    ran: () => engines.flatMap(({ requests }) => requests).filter(({ ran }) => ran > 0).sort((a, b) => a.at - b.at || a.engine.localeCompare(b.engine)).map(({ engine: name }) => name),
+    judged: () =>
+      judgeOpaque({
+        asked: caller.asked,
+        arrivals: engines.flatMap(({ arrivals }) => arrivals),
+        configurations: [{ configuration, sentAt: 0, acceptedAt: 0, refused: false }],
+        leaving: new Map(),
+        bounds: { drain: 3000, apply: 2000, ratio, window: 10_000, slack: 0 },
+      }),
+    ran: () =>
+      engines
+        .flatMap(({ requests }) => requests)
+        .filter(({ ran }) => ran > 0)
+        .sort((a, b) => a.at - b.at || a.engine.localeCompare(b.engine))
+        .map(({ engine: name }) => name),
   };
 };
 
@@ -128,7 +237,11 @@
 };
 
 /** Sends bytes as they are on one connection, and reads until it closes or so many answers are whole. */
-export const raw = (front: string, pieces: ReadonlyArray<string | Buffer>, answers = 1): Promise<AnswerReader> =>
+export const raw = (
+  front: string,
+  pieces: ReadonlyArray<string | Buffer>,
+  answers = 1,
+): Promise<AnswerReader> =>
   new Promise((resolve) => {
     const { host, port } = parseAddress(front);
     const reader = new AnswerReader('POST');
--- a/test/forward/streams.test.ts
+++ b/test/forward/streams.test.ts
@@ -9,8 +9,26 @@
 test('events are passed on as they are made', async () => {
   const stage = await openStage({ engines: 1, engine: { stepBase: 20 }, route: { gap: 2000 } });
   const gone = new AbortController();
-  const asked = stage.caller.ask({ name: 'n', host: 'h.example', target: '/a/', method: 'POST', body: Buffer.alloc(0), repeatable: false, deadline: 20_000, silence: 20_000, furtherTries: 0, fields: prompt }, () => stage.front, gone.signal);
-  await until('the engine made its third event', () => (stage.engines[0]!.requests[0]?.made.length ?? 0) >= 3);
+  const asked = stage.caller.ask(
+    {
+      name: 'n',
+      host: 'h.example',
+      target: '/a/',
+      method: 'POST',
+      body: Buffer.alloc(0),
+      repeatable: false,
+      deadline: 20_000,
+      silence: 20_000,
+      furtherTries: 0,
+      fields: prompt,
+    },
+    () => stage.front,
+    gone.signal,
+  );
+  await until(
+    'the engine made its third event',
+    () => (stage.engines[0]!.requests[0]?.made.length ?? 0) >= 3,
+  );
   const made = stage.engines[0]!.requests[0]!.made.length;
   gone.abort();
   const [told] = (await asked).tries;
@@ -27,7 +45,11 @@
       stage.engines[0]!.troubles.after = after;
       stage.engines[0]!.troubles.tell(kind, 1);
       const told = await stage.ask();
-      expect([told.status, told.complete, told.events.map(eventId)]).toEqual([200, true, [1, 2, 3, 4, 5, 6]]);
+      expect([told.status, told.complete, told.events.map(eventId)]).toEqual([
+        200,
+        true,
+        [1, 2, 3, 4, 5, 6],
+      ]);
       const [first, second] = stage.engines.map(({ requests }) => requests[0]!);
       expect(second!.after).toBe(first!.made.length);
       if (after > 0) expect(told.seal).toBe(first!.seal);
@@ -93,14 +115,22 @@
 }
 
 test('a stream goes on at no more engines than the route allows, and only within the budget', async () => {
-  for (const [over, ratio, sent] of [[{ attempts: 2 }, 100, 2], [{ attempts: 4 }, 100, 4], [{ attempts: 4 }, 0.2, 1]] as const) {
+  for (const [over, ratio, sent] of [
+    [{ attempts: 2 }, 100, 2],
+    [{ attempts: 4 }, 100, 4],
+    [{ attempts: 4 }, 0.2, 1],
+  ] as const) {
     const stage = await openStage({ engines: 5, route: { resume: true, ...over }, ratio });
     for (const engine of stage.engines) {
       engine.troubles.after = 1;
       engine.troubles.tell('cut');
     }
     const told = await stage.ask();
-    expect([told.complete, told.events.map(eventId), stage.ran().length]).toEqual([false, Array.from({ length: sent }, (_, at) => at + 1), sent]);
+    expect([told.complete, told.events.map(eventId), stage.ran().length]).toEqual([
+      false,
+      Array.from({ length: sent }, (_, at) => at + 1),
+      sent,
+    ]);
     await expectClean(stage);
   }
 });
@@ -127,8 +157,31 @@
   for (const events of [0, 2]) {
     const stage = await openStage({ engines: 1, engine: { stepBase: 20 } });
     const gone = new AbortController();
-    const asked = stage.caller.ask({ name: 'n', host: 'h.example', target: '/a/', method: 'POST', body: Buffer.alloc(0), repeatable: false, deadline: 20_000, silence: 20_000, furtherTries: 0, fields: [['X-Model', 'm'], ['X-Token-Counts', '100,400']] }, () => stage.front, gone.signal);
-    await until('it runs', () => (stage.engines[0]!.requests[0]?.ran ?? 0) > 0 && stage.engines[0]!.requests[0]!.made.length >= events);
+    const asked = stage.caller.ask(
+      {
+        name: 'n',
+        host: 'h.example',
+        target: '/a/',
+        method: 'POST',
+        body: Buffer.alloc(0),
+        repeatable: false,
+        deadline: 20_000,
+        silence: 20_000,
+        furtherTries: 0,
+        fields: [
+          ['X-Model', 'm'],
+          ['X-Token-Counts', '100,400'],
+        ],
+      },
+      () => stage.front,
+      gone.signal,
+    );
+    await until(
+      'it runs',
+      () =>
+        (stage.engines[0]!.requests[0]?.ran ?? 0) > 0 &&
+        stage.engines[0]!.requests[0]!.made.length >= events,
+    );
     gone.abort();
     await asked;
     await until('the engine sees its link closed', () => stage.engines[0]!.lines.open === 0);
@@ -142,7 +195,21 @@
   const stage = await openStage({ route: { kind: 'idempotent', target: 60_000, timeout: 60_000 } });
   stage.engines[0]!.troubles.tell('silent');
   const gone = new AbortController();
-  const asked = stage.caller.ask({ name: 'n', host: 'h.example', target: '/a/', method: 'POST', body: Buffer.alloc(0), repeatable: true, deadline: 60_000, silence: 60_000, furtherTries: 0 }, () => stage.front, gone.signal);
+  const asked = stage.caller.ask(
+    {
+      name: 'n',
+      host: 'h.example',
+      target: '/a/',
+      method: 'POST',
+      body: Buffer.alloc(0),
+      repeatable: true,
+      deadline: 60_000,
+      silence: 60_000,
+      furtherTries: 0,
+    },
+    () => stage.front,
+    gone.signal,
+  );
   await until('it runs', () => (stage.engines[0]!.requests[0]?.ran ?? 0) > 0);
   gone.abort();
   await asked;
@@ -158,7 +225,9 @@
   const [host, port] = stage.front.split(':');
   const socket = connect({ host: host!, port: Number(port) });
   socket.pause();
-  socket.write(`POST /a/?bytes=${size} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n`);
+  socket.write(
+    `POST /a/?bytes=${size} HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 60000\r\nContent-Length: 0\r\n\r\n`,
+  );
   const taken = (): number => stage.engines[0]!.requests[0]?.made[0]?.length ?? 0;
   let before = -1;
   let still = 0;
@@ -178,8 +247,21 @@
 });
 
 test('many streams at once, with one engine in trouble: each whole or visibly broken, none mixed', async () => {
-  const stage = await openStage({ engines: 3, engine: { slots: 8, queue: 200 }, route: { ...goesOn, timeout: 60_000, target: 60_000, gap: 20_000 } });
-  const kinds: readonly TroubleKind[] = ['cut', 'late', 'surplus', 'garbled', 'foreign', 'cut-reset', 'late-refusal', 'reset'];
+  const stage = await openStage({
+    engines: 3,
+    engine: { slots: 8, queue: 200 },
+    route: { ...goesOn, timeout: 60_000, target: 60_000, gap: 20_000 },
+  });
+  const kinds: readonly TroubleKind[] = [
+    'cut',
+    'late',
+    'surplus',
+    'garbled',
+    'foreign',
+    'cut-reset',
+    'late-refusal',
+    'reset',
+  ];
   const all = [];
   for (let at = 0; at < 160; at++) {
     if (at % 5 === 0) stage.engines[0]!.troubles.tell(kinds[(at / 5) % kinds.length]!, 1);
@@ -187,6 +269,8 @@
     if (at % 20 === 19) await clock.sleep(1);
   }
   const told = await Promise.all(all);
-  expect(told.filter(({ complete, status }) => complete && status === 200).length).toBeGreaterThan(140);
+  expect(told.filter(({ complete, status }) => complete && status === 200).length).toBeGreaterThan(
+    140,
+  );
   await expectClean(stage);
 });
--- a/test/platform/samples.ts
+++ b/test/platform/samples.ts
@@ -45,9 +45,17 @@
 });
 
 const splitOf = (random: Random, services: readonly string[]): unknown[] =>
-  services.map((service) => ({ service, weight: 1 + whole(random, 99), ...(chance(random, 0.2) && { color: 'red' }) }));
+  services.map((service) => ({
+    service,
+    weight: 1 + whole(random, 99),
+    ...(chance(random, 0.2) && { color: 'red' }),
+  }));
 
-export const routeIn = (random: Random, at: number, services: readonly string[]): Record<string, unknown> => ({
+export const routeIn = (
+  random: Random,
+  at: number,
+  services: readonly string[],
+): Record<string, unknown> => ({
   name: `r-${at}`,
   hostname: `h${whole(random, 3)}.example`,
   path_prefix: `/p${at}/`,
@@ -55,8 +63,13 @@
   timeout_ms: 1 + whole(random, 9000),
   ...(chance(random, 0.5) && { target_latency_ms: whole(random, 900) }),
   ...(chance(random, 0.5) && { priority: whole(random, 9), max_attempts: 1 + whole(random, 3) }),
-  ...(chance(random, 0.5) && { session_affinity: chance(random, 0.5), resume_streams: chance(random, 0.5) }),
-  ...(chance(random, 0.5) ? { service: pick(random, services) } : { traffic_split: splitOf(random, services) }),
+  ...(chance(random, 0.5) && {
+    session_affinity: chance(random, 0.5),
+    resume_streams: chance(random, 0.5),
+  }),
+  ...(chance(random, 0.5)
+    ? { service: pick(random, services) }
+    : { traffic_split: splitOf(random, services) }),
   ...strange(random),
 });
 
@@ -66,10 +79,29 @@
     version: 1 + whole(random, 1000),
     routes: Array.from({ length: whole(random, 8) }, (_, at) => routeIn(random, at, names)),
     services: names.map((name) => ({
-      name, health_path: '/well', connection_limit: whole(random, 500), protocol: 'h1', transport_security: false,
-      engine: { slots: 1 + whole(random, 64), cache_capacity_tokens: whole(random, 1e6), cache_token_bytes: 1024, stride: 4, models: [{ name: 'm' }] }, ...strange(random),
+      name,
+      health_path: '/well',
+      connection_limit: whole(random, 500),
+      protocol: 'h1',
+      transport_security: false,
+      engine: {
+        slots: 1 + whole(random, 64),
+        cache_capacity_tokens: whole(random, 1e6),
+        cache_token_bytes: 1024,
+        stride: 4,
+        models: [{ name: 'm' }],
+      },
+      ...strange(random),
     })),
-    ...(chance(random, 0.7) && { limits: { max_header_bytes: 16_384, max_body_bytes: 1e6, header_timeout_ms: 3000, idle_timeout_ms: 15_000, ...strange(random) } }),
+    ...(chance(random, 0.7) && {
+      limits: {
+        max_header_bytes: 16_384,
+        max_body_bytes: 1e6,
+        header_timeout_ms: 3000,
+        idle_timeout_ms: 15_000,
+        ...strange(random),
+      },
+    }),
     ...strange(random),
   };
 };
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -17,13 +17,21 @@
   await writeFile(file, text);
   return readSettings(file);
 };
-const reason = (outcome: { extract(): unknown }): string => (outcome.extract() as { reason: string }).reason;
+const reason = (outcome: { extract(): unknown }): string =>
+  (outcome.extract() as { reason: string }).reason;
 
 test('a router listens for requests and readiness, and meets its seeds at the first internal port', async () => {
   const params = (await read(settingsText('front'))).chain(paramsOf).unsafeCoerce();
   expect(params).toMatchObject({
-    name: 'edge-1', zone: 'north', form: false,
-    listen: { callers: '', requests: '10.0.0.5:8000', peers: '10.0.0.5:6100', operators: '10.0.0.5:6101' },
+    name: 'edge-1',
+    zone: 'north',
+    form: false,
+    listen: {
+      callers: '',
+      requests: '10.0.0.5:8000',
+      peers: '10.0.0.5:6100',
+      operators: '10.0.0.5:6101',
+    },
     seeds: ['10.0.1.1:6100', '10.0.2.1:6100'],
     platform: { every: 1000, place: 0 },
   });
@@ -31,14 +39,24 @@
 
 test('a core machine forms at the first start only, in its own folder, and has no entry to wait for', async () => {
   const first = (await read(settingsText('core'))).chain(paramsOf).unsafeCoerce();
-  expect(first).toMatchObject({ form: true, folder: '/disk/core', listen: { requests: '', notice: 0 } });
-  const later = (await read(settingsText('core').replace('first_start = true', 'first_start = false'))).chain(paramsOf).unsafeCoerce();
+  expect(first).toMatchObject({
+    form: true,
+    folder: '/disk/core',
+    listen: { requests: '', notice: 0 },
+  });
+  const later = (
+    await read(settingsText('core').replace('first_start = true', 'first_start = false'))
+  )
+    .chain(paramsOf)
+    .unsafeCoerce();
   expect(later.form).toBe(false);
 });
 
 test('times follow from the bounds: a planned stop fits into the grace, polls into the drain', async () => {
   for (const grace of [4, 8, 30]) {
-    const text = settingsText('front').replace('grace_period_s = 10', `grace_period_s = ${grace}`).replace('drain_ms = 5000', 'drain_ms = 2000');
+    const text = settingsText('front')
+      .replace('grace_period_s = 10', `grace_period_s = ${grace}`)
+      .replace('drain_ms = 5000', 'drain_ms = 2000');
     const { drain, listen, platform } = (await read(text)).chain(paramsOf).unsafeCoerce();
     expect(listen.notice).toBeLessThan(drain);
     expect(drain + 1000).toBeLessThan(grace * 1000);
@@ -48,17 +66,28 @@
 });
 
 test('fields that are not known are skipped; a missing or wrong one is named', async () => {
-  expect((await read(`surprise = [1, 2]\n${settingsText('front')}[more]\nof = "it"\n`)).isRight()).toBe(true);
-  expect(reason(await read(settingsText('front').replace('node_name', 'other_name')))).toMatch(/^node_name is nothing/);
-  expect(reason(await read(settingsText('front').replace('drain_ms = 5000', 'drain_ms = "soon"')))).toMatch(/^bounds\.drain_ms is "soon"/);
+  expect(
+    (await read(`surprise = [1, 2]\n${settingsText('front')}[more]\nof = "it"\n`)).isRight(),
+  ).toBe(true);
+  expect(reason(await read(settingsText('front').replace('node_name', 'other_name')))).toMatch(
+    /^node_name is nothing/,
+  );
+  expect(
+    reason(await read(settingsText('front').replace('drain_ms = 5000', 'drain_ms = "soon"'))),
+  ).toMatch(/^bounds\.drain_ms is "soon"/);
   expect(reason(await read('not = = toml'))).not.toBe('');
   expect(reason(await readSettings(undefined))).toMatch(/names no file/);
 });
 
 test('a bound that the rules of a deployment leave out has another in its place', async () => {
-  const bare = settingsText('front').replace(/\[bounds\][^[]*/, '[bounds]\nacknowledge_ms = 8000\n');
+  const bare = settingsText('front').replace(
+    /\[bounds\][^[]*/,
+    '[bounds]\nacknowledge_ms = 8000\n',
+  );
   const params = (await read(bare)).chain(paramsOf).unsafeCoerce();
   expect(params.lease.duration).toBe(3000);
   expect(params.drain).toBeGreaterThan(0);
-  expect((await read(settingsText('core').replace(/\[bounds\][^[]*/, ''))).chain(paramsOf).isRight()).toBe(true);
+  expect(
+    (await read(settingsText('core').replace(/\[bounds\][^[]*/, ''))).chain(paramsOf).isRight(),
+  ).toBe(true);
 });
--- a/test/process/alone.test.ts
+++ b/test/process/alone.test.ts
@@ -9,11 +9,30 @@
 import type { Configuration } from '../../src/route/shape.js';
 
 const duration = 1500;
-const fleet = new Fleet({ folder: mkdtempSync(join(tmpdir(), 'rr-')), cores: 3, routers: 2, engines: 0, zones: ['a'], firms: ['sahel'], opaque: true, params: { claims: { enabled: false }, lease: { duration, renew: 400, lapse: 'serve', patience: 400 } } });
+const fleet = new Fleet({
+  folder: mkdtempSync(join(tmpdir(), 'rr-')),
+  cores: 3,
+  routers: 2,
+  engines: 0,
+  zones: ['a'],
+  firms: ['sahel'],
+  opaque: true,
+  params: {
+    claims: { enabled: false },
+    lease: { duration, renew: 400, lapse: 'serve', patience: 400 },
+  },
+});
 const scene = new OpaqueScene(fleet, 11);
 const host = 'rail.example';
-const configuration = (version: number, service: string): Configuration => ({ version, routes: [routeTo('once', service, { kind: 'non_idempotent' }), routeTo('again', service)], services: [{ name: 'alpha' }, { name: 'beta' }] });
-const expectSound = (): void => expect(scene.judged({ drain: 3000, apply: 2000, ratio: 0.05, window: 10_000, slack: 3 })).toEqual([]);
+const configuration = (version: number, service: string): Configuration => ({
+  version,
+  routes: [routeTo('once', service, { kind: 'non_idempotent' }), routeTo('again', service)],
+  services: [{ name: 'alpha' }, { name: 'beta' }],
+});
+const expectSound = (): void =>
+  expect(scene.judged({ drain: 3000, apply: 2000, ratio: 0.05, window: 10_000, slack: 3 })).toEqual(
+    [],
+  );
 const served = (from: number, till: number): number[] => {
   const asked = scene.caller.asked.filter(({ began }) => began >= from && began < till);
   return [asked.filter(({ outcome }) => outcome === 'served').length, asked.length];
@@ -21,12 +40,25 @@
 
 beforeAll(async () => {
   await fleet.start();
-  for (const service of ['alpha', 'beta']) for (const at of [1, 2]) await scene.startEngine(`${service}-${at}`, service);
-  await fleet.until('the core', async () => (await scene.put('core-1', configuration(1, 'alpha'), 0)) === 'accepted');
+  for (const service of ['alpha', 'beta'])
+    for (const at of [1, 2]) await scene.startEngine(`${service}-${at}`, service);
+  await fleet.until(
+    'the core',
+    async () => (await scene.put('core-1', configuration(1, 'alpha'), 0)) === 'accepted',
+  );
   await fleet.ready(fleet.requests.keys());
   void scene.follow();
-  for (const router of fleet.requests.keys()) await fleet.until('an answer', async () => (await scene.ask('warm', { host, target: '/once/', repeatable: false }, router)).outcome === 'served');
-  void scene.drive([{ name: 'once', asking: { host, target: '/once/x', repeatable: false }, perSecond: 20 }, { name: 'again', asking: { host, target: '/again/x', repeatable: true }, perSecond: 20 }]);
+  for (const router of fleet.requests.keys())
+    await fleet.until(
+      'an answer',
+      async () =>
+        (await scene.ask('warm', { host, target: '/once/', repeatable: false }, router)).outcome ===
+        'served',
+    );
+  void scene.drive([
+    { name: 'once', asking: { host, target: '/once/x', repeatable: false }, perSecond: 20 },
+    { name: 'again', asking: { host, target: '/again/x', repeatable: true }, perSecond: 20 },
+  ]);
 });
 afterAll(async () => {
   await scene.close();
@@ -52,7 +84,9 @@
   const from = Date.now();
   await pause(1000);
   await scene.rest();
-  expect(scene.arrivals.filter(({ at, ran, service }) => at > from && ran > 0 && service !== 'alpha')).toEqual([]);
+  expect(
+    scene.arrivals.filter(({ at, ran, service }) => at > from && ran > 0 && service !== 'alpha'),
+  ).toEqual([]);
   expectSound();
 });
 
@@ -62,9 +96,15 @@
   fleet.again('router-1');
   const from = Date.now();
   await pause(2500);
-  for (const router of fleet.requests.keys()) for (let at = 0; at < 5; at++) await scene.ask('anew', { host, target: '/again/x', repeatable: true }, router);
-  const answered = scene.caller.asked.filter(({ name, outcome }) => name === 'anew' && outcome === 'served');
+  for (const router of fleet.requests.keys())
+    for (let at = 0; at < 5; at++)
+      await scene.ask('anew', { host, target: '/again/x', repeatable: true }, router);
+  const answered = scene.caller.asked.filter(
+    ({ name, outcome }) => name === 'anew' && outcome === 'served',
+  );
   expect(answered.length).toBeGreaterThanOrEqual(5);
-  expect(scene.arrivals.filter(({ at, ran, service }) => at > from && ran > 0 && service !== 'beta')).toEqual([]);
+  expect(
+    scene.arrivals.filter(({ at, ran, service }) => at > from && ran > 0 && service !== 'beta'),
+  ).toEqual([]);
   expectSound();
 });
--- a/test/stand/batch.test.ts
+++ b/test/stand/batch.test.ts
@@ -4,7 +4,15 @@
 import { Batch, type BatchParams, type Work } from '../../src/stand/opaque/batch.js';
 import { PartCache } from '../../src/stand/opaque/parts.js';
 
-const params: BatchParams = { slots: 2, queue: 2, stepBase: 5, stepEach: 1, readRate: 50, readPiece: 500, cacheTokens: 10_000 };
+const params: BatchParams = {
+  slots: 2,
+  queue: 2,
+  stepBase: 5,
+  stepEach: 1,
+  readRate: 50,
+  readPiece: 500,
+  cacheTokens: 10_000,
+};
 
 interface Seen {
   begun: number;
@@ -13,14 +21,20 @@
   hits: number;
 }
 
-const stage = (over: Partial<BatchParams> = {}): { world: World; batch: Batch; submit: (work?: Partial<Work>) => Seen | undefined } => {
+const stage = (
+  over: Partial<BatchParams> = {},
+): { world: World; batch: Batch; submit: (work?: Partial<Work>) => Seen | undefined } => {
   const world = new World(1);
   const host = new Host(world, 'h', '127.0.0.1:1');
   const batch = new Batch({ ...params, ...over }, host.clock);
   const submit = (work: Partial<Work> = {}): Seen | undefined => {
     const seen: Seen = { begun: 0, tokens: [], ended: 0, hits: -1 };
     const taken = batch.submit({
-      model: 'm', parts: [], tokens: 100, output: 4, urgency: 5,
+      model: 'm',
+      parts: [],
+      tokens: 100,
+      output: 4,
+      urgency: 5,
       begun: (_, hits) => {
         seen.begun = world.now + 1;
         seen.hits = hits;
@@ -58,7 +72,9 @@
 
 test('what is over the queue, or larger than the memory, is turned away', () => {
   const { submit } = stage();
-  expect([submit(), submit(), submit(), submit(), submit()].map((seen) => seen !== undefined)).toEqual([true, true, true, true, false]);
+  expect(
+    [submit(), submit(), submit(), submit(), submit()].map((seen) => seen !== undefined),
+  ).toEqual([true, true, true, true, false]);
   expect(stage().submit({ tokens: 10_000 })).toBeUndefined();
 });
 
@@ -76,7 +92,10 @@
 
 test('kept parts are not read again when all parts before them are kept too; those unused longest give way', async () => {
   const { world, submit } = stage({ cacheTokens: 1000 });
-  const parts = (...ids: string[]): Partial<Work> => ({ parts: ids.map((id) => ({ id, tokens: 200 })), tokens: ids.length * 200 });
+  const parts = (...ids: string[]): Partial<Work> => ({
+    parts: ids.map((id) => ({ id, tokens: 200 })),
+    tokens: ids.length * 200,
+  });
   const run = async (...ids: string[]): Promise<number> => {
     const seen = submit(parts(...ids))!;
     await world.run(world.now + 1000);
@@ -104,7 +123,11 @@
   const cache = new PartCache(100);
   const names = PartCache.names('m', [{ id: 'a', tokens: 60 }]);
   cache.take(names);
-  expect([cache.hits(names), cache.used, cache.fits(PartCache.names('m', [{ id: 'b', tokens: 60 }]), 0)]).toEqual([60, 60, false]);
+  expect([
+    cache.hits(names),
+    cache.used,
+    cache.fits(PartCache.names('m', [{ id: 'b', tokens: 60 }]), 0),
+  ]).toEqual([60, 60, false]);
   cache.release(names);
   cache.take(PartCache.names('m', [{ id: 'b', tokens: 60 }]));
   expect(cache.hits(names)).toBe(0);
