--- a/test/stand/platform.test.ts
+++ b/test/stand/platform.test.ts
@@ -4,13 +4,37 @@
 import type { Listed } from '../../src/pool/engine.js';
 import { PlatformStand } from '../../src/stand/platform/platform.js';
 
-const listed = (identifier: string, zone = 'a'): Listed => ({ identifier, address: '127.0.0.1:1', model: 'm', adapters: [], weight_generation: '1', zone, labels: {}, cache_capacity_tokens: 1, prefill_rate: 1, leaving: false, service: 's', slots: 4 });
-const stage = (perSecond: number, pageSize?: number): { platform: PlatformStand; pass: (ms: number) => Promise<unknown>; host: Host } => {
+const listed = (identifier: string, zone = 'a'): Listed => ({
+  identifier,
+  address: '127.0.0.1:1',
+  model: 'm',
+  adapters: [],
+  weight_generation: '1',
+  zone,
+  labels: {},
+  cache_capacity_tokens: 1,
+  prefill_rate: 1,
+  leaving: false,
+  service: 's',
+  slots: 4,
+});
+const stage = (
+  perSecond: number,
+  pageSize?: number,
+): { platform: PlatformStand; pass: (ms: number) => Promise<unknown>; host: Host } => {
   const world = new World(1);
   const host = new Host(world, 'h', '127.0.0.1:1');
-  return { platform: new PlatformStand({ address: '127.0.0.1:0', lag: 300, perSecond, pageSize }, host.clock), pass: (ms) => world.run(world.now + ms), host };
+  return {
+    platform: new PlatformStand(
+      { address: '127.0.0.1:0', lag: 300, perSecond, pageSize },
+      host.clock,
+    ),
+    pass: (ms) => world.run(world.now + ms),
+    host,
+  };
 };
-const names = (page: ReturnType<PlatformStand['read']>): string[] => page!.engines.map(({ identifier }) => identifier);
+const names = (page: ReturnType<PlatformStand['read']>): string[] =>
+  page!.engines.map(({ identifier }) => identifier);
 
 test('the list trails behind what was told to it', async () => {
   const { platform, pass, host } = stage(100);
@@ -29,7 +53,8 @@
 
 test('pages and zones', async () => {
   const { platform, pass } = stage(100, 2);
-  for (const [at, name] of ['e1', 'e2', 'e3', 'e4', 'e5'].entries()) platform.put(listed(name, at % 2 ? 'b' : 'a'));
+  for (const [at, name] of ['e1', 'e2', 'e3', 'e4', 'e5'].entries())
+    platform.put(listed(name, at % 2 ? 'b' : 'a'));
   await pass(300);
   const first = platform.read()!;
   const second = platform.read(undefined, first.next!)!;
--- a/test/unit/forward.test.ts
+++ b/test/unit/forward.test.ts
@@ -8,7 +8,19 @@
 import type { Route } from '../../src/route/shape.js';
 import { RouteTable } from '../../src/route/table.js';
 
-const clockAt = (): Clock & { at: number } => ({ at: 0, now() { return this.at as Moment; }, strict() { return this.at as Moment; }, wall() { return this.at; }, sleep: () => Promise.resolve() });
+const clockAt = (): Clock & { at: number } => ({
+  at: 0,
+  now() {
+    return this.at as Moment;
+  },
+  strict() {
+    return this.at as Moment;
+  },
+  wall() {
+    return this.at;
+  },
+  sleep: () => Promise.resolve(),
+});
 
 describe('the budget of repeats', () => {
   it('stays within the ratio over every window, whatever the traffic', () => {
@@ -48,13 +60,14 @@
 
 describe('the event cutter', () => {
   it('gives the same events however the bytes are cut', () => {
-    const text = 'id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: none\n\nid: 3\ndata: c\n\nid: 4\nda';
+    const text =
+      'id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: none\n\nid: 3\ndata: c\n\nid: 4\nda';
     for (let seed = 1; seed <= 50; seed++) {
       const random = new SeededRandom(seed);
       const cutter = new EventCutter();
       const ids: Array<string | undefined> = [];
       let joined = '';
-      for (let at = 0; at < text.length; ) {
+      for (let at = 0; at < text.length;) {
         const to = at + 1 + Math.floor(random.fraction() * 9);
         for (const { raw, id } of cutter.push(Buffer.from(text.slice(at, to)))!) {
           ids.push(id);
@@ -75,16 +88,43 @@
 
 describe('header fields', () => {
   it('leaves out what concerns one connection only, and what Connection lists', () => {
-    const fields = [['Host', 'h'], ['Connection', 'close, X-Gone'], ['x-gone', '1'], ['Transfer-Encoding', 'chunked'], ['X-Kept', '2'], ['x-kept', '3'], ['Keep-Alive', 'timeout=3']] as const;
-    expect(endToEnd(fields, new Set(['host']))).toEqual([['X-Kept', '2'], ['x-kept', '3']]);
+    const fields = [
+      ['Host', 'h'],
+      ['Connection', 'close, X-Gone'],
+      ['x-gone', '1'],
+      ['Transfer-Encoding', 'chunked'],
+      ['X-Kept', '2'],
+      ['x-kept', '3'],
+      ['Keep-Alive', 'timeout=3'],
+    ] as const;
+    expect(endToEnd(fields, new Set(['host']))).toEqual([
+      ['X-Kept', '2'],
+      ['x-kept', '3'],
+    ]);
     expect(only(fields, 'x-kept')).toBeUndefined();
     expect(only(fields, 'host')).toBe('h');
   });
 });
 
 describe('routes', () => {
-  const route = (name: string, host: string, prefix: string): Route => ({ name, host, prefix, kind: 'idempotent', timeout: 1, service: 's' });
-  const table = new RouteTable({ version: 1, services: [], routes: [route('root', 'a.example', '/'), route('one', 'a.example', '/x/'), route('two', 'a.example', '/x/y/'), route('other', 'b.example', '/x/')] });
+  const route = (name: string, host: string, prefix: string): Route => ({
+    name,
+    host,
+    prefix,
+    kind: 'idempotent',
+    timeout: 1,
+    service: 's',
+  });
+  const table = new RouteTable({
+    version: 1,
+    services: [],
+    routes: [
+      route('root', 'a.example', '/'),
+      route('one', 'a.example', '/x/'),
+      route('two', 'a.example', '/x/y/'),
+      route('other', 'b.example', '/x/'),
+    ],
+  });
 
   it('takes the longest prefix of the path, by host without its port', () => {
     expect(table.match('A.example:80', '/x/y/z?q=/x/')?.name).toBe('two');
--- a/test/unit/overreach.test.ts
+++ b/test/unit/overreach.test.ts
@@ -18,7 +18,18 @@
 
 const size = 64;
 const tokens = 16;
-const engine: Engine = { identifier: 'e', address: '127.0.0.1:1', model: 'm', adapters: new Set(), weightGeneration: 'w', zone: 'z', labels: new Map(), cacheCapacity: 16_384, prefillRate: 2000, leaving: false };
+const engine: Engine = {
+  identifier: 'e',
+  address: '127.0.0.1:1',
+  model: 'm',
+  adapters: new Set(),
+  weightGeneration: 'w',
+  zone: 'z',
+  labels: new Map(),
+  cacheCapacity: 16_384,
+  prefillRate: 2000,
+  leaving: false,
+};
 const namespace: Namespace = { model: 'm', weightGeneration: 'w', firm: 's' };
 
 interface Tally {
@@ -35,7 +46,18 @@
   const tally: Tally = { sent: 0, claimed: 0, held: 0, over: 0 };
   const routers = Array.from({ length: 4 }, (_, at) => {
     const { clock } = new Host(world, `r${at}`, `127.0.0.1:${at + 2}`);
-    return { prefixes: new Prefixes(clock, law, tokens), chooser: new Chooser({ perEngine: 50, zoneCost: 0 }, promise, 'z', clock, new SeededRandom(seed + at), 'index'), clock };
+    return {
+      prefixes: new Prefixes(clock, law, tokens),
+      chooser: new Chooser(
+        { perEngine: 50, zoneCost: 0 },
+        promise,
+        'z',
+        clock,
+        new SeededRandom(seed + at),
+        'index',
+      ),
+      clock,
+    };
   });
   const judgeClaim = (claim: number, names: readonly string[]): void => {
     const held = cache.hits(names);
@@ -45,11 +67,22 @@
   };
   for (let step = 0; step < 1500; step++) {
     world.at(step * 25 + random.fraction() * 20, () => {
-      const { prefixes, chooser, clock } = routers[Math.floor(random.fraction() * (random.fraction() < 0.5 ? 1 : 4))]!;
-      const text = Buffer.from((random.fraction() < 0.4 ? `hot ${Math.floor(random.fraction() * 3)}|` : `cold ${Math.floor(random.fraction() * 150)}|`).repeat(100)).subarray(0, size * (6 + Math.floor(random.fraction() * 14)));
+      const { prefixes, chooser, clock } =
+        routers[Math.floor(random.fraction() * (random.fraction() < 0.5 ? 1 : 4))]!;
+      const text = Buffer.from(
+        (random.fraction() < 0.4
+          ? `hot ${Math.floor(random.fraction() * 3)}|`
+          : `cold ${Math.floor(random.fraction() * 150)}|`
+        ).repeat(100),
+      ).subarray(0, size * (6 + Math.floor(random.fraction() * 14)));
       const blocks = blocksOf(text, size, rootHash(namespace));
       const names = BlockCache.names('s', text, size);
-      const need = { prompt: blocks.length * tokens, blocks: () => blocks.map(({ external }) => external), blockTokens: tokens, extra: 16 };
+      const need = {
+        prompt: blocks.length * tokens,
+        blocks: () => blocks.map(({ external }) => external),
+        blockTokens: tokens,
+        extra: 16,
+      };
       const choice = chooser.choose([engine], new Map(), need);
       if (!choice || 'wait' in choice) return;
       const claim = prefixes.find(namespace, blocks).get('e') ?? 0;
@@ -61,7 +94,13 @@
       tally.sent += 1;
       world.at(random.fraction() * 900, () => {
         cache.take(names);
-        prefixes.store(engine, prefixes.nextEvent(engine), { namespace, parent: undefined, depth: 0, blocks, touched: sentAt });
+        prefixes.store(engine, prefixes.nextEvent(engine), {
+          namespace,
+          parent: undefined,
+          depth: 0,
+          blocks,
+          touched: sentAt,
+        });
         world.at(random.fraction() * 500, () => {
           cache.release(names);
           prefixes.land(engine, reserve, 16);
@@ -101,7 +140,13 @@
   const prefixes = new Prefixes(host.clock, law, tokens);
   const blocks = blocksOf(Buffer.alloc(size * 10, 'timetable '), size, rootHash(namespace));
   const claimed = (): number => prefixes.find(namespace, blocks).get('e') ?? 0;
-  prefixes.store(engine, 1, { namespace, parent: undefined, depth: 0, blocks, touched: host.clock.strict() });
+  prefixes.store(engine, 1, {
+    namespace,
+    parent: undefined,
+    depth: 0,
+    blocks,
+    touched: host.clock.strict(),
+  });
   await world.run(1000);
   expect(claimed()).toBe(10);
   host.suspend();
@@ -114,8 +159,10 @@
 test('more routers than the law counts on, or one that keeps another law: nothing is claimed, by any', async () => {
   const stage = new Stage({ ...sites.get('aconcagua')!, routers: 2 }, 1, new DayTally());
   stage.start();
-  const lawful = (): boolean[] => [...stage.routers.values()].map(({ prefixes }) => prefixes.lawful);
-  const enrolled = (count: number): boolean => [...stage.routers.values()].every(({ inForce }) => inForce.whole?.enrolled.size === count);
+  const lawful = (): boolean[] =>
+    [...stage.routers.values()].map(({ prefixes }) => prefixes.lawful);
+  const enrolled = (count: number): boolean =>
+    [...stage.routers.values()].every(({ inForce }) => inForce.whole?.enrolled.size === count);
   expect(await stage.world.run(20_000, () => enrolled(2))).toBe(true);
   expect(lawful()).toEqual([true, true]);
   stage.startRouter('router-3');
@@ -127,5 +174,13 @@
   expect(await stage.world.run(60_000, () => enrolled(2))).toBe(true);
   expect(lawful()).toEqual([true, true]);
   const law = [...stage.routers.values()][0]!.inForce.whole!.enrolled.get('router-1')!.law;
-  expect(lawBroken({ routers: 2, largestPrompt: 8192, largestReply: 1024, rateShare: 2 }, new Map([['router-1', { law }], ['other', { law: law.replace('8192', '9000') }]]))).toContain('other keeps another law');
+  expect(
+    lawBroken(
+      { routers: 2, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
+      new Map([
+        ['router-1', { law }],
+        ['other', { law: law.replace('8192', '9000') }],
+      ]),
+    ),
+  ).toContain('other keeps another law');
 });
--- a/test/unit/params.test.ts
+++ b/test/unit/params.test.ts
@@ -4,18 +4,27 @@
 import { checkParams } from '../../src/params/shape.js';
 import { parseList } from '../../src/pool/engine.js';
 
-const reason = (outcome: { extract(): unknown }): string => (outcome.extract() as { reason: string }).reason;
+const reason = (outcome: { extract(): unknown }): string =>
+  (outcome.extract() as { reason: string }).reason;
 
 test('params are checked', () => {
   expect(checkParams({ name: 'n' }).isRight()).toBe(true);
   expect(reason(checkParams({}))).toMatch(/^name is nothing: expected/);
-  expect(reason(checkParams({ name: 'n', listen: { peers: 'here' } }))).toMatch(/^listen\.peers is "here": .*expected IP:PORT/);
-  expect(reason(checkParams({ name: 'n', surprise: 1 }))).toMatch(/^surprise is 1: expected nothing/);
-  expect(reason(checkParams({ name: 'n', passage: { retryShare: 0.5 } }))).toMatch(/^passage\.retryShare is 0\.5: .*from 0 to 0\.05/);
+  expect(reason(checkParams({ name: 'n', listen: { peers: 'here' } }))).toMatch(
+    /^listen\.peers is "here": .*expected IP:PORT/,
+  );
+  expect(reason(checkParams({ name: 'n', surprise: 1 }))).toMatch(
+    /^surprise is 1: expected nothing/,
+  );
+  expect(reason(checkParams({ name: 'n', passage: { retryShare: 0.5 } }))).toMatch(
+    /^passage\.retryShare is 0\.5: .*from 0 to 0\.05/,
+  );
 });
 
 test('doorways and the platform list are checked', () => {
   expect(reason(checkDoorway({ name: 'UPPER' }))).toMatch(/^\w+ is/);
-  expect(reason(parseList('{"engines":[{"identifier":"e"}]}', 'p'))).toMatch(/^engines\.0\.\w+ is nothing/);
+  expect(reason(parseList('{"engines":[{"identifier":"e"}]}', 'p'))).toMatch(
+    /^engines\.0\.\w+ is nothing/,
+  );
   expect(reason(parseList('nonsense', 'p'))).toMatch(/JSON/);
 });
--- a/test/unit/passage.test.ts
+++ b/test/unit/passage.test.ts
@@ -15,7 +15,13 @@
   const lines = new Lines();
   const order: string[] = [];
   let room = 0;
-  const liner = (doorway: string, cost: number, share: number): Liner => ({ doorway, share, bound: 30, cost, attempt: () => room > 0 && room-- > 0 && order.push(doorway) > 0 });
+  const liner = (doorway: string, cost: number, share: number): Liner => ({
+    doorway,
+    share,
+    bound: 30,
+    cost,
+    attempt: () => room > 0 && room-- > 0 && order.push(doorway) > 0,
+  });
   for (let at = 0; at < 30; at++) lines.enter(liner('drafts', 2000, 1));
   expect(lines.enter(liner('drafts', 2000, 1))).toBe(false);
   for (let at = 0; at < 30; at++) lines.enter(liner('questions', 50, 4));
@@ -26,7 +32,12 @@
 });
 
 test('a slow caller holds the stream back until it drains, and one that is gone ends it', async () => {
-  const raw = Object.assign(new EventEmitter(), { destroyed: false, writableFinished: false, writeHead: () => undefined, write: () => false });
+  const raw = Object.assign(new EventEmitter(), {
+    destroyed: false,
+    writableFinished: false,
+    writeHead: () => undefined,
+    write: () => false,
+  });
   const sink = new StreamSink({ raw, hijack: () => undefined } as unknown as FastifyReply, 'r');
   let passed = false;
   const writing = sink.write({ raw: 'data: x\n\n', data: 'x' }, 'e').then((on) => (passed = on));
@@ -45,7 +56,11 @@
   const { clock } = new Host(new World(1), 'h', '127.0.0.1:1');
   const journal = new Journal<PassageEvent>(clock);
   const chart = new Chart('r', journal);
-  expect([chart.step('matched'), chart.step('streaming'), chart.state]).toEqual([true, false, 'matched']);
+  expect([chart.step('matched'), chart.step('streaming'), chart.state]).toEqual([
+    true,
+    false,
+    'matched',
+  ]);
   expect(journal.tail().map(({ event }) => event.kind)).toEqual(['step', 'fault']);
 });
 
@@ -75,7 +90,9 @@
     for (let tries = 0; failing && tries < 3; tries++) if (budget.spend()) spent.push(fresh);
   }
   expect(spent.length).toBeGreaterThan(5);
-  for (const [from, first] of spent.entries()) for (const [to, last] of spent.entries()) if (to >= from) expect(to - from + 1).toBeLessThanOrEqual((last - first) * 0.05 + 1.0001);
+  for (const [from, first] of spent.entries())
+    for (const [to, last] of spent.entries())
+      if (to >= from) expect(to - from + 1).toBeLessThanOrEqual((last - first) * 0.05 + 1.0001);
 });
 
 test('events are handed on whole, however the bytes are cut, and never a part at the end', () => {
@@ -83,7 +100,9 @@
   for (let size = 1; size < 7; size++) {
     const reader = new SseReader();
     const events: string[] = [];
-    for (let at = 0; at < bytes.length; at += size) for (const { data } of reader.push(bytes.subarray(at, at + size), 'p').unsafeCoerce()) events.push(data);
+    for (let at = 0; at < bytes.length; at += size)
+      for (const { data } of reader.push(bytes.subarray(at, at + size), 'p').unsafeCoerce())
+        events.push(data);
     expect(events).toEqual(['{"a":"ü"}', '[DONE]']);
     expect(reader.empty).toBe(false);
   }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -11,8 +11,23 @@
 export default defineConfig({
   test: {
     projects: [
-      { test: { ...shared, name: 'processes', include: [processes], sequence: { seed: 7, groupOrder: 0 } } },
-      { test: { ...shared, name: 'others', include: ['test/**/*.test.ts'], exclude: [processes], sequence: { seed: 7, groupOrder: 1 } } },
+      {
+        test: {
+          ...shared,
+          name: 'processes',
+          include: [processes],
+          sequence: { seed: 7, groupOrder: 0 },
+        },
+      },
+      {
+        test: {
+          ...shared,
+          name: 'others',
+          include: ['test/**/*.test.ts'],
+          exclude: [processes],
+          sequence: { seed: 7, groupOrder: 1 },
+        },
+      },
     ],
   },
 });
