--- a/src/history/rules.ts
+++ b/src/history/rules.ts
@@ -72,23 +72,31 @@
   return [violation('refused-in-force', [read, ...refusals])];
 };
 
+interface KnownVersion {
+  readonly call: Call;
+  readonly version: number;
+}
+
+/** The version that an answer showed to be in force, or to have been so. */
+const shownBy = (call: Call): number | undefined => {
+  if (call.kind === 'change')
+    return call.answer === 'acknowledged' ? call.request.version : undefined;
+  if (call.answer.kind === 'unclear') return undefined;
+  return call.answer.kind === 'found' ? call.answer.version : 0;
+};
+
+const isKnown = (known: { call: Call; version: number | undefined }): known is KnownVersion =>
+  known.version !== undefined;
+
 /** Reads that show an older version than one acknowledged, or read, before they began. */
 const staleReads = (history: readonly Call[]): Violation[] => {
-  const known = history.flatMap((call) => {
-    if (call.kind === 'change')
-      return call.answer === 'acknowledged'
-        ? [{ call, end: call.end, version: call.request.version }]
-        : [];
-    return call.answer.kind === 'found'
-      ? [{ call, end: call.end, version: call.answer.version }]
-      : [];
-  });
-  return history.flatMap((read) => {
-    if (read.kind !== 'read' || read.answer.kind === 'unclear') return [];
-    const shown = read.answer.kind === 'found' ? read.answer.version : 0;
-    const newer = known.find(({ end, version }) => end < read.start && version > shown);
-    return newer ? [violation('stale-read', [newer.call, read])] : [];
-  });
+  const known = history.map((call) => ({ call, version: shownBy(call) })).filter(isKnown);
+  return known
+    .filter(({ call }) => call.kind === 'read')
+    .flatMap(({ call: read, version: shown }) => {
+      const newer = known.find(({ call, version }) => call.end < read.start && version > shown);
+      return newer ? [violation('stale-read', [newer.call, read])] : [];
+    });
 };
 
 export const brokenRules = (history: readonly Call[]): Violation[] => {
