--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -32,6 +32,7 @@
   type PrepareReply,
   type SettledTell,
   type StateReply,
+  type VoteState,
 } from './calls.js';
 import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
 import type { Filed, Found, Store } from './store.js';
@@ -165,6 +166,7 @@
       member: this.id,
       formed: this.accepted !== undefined,
       voting: seated && !this.impairment,
+      vote: this.voteState(seated),
       sure: seated && !this.doubtful,
       reason: this.impairment || (seated ? '' : 'not in the core set'),
       accepted: this.accepted?.ballot ?? FIRST,
@@ -175,6 +177,12 @@
     };
   }
 
+  private voteState(seated: boolean): VoteState {
+    if (this.doubtful) return 'disqualified';
+    if (this.impairment) return 'recovering';
+    return seated ? 'voting' : 'non-voting';
+  }
+
   get newest(): Document | undefined {
     return this.accepted?.parsed;
   }
--- a/test/checker/channel.test.ts
+++ b/test/checker/channel.test.ts
@@ -19,6 +19,7 @@
       member: name,
       formed: false,
       voting: false,
+      vote: 'non-voting',
       reason: '',
       accepted: FIRST,
       generation: 0,
