An order that may still come to be, or that may have been taken long ago, is not refused

Cause: an order on top of a version not yet in place was told 412, though another call with the same order could still be applied once that version came; and a repeat beyond the 256 remembered versions was told 412, though it was in force.

Both are now indeterminate, told as unknown (503): the first since its base may come, the second since the document notes the newest version whose request is forgotten. All others on an older version have lost for good and are told 412.

--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -517,7 +517,7 @@
     if (told.kind !== 'applied')
       return Right({
         change: id,
-        outcome: told.kind,
+        outcome: told.kind === 'indeterminate' ? 'unknown' : told.kind,
         generation: 0,
         silent: [],
         reason: told.reason,
