--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -202,7 +202,8 @@
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
     const digest = digestOf(filed.document);
-    if (digest === this.chain.digest(generation)) this.link(generation, filed.document);
+    if (digest === this.chain.digest(generation) && !this.chain.isLinked(generation))
+      this.link(generation, filed.document);
     return digest;
   }
 
@@ -214,6 +215,7 @@
       if (!(await this.write(this.store.keepGeneration(generation, item)))) return false;
       this.link(generation, item.document);
       this.log('generation-mended', [['generation', generation]]);
+      this.prune();
       return true;
     });
   }
@@ -319,6 +321,7 @@
       return failed('member.accept', this.id, 'could not keep a generation', 'unknown');
     this.promised = ballot;
     this.accepted = { ballot, document, parsed, under };
+    this.prune();
     this.log('accepted', [
       ['generation', parsed.generation],
       ['ballot', ballotText(ballot)],
@@ -406,11 +409,14 @@
     this.prune();
   }
 
-  /** Takes generations away that need not be kept, save what this member has accepted. */
+  /**
+   * Removes revisions that need not be kept. The one before the accepted one is committed, since a revision is proposed only
+   * on top of a committed one; so nothing waits for word of the commit, which may be lost on its way.
+   */
   private prune(): void {
-    const floor = this.store.floor(
-      Math.min(this.chain.settled, this.accepted?.parsed.generation ?? 0),
-    );
+    const accepted = this.accepted?.parsed.generation ?? 0;
+    const committed = Math.max(accepted - 1, Math.min(this.chain.settled, accepted));
+    const floor = this.store.floor(committed);
     this.chain.raise(floor);
     this.store.prune(floor);
   }
