A voter never goes back behind its accepted ballot or a committed revision

Cause: a voter that had promised ballot 5 and then learned revision 3, chosen at ballot 7, kept its promise at 5. A late Accept of ballot 5 was taken, and the voter fell from 3@7 to 2@5 and told the change of voters that the never chosen value named as the committed one, because its revision was not above the committed one.

What changes, by the invariant and not by the case: - The promise is never below the accepted ballot, also for a learned value. - A learned committed revision replaces an older or never chosen value even if it comes with a lower ballot, under the higher of the two; before, it was settled in memory alone and lost with the next start. - An Accept that contradicts what is committed (older, another value, not following it) or what was accepted under the same ballot gets no vote, under any ballot. - Files that repair writes below the accepted revision carry no ballot, and that of the accepted one keeps its own: before, repair could lower the ballot and with it the promise, or make an older file the one that wins at start. - A voter votes under a voter set by number and members, and only as one of them: two proposed changes bear one number. - An uncommitted value that gives way to its committed parent has the promise synced first, so that a corrupt file of the parent is seen as a lost vote. - A disqualification found while running is on the disk, and holds after the next start. - After trouble with the disk the newest committed revision is on it before the member votes again.

Ruled out: refusing every Accept of a lower revision. An uncommitted revision has to give way to its committed parent under a higher ballot, or two voters that hold it could block the rounds of the others for good; the revision that may be given up so is never a committed one.

--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -1,10 +1,12 @@
 /** The calls of the register between proposers, members and followers. */
 import { call } from '../wire/call.js';
-import { blob, choice, flag, list, number, struct, text, type Field } from '../wire/field.js';
+import { blob, flag, list, number, struct, text, type Field } from '../wire/field.js';
 import { ballotField, type Ballot } from './ballot.js';
 
+/** `set` and `voters`: the number of the voter set that the round is run under, and the digest of who is in it. */
 export interface PrepareAsk {
   set: number;
+  voters: string;
   ballot: Ballot;
 }
 export interface PrepareReply {
@@ -17,7 +19,7 @@
 export const Prepare = call<PrepareAsk, PrepareReply>(
   1,
   'register.prepare',
-  struct({ set: number, ballot: ballotField }),
+  struct({ set: number, voters: text, ballot: ballotField }),
   struct({
     promised: flag,
     highest: ballotField,
@@ -29,6 +31,7 @@
 
 export interface AcceptAsk {
   set: number;
+  voters: string;
   ballot: Ballot;
   document: Uint8Array;
 }
@@ -39,7 +42,7 @@
 export const Accept = call<AcceptAsk, AcceptReply>(
   2,
   'register.accept',
-  struct({ set: number, ballot: ballotField, document: blob }),
+  struct({ set: number, voters: text, ballot: ballotField, document: blob }),
   struct({ accepted: flag, highest: ballotField }),
 );
 
@@ -55,22 +58,11 @@
   struct({ known: flag }),
 );
 
-/**
- * Whether a member votes, and if not, why:
- * - `voting`: it promises and accepts.
- * - `non-voting`: it is in no voter set, so it has nothing to vote on.
- * - `recovering`: its disk failed; it votes again by itself once the disk works.
- * - `disqualified`: what it voted for may be lost, so it never votes again under its identity.
- */
-export type VoteState = (typeof VOTE_STATES)[number];
-const VOTE_STATES = ['voting', 'non-voting', 'recovering', 'disqualified'] as const;
-
 /** `sure`: all this member ever voted for is in what it tells, whether or not it can vote now. */
 export interface StateReply {
   member: string;
   formed: boolean;
   voting: boolean;
-  vote: VoteState;
   sure?: boolean;
   reason: string;
   accepted: Ballot;
@@ -87,7 +79,6 @@
     member: text,
     formed: flag,
     voting: flag,
-    vote: choice(VOTE_STATES),
     sure: flag,
     reason: text,
     accepted: ballotField,
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -111,8 +111,6 @@
   readonly configuration?: Configuration | undefined;
   /** The requests that made the last versions, by version, oldest first, so that one that is resent is known again. */
   readonly versions: ReadonlyMap<number, Kept>;
-  /** The newest version whose request is no longer remembered; absent while all of them are. */
-  readonly forgottenVersion?: number | undefined;
   readonly cause: readonly Change[];
 }
 
@@ -132,6 +130,10 @@
   createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
+/** Names a voter set by what it is: two proposed changes of one set bear the same number. */
+export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
+  digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
+
 /** A change as the history keeps it, without the whole of a configuration. */
 export const slim = (change: Change): Change => {
   if (change.act.kind !== 'configure') return change;
@@ -164,7 +166,6 @@
       enrolledAt: document.enrolledAt,
       configuration: document.configuration,
       versions: document.versions.size ? [...document.versions] : undefined,
-      forgottenVersion: document.forgottenVersion,
       cause: document.cause,
     }),
   );
@@ -187,7 +188,6 @@
       enrolledAt: raw.enrolledAt,
       configuration: raw.configuration,
       versions: new Map(raw.versions ?? []),
-      forgottenVersion: raw.forgottenVersion,
       cause: raw.cause,
     });
   } catch (thrown) {
--- /dev/null
+++ b/src/register/feed-server.ts
@@ -0,0 +1,58 @@
+/** The feed of committed revisions that a member serves to followers, from memory, and its history from the disk. */
+import { Right } from 'purify-ts';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
+import type { Peers } from '../wire/peers.js';
+import {
+  Feed,
+  History,
+  Tip,
+  wholeFrame,
+  type FeedAsk,
+  type FeedItem,
+  type FeedReply,
+} from './calls.js';
+import { digestOf } from './document.js';
+import type { Replica } from './replica.js';
+
+const WAIT_BOUND = 10_000;
+
+/** Serves what is committed. */
+export class FeedServer {
+  constructor(private readonly replica: Replica) {}
+
+  serve(peers: Peers): void {
+    const { chain } = this.replica;
+    peers.handle(Feed, (ask) => this.feed(ask));
+    peers.handle(Tip, async ({ from, wait }) => {
+      await chain.beyond(from, Math.min(wait, WAIT_BOUND));
+      return Right({ settled: chain.settled });
+    });
+    peers.handle(History, ({ generation }) => this.history(generation));
+  }
+
+  private async feed({ from, wait, deltas = false }: FeedAsk): Promise<Outcome<FeedReply>> {
+    const { chain, guard, id } = this.replica;
+    if (chain.settled <= from && from > 0 && guard.reason)
+      return failed('member.feed', id, `does not vote and may be behind: ${guard.reason}`);
+    if (chain.settled <= from) await chain.beyond(from, Math.min(wait, WAIT_BOUND));
+    const { settled } = chain;
+    if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
+    const items = chain.following(from, deltas);
+    if (items.length) return Right({ settled, checkpoint: false, items });
+    const newest = chain.filed(settled);
+    if (!newest) return failed('member.feed', id, `generation ${settled} is not held here`);
+    return Right({ settled, checkpoint: true, items: [wholeFrame(newest)] });
+  }
+
+  /** The committed revision asked for, from memory or disk, only when it belongs to the chain that was committed. */
+  private async history(revision: number): Promise<Outcome<{ items: FeedItem[] }>> {
+    const { chain, store } = this.replica;
+    if (revision < chain.floor || revision > chain.settled) return Right({ items: [] });
+    const filed = chain.filed(revision);
+    if (filed) return Right({ items: [filed] });
+    const read = await store.readGeneration(revision);
+    return read.map((held) => ({
+      items: held && digestOf(held.document) === chain.digest(revision) ? [held] : [],
+    }));
+  }
+}
--- /dev/null
+++ b/src/register/learner.ts
@@ -0,0 +1,141 @@
+/**
+ * What a member learns to be committed: from proposers that tell it, from the feed of another member, and by repair of its
+ * history. Each revision is on the disk before it is told on, save while the disk is in trouble: the member does not vote
+ * then, and stays readable. A committed revision is held as accepted, since a chosen value may be repeated anywhere, but
+ * never instead of a newer one.
+ */
+import { Right } from 'purify-ts';
+import type { Peers } from '../wire/peers.js';
+import { Settled, type FeedItem, type SettledTell } from './calls.js';
+import { decodeDocument, digestOf, type Document } from './document.js';
+import type { Replica } from './replica.js';
+import type { Filed } from './store.js';
+
+/** Takes committed revisions in. */
+export class Learner {
+  constructor(private readonly replica: Replica) {}
+
+  serve(peers: Peers): void {
+    peers.handle(Settled, async (tell, peer) => Right({ known: await this.learnTold(tell, peer) }));
+  }
+
+  /** Takes revisions that a peer knows to be committed, oldest first. */
+  takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
+    return this.replica.exclusive(async () => {
+      for (const item of items) {
+        const decoded = decodeDocument(item.document, 'peer');
+        if (decoded.isLeft()) return;
+        const document = decoded.unsafeCoerce();
+        if (document.generation > committed) return;
+        const kept = await this.keep(document, item);
+        if (!kept && !this.replica.guard.isSuspended) return;
+        if (this.isCurrent(document)) this.commit(document, item);
+      }
+    });
+  }
+
+  /** Holds the newest revision known to be committed, which the disk could not take while it was in trouble. */
+  async holdNewest(): Promise<boolean> {
+    const { chain } = this.replica;
+    const filed = chain.filed(chain.settled);
+    if (!chain.document || !filed) return true;
+    const value = this.replica.acceptor.valueLearned(chain.document, filed);
+    return !value || (await this.replica.hold(value));
+  }
+
+  /**
+   * The digest of a revision as it is on the disk now, noting its link to the one before when it is the committed one.
+   */
+  async inspect(revision: number): Promise<string | undefined> {
+    const read = await this.replica.store.readGeneration(revision);
+    const filed = read.toMaybe().extract();
+    if (!filed) return undefined;
+    const digest = digestOf(filed.document);
+    if (digest === this.replica.chain.digest(revision)) this.replica.link(revision, filed.document);
+    return digest;
+  }
+
+  /** Puts a committed revision in place of a missing, corrupt or never chosen one on the disk. */
+  mend(revision: number, item: FeedItem): Promise<boolean> {
+    const { replica } = this;
+    return replica.exclusive(async () => {
+      if (replica.guard.reason || digestOf(item.document) !== replica.chain.digest(revision))
+        return false;
+      if (!(await this.rewrite(revision, item))) return false;
+      replica.link(revision, item.document);
+      replica.log('generation-mended', [['generation', revision]]);
+      return true;
+    });
+  }
+
+  /** Writes the file of a committed revision again; that of the accepted one keeps the ballot it was accepted under. */
+  private rewrite(revision: number, item: FeedItem): Promise<boolean> {
+    const { replica } = this;
+    const { accepted } = replica.acceptor;
+    if (revision !== accepted?.parsed.generation)
+      return replica.keepHistory(revision, item.document);
+    if (digestOf(accepted.document) !== digestOf(item.document)) return Promise.resolve(false);
+    return replica.hold(accepted);
+  }
+
+  /** What was committed is noted at once when it is held here, else once what is being written now is. */
+  private async learnTold(tell: SettledTell, peer: string): Promise<boolean> {
+    if (this.commitHeld(tell)) return true;
+    return this.replica.exclusive(() => {
+      const known = this.commitHeld(tell);
+      if (!known && this.replica.acceptor.accepted)
+        this.replica.log('settled-unheld', [
+          ['generation', tell.generation],
+          ['ballot', tell.ballot.counter],
+          ['peer', peer],
+        ]);
+      return Promise.resolve(known);
+    });
+  }
+
+  private commitHeld({ generation, digest }: SettledTell): boolean {
+    const { acceptor, chain } = this.replica;
+    const { accepted } = acceptor;
+    if (generation <= chain.settled) return true;
+    if (accepted?.parsed.generation !== generation || digestOf(accepted.document) !== digest)
+      return false;
+    this.commit(accepted.parsed, accepted);
+    return true;
+  }
+
+  private async keep(document: Document, filed: Filed): Promise<boolean> {
+    const { acceptor, guard } = this.replica;
+    const value = acceptor.valueLearned(document, filed);
+    if (value) return !guard.reason && (await this.replica.hold(value));
+    if (document.generation === acceptor.revision || (await this.isOnDisk(document, filed)))
+      return true;
+    return !guard.reason && this.replica.keepHistory(document.generation, filed.document);
+  }
+
+  private async isOnDisk({ generation }: Document, filed: Filed): Promise<boolean> {
+    const present = await this.replica.store.readGeneration(generation);
+    return present
+      .map((there) => there !== undefined && digestOf(there.document) === digestOf(filed.document))
+      .orDefault(false);
+  }
+
+  /** A revision below one that is known to be committed is history: it is kept, and not told as the newest. */
+  private isCurrent({ generation }: Document): boolean {
+    return generation >= this.replica.acceptor.lowestOpenRevision;
+  }
+
+  private commit(document: Document, filed: Filed): void {
+    const { chain, log } = this.replica;
+    if (!chain.settle(document, digestOf(filed.document), filed)) return;
+    log('settled', [['generation', document.generation]]);
+    this.prune();
+  }
+
+  /** Takes revisions away that need not be kept, save what this member has accepted. */
+  private prune(): void {
+    const { acceptor, chain, store } = this.replica;
+    const floor = store.floor(Math.min(chain.settled, acceptor.revision));
+    chain.raise(floor);
+    store.prune(floor);
+  }
+}
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -13,7 +13,7 @@
  */
 import { Right } from 'purify-ts';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
-import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
@@ -24,6 +24,7 @@
   decodeDocument,
   digestOf,
   encodeDocument,
+  voterSetDigest,
   type Change,
   type CoreSet,
   type Document,
@@ -35,6 +36,9 @@
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** The step that failed when members refused for a higher ballot. */
+const OUTBID = 'register.outbid';
+
 interface Waiting {
   readonly change: Change;
   readonly limit: Moment;
@@ -139,7 +143,7 @@
       const batch = this.waiting.slice(0, BATCH);
       const done = await this.round(batch);
       const before = outbid;
-      outbid = done.isLeft() && (done.extract() as Fault).kind === 'outbid';
+      outbid = done.isLeft() && done.extract().step === OUTBID;
       tries = done.isLeft() && outbid === before ? tries + 1 : 0;
       if (done.isLeft()) await this.backOff(tries);
       const now = this.clock.now();
@@ -165,7 +169,6 @@
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [
-        ['kind', (read.extract() as Fault).kind],
         ['step', read.extract().step],
         ['peer', read.extract().peer],
         ['reason', read.extract().reason],
@@ -220,8 +223,7 @@
         this.roster.learn(found.document.core);
         continue;
       }
-      if (pass >= 3)
-        return failed('register.prepare', 'core', 'others keep changing it', 'declined', 'outbid');
+      if (pass >= 3) return failed(OUTBID, 'core', 'others keep changing it');
       const again = await this.accept(found.core, found.ballot, found.document);
       if (again.isLeft()) return again as Outcome<Read>;
     }
@@ -251,11 +253,9 @@
         .map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : ''))
         .filter(Boolean);
       return failed(
-        'register.prepare',
+        sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare',
         'core',
         `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`,
-        'declined',
-        sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
     const newest = promises.reduce((best, reply) =>
@@ -278,9 +278,10 @@
       node: this.peers.self.name,
       incarnation: this.peers.self.incarnation,
     };
+    const ask = { set: core.number, voters: voterSetDigest(core), ballot };
     const replies = await gather(
       core.members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Prepare, ask, ASK_LIMIT),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)),
@@ -296,10 +297,10 @@
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
     const bytes = encodeDocument(document);
+    const ask = { set: core.number, voters: voterSetDigest(core), ballot, document: bytes };
     const replies = await gather(
       addresses,
-      (address) =>
-        this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Accept, ask, ASK_LIMIT),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
@@ -311,11 +312,10 @@
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
     if (votes < quorum)
       return failed(
-        'register.accept',
+        sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept',
         'core',
         `${votes} of ${quorum} votes`,
         'unknown',
-        sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
     this.announce(core, ballot, document, bytes);
     this.roster.learn(document.core);
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -1,11 +1,127 @@
 /**
- * Brings a member back into the vote by itself once its disk, which had failed a write, works again.
+ * What a member reads from its disk: at start, and again once a disk that had failed a write works. What memory holds and
+ * the disk lost, or what is corrupt and may have been a vote, disqualifies the member.
  */
+import { Right } from 'purify-ts';
 import type { Clock } from '../kernel/clock/clock.js';
+import type { Outcome } from '../kernel/fault/fault.js';
+import { compareBallots, FIRST, type Ballot } from './ballot.js';
+import { decodeDocument } from './document.js';
+import type { Learner } from './learner.js';
 import type { Member } from './member.js';
+import type { Replica } from './replica.js';
+import type { Filed, Found } from './store.js';
 
 const EVERY = 300;
+/** How many bytes beside room for a revision a disk must take before it counts as working again. */
+const PROBE = 65_536;
+const REVISIONS = 'generations/';
 
+/** Reads a replica from its disk. */
+export class DiskRecovery {
+  constructor(
+    private readonly replica: Replica,
+    private readonly learner: Learner,
+  ) {}
+
+  /** Reads what the disk holds, on top of what is known here. */
+  async load(): Promise<Outcome<Found>> {
+    const { store, acceptor, guard } = this.replica;
+    const opened = await store.open();
+    if (opened.isLeft()) return opened;
+    const found = opened.unsafeCoerce();
+    const restored = this.restore(found.accepted);
+    if (restored.isLeft()) return restored as Outcome<never>;
+    if (!restored.unsafeCoerce()) guard.disqualify('lost from the disk: what was accepted');
+    acceptor.promise(found.promised);
+    if (found.disqualified) guard.disqualify(found.disqualified);
+    this.judgeCorrupt(found);
+    return opened;
+  }
+
+  /** Once a disk that failed a write keeps one again, what it holds is read anew, and this member votes. */
+  async recover(): Promise<boolean> {
+    const { acceptor, clock, guard, stall, store } = this.replica;
+    if (!guard.isSuspended || guard.isDisqualified) return false;
+    await store.idle();
+    const began = clock.now();
+    const probed = await store.probe(2 * (acceptor.accepted?.document.length ?? 0) + PROBE);
+    if (probed.isLeft() || clock.now() - began > stall) return false;
+    return this.replica.exclusive(() => this.readAnew());
+  }
+
+  private async readAnew(): Promise<boolean> {
+    const { acceptor, guard, log, store } = this.replica;
+    const before = acceptor.promised;
+    const loaded = await this.load();
+    if (loaded.isLeft()) return false;
+    const found = loaded.unsafeCoerce();
+    this.judgeIdentity(found, before);
+    this.judgePromise(found, before);
+    if (guard.isDisqualified) {
+      await store.keepDisqualified(guard.reason);
+      return false;
+    }
+    if (!(await this.keepIdentity(found))) return false;
+    if (!(await this.learner.holdNewest())) return false;
+    guard.resume();
+    log('voting-resumed', [['generation', acceptor.revision]]);
+    return true;
+  }
+
+  /** Holds what the disk tells as accepted; no, where memory holds something newer, which the disk then lost. */
+  private restore(filed: Filed | undefined): Outcome<boolean> {
+    const { acceptor } = this.replica;
+    if (!filed) return Right(acceptor.accepted === undefined);
+    const decoded = decodeDocument(filed.document, 'disk');
+    return decoded.map((parsed) => acceptor.hold({ ...filed, parsed }));
+  }
+
+  private judgeCorrupt(found: Found): void {
+    const { guard, log } = this.replica;
+    const oldest = this.oldestPossibleVote(found);
+    const isHistory = (path: string): boolean =>
+      path.startsWith(REVISIONS) && Number(path.slice(REVISIONS.length)) < oldest;
+    for (const path of found.spoilt)
+      log('file-spoilt', [
+        ['path', path],
+        ['votes', isHistory(path)],
+      ]);
+    const votes = found.spoilt.filter((path) => !isHistory(path));
+    if (votes.length) guard.disqualify(`spoilt on disk: ${votes.join(' ')}`);
+  }
+
+  /**
+   * The lowest revision that may be what this member accepted last: the one found, or the one before it where a higher
+   * ballot was promised, as before an uncommitted value gives way to its committed parent.
+   */
+  private oldestPossibleVote({ promised, accepted }: Found): number {
+    const { acceptor } = this.replica;
+    const isPromiseHigher = compareBallots(promised, accepted?.ballot ?? FIRST) > 0;
+    return isPromiseHigher ? acceptor.lowestOpenRevision : acceptor.revision;
+  }
+
+  private judgeIdentity({ member }: Found, promised: Ballot): void {
+    const { acceptor, guard, id } = this.replica;
+    if (member !== undefined && member !== id)
+      guard.disqualify('lost from the disk: the identity, which is that of another member');
+    const hasVotes = acceptor.accepted !== undefined || compareBallots(promised, FIRST) > 0;
+    if (member === undefined && hasVotes) guard.disqualify('lost from the disk: the identity');
+  }
+
+  private judgePromise({ promised, accepted }: Found, before: Ballot): void {
+    const onDisk = [promised, accepted?.ballot ?? FIRST];
+    if (!onDisk.some((ballot) => compareBallots(ballot, before) >= 0))
+      this.replica.guard.disqualify('lost from the disk: a promise');
+  }
+
+  private async keepIdentity({ member }: Found): Promise<boolean> {
+    const { guard, id, store } = this.replica;
+    return member !== undefined || (await guard.confirm(store.keepIdentity(id)));
+  }
+}
+
+/** Brings a member back into the vote by itself once its disk works again. */
 export const keepRecovering = async (
   member: Member,
   clock: Clock,
--- /dev/null
+++ b/src/register/replica.ts
@@ -0,0 +1,109 @@
+/**
+ * What one member of the register holds: its id, what it promised and accepted, the committed revisions it knows, and
+ * the disk that carries them. One task at a time changes it, and memory follows the disk: a value is held only once its
+ * write is sure to be kept.
+ */
+import type { Clock } from '../kernel/clock/clock.js';
+import type { Log } from '../kernel/log/log.js';
+import { AcceptorState, type AcceptedValue } from './acceptor.js';
+import { FIRST, type Ballot } from './ballot.js';
+import { Chain } from './chain.js';
+import { DiskGuard } from './disk-guard.js';
+import { decodeDocument, type CoreSet, type Digest } from './document.js';
+import type { Store } from './store.js';
+
+const STALL = 1500;
+const NO_VOTERS: CoreSet = { number: 0, wanted: 0, members: [] };
+
+/** How far a member is, for those who watch that it never goes back. */
+export interface MemberProgress {
+  readonly id: string;
+  readonly promised: Ballot;
+  readonly accepted: Ballot;
+  /** The accepted revision. */
+  readonly revision: number;
+  readonly committed: number;
+  /** The digest of the committed revision. */
+  readonly digest: Digest;
+  readonly isVoting: boolean;
+  /** What it voted for may be lost. */
+  readonly isDisqualified: boolean;
+}
+
+/** The state of one member, in memory and on its disk. */
+export class Replica {
+  id = '';
+  /** Whether this very process took part in forming the group. */
+  founder = false;
+  readonly acceptor = new AcceptorState();
+  readonly chain: Chain;
+  readonly guard: DiskGuard;
+  private turn: Promise<unknown> = Promise.resolve();
+
+  constructor(
+    readonly store: Store,
+    readonly clock: Clock,
+    readonly log: Log,
+    readonly stall = STALL,
+  ) {
+    this.chain = new Chain(clock);
+    this.guard = new DiskGuard(clock, log, stall);
+  }
+
+  get progress(): MemberProgress {
+    const { acceptor, chain, guard, id } = this;
+    return {
+      id,
+      promised: acceptor.promised,
+      accepted: acceptor.accepted?.ballot ?? FIRST,
+      revision: acceptor.revision,
+      committed: chain.settled,
+      digest: chain.digest(chain.settled) ?? '',
+      isVoting: !guard.reason && acceptor.hasVoter(id),
+      isDisqualified: guard.isDisqualified,
+    };
+  }
+
+  /** Runs a task once all those before it are done. */
+  exclusive<T>(task: () => Promise<T>): Promise<T> {
+    const next = this.turn.then(task);
+    this.turn = next.catch(() => undefined);
+    return next;
+  }
+
+  /** Promises a ballot, on the disk first. */
+  async promise(ballot: Ballot): Promise<boolean> {
+    if (!(await this.guard.confirm(this.store.keepPromise(ballot)))) return false;
+    this.acceptor.promise(ballot);
+    return true;
+  }
+
+  /** Holds a value as accepted, on the disk first. */
+  async hold(value: AcceptedValue): Promise<boolean> {
+    const { ballot, document, parsed, under } = value;
+    const writing = this.store.keepGeneration(parsed.generation, { ballot, document, under });
+    return (await this.guard.confirm(writing)) && this.acceptor.hold(value);
+  }
+
+  /** Keeps a committed revision below the accepted one on the disk. */
+  keepHistory(revision: number, document: Uint8Array): Promise<boolean> {
+    return this.guard.confirm(this.store.keepHistory(revision, document));
+  }
+
+  /** The newest voter set that is sure to have been chosen. */
+  get committedVoters(): CoreSet {
+    const { accepted } = this.acceptor;
+    if (!accepted) return NO_VOTERS;
+    const { parsed, under } = accepted;
+    const isCommitted = parsed.generation <= this.chain.settled;
+    const sure = isCommitted ? parsed.core : (under ?? parsed.core);
+    const committed = this.chain.document?.core;
+    return committed && committed.number > sure.number ? committed : sure;
+  }
+
+  /** Notes the link of a committed revision to the one before it. */
+  link(revision: number, document: Uint8Array): void {
+    const previous = decodeDocument(document, 'disk').map((parsed) => parsed.previous);
+    this.chain.link(revision, previous.orDefault(''));
+  }
+}
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -16,12 +16,15 @@
   readonly under?: CoreSet;
 }
 
+/** What the disk holds of a member: what it accepted is the value of the highest ballot among the revisions. */
 export interface Found {
   readonly member: string | undefined;
   readonly promised: Ballot;
   readonly accepted: Filed | undefined;
   readonly generations: ReadonlyMap<number, Ballot>;
   readonly spoilt: readonly string[];
+  /** Why an earlier life of this member was disqualified, where one was. */
+  readonly disqualified: string | undefined;
 }
 
 export const seal = (head: ReadonlyMap<string, unknown>, body: Uint8Array): Uint8Array => {
@@ -57,11 +60,7 @@
 const LEAST = 2;
 
 export class Store {
-  /** The bytes of each revision that is on disk, or may be. */
   private readonly sizes = new Map<number, number>();
-  /** Below this revision none need be kept. */
-  private lowest = 0;
-  private readonly removing = new Map<number, Promise<unknown>>();
   private readonly pending = new Set<Promise<unknown>>();
 
   constructor(
@@ -93,9 +92,11 @@
     };
     const identity = await take('member');
     const promise = await take('promise');
+    const disqualified = await take('disqualified');
     const names = await this.disk.list('generations');
     if (identity.isLeft()) return identity as Outcome<Found>;
     if (promise.isLeft()) return promise as Outcome<Found>;
+    if (disqualified.isLeft()) return disqualified as Outcome<Found>;
     if (names.isLeft()) return names as Outcome<Found>;
     const generations = new Map<number, Ballot>();
     let accepted: Filed | undefined;
@@ -107,7 +108,8 @@
       const ballot = held.head.get('ballot') as Ballot;
       generations.set(Number(name), ballot);
       this.sizes.set(Number(name), held.body.length);
-      if (!accepted || compareBallots(ballot, accepted.ballot) > 0)
+      const isVoted = compareBallots(ballot, FIRST) > 0;
+      if (isVoted && (!accepted || compareBallots(ballot, accepted.ballot) >= 0))
         accepted = {
           ballot,
           document: held.body,
@@ -124,6 +126,9 @@
       accepted,
       generations,
       spoilt,
+      disqualified: (
+        disqualified.extract() as { head: Map<string, unknown> } | undefined
+      )?.head.get('reason') as string | undefined,
     });
   }
 
@@ -153,16 +158,23 @@
     );
   }
 
-  keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
-    return this.follow(this.writeGeneration(generation, filed));
+  /** What this member voted for was found to be lost; its id never votes again, also after the next start. */
+  keepDisqualified(reason: string): Promise<Outcome<void>> {
+    return this.write(
+      'disqualified',
+      seal(
+        new Map([
+          ['fleet', this.fleet],
+          ['reason', reason],
+        ]),
+        Buffer.alloc(0),
+      ),
+    );
   }
 
-  private async writeGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
-    const room = await this.makeRoom();
-    if (room.isLeft()) return room;
-    const before = this.sizes.get(generation) ?? 0;
-    this.sizes.set(generation, Math.max(before, filed.document.length));
-    const written = await this.write(
+  keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
+    this.sizes.set(generation, filed.document.length);
+    return this.write(
       fileOf(generation),
       seal(
         new Map<string, unknown>([
@@ -173,8 +185,11 @@
         filed.document,
       ),
     );
-    if (written.isRight()) this.sizes.set(generation, filed.document.length);
-    return written;
+  }
+
+  /** Keeps a committed revision below the accepted one. Without a ballot it is never taken for the accepted one again. */
+  keepHistory(generation: number, document: Uint8Array): Promise<Outcome<void>> {
+    return this.keepGeneration(generation, { ballot: FIRST, document });
   }
 
   async readGeneration(generation: number): Promise<Outcome<Filed | undefined>> {
@@ -214,43 +229,13 @@
     return floor;
   }
 
-  /**
-   * Removes the revisions below; one whose removal fails is tried again the next time, as is a file that comes back after a
-   * loss of power.
-   */
+  /** Takes away what is below; a file that comes back after a loss of power is taken away again. */
   prune(floor: number): void {
-    this.lowest = Math.max(this.lowest, floor);
-    for (const generation of this.obsolete())
-      if (!this.removing.has(generation)) void this.remove(generation);
-  }
-
-  private obsolete(): number[] {
-    return [...this.sizes.keys()].filter((generation) => generation < this.lowest);
-  }
-
-  private async remove(generation: number): Promise<void> {
-    const removal = this.follow(this.disk.remove(fileOf(generation)));
-    this.removing.set(generation, removal);
-    const removed = await removal;
-    this.removing.delete(generation);
-    if (removed.isRight()) this.sizes.delete(generation);
-  }
-
-  /** Whether revisions that need not be kept any more take up as much as all that are kept may. */
-  private get crowded(): boolean {
-    const { bytes } = this.keeping;
-    const obsolete = this.obsolete().reduce((sum, each) => sum + this.sizes.get(each)!, 0);
-    return bytes > 0 && obsolete > bytes;
-  }
-
-  /** Nothing is added while removals lag behind so far that the disk could fill up. */
-  private async makeRoom(): Promise<Outcome<void>> {
-    if (!this.crowded) return Right(undefined);
-    this.prune(this.lowest);
-    await Promise.all(this.removing.values());
-    return this.crowded
-      ? failed('store.room', 'disk', 'old revisions can not be removed')
-      : Right(undefined);
+    for (const generation of this.sizes.keys()) {
+      if (generation >= floor) continue;
+      this.sizes.delete(generation);
+      void this.follow(this.disk.remove(fileOf(generation)));
+    }
   }
 
   private write(path: string, bytes: Uint8Array): Promise<Outcome<void>> {
--- /dev/null
+++ b/src/register/voting.ts
@@ -0,0 +1,133 @@
+/**
+ * The votes of a member: it promises and accepts, and answers only after what it answers is synced. It votes under a
+ * voter set only as one of its voters, and never for a value that contradicts what it knows to be committed.
+ */
+import { Right } from 'purify-ts';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
+import type { Peers } from '../wire/peers.js';
+import type { AcceptedValue, VoterSetId } from './acceptor.js';
+import { ballotText, compareBallots } from './ballot.js';
+import {
+  Accept,
+  Form,
+  Prepare,
+  type AcceptAsk,
+  type AcceptReply,
+  type PrepareAsk,
+  type PrepareReply,
+} from './calls.js';
+import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
+import type { Replica } from './replica.js';
+
+/** The ballot of the first revision, below that of every proposer but for those of the very first rounds. */
+const GENESIS = { counter: 1, node: 'genesis', incarnation: '' };
+
+interface Mandate {
+  readonly value: AcceptedValue;
+  readonly voters: CoreSet;
+}
+
+/**
+ * Answers proposers and the former of the group. A value that was never chosen may give way to its committed parent
+ * under a higher ballot. The promise of that ballot is synced first: it shows at the next start that the file of the
+ * parent, though it has the lower number, may be the newer vote.
+ */
+export class Voting {
+  constructor(private readonly replica: Replica) {}
+
+  serve(peers: Peers): void {
+    const { replica } = this;
+    peers.handle(Prepare, (ask) => replica.exclusive(() => this.prepare(ask)));
+    peers.handle(Accept, (ask) => replica.exclusive(() => this.accept(ask)));
+    peers.handle(Form, ({ document }) => replica.exclusive(() => this.form(document)));
+  }
+
+  private mandate(step: string, round: VoterSetId): Outcome<Mandate> {
+    const { acceptor, guard, id } = this.replica;
+    const { accepted } = acceptor;
+    if (guard.reason) return failed(step, id, `does not vote: ${guard.reason}`);
+    if (!accepted) return failed(step, id, 'does not vote: not formed');
+    if (!acceptor.hasVoter(id)) return failed(step, id, 'does not vote: not in the core set');
+    const voters = acceptor.voterSet(id, round);
+    return voters
+      ? Right({ value: accepted, voters })
+      : failed(step, id, `does not vote under that core set ${round.set}`);
+  }
+
+  private async prepare(ask: PrepareAsk): Promise<Outcome<PrepareReply>> {
+    const { acceptor, chain, id, log } = this.replica;
+    const mandate = this.mandate('member.prepare', ask);
+    if (mandate.isLeft()) return mandate as Outcome<never>;
+    const { value } = mandate.unsafeCoerce();
+    const promised = compareBallots(ask.ballot, acceptor.promised) > 0;
+    if (promised) {
+      if (!(await this.replica.promise(ask.ballot)))
+        return failed('member.prepare', id, 'could not keep a promise', 'unknown');
+      log('promised', [['ballot', ballotText(ask.ballot)]]);
+    }
+    return Right({
+      promised,
+      highest: acceptor.promised,
+      accepted: value.ballot,
+      settled: chain.settled,
+      document: promised ? value.document : Buffer.alloc(0),
+    });
+  }
+
+  private async accept(ask: AcceptAsk): Promise<Outcome<AcceptReply>> {
+    const { acceptor } = this.replica;
+    const mandate = this.mandate('member.accept', ask);
+    if (mandate.isLeft()) return mandate as Outcome<never>;
+    if (compareBallots(ask.ballot, acceptor.promised) < 0)
+      return Right({ accepted: false, highest: acceptor.promised });
+    const decoded = decodeDocument(ask.document, 'proposer');
+    if (decoded.isLeft()) return decoded as Outcome<never>;
+    return this.vote(ask, decoded.unsafeCoerce(), mandate.unsafeCoerce().voters);
+  }
+
+  private async vote(
+    { ballot, document }: AcceptAsk,
+    parsed: Document,
+    under: CoreSet,
+  ): Promise<Outcome<AcceptReply>> {
+    const { acceptor, chain, id, log } = this.replica;
+    const contradiction = acceptor.contradiction(ballot, parsed, digestOf(document), chain);
+    if (contradiction) {
+      log('accept-refused', [
+        ['ballot', ballotText(ballot)],
+        ['reason', contradiction],
+      ]);
+      return failed('member.accept', id, contradiction);
+    }
+    const isStepBack = parsed.generation < acceptor.revision;
+    if (isStepBack && !(await this.replica.promise(ballot)))
+      return failed('member.accept', id, 'could not keep a promise', 'unknown');
+    if (!(await this.replica.hold({ ballot, document, parsed, under })))
+      return failed('member.accept', id, 'could not keep a generation', 'unknown');
+    log('accepted', [
+      ['generation', parsed.generation],
+      ['ballot', ballotText(ballot)],
+    ]);
+    return Right({ accepted: true, highest: ballot });
+  }
+
+  private async form(document: Uint8Array): Promise<Outcome<{ formed: boolean }>> {
+    const { replica } = this;
+    const { acceptor, guard, id } = replica;
+    const decoded = decodeDocument(document, 'former');
+    if (decoded.isLeft()) return decoded as Outcome<never>;
+    const parsed = decoded.unsafeCoerce();
+    if (guard.reason) return failed('member.form', id, guard.reason);
+    if (acceptor.accepted) return Right({ formed: false });
+    if (parsed.generation !== 1 || !parsed.core.members.some((member) => member.id === id))
+      return failed('member.form', id, 'not named in that core set');
+    if (!(await replica.hold({ ballot: GENESIS, document, parsed })))
+      return failed('member.form', id, 'could not keep the first generation', 'unknown');
+    replica.founder = true;
+    replica.log('formed', [
+      ['member', id],
+      ['core', parsed.core.members.map(({ address }) => address).join(',')],
+    ]);
+    return Right({ formed: true });
+  }
+}
