Every simulated world watches its members at each step for going back

Promise, accepted ballot and committed revision of each member id are compared with all that it showed before, over restarts and not over a lost disk, after every event; committed revisions of one number must be alike on all members. A member that finds its disk corrupt may hold less, and then must not vote.

--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -30,9 +30,7 @@
 import { Soundness } from '../pool/soundness.js';
 import { RouterNode } from '../router/module.js';
 import { SimChannels, type SimEngine } from './engine.js';
-import type { SimDisk } from './disk.js';
-import { Host } from './host.js';
-import type { World } from './world.js';
+import { Host, type SimDisk, type World } from './world.js';
 
 export interface SimSite {
   readonly fleet: string;
@@ -136,6 +134,11 @@
     log,
     params.core.stall,
   );
+  world.members.watch({
+    fleet: site.fleet,
+    isAlive: () => !host.dead,
+    progress: () => member.progress,
+  });
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
   const operations = new Operations(
     peers,
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -104,9 +104,7 @@
       );
     if (frame.stage === Stage.decline) {
       const decline = decode(declineField, frame.body, `${call.name}.decline`, address);
-      return decline.chain(({ reason }) =>
-        failed(call.name, address, reason, 'declined', 'refused-by-peer'),
-      );
+      return decline.chain(({ reason }) => failed(call.name, address, reason));
     }
     return decode(call.reply, frame.body, `${call.name}.reply`, address);
   }
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -13,6 +13,7 @@
   digestOf,
   encodeDocument,
   genesis,
+  voterSetDigest,
   type Change,
 } from '../../src/register/document.js';
 import { Member } from '../../src/register/member.js';
@@ -20,9 +21,7 @@
 import type { Outcome } from '../../src/kernel/fault/fault.js';
 import { explore, type Script } from '../../src/sim/explore.js';
 import { simBase, type SimBase } from '../../src/sim/nodes.js';
-import { SimDisk } from '../../src/sim/disk.js';
-import { Host } from '../../src/sim/host.js';
-import { World } from '../../src/sim/world.js';
+import { Host, SimDisk, World } from '../../src/sim/world.js';
 import { Peers } from '../../src/wire/peers.js';
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 
@@ -67,6 +66,11 @@
     host.random,
     silentLog,
   );
+  world.members.watch({
+    fleet: 'f',
+    isAlive: () => !host.dead,
+    progress: () => member.progress,
+  });
   disk.onPowerCut = (): void => {
     host.kill();
     world.at(400, () => void startMember(world, disk, at));
@@ -285,6 +289,7 @@
     seeds: addresses,
   });
   const first = genesis('f', [{ id: member.id, address: addresses[0]! }]);
+  const group = { set: 1, voters: voterSetDigest(first.core) };
   await world.until(
     asker.peers.ask(addresses[0]!, Form, { document: encodeDocument(first) }, 1000),
   );
@@ -297,7 +302,7 @@
   const text = (path: string): string => Buffer.from(disk.files.get(path) ?? []).toString('utf8');
   const prepare = (counter: number): Promise<boolean> =>
     asker.peers
-      .ask(addresses[0]!, Prepare, { set: 1, ballot: ballot(counter) }, 900)
+      .ask(addresses[0]!, Prepare, { ...group, ballot: ballot(counter) }, 900)
       .then((reply) => reply.isRight() && text('promise').includes(`"counter":${counter}`));
   expect(await world.until(prepare(5))).toBe(true);
   const next = encodeDocument({
@@ -307,7 +312,7 @@
   });
   const accept = (counter: number): Promise<boolean> =>
     asker.peers
-      .ask(addresses[0]!, Accept, { set: 1, ballot: ballot(counter), document: next }, 900)
+      .ask(addresses[0]!, Accept, { ...group, ballot: ballot(counter), document: next }, 900)
       .then(
         (reply) =>
           reply.isRight() && text('generations/000000000002').includes(`"counter":${counter}`),
