A call on the configuration is answered within the caller's patience, at once out of contact

Cause: a node cut off from the core answered a call on the configuration only after acknowledge_ms (4 s), while whoever calls leaves after one second of silence.

- A call waits 0.7 of the caller's second at most, and 0.3 of that (210 ms) while a majority of the voters is known to be silent.
The evidence is what asks showed last (QuorumContact); the follower asks voters all the time, so there is no heartbeat of its own.
It decides only how long a call waits, never what it is told.
- A change that is given up before its first accept is withdrawn and never proposed by this node.
- A survey of a majority that came to nothing within its time no longer opens a ballot after it.
- Fetching the whole configuration is bounded by the call's time too.

--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -17,6 +17,7 @@
   type ConfigureAct,
   type Document,
 } from '../register/document.js';
+import { patienceOf } from '../register/contact.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
 import type { Roster } from '../register/roster.js';
@@ -74,17 +75,19 @@
 
   async read(wait: number): Promise<Outcome<Configuration | undefined>> {
     const limit = this.clock.now() + wait;
-    const looked = await within(this.clock, wait, this.proposer.look(wait));
+    const { contact } = this.proposer;
+    const looked = await contact.within(patienceOf(wait), this.proposer.look(wait));
     if (!looked)
       return failed(
         'configuration.read',
         'core',
-        `no majority told its newest generation within ${wait} ms`,
+        `no majority told its newest generation in time; silent: ${contact.silentVoters.join(' ')}`,
       );
     if (looked.isLeft()) return looked as Outcome<never>;
     const generation = looked.unsafeCoerce();
     for (;;) {
-      const document = await this.fetch(generation);
+      const left = Math.max(0, limit - this.clock.now());
+      const document = await within(this.clock, left, this.fetch(generation));
       if (document) return Right(document.configuration);
       if (this.clock.now() + PAUSE >= limit)
         return failed(
@@ -134,7 +137,11 @@
       who: this.peers.self.name,
       act,
     };
-    const told = await within(this.clock, wait, this.proposer.propose(change, wait));
+    const told = await within(
+      this.clock,
+      wait,
+      this.proposer.proposeWithin(change, patienceOf(wait)),
+    );
     const unsettled = (reason: string): ConfigureReply => ({
       outcome: 'unknown',
       version: this.version,
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -12,7 +12,7 @@
  * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import type { Clock } from '../kernel/clock/clock.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
@@ -29,6 +29,7 @@
   type CoreSet,
   type Document,
 } from './document.js';
+import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
 import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
@@ -36,12 +37,14 @@
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** How often a survey begins again because it learned of a newer core set. */
+const SURVEY_PASSES = 4;
 /** The step that failed when members refused for a higher ballot. */
 const OUTBID = 'register.outbid';
 
 interface Waiting {
   readonly change: Change;
-  readonly limit: Moment;
+  readonly over: AbortController;
   unsure: boolean;
   tell(outcome: Outcome<Verdict>): void;
 }
@@ -58,10 +61,20 @@
   readonly sources: readonly string[];
 }
 
+/** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
+const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
+  const generation = Math.max(0, ...[...states.values()].map((state) => state.generation));
+  const sources = [...states]
+    .filter(([, { settled }]) => settled >= generation)
+    .map(([address]) => address);
+  return states.size >= quorum && sources.length > 0 ? { generation, sources } : undefined;
+};
+
 export class Proposer {
   private readonly waiting: Waiting[] = [];
   private counter = 0;
   private busy = false;
+  readonly contact: QuorumContact;
 
   constructor(
     private readonly peers: Peers,
@@ -69,19 +82,23 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.contact = new QuorumContact(peers, roster, clock);
+  }
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
   propose(change: Change, duration: number): Promise<Outcome<Verdict>> {
+    return this.proposeWithin(change, { whole: duration, outOfContact: duration });
+  }
+
+  /** Proposes a change for as long as patience lasts; one that is given up before its first accept is never proposed. */
+  proposeWithin(change: Change, patience: Patience): Promise<Outcome<Verdict>> {
     if (this.waiting.length >= WAITING_BOUND)
       return Promise.resolve(failed('register.line', 'self', 'too many changes wait here'));
     return new Promise((tell) => {
-      this.waiting.push({
-        change,
-        limit: (this.clock.now() + duration) as Moment,
-        unsure: false,
-        tell,
-      });
+      const item = { change, over: new AbortController(), unsure: false, tell };
+      this.waiting.push(item);
+      void this.expire(item, patience);
       if (!this.busy) void this.work();
     });
   }
@@ -103,36 +120,42 @@
 
   /** The newest settled generation, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
+    const limit = this.clock.now() + duration;
     await this.learnCore();
-    for (let pass = 0; pass < 4; pass++) {
+    for (let pass = 0; pass < SURVEY_PASSES; pass++) {
       const { number, members } = this.roster.core;
-      const quorum = majority(members.length);
-      const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
+      const replies = await this.askStates(members);
+      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as CoreSet);
+      if (this.roster.core.number !== number) continue;
+      const survey = surveyOf(replies, majority(members.length));
+      if (number > 0 && survey) return Right(survey);
+      break;
+    }
+    const left = limit - this.clock.now();
+    if (left <= 0)
+      return failed('register.survey', 'core', `no majority told its state within ${duration} ms`);
+    return (await this.read(left)).map(({ generation }) => ({ generation, sources: [] }));
+  }
+
+  /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
+  private async askStates(members: CoreSet['members']): Promise<ReadonlyMap<string, StateReply>> {
+    const sureOf = (all: Replies<StateReply>): ReadonlyMap<string, StateReply> =>
+      new Map(
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
           return state?.sure &&
             members.some((seat) => seat.id === state.member && seat.address === address)
             ? [[address, state] as const]
             : [];
-        });
-      const replies = surest(
-        await gather(
-          members.map(({ address }) => address),
-          (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
-          (all) => surest(all).length >= quorum,
-        ),
+        }),
       );
-      for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
-      if (this.roster.core.number !== number) continue;
-      const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
-      const sources = replies
-        .filter(([, { settled }]) => settled >= generation)
-        .map(([address]) => address);
-      if (number > 0 && replies.length >= quorum && sources.length > 0)
-        return Right({ generation, sources });
-      break;
-    }
-    return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
+    return sureOf(
+      await gather(
+        members.map(({ address }) => address),
+        (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+        (all) => sureOf(all).size >= majority(members.length),
+      ),
+    );
   }
 
   private async work(): Promise<void> {
@@ -146,26 +169,31 @@
       outbid = done.isLeft() && done.extract().step === OUTBID;
       tries = done.isLeft() && outbid === before ? tries + 1 : 0;
       if (done.isLeft()) await this.backOff(tries);
-      const now = this.clock.now();
-      for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
-        const reason = 'the limit came before a majority of the core settled it';
-        this.finish(
-          item,
-          failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
-        );
-      }
     }
     this.busy = false;
   }
 
+  /** Gives a change up once patience has ended; before its first accept it certainly won't come to be by this node. */
+  private async expire(item: Waiting, patience: Patience): Promise<void> {
+    await this.contact.outlast(patience, item.over.signal);
+    const reason = this.contact.holds
+      ? 'the limit came before a majority of the core settled it'
+      : `no contact with a majority of the core: ${this.contact.silentVoters.join(' ')}`;
+    this.finish(
+      item,
+      failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+    );
+  }
+
   private finish(item: Waiting, outcome: Outcome<Verdict>): void {
     const at = this.waiting.indexOf(item);
     if (at < 0) return;
     this.waiting.splice(at, 1);
+    item.over.abort('over');
     item.tell(outcome);
   }
 
-  private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
+  private async round(taken: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [
@@ -176,6 +204,7 @@
       return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
+    const batch = taken.filter((item) => this.waiting.includes(item));
     const { document: next, verdicts } = applyChanges(
       document,
       batch.map(({ change }) => change),
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -33,11 +33,15 @@
 
 const WAITING_BOUND = 4096;
 const HELLO_LIMIT = 2000;
+/** How many silent addresses are remembered, the latest ones. */
+const SILENT_BOUND = 1024;
 
 export class Peers {
   private readonly handlers = new Map<number, Handler>();
   private readonly lines = new Map<string, Promise<Outcome<Line>>>();
   private readonly accepted = new Set<Channel>();
+  /** Addresses that left the last ask unanswered, until they are heard again. */
+  private readonly silent = new Set<string>();
   private listener: Listener | undefined;
   private calls = 0;
   private closed = false;
@@ -72,6 +76,7 @@
   async ask<A, R>(address: string, call: Call<A, R>, ask: A, limit: number): Promise<Outcome<R>> {
     const end = this.clock.now() + limit;
     const opened = await within(this.clock, limit, this.line(address, limit));
+    if (!opened || opened.isLeft()) this.noteSilent(address);
     if (!opened) return failed(`${call.name}.dial`, address, `no channel within ${limit} ms`);
     if (opened.isLeft()) return opened as Outcome<R>;
     const line = opened.extract() as Line;
@@ -109,6 +114,11 @@
     return decode(call.reply, frame.body, `${call.name}.reply`, address);
   }
 
+  /** Whether the last ask to an address went unanswered for its whole limit, or found nobody there. */
+  isSilent(address: string): boolean {
+    return this.silent.has(address);
+  }
+
   close(): void {
     this.closed = true;
     this.listener?.close();
@@ -120,6 +130,7 @@
 
   /** Nothing at all came back for a whole limit: the other end may be gone without a word, so the next ask dials anew. */
   private abandon(address: string, line: Line, opened: Outcome<Line>): void {
+    this.noteSilent(address);
     this.log('channel-closed', [
       ['peer', address],
       ['reason', 'silent for a whole limit'],
@@ -131,6 +142,13 @@
     });
   }
 
+  private noteSilent(address: string): void {
+    this.silent.delete(address);
+    this.silent.add(address);
+    const [oldest] = this.silent;
+    if (this.silent.size > SILENT_BOUND && oldest !== undefined) this.silent.delete(oldest);
+  }
+
   private line(address: string, limit: number): Promise<Outcome<Line>> {
     const known = this.lines.get(address);
     if (known) return known;
@@ -164,6 +182,7 @@
       return sound;
     }
     const line: Line = { channel, waiting: new Map(), heard: this.clock.now() };
+    this.silent.delete(address);
     void this.collect(address, line);
     return Right(line);
   }
@@ -180,6 +199,7 @@
       }
       const reply = frame.extract() as Frame;
       line.heard = this.clock.now();
+      this.silent.delete(address);
       line.waiting.get(reply.number)?.(reply);
     }
     line.channel.close();
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { paramsOf, readSettings } from '../../platform/settings.js';
+import { answerLimitOf, paramsOf, readSettings } from '../../platform/settings.js';
 import { settingsText } from './samples.js';
 
 let folder = '';
@@ -65,6 +65,19 @@
   }
 });
 
+test('a call on the configuration is answered before its caller goes to another node', async () => {
+  for (const [acknowledge, limit] of [
+    [4000, 700],
+    [500, 500],
+  ]) {
+    const text = settingsText('core').replace(
+      /acknowledge_ms = \d+/,
+      `acknowledge_ms = ${acknowledge}`,
+    );
+    expect((await read(text)).map(answerLimitOf).unsafeCoerce()).toBe(limit);
+  }
+});
+
 test('fields that are not known are skipped; a missing or wrong one is named', async () => {
   expect(
     (await read(`surprise = [1, 2]\n${settingsText('front')}[more]\nof = "it"\n`)).isRight(),
