A follower leaves a source that is behind within a proven bound, however many are dark

Cause: a follower asked one other member, drawn by chance, how far it is. While members are dark to it or cut off together with the source, chance could draw them again and again.

- Members are asked in turn, those that stayed silent last; all are asked at once as soon as one is silent.
So at most one turn goes to a member that is behind and one to a dark one.
- The slack after a wait is a part of it, at most 300 ms as before, so that the bound holds for short bounds too.
- That a source is overdue is a state and no longer a moment: one that was noted while something was being taken was lost, and the source kept until the next change.
- A source that was left is followed by another at once, without asking neighbours and a pause in between.

--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,15 +1,15 @@
 /**
  * Following the numbered feed of settled generations: from one core member at a time, the one quickest to say that it has
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
- * While one member feeds, another is asked only how far it is; when it is further than the feed for longer than a moment,
- * the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
+ * While one member feeds, another is asked only how far it is, and all others as soon as that one is silent; when one is
+ * further than the feed for longer than a moment, the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
  * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
  * something is held, what follows comes as deltas.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
-import { pick, shuffled, type Random } from '../kernel/random/random.js';
+import { shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import {
   Feed,
@@ -31,8 +31,9 @@
 const PAUSE = 200;
 const LOOK = 1500;
 const SEEK_LIMIT = 700;
-/** How much longer than it was told to wait a source may take before it counts as silent. */
-const SLACK = 300;
+/** How much longer than it was told to wait a member may take before it counts as silent: a part of the wait, at most so much. */
+const SLACK_PART = 0.6;
+const SLACK_MOST = 300;
 /** For how long a source may be behind another member. */
 const GRACE = 60;
 /** How many neighbours are asked at a time while no core member answers. */
@@ -59,7 +60,12 @@
   /** The newest generation that any member is known to have settled. */
   private known = 0;
   private source = '';
+  /** The generation that any source must have given by now. */
+  private overdue = 0;
   private outrun: () => void = () => undefined;
+  /** Members other than the source that left the last watch unanswered. */
+  private readonly unheard = new Set<string>();
+  private watched = '';
 
   constructor(
     private readonly peers: Peers,
@@ -132,29 +138,68 @@
     );
   }
 
-  /** Asks another member than the source how far it is, again and again. */
+  /** How long a member may take to answer a question that it holds open. */
+  private get patience(): number {
+    return this.wait + Math.min(SLACK_MOST, this.wait * SLACK_PART);
+  }
+
+  /**
+   * Asks other members than the source how far they are, again and again: one after the other in turn, and all at once
+   * as soon as one is silent. So a source that is behind is found out within the patience with one member, however many
+   * are dark; docs/control-plane.md has the bound.
+   */
   private async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const other = pick(
-        this.random,
-        this.roster.addresses.filter((address) => address !== this.self && address !== this.source),
+      const others = this.roster.addresses.filter(
+        (address) => address !== this.self && address !== this.source,
       );
-      const from = Math.max(this.held, this.known);
-      const reply =
-        other && this.source
-          ? await this.peers.ask(other, Tip, { from, wait: this.wait }, this.wait + SLACK)
-          : undefined;
-      const settled = reply?.map((tip) => tip.settled).orDefault(0) ?? 0;
-      if (settled > from) {
-        this.known = settled;
-        void this.clock
-          .sleep(GRACE)
-          .then(() => Math.max(this.held, this.own()) < settled && this.outrun());
-      } else if (!reply?.isRight())
-        await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      const next = this.nextWatched(others);
+      const heard =
+        this.source !== '' &&
+        ((next !== undefined && (await this.watchThese([next]))) ||
+          (await this.watchThese(others)));
+      if (!heard) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
     }
   }
 
+  /** The member that follows the one watched last, among those that are not known to be silent. */
+  private nextWatched(others: readonly string[]): string | undefined {
+    const candidates = others.filter((address) => !this.unheard.has(address)).sort();
+    this.watched = candidates.find((address) => address > this.watched) ?? candidates[0] ?? '';
+    return this.watched || undefined;
+  }
+
+  /** Waits until one of some members has something newer, or has nothing yet; says whether any answered. */
+  private async watchThese(addresses: readonly string[]): Promise<boolean> {
+    const from = Math.max(this.held, this.known);
+    const replies = await gather(
+      addresses,
+      async (address) => {
+        const reply = await this.peers.ask(address, Tip, { from, wait: this.wait }, this.patience);
+        if (reply.isRight()) this.unheard.delete(address);
+        else this.unheard.add(address);
+        reply.ifRight(({ settled }) => this.noteSettled(settled));
+        return reply;
+      },
+      (all) => sound(all).length > 0,
+    );
+    return sound(replies).length > 0;
+  }
+
+  /** Another member has settled a generation: the source has a moment to give it too. */
+  private noteSettled(settled: number): void {
+    if (settled <= Math.max(this.held, this.known)) return;
+    this.known = settled;
+    void this.clock.sleep(GRACE).then(() => {
+      this.overdue = Math.max(this.overdue, settled);
+      if (this.isOverdue) this.outrun();
+    });
+  }
+
+  private get isOverdue(): boolean {
+    return Math.max(this.held, this.own()) < this.overdue;
+  }
+
   /** Without the core, takes what some neighbours have. */
   private async askNeighbours(): Promise<void> {
     const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
@@ -173,7 +218,7 @@
       if (reply.isRight()) await this.consume(address, reply.extract() as FeedReply);
   }
 
-  /** Follows one source until it has nothing to give; says whether it gave anything. */
+  /** Follows one source until it has nothing to give; says whether another should be sought without a pause. */
   private async followOne(source: string, signal: AbortSignal): Promise<boolean> {
     this.source = source;
     for (let answered = false; ; answered = true) {
@@ -186,22 +231,30 @@
       const left = new Promise<undefined>((resolve) => {
         this.outrun = (): void => resolve(undefined);
       });
+      const behind = this.isOverdue;
       const reply = await Promise.race([
         this.peers.ask(
           source,
           Feed,
-          { from: this.held, wait: this.wait, deltas: this.base !== undefined },
-          this.wait + SLACK,
+          {
+            from: this.held,
+            wait: behind ? 0 : this.wait,
+            deltas: this.base !== undefined,
+          },
+          this.patience,
         ),
         left,
       ]);
-      if (!reply)
+      if (!reply) {
         this.log('feed-left', [
           ['peer', source],
           ['generation', this.known],
         ]);
-      if (!reply || reply.isLeft()) return answered;
+        return true;
+      }
+      if (reply.isLeft()) return answered;
       if (!(await this.consume(source, reply.extract() as FeedReply))) return answered;
+      if (behind && this.isOverdue) return false;
     }
   }
 
