--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -13,7 +13,7 @@
  */
 import { Right } from 'purify-ts';
 import type { Clock } from '../kernel/clock/clock.js';
-import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
@@ -39,8 +39,6 @@
 const WAITING_BOUND = 4096;
 /** How often a survey begins again because it learned of a newer core set. */
 const SURVEY_PASSES = 4;
-/** The step that failed when members refused for a higher ballot. */
-const OUTBID = 'register.outbid';
 
 interface Waiting {
   readonly change: Change;
@@ -166,7 +164,7 @@
       const batch = this.waiting.slice(0, BATCH);
       const done = await this.round(batch);
       const before = outbid;
-      outbid = done.isLeft() && done.extract().step === OUTBID;
+      outbid = done.isLeft() && (done.extract() as Fault).kind === 'outbid';
       tries = done.isLeft() && outbid === before ? tries + 1 : 0;
       if (done.isLeft()) await this.backOff(tries);
     }
@@ -197,6 +195,7 @@
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [
+        ['kind', (read.extract() as Fault).kind],
         ['step', read.extract().step],
         ['peer', read.extract().peer],
         ['reason', read.extract().reason],
@@ -252,7 +251,8 @@
         this.roster.learn(found.document.core);
         continue;
       }
-      if (pass >= 3) return failed(OUTBID, 'core', 'others keep changing it');
+      if (pass >= 3)
+        return failed('register.prepare', 'core', 'others keep changing it', 'declined', 'outbid');
       const again = await this.accept(found.core, found.ballot, found.document);
       if (again.isLeft()) return again as Outcome<Read>;
     }
@@ -282,9 +282,11 @@
         .map(([address, reply]) => (reply.isLeft() ? `${address}: ${reply.extract().reason}` : ''))
         .filter(Boolean);
       return failed(
-        sound(replies).some(({ promised }) => !promised) ? OUTBID : 'register.prepare',
+        'register.prepare',
         'core',
         `${promises.length} of ${quorum} promises${reasons.length ? ` (${reasons.join('; ')})` : ''}`,
+        'declined',
+        sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
     const newest = promises.reduce((best, reply) =>
@@ -341,10 +343,11 @@
     const votes = sound(replies).filter(({ accepted }) => accepted).length;
     if (votes < quorum)
       return failed(
-        sound(replies).some(({ accepted }) => !accepted) ? OUTBID : 'register.accept',
+        'register.accept',
         'core',
         `${votes} of ${quorum} votes`,
         'unknown',
+        sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
     this.announce(core, ballot, document, bytes);
     this.roster.learn(document.core);
--- a/test/checker/cutoff-stage.ts
+++ b/test/checker/cutoff-stage.ts
@@ -9,7 +9,8 @@
 import { Feed } from '../../src/register/calls.js';
 import type { Configuration } from '../../src/route/shape.js';
 import { simCore, simRouter, type SimCore, type SimRouter } from '../../src/sim/nodes.js';
-import { SimDisk, World } from '../../src/sim/world.js';
+import { SimDisk } from '../../src/sim/disk.js';
+import { World } from '../../src/sim/world.js';
 import { decodeFrame, Stage } from '../../src/wire/call.js';
 
 /** The bounds of the simulated deployment, and what follows from them as in docs/platform.md. */
