The simulator gains the kinds of trouble it lacked; its faults are split by what they strike

Cause: any kind that the platform knows may come on any deployment, and the simulator had no slow machines, resets, planned replacement, grey or slow engines, engines taken back at short notice, added or removed, reload signals, callers that repeat at once, lost acknowledgements, or storms of hundreds of changes with machines down.

Machines can run slowly (each event takes 2 ms, one after the other) and have their connections reset.

Situations counted: resets, requests failed by grey engines, lost answers, reloads, copies sent at once.

--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -6,10 +6,10 @@
 import { decodeDocument, type Document } from '../../register/document.js';
 import { judge, type Finding } from '../../stand/judge/judge.js';
 import { simBase } from '../nodes.js';
+import { FaultInjector } from './faults/injector.js';
 import { Operators } from './operators.js';
 import { AFTER, type DayPlan, type DayResult } from './plan.js';
 import { Stage } from './stage.js';
-import { Strikes } from './strikes.js';
 import { Tally } from './tally.js';
 import { Traffic } from './traffic.js';
 
@@ -22,7 +22,7 @@
   private readonly stage: Stage;
   private readonly operators: Operators;
   private readonly traffic: Traffic;
-  private readonly strikes: Strikes;
+  private readonly faults: FaultInjector;
   private readonly lapsed = new Set<string>();
 
   constructor(
@@ -32,7 +32,7 @@
     this.stage = new Stage(plan, seed, this.tally);
     this.operators = new Operators(this.stage);
     this.traffic = new Traffic(this.stage);
-    this.strikes = new Strikes(this.stage, this.traffic, this.operators);
+    this.faults = new FaultInjector(this.stage, this.traffic, this.operators);
   }
 
   async run(): Promise<DayResult> {
@@ -46,9 +46,9 @@
     const from = world.now;
     this.traffic.flow(from, span + AFTER, plan.shortPerSecond, plan.longPerSecond);
     this.operators.work(from, span);
-    this.strikes.draw(from, span);
+    this.faults.draw(from, span);
     await world.run(from + span);
-    this.strikes.mend();
+    this.faults.mend();
     await world.run(world.now + 16_000);
     const final = await this.close();
     return this.result(final);
@@ -156,6 +156,7 @@
           tally.find('illegal-step', `${host.name}: ${event.from} to ${event.to}`, event.request);
     const retryShareMost = this.retries();
     tally.note('claimsCompared', facts.claims);
+    tally.note('greyFailures', facts.greyFailures);
     tally.note(
       'resumed',
       callers.filter(
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -15,6 +15,16 @@
 const CALM = 8000;
 const PROMISED = 2000;
 
+/** How often one change is asked for, at most. */
+const TRIES = 8;
+
+type Act = (operations: Operations) => ReturnType<Operations['setDoorway']>;
+
+interface Answer {
+  readonly outcome: string;
+  readonly generation: number;
+}
+
 export interface Told {
   readonly id: string;
   readonly doorway: string;
@@ -32,6 +42,8 @@
   readonly names = ['sahel-short', 'sahel-long', 'aconcagua-short', 'aconcagua-long'];
   /** The newest generation that any operator was told is accepted. */
   accepted = 1;
+  /** Which share of the answers is lost on its way; the same change is then asked for again, at any living node. */
+  answersLost = 0;
   private number = 0;
 
   constructor(private readonly stage: Stage) {}
@@ -155,34 +167,16 @@
     );
   }
 
-  private async ask(
-    wanted: readonly Told[],
-    wait: number,
-    act: (operations: Operations) => ReturnType<Operations['setDoorway']>,
-  ): Promise<void> {
+  private async ask(wanted: readonly Told[], wait: number, act: Act): Promise<void> {
     const { stage } = this;
     const { world, tally } = stage;
-    const via = pick(
-      stage.random,
-      [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead),
-    );
     this.told.push(...wanted);
-    if (!via) return;
     const told = { ...wanted[0]! };
     const calm = stage.calmFor(CALM);
-    const done = await Promise.race([
-      act(via.operations),
-      stage.pause(wait + 3000).then(() => undefined),
-    ]);
-    done?.caseOf({
-      Left: ({ certainty }: Failure) => {
-        told.outcome = certainty;
-      },
-      Right: (reply) => {
-        told.outcome = reply.outcome;
-        told.generation = reply.generation;
-      },
-    });
+    const given = await this.askUntilHeard(told.id, wait, act);
+    if (!given) return;
+    told.outcome = given.outcome;
+    told.generation = given.generation;
     told.at = world.now;
     for (const each of wanted)
       Object.assign(each, { outcome: told.outcome, generation: told.generation, at: told.at });
@@ -203,6 +197,40 @@
     }
   }
 
+  /** Asks for a change, and again as long as its answer is lost; a repeat of what was accepted must never be refused. */
+  private async askUntilHeard(id: string, wait: number, act: Act): Promise<Answer | undefined> {
+    const { stage } = this;
+    let accepted = false;
+    for (let tries = 1; ; tries++) {
+      const answer = await this.askOnce(wait, act);
+      if (!answer) return undefined;
+      if (accepted && (answer.outcome === 'lost' || answer.outcome === 'declined'))
+        stage.tally.find('repeat-refused', `${answer.outcome} after it was accepted`, id);
+      accepted ||= answer.outcome === 'accepted';
+      if (tries === TRIES || stage.random.fraction() >= this.answersLost) return answer;
+      stage.tally.note('answersLost');
+    }
+  }
+
+  /** One call at some living node. */
+  private async askOnce(wait: number, act: Act): Promise<Answer | undefined> {
+    const { stage } = this;
+    const via = pick(
+      stage.random,
+      [...stage.cores.values(), ...stage.routers.values()].filter(({ host }) => !host.dead),
+    );
+    if (!via) return undefined;
+    const done = await Promise.race([
+      act(via.operations),
+      stage.pause(wait + 3000).then(() => undefined),
+    ]);
+    if (!done) return { outcome: 'silent', generation: 0 };
+    return done.caseOf<Answer>({
+      Left: ({ certainty }: Failure) => ({ outcome: certainty, generation: 0 }),
+      Right: ({ outcome, generation }) => ({ outcome, generation }),
+    });
+  }
+
   /** What was told against what is kept in the end. */
   check(final: Document, history: ReadonlySet<string>): void {
     const { tally } = this.stage;
--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -16,6 +16,9 @@
 const CAPACITY = 524_288;
 const RATE = 8000;
 const READS_A_SECOND = 10;
+/** A core machine that was lost is replaced, and counts again, after this long. */
+const RECOVERED_AFTER = 9000;
+const FIRST_ENGINE_PORT = 3000;
 
 interface Listed {
   readonly identifier: string;
@@ -29,7 +32,7 @@
 export class Stage {
   readonly world: World;
   readonly random: Random;
-  readonly facts: EngineFacts = { runs: [], overreach: 0, claims: 0 };
+  readonly facts: EngineFacts = { runs: [], overreach: 0, claims: 0, greyFailures: 0 };
   readonly engines = new Map<string, SimEngine>();
   readonly listed = new Map<string, Listed>();
   readonly cores = new Map<string, SimCore>();
@@ -43,6 +46,7 @@
   private readonly shown: Array<{ at: number; text: string }> = [];
   private readonly reads: number[] = [];
   private replacements = 0;
+  private enginesAdded = 0;
   private failures = 0;
   private calmSince = 0;
 
@@ -58,15 +62,7 @@
   start(): void {
     const { plan } = this;
     this.publish();
-    for (let at = 1; at <= plan.engines; at++)
-      this.startEngine({
-        identifier: `engine-${at}`,
-        address: `127.0.0.1:${3000 + at}`,
-        zone: this.zone(at),
-        group: at % 2 === 0 ? 'even' : 'odd',
-        weightGeneration: 'w1',
-        leaving: false,
-      });
+    for (let at = 1; at <= plan.engines; at++) this.addEngine();
     for (let at = 1; at <= plan.cores; at++) this.startCore(`core-${at}`);
     for (let at = 1; at <= plan.routers; at++) this.startRouter(`router-${at}`);
   }
@@ -176,7 +172,23 @@
     if (moved) this.cores.delete(name);
     this.world.at(lasts, () => {
       this.startCore(successor);
-      this.world.at(9000, done);
+      this.world.at(RECOVERED_AFTER, done);
+    });
+  }
+
+  /** As planned: an empty machine at a new address starts first; after a while the one it takes over from stops for good. */
+  replaceCore(name: string, overlap: number): void {
+    const done = this.disturb();
+    const successor = `core-${Number(name.split('-')[1]) + this.plan.cores}`;
+    this.lostFor.add(successor);
+    this.startCore(successor);
+    this.world.at(overlap, () => {
+      const leaver = this.cores.get(name)!;
+      leaver.stop.abort();
+      leaver.host.kill();
+      this.disks.get(name)!.lose();
+      this.cores.delete(name);
+      this.world.at(RECOVERED_AFTER, done);
     });
   }
 
@@ -197,6 +209,26 @@
     this.publish();
   }
 
+  /** One engine more, at an address of its own. */
+  addEngine(): void {
+    const at = ++this.enginesAdded;
+    this.startEngine({
+      identifier: `engine-${at}`,
+      address: `127.0.0.1:${FIRST_ENGINE_PORT + at}`,
+      zone: this.zone(at),
+      group: at % 2 === 0 ? 'even' : 'odd',
+      weightGeneration: 'w1',
+      leaving: false,
+    });
+  }
+
+  /** The engine is gone for good, and so is its place on the list. */
+  removeEngine(engine: SimEngine): void {
+    engine.host.kill();
+    this.listed.delete(engine.identifier);
+    this.publish();
+  }
+
   markLeaving(engine: SimEngine): void {
     const entry = this.listed.get(engine.identifier);
     if (!entry || entry.leaving) return;
--- a/src/sim/day/traffic.ts
+++ b/src/sim/day/traffic.ts
@@ -19,6 +19,9 @@
 /** Ids are sent again after up to this long. */
 const AGAIN = 25_000;
 const GRACE = 500;
+/** How often a caller that does not wait sends the same request again, and how soon. */
+const COPIES = 2;
+const COPY_PAUSE = 5;
 const LIMITS: ReadonlyMap<Kind, number> = new Map([
   ['short', 3000],
   ['long', 8000],
@@ -31,6 +34,8 @@
   readonly resent = new Set<string>();
   readonly backAfter: number[] = [];
   readonly onceBackAfter: number[] = [];
+  /** Whether callers send each short request again at once, without waiting for its answer. */
+  repeatsAtOnce = false;
   private outage: number | undefined;
   private onceOutage: number | undefined;
 
@@ -93,6 +98,12 @@
       this.resent.add(record.id);
       world.at(random.fraction() * AGAIN, () => this.call(kind, hot, { number, firm, group }));
     }
+    if (!again && kind === 'short' && this.repeatsAtOnce) {
+      this.resent.add(record.id);
+      for (let copy = 1; copy <= COPIES; copy++)
+        world.at(copy * COPY_PAUSE, () => this.call(kind, hot, { number, firm, group }));
+      tally.note('sentAtOnce');
+    }
     if (router.host.dead) {
       record.reason = 'no connection';
       return;
--- a/src/sim/engine.ts
+++ b/src/sim/engine.ts
@@ -13,19 +13,31 @@
 
 const BLOCK = 64;
 const TOKENS = 16;
+const DECODE_STEP = 12;
 
 export interface EngineFacts {
   readonly runs: RunRecord[];
   overreach: number;
+  /** How many requests were failed by engines whose health was good. */
+  greyFailures: number;
   claims: number;
 }
 
 export type Behaviour =
-  'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall' | 'restarts' | 'garbles';
+  'well' | 'cut' | 'no-marker' | 'foreign' | 'not-run' | 'stall' | 'restarts' | 'garbles' | 'error';
+
+/** An engine whose health is good and that fails a share of its requests in one way. */
+export interface GreyFailure {
+  readonly behaviour: Behaviour;
+  readonly share: number;
+}
 
 export class SimEngine {
   readonly host: Host;
   behaviour: Behaviour = 'well';
+  grey: GreyFailure | undefined;
+  /** How many times longer than usual it works. */
+  slowness = 1;
   private readonly cache: BlockCache;
   private prefillFree = 0;
 
@@ -52,6 +64,8 @@
     end: (how: 'end' | 'reset') => void,
   ): void {
     const { world, host, cache } = this;
+    const failure = this.drawGreyFailure();
+    const behaves = (behaviour: Behaviour): boolean => (failure ?? this.behaviour) === behaviour;
     const asked = JSON.parse(body) as {
       model: string;
       messages: Array<{ role: string; content: string }>;
@@ -62,7 +76,7 @@
     const continues = asked.continue_final_message ? asked.messages.pop()!.content : '';
     const passage = headers.get('x-request-id')!;
     const firm = headers.get('x-firm')!;
-    if (this.behaviour === 'not-run')
+    if (behaves('not-run'))
       return head(503, passage, JSON.stringify({ error: { code: 'not_run' } }));
     const prompt = Buffer.from(
       asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') +
@@ -88,12 +102,17 @@
     this.facts.claims += claimed;
     if (claimed > hits) this.facts.overreach += 1;
     const tokens = Math.ceil((prompt.length * TOKENS) / BLOCK);
-    const takes = ((tokens - hits * TOKENS) / this.rate) * 1000;
+    const takes = ((tokens - hits * TOKENS) / this.rate) * 1000 * this.slowness;
     this.prefillFree = Math.max(this.prefillFree, world.now) + takes;
     host.later(this.prefillFree - world.now, () => {
       cache.take(names);
-      if (this.behaviour === 'stall') return;
-      head(200, this.behaviour === 'foreign' ? 'someone-else' : passage);
+      if (behaves('stall')) return;
+      if (behaves('error')) {
+        record.ended = 'cut';
+        cache.release(names);
+        return head(500, passage, JSON.stringify({ error: { code: 'internal' } }));
+      }
+      head(200, behaves('foreign') ? 'someone-else' : passage);
       let written = prompt.toString('utf8');
       const begun = continues.split(' ').length - 1;
       const count = Math.min(asked.max_tokens + begun, 14);
@@ -104,7 +123,7 @@
         .digest('hex')
         .slice(0, 6);
       const decode = (at: number): void => {
-        if (at === 4 + begun && this.behaviour === 'cut') {
+        if (at === 4 + begun && behaves('cut')) {
           record.ended = 'cut';
           cache.release(names);
           return end('reset');
@@ -117,7 +136,7 @@
             return cache.release(names);
           }
           record.text += word;
-          return host.later(12, () => decode(at + 1));
+          return host.later(DECODE_STEP * this.slowness, () => decode(at + 1));
         }
         const whole = BlockCache.names(
           space,
@@ -128,17 +147,24 @@
         cache.release([...names, ...whole]);
         record.ended = 'done';
         put(piece({}, 'stop'));
-        if (this.behaviour !== 'no-marker') put('data: [DONE]\n\n');
+        if (!behaves('no-marker')) put('data: [DONE]\n\n');
         end('end');
       };
-      if (continues && asked.echo && this.behaviour !== 'restarts') {
-        const echoed = this.behaviour === 'garbles' ? continues.replace(/\d/, 'x') : continues;
+      if (continues && asked.echo && !behaves('restarts')) {
+        const echoed = behaves('garbles') ? continues.replace(/\d/, 'x') : continues;
         for (let at = 0; at < echoed.length; at += 40)
           put(piece({ content: echoed.slice(at, at + 40) }, null));
       }
       decode(begun);
     });
   }
+
+  /** Whether this request is one of those that a grey engine fails, and how. */
+  private drawGreyFailure(): Behaviour | undefined {
+    if (!this.grey || this.world.random.fraction() >= this.grey.share) return undefined;
+    this.facts.greyFailures += 1;
+    return this.grey.behaviour;
+  }
 }
 
 type Put = { readonly text: string } | { readonly thrown: Error } | 'end';
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -157,9 +157,15 @@
 
 const drained = (): Promise<void> => new Promise((resolve) => setImmediate(resolve));
 
+/** How long an event takes on a machine that runs slowly. */
+const SLOW_EVENT_COST = 2;
+
 export class Host {
   dead = false;
   private frozen = false;
+  /** How long each event takes on this machine; none but while it runs slowly. */
+  private eventCost = 0;
+  private busyUntil = 0;
   private sleepsSince: number | undefined;
   /** For how long in all the machine was suspended, and how far its wall clock was set forward or back. */
   private slept = 0;
@@ -184,9 +190,29 @@
   reach(run: () => void): void {
     if (this.dead) return;
     if (this.frozen) this.held.push(run);
+    else if (this.eventCost > 0 || this.busyUntil > this.world.now) this.queue(run);
     else run();
   }
 
+  /** Takes one event after the other, each for some time of the machine. */
+  private queue(run: () => void): void {
+    this.busyUntil = Math.max(this.busyUntil, this.world.now) + this.eventCost;
+    this.world.at(this.busyUntil - this.world.now, () => {
+      if (this.dead) return;
+      if (this.frozen) this.held.push(run);
+      else run();
+    });
+  }
+
+  /** From now on each event takes time, until the machine is sped up again. */
+  slow(): void {
+    this.eventCost = SLOW_EVENT_COST;
+  }
+
+  speedUp(): void {
+    this.eventCost = 0;
+  }
+
   later(delay: number, run: () => void): void {
     this.world.at(delay, () => this.reach(run));
   }
@@ -220,6 +246,13 @@
     for (const run of this.held.splice(0)) this.later(0, run);
   }
 
+  /** All connections of the machine are reset, at both ends; new ones may be opened at once. Tells how many. */
+  resetConnections(): number {
+    const open = [...this.channels];
+    for (const channel of open) channel.close();
+    return open.length;
+  }
+
   /** The process ends here and now; its peers see their channels close. */
   kill(): void {
     this.dead = true;
