--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -130,6 +130,10 @@
   createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
+/** Names a voter set by what it is: two proposed changes of one set bear the same number. */
+export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
+  digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
+
 /** A change as the history keeps it, without the whole of a configuration. */
 export const slim = (change: Change): Change => {
   if (change.act.kind !== 'configure') return change;
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -134,6 +134,11 @@
     log,
     params.core.stall,
   );
+  world.members.watch({
+    fleet: site.fleet,
+    isAlive: () => !host.dead,
+    progress: () => member.progress,
+  });
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
   const operations = new Operations(
     peers,
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -13,6 +13,7 @@
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { Inbox, type Channel, type Listener, type Net } from '../kernel/net/net.js';
 import { SeededRandom, type Random } from '../kernel/random/random.js';
+import { MemberObserver } from './member-observer.js';
 
 interface Due {
   readonly at: number;
@@ -71,6 +72,8 @@
   now = 0;
   readonly random: Random;
   readonly net: NetParams = { latency: 1, jitter: 1, mishap: () => 'pass' };
+  /** Looks at all members of the register after each event. */
+  readonly members = new MemberObserver();
   private readonly agenda = new Agenda();
   /** How many faults under way cut each way. */
   private readonly cuts = new Map<string, number>();
@@ -97,6 +100,8 @@
       this.now = Math.max(this.now, due.at);
       due.run();
       await drained();
+      const fault = this.members.look();
+      if (fault) throw new Error(`at ${this.now} virtual ms, ${fault}`);
     }
     if (done()) return true;
     this.now = Math.max(this.now, until);
