--- a/src/sim/day/faults/core.ts
+++ b/src/sim/day/faults/core.ts
@@ -1,6 +1,6 @@
 /** Faults of core machines. Only one of them a day loses its disk, is gone for good or is replaced. */
 import { pick } from '../../../kernel/random/random.js';
-import type { Host } from '../../world.js';
+import type { Host } from '../../host.js';
 import type { FaultTable, FaultTarget } from './fault.js';
 
 /** A planned replacement runs this long beside the machine that it takes over from. */
--- a/src/sim/day/faults/fault.ts
+++ b/src/sim/day/faults/fault.ts
@@ -1,5 +1,5 @@
 /** What the faults of a simulated day share: the machines, the callers and the operators they act upon. */
-import type { Host } from '../../world.js';
+import type { Host } from '../../host.js';
 import type { Operators } from '../operators.js';
 import type { FaultName } from '../plan.js';
 import type { Stage } from '../stage.js';
--- a/src/sim/day/faults/routers.ts
+++ b/src/sim/day/faults/routers.ts
@@ -1,5 +1,5 @@
 /** Faults of routers, and planned work on them. */
-import type { Host } from '../../world.js';
+import type { Host } from '../../host.js';
 import { RESTART, type FaultTable, type FaultTarget } from './fault.js';
 
 const HERD_SHARE = 0.75;
