A value that contradicts what is committed is never built upon, whatever its ballot

Cause (found by reading): a committed revision that was learned by the feed bears the ballot under which its source accepted it, which may be below the one it was chosen under, once voters were replaced and took it from each other. A never chosen value on another voter could then come with the higher ballot, be taken as the newest, and count as committed because some promise knew that revision number to be committed. Two different values under one ballot also counted as one.

Now a round builds upon the value of the highest ballot unless it contradicts (older revision, other digest, other parent) what a promise knows to be committed, and votes count only for the very same bytes (src/register/round-value.ts).

Ruled out: handing the chosen ballot on with the feed. It helps while everyone does so, and the check at the reader holds whatever was handed on.

Cost: one more decoding only where promises differ.

--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -21,7 +21,6 @@
 import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import {
-  decodeDocument,
   digestOf,
   encodeDocument,
   voterSetDigest,
@@ -31,7 +30,8 @@
 } from './document.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
-import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
+import { roundValue } from './round-value.js';
+import { decided, isOutdated, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
@@ -259,14 +259,10 @@
         sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
-    const newest = promises.reduce((best, reply) =>
-      compareBallots(reply.accepted, best.accepted) > 0 ? reply : best,
-    );
-    return decodeDocument(newest.document, 'core').map((document) => {
-      const settled = isSettled(promises, newest, document.generation, quorum);
-      if (settled && promises.some((reply) => reply.settled < document.generation))
-        this.announce(core, newest.accepted, document, newest.document);
-      return { ballot, core, document, settled };
+    return roundValue(promises, quorum).map(({ reply, document, isCommitted }) => {
+      if (isCommitted && promises.some(({ settled }) => settled < document.generation))
+        this.announce(core, reply.accepted, document, reply.document);
+      return { ballot, core, document, settled: isCommitted };
     });
   }
 
