Schedules with members cut off for long, five voters, starts in a cut; contact shown to operators

Readiness and metrics of a node tell whether it is in contact with a majority of the voters, and which are silent.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -33,6 +33,7 @@
 import type { PassageEvent } from '../passage/chart.js';
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
+import type { Proposer } from '../register/proposer.js';
 import type { Roster } from '../register/roster.js';
 import { RouterModule, RouterNode } from '../router/module.js';
 import type { Tracing } from '../trace/tracing.js';
@@ -137,6 +138,16 @@
     'The generation in force here',
     () => context.get<InForce>(names.inForce).generation,
   );
+  const { contact } = context.get<Proposer>(names.proposer);
+  gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
+    Number(contact.holds),
+  );
+  gauge(
+    registry,
+    'core_silent_voters',
+    'Voters that left the last question of this node unanswered',
+    () => contact.silentVoters.length,
+  );
   gauge(registry, 'resident_bytes', 'Resident memory', () => process.memoryUsage().rss);
   if (role === 'router') routerMetrics(registry, context);
   else coreMetrics(registry, context);
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -112,7 +112,11 @@
 
   ready(): string {
     const { voting, reason } = this.member.state();
-    return voting ? '' : reason || 'newcomer';
+    if (!voting) return reason || 'newcomer';
+    const { contact } = this.proposer;
+    return contact.holds
+      ? ''
+      : `no contact with a majority of the core; silent: ${contact.silentVoters.join(' ')}`;
   }
 
   /** Settles what a proposer left undecided here, so that an accepted generation doesn't hang. */
--- a/test/checker/cutoff.test.ts
+++ b/test/checker/cutoff.test.ts
@@ -7,6 +7,7 @@
 import {
   ACKNOWLEDGE,
   ANSWER,
+  APPLY,
   CutOffStage,
   RESTART_AFTER,
   shapes,
@@ -73,3 +74,97 @@
     test(`cut off ${shape}, the member that is ${kind}`, async () => {
       for (let seed = 1; seed <= SEEDS; seed++) await play(seed, shape, kind);
     });
+
+test('a router that starts and reaches only the member cut off begins from nothing, and has the newest once it reaches others', async () => {
+  for (let seed = 1; seed <= 6; seed++) {
+    const stage = new CutOffStage(seed);
+    const { world } = stage;
+    await stage.ready();
+    await world.until(stage.change());
+    const victim = seed % 3;
+    const others = stage.coreNames.filter((_, at) => at !== victim);
+    const heal = stage.cutOff([victim], 'core');
+    await world.until(stage.change());
+    const mend = world.part(
+      ['router-0'],
+      [...others, ...stage.routerNames.filter((name) => name !== 'router-0')],
+    );
+    stage.restartRouter(0);
+    await world.run(world.now + CUT);
+    expect(stage.routers[0]!.inForce.generation).toBe(0);
+    heal();
+    mend();
+    expect(
+      await world.run(
+        world.now + APPLY,
+        () => stage.routers[0]!.inForce.routes.version === stage.version,
+      ),
+    ).toBe(true);
+  }
+});
+
+test('of five voters two are cut off together: the same holds', async () => {
+  for (let seed = 1; seed <= 2 * SEEDS; seed++) {
+    const stage = new CutOffStage(seed, 5);
+    const { world } = stage;
+    await stage.ready();
+    const stop = stage.work();
+    await world.run(world.now + 3000);
+    const [first, second] = [stage.victim('acknowledged'), stage.victim('feeder')];
+    const victims = [first, second === first ? (first + 1) % 5 : second];
+    const heal = stage.cutOff(victims, shapes[seed % shapes.length]!);
+    await world.run(world.now + CUT);
+    heal();
+    await world.run(world.now + 5000);
+    stop();
+    await world.run(world.now + 3000);
+    expect(stage.judge()).toEqual([]);
+    const times = stage.acknowledgements.map(({ sent, at }) => at - sent);
+    expect(Math.max(...times)).toBeLessThan(ACKNOWLEDGE);
+  }
+});
+
+test('an order given up before its first accept is never proposed, also when the cut ends right after', async () => {
+  for (let seed = 1; seed <= 6; seed++) {
+    const stage = new CutOffStage(seed);
+    const { world } = stage;
+    await stage.ready();
+    await world.until(stage.change());
+    const heal = stage.cutOff([0], 'core');
+    await world.run(world.now + 100 * seed * seed);
+    const order = await world.until(stage.order(0, 'put', 100, stage.version));
+    expect(order.outcome).toBe('unknown');
+    heal();
+    await world.run(world.now + 6000);
+    expect((await world.until(stage.read(1))).version).toBe(stage.version);
+    expect((await world.until(stage.order(0, 'put', 100, stage.version))).outcome).toBe('accepted');
+  }
+});
+
+test('orders are acknowledged at once at a member that is in contact over a slow link', async () => {
+  const stage = new CutOffStage(3);
+  const { world } = stage;
+  await stage.ready();
+  world.net.latency = 40;
+  world.net.jitter = 20;
+  await world.run(world.now + 2000);
+  for (const at of [0, 1, 2]) {
+    const order = await world.until(stage.order(at, 'put', stage.version + 1, stage.version));
+    expect(order.outcome).toBe('accepted');
+    stage.version += 1;
+  }
+});
+
+test('a member that is cut off says so to whoever asks whether it is ready, and no longer once it is back', async () => {
+  const stage = new CutOffStage(2);
+  const { world } = stage;
+  await stage.ready();
+  const { node, proposer } = stage.cores[1]!;
+  expect(node.ready()).toBe('');
+  const heal = stage.cutOff([1], 'core');
+  await world.run(world.now + NOTICED);
+  expect(node.ready()).toMatch(/^no contact with a majority of the core; silent: .*:1 .*:3$/);
+  expect(proposer.contact.silentVoters.length).toBe(2);
+  heal();
+  expect(await world.run(world.now + NOTICED, () => node.ready() === '')).toBe(true);
+});
