A request's time counts from its arrival, and it is open until its last byte is written

A success that bears the mark "not run" contradicts itself and is no longer taken for the engine's word.

Ruled out: a bound on each write through a timer; it costs one on the hot path, so the clock is asked only when the caller's buffer is full.

forwarder.ts is split by job: admission (route, limits, body), attempts (sends), relay (the answer); link.ts gives up the single exchange. Tests share one maker of forwarders and one hand-moved clock.

--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -4,15 +4,35 @@
  * never looks complete.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { EventEmitter } from 'node:events';
 import { Right } from 'purify-ts';
+import type { Moment } from '../kernel/clock/clock.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { fieldsOf, only, type Fields } from './fields.js';
 
+const left = (): Outcome<never> =>
+  failed('caller.body', 'caller', 'the caller left before its request was whole');
+
+/** Waits for the first of the events. */
+const firstOf = (emitter: EventEmitter, ...events: readonly string[]): Promise<void> =>
+  new Promise((resolve) => {
+    const done = (): void => {
+      for (const event of events) emitter.off(event, done);
+      resolve();
+    };
+    for (const event of events) emitter.once(event, done);
+  });
+
 export class Caller {
   readonly fields: Fields;
   private readonly leave = new AbortController();
   readonly gone = this.leave.signal;
+  /** Until when its request may be held, once that is known. */
+  limit: Moment | undefined;
   private ends = false;
+  private skipped = false;
+  /** Whether the answer under way has neither a length nor chunks, so that its connection's end is its own. */
+  private endsByClose = false;
 
   constructor(
     private readonly request: IncomingMessage,
@@ -58,9 +78,15 @@
     return this.ends || this.gone.aborted;
   }
 
+  /** Has the connection end with this request's answer. */
+  endConnection(): void {
+    this.ends = true;
+  }
+
   /** Gives up a request that nothing was done for, because its connection ends before its turn. */
-  forgo(): void {
+  skip(): void {
     this.ends = true;
+    this.skipped = true;
   }
 
   private get bodied(): boolean {
@@ -75,6 +101,7 @@
   body(bound: number): Promise<Outcome<Buffer | undefined>> {
     const { request } = this;
     const told = request.headers['content-length'];
+    if (this.gone.aborted) return Promise.resolve(left());
     if (told === undefined && request.headers['transfer-encoding'] === undefined) {
       request.resume();
       return Promise.resolve(Right(undefined));
@@ -97,9 +124,7 @@
       request.once('end', () =>
         resolve(Right(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))),
       );
-      request.once('close', () =>
-        resolve(failed('caller.body', 'caller', 'the caller left before its request was whole')),
-      );
+      request.once('close', () => resolve(left()));
     });
   }
 
@@ -126,32 +151,47 @@
     this.ends ||= this.closing() || !this.response.shouldKeepAlive;
     const all = this.ends ? [...fields, ['Connection', 'close'] as const] : fields;
     this.response.writeHead(status, all.flat());
+    this.endsByClose =
+      !this.response.chunkedEncoding && only(fields, 'content-length') === undefined;
   }
 
-  /** Passes a piece on; false when the caller is gone. */
-  async write(piece: Uint8Array): Promise<boolean> {
+  /** Passes a piece on; false when the caller has to read first, or is gone. */
+  write(piece: Uint8Array): boolean {
     const { response } = this;
-    if (response.destroyed) return false;
-    if (response.write(piece)) return true;
-    await new Promise<void>((resolve) => {
-      const done = (): void => {
-        response.off('drain', done);
-        response.off('close', done);
-        resolve();
-      };
-      response.once('drain', done);
-      response.once('close', done);
-    });
+    return !response.destroyed && response.write(piece);
+  }
+
+  /** Waits until the caller has read enough for more to be written; false when it is gone. */
+  async drained(): Promise<boolean> {
+    const { response } = this;
+    if (!response.destroyed && response.writableNeedDrain)
+      await firstOf(response, 'drain', 'close');
     return !response.destroyed;
   }
 
+  /** Whether the answer has been written to its last byte, or there will be none. */
+  get settled(): boolean {
+    const { response } = this;
+    return this.skipped || this.gone.aborted || response.closed || response.writableFinished;
+  }
+
+  /** Waits until it is settled. */
+  async flushed(): Promise<void> {
+    const { response } = this;
+    if (this.settled) return;
+    const left = new Promise((resolve) => this.gone.addEventListener('abort', resolve));
+    await Promise.race([firstOf(response, 'finish', 'close'), left]);
+  }
+
   finish(): void {
     this.response.end();
   }
 
-  /** Ends the connection visibly in the middle. */
+  /** Ends the connection visibly in the middle: an answer that its connection's end would end is reset. */
   cut(): void {
+    const { response } = this;
     this.ends = true;
-    this.response.destroy();
+    if (this.endsByClose) response.socket?.resetAndDestroy();
+    response.destroy();
   }
 }
--- a/src/forward/job.ts
+++ b/src/forward/job.ts
@@ -7,7 +7,7 @@
 import type { Caller } from './caller.js';
 import type { ForwardChart } from './chart.js';
 import type { Prompt } from './dialect.js';
-import type { Answer } from './link.js';
+import type { Answer } from './answer.js';
 
 export interface ForwardParams {
   /** Bytes of a body where the configuration names no bound, and of all bodies held at once. */
--- /dev/null
+++ b/src/forward/relay.ts
@@ -0,0 +1,191 @@
+/**
+ * Hands an engine's answer on to its caller as it comes. A stream that may be taken up again goes on behind the last
+ * whole event, in the same answer, when the next engine's events follow on; all else that breaks off is cut visibly.
+ */
+import { within, type Clock } from '../kernel/clock/clock.js';
+import type { Fault } from '../kernel/fault/fault.js';
+import type { Log } from '../kernel/log/log.js';
+import type { Ticket, TicketEnd } from '../place/placer.js';
+import type { Patience } from './answer.js';
+import type { RepeatBudget } from './budget.js';
+import { EventCutter, type WholeEvent } from './events.js';
+import { endToEnd } from './fields.js';
+import {
+  attemptsOf,
+  UNSENT_BOUND,
+  type ForwardParams,
+  type Head,
+  type Job,
+  type Trail,
+} from './job.js';
+import type { Sender } from './sender.js';
+
+/** How handing one engine's answer on ended: "late" when the request's time was over before its caller had read it. */
+type Ended = 'whole' | 'failed' | 'left' | 'late';
+
+/** What the engine's ticket is told of it. */
+const ticketEnds = new Map<Ended, TicketEnd>([
+  ['whole', 'whole'],
+  ['failed', 'failed'],
+  ['left', 'left'],
+  ['late', 'left'],
+]);
+
+/** ms for which pieces that are on their way already are passed on after the request's time. */
+const OVERTIME = 100;
+
+export class AnswerRelay {
+  constructor(
+    private readonly sender: Sender,
+    private readonly budget: RepeatBudget,
+    private readonly params: ForwardParams,
+    private readonly clock: Clock,
+    private readonly log: Log,
+    private readonly count: (what: string) => void,
+  ) {}
+
+  /** Hands the answer on, and goes on elsewhere where a stream broke and may. */
+  async relay(job: Job, head: Head): Promise<void> {
+    const { caller, chart } = job;
+    const { status, fields } = head.answer;
+    const trail = trailOf(job, status);
+    caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
+    chart.step('streaming', head.ticket.engine.identifier);
+    for (let current: Head | undefined = head; current;) {
+      const ended = await this.relayOne(job, current, trail);
+      if (ended === 'left') return void chart.step('left');
+      if (ended === 'whole') {
+        chart.step('complete');
+        this.count('complete');
+        return caller.finish();
+      }
+      current = ended === 'failed' && trail ? await this.resume(job, trail) : undefined;
+      if (current) chart.step('streaming', current.ticket.engine.identifier);
+    }
+    chart.step('broken');
+    this.count('broken');
+    caller.cut();
+  }
+
+  /** Hands one engine's answer on until its end. */
+  private async relayOne(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
+    const ended = await this.relayPieces(job, head, trail);
+    if (ended !== 'whole') head.answer.drop();
+    head.ticket.end(ticketEnds.get(ended)!);
+    return ended;
+  }
+
+  private async relayPieces(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
+    const { answer, ticket } = head;
+    const cutter = trail && new EventCutter();
+    let piece = head.first;
+    for (let ended = head.whole; ;) {
+      if (piece) {
+        const stopped =
+          trail && cutter
+            ? await this.writeEvents(job, ticket, cutter.push(piece) ?? [overlong], trail)
+            : await this.write(job, piece);
+        if (stopped) return stopped;
+      }
+      if (ended) return (cutter?.rest.length && (await this.write(job, cutter.rest))) || 'whole';
+      if (this.clock.now() >= job.limit + OVERTIME) return 'late';
+      const next = await answer.next(this.patience(job, trail));
+      if (job.caller.gone.aborted) return 'left';
+      if (next.isLeft()) return this.broke(job, ticket, (next.extract() as Fault).reason);
+      piece = next.extract() as Uint8Array | undefined;
+      ended = piece === undefined;
+      if (piece) ticket.piece();
+    }
+  }
+
+  /** Passes whole events on while each follows on what was passed on before; how it stopped, if it did. */
+  private async writeEvents(
+    job: Job,
+    ticket: Ticket,
+    events: readonly WholeEvent[],
+    trail: Trail,
+  ): Promise<Ended | undefined> {
+    for (const { raw, id } of events) {
+      if (id !== undefined && !follows(trail, id))
+        return this.broke(
+          job,
+          ticket,
+          `event ${id.slice(0, 40)} does not follow ${trail.last ?? 'none'}`,
+        );
+      const stopped = await this.write(job, raw);
+      if (stopped) return stopped;
+      trail.handed = true;
+      if (id !== undefined) trail.last = id;
+    }
+    return undefined;
+  }
+
+  /** Passes a piece on and waits for its caller to read, no longer than the request may be held; how that stopped, if it did. */
+  private async write({ caller, limit }: Job, piece: Uint8Array): Promise<Ended | undefined> {
+    if (caller.write(piece)) return undefined;
+    const left = Math.max(0, limit - this.clock.now());
+    const drained = await within(this.clock, left, caller.drained());
+    if (drained === undefined) return 'late';
+    return drained ? undefined : 'left';
+  }
+
+  private patience({ route, limit }: Job, trail: Trail | undefined): Patience {
+    const left = Math.max(1, limit - this.clock.now());
+    const gap = trail && route.gap;
+    return {
+      soft: gap === undefined ? left : Math.max(this.params.gapLeast, gap * this.params.gapShare),
+      hard: left,
+    };
+  }
+
+  private broke({ id }: Job, ticket: Ticket, reason: string): 'failed' {
+    this.log('answer-broke', [
+      ['peer', ticket.engine.address],
+      ['reason', reason],
+      ['request', id],
+    ]);
+    return 'failed';
+  }
+
+  /** Has a broken stream go on behind its last event at another engine. */
+  private async resume(job: Job, trail: Trail): Promise<Head | undefined> {
+    job.chart.step('resuming');
+    while (this.mayResume(job)) {
+      this.count('resumes');
+      const placed = this.sender.place(job);
+      if ('wait' in placed) return undefined;
+      const attempt = await this.sender.send(job, placed, trail);
+      if (attempt.kind === 'left') return undefined;
+      if (attempt.kind === 'unsent') job.unsent += 1;
+      if (attempt.kind !== 'head') continue;
+      if (isSuccess(attempt.answer.status)) return attempt;
+      attempt.answer.drop();
+      attempt.ticket.end('failed');
+    }
+    return undefined;
+  }
+
+  private mayResume(job: Job): boolean {
+    return (
+      job.sends < attemptsOf(job.route) &&
+      job.unsent < UNSENT_BOUND &&
+      this.clock.now() < job.limit &&
+      this.budget.take(job.service.name)
+    );
+  }
+}
+
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+/** How far a stream was handed on, where it may be taken up again. */
+const trailOf = ({ caller, route }: Job, status: number): Trail | undefined =>
+  isSuccess(status) && route.kind === 'streaming' && route.resume === true
+    ? { last: caller.field('last-event-id'), handed: false }
+    : undefined;
+
+/** Whether an event may be handed on behind what was: none was yet, or its id is the next one. */
+const follows = (trail: Trail, id: string): boolean =>
+  (!trail.handed && trail.last === undefined) || Number(id) === Number(trail.last) + 1;
+
+/** Stands for an event over the bound; its id follows nothing. */
+const overlong: WholeEvent = { raw: new Uint8Array(), id: 'NaN' };
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -20,7 +20,8 @@
   type Pool,
   type Trail,
 } from './job.js';
-import type { Answer, Links, Outgoing, Patience } from './link.js';
+import type { Answer, Outgoing, Patience } from './answer.js';
+import type { Links } from './link.js';
 
 export class Sender {
   private byService: { of: ReadonlyMap<string, Engine>; engines: Map<string, Engine[]> } = {
--- a/test/forward/silence.test.ts
+++ b/test/forward/silence.test.ts
@@ -2,41 +2,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
-import { HttpLinks, type Answer } from '../../src/forward/link.js';
-import type { Clock, Moment } from '../../src/kernel/clock/clock.js';
+import type { Answer } from '../../src/forward/answer.js';
+import { HttpLinks } from '../../src/forward/link.js';
 import type { Outcome } from '../../src/kernel/fault/fault.js';
 import type { Engine } from '../../src/pool/engine.js';
-
-class HandClock implements Clock {
-  private at = 0;
-  private readonly sleepers = new Set<{ until: number; wake: () => void }>();
-  now(): Moment {
-    return this.at as Moment;
-  }
-  strict(): Moment {
-    return this.at as Moment;
-  }
-  wall(): number {
-    return this.at;
-  }
-  sleep(duration: number, signal?: AbortSignal): Promise<void> {
-    return new Promise((wake) => {
-      const sleeper = { until: this.at + duration, wake };
-      this.sleepers.add(sleeper);
-      signal?.addEventListener('abort', () => {
-        this.sleepers.delete(sleeper);
-        wake();
-      });
-    });
-  }
-  advance(by: number): void {
-    this.at += by;
-    for (const sleeper of [...this.sleepers].filter(({ until }) => until <= this.at)) {
-      this.sleepers.delete(sleeper);
-      sleeper.wake();
-    }
-  }
-}
+import { eventually, HandClock, turns } from './clock.js';
 
 const opened: Server[] = [];
 afterEach(() => {
@@ -46,13 +16,6 @@
   }
 });
 
-const until = async (question: () => boolean): Promise<void> => {
-  while (!question()) await new Promise((resolve) => setImmediate(resolve));
-};
-const turns = async (): Promise<void> => {
-  for (let turn = 0; turn < 30; turn++) await new Promise((resolve) => setImmediate(resolve));
-};
-
 const stage = async (): Promise<{
   clock: HandClock;
   links: HttpLinks;
@@ -93,12 +56,12 @@
 test('an engine that speaks to another request is borne with, up to the hard limit', async () => {
   const { clock, links, engine, taken } = await stage();
   const talking = get(links, engine, '/talk');
-  await until(() => taken.has('/talk'));
+  await eventually(() => taken.has('/talk'));
   taken.get('/talk')!.writeHead(200).write('.');
   const talk = (await talking).unsafeCoerce();
   let ended: Outcome<Answer> | undefined;
   void get(links, engine, '/late').then((outcome) => (ended = outcome));
-  await until(() => taken.has('/late'));
+  await eventually(() => taken.has('/late'));
   expect((await talk.next({ soft: 50, hard: 50 })).isRight()).toBe(true);
   for (let step = 0; step < 24; step++) {
     taken.get('/talk')!.write('.');
@@ -110,7 +73,7 @@
   taken.get('/talk')!.write('.');
   await talk.next({ soft: 50, hard: 50 });
   clock.advance(41);
-  await until(() => ended !== undefined);
+  await eventually(() => ended !== undefined);
   expect(ended!.isLeft()).toBe(true);
 });
 
@@ -118,11 +81,11 @@
   const { clock, links, engine, taken } = await stage();
   let ended: Outcome<Answer> | undefined;
   void get(links, engine, '/late').then((outcome) => (ended = outcome));
-  await until(() => taken.has('/late'));
+  await eventually(() => taken.has('/late'));
   clock.advance(49);
   await turns();
   expect(ended).toBeUndefined();
   clock.advance(2);
-  await until(() => ended !== undefined);
+  await eventually(() => ended !== undefined);
   expect(ended!.extract()).toMatchObject({ certainty: 'unknown' });
 });
--- a/test/forward/stage.ts
+++ b/test/forward/stage.ts
@@ -5,25 +5,22 @@
 import { createServer, type Server } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import { afterEach, expect } from 'vitest';
-import { InForce } from '../../src/doorway/match.js';
-import { RepeatBudget } from '../../src/forward/budget.js';
 import type { ForwardEvent } from '../../src/forward/chart.js';
-import { ownDialect } from '../../src/forward/dialect.js';
-import { Forwarder } from '../../src/forward/forwarder.js';
-import { HttpLinks } from '../../src/forward/link.js';
+import type { Forwarder } from '../../src/forward/forwarder.js';
+import type { HttpLinks } from '../../src/forward/link.js';
 import { SystemClock } from '../../src/kernel/clock/clock.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
-import { Journal } from '../../src/kernel/journal/journal.js';
+import type { Journal } from '../../src/kernel/journal/journal.js';
 import { SeededRandom } from '../../src/kernel/random/random.js';
-import type { Placer, TicketEnd } from '../../src/place/placer.js';
+import type { TicketEnd } from '../../src/place/placer.js';
 import type { Engine } from '../../src/pool/engine.js';
-import { genesis } from '../../src/register/document.js';
 import type { Limits, Route } from '../../src/route/shape.js';
 import { AnswerReader } from '../../src/stand/opaque/answer.js';
 import { OpaqueCaller, type Asking } from '../../src/stand/opaque/caller.js';
 import { OpaqueEngine, type OpaqueEngineParams } from '../../src/stand/opaque/engine.js';
 import { judgeOpaque, type OpaqueFinding } from '../../src/stand/opaque/judge.js';
 import type { Asked, Try } from '../../src/stand/opaque/record.js';
+import { listedEngine, makeProxy } from './proxy.js';
 
 export const clock = new SystemClock();
 export const prompt = [
@@ -91,91 +88,16 @@
   const listed = new Map<string, Engine>();
   for (const each of engines) {
     const { identifier } = each.params;
-    listed.set(identifier, {
-      identifier,
-      address: await each.listen(),
-      model: 'm',
-      adapters: new Set(),
-      weightGeneration: '1',
-      zone: 'z',
-      labels: new Map(),
-      cacheCapacity: 1,
-      prefillRate: 1,
-      leaving: false,
-      service: 's',
-    });
+    listed.set(identifier, listedEngine(identifier, await each.listen()));
   }
-  const route: Route = {
-    name: 'r',
-    host: 'h.example',
-    prefix: '/a/',
-    kind: 'streaming',
-    timeout: 20_000,
-    service: 's',
-    attempts: 2,
-    target: 10_000,
-    gap: 700,
-    ...over,
-  };
-  const configuration = {
-    version: 1,
-    routes: [route],
-    services: [{ name: 's' }],
+  const { forwarder, links, journal, route, configuration, ends } = makeProxy({
+    listed,
+    route: over,
     ...(limits ? { limits } : {}),
-  };
-  const inForce = new InForce();
-  inForce.swap({ ...genesis('f', []), configuration });
-  const ends: Array<readonly [string, TicketEnd]> = [];
-  const placer: Placer = {
-    place: (_, [first]) => ({
-      kind: 'placed',
-      ticket: {
-        engine: first!,
-        urgency: 3,
-        head: () => undefined,
-        piece: () => undefined,
-        end: (how) => void ends.push([first!.identifier, how]),
-      },
-    }),
-    listed: () => undefined,
-  };
-  const random = new SeededRandom(1);
-  const journal = new Journal<ForwardEvent>(clock);
-  const links = new HttpLinks(clock, 400, 5000);
-  const params = {
-    bodyBytes: 1 << 20,
-    heldBytes: 1 << 26,
-    timeout: 5000,
-    impatience: 0.7,
-    surprise: 3,
-    hedgeTokens: 4096,
-    gapShare: 3,
-    gapLeast: 300,
-  };
-  /** As a pool does, a new map for each list. */
-  let shown: { of: string; placed: ReadonlyMap<string, Engine> } = { of: '', placed: new Map() };
-  const pool = {
-    placed: () => {
-      const of = JSON.stringify([...listed.values()]);
-      if (of !== shown.of) shown = { of, placed: new Map(listed) };
-      return shown.placed;
-    },
-  };
-  const forwarder = new Forwarder(
-    inForce,
-    () => true,
-    pool,
-    links,
-    placer,
-    new RepeatBudget(ratio, 10_000, clock),
-    ownDialect,
-    () => 1,
-    params,
+    ratio,
     clock,
-    random,
-    journal,
-    () => undefined,
-  );
+  });
+  const random = new SeededRandom(1);
   const server = createServer((request, response) => forwarder.handle(request, response));
   servers.push(server);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
