No answer to a parser's error is given in the place of one that is owed

Cause: Node's server answers bytes that are no request with 400, 408 or 431 at once, also while an earlier request of the connection is with an engine. Its caller takes that for the answer to its request: 408 promises that it did not run, and it does. Seen to fail: a whole request followed by the first bytes of a next one got 408 after header_timeout_ms; bytes behind a stream under way broke it off. Such an error is now answered behind the answers that are owed.

The HTTP server's close() also ends connections whose last answer is ended but not flushed (it asks only whether the answer was ended): a planned stop cut answers that way (seen to fail). Connections are closed by our own record now.

Idle connections are closed by the clock service, once they rested longer than the limit that was told and the one in force, and not over bytes that came during a standstill of the process; a limit that is raised holds for connections that rest already.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -169,6 +169,7 @@
       new RequestsFace(
         context.get<RequestHandler>(names.forwarder),
         () => inForce.routes.limits,
+        context.get<Clock>(names.clock),
       ).listen(params.listen.requests),
     );
   }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -1,16 +1,19 @@
 /**
- * The face that takes opaque requests. It is a plain server of node:http and not a Nest application: a request is
+ * The server that takes opaque requests. It is a plain server of node:http and not a Nest application: a request is
  * handed on byte for byte, so nothing may parse its body, route it, or add to its answer, and Nest's pipeline costs
- * processor time on each request. What the face itself keeps to are the limits in force on headers and idle time,
+ * processor time on each request. What the server itself keeps to are the limits in force on headers and idle time,
  * and the order of a planned stop: say so on every answer, then take nothing new, then close.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { Right } from 'purify-ts';
 import type { Face } from '../../node/extension.js';
 import type { RequestHandler } from '../../forward/face.js';
+import type { Clock } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Limits } from '../../route/shape.js';
+import { Connections } from './connections.js';
 
 /** Header bytes are bounded by the limits in force, later on; the parser's own bound only has to lie above them. */
 const HEADER_BOUND = 128 * 1024;
@@ -21,16 +24,20 @@
 
 export class RequestsFace implements Face {
   private readonly server: Server;
-  private readonly unanswered = new Set<ServerResponse>();
+  private readonly connections: Connections;
+  private readonly closed = new AbortController();
   private heeded: Limits | undefined;
   private retiring = false;
-  private halted = false;
+  /** Where it listens. */
+  address = '';
 
   /** `limits` gives those in force; the same object as long as they are the same. */
   constructor(
     private readonly handler: RequestHandler,
     private readonly limits: () => Limits,
+    private readonly clock: Clock,
   ) {
+    this.connections = new Connections(clock, () => this.idleLimit());
     this.server = createServer({
       maxHeaderSize: HEADER_BOUND,
       insecureHTTPParser: false,
@@ -40,8 +47,16 @@
       connectionsCheckingInterval: CHECK_EVERY,
       keepAliveTimeout: IDLE_TIMEOUT,
     });
-    this.server.on('connection', () => this.heed());
+    this.server.on('connection', (socket: Socket) => {
+      this.heed();
+      this.connections.add(socket);
+    });
     this.server.on('request', (request, response) => this.take(request, response));
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
+      this.connections.reject(socket, error.code),
+    );
+    // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
+    this.server.on('timeout', () => undefined);
     this.heed();
   }
 
@@ -51,22 +66,28 @@
       this.server.once('error', (thrown) =>
         resolve(failed('requests.listen', address, reasonOf(thrown))),
       );
-      this.server.listen({ host, port, backlog: BACKLOG }, () => resolve(Right(this)));
+      this.server.listen({ host, port, backlog: BACKLOG }, () => {
+        this.address = `${host}:${(this.server.address() as AddressInfo).port}`;
+        void this.closeExpired();
+        resolve(Right(this));
+      });
     });
   }
 
   retire(): void {
     this.retiring = true;
-    for (const response of this.unanswered) response.shouldKeepAlive = false;
+    this.connections.retire();
   }
 
   /** Also closes the connections on which nothing is under way. */
   halt(): void {
-    this.halted = true;
-    this.server.close();
+    // The HTTP server's own close would also end connections whose last answer is not flushed yet.
+    NetServer.prototype.close.call(this.server);
+    this.connections.closeIdle();
   }
 
   close(): Promise<void> {
+    this.closed.abort();
     return new Promise((resolve) => {
       this.server.close(() => resolve());
       this.server.closeAllConnections();
@@ -76,21 +97,35 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
-    this.unanswered.add(response);
-    response.once('close', () => {
-      this.unanswered.delete(response);
-      if (this.halted) setImmediate(() => this.server.closeIdleConnections());
-    });
+    if (!this.connections.begin(request, response)) return;
     this.handler.handle(request, response);
   }
 
-  /** The idle time that callers are told is rounded down to a second; connections are kept a little longer than told. */
+  private async closeExpired(): Promise<void> {
+    const { signal } = this.closed;
+    while (!signal.aborted) {
+      await this.clock.sleep(CHECK_EVERY, signal);
+      // After a long standstill, what has arrived meanwhile is read first.
+      await new Promise((resolve) => setImmediate(resolve));
+      if (!signal.aborted) this.connections.closeExpired();
+    }
+  }
+
+  /** ms that a connection may rest: what callers are told, in whole seconds, and the limit itself. */
+  private idleLimit(): number {
+    const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
+    return Math.max(limit, this.toldSeconds(limit) * 1000);
+  }
+
+  private toldSeconds(limit: number): number {
+    return Math.max(1, Math.floor(limit / 1000));
+  }
+
   private heed(): void {
     const limits = this.limits();
     if (limits === this.heeded) return;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
-    this.server.keepAliveTimeout =
-      Math.floor((limits.idleTimeout ?? IDLE_TIMEOUT) / 1000) * 1000 + 999;
+    this.server.keepAliveTimeout = this.toldSeconds(limits.idleTimeout ?? IDLE_TIMEOUT) * 1000;
   }
 }
--- a/test/faces/requests.test.ts
+++ b/test/faces/requests.test.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
 import { expect, test } from 'vitest';
+import { SystemClock } from '../../src/kernel/clock/clock.js';
 import { RequestsFace } from '../../src/faces/requests/face.js';
 import type { Limits } from '../../src/route/shape.js';
 
@@ -38,6 +39,7 @@
       handle: (request, response) => void taken.push({ request, response }),
     },
     () => made.limits,
+    new SystemClock(),
   );
   expect((await face.listen(`127.0.0.1:${port}`)).isRight()).toBe(true);
   return Object.assign(made, { face });
--- a/test/forward/face.test.ts
+++ b/test/forward/face.test.ts
@@ -1,6 +1,7 @@
 /** The face that takes opaque requests: the limits in force on headers and idle time, and the order of a planned stop. */
 import { connect } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
+import { SystemClock } from '../../src/kernel/clock/clock.js';
 import { RequestsFace } from '../../src/faces/requests/face.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
 import type { Limits, Route } from '../../src/route/shape.js';
@@ -20,7 +21,7 @@
   const stage = await openStage({ engines: 1, engine, route, limits });
   for (;;) {
     const address = `127.0.0.1:${++ports}`;
-    const face = new RequestsFace(stage.forwarder, () => limits);
+    const face = new RequestsFace(stage.forwarder, () => limits, new SystemClock());
     if ((await face.listen(address)).isLeft()) continue;
     faces.push(face);
     return { stage, face, address };
