--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -3,8 +3,10 @@
 import { blob, choice, flag, list, number, struct, text, type Field } from '../wire/field.js';
 import { ballotField, type Ballot } from './ballot.js';
 
+/** `set` and `voters`: the number of the voter set that the round is run under, and the digest of who is in it. */
 export interface PrepareAsk {
   set: number;
+  voters: string;
   ballot: Ballot;
 }
 export interface PrepareReply {
@@ -17,7 +19,7 @@
 export const Prepare = call<PrepareAsk, PrepareReply>(
   1,
   'register.prepare',
-  struct({ set: number, ballot: ballotField }),
+  struct({ set: number, voters: text, ballot: ballotField }),
   struct({
     promised: flag,
     highest: ballotField,
@@ -29,6 +31,7 @@
 
 export interface AcceptAsk {
   set: number;
+  voters: string;
   ballot: Ballot;
   document: Uint8Array;
 }
@@ -39,7 +42,7 @@
 export const Accept = call<AcceptAsk, AcceptReply>(
   2,
   'register.accept',
-  struct({ set: number, ballot: ballotField, document: blob }),
+  struct({ set: number, voters: text, ballot: ballotField, document: blob }),
   struct({ accepted: flag, highest: ballotField }),
 );
 
