--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -11,20 +11,18 @@
 import { seekAccord } from '../lease/accord.js';
 import { Standees } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
-import { Feed, Form, History, State, type FeedItem } from '../register/calls.js';
+import { BootstrapBegin } from '../register/bootstrap/calls.js';
+import { Feed, History, State, type FeedItem, type StateReply } from '../register/calls.js';
 import type { Verdict } from '../register/change.js';
 import {
   decodeDocument,
   digestOf,
-  encodeDocument,
-  genesis,
   subjectOf,
   type Act,
   type Change,
   type CoreSet,
   type Document,
   type DoorwayAct,
-  type Seat,
 } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
@@ -35,6 +33,8 @@
 import type { Schemas } from './schema.js';
 
 const ASK_LIMIT = 1500;
+/** Forming takes a few rounds. */
+const FORM_LIMIT = 8000;
 
 /** What an operator does by hand about a member that does not vote. */
 const remedy = (reason: string): string => {
@@ -370,7 +370,7 @@
     });
   }
 
-  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. More seats may be wanted. */
+  /** Forms the core group, once, from members that all answer; one that was formed before must name this very group. */
   async form(
     addresses: readonly string[],
     wanted = addresses.length,
@@ -380,41 +380,27 @@
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       () => false,
     );
-    const silent = replies.filter(([, reply]) => reply.isLeft());
-    if (silent.length)
-      return failed(
-        'core.form',
-        silent.map(([address]) => address).join(' '),
-        'all members must answer to form the core',
-      );
-    const states = replies.map(([address, reply]) => [address, reply.unsafeCoerce()] as const);
-    const formed = states.find(([, state]) => state.formed);
-    if (formed && formed[1].generation > 1)
-      return failed('core.form', formed[0], 'is already part of a formed core');
-    const seats: Seat[] = formed
-      ? [...(JSON.parse(formed[1].core) as CoreSet).members]
-      : states.map(([address, state]) => ({ id: state.member, address }));
-    seats.sort((a, b) => (a.id < b.id ? -1 : 1));
-    const there = new Set(seats.map(({ id, address }) => `${id}@${address}`));
-    if (
-      states.some(([address, state]) => !there.has(`${state.member}@${address}`)) ||
-      seats.length !== states.length
-    )
-      return failed('core.form', 'core', 'a group of other members was begun there');
-    const document = encodeDocument(genesis(this.peers.self.fleet, seats, wanted));
-    const told = await gather(
-      addresses,
-      (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT),
-      () => false,
+    const formed = replies.find(([, reply]) => reply.map((state) => state.formed).orDefault(false));
+    if (formed) return this.formedBefore(addresses, formed[0], formed[1].unsafeCoerce());
+    const begun = await this.peers.ask(
+      addresses[0]!,
+      BootstrapBegin,
+      { seeds: [...addresses], wanted },
+      FORM_LIMIT,
     );
-    const against = told.filter(([, reply]) => reply.isLeft());
-    if (against.length)
-      return failed(
-        'core.form',
-        against[0]![0],
-        (against[0]![1].extract() as Fault).reason,
-        'unknown',
-      );
+    return begun.isLeft() ? (begun as Outcome<never>) : this.core();
+  }
+
+  private async formedBefore(
+    addresses: readonly string[],
+    by: string,
+    { core, generation }: StateReply,
+  ): Promise<Outcome<Schemas['CoreReply']>> {
+    const { members } = JSON.parse(core) as CoreSet;
+    const there = new Set(members.map(({ address }) => address));
+    if (generation > 1) return failed('core.form', by, 'is already part of a formed core');
+    if (there.size !== addresses.length || addresses.some((address) => !there.has(address)))
+      return failed('core.form', 'core', 'a group of other members was begun there');
     await this.proposer.read(2000);
     return this.core();
   }
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -14,6 +14,8 @@
 import { Acceptance } from '../lease/acceptance.js';
 import { Grants } from '../lease/grants.js';
 import type { Params } from '../params/shape.js';
+import { BootstrapAcceptor } from '../register/bootstrap/acceptor.js';
+import { Bootstrap, viewOf } from '../register/bootstrap/bootstrap.js';
 import { Follower } from '../register/follower.js';
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
@@ -28,8 +30,6 @@
 import { nodeProviders } from '../node/module.js';
 
 const SETTLE_EVERY = 250;
-const FORM_TURN = 1500;
-const FORM_PAUSE = 200;
 
 @Injectable()
 export class CoreNode {
@@ -38,6 +38,7 @@
   constructor(
     @Inject(names.params) private readonly params: Params,
     @Inject(names.peers) private readonly peers: Peers,
+    @Inject(names.disk) private readonly disk: Disk,
     @Inject(names.member) private readonly member: Member,
     @Inject(names.keeper) private readonly keeper: Keeper,
     @Inject(names.roster) private readonly roster: Roster,
@@ -52,8 +53,12 @@
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
+    const bootstrap = this.createBootstrap();
+    const opened = await bootstrap.open();
+    if (opened.isLeft()) return opened;
     const started = await this.member.start();
     if (started.isLeft()) return started;
+    bootstrap.serve();
     const { enabled } = this.params.claims;
     const kept = enabled ? await this.keeper.start() : Right(undefined);
     if (kept.isLeft()) return kept;
@@ -106,7 +111,8 @@
     if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
     void this.enforce();
-    if (this.params.form) void this.form();
+    if (this.params.form || this.params.firstStart !== 'unknown')
+      void bootstrap.run(this.stop.signal);
     return served;
   }
 
@@ -139,27 +145,26 @@
     }
   }
 
-  /**
-   * By the form param, the seed named first forms the core as soon as all seeds answer; the others do the same after a
-   * while, should it be gone. They name the same group, whose first generation has one text.
-   */
-  private async form(): Promise<void> {
-    const at = this.params.seeds.indexOf(this.params.listen.peers);
-    if (at < 0) return;
-    await this.clock.sleep(at * FORM_TURN, this.stop.signal);
-    while (
-      !this.stop.signal.aborted &&
-      (this.member.newest?.generation ?? 0) <= 1 &&
-      this.member.settledGeneration === 0
-    ) {
-      const formed = await this.operations.form(
-        this.params.seeds,
-        this.params.core.wanted || undefined,
-      );
-      if (formed.isRight()) return;
-      this.log('form-waits', [['reason', (formed.extract() as { reason: string }).reason]]);
-      await this.clock.sleep(FORM_PAUSE, this.stop.signal);
-    }
+  private createBootstrap(): Bootstrap {
+    const { params, member, peers } = this;
+    const acceptor = new BootstrapAcceptor(this.disk, params.fleet, () => viewOf(member));
+    return new Bootstrap(
+      {
+        address: params.listen.peers,
+        seeds: params.seeds,
+        wanted: params.core.wanted,
+        fixedSeeds: params.form,
+        firstStart: params.firstStart === 'yes',
+      },
+      acceptor,
+      member,
+      peers,
+      this.roster,
+      this.proposer,
+      this.clock,
+      this.random,
+      this.log,
+    );
   }
 }
 
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -73,6 +73,8 @@
   ),
   folder: Text,
   form: Flag,
+  /** Whether this is the first start of the whole system, with empty disks, as far as that is told. */
+  firstStart: Union(Literal('unknown'), Literal('yes'), Literal('no')),
   firms: bounded(
     List(Shape({ name: Name, callerKeys: List(Hash), operatorKeys: List(Hash) }).exact()),
     (firms) => firms.length <= 64 || 'expected at most 64 firms',
@@ -147,6 +149,7 @@
   seeds: ['127.0.0.1:7082'],
   folder: './data',
   form: false,
+  firstStart: 'unknown',
   firms: [],
   platform: { url: '', every: 500, slice: 4000, place: 2500 },
   index: { blockBytes: 64, blockTokens: 16 },
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -148,6 +148,7 @@
   const node = new CoreNode(
     params,
     peers,
+    folder,
     member,
     keeper,
     roster,
--- a/test/checker/seats.test.ts
+++ b/test/checker/seats.test.ts
@@ -40,6 +40,7 @@
       seeds: seeds.map(at),
       over: {
         form,
+        firstStart: form ? 'yes' : 'no',
         lease: { duration: 2000, renew: 500, lapse: 'serve', patience: 400 },
         feed: { wait: 500 },
         claims: { enabled: false },
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -26,6 +26,7 @@
     name: 'edge-1',
     zone: 'north',
     form: false,
+    firstStart: 'unknown',
     listen: {
       callers: '',
       requests: '10.0.0.5:8000',
@@ -41,6 +42,7 @@
   const first = (await read(settingsText('core'))).chain(paramsOf).unsafeCoerce();
   expect(first).toMatchObject({
     form: true,
+    firstStart: 'yes',
     folder: '/disk/core',
     listen: { requests: '', notice: 0 },
   });
@@ -49,7 +51,7 @@
   )
     .chain(paramsOf)
     .unsafeCoerce();
-  expect(later.form).toBe(false);
+  expect(later).toMatchObject({ form: false, firstStart: 'no' });
 });
 
 test('times follow from the bounds: a planned stop fits into the grace, polls into the drain', async () => {
