--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -310,5 +310,5 @@
 ): { readonly id: string; readonly formed: boolean; readonly healthy: boolean } => ({
   id: member.id,
   formed: member.newest !== undefined,
-  healthy: ['', 'not in the core set'].includes(member.state().reason),
+  healthy: ['voting', 'non-voting'].includes(member.state().vote),
 });
--- a/src/register/bootstrap/calls.ts
+++ b/src/register/bootstrap/calls.ts
@@ -1,6 +1,6 @@
 /** The calls by which core machines agree on the first revision, before any group exists. */
 import { call } from '../../wire/call.js';
-import { blob, flag, list, number, struct, text } from '../../wire/field.js';
+import { blob, choice, flag, list, number, struct, text } from '../../wire/field.js';
 import { ballotField, type Ballot } from '../ballot.js';
 
 /**
@@ -10,7 +10,8 @@
  * - `voter`: its disk holds all it ever voted, from its first start or from a unanimous round on.
  * - `disqualified`: what it voted may be lost.
  */
-export type AcceptorRole = 'none' | 'candidate' | 'voter' | 'disqualified';
+export type AcceptorRole = (typeof ACCEPTOR_ROLES)[number];
+const ACCEPTOR_ROLES = ['none', 'candidate', 'voter', 'disqualified'] as const;
 
 /** Asks a core machine what it knows; `address` and `seeds` tell it about the one who asks. */
 export interface StatusAsk {
@@ -23,7 +24,7 @@
   formed: boolean;
   /** Its disk works, and nothing that it may have voted is lost. */
   healthy: boolean;
-  role: string;
+  role: AcceptorRole;
   /** The seeds it is bound to; for role `none` those that it was started with. */
   seeds: string[];
   promised: Ballot;
@@ -38,7 +39,7 @@
     member: text,
     formed: flag,
     healthy: flag,
-    role: text,
+    role: choice(ACCEPTOR_ROLES),
     seeds: list(text),
     promised: ballotField,
     core: text,
