--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -416,16 +416,25 @@
     return this.core();
   }
 
-  /** Gives a newcomer a seat; it must answer, and be of this fleet and without a seat. */
+  /** Promotes a learner, which must answer, be able to vote, and hold the newest committed revision. */
   async seat(
     operator: Operator,
     { change, address, expects, wait }: Schemas['CoreSeatAsk'],
   ): Promise<Outcome<Changed>> {
+    const committed = await this.proposer.look(ASK_LIMIT);
+    if (committed.isLeft()) return committed as Outcome<never>;
     const state = await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
     if (state.isLeft()) return state as Outcome<never>;
-    const { member, vote, reason } = state.unsafeCoerce();
+    const { member, vote, reason, generation, settled } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
       return failed('core.seat', address, `can not vote: ${reason}`);
+    const newest = committed.unsafeCoerce();
+    if (Math.min(generation, settled) < newest)
+      return failed(
+        'core.seat',
+        address,
+        `holds revision ${Math.min(generation, settled)}, and ${newest} is committed; try again once it has caught up`,
+      );
     return this.change(
       operator,
       change,
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -42,6 +42,9 @@
 
 type Reread = () => Promise<Outcome<Params>>;
 
+/** The longest that a voter which stops waits for a learner to take over. */
+const LEAVE_LIMIT = 2000;
+
 const RELOADABLE = new Set(['firms', 'seeds']);
 
 const routerMetrics = (registry: Registry, context: INestApplicationContext): void => {
@@ -82,6 +85,20 @@
 
 const coreMetrics = (registry: Registry, context: INestApplicationContext): void => {
   const keeper = context.get<Keeper>(names.keeper);
+  const { replacement } = context.get(CoreNode);
+  gauge(registry, 'voters', 'Voters of the core', () => replacement?.voters ?? 0);
+  gauge(
+    registry,
+    'redundancy',
+    'Voters that hold the newest committed revision on disk, as this member last saw',
+    () => replacement?.redundancy ?? 0,
+  );
+  gauge(
+    registry,
+    'learners_ready',
+    'Core machines without a vote that hold the newest committed revision',
+    () => replacement?.readyLearners ?? 0,
+  );
   gauge(registry, 'claims_kept', 'Ids kept on this disk', () => keeper.size);
   gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () =>
     Number(keeper.whole),
@@ -231,7 +248,7 @@
           await forwarder.drain(Math.max(0, limit - clock.now()));
           left += await node.drain();
           left += await forwarder.drain(Math.max(0, limit - clock.now()));
-        }
+        } else await node.leave(Math.min(LEAVE_LIMIT, Math.max(0, limit - clock.now())));
         stop.abort();
         for (const face of faces) await face.close().catch(() => undefined);
         context.get<Peers>(names.peers).close();
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -22,7 +22,7 @@
 import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
 import type { Roster } from '../register/roster.js';
-import { Succession } from '../register/succession.js';
+import { VoterReplacement } from '../register/replacement.js';
 import { Store } from '../register/store.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
@@ -34,6 +34,8 @@
 @Injectable()
 export class CoreNode {
   private grants: Grants | undefined;
+  /** Watches the voters; there once the node has started. */
+  replacement: VoterReplacement | undefined;
 
   constructor(
     @Inject(names.params) private readonly params: Params,
@@ -65,7 +67,7 @@
     this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
-    const succession = new Succession(
+    const replacement = new VoterReplacement(
       this.member,
       this.params.listen.peers,
       this.params.core.replaceAfter,
@@ -76,7 +78,8 @@
       this.random,
       this.log,
     );
-    succession.serve();
+    replacement.serve();
+    this.replacement = replacement;
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
     if (this.member.newest) this.roster.learn(this.member.newest.core);
@@ -106,7 +109,7 @@
       this.params.core.keep + this.params.core.keepBytes > 0,
     );
     void repair.run(this.stop.signal);
-    void succession.run(this.stop.signal);
+    void replacement.run(this.stop.signal);
     void keepRecovering(this.member, this.clock, this.stop.signal);
     if (enabled) void this.keeper.run(this.stop.signal);
     void this.settle();
@@ -116,6 +119,11 @@
     return served;
   }
 
+  /** A planned stop: a learner that is there takes over before this voter goes. */
+  async leave(limit: number): Promise<void> {
+    await this.replacement?.leave(limit);
+  }
+
   ready(): string {
     const { voting, reason } = this.member.state();
     return voting ? '' : reason || 'newcomer';
--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -112,6 +112,11 @@
     const rank = inOrder(seeds).indexOf(address);
     let waited = '';
     while (!signal.aborted && !this.over) {
+      if (this.member.newest) await this.install(encodeDocument(this.member.newest));
+      if (this.member.newest) {
+        await this.pause(signal);
+        continue;
+      }
       const survey = await this.survey();
       const plan = planFor(address, seeds, evidence, survey);
       const age = this.clock.now() - began;
@@ -124,10 +129,14 @@
         const formed = await this.attempt(plan, survey, wanted);
         formed.ifLeft(({ reason }) => this.log('bootstrap-failed', [['reason', reason]]));
       }
-      if (!this.over) await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+      if (!this.over) await this.pause(signal);
     }
   }
 
+  private pause(signal: AbortSignal): Promise<void> {
+    return this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
+  }
+
   /** Forms the group of just these machines by an operator's order; all must answer. */
   private async begin({ seeds, wanted }: BeginAsk): Promise<Outcome<void>> {
     const ordered = inOrder(seeds);
@@ -148,8 +157,10 @@
     return this.attempt(plan, survey, wanted);
   }
 
+  /** A group exists, and if this member is among the first voters, its first revision is known to be committed. */
   private get over(): boolean {
-    return this.member.newest !== undefined || this.roster.core.number > 0;
+    const { newest, settledGeneration } = this.member;
+    return newest ? newest.generation > 1 || settledGeneration > 0 : this.roster.core.number > 0;
   }
 
   private complete({ answers }: Survey): boolean {
@@ -287,7 +298,7 @@
     return { counter: this.counter, node: name, incarnation };
   }
 
-  /** Hands the first revision, which is chosen, to the voters that it names. */
+  /** Hands the first revision, which is chosen, to the voters that it names; again as long as none of them has committed it. */
   private async install(document: Uint8Array): Promise<Outcome<void>> {
     const decoded = decodeDocument(document, 'bootstrap');
     if (decoded.isLeft()) return decoded as Outcome<never>;
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -20,13 +20,13 @@
   type Generation,
   type Kept,
 } from './document.js';
+import { changeVoters, type VoterChange } from './voters.js';
 
 export const WINDOW = 2048;
 /** How many versions of the configuration are remembered with the requests that made them. */
 export const VERSIONS = 256;
 export const DOORWAY_BOUND = 2048;
 export const REMOVED_BOUND = 8192;
-export const CORE_BOUND = 9;
 export const ENROLLED_BOUND = 256;
 
 export type Verdict =
@@ -58,34 +58,9 @@
   });
 };
 
-/** The core set changes by one member at a time, so that majorities before and after always meet. */
-const reseat = (
-  document: Document,
-  act: Extract<Act, { kind: 'seat' | 'unseat' }>,
-): Document | Verdict => {
-  const { number, wanted, members } = document.core;
-  if (act.expects !== number)
-    return { kind: 'lost', reason: `the core set is number ${number}, not ${act.expects}` };
-  if (act.kind === 'unseat') {
-    const left = members.filter(({ id }) => id !== act.id);
-    if (left.length === members.length) return declined(`${act.id} has no seat`);
-    if (left.length === 0) return declined('the last member can not be removed');
-    return {
-      ...document,
-      core: { number: number + 1, wanted: act.vacant ? wanted : left.length, members: left },
-    };
-  }
-  if (members.some(({ id, address }) => id === act.seat.id || address === act.seat.address))
-    return declined(`${act.seat.address} has a seat already`);
-  if (members.length >= CORE_BOUND) return declined(`there are ${CORE_BOUND} members already`);
-  return {
-    ...document,
-    core: {
-      number: number + 1,
-      wanted: Math.max(wanted, members.length + 1),
-      members: [...members, act.seat],
-    },
-  };
+const withVoters = (document: Document, act: VoterChange): Document | Verdict => {
+  const verdict = changeVoters(document.core, act);
+  return verdict.kind === 'changed' ? { ...document, core: verdict.core } : verdict;
 };
 
 /** Enrolled routers change one at a time too, each building on the last. */
@@ -201,7 +176,7 @@
   switch (act.kind) {
     case 'seat':
     case 'unseat':
-      return reseat(document, act);
+      return withVoters(document, act);
     case 'enrol':
     case 'retire':
       return reenrol(document, act, next);
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -67,7 +67,13 @@
       readonly expects: number;
       readonly takeover: boolean;
     }
-  | { readonly kind: 'seat'; readonly seat: Seat; readonly expects: number }
+  | {
+      readonly kind: 'seat';
+      readonly seat: Seat;
+      readonly expects: number;
+      /** The voter it takes over from, which is removed next; how many are wanted stays as it is. */
+      readonly replaces?: string;
+    }
   | {
       readonly kind: 'unseat';
       readonly id: string;
--- /dev/null
+++ b/src/register/replacement.ts
@@ -0,0 +1,310 @@
+/**
+ * Replacing voters that are gone, one change of the voter set at a time. A core machine without a vote is a learner: it
+ * announces itself to the members that it can find, follows the feed, and is promoted only once it reports the newest
+ * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
+ * does the vote that is given.
+ *
+ * The members watch each other. A voter that has been silent for the param's time, or in whose place another disk answers,
+ * is removed once a learner is ready to take over and those that are left and answer at that very look vote, hold the
+ * newest committed revision, and are a majority of what is left. One that says that it stops is replaced without waiting
+ * for its silence: the learner is added first. A voter that is merely silent is kept while another disk answers in the place
+ * of a third, which is gone for good and is removed first.
+ *
+ * One member does this, cut by rendezvous hashing over the voters that answer, fenced by the number of the voter set: of two
+ * who both think it is theirs only one change can win, and a change that lost does nothing.
+ */
+import { Right } from 'purify-ts';
+import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
+import type { Log } from '../kernel/log/log.js';
+import type { Random } from '../kernel/random/random.js';
+import { holders } from '../duty/rendezvous.js';
+import { call } from '../wire/call.js';
+import { flag, struct, text } from '../wire/field.js';
+import type { Peers } from '../wire/peers.js';
+import { State, type StateReply } from './calls.js';
+import type { Act, CoreSet, Seat } from './document.js';
+import { gather, majority, sound } from './gather.js';
+import { VoterLiveness } from './liveness.js';
+import type { Member } from './member.js';
+import type { Proposer } from './proposer.js';
+import type { Roster } from './roster.js';
+
+/** A learner tells the members where it is. */
+export const Announce = call<Seat, { heard: boolean }>(
+  8,
+  'register.announce',
+  struct<{ id: string; address: string }>({ id: text, address: text }),
+  struct({ heard: flag }),
+);
+
+/** A voter says that it stops; the reply says whether a learner is there that could take over now. */
+export const Leave = call<{ id: string }, { successor: boolean }>(
+  100,
+  'register.leave',
+  struct({ id: text }),
+  struct({ successor: flag }),
+);
+
+const EVERY = 1000;
+const ASK_LIMIT = 700;
+const LEAVE_ASK_LIMIT = 300;
+const LEAVE_PAUSE = 50;
+const CHANGE_LIMIT = 5000;
+const LEARNERS_BOUND = 16;
+/** How many announcements fall into one pause between looks, and for how many pauses one counts. */
+const ANNOUNCED = 2;
+const FRESH = 5;
+/** How many looks fall into one pause while something is amiss. */
+const HURRY = 4;
+
+type VoterChange = Extract<Act, { kind: 'seat' | 'unseat' }>;
+
+/** What one look at the voters and the learners showed. */
+interface Look {
+  readonly set: CoreSet;
+  /** Voters that answered as themselves. */
+  readonly present: readonly Seat[];
+  /** Of those, the ones that vote and hold the newest committed revision on disk. */
+  readonly current: readonly Seat[];
+  /** Voters in whose place another disk answered. */
+  readonly swapped: readonly Seat[];
+  readonly silent: readonly Seat[];
+  readonly leaving: readonly Seat[];
+  /** Learners that hold the newest committed revision on disk. */
+  readonly ready: readonly Seat[];
+}
+
+export class VoterReplacement {
+  private readonly learners = new Map<string, { seat: Seat; at: Moment }>();
+  private readonly liveness: VoterLiveness;
+  private readonly every: number;
+  private looked: Moment;
+  private last: Look | undefined;
+  private stopping = false;
+  private wake: () => void = () => undefined;
+
+  constructor(
+    private readonly member: Member,
+    private readonly address: string,
+    private readonly after: number,
+    private readonly peers: Peers,
+    private readonly roster: Roster,
+    private readonly proposer: Proposer,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly log: Log,
+  ) {
+    this.every = after === 0 ? EVERY : Math.min(EVERY, Math.max(100, after));
+    this.liveness = new VoterLiveness(after);
+    this.looked = clock.now();
+  }
+
+  /** Voters that hold the newest committed revision on disk, as this member saw at its last look. */
+  get redundancy(): number {
+    return this.last?.current.length ?? 0;
+  }
+
+  /** Voters in the newest committed voter set that this member knows. */
+  get voters(): number {
+    return this.member.knownCore.members.length;
+  }
+
+  /** Learners that could be promoted, as this member saw at its last look. */
+  get readyLearners(): number {
+    return this.last?.ready.length ?? 0;
+  }
+
+  serve(): void {
+    this.peers.handle(Announce, (seat) => {
+      if (!this.learners.has(seat.id) && this.learners.size >= LEARNERS_BOUND)
+        this.learners.delete(this.learners.keys().next().value as string);
+      this.learners.set(seat.id, { seat, at: this.clock.now() });
+      if (this.clock.now() - this.looked > this.every / HURRY) this.wake();
+      return Right({ heard: true });
+    });
+    this.peers.handle(Leave, ({ id }) => {
+      this.liveness.noteLeaving(id, this.clock.now());
+      const successor = this.last?.ready.some((seat) => seat.id !== id) ?? false;
+      if (successor) this.wake();
+      return Right({ successor });
+    });
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const ended = new Promise<void>((resolve) =>
+      signal.addEventListener('abort', () => resolve(), { once: true }),
+    );
+    while (!signal.aborted) {
+      const news = new Promise<void>((resolve) => (this.wake = resolve));
+      const { vote } = this.member.state();
+      const learner = vote === 'non-voting' && !this.stopping;
+      if (vote === 'voting' && (await this.watch())) continue;
+      if (learner) await this.announce();
+      const pause = this.pause(learner) * (0.75 + 0.5 * this.random.fraction());
+      await within(this.clock, pause, Promise.race([news, ended]));
+    }
+  }
+
+  /** Tells the other voters that this one stops, and when a learner can take over, waits until it has or the limit comes. */
+  async leave(limit: number): Promise<void> {
+    this.stopping = true;
+    const until = this.clock.now() + limit;
+    const { members } = this.member.knownCore;
+    const others = members.filter(({ id }) => id !== this.member.id);
+    if (others.length === members.length) return;
+    const replies = await gather(
+      others.map(({ address }) => address),
+      (address) => this.peers.ask(address, Leave, { id: this.member.id }, LEAVE_ASK_LIMIT),
+      () => false,
+    );
+    if (!sound(replies).some(({ successor }) => successor)) return;
+    while (this.clock.now() < until && this.member.state().vote === 'voting')
+      await this.clock.sleep(LEAVE_PAUSE);
+  }
+
+  private pause(learner: boolean): number {
+    if (learner) return this.every / ANNOUNCED;
+    return this.isHurried() ? this.every / HURRY : this.every;
+  }
+
+  /** Whether a change of the voter set may be due soon. */
+  private isHurried(): boolean {
+    const { last } = this;
+    if (!last || this.after === 0) return false;
+    const vacant = last.set.members.length < last.set.wanted;
+    const waiting = vacant && this.freshLearners(last.set, this.clock.now()).length > 0;
+    return (
+      this.liveness.anyFailing || last.swapped.length > 0 || last.leaving.length > 0 || waiting
+    );
+  }
+
+  private async announce(): Promise<void> {
+    await this.proposer.learnCore();
+    const leads = this.roster.leads.filter((lead) => lead !== this.address);
+    const { limit } = this;
+    await within(
+      this.clock,
+      limit / 2,
+      Promise.all(
+        leads.map((lead) =>
+          this.peers.ask(lead, Announce, { id: this.member.id, address: this.address }, limit),
+        ),
+      ),
+    );
+  }
+
+  private get limit(): number {
+    return Math.min(ASK_LIMIT, this.every * 0.7);
+  }
+
+  private freshLearners({ members }: CoreSet, now: Moment): Seat[] {
+    return [...this.learners.values()]
+      .filter(
+        ({ seat, at }) =>
+          now - at < FRESH * this.every && !members.some(({ id }) => id === seat.id),
+      )
+      .map(({ seat }) => seat);
+  }
+
+  /** Looks at the voters, and changes the voter set where that is due here; says whether it did. */
+  private async watch(): Promise<boolean> {
+    const look = await this.look();
+    this.last = look;
+    if (this.after === 0) return false;
+    const { set, silent, swapped, leaving } = look;
+    const staying = set.members.filter(
+      (seat) => ![...silent, ...swapped, ...leaving].includes(seat),
+    );
+    const [holder] = holders(
+      `succession-${set.number}`,
+      staying.map(({ id }) => id),
+    );
+    const change = holder === this.member.id ? this.due(look) : undefined;
+    return change ? this.propose(change) : false;
+  }
+
+  private async look(): Promise<Look> {
+    const set = this.member.knownCore;
+    const { members } = set;
+    const asked = this.clock.now();
+    const forgiving = asked - this.looked > 3 * this.every + ASK_LIMIT;
+    this.looked = asked;
+    const learners = this.freshLearners(set, asked);
+    const states = new Map(
+      await Promise.all(
+        [...members, ...learners].map(async (seat) => [seat, await this.stateOf(seat)] as const),
+      ),
+    );
+    const now = this.clock.now();
+    const isPresent = (seat: Seat): boolean => states.get(seat)?.member === seat.id;
+    const present = members.filter(isPresent);
+    this.liveness.note(
+      members.map(({ id }) => id),
+      new Set(present.map(({ id }) => id)),
+      asked,
+      now,
+      forgiving,
+    );
+    const committed = this.member.settledGeneration;
+    const holdsNewest = (seat: Seat): boolean => {
+      const state = states.get(seat);
+      return state !== undefined && state.generation >= committed && state.settled >= committed;
+    };
+    return {
+      set,
+      present,
+      current: present.filter((seat) => states.get(seat)!.voting && holdsNewest(seat)),
+      swapped: members.filter((seat) => states.get(seat) && !isPresent(seat)),
+      silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
+      leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
+      ready: learners.filter(
+        (seat) =>
+          isPresent(seat) &&
+          states.get(seat)!.vote === 'non-voting' &&
+          holdsNewest(seat) &&
+          !this.liveness.isLeaving(seat.id),
+      ),
+    };
+  }
+
+  private async stateOf({ id, address }: Seat): Promise<StateReply | undefined> {
+    if (id === this.member.id) return this.member.state();
+    const reply = await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit);
+    return reply.toMaybe().extract();
+  }
+
+  /** The change of the voter set that is due by what was seen. */
+  private due(look: Look): VoterChange | undefined {
+    const { set, ready, swapped, silent, leaving } = look;
+    const { number, wanted, members } = set;
+    const apart = ready.find((seat) => !members.some(({ address }) => address === seat.address));
+    if (apart && members.length < wanted) return { kind: 'seat', seat: apart, expects: number };
+    const gone = (swapped.length > 0 ? swapped : silent).find(({ id }) => id !== this.member.id);
+    const left = look.current.filter((seat) => seat !== gone).length;
+    if (gone && ready.length > 0 && left >= majority(members.length - 1))
+      return { kind: 'unseat', id: gone.id, vacant: true, expects: number };
+    const leaver = leaving.find(({ id }) => id !== this.member.id);
+    if (!leaver) return undefined;
+    const others = look.current.filter((seat) => seat !== leaver).length;
+    if (members.length > wanted && others >= majority(members.length - 1))
+      return { kind: 'unseat', id: leaver.id, vacant: true, expects: number };
+    return apart && members.length === wanted
+      ? { kind: 'seat', seat: apart, expects: number, replaces: leaver.id }
+      : undefined;
+  }
+
+  private async propose(act: VoterChange): Promise<boolean> {
+    const id = `succession-${this.random.identity()}`;
+    const told = await this.proposer.propose(
+      { id, firm: '', who: this.peers.self.name, act },
+      CHANGE_LIMIT,
+    );
+    const done = told.map(({ kind }) => kind === 'applied').orDefault(false);
+    this.log('succession', [
+      ['act', act.kind],
+      ['member', act.kind === 'seat' ? act.seat.id : act.id],
+      ['done', done],
+    ]);
+    return done;
+  }
+}
