--- a/test/checker/bootstrap.test.ts
+++ b/test/checker/bootstrap.test.ts
@@ -13,7 +13,8 @@
 import { SeededRandom } from '../../src/kernel/random/random.js';
 import { explore, type Script } from '../../src/sim/explore.js';
 import { simBase, simCore, type SimCore, type SimSite } from '../../src/sim/nodes.js';
-import { SimDisk, World } from '../../src/sim/world.js';
+import { SimDisk } from '../../src/sim/disk.js';
+import { World } from '../../src/sim/world.js';
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 
 const SEEDS = [1, 2, 3];
