Connections between processes come up within 400 ms or are tried anew; more cut-off tests

Cause: after a cut, the connection that was begun in it held up every question until its whole limit (1 s) had passed.

Two mutations had survived (a change proposed after it was given up, one vote counted as a majority): a test for each.

--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -33,6 +33,8 @@
 
 const WAITING_BOUND = 4096;
 const HELLO_LIMIT = 2000;
+/** How long a connection may take to come up; after a cut, one that was begun in it must not hold up the next. */
+const DIAL_LIMIT = 400;
 /** How many silent addresses are remembered, the latest ones. */
 const SILENT_BOUND = 1024;
 
@@ -164,7 +166,7 @@
 
   private async open(address: string, limit: number): Promise<Outcome<Line>> {
     if (this.closed) return failed('wire.dial', address, 'this process is closing');
-    const dialled = await this.net.dial(address, limit);
+    const dialled = await this.net.dial(address, Math.min(DIAL_LIMIT, limit));
     if (dialled.isLeft()) return dialled;
     const channel = dialled.extract() as Channel;
     channel.send(encodeFrame(Stage.ask, HELLO, 0, encode(helloField, this.self)));
--- a/test/checker/cutoff.test.ts
+++ b/test/checker/cutoff.test.ts
@@ -4,6 +4,8 @@
  * acknowledge anything without a majority, keep a caller waiting, or hold a router on what is old.
  */
 import { expect, test } from 'vitest';
+import { Accept } from '../../src/register/calls.js';
+import { decodeFrame, Stage } from '../../src/wire/call.js';
 import {
   ACKNOWLEDGE,
   ANSWER,
@@ -20,6 +22,8 @@
 /** After this long in a cut, or after a start in it, its member knows, and answers without waiting its whole time. */
 const NOTICED = 2000;
 const AT_ONCE = ANSWER * 0.3 + 5;
+/** How long after a cut a member that was cut off may take to acknowledge again. */
+const BACK = 600;
 const SEEDS = Number(process.env['CUTOFF_SEEDS'] ?? 2);
 
 const cutsTheCore = (shape: Shape): boolean => shape !== 'clients';
@@ -168,3 +172,65 @@
   heal();
   expect(await world.run(world.now + NOTICED, () => node.ready() === '')).toBe(true);
 });
+
+test('an order whose promises come only after it was given up is never proposed', async () => {
+  const stage = new CutOffStage(4);
+  const { world } = stage;
+  await stage.ready();
+  await world.until(stage.change());
+  await world.run(world.now + 2000);
+  world.net.latency = ANSWER * 0.6;
+  world.net.jitter = 0;
+  const order = await world.until(stage.order(0, 'put', 100, stage.version));
+  expect(order.outcome).toBe('unknown');
+  await world.run(world.now + 4000);
+  world.net.latency = 1;
+  await world.run(world.now + 4000);
+  expect((await world.until(stage.read(1))).version).toBe(stage.version);
+});
+
+test('cut off between promise and accept, a member acknowledges nothing', async () => {
+  for (const at of [0, 1, 2]) {
+    const stage = new CutOffStage(at + 1);
+    const { world } = stage;
+    await stage.ready();
+    await world.until(stage.change());
+    const { name } = stage.cores[at]!.host;
+    const others = stage.coreNames.filter((other) => other !== name);
+    let heal: (() => void) | undefined;
+    world.net.mishap = (from, to, frame) => {
+      const accepts = decodeFrame(frame, from)
+        .map(({ code, stage: kind }) => code === Accept.code && kind === Stage.ask)
+        .orDefault(false);
+      if (accepts && from === name && others.includes(to)) heal ??= world.part([name], others);
+      return heal && from === name && others.includes(to) ? 'drop' : 'pass';
+    };
+    const order = await world.until(stage.order(at, 'put', 100, stage.version));
+    expect(heal).toBeDefined();
+    expect(order.outcome).toBe('unknown');
+    const elsewhere = await world.until(stage.order((at + 1) % 3, 'put', 200, stage.version));
+    expect(elsewhere.outcome).toBe('accepted');
+    world.net.mishap = () => 'pass';
+    heal!();
+    await world.run(world.now + NOTICED);
+    for (const reader of [0, 1, 2])
+      expect((await world.until(stage.read(reader))).version).toBe(200);
+  }
+});
+
+test('a member acknowledges again within a moment after the cut', async () => {
+  for (let seed = 1; seed <= 12; seed++) {
+    const stage = new CutOffStage(seed);
+    const { world } = stage;
+    await stage.ready();
+    await world.until(stage.change());
+    const heal = stage.cutOff([0], 'core');
+    await world.run(world.now + 4000 + 137 * seed);
+    heal();
+    const healed = world.now;
+    const next = stage.version + 1;
+    while ((await world.until(stage.order(0, 'put', next, stage.version))).outcome !== 'accepted')
+      await world.run(world.now + 20);
+    expect(world.now - healed).toBeLessThan(BACK);
+  }
+});
