--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -20,6 +20,8 @@
 const READS_A_SECOND = 10;
 /** A core machine that was lost is replaced, and counts again, after this long. */
 const RECOVERED_AFTER = 9000;
+/** A core machine that is told to stop has this long to hand over. */
+const LEAVE_LIMIT = 2000;
 const FIRST_ENGINE_PORT = 3000;
 
 interface Listed {
@@ -184,14 +186,18 @@
     const successor = `core-${Number(name.split('-')[1]) + this.plan.cores}`;
     this.lostFor.add(successor);
     this.startCore(successor);
-    this.world.at(overlap, () => {
-      const leaver = this.cores.get(name)!;
-      leaver.stop.abort();
-      leaver.host.kill();
-      this.disks.get(name)!.lose();
-      this.cores.delete(name);
-      this.world.at(RECOVERED_AFTER, done);
-    });
+    this.world.at(overlap, () => void this.retireCore(name, done));
+  }
+
+  /** A core machine is told to stop, hands over what it can, and is gone with its disk. */
+  private async retireCore(name: string, done: () => void): Promise<void> {
+    const leaver = this.cores.get(name)!;
+    await Promise.race([leaver.node.leave(LEAVE_LIMIT), this.pause(LEAVE_LIMIT)]);
+    leaver.stop.abort();
+    leaver.host.kill();
+    this.disks.get(name)!.lose();
+    this.cores.delete(name);
+    this.world.at(RECOVERED_AFTER, done);
   }
 
   startEngine(listed: Listed): void {
