--- a/test/checker/catchup.ts
+++ b/test/checker/catchup.ts
@@ -137,6 +137,25 @@
     return this.world.now - began;
   }
 
+  /** One change after the other until something happens; the newest version that was acknowledged before. */
+  async changeUntil(happened: Promise<void>): Promise<number> {
+    const { world } = this;
+    let isOver = false;
+    void happened.then(() => (isOver = true));
+    while (!isOver) {
+      const next = this.version + 1;
+      let outcome = '';
+      const alive = this.cores.find(({ host }) => !host.dead)!;
+      void alive.configurator
+        .patch(patchOf(next % this.routes, next), this.version, ANSWER_LIMIT)
+        .then((told) => (outcome = told.outcome));
+      await world.run(world.now + ANSWER_LIMIT, () => isOver || outcome !== '');
+      if (outcome === 'accepted') this.version = next;
+      await world.run(world.now + 20, () => isOver);
+    }
+    return this.version;
+  }
+
   /** Until the newest version is in force at these routers. */
   everywhere(routers: readonly SimRouter[], limit: number): Promise<boolean> {
     return this.world.run(this.world.now + limit, () =>
