Rounds carry what changed: promises leave out a revision the proposer holds, accepts carry a delta

Cause: every round sent the whole value from each member with its promise, and to each member with the accept. On a configuration of 500 routes (110 KB) the acting member received 437 KB a change and the others 111 KB. Now Prepare names the digest of the revision that the proposer holds, and a member whose accepted value it is sends none; Accept carries the delta from the revision read, with the digest of base and result. A member that holds another base says so and is sent the whole in the same round; a delta that does not make the digest is no vote. The delta is also what followers are fed, so members no longer work it out each for themselves. The bytes' digest is worked out once for each value.

Also mended: pruning after an accept raised the floor of the known chain above the newest committed revision, whose digest was then gone until word of the commit came (found by the watch on members in a new test).

Ways weighed: a delta only to members whose promise was seen (the slowest of three would always get the whole); no base check, by digest alone (costs a further round).

--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -5,7 +5,13 @@
  */
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
 import type { Chain } from './chain.js';
-import { digestOf, voterSetDigest, type CoreSet, type Digest, type Document } from './document.js';
+import {
+  documentDigest,
+  voterSetDigest,
+  type CoreSet,
+  type Digest,
+  type Document,
+} from './document.js';
 import type { Filed } from './store.js';
 
 /** An accepted value with its decoded document. */
@@ -79,7 +85,7 @@
     if (document.generation < this.revision) return undefined;
     const isSame =
       document.generation === this.revision &&
-      digestOf(value.document) === digestOf(filed.document);
+      documentDigest(value.document) === documentDigest(filed.document);
     if (isSame && compareBallots(filed.ballot, value.ballot) <= 0) return undefined;
     return { ...learned, ballot: higherOf(value.ballot, filed.ballot) };
   }
@@ -89,7 +95,7 @@
     const { generation: revision, previous } = document;
     const { value } = this;
     const isSameRound = value !== undefined && compareBallots(value.ballot, ballot) === 0;
-    if (isSameRound && digestOf(value.document) !== digest)
+    if (isSameRound && documentDigest(value.document) !== digest)
       return 'another value was accepted under that ballot';
     const least = Math.max(chain.settled, this.lowestOpenRevision);
     if (revision < least) return `revision ${revision} is older than committed revision ${least}`;
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -8,7 +8,10 @@
   set: number;
   voters: string;
   ballot: Ballot;
+  /** The digest of a revision that the proposer holds and need not be sent, or nothing. */
+  known: string;
 }
+/** `document`: the accepted value where the ballot was promised; empty where it is the one that the proposer holds. */
 export interface PrepareReply {
   promised: boolean;
   highest: Ballot;
@@ -19,7 +22,7 @@
 export const Prepare = call<PrepareAsk, PrepareReply>(
   1,
   'register.prepare',
-  struct({ set: number, voters: text, ballot: ballotField }),
+  struct({ set: number, voters: text, ballot: ballotField, known: text }),
   struct({
     promised: flag,
     highest: ballotField,
@@ -29,21 +32,34 @@
   }),
 );
 
+/** `document`: the value, whole where `base` is empty, else the delta that makes it of the revision with that digest. */
 export interface AcceptAsk {
   set: number;
   voters: string;
   ballot: Ballot;
   document: Uint8Array;
+  base: string;
+  /** The digest of the value. */
+  digest: string;
 }
+/** `lacksBase`: the value must be sent whole, since what is accepted here is not the revision that the delta is for. */
 export interface AcceptReply {
   accepted: boolean;
   highest: Ballot;
+  lacksBase: boolean;
 }
 export const Accept = call<AcceptAsk, AcceptReply>(
   2,
   'register.accept',
-  struct({ set: number, voters: text, ballot: ballotField, document: blob }),
-  struct({ accepted: flag, highest: ballotField }),
+  struct({
+    set: number,
+    voters: text,
+    ballot: ballotField,
+    document: blob,
+    base: text,
+    digest: text,
+  }),
+  struct({ accepted: flag, highest: ballotField, lacksBase: flag }),
 );
 
 export interface SettledTell {
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -4,6 +4,7 @@
  * floor nothing is kept, and of the newest ones no more whole than fits the bound.
  */
 import { within, type Clock } from '../kernel/clock/clock.js';
+import type { Ballot } from './ballot.js';
 import type { FeedFrame } from './calls.js';
 import { wholeFrame } from './calls.js';
 import { deltaOf } from './delta.js';
@@ -14,7 +15,7 @@
 /** Bytes of whole generations, and of deltas, that are held for those who follow; the newest one is held at any rate. */
 const HELD_BYTES = 8 * 1024 * 1024;
 /** Below this many bytes a generation is handed on whole: a delta of it would hardly be smaller. */
-const DELTA_LEAST = 4096;
+export const DELTA_LEAST = 4096;
 const FEED_BYTES = 4 * 1024 * 1024;
 
 /** Takes the oldest out until as many are left as may be held; the last one stays. */
@@ -66,8 +67,12 @@
   settle(document: Document, digest: string, filed: Filed): boolean {
     const { generation, previous } = document;
     if (generation <= this.newest) return false;
+    const cameByDelta = filed.delta?.base === previous && filed.delta !== undefined;
+    if (cameByDelta) this.holdDelta(generation, digest, filed.ballot, filed.delta.bytes);
     this.before =
-      this.current?.generation === generation - 1 && filed.document.length >= DELTA_LEAST
+      !cameByDelta &&
+      this.current?.generation === generation - 1 &&
+      filed.document.length >= DELTA_LEAST
         ? this.current
         : undefined;
     this.newest = generation;
@@ -104,17 +109,21 @@
       const filed = this.recent.get(generation);
       const made = deltaOf(before, current, digest);
       if (made && filed && made.length < filed.document.length)
-        this.deltas.set(generation, {
-          ballot: filed.ballot,
-          document: made,
-          base: generation - 1,
-          digest,
-        });
-      shed(this.deltas, (item) => item.document.length);
+        this.holdDelta(generation, digest, filed.ballot, made);
     }
     return this.deltas.get(generation);
   }
 
+  private holdDelta(
+    generation: number,
+    digest: string,
+    ballot: Ballot,
+    document: Uint8Array,
+  ): void {
+    this.deltas.set(generation, { ballot, document, base: generation - 1, digest });
+    shed(this.deltas, (item) => item.document.length);
+  }
+
   /** Notes the link of a generation that is known to belong here to the one before it. */
   link(generation: number, previous: string): void {
     if (generation > this.lowest && previous) this.digests.set(generation - 1, previous);
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -132,6 +132,17 @@
   createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
+const documentDigests = new WeakMap<Uint8Array, Digest>();
+
+/** The digest of a document's bytes, which are never changed once they are made; it is worked out once. */
+export const documentDigest = (bytes: Uint8Array): Digest => {
+  const known = documentDigests.get(bytes);
+  if (known !== undefined) return known;
+  const digest = digestOf(bytes);
+  documentDigests.set(bytes, digest);
+  return digest;
+};
+
 /** Names a voter set by what it is: two proposed changes of one set bear the same number. */
 export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
   digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -7,7 +7,7 @@
 import { Right } from 'purify-ts';
 import type { Peers } from '../wire/peers.js';
 import { Settled, type FeedItem, type SettledTell } from './calls.js';
-import { decodeDocument, digestOf, type Document } from './document.js';
+import { decodeDocument, documentDigest, type Document } from './document.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
 
@@ -50,7 +50,7 @@
     const read = await this.replica.store.readGeneration(revision);
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
-    const digest = digestOf(filed.document);
+    const digest = documentDigest(filed.document);
     const { chain } = this.replica;
     if (digest === chain.digest(revision) && !chain.isLinked(revision))
       this.replica.link(revision, filed.document);
@@ -61,7 +61,7 @@
   mend(revision: number, item: FeedItem): Promise<boolean> {
     const { replica } = this;
     return replica.exclusive(async () => {
-      if (replica.guard.reason || digestOf(item.document) !== replica.chain.digest(revision))
+      if (replica.guard.reason || documentDigest(item.document) !== replica.chain.digest(revision))
         return false;
       if (!(await this.rewrite(revision, item))) return false;
       replica.link(revision, item.document);
@@ -77,7 +77,8 @@
     const { accepted } = replica.acceptor;
     if (revision !== accepted?.parsed.generation)
       return replica.keepHistory(revision, item.document);
-    if (digestOf(accepted.document) !== digestOf(item.document)) return Promise.resolve(false);
+    if (documentDigest(accepted.document) !== documentDigest(item.document))
+      return Promise.resolve(false);
     return replica.hold(accepted);
   }
 
@@ -100,7 +101,7 @@
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
     if (generation <= chain.settled) return true;
-    if (accepted?.parsed.generation !== generation || digestOf(accepted.document) !== digest)
+    if (accepted?.parsed.generation !== generation || documentDigest(accepted.document) !== digest)
       return false;
     this.commit(accepted.parsed, accepted);
     return true;
@@ -118,7 +119,10 @@
   private async isOnDisk({ generation }: Document, filed: Filed): Promise<boolean> {
     const present = await this.replica.store.readGeneration(generation);
     return present
-      .map((there) => there !== undefined && digestOf(there.document) === digestOf(filed.document))
+      .map(
+        (there) =>
+          there !== undefined && documentDigest(there.document) === documentDigest(filed.document),
+      )
       .orDefault(false);
   }
 
@@ -129,7 +133,7 @@
 
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
-    if (!chain.settle(document, digestOf(filed.document), filed)) return;
+    if (!chain.settle(document, documentDigest(filed.document), filed)) return;
     log('settled', [['generation', document.generation]]);
     this.replica.prune();
   }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -18,15 +18,27 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, type Ballot } from './ballot.js';
-import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
+import {
+  Accept,
+  Prepare,
+  Settled,
+  State,
+  type AcceptAsk,
+  type AcceptReply,
+  type PrepareReply,
+  type StateReply,
+} from './calls.js';
+import { DELTA_LEAST } from './chain.js';
 import { applyChanges, type Verdict } from './change.js';
+import { deltaOf } from './delta.js';
 import {
   decodeDocument,
-  digestOf,
+  documentDigest,
   encodeDocument,
   voterSetDigest,
   type Change,
   type CoreSet,
+  type Digest,
   type Document,
 } from './document.js';
 import { gather, majority, sound, type Replies } from './gather.js';
@@ -36,6 +48,9 @@
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** For how many ms a proposer holds the revision it used last. */
+const KNOWN_FOR = 10_000;
+
 interface Waiting {
   readonly change: Change;
   readonly limit: Moment;
@@ -43,13 +58,42 @@
   tell(outcome: Outcome<Verdict>): void;
 }
 
-interface Read {
+/** A revision with its text and the digest of that. */
+interface Revision {
+  readonly document: Document;
+  readonly bytes: Uint8Array;
+  readonly digest: Digest;
+}
+
+interface Read extends Revision {
   readonly ballot: Ballot;
   readonly core: CoreSet;
-  readonly document: Document;
   readonly settled: boolean;
 }
 
+interface Promises {
+  readonly ballot: Ballot;
+  readonly replies: Replies<PrepareReply>;
+  /** The revision that members need not send, where one is held. */
+  readonly known: Revision | undefined;
+}
+
+const revisionOf = (document: Document, bytes: Uint8Array): Revision => ({
+  document,
+  bytes,
+  digest: documentDigest(bytes),
+});
+
+/** What changed, where that is worth sending instead of the whole. */
+const deltaBetween = (
+  before: Revision,
+  { document, bytes, digest }: Revision,
+): Uint8Array | undefined => {
+  if (bytes.length < DELTA_LEAST) return undefined;
+  const delta = deltaOf(before.document, document, digest);
+  return delta && delta.length < bytes.length ? delta : undefined;
+};
+
 export interface Survey {
   readonly generation: number;
   readonly sources: readonly string[];
@@ -59,6 +103,9 @@
   private readonly waiting: Waiting[] = [];
   private counter = 0;
   private busy = false;
+  /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
+  private known: Revision | undefined;
+  private knownSince: Moment | undefined;
 
   constructor(
     private readonly peers: Peers,
@@ -193,7 +240,7 @@
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
-    const accepted = await this.accept(core, ballot, next);
+    const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
     if (accepted.isLeft()) {
       this.log('round-unsure', [
         ['generation', next.generation],
@@ -233,7 +280,7 @@
     const core = this.roster.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
-    let { ballot, replies } = await this.seekPromises(core);
+    let { ballot, replies, known } = await this.seekPromises(core);
     const outdated =
       promisesOf(replies).length < quorum
         ? sound(replies).filter((reply) => isOutdated(reply, ballot))
@@ -243,7 +290,7 @@
         ({ highest, accepted }) => compareBallots(highest, accepted) > 0,
       );
       if (contested) await this.backOff(0);
-      ({ ballot, replies } = await this.seekPromises(core));
+      ({ ballot, replies, known } = await this.seekPromises(core));
     }
     const promises = promisesOf(replies);
     if (promises.length < quorum) {
@@ -262,24 +309,48 @@
     const newest = promises.reduce((best, reply) =>
       compareBallots(reply.accepted, best.accepted) > 0 ? reply : best,
     );
-    return decodeDocument(newest.document, 'core').map((document) => {
+    return this.revisionIn(newest, known).map((revision) => {
+      const { document } = revision;
       const settled = isSettled(promises, newest, document.generation, quorum);
       if (settled && promises.some((reply) => reply.settled < document.generation))
-        this.announce(core, newest.accepted, document, newest.document);
-      return { ballot, core, document, settled };
+        this.announce(core, newest.accepted, revision);
+      return { ballot, core, settled, ...revision };
     });
   }
 
+  /** The accepted revision that a promise tells of: sent with it, or the one that the member was told is held here. */
+  private revisionIn({ document }: PrepareReply, known: Revision | undefined): Outcome<Revision> {
+    if (document.length === 0 && known) return Right(known);
+    return decodeDocument(document, 'core').map((decoded) =>
+      this.hold(revisionOf(decoded, document)),
+    );
+  }
+
+  /** Holds a revision until no other was read or proposed for a while. */
+  private hold(revision: Revision): Revision {
+    this.known = revision;
+    const now = this.clock.now();
+    this.knownSince = now;
+    void this.clock.sleep(KNOWN_FOR).then(() => {
+      if (this.knownSince === now) this.known = undefined;
+    });
+    return revision;
+  }
+
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(
-    core: CoreSet,
-  ): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+  private async seekPromises(core: CoreSet): Promise<Promises> {
+    const { known } = this;
     const ballot: Ballot = {
       counter: ++this.counter,
       node: this.peers.self.name,
       incarnation: this.peers.self.incarnation,
     };
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot };
+    const ask = {
+      set: core.number,
+      voters: voterSetDigest(core),
+      ballot,
+      known: known?.digest ?? '',
+    };
     const replies = await gather(
       core.members.map(({ address }) => address),
       (address) => this.peers.ask(address, Prepare, ask, ASK_LIMIT),
@@ -291,17 +362,27 @@
     );
     for (const { highest } of sound(replies))
       this.counter = Math.max(this.counter, highest.counter);
-    return { ballot, replies };
+    return { ballot, replies, known };
   }
 
-  private async accept(core: CoreSet, ballot: Ballot, document: Document): Promise<Outcome<void>> {
+  /** Asks the members to accept a document; where it was made from a base, as what changed from that. */
+  private async accept(
+    core: CoreSet,
+    ballot: Ballot,
+    document: Document,
+    base?: Revision,
+  ): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
-    const bytes = encodeDocument(document);
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot, document: bytes };
+    const revision = this.hold(revisionOf(document, encodeDocument(document)));
+    const { bytes, digest } = revision;
+    const round = { set: core.number, voters: voterSetDigest(core), ballot, digest };
+    const whole = { ...round, document: bytes, base: '' };
+    const delta = base && deltaBetween(base, revision);
+    const asks = delta ? [{ ...round, document: delta, base: base.digest }, whole] : [whole];
     const replies = await gather(
       addresses,
-      (address) => this.peers.ask(address, Accept, ask, ASK_LIMIT),
+      (address) => this.askToAccept(address, asks),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
@@ -319,13 +400,22 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
-    this.announce(core, ballot, document, bytes);
+    this.announce(core, ballot, revision);
     this.roster.learn(document.core);
     return Right(undefined);
   }
 
-  private announce(core: CoreSet, ballot: Ballot, document: Document, bytes: Uint8Array): void {
-    const digest = digestOf(bytes);
+  /** Asks by what changed first; a member that does not hold the base of that is asked by the whole. */
+  private async askToAccept(
+    address: string,
+    [first, ...rest]: readonly AcceptAsk[],
+  ): Promise<Outcome<AcceptReply>> {
+    const reply = await this.peers.ask(address, Accept, first!, ASK_LIMIT);
+    const lacksBase = reply.map((told) => told.lacksBase).orDefault(false);
+    return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
+  }
+
+  private announce(core: CoreSet, ballot: Ballot, { document, digest }: Revision): void {
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -96,7 +96,7 @@
     const { revision } = this.acceptor;
     const committed = Math.max(revision - 1, Math.min(this.chain.settled, revision));
     const floor = this.store.floor(committed);
-    this.chain.raise(floor);
+    this.chain.raise(Math.min(floor, this.chain.settled));
     this.store.prune(floor);
   }
 
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -7,13 +7,21 @@
 import type { Disk } from '../kernel/disk/disk.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
-import { digestOf, type CoreSet } from './document.js';
+import { digestOf, type CoreSet, type Digest } from './document.js';
 
 export interface Filed {
   readonly ballot: Ballot;
   readonly document: Uint8Array;
   /** The core set under which it was proposed here; absent when it was learned as settled. */
   readonly under?: CoreSet;
+  /** How it was made from the revision before, where it came so; it is not kept on disk. */
+  readonly delta?: RevisionDelta;
+}
+
+/** What makes a revision of the one with the base digest. */
+export interface RevisionDelta {
+  readonly base: Digest;
+  readonly bytes: Uint8Array;
 }
 
 /** What the disk holds of a member: what it accepted is the value of the highest ballot among the revisions. */
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -16,7 +16,8 @@
   type PrepareAsk,
   type PrepareReply,
 } from './calls.js';
-import { decodeDocument, digestOf, type CoreSet, type Document } from './document.js';
+import { applyDelta } from './delta.js';
+import { decodeDocument, documentDigest, type CoreSet, type Document } from './document.js';
 import type { Replica } from './replica.js';
 
 /** The ballot of the first revision, below that of every proposer but for those of the very first rounds. */
@@ -27,6 +28,20 @@
   readonly voters: CoreSet;
 }
 
+/** The value that a proposer asks to accept: sent whole, or as what changed from the revision held here. */
+const proposedValue = (
+  { ballot, document, base, digest }: AcceptAsk,
+  held: Document,
+): Outcome<AcceptedValue> =>
+  base
+    ? applyDelta(held, document, digest, 'proposer').map((rebuilt) => ({
+        ballot,
+        document: rebuilt.bytes,
+        parsed: rebuilt.document,
+        delta: { base, bytes: document },
+      }))
+    : decodeDocument(document, 'proposer').map((parsed) => ({ ballot, document, parsed }));
+
 /**
  * Answers proposers and the former of the group. A value that was never chosen may give way to its committed parent
  * under a higher ballot. The promise of that ballot is synced first: it shows at the next start that the file of the
@@ -65,12 +80,13 @@
         return failed('member.prepare', id, 'could not keep a promise', 'unknown');
       log('promised', [['ballot', ballotText(ask.ballot)]]);
     }
+    const isSent = promised && documentDigest(value.document) !== ask.known;
     return Right({
       promised,
       highest: acceptor.promised,
       accepted: value.ballot,
       settled: chain.settled,
-      document: promised ? value.document : Buffer.alloc(0),
+      document: isSent ? value.document : Buffer.alloc(0),
     });
   }
 
@@ -79,19 +95,20 @@
     const mandate = this.mandate('member.accept', ask);
     if (mandate.isLeft()) return mandate as Outcome<never>;
     if (compareBallots(ask.ballot, acceptor.promised) < 0)
-      return Right({ accepted: false, highest: acceptor.promised });
-    const decoded = decodeDocument(ask.document, 'proposer');
-    if (decoded.isLeft()) return decoded as Outcome<never>;
-    return this.vote(ask, decoded.unsafeCoerce(), mandate.unsafeCoerce().voters);
+      return Right({ accepted: false, highest: acceptor.promised, lacksBase: false });
+    const { value, voters } = mandate.unsafeCoerce();
+    if (ask.base && ask.base !== documentDigest(value.document))
+      return Right({ accepted: false, highest: acceptor.promised, lacksBase: true });
+    const proposed = proposedValue(ask, value.parsed);
+    if (proposed.isLeft()) return proposed as Outcome<never>;
+    return this.vote({ ...proposed.unsafeCoerce(), under: voters });
   }
 
-  private async vote(
-    { ballot, document }: AcceptAsk,
-    parsed: Document,
-    under: CoreSet,
-  ): Promise<Outcome<AcceptReply>> {
+  private async vote(value: AcceptedValue): Promise<Outcome<AcceptReply>> {
     const { acceptor, chain, id, log } = this.replica;
-    const contradiction = acceptor.contradiction(ballot, parsed, digestOf(document), chain);
+    const { ballot, document, parsed } = value;
+    const digest = documentDigest(document);
+    const contradiction = acceptor.contradiction(ballot, parsed, digest, chain);
     if (contradiction) {
       log('accept-refused', [
         ['ballot', ballotText(ballot)],
@@ -102,13 +119,13 @@
     const isStepBack = parsed.generation < acceptor.revision;
     if (isStepBack && !(await this.replica.promise(ballot)))
       return failed('member.accept', id, 'could not keep a promise', 'unknown');
-    if (!(await this.replica.hold({ ballot, document, parsed, under })))
+    if (!(await this.replica.hold(value)))
       return failed('member.accept', id, 'could not keep a generation', 'unknown');
     log('accepted', [
       ['generation', parsed.generation],
       ['ballot', ballotText(ballot)],
     ]);
-    return Right({ accepted: true, highest: ballot });
+    return Right({ accepted: true, highest: ballot, lacksBase: false });
   }
 
   private async form(document: Uint8Array): Promise<Outcome<{ formed: boolean }>> {
--- a/test/checker/acceptor.test.ts
+++ b/test/checker/acceptor.test.ts
@@ -105,7 +105,9 @@
     const round = { set: 2, voters: voterSetDigest(old.core), ballot };
     const promises = await world.until(
       Promise.all(
-        [2, 3, 4].map((number) => late.peers.ask(addressOf(number), Prepare, round, 1000)),
+        [2, 3, 4].map((number) =>
+          late.peers.ask(addressOf(number), Prepare, { ...round, known: '' }, 1000),
+        ),
       ),
     );
     expect(promises.every((reply) => reply.map(({ promised }) => promised).orDefault(false))).toBe(
@@ -121,7 +123,9 @@
     const learned = group.voter(4).member.state();
     expect(learned.settled).toBe(old.generation + 2);
 
-    await world.until(late.peers.ask(addressOf(4), Accept, { ...round, document }, 1000));
+    await world.until(
+      late.peers.ask(addressOf(4), Accept, { ...round, document, base: '', digest: '' }, 1000),
+    );
     world.part(['core-4'], ['core-1', 'core-2', 'core-3']);
     expect(await group.propose(operator, group.removalOf(2, 2))).toBe(true);
     await world.run(world.now + 500);
--- a/test/checker/changes.test.ts
+++ b/test/checker/changes.test.ts
@@ -5,7 +5,8 @@
  */
 import { expect, test } from 'vitest';
 import { pick } from '../../src/kernel/random/random.js';
-import { CATCH_UP, Plane } from './catchup.js';
+import { encodeDocument } from '../../src/register/document.js';
+import { CATCH_UP, costBetween, Plane } from './catchup.js';
 
 const ACKNOWLEDGED = 4000;
 const IN_FORCE = 2000;
@@ -159,3 +160,49 @@
       expect(await plane.caughtUp(2)).toBeDefined();
     }
 });
+
+test('a change among many costs the members and routers what changed, and not the whole revision', async () => {
+  const plane = new Plane(90, 500, 2);
+  expect(await plane.begin()).toBe(true);
+  for (let at = 0; at < 5; at++) expect(await plane.change()).toBeDefined();
+  await plane.pass(500);
+  const names = ['core-0', 'core-1', 'core-2', 'router-0', 'router-1'];
+  const before = names.map((name) => plane.cost(name));
+  const changes = 40;
+  for (let at = 0; at < changes; at++) expect(await plane.change()).toBeDefined();
+  expect(await plane.everywhere(plane.routers, IN_FORCE)).toBe(true);
+  const each = names.map(
+    (name, at) => costBetween(before[at]!, plane.cost(name)).receivedBytes / changes,
+  );
+  const revision = encodeDocument(plane.cores[0]!.member.newest!).length;
+  if (process.env['FIGURES']) console.log(JSON.stringify({ revision, each }));
+  for (const bytes of each) expect(bytes).toBeLessThan(0.1 * revision);
+});
+
+/** Where a frame says which call it belongs to, and the code of the feed. */
+const CODE_AT = 6;
+const FEED = 5;
+
+test('a member that does not hold what a change was made from is asked by the whole, and votes in the same round', async () => {
+  const plane = new Plane(95, 100, 0);
+  const { world } = plane;
+  expect(await plane.begin()).toBe(true);
+  const [first, second, behind] = plane.cores;
+  const heal = world.part([behind!.host.name], [first!.host.name, second!.host.name]);
+  for (let at = 0; at < 5; at++) expect(await plane.change()).toBeDefined();
+  const held = behind!.member.newest!.generation;
+  world.net.mishap = (_from, _to, frame) => (frame[CODE_AT] === FEED ? 'drop' : 'pass');
+  heal();
+  await plane.pass(100);
+  second!.host.kill();
+  expect(behind!.member.newest!.generation).toBe(held);
+  const rounds = (): number =>
+    plane
+      .trafficOf(behind!.host.name)
+      .counts.filter(({ way, call }) => way === 'received' && call === 'register.prepare')
+      .reduce((sum, { messages }) => sum + messages, 0);
+  const before = rounds();
+  expect(await plane.change()).toBeDefined();
+  expect(rounds() - before).toBe(1);
+  expect(behind!.member.newest!.configuration?.version).toBe(plane.version);
+});
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -100,7 +100,7 @@
 
   prepare(counter: number, core = this.first.document.core): Promise<Outcome<PrepareReply>> {
     const round = { set: core.number, voters: voterSetDigest(core), ballot: ballotOf(counter) };
-    return this.ask(this.asker.peers.ask(ADDRESS, Prepare, round, 1000));
+    return this.ask(this.asker.peers.ask(ADDRESS, Prepare, { ...round, known: '' }, 1000));
   }
 
   accept(
@@ -109,7 +109,7 @@
     core = this.first.document.core,
   ): Promise<Outcome<AcceptReply>> {
     const round = { set: core.number, voters: voterSetDigest(core), ballot: ballotOf(counter) };
-    const ask = { ...round, document: bytes };
+    const ask = { ...round, document: bytes, base: '', digest: '' };
     return this.ask(this.asker.peers.ask(ADDRESS, Accept, ask, 1000));
   }
 
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -304,7 +304,7 @@
   const text = (path: string): string => Buffer.from(disk.files.get(path) ?? []).toString('utf8');
   const prepare = (counter: number): Promise<boolean> =>
     asker.peers
-      .ask(addresses[0]!, Prepare, { ...group, ballot: ballot(counter) }, 900)
+      .ask(addresses[0]!, Prepare, { ...group, ballot: ballot(counter), known: '' }, 900)
       .then((reply) => reply.isRight() && text('promise').includes(`"counter":${counter}`));
   expect(await world.until(prepare(5))).toBe(true);
   const next = encodeDocument({
@@ -314,7 +314,12 @@
   });
   const accept = (counter: number): Promise<boolean> =>
     asker.peers
-      .ask(addresses[0]!, Accept, { ...group, ballot: ballot(counter), document: next }, 900)
+      .ask(
+        addresses[0]!,
+        Accept,
+        { ...group, ballot: ballot(counter), document: next, base: '', digest: '' },
+        900,
+      )
       .then(
         (reply) =>
           reply.isRight() && text('generations/000000000002').includes(`"counter":${counter}`),
