--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -28,43 +28,36 @@
   type PrepareReply,
   type StateReply,
 } from './calls.js';
-import { DELTA_LEAST } from './chain.js';
 import { applyChanges, type Verdict } from './change.js';
-import { deltaOf } from './delta.js';
 import {
-  decodeDocument,
-  documentDigest,
   encodeDocument,
   voterSetDigest,
   type Change,
   type CoreSet,
-  type Digest,
   type Document,
 } from './document.js';
+import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
-import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
+import { deltaBetween, revisionOf, type Revision } from './revision.js';
+import { roundValue } from './round-value.js';
+import { decided, isOutdated, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
 /** For how many ms a proposer holds the revision it used last. */
 const KNOWN_FOR = 10_000;
+/** How often a survey begins again because it learned of a newer core set. */
+const SURVEY_PASSES = 4;
 
 interface Waiting {
   readonly change: Change;
-  readonly limit: Moment;
+  readonly over: AbortController;
   unsure: boolean;
   tell(outcome: Outcome<Verdict>): void;
 }
 
-/** A revision with its text and the digest of that. */
-interface Revision {
-  readonly document: Document;
-  readonly bytes: Uint8Array;
-  readonly digest: Digest;
-}
-
 interface Read extends Revision {
   readonly ballot: Ballot;
   readonly core: CoreSet;
@@ -78,27 +71,24 @@
   readonly known: Revision | undefined;
 }
 
-const revisionOf = (document: Document, bytes: Uint8Array): Revision => ({
-  document,
-  bytes,
-  digest: documentDigest(bytes),
-});
-
-/** What changed, where that is worth sending instead of the whole. */
-const deltaBetween = (
-  before: Revision,
-  { document, bytes, digest }: Revision,
-): Uint8Array | undefined => {
-  if (bytes.length < DELTA_LEAST) return undefined;
-  const delta = deltaOf(before.document, document, digest);
-  return delta && delta.length < bytes.length ? delta : undefined;
-};
+/** A promise with the revision that the member did not send since it is held here. */
+const withKnown = (reply: PrepareReply, known: Revision | undefined): PrepareReply =>
+  known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
 
 export interface Survey {
   readonly generation: number;
   readonly sources: readonly string[];
 }
 
+/** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
+const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
+  const generation = Math.max(0, ...[...states.values()].map((state) => state.generation));
+  const sources = [...states]
+    .filter(([, { settled }]) => settled >= generation)
+    .map(([address]) => address);
+  return states.size >= quorum && sources.length > 0 ? { generation, sources } : undefined;
+};
+
 export class Proposer {
   private readonly waiting: Waiting[] = [];
   private counter = 0;
@@ -106,6 +96,7 @@
   /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
   private known: Revision | undefined;
   private knownSince: Moment | undefined;
+  readonly contact: QuorumContact;
 
   constructor(
     private readonly peers: Peers,
@@ -113,19 +104,23 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.contact = new QuorumContact(peers, roster, clock);
+  }
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
   propose(change: Change, duration: number): Promise<Outcome<Verdict>> {
+    return this.proposeWithin(change, { whole: duration, outOfContact: duration });
+  }
+
+  /** Proposes a change for as long as patience lasts; one that is given up before its first accept is never proposed. */
+  proposeWithin(change: Change, patience: Patience): Promise<Outcome<Verdict>> {
     if (this.waiting.length >= WAITING_BOUND)
       return Promise.resolve(failed('register.line', 'self', 'too many changes wait here'));
     return new Promise((tell) => {
-      this.waiting.push({
-        change,
-        limit: (this.clock.now() + duration) as Moment,
-        unsure: false,
-        tell,
-      });
+      const item = { change, over: new AbortController(), unsure: false, tell };
+      this.waiting.push(item);
+      void this.expire(item, patience);
       if (!this.busy) void this.work();
     });
   }
@@ -147,36 +142,42 @@
 
   /** The newest settled generation, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
+    const limit = this.clock.now() + duration;
     await this.learnCore();
-    for (let pass = 0; pass < 4; pass++) {
+    for (let pass = 0; pass < SURVEY_PASSES; pass++) {
       const { number, members } = this.roster.core;
-      const quorum = majority(members.length);
-      const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
+      const replies = await this.askStates(members);
+      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as CoreSet);
+      if (this.roster.core.number !== number) continue;
+      const survey = surveyOf(replies, majority(members.length));
+      if (number > 0 && survey) return Right(survey);
+      break;
+    }
+    const left = limit - this.clock.now();
+    if (left <= 0)
+      return failed('register.survey', 'core', `no majority told its state within ${duration} ms`);
+    return (await this.read(left)).map(({ generation }) => ({ generation, sources: [] }));
+  }
+
+  /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
+  private async askStates(members: CoreSet['members']): Promise<ReadonlyMap<string, StateReply>> {
+    const sureOf = (all: Replies<StateReply>): ReadonlyMap<string, StateReply> =>
+      new Map(
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
           return state?.sure &&
             members.some((seat) => seat.id === state.member && seat.address === address)
             ? [[address, state] as const]
             : [];
-        });
-      const replies = surest(
-        await gather(
-          members.map(({ address }) => address),
-          (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
-          (all) => surest(all).length >= quorum,
-        ),
+        }),
       );
-      for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
-      if (this.roster.core.number !== number) continue;
-      const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
-      const sources = replies
-        .filter(([, { settled }]) => settled >= generation)
-        .map(([address]) => address);
-      if (number > 0 && replies.length >= quorum && sources.length > 0)
-        return Right({ generation, sources });
-      break;
-    }
-    return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
+    return sureOf(
+      await gather(
+        members.map(({ address }) => address),
+        (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+        (all) => sureOf(all).size >= majority(members.length),
+      ),
+    );
   }
 
   private async work(): Promise<void> {
@@ -190,26 +191,31 @@
       outbid = done.isLeft() && (done.extract() as Fault).kind === 'outbid';
       tries = done.isLeft() && outbid === before ? tries + 1 : 0;
       if (done.isLeft()) await this.backOff(tries);
-      const now = this.clock.now();
-      for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
-        const reason = 'the limit came before a majority of the core settled it';
-        this.finish(
-          item,
-          failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
-        );
-      }
     }
     this.busy = false;
   }
 
+  /** Gives a change up once patience has ended; before its first accept it certainly won't come to be by this node. */
+  private async expire(item: Waiting, patience: Patience): Promise<void> {
+    await this.contact.outlast(patience, item.over.signal);
+    const reason = this.contact.holds
+      ? 'the limit came before a majority of the core settled it'
+      : `no contact with a majority of the core: ${this.contact.silentVoters.join(' ')}`;
+    this.finish(
+      item,
+      failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+    );
+  }
+
   private finish(item: Waiting, outcome: Outcome<Verdict>): void {
     const at = this.waiting.indexOf(item);
     if (at < 0) return;
     this.waiting.splice(at, 1);
+    item.over.abort('over');
     item.tell(outcome);
   }
 
-  private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
+  private async round(taken: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [
@@ -221,6 +227,7 @@
       return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
+    const batch = taken.filter((item) => this.waiting.includes(item));
     const { document: next, verdicts } = applyChanges(
       document,
       batch.map(({ change }) => change),
@@ -306,26 +313,15 @@
         sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
-    const newest = promises.reduce((best, reply) =>
-      compareBallots(reply.accepted, best.accepted) > 0 ? reply : best,
-    );
-    return this.revisionIn(newest, known).map((revision) => {
-      const { document } = revision;
-      const settled = isSettled(promises, newest, document.generation, quorum);
-      if (settled && promises.some((reply) => reply.settled < document.generation))
-        this.announce(core, newest.accepted, revision);
-      return { ballot, core, settled, ...revision };
+    const complete = promises.map((reply) => withKnown(reply, known));
+    return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
+      const revision = this.hold(revisionOf(document, reply.document));
+      if (isCommitted && promises.some(({ settled }) => settled < document.generation))
+        this.announce(core, reply.accepted, revision);
+      return { ballot, core, settled: isCommitted, ...revision };
     });
   }
 
-  /** The accepted revision that a promise tells of: sent with it, or the one that the member was told is held here. */
-  private revisionIn({ document }: PrepareReply, known: Revision | undefined): Outcome<Revision> {
-    if (document.length === 0 && known) return Right(known);
-    return decodeDocument(document, 'core').map((decoded) =>
-      this.hold(revisionOf(decoded, document)),
-    );
-  }
-
   /** Holds a revision until no other was read or proposed for a while. */
   private hold(revision: Revision): Revision {
     this.known = revision;
