--- a/test/checker/capacity.ts
+++ b/test/checker/capacity.ts
@@ -6,7 +6,9 @@
 import { Right } from 'purify-ts';
 import type { Disk } from '../../src/kernel/disk/disk.js';
 import { failed } from '../../src/kernel/fault/fault.js';
-import { SimDisk, type Host, type World } from '../../src/sim/world.js';
+import { SimDisk } from '../../src/sim/disk.js';
+import type { Host } from '../../src/sim/host.js';
+import type { World } from '../../src/sim/world.js';
 
 const ASIDE = '.aside-';
 
--- a/test/checker/catchup.ts
+++ b/test/checker/catchup.ts
@@ -12,7 +12,8 @@
   type SimRouter,
   type SimSite,
 } from '../../src/sim/nodes.js';
-import { World, type Host } from '../../src/sim/world.js';
+import type { Host } from '../../src/sim/host.js';
+import { World } from '../../src/sim/world.js';
 import { CountedNet, Traffic } from '../../src/wire/traffic.js';
 import { CapacityDisk } from './capacity.js';
 
--- a/test/checker/space.test.ts
+++ b/test/checker/space.test.ts
@@ -8,7 +8,8 @@
 import { expect, test } from 'vitest';
 import { FolderDisk } from '../../src/kernel/disk/disk.js';
 import { Store } from '../../src/register/store.js';
-import { Host, World } from '../../src/sim/world.js';
+import { Host } from '../../src/sim/host.js';
+import { World } from '../../src/sim/world.js';
 import { CapacityDisk } from './capacity.js';
 import { DISK, Plane } from './catchup.js';
 
--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -1,7 +1,8 @@
 /** Core members of a simulated world, on disks that outlive them, with the faults that a schedule may bring upon them. */
 import { Accept, Prepare, Settled } from '../../src/register/calls.js';
 import { simCore, type SimCore } from '../../src/sim/nodes.js';
-import { SimDisk, World, type Mishap } from '../../src/sim/world.js';
+import { SimDisk } from '../../src/sim/disk.js';
+import { World, type Mishap } from '../../src/sim/world.js';
 import { decodeFrame, Stage, type Frame } from '../../src/wire/call.js';
 import type {
   CrashAtMessageStep,
