--- a/src/claim/calls.ts
+++ b/src/claim/calls.ts
@@ -3,22 +3,29 @@
 import { call } from '../wire/call.js';
 import { flag, list, number, struct, text } from '../wire/field.js';
 
+/** Asks a holder to grant a claim on an id. */
 export interface TakeAsk {
   key: string;
   owner: string;
   enrolledAt: number;
 }
+
+/** Whether the claim was granted, and otherwise who has it. */
 export interface TakeReply {
   granted: boolean;
   owner: string;
   reason: string;
 }
+
+/** Takes a claim at one of the routers that hold the id's claims. */
 export const Take = call<TakeAsk, TakeReply>(
   80,
   'claim.take',
   struct({ key: text, owner: text, enrolledAt: number }),
   struct({ granted: flag, owner: text, reason: text }),
 );
+
+/** Gives a claim back for a request that certainly did not run. */
 export const Release = call<{ key: string; owner: string }, { known: boolean }>(
   81,
   'claim.release',
@@ -49,6 +56,8 @@
   enrolledAt: number;
   after: number;
 }
+
+/** One page of the claims that a router holds. */
 export interface GatherReply {
   open: boolean;
   enrolledAt: number;
@@ -56,6 +65,8 @@
   next: number;
   claims: HeldClaim[];
 }
+
+/** Reads the claims that another router holds of one's own duties. */
 export const Gather = call<GatherAsk, GatherReply>(
   82,
   'claim.gather',
@@ -69,10 +80,14 @@
   key: string;
   owner: string;
 }
+
+/** Whether the claim is on disk, and whose it is. */
 export interface KeepReply {
   kept: boolean;
   owner: string;
 }
+
+/** Keeps a claim on a core member's disk. */
 export const Keep = call<KeepAsk, KeepReply>(
   83,
   'claim.keep',
@@ -86,12 +101,16 @@
   node: string;
   after: number;
 }
+
+/** One page of the claims that a core member keeps. */
 export interface RecallReply {
   whole: boolean;
   more: boolean;
   next: number;
   claims: HeldClaim[];
 }
+
+/** Reads claims back from a core member's disk. */
 export const Recall = call<RecallAsk, RecallReply>(
   84,
   'claim.recall',
@@ -99,10 +118,12 @@
   struct({ whole: flag, more: flag, next: number, claims: heldField }),
 );
 
+/** How many routers hold the claims on an id. */
 export const HOLDERS = 3;
 
 /** For how long an id is remembered. */
 export const KEPT = 600_000;
 
+/** The key that an id of a firm is claimed under. */
 export const keyOf = (firm: string, id: string): string =>
   createHash('sha256').update(`${firm}\u0000${id}`).digest('base64url').slice(0, 22);
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -47,9 +47,11 @@
 const RETRY = 150;
 const WINDOW = 6000;
 
+/** What became of a claim: taken, known to be another's, or not to be had. */
 export type Taken = 'taken' | 'known' | 'none';
 type Kept = 'kept' | 'known' | 'unsure';
 
+/** Takes claims on ids over the fleet, and holds those that fall to this router. */
 export class Claims {
   private readonly memory: ClaimMemory;
   /** Claims that rest on memory alone, of this router's own requests and of others that were copied here. */
--- a/src/claim/keeper.ts
+++ b/src/claim/keeper.ts
@@ -43,6 +43,7 @@
 
 const fileOf = (number: number): string => `claims/segment-${String(number).padStart(10, '0')}`;
 
+/** Claims on a core member's disk. */
 export class Keeper {
   private readonly memory: ClaimMemory;
   private readonly unsynced = new Set<string>();
--- a/src/claim/memory.ts
+++ b/src/claim/memory.ts
@@ -13,6 +13,7 @@
   readonly number: number;
 }
 
+/** The claims that a process remembers. */
 export class ClaimMemory {
   private readonly held = new Map<string, Held>();
   private count = 0;
--- a/src/claim/recall.ts
+++ b/src/claim/recall.ts
@@ -4,11 +4,13 @@
 
 const LIMIT = 1000;
 
+/** What a core member gave back, and whether it has all of it. */
 export interface Recalled {
   readonly whole: boolean;
   readonly claims: readonly HeldClaim[];
 }
 
+/** Reads all claims of a router's duties from one core member. */
 export const recallFrom = async (
   peers: Peers,
   address: string,
--- a/src/client/operate.ts
+++ b/src/client/operate.ts
@@ -10,10 +10,16 @@
 type Json<T> = T extends { content: { 'application/json': infer V } } ? V : never;
 type Named<P> = P extends `/rpc/${infer N}` ? N : never;
 
+/** The name of an operator call. */
 export type CallName = Named<keyof paths>;
+
+/** What a call is asked with. */
 export type Ask<N extends CallName> = Json<paths[`/rpc/${N}`]['post']['requestBody']>;
+
+/** What a call replies. */
 export type Reply<N extends CallName> = Json<paths[`/rpc/${N}`]['post']['responses'][200]>;
 
+/** The node that is asked, and the operator's key. */
 export interface Target {
   readonly node: string;
   readonly key: string;
@@ -26,6 +32,7 @@
   readonly outcome?: string;
 }
 
+/** Calls a node as an operator. */
 export const operate = async <N extends CallName>(
   { node, key }: Target,
   call: N,
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -10,6 +10,7 @@
 import { digestOf } from '../register/document.js';
 import { operate, type Target } from '../client/operate.js';
 
+/** The exit code for each outcome of a change. */
 export const exitCodes = new Map<string, number>([
   ['accepted', 0],
   ['declined', 3],
@@ -22,6 +23,7 @@
 const show = (value: unknown): void =>
   void process.stdout.write(`${JSON.stringify(value, null, 2)}\n`);
 
+/** Prints an outcome and sets the exit code. */
 export const end = (outcome: Outcome<unknown>): void => {
   outcome.caseOf({
     Right: (value) => {
@@ -36,6 +38,7 @@
   });
 };
 
+/** The options that all operator commands have. */
 export interface Common {
   node: string;
   key: string;
@@ -44,8 +47,10 @@
   expects?: number;
 }
 
+/** The node and the key that the options name. */
 export const target = ({ node, key }: Common): Target => ({ node, key });
 
+/** Adds the options that all operator commands have. */
 export const common = (yargs: Argv): Argv<Common> =>
   yargs
     .option('node', {
@@ -84,6 +89,7 @@
   );
 };
 
+/** The command `doorway`. */
 export const doorwayCommand = (yargs: Argv): Argv =>
   yargs
     .command(
@@ -277,6 +283,7 @@
   };
 };
 
+/** The command `config`. */
 export const configCommand = (yargs: Argv): Argv =>
   yargs
     .command('show', 'Shows the newest generation', common, async (argv) =>
@@ -339,6 +346,7 @@
   });
 };
 
+/** The command `node`. */
 export const nodeCommand = (yargs: Argv): Argv =>
   yargs
     .command('list', 'Nodes heard of, and nodes with standing', common, async (argv) =>
@@ -362,6 +370,7 @@
     )
     .demandCommand(1, 'name what to ask');
 
+/** The options of the command `trace`. */
 export const traceCommand = (yargs: Argv): Argv =>
   common(yargs)
     .positional('what', {
@@ -371,6 +380,7 @@
     })
     .option('json', { type: 'boolean', default: false }) as Argv;
 
+/** The command `trace`: a change's steps through all nodes. */
 export const runTrace = async (argv: Common & { what: string; json: boolean }): Promise<void> => {
   const traced = await operate(
     target(argv),
@@ -387,6 +397,7 @@
   for (const name of silent) process.stdout.write(`${name} silent\n`);
 };
 
+/** The command `core-set`. */
 export const coreSetCommand = (yargs: Argv): Argv =>
   yargs
     .command('show', 'The core members and their state', common, async (argv) =>
--- a/src/command/routes.ts
+++ b/src/command/routes.ts
@@ -48,6 +48,7 @@
     end(await send(argv, items.unsafeCoerce(), expects.unsafeCoerce()));
   };
 
+/** The command `routes`. */
 export const routesCommand = (yargs: Argv): Argv =>
   yargs
     .command(
--- a/src/doorway/match.ts
+++ b/src/doorway/match.ts
@@ -6,6 +6,7 @@
 import { RouteTable } from '../route/table.js';
 import type { Doorway, Placed } from './shape.js';
 
+/** What a request is matched by. */
 export interface Asked {
   readonly firm: string;
   readonly model: string;
@@ -23,6 +24,7 @@
   (match.path === undefined || match.path === asked.path) &&
   (match.model === undefined || match.model === asked.model);
 
+/** The doorways of one document, arranged for matching. */
 export class Compiled {
   private readonly byFirm = new Map<string, Placed[]>();
   private readonly byName = new Map<string, Placed>();
@@ -49,6 +51,7 @@
   }
 }
 
+/** The configuration in force at this node. */
 export class InForce {
   private document: Document | undefined;
   private compiled = new Compiled(0, []);
--- a/src/doorway/shape.ts
+++ b/src/doorway/shape.ts
@@ -37,6 +37,7 @@
 ): T =>
   (shape as unknown as { withConstraint(inner: typeof check): unknown }).withConstraint(check) as T;
 
+/** The shape of a doorway as an operator gives it. */
 export const DoorwayShape = Shape({
   name: Name,
   firm: Name,
@@ -52,8 +53,10 @@
   share: Count,
 }).exact();
 
+/** Whose requests go to which engines, and within which limits. */
 export type Doorway = Static<typeof DoorwayShape>;
 
+/** A doorway with the number of the document that last changed it. */
 export interface Placed {
   readonly doorway: Doorway;
   readonly generation: number;
@@ -71,6 +74,7 @@
   readonly details?: Record<PropertyKey, Inspection & { success: boolean }>;
 }
 
+/** The first thing wrong with a value that failed its check, as a sentence. */
 export const explain = (inspection: Inspection, value: unknown, path = ''): string => {
   for (const [key, inner] of Object.entries(inspection.details ?? {})) {
     if (inner.success) continue;
@@ -87,6 +91,7 @@
 const signature = ({ firm, match }: Doorway): string =>
   JSON.stringify([firm, match.tag ?? null, match.path ?? null, match.model ?? null]);
 
+/** Checks that no two doorways match the very same requests. */
 export const checkApart = (doorways: Iterable<Doorway>): Outcome<void> => {
   const seen = new Map<string, string>();
   for (const doorway of doorways) {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -15,6 +15,7 @@
 import type { Listed } from '../pool/engine.js';
 import type { RunRecord } from '../stand/engine/engine.js';
 
+/** The nodes of a fleet and where their files go. */
 export interface FleetPlan {
   readonly folder: string;
   readonly cores: number;
@@ -37,9 +38,13 @@
 
 const program = fileURLToPath(new URL('../../bin/rudderridge.js', import.meta.url));
 
+/** The key of a firm's callers. */
 export const callerKey = (firm: string): string => `${firm}-caller`;
+
+/** The key of a firm's operators. */
 export const operatorKey = (firm: string): string => `${firm}-operator`;
 
+/** Ports that are free on loopback now. */
 export const freePorts = async (count: number): Promise<number[]> => {
   const servers = await Promise.all(
     Array.from(
@@ -55,6 +60,7 @@
   return ports;
 };
 
+/** A fleet of processes that this tool started. */
 export class Fleet {
   private readonly running = new Map<string, Running>();
   readonly callers = new Map<string, string>();
--- a/src/fleet/measure.ts
+++ b/src/fleet/measure.ts
@@ -39,6 +39,7 @@
   return first - began;
 };
 
+/** Measures what a router adds to a direct call of an engine. */
 export const measureOverhead = async (fleet: Fleet, count: number): Promise<object> => {
   const direct: number[] = [];
   const routed: number[] = [];
@@ -61,6 +62,7 @@
   return { directMs: spread(direct), routedMs: spread(routed) };
 };
 
+/** Measures how long changes take until they are acknowledged. */
 export const measureChanges = async (fleet: Fleet, count: number): Promise<object> => {
   const times: number[] = [];
   const nodes = [...fleet.operators.keys()];
--- a/src/fleet/opaque.ts
+++ b/src/fleet/opaque.ts
@@ -20,8 +20,10 @@
 import type { Arrival, Asked } from '../stand/opaque/record.js';
 import { operatorKey, type Fleet } from './fleet.js';
 
+/** What an operator was answered. */
 export type Told = 'accepted' | 'conflict' | 'invalid' | 'unknown';
 
+/** A kind of request and how often it comes. */
 export interface Kind {
   readonly name: string;
   readonly asking: Partial<Asking> & Pick<Asking, 'host' | 'target' | 'repeatable'>;
@@ -30,6 +32,7 @@
 
 const READY_EVERY = 200;
 
+/** A fleet with engines and callers of opaque requests. */
 export class OpaqueScene {
   readonly engines = new Map<string, OpaqueEngine>();
   readonly caller: OpaqueCaller;
--- a/src/fleet/scenario.ts
+++ b/src/fleet/scenario.ts
@@ -9,18 +9,21 @@
 import { Fleet, type FleetPlan } from './fleet.js';
 import { drive, summary, type Called, type TrafficPlan } from './traffic.js';
 
+/** What fails while traffic runs. */
 export type Fault = (
   fleet: Fleet,
   left: Map<string, number>,
   note: (fact: string, value: unknown) => void,
 ) => Promise<void>;
 
+/** What came of a scenario. */
 export interface Result {
   readonly scenario: string;
   readonly findings: readonly Finding[];
   readonly figures: object;
 }
 
+/** The firms whose callers and operators take part. */
 export const firms = ['sahel', 'aconcagua'] as const;
 
 /** Sahel may use only the engines of even number; the other firm may use all. */
@@ -42,6 +45,7 @@
     })),
   );
 
+/** Sets the doorways of all firms. */
 export const openDoorways = async (fleet: Fleet): Promise<void> => {
   await fleet.ready(['core-1', 'core-2', 'core-3'].filter((name) => fleet.operators.has(name)));
   for (const doorway of doorways())
@@ -75,6 +79,7 @@
   }
 }
 
+/** Plays one scenario and judges it. */
 export const play = async (
   scenario: string,
   plan: FleetPlan,
@@ -144,6 +149,7 @@
 
 const seconds = (count: number): Promise<void> => pause(count * 1000);
 
+/** The scenarios, by name. */
 export const faults = new Map<string, Fault>([
   ['calm', async () => undefined],
   [
--- a/src/fleet/slopes/child.ts
+++ b/src/fleet/slopes/child.ts
@@ -6,6 +6,7 @@
 import { fork, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 
+/** Processor time and memory of a process. */
 export interface Usage {
   /** Seconds of processor time since the start. */
   readonly processor: number;
@@ -13,11 +14,13 @@
   readonly heap: number;
 }
 
+/** What a child process answers, with its usage. */
 export interface Report<T> {
   readonly usage: Usage;
   readonly told: T;
 }
 
+/** Answers a question to a role. */
 export type Answer = (question: unknown) => unknown;
 
 /** What a role module offers: it starts with the plan given and answers questions from then on. */
--- a/src/fleet/slopes/command.ts
+++ b/src/fleet/slopes/command.ts
@@ -7,6 +7,7 @@
 
 const numbers = (text: unknown): number[] => String(text).split(',').map(Number);
 
+/** The command `slopes`. */
 export const slopes: CommandModule = {
   command: 'slopes [parts..]',
   describe:
--- a/src/fleet/slopes/counts.ts
+++ b/src/fleet/slopes/counts.ts
@@ -14,6 +14,7 @@
 const STORM = 30;
 const CUT = 24_000;
 
+/** One point of a sweep on the simulator. */
 export interface CountAsk {
   readonly sweep: string;
   readonly at: number;
@@ -115,6 +116,7 @@
   };
 };
 
+/** Takes one point of a sweep on the simulator. */
 export const countPoint = async ({
   sweep,
   at,
@@ -154,6 +156,7 @@
   };
 };
 
+/** The role that takes a point in a process of its own. */
 export const count = ((ask: CountAsk) =>
   countPoint(ask).then((ready) => ({ ready, answer: () => undefined }))) satisfies (
   plan: CountAsk,
--- a/src/fleet/slopes/file.ts
+++ b/src/fleet/slopes/file.ts
@@ -36,6 +36,7 @@
   return table;
 };
 
+/** Fits the points of each sweep. */
 export const fitsOf = (points: readonly Point[]): Fit[] =>
   [...bySweep(points)].flatMap(([sweep, all]) => {
     const fitted = all.filter(({ at }) => !/^(routers|processor)/.test(sweep) || at !== FORETOLD);
@@ -45,6 +46,7 @@
       .map(([quantity, pairs]) => fitOf(sweep, quantity, pairs, targetOf(sweep)));
   });
 
+/** What the fits foretell for sizes that were measured as well. */
 export const predictionsOf = (points: readonly Point[]): Prediction[] =>
   [...bySweep(points)]
     .filter(
@@ -62,6 +64,7 @@
 const lines = (items: readonly unknown[]): string =>
   items.length ? `[\n${items.map((item) => JSON.stringify(item)).join(',\n')}\n]` : '[]';
 
+/** Reads the points that earlier runs left. */
 export const readPoints = (path: string): Point[] =>
   existsSync(path) ? (JSON.parse(readFileSync(path, 'utf8')) as RunFile).points.slice() : [];
 
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -16,6 +16,7 @@
 import { RouterModule } from '../../router/module.js';
 import type { Role } from './child.js';
 
+/** The service that the requests are for. */
 export const SERVICE = 'slopes';
 const SEAL = { 'x-answer-seal': 'seal' };
 
@@ -51,12 +52,14 @@
   answer: () => undefined,
 })) satisfies Role as Role;
 
+/** The ports of the forwarder and its engines. */
 export interface ForwarderPlan {
   /** Ports of the stand-ins; all but the first of the engines share them in turn. */
   readonly ports: readonly number[];
   readonly engines: number;
 }
 
+/** The role of a router that forwards requests. */
 export const forwarder = (async ({ ports, engines }: ForwarderPlan) => {
   const params = checkParams({ name: 'router-1' }).unsafeCoerce();
   const listed = new Map(
--- a/src/fleet/slopes/hollow.ts
+++ b/src/fleet/slopes/hollow.ts
@@ -14,11 +14,13 @@
 import { CountedNet, Traffic, type Count } from '../../wire/traffic.js';
 import type { Role } from './child.js';
 
+/** The routers of one process, and the core nodes they follow. */
 export interface HollowPlan {
   readonly params: readonly object[];
   readonly cores: readonly string[];
 }
 
+/** How far the routers of one process are. */
 export interface HollowTold {
   /** How many have standing and a list of engines. */
   readonly steady: number;
@@ -62,6 +64,7 @@
   };
 };
 
+/** The role of a process with many routers that have no callers. */
 export const hollow = (async ({ params, cores }: HollowPlan) => {
   const known = new Set(cores);
   const nodes: Node[] = [];
--- a/src/fleet/slopes/items.ts
+++ b/src/fleet/slopes/items.ts
@@ -18,6 +18,7 @@
   service: `service-${at % SERVICES}`,
 });
 
+/** A configuration with as many routes as asked for. */
 export const configurationOf = (items: number, version: number): Configuration => ({
   version,
   routes: Array.from({ length: items }, (_, at) => route(at, 60_000)),
@@ -28,6 +29,7 @@
   })),
 });
 
+/** A patch of one route. */
 export const patchOf = (at: number, version: number): Patch => ({
   version,
   set: { routes: [route(at, 60_000 + version)] },
--- a/src/fleet/slopes/loopback.ts
+++ b/src/fleet/slopes/loopback.ts
@@ -14,6 +14,7 @@
 import type { Point } from './shape.js';
 import { usageOf, type ProcessUsage } from './usage.js';
 
+/** One point of a sweep with real processes. */
 export interface LoopbackAsk {
   readonly sweep: string;
   readonly at: number;
@@ -45,6 +46,7 @@
     ...over,
   }));
 
+/** Takes one point of a sweep with real processes. */
 export const loopbackPoint = async ({
   sweep,
   at,
--- a/src/fleet/slopes/numbers.ts
+++ b/src/fleet/slopes/numbers.ts
@@ -4,6 +4,7 @@
 
 const rounded = (value: number): number => Number(value.toPrecision(5));
 
+/** The count, sum, median, most, and the first and ninth tenth of some values. */
 export const spreadOf = (values: readonly number[]): Spread => {
   const sorted = [...values].sort((a, b) => a - b);
   const at = (share: number): number =>
@@ -38,6 +39,7 @@
   };
 };
 
+/** Fits a straight and a square line to the points of a sweep. */
 export const fitOf = (
   sweep: string,
   quantity: string,
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -15,8 +15,10 @@
 import { ratesOf, type Sums } from './rates.js';
 import type { ControlPlan, RoleRates } from './shape.js';
 
+/** How many zones the nodes are spread over. */
 export const ZONES = 8;
 
+/** An engine as the platform lists it, by its number. */
 export const listedEngine = (at: number): Listed => ({
   identifier: `engine-${String(at).padStart(5, '0')}-a1b2c3`,
   address: `10.${20 + (at >> 16)}.${(at >> 8) & 255}.${at & 255}:8000`,
@@ -35,6 +37,7 @@
 const CORE_ZONES = [0, 4, 1, 5, 2, 6, 3, 7];
 const REGION = ZONES / 2;
 
+/** Core nodes and routers on the simulator's net, without callers. */
 export class ControlPlane {
   readonly world: World;
   readonly cores: SimCore[] = [];
--- a/src/fleet/slopes/plot.ts
+++ b/src/fleet/slopes/plot.ts
@@ -9,6 +9,7 @@
   readonly quantities: readonly string[];
 }
 
+/** The panels of the plot. */
 export const PANELS: readonly Panel[] = [
   {
     title: 'Bytes a second of a router, by routers',
@@ -70,6 +71,7 @@
   });
 };
 
+/** Draws the points and fits of a run file. */
 export const drawPlot = (file: RunFile, path: string): void => {
   const panels = PANELS.map((panel) => ({
     ...panel,
--- a/src/fleet/slopes/prefixes.ts
+++ b/src/fleet/slopes/prefixes.ts
@@ -6,11 +6,13 @@
 import { PartIndex } from '../../index/parts.js';
 import type { Role } from './child.js';
 
+/** How many engines and services the index holds prefixes of. */
 export interface IndexPlan {
   readonly engines: number;
   readonly services: number;
 }
 
+/** What the index took. */
 export interface IndexTold {
   readonly claims: number;
   readonly storeMicros: number;
@@ -21,6 +23,7 @@
 const LOOKUPS = 20_000;
 const MODELS = 3;
 
+/** The role of a process that fills an index. */
 export const index = (({ engines, services }: IndexPlan) => {
   const held = new PartIndex(() => 1);
   let stored = 0;
--- a/src/fleet/slopes/rates.ts
+++ b/src/fleet/slopes/rates.ts
@@ -3,6 +3,7 @@
 import { spreadOf } from './numbers.js';
 import type { RoleRates } from './shape.js';
 
+/** The counts of each node. */
 export type Sums = ReadonlyMap<string, readonly Count[]>;
 
 const keyOf = ({ way, call, peer }: Count): string => `${way} ${call} ${peer}`;
@@ -19,6 +20,7 @@
   });
 };
 
+/** The rates between two moments, spread over the nodes. */
 export const ratesOf = (
   nodes: readonly string[],
   before: Sums,
--- a/src/fleet/slopes/routing.ts
+++ b/src/fleet/slopes/routing.ts
@@ -94,6 +94,7 @@
   return good;
 };
 
+/** Measures processor time for each request. */
 export const requestPoints = async (): Promise<Point[]> => {
   const points: Point[] = [];
   for (const engines of [8, 50, 200, 770]) {
@@ -136,6 +137,7 @@
   return points;
 };
 
+/** Measures processor time for each event and memory for each open stream. */
 export const streamPoints = async (): Promise<Point[]> => {
   const points: Point[] = [];
   const bench = await openBench(8);
@@ -166,6 +168,7 @@
   return points;
 };
 
+/** Measures the size and the speed of the index. */
 export const indexPoints = async (counts: readonly number[]): Promise<Point[]> => {
   const points: Point[] = [];
   const child = await Child.start('index', { engines: 770, services: 24 }, true);
--- a/src/fleet/slopes/run.ts
+++ b/src/fleet/slopes/run.ts
@@ -7,6 +7,7 @@
 import { eventPoints, indexPoints, requestPoints, streamPoints } from './routing.js';
 import type { Point } from './shape.js';
 
+/** Which sweeps to take, at which sizes. */
 export interface RunAsk {
   readonly parts: readonly string[];
   readonly sizes: readonly number[];
@@ -100,6 +101,7 @@
       ]);
 };
 
+/** The sweeps, by name. */
 export const parts: ReadonlyMap<string, Part> = new Map<string, Part>([
   ['routers', countSizes],
   ['engines', countEngines],
@@ -111,6 +113,7 @@
   ['streams', async (_, keep) => keep(await streamPoints())],
 ]);
 
+/** Takes the sweeps asked for and writes their points. */
 export const runSlopes = async (ask: RunAsk): Promise<void> => {
   const wanted = ask.parts.includes('all') ? [...parts.keys()] : ask.parts;
   for (const name of wanted) {
--- a/src/fleet/slopes/shape.ts
+++ b/src/fleet/slopes/shape.ts
@@ -18,6 +18,7 @@
   readonly receivedBytes: number;
 }
 
+/** The rates of the nodes of one role. */
 export interface RoleRates {
   readonly all: { readonly [K in keyof Rates]: Spread };
   /** By call and by the kind of the other end; medians over the nodes, with the most of any node. */
@@ -30,6 +31,7 @@
   }>;
 }
 
+/** A control plane that is to be counted. */
 export interface ControlPlan {
   readonly cores: number;
   readonly routers: number;
@@ -56,6 +58,7 @@
   readonly taken?: { readonly at: string; readonly command: string; readonly commit: string };
 }
 
+/** The fits through one quantity of a sweep. */
 export interface Fit {
   readonly sweep: string;
   readonly quantity: string;
@@ -70,6 +73,7 @@
   readonly target?: { readonly at: number; readonly linear: number; readonly quadratic: number };
 }
 
+/** What a fit foretold, and what was measured. */
 export interface Prediction {
   readonly quantity: string;
   readonly at: number;
@@ -80,6 +84,7 @@
   readonly error: number;
 }
 
+/** The file that a run leaves. */
 export interface RunFile {
   readonly machine: {
     readonly processors: number;
--- a/src/fleet/slopes/usage.ts
+++ b/src/fleet/slopes/usage.ts
@@ -4,6 +4,7 @@
 const TICKS = 100;
 const PAGE = 1024;
 
+/** Processor time and memory of another process. */
 export interface ProcessUsage {
   /** Seconds of processor time since the start. */
   readonly processor: number;
@@ -14,6 +15,7 @@
   readonly own: number;
 }
 
+/** Reads the usage of a process. */
 export const usageOf = (pid: number): ProcessUsage => {
   const stat = readFileSync(`/proc/${pid}/stat`, 'latin1');
   const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
--- a/src/fleet/traffic.ts
+++ b/src/fleet/traffic.ts
@@ -7,6 +7,7 @@
 import { callOnce, type CallerRecord } from '../stand/caller/caller.js';
 import { callerKey } from './fleet.js';
 
+/** How much traffic there is, and of which kinds. */
 export interface TrafficPlan {
   readonly seed: number;
   readonly seconds: number;
@@ -20,6 +21,7 @@
   readonly routers: () => readonly string[];
 }
 
+/** What a caller was answered, with the kind of its request. */
 export interface Called extends CallerRecord {
   readonly kind: 'short' | 'long';
   readonly firm: string;
@@ -32,6 +34,7 @@
       `${firm} train ${number * 1000 + at} leaves yard ${at % 7} at ${at % 24}:${(at * 7) % 60}`,
   ).join('\n');
 
+/** Sends the traffic of a plan and records the answers. */
 export const drive = async (plan: TrafficPlan): Promise<Called[]> => {
   const random = new SeededRandom(plan.seed);
   const calls: Array<Promise<Called>> = [];
@@ -67,11 +70,13 @@
   return Promise.all(calls);
 };
 
+/** A quantile of some values, the median by default. */
 export const median = (values: readonly number[], share = 0.5): number => {
   const sorted = [...values].sort((a, b) => a - b);
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
 };
 
+/** The outcomes and times of calls as figures. */
 export const summary = (calls: readonly Called[]): object => {
   const of = (kind: string): readonly Called[] => calls.filter((call) => call.kind === kind);
   const spread = (some: readonly Called[]): object => {
--- a/src/index/hash.ts
+++ b/src/index/hash.ts
@@ -5,6 +5,7 @@
  */
 import { createHash, hash as hashOnce } from 'node:crypto';
 
+/** A block of a prompt: its own hash, and the hash chained over all blocks before it. */
 export interface Block {
   readonly local: string;
   readonly external: string;
@@ -16,18 +17,22 @@
   return hash.digest('base64url').slice(0, 22);
 };
 
+/** What keeps prefixes apart: caches are never shared over its borders. */
 export interface Namespace {
   readonly model: string;
   readonly weightGeneration: string;
   readonly firm: string;
 }
 
+/** A namespace as one text. */
 export const namespaceKey = ({ model, weightGeneration, firm }: Namespace): string =>
   JSON.stringify([model, weightGeneration, firm]);
 
+/** The hash that the chain of a namespace begins with. */
 export const rootHash = (namespace: Namespace): string =>
   short(['namespace\u0000', namespaceKey(namespace)]);
 
+/** Cuts bytes into whole blocks and chains their hashes. */
 export const blocksOf = (bytes: Uint8Array, size: number, parent: string): Block[] => {
   const blocks: Block[] = [];
   let external = parent;
--- a/src/index/ledger.ts
+++ b/src/index/ledger.ts
@@ -10,6 +10,7 @@
 
 const BTree = (BTreeModule.default ?? BTreeModule) as typeof BTreeModule.default;
 
+/** One block that an engine is believed to hold. */
 export interface Claim {
   readonly external: string;
   readonly tree: Tree;
@@ -22,6 +23,7 @@
   b.depth - a.depth ||
   (a.external < b.external ? -1 : a.external > b.external ? 1 : 0);
 
+/** What this node believes one engine's cache to hold. */
 export class Ledger {
   private readonly byBlock = new Map<string, Claim>();
   private readonly aged = new BTree<Claim, true>(undefined, byAge);
--- a/src/index/parts.ts
+++ b/src/index/parts.ts
@@ -52,6 +52,7 @@
   }
 }
 
+/** Which engine holds which parts of prompts. */
 export class PartIndex {
   private readonly trees = new Map<string, Tree>();
   private readonly roots = new Map<string, string>();
--- a/src/index/prefixes.ts
+++ b/src/index/prefixes.ts
@@ -12,6 +12,7 @@
 
 const TREES_BOUND = 1024;
 
+/** Blocks that an engine has stored, as one of its numbered events. */
 export interface Store {
   readonly namespace: Namespace;
   readonly parent: string | undefined;
@@ -28,6 +29,7 @@
   flying: number;
 }
 
+/** Which engine holds how long a prefix of a prompt. */
 export class Prefixes {
   private readonly trees = new Map<string, Tree>();
   private readonly engines = new Map<string, Held>();
--- a/src/index/tree.ts
+++ b/src/index/tree.ts
@@ -8,8 +8,10 @@
 import type { Block } from './hash.js';
 import { Vertex } from './vertex.js';
 
+/** Work that other work may come in between of, at each yield. */
 export type Steps<T> = Generator<undefined, T, undefined>;
 
+/** Runs steps to their end without a pause. */
 export const finish = <T>(steps: Steps<T>): T => {
   for (;;) {
     const step = steps.next();
@@ -17,6 +19,7 @@
   }
 };
 
+/** Whether the tree took what was to be stored. */
 export type StoreVerdict = 'stored' | 'rejected';
 
 type Plan =
@@ -30,6 +33,7 @@
     }
   | { readonly kind: 'split'; readonly vertex: Vertex; readonly at: number };
 
+/** A compressed radix tree over block hashes, for one namespace. */
 export class Tree {
   readonly root = new Vertex([], undefined);
   private readonly lookups = new Map<string, Map<string, Vertex>>();
--- a/src/index/vertex.ts
+++ b/src/index/vertex.ts
@@ -5,6 +5,7 @@
  */
 import type { Block } from './hash.js';
 
+/** One vertex of the tree, with the edge that leads to it. */
 export class Vertex {
   edge: Block[];
   readonly places = new Map<string, number>();
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -7,11 +7,16 @@
  */
 import { Injectable } from '@nestjs/common';
 
+/** A reading of a monotonic clock, in ms; only readings of the same process compare. */
 export type Moment = number & { readonly Moment: unique symbol };
+
+/** A span of time in ms. */
 export type Duration = number;
 
+/** The moment that lies a duration after another. */
 export const later = (moment: Moment, by: Duration): Moment => (moment + by) as Moment;
 
+/** The time as the program sees it, and sleeping. */
 export interface Clock {
   now(): Moment;
   strict(): Moment;
@@ -49,6 +54,7 @@
   }
 }
 
+/** The clock of the operating system. */
 @Injectable()
 export class SystemClock implements Clock {
   private readonly reckoner = new Reckoner(
--- a/src/kernel/disk/disk.ts
+++ b/src/kernel/disk/disk.ts
@@ -8,6 +8,7 @@
 import { dirname, join } from 'node:path';
 import { attempt, type Outcome } from '../fault/fault.js';
 
+/** A folder of small files; a write is synced before it is reported as done. */
 export interface Disk {
   write(path: string, bytes: Uint8Array): Promise<Outcome<void>>;
   read(path: string): Promise<Outcome<Uint8Array | undefined>>;
@@ -32,6 +33,7 @@
 
 const absent = (thrown: unknown): boolean => (thrown as NodeJS.ErrnoException).code === 'ENOENT';
 
+/** A disk that is a folder of the operating system. */
 @Injectable()
 export class FolderDisk implements Disk {
   private asides = 0;
--- a/src/kernel/journal/journal.ts
+++ b/src/kernel/journal/journal.ts
@@ -5,12 +5,14 @@
  */
 import type { Clock, Moment } from '../clock/clock.js';
 
+/** One event with its number and its moment. */
 export interface Entry<E> {
   readonly number: number;
   readonly moment: Moment;
   readonly event: E;
 }
 
+/** A bounded record of events, which drops the oldest. */
 export class Journal<E> {
   private readonly entries: Entry<E>[] = [];
   private readonly folds: Array<(entry: Entry<E>) => void> = [];
--- a/src/kernel/log/log.ts
+++ b/src/kernel/log/log.ts
@@ -5,7 +5,10 @@
 import debug from 'debug';
 import { format } from 'node:util';
 
+/** The fields of a log line; one whose value is undefined is left out. */
 export type Fields = ReadonlyArray<readonly [string, string | number | boolean | undefined]>;
+
+/** Writes one line: an event's name and its fields. */
 export type Log = (event: string, fields?: Fields) => void;
 
 const quoted = (value: string | number | boolean): string => {
@@ -13,6 +16,7 @@
   return /^[\w.:/+@-]+$/.test(text) ? text : JSON.stringify(text);
 };
 
+/** Opens the log of a node, which writes key=value lines. */
 export const openLog = (node: string): Log => {
   if (!process.env['DEBUG']) debug.enable('rudderridge:*');
   const print = debug('rudderridge:event');
@@ -32,4 +36,5 @@
   };
 };
 
+/** A log that writes nothing. */
 export const silentLog: Log = () => undefined;
--- a/src/kernel/net/net.ts
+++ b/src/kernel/net/net.ts
@@ -7,9 +7,11 @@
 import { Right } from 'purify-ts';
 import { failed, reasonOf, type Outcome } from '../fault/fault.js';
 
+/** The most bytes that a frame may have. */
 export const FRAME_BOUND = 16 * 1024 * 1024;
 const UNSENT_BOUND = 64 * 1024 * 1024;
 
+/** A connection between two processes that carries frames in order. */
 export interface Channel {
   readonly peer: string;
   send(frame: Uint8Array): boolean;
@@ -17,11 +19,13 @@
   close(): void;
 }
 
+/** An address on which connections are accepted. */
 export interface Listener {
   readonly address: string;
   close(): void;
 }
 
+/** Listening for connections, and opening them. */
 export interface Net {
   listen(address: string, accept: (channel: Channel) => void): Promise<Outcome<Listener>>;
   dial(address: string, limit: number): Promise<Outcome<Channel>>;
@@ -107,6 +111,7 @@
   }
 }
 
+/** Splits `IP:PORT` into its two parts. */
 export const parseAddress = (address: string): { host: string; port: number } => {
   const cut = address.lastIndexOf(':');
   return {
@@ -115,6 +120,7 @@
   };
 };
 
+/** The net of the operating system: frames over TCP. */
 @Injectable()
 export class TcpNet implements Net {
   listen(address: string, accept: (channel: Channel) => void): Promise<Outcome<Listener>> {
--- a/src/kernel/random/random.ts
+++ b/src/kernel/random/random.ts
@@ -2,11 +2,13 @@
 import { Injectable } from '@nestjs/common';
 import { randomBytes } from 'node:crypto';
 
+/** A source of random numbers and identities. */
 export interface Random {
   fraction(): number;
   identity(): string;
 }
 
+/** Random numbers of the operating system. */
 @Injectable()
 export class SystemRandom implements Random {
   fraction(): number {
@@ -45,9 +47,11 @@
   }
 }
 
+/** One of the items at random, or undefined where there is none. */
 export const pick = <T>(random: Random, items: readonly T[]): T | undefined =>
   items[Math.floor(random.fraction() * items.length)];
 
+/** The items in random order; the argument stays as it is. */
 export const shuffled = <T>(random: Random, items: readonly T[]): T[] => {
   const copy = [...items];
   for (let i = copy.length - 1; i > 0; i--) {
--- a/src/node/extension.ts
+++ b/src/node/extension.ts
@@ -17,11 +17,13 @@
 /** The services of a running node, by name. */
 export type Services = ReadonlyMap<string, unknown>;
 
+/** What a deployment adds to a node or puts in place of its own parts. */
 export interface Extension {
   readonly services: ReadonlyMap<string, unknown>;
   readonly faces: ReadonlyArray<(services: Services) => Promise<Outcome<Face>>>;
 }
 
+/** Adds nothing. */
 export const noExtension: Extension = { services: new Map(), faces: [] };
 
 /** The providers of a module with some of its services replaced. */
--- a/src/node/keys.ts
+++ b/src/node/keys.ts
@@ -3,6 +3,7 @@
 import type { Params } from '../params/shape.js';
 import { keyTable } from '../params/read.js';
 
+/** The keys of callers and operators, by their hashes. */
 export class Keys {
   private callers: ReadonlyMap<string, string>;
   private operators: ReadonlyMap<string, string>;
--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -3,6 +3,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { PassageEvent } from '../passage/chart.js';
 
+/** Registers a metric whose value is read when it is asked for. */
 export const gauge = (registry: Registry, name: string, help: string, read: () => number): void => {
   const made: Gauge = new Gauge({
     name: `rudderridge_${name}`,
@@ -12,6 +13,7 @@
   });
 };
 
+/** Counts the outcomes and retries of requests from their journal. */
 export const countPassages = (registry: Registry, journal: Journal<PassageEvent>): void => {
   const steps = new Counter({
     name: 'rudderridge_request_steps_total',
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -17,6 +17,7 @@
 import { Keys } from './keys.js';
 import { names } from './names.js';
 
+/** The services that core nodes and routers have in common. */
 export const nodeProviders = (params: Params, role: 'core' | 'router'): Provider[] => [
   { provide: names.params, useValue: params },
   { provide: names.clock, useClass: SystemClock },
--- a/src/params/read.ts
+++ b/src/params/read.ts
@@ -4,6 +4,7 @@
 import { attempt, type Outcome } from '../kernel/fault/fault.js';
 import { checkParams, type Params } from './shape.js';
 
+/** Reads the params of a node; flags win over the file. */
 export const readParams = async (
   file: string | undefined,
   flags: unknown,
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -56,6 +56,7 @@
   ({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration',
 ) as unknown as typeof LeaseShape;
 
+/** The shape of a node's params. */
 export const ParamsShape = Shape({
   fleet: Name,
   name: Name,
@@ -132,6 +133,7 @@
   reread: between(0, 3_600_000),
 }).exact();
 
+/** The params of a node. */
 export type Params = Static<typeof ParamsShape>;
 
 const defaults = {
@@ -187,6 +189,7 @@
   return Object.fromEntries(merged);
 };
 
+/** Lays one layer of params over another, and checks the whole. */
 export const checkParams = (...layers: unknown[]): Outcome<Params> => {
   const whole = layers.reduce(overlay, defaults);
   const checked = ParamsShape.inspect(whole);
--- a/src/passage/chart.ts
+++ b/src/passage/chart.ts
@@ -4,6 +4,7 @@
  */
 import type { Journal } from '../kernel/journal/journal.js';
 
+/** Where a request stands. */
 export type State =
   | 'received'
   | 'matched'
@@ -31,6 +32,7 @@
   ['broken', new Set()],
 ]);
 
+/** What a request's chart writes to the journal. */
 export type PassageEvent =
   | {
       readonly kind: 'step';
@@ -42,6 +44,7 @@
   | { readonly kind: 'fault'; readonly request: string; readonly from: State; readonly to: State }
   | { readonly kind: 'retry'; readonly request: string; readonly peer: string };
 
+/** The state of one request, which moves only by allowed steps. */
 export class Chart {
   private held: State = 'received';
 
--- a/src/passage/ids.ts
+++ b/src/passage/ids.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 
+/** The ids of requests that this node has seen and must not run again. */
 export class TakenIds {
   private readonly taken = new Map<string, Moment>();
 
--- a/src/passage/line.ts
+++ b/src/passage/line.ts
@@ -17,6 +17,7 @@
   served: number;
 }
 
+/** The waiting requests of all doorways. */
 export class Lines {
   private readonly lines = new Map<string, Line>();
   private floor = 0;
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -32,6 +32,7 @@
 import { Decoding, readChunk, renamed, type Notes } from './pieces.js';
 import { SseReader, type SseEvent } from './sse.js';
 
+/** Where an answer goes: the caller's connection. */
 export interface Sink {
   readonly gone: AbortSignal;
   write(event: SseEvent, engine: string): Promise<boolean>;
@@ -39,6 +40,7 @@
   broken(reason: Fault): void;
 }
 
+/** A request that did not run, or may have, with the status that its caller gets. */
 export interface Decline {
   readonly outcome: 'declined' | 'unknown';
   readonly status: number;
@@ -46,9 +48,11 @@
   readonly retryAfter: number | undefined;
 }
 
+/** How a request ended. */
 export type Ending =
   { readonly outcome: 'result' } | { readonly outcome: 'broken'; readonly fault: Fault } | Decline;
 
+/** The bounds that requests are carried within. */
 export interface PassageParams {
   readonly inFlight: number;
   readonly silence: number;
@@ -96,6 +100,7 @@
 
 const over = (ending: Ending): Leg => ({ kind: 'over', ending });
 
+/** Carries chat requests from callers to engines. */
 export class Passage {
   private draining = false;
   private readonly trips = new Map<Trip, AbortController>();
--- a/src/passage/pieces.ts
+++ b/src/passage/pieces.ts
@@ -63,6 +63,7 @@
   readonly cached: number | undefined;
 }
 
+/** Reads one event of a stream; undefined where it is not of the published format. */
 export const readChunk = (data: string): Chunk | undefined => {
   try {
     const raw = JSON.parse(data) as {
--- a/src/passage/request.ts
+++ b/src/passage/request.ts
@@ -5,11 +5,13 @@
 import { Right } from 'purify-ts';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 
+/** One message of a chat. */
 export interface Message {
   readonly role: string;
   readonly content: string;
 }
 
+/** A chat request that passed its check. */
 export interface CallerRequest {
   readonly id: string;
   readonly firm: string;
@@ -24,6 +26,7 @@
   readonly body: ReadonlyMap<string, unknown>;
 }
 
+/** A request as it came in, with the firm that its key belongs to. */
 export interface Asking {
   readonly firm: string;
   readonly path: string;
@@ -43,6 +46,7 @@
   return parts.includes(undefined) ? undefined : parts.join('');
 };
 
+/** Checks a chat request. */
 export const readRequest = ({
   firm,
   path,
--- a/src/passage/sse.ts
+++ b/src/passage/sse.ts
@@ -7,11 +7,13 @@
 
 const EVENT_BOUND = 1024 * 1024;
 
+/** One server-sent event, as it came and by its data alone. */
 export interface SseEvent {
   readonly raw: string;
   readonly data: string;
 }
 
+/** Cuts a byte stream into whole events. */
 export class SseReader {
   private pending = '';
   private readonly decoder = new TextDecoder('utf-8', { fatal: true });
--- a/src/place/choose.ts
+++ b/src/place/choose.ts
@@ -8,11 +8,13 @@
 import type { Engine } from '../pool/engine.js';
 import { Allowance, lawFor, type LawParams, type Payment } from './law.js';
 
+/** The bounds and costs that the choice goes by. */
 export interface PlaceParams {
   readonly perEngine: number;
   readonly zoneCost: number;
 }
 
+/** What a request needs of an engine. */
 export interface Need {
   readonly prompt: number;
   readonly blocks: (engine: Engine) => readonly string[];
@@ -20,12 +22,14 @@
   readonly extra: number;
 }
 
+/** An engine for a request, with what it holds of the prompt and the estimate. */
 export interface Choice {
   readonly engine: Engine;
   readonly overlap: number;
   readonly estimate: number;
 }
 
+/** A place at an engine, held from the choice to the end of the request. */
 export interface Slot {
   readonly engine: Engine;
   readonly payment: Payment;
@@ -42,8 +46,10 @@
 
 const REPORT_LIFE = 2000;
 
+/** How engines are chosen. */
 export type Policy = 'index' | 'least-busy' | 'round-robin';
 
+/** Chooses an engine for each chat request. */
 export class Chooser {
   private readonly busyness = new Map<string, Busyness>();
   private readonly allowances = new Map<string, Allowance>();
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -8,6 +8,7 @@
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import type { Engine } from '../pool/engine.js';
 
+/** What bounds the traffic of each router. */
 export interface LawParams {
   readonly routers: number;
   readonly largestPrompt: number;
@@ -15,6 +16,7 @@
   readonly rateShare: number;
 }
 
+/** The bound on what other routers may have pushed out of one engine's cache. */
 export interface Law {
   readonly warm: number;
   readonly largest: number;
@@ -42,6 +44,7 @@
 /** The last block of a request may be counted whole; blocks are at most this large. */
 export const ROUNDING = 256;
 
+/** The bound that holds at an engine. */
 export const lawFor = (engine: Engine, params: LawParams): Law => ({
   warm: engine.cacheCapacity / (8 * params.routers),
   largest: params.largestPrompt + params.largestReply + ROUNDING,
@@ -53,6 +56,7 @@
 export const othersBound = (law: Law, span: number): number =>
   law.others * (law.warm + 2 * law.largest + (law.rate * Math.max(0, span)) / 1000);
 
+/** What a request pays from the router's allowance at an engine. */
 export interface Payment {
   readonly blocks: readonly string[];
   readonly paid: number;
--- a/src/place/least.ts
+++ b/src/place/least.ts
@@ -6,6 +6,7 @@
 import type { Engine } from '../pool/engine.js';
 import type { PlaceAsk, Placement, Placer } from './placer.js';
 
+/** Places each request at the engine with the fewest requests of this router. */
 export class LeastLoadPlacer implements Placer {
   private readonly flying = new Map<string, number>();
 
--- a/src/place/placer.ts
+++ b/src/place/placer.ts
@@ -6,6 +6,7 @@
 import type { Engine } from '../pool/engine.js';
 import type { Service } from '../route/shape.js';
 
+/** A request that is to be placed. */
 export interface PlaceAsk {
   readonly service: Service;
   /** Undefined for a request that tells nothing of a prompt. */
@@ -21,6 +22,7 @@
 /** How a request ended at its engine: whole; turned away unrun; failed in any other way; or given up by its caller. */
 export type TicketEnd = 'whole' | 'turned-away' | 'failed' | 'left';
 
+/** A request at an engine. */
 export interface Ticket {
   readonly engine: Engine;
   /** 0 to 9, 0 first; what the engine is told. */
@@ -34,10 +36,12 @@
   end(how: TicketEnd): void;
 }
 
+/** A ticket, or when to come back. */
 export type Placement =
   | { readonly kind: 'placed'; readonly ticket: Ticket }
   | { readonly kind: 'full'; readonly retryAfter: number; readonly reason: string };
 
+/** Chooses engines for opaque requests. */
 export interface Placer {
   /** `engines` are those that may serve the request (of the service, not leaving, not yet tried). */
   place(ask: PlaceAsk, engines: readonly Engine[]): Placement;
--- a/src/place/prefix.ts
+++ b/src/place/prefix.ts
@@ -27,6 +27,7 @@
 /** The shortest wait a refusal names, in milliseconds. */
 const LEAST_WAIT = 10;
 
+/** Places requests where the shared part of their prompt was read before. */
 export class PrefixPlacer implements Placer {
   private readonly index: PartIndex;
   private readonly soundness: Soundness;
--- a/src/place/prefix/belief.ts
+++ b/src/place/prefix/belief.ts
@@ -8,6 +8,7 @@
 const PRIOR = [0.5, 0.2, 0.1, 0.05, 0.02];
 const STEP = 0.05;
 
+/** How likely each preferred engine holds a prefix that this node never sent there. */
 export class Belief {
   private readonly warm = [...PRIOR];
 
--- a/src/place/prefix/blocking.ts
+++ b/src/place/prefix/blocking.ts
@@ -11,6 +11,7 @@
 /** Milliseconds after which the answer is sought again. */
 const AGE = 5000;
 
+/** How far the reading of one prompt holds others up. */
 export class Blocking {
   private value = PRIOR;
   private samples = 0;
--- a/src/place/prefix/choice.ts
+++ b/src/place/prefix/choice.ts
@@ -11,6 +11,7 @@
 import type { ServiceRecord } from './service.js';
 import type { Weights } from './weights.js';
 
+/** An engine that may be chosen, with its estimate. */
 export interface Option {
   readonly engine: Engine;
   readonly load: EngineLoad;
@@ -41,6 +42,7 @@
 /** Up to so many engines all are looked at one by one. */
 const FEW = 16;
 
+/** Chooses among the engines that may take a request. */
 export class Choice {
   private readonly binding: boolean;
   /** The pull from which on an engine is left to long prompts; none while engines are not split. */
--- a/src/place/prefix/load.ts
+++ b/src/place/prefix/load.ts
@@ -11,6 +11,7 @@
 const FULL_FIRST = 50;
 const FULL_MOST = 1000;
 
+/** A prompt that is being read at an engine. */
 export interface Reading {
   readonly sentAt: number;
   /** Milliseconds to the first token, as expected when it was sent. */
@@ -29,6 +30,7 @@
   readonly beside: number;
 }
 
+/** This node's own requests at one engine. */
 export class EngineLoad {
   readonly hash: number;
   flying = 0;
--- a/src/place/prefix/order.ts
+++ b/src/place/prefix/order.ts
@@ -15,6 +15,7 @@
   return (hash ^ (hash >>> 16)) >>> 0;
 };
 
+/** The weight of an engine for a key. */
 export const attraction = (key: number, engine: number): number =>
   mixed(key ^ Math.imul(engine, 0x9e3779b1));
 
--- a/src/place/prefix/pace.ts
+++ b/src/place/prefix/pace.ts
@@ -38,6 +38,7 @@
   }
 }
 
+/** How fast the engines of a service read prompts. */
 export class Pace {
   private readonly bases = new Recent(48, 0.3, DEFAULT_BASE);
   private readonly reads = new Recent(48, 0.3, DEFAULT_PER_TOKEN);
--- a/src/place/prefix/prefixes.ts
+++ b/src/place/prefix/prefixes.ts
@@ -13,6 +13,7 @@
   held?: ReadonlyMap<string, number>;
 }
 
+/** The prefixes of one request's prompt. */
 export class PromptPrefixes {
   /** Tokens of all parts but the last, which belongs to the request or its session. */
   readonly shared: number;
--- a/src/place/prefix/service.ts
+++ b/src/place/prefix/service.ts
@@ -8,6 +8,7 @@
 
 const SERVICES_BOUND = 4096;
 
+/** What is learned about one service. */
 export class ServiceRecord {
   readonly pace = new Pace();
   readonly blocking = new Blocking();
@@ -21,6 +22,7 @@
   }
 }
 
+/** What is learned about all services. */
 export class ServiceRecords {
   private readonly records = new Map<string, ServiceRecord>();
 
--- a/src/place/prefix/split.ts
+++ b/src/place/prefix/split.ts
@@ -14,6 +14,7 @@
 /** The largest share of the engines for long prompts: what is left to short ones must bear their bursts. */
 const MOST = 2 / 3;
 
+/** How many engines of a service take long prompts. */
 export class Split {
   private long = 0;
   private short = 0;
--- a/src/place/prefix/ticket.ts
+++ b/src/place/prefix/ticket.ts
@@ -12,6 +12,7 @@
 /** By how many ms a request must have missed its unhindered first token for it to count as blocked. */
 const MISSED = 40;
 
+/** A ticket that feeds the estimates and the index. */
 export class PlacedTicket implements Ticket {
   private readonly sentAt: number;
   private readonly reading: Reading;
--- a/src/place/prefix/weights.ts
+++ b/src/place/prefix/weights.ts
@@ -11,6 +11,7 @@
   readonly cacheTokens: number;
 }
 
+/** The params of the placer where nothing else is set. */
 export const prefixPlacerDefaults: PrefixPlacerParams = {
   zone: '',
   zoneCost: 0,
@@ -19,6 +20,7 @@
   cacheTokens: 262_144,
 };
 
+/** How the estimates weigh in the choice. */
 export interface Weights {
   /** Shared parts of at least this many tokens bind a request to the engines that are preferred for them. */
   readonly binding: number;
@@ -46,6 +48,7 @@
   readonly fullLow: number;
 }
 
+/** The weights that the program runs with. */
 export const defaultWeights: Weights = {
   binding: 1024,
   choices: 3,
--- a/src/pool/channel.ts
+++ b/src/pool/channel.ts
@@ -12,6 +12,7 @@
 const KEPT_BOUND = 32;
 const KEPT_FOR = 4000;
 
+/** The head of an engine's reply, and its body as it comes. */
 export interface EngineReply {
   readonly statusCode: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -25,6 +26,7 @@
   close(): void;
 }
 
+/** A connection on which the engine has just proved its identity. */
 export interface EngineChannel {
   readonly engine: Engine;
   send(
@@ -52,6 +54,7 @@
   };
 };
 
+/** Verified connections to engines over HTTP, kept for a short while after use. */
 export class Channels implements EngineChannels {
   private readonly kept = new Map<string, Socketed[]>();
 
--- a/src/pool/engine.ts
+++ b/src/pool/engine.ts
@@ -20,6 +20,7 @@
     /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/.test(value) || 'expected IP:PORT',
 );
 
+/** The shape of an engine in the platform's list. */
 export const EngineShape = Shape({
   identifier: Text.withConstraint(
     (value) => (value.length > 0 && value.length <= 200) || 'expected 1 to 200 characters',
@@ -41,6 +42,7 @@
 /** An entry of the list as a platform, or who speaks for it, writes it. */
 export type Listed = Static<typeof EngineShape>;
 
+/** The shape of the platform's list. */
 export const ListShape = Shape({
   engines: bounded(
     List(EngineShape),
@@ -48,6 +50,7 @@
   ),
 });
 
+/** An engine that the platform lists. */
 export interface Engine {
   readonly identifier: string;
   readonly address: string;
@@ -84,6 +87,7 @@
   ...(listed.cold_ms !== undefined && { cold: listed.cold_ms }),
 });
 
+/** Reads and checks the platform's list. */
 export const parseList = (text: string, peer: string): Outcome<Engine[]> => {
   let raw: unknown;
   try {
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -35,6 +35,8 @@
   digest: string;
   list: Uint8Array;
 }
+
+/** Asks the holder of the list for one newer than the asker has. */
 export const News = call<NewsAsk, NewsReply>(
   48,
   'pool.news',
@@ -77,12 +79,14 @@
     });
   };
 
+/** How often the list is read, and for how long one counts. */
 export interface PollParams {
   readonly every: number;
   readonly slice: number;
   readonly place: number;
 }
 
+/** The platform's list as this node has it, read or passed on by another router. */
 export class Newsroom {
   private text = '';
   private digest = '';
--- a/src/pool/soundness.ts
+++ b/src/pool/soundness.ts
@@ -14,6 +14,7 @@
   until: Moment;
 }
 
+/** Which engines failed of late and are set aside. */
 export class Soundness {
   private readonly records = new Map<string, Record>();
 
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -52,6 +52,7 @@
 const routersOf = (view: View, standing: Standing): number =>
   Math.max(view.live('router').length, standing.nodes);
 
+/** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
   private enrolment: Enrolment | undefined;
@@ -173,6 +174,7 @@
   }
 }
 
+/** Puts the services of a router together. */
 @Module({})
 export class RouterModule {
   static with(params: Params, { services }: Extension): DynamicModule {
--- a/src/stand/caller/caller.ts
+++ b/src/stand/caller/caller.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from 'undici';
 import { reasonOf } from '../../kernel/fault/fault.js';
 
+/** A chat request that is to be sent. */
 export interface CallerAsk {
   readonly router: string;
   readonly key: string;
@@ -18,6 +19,7 @@
   readonly limit?: number;
 }
 
+/** What a caller was answered. */
 export interface CallerRecord {
   readonly id: string;
   readonly repeatable: boolean;
@@ -35,6 +37,7 @@
 
 const agent = new Agent({ connections: 512, pipelining: 1, keepAliveTimeout: 1000 });
 
+/** Sends one chat request and records the answer. */
 export const callOnce = async (ask: CallerAsk): Promise<CallerRecord> => {
   const record: CallerRecord = {
     id: ask.id,
--- a/src/stand/command.ts
+++ b/src/stand/command.ts
@@ -14,6 +14,7 @@
     process.once('SIGINT', end);
   });
 
+/** The commands that start stand-ins. */
 export const standCommand = (yargs: Argv): Argv =>
   yargs
     .command(
--- a/src/stand/engine/cache.ts
+++ b/src/stand/engine/cache.ts
@@ -5,6 +5,7 @@
  */
 import { createHash } from 'node:crypto';
 
+/** A cache of prompt blocks in true LRU order. */
 export class BlockCache {
   private readonly held = new Map<string, number>();
 
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -10,6 +10,7 @@
 import { parseAddress } from '../../kernel/net/net.js';
 import { BlockCache } from './cache.js';
 
+/** The identity and the speed of a stand-in engine. */
 export interface EngineStandParams {
   readonly identifier: string;
   readonly address: string;
@@ -23,6 +24,7 @@
   readonly waitingBound: number;
 }
 
+/** A request that reached an engine. */
 export interface RunRecord {
   readonly engine: string;
   readonly passage: string;
@@ -41,6 +43,7 @@
 /** `cut-first` cuts every run but those that go on from words of another. */
 type Behaviour = 'well' | 'dark' | 'cut' | 'cut-first' | 'no-marker' | 'foreign' | 'busy' | 'stall';
 
+/** A stand-in engine for chat requests. */
 export class EngineStand {
   identifier: string;
   behaviour: Behaviour = 'well';
@@ -250,6 +253,7 @@
   }
 }
 
+/** Reads the body of a request. */
 export const readAll = async (request: IncomingMessage): Promise<string> => {
   const parts: Buffer[] = [];
   for await (const part of request) parts.push(part as Buffer);
--- a/src/stand/judge/judge.ts
+++ b/src/stand/judge/judge.ts
@@ -5,6 +5,7 @@
 import type { CallerRecord } from '../caller/caller.js';
 import type { RunRecord } from '../engine/engine.js';
 
+/** What must never happen. */
 export type Breach =
   | 'ran-twice'
   | 'declined-but-ran'
@@ -16,12 +17,14 @@
   | 'retry-share'
   | 'overreach';
 
+/** A breach that was found. */
 export interface Finding {
   readonly breach: Breach;
   readonly request: string;
   readonly detail: string;
 }
 
+/** The records that are judged. */
 export interface Evidence {
   readonly callers: readonly CallerRecord[];
   readonly runs: readonly RunRecord[];
@@ -33,8 +36,10 @@
   readonly overreach: number;
 }
 
+/** For how long after it was marked as leaving an engine may still get requests, in ms. */
 export const LEAVE_GRACE = 3000;
 
+/** Compares what callers were answered with what engines ran. */
 export const judge = ({
   callers,
   runs,
--- a/src/stand/opaque/answer.ts
+++ b/src/stand/opaque/answer.ts
@@ -11,6 +11,7 @@
 
 const HEAD_END = '\r\n\r\n';
 
+/** Reads the answers on one connection. */
 export class AnswerReader {
   readonly answers: ReadAnswer[] = [];
   malformed = '';
--- a/src/stand/opaque/answers.ts
+++ b/src/stand/opaque/answers.ts
@@ -3,6 +3,7 @@
 
 type Breach = readonly ['mixed' | 'order', string];
 
+/** What is wrong with the answer to one try. */
 export const answerBreaches = (asked: Asked, told: Try, arrivals: readonly Arrival[]): Breach[] => {
   const breaches: Breach[] = [];
   const mixed = (detail: string): void => void breaches.push(['mixed', detail]);
--- a/src/stand/opaque/batch.ts
+++ b/src/stand/opaque/batch.ts
@@ -8,6 +8,7 @@
 import type { Clock } from '../../kernel/clock/clock.js';
 import { PartCache } from './parts.js';
 
+/** How many requests run and wait at once, and how long steps take. */
 export interface BatchParams {
   readonly slots: number;
   readonly queue: number;
@@ -20,6 +21,7 @@
   readonly cacheTokens: number;
 }
 
+/** A request as the engine works on it. */
 export interface Work {
   readonly model: string;
   readonly parts: readonly PromptPart[];
@@ -43,6 +45,7 @@
   ran: boolean;
 }
 
+/** The requests that run and wait at one engine. */
 export class Batch {
   private cache: PartCache;
   private readonly waiting: Place[] = [];
--- a/src/stand/opaque/budget.ts
+++ b/src/stand/opaque/budget.ts
@@ -1,6 +1,7 @@
 /** Judges the share of further arrivals at each service, over every sliding window. */
 import type { Arrival, Asked } from './record.js';
 
+/** The share of further arrivals that is allowed. */
 export interface BudgetBounds {
   readonly ratio: number;
   /** ms. */
@@ -9,6 +10,7 @@
   readonly slack: number;
 }
 
+/** The windows in which too many arrivals were repeats. */
 export const budgetBreaches = (
   asked: readonly Asked[],
   arrivals: readonly Arrival[],
--- a/src/stand/opaque/caller.ts
+++ b/src/stand/opaque/caller.ts
@@ -12,6 +12,7 @@
 import { AnswerReader } from './answer.js';
 import { digestOfRequest, eventId, type Asked, type Try } from './record.js';
 
+/** An opaque request that is to be sent. */
 export interface Asking {
   readonly name: string;
   readonly host: string;
@@ -36,6 +37,7 @@
 const promises: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const finals: ReadonlySet<number> = new Set([400, 401, 404, 413, 431]);
 
+/** The bytes of a request as they go on the connection. */
 export const bytesOfRequest = (
   asking: Pick<Asking, 'method' | 'target' | 'host' | 'body' | 'chunked'>,
   fields: ReadonlyArray<readonly [string, string]>,
@@ -66,6 +68,7 @@
   return Buffer.concat(pieces);
 };
 
+/** Sends opaque requests, tries again as callers do, and records the answers. */
 export class OpaqueCaller {
   readonly asked: Asked[] = [];
 
--- a/src/stand/opaque/engine.ts
+++ b/src/stand/opaque/engine.ts
@@ -13,6 +13,7 @@
 import { digestOfRequest, type Arrival } from './record.js';
 import { Troubles } from './trouble.js';
 
+/** The identity and the workings of a stand-in engine. */
 export interface OpaqueEngineParams extends BatchParams {
   readonly identifier: string;
   readonly service: string;
@@ -30,6 +31,7 @@
   readonly retryAfter: number;
 }
 
+/** The params of an engine where nothing else is set. */
 export const defaultOpaqueEngine: OpaqueEngineParams = {
   identifier: 'engine-1',
   service: 'drafts',
@@ -49,6 +51,7 @@
   cacheTokens: 400_000,
 };
 
+/** A stand-in engine for opaque requests. */
 export class OpaqueEngine {
   readonly troubles = new Troubles();
   readonly arrivals: Arrival[] = [];
--- a/src/stand/opaque/judge.ts
+++ b/src/stand/opaque/judge.ts
@@ -9,6 +9,7 @@
 import { budgetBreaches, type BudgetBounds } from './budget.js';
 import type { Arrival, Asked, Try } from './record.js';
 
+/** What must never happen to an opaque request. */
 export type OpaqueBreach =
   /** A caller was told what is no engine's whole answer to this very request. */
   | 'mixed'
@@ -27,12 +28,14 @@
   | 'after-leaving'
   | 'retry-share';
 
+/** A breach that was found. */
 export interface OpaqueFinding {
   readonly breach: OpaqueBreach;
   readonly request: string;
   readonly detail: string;
 }
 
+/** A configuration with when it was sent and acknowledged. */
 export interface SentConfiguration {
   readonly configuration: Configuration;
   readonly sentAt: number;
@@ -42,6 +45,7 @@
   readonly refused: boolean;
 }
 
+/** The times and shares that the judge allows. */
 export interface OpaqueBounds extends BudgetBounds {
   /** ms after an engine is shown as leaving until it may get no request. */
   readonly drain: number;
@@ -49,6 +53,7 @@
   readonly apply: number;
 }
 
+/** The records that are judged. */
 export interface OpaqueEvidence {
   readonly asked: readonly Asked[];
   readonly arrivals: readonly Arrival[];
@@ -60,6 +65,7 @@
 
 type Find = (breach: OpaqueBreach, request: string, detail: string) => void;
 
+/** Compares what callers were answered with what engines did. */
 export const judgeOpaque = (evidence: OpaqueEvidence): OpaqueFinding[] => {
   const findings: OpaqueFinding[] = [];
   const find: Find = (breach, request, detail) => void findings.push({ breach, request, detail });
--- a/src/stand/opaque/parts.ts
+++ b/src/stand/opaque/parts.ts
@@ -9,6 +9,7 @@
   pins: number;
 }
 
+/** The prompt parts that an engine keeps. */
 export class PartCache {
   private readonly kept = new Map<string, Kept>();
   private keptTokens = 0;
--- a/src/stand/opaque/record.ts
+++ b/src/stand/opaque/record.ts
@@ -7,6 +7,7 @@
 /** How an arrival ended at its engine; `left` when the connection closed under it. */
 export type ArrivalEnd = 'refused' | 'running' | 'whole' | 'failed' | 'cut' | 'left';
 
+/** A request that reached an engine. */
 export interface Arrival {
   readonly engine: string;
   readonly service: string;
@@ -39,6 +40,7 @@
   ended: ArrivalEnd;
 }
 
+/** One try of a request and its answer. */
 export interface Try {
   readonly id: string;
   readonly router: string;
@@ -66,6 +68,7 @@
   firstAt: number;
 }
 
+/** A request with all its tries. */
 export interface Asked {
   readonly name: string;
   readonly host: string;
@@ -79,7 +82,9 @@
   outcome: 'served' | 'refused' | 'failed';
 }
 
+/** The digest that a request is recognised by at the engine. */
 export const digestOfRequest = (method: string, target: string, body: Uint8Array): string =>
   createHash('sha256').update(`${method} ${target}\n`).update(body).digest('hex').slice(0, 24);
 
+/** The id of a server-sent event; 0 where it has none. */
 export const eventId = (event: string): number => Number(/^id: ?(\d+)$/m.exec(event)?.[1] ?? 0);
--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -8,6 +8,7 @@
 const PIECE = 65_536;
 const GARBLED = 'qd\u0001\u0002 this is no answer \r\n\r\n\u0000\u0007';
 
+/** One answer of a stand-in engine. */
 export class Reply {
   private headed = false;
   private over = false;
--- a/src/stand/opaque/trouble.ts
+++ b/src/stand/opaque/trouble.ts
@@ -36,6 +36,7 @@
   | 'skips'
   | 'repeats';
 
+/** The troubles that a stand-in engine was told to make. */
 export class Troubles {
   private readonly told = new Map<TroubleKind, number>();
   /** Events (or, for one body, quarters) that come before a trouble in the middle. */
--- a/src/stand/platform/platform.ts
+++ b/src/stand/platform/platform.ts
@@ -8,6 +8,7 @@
 import type { Listed } from '../../pool/engine.js';
 import { readAll } from '../engine/engine.js';
 
+/** How the stand-in platform lags and limits. */
 export interface PlatformStandParams {
   readonly address: string;
   readonly lag: number;
@@ -16,6 +17,7 @@
   readonly pageSize?: number;
 }
 
+/** A stand-in for the platform's list of engines. */
 export class PlatformStand {
   private current = new Map<string, Listed>();
   private readonly shown: Array<{ at: number; engines: readonly Listed[] }> = [];
--- a/src/trace/tracing.ts
+++ b/src/trace/tracing.ts
@@ -11,15 +11,20 @@
 import { list, number, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 
+/** One step of a change at a node, by how many ms after the first one. */
 export interface TraceStep {
   step: string;
   after: number;
   ballot: string;
 }
+
+/** The steps that a node remembers. */
 export interface TraceReply {
   node: string;
   steps: TraceStep[];
 }
+
+/** Asks a node for the steps it remembers of one change. */
 export const Trace = call<{ generation: number }, TraceReply>(
   64,
   'trace.steps',
@@ -48,6 +53,7 @@
   readonly ballot: string;
 }
 
+/** The control events that a node remembers, and the calls that ask for them. */
 export class Tracing {
   private readonly journal: Journal<Noted>;
 
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -16,6 +16,7 @@
 import { flag, list, short, struct, text, word } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 
+/** Another node as this one knows it. */
 export interface Neighbour {
   name: string;
   incarnation: string;
@@ -39,18 +40,23 @@
   suspect: flag,
 });
 
+/** Swaps a part of two nodes' views. */
 export const Shuffle = call<{ entries: Neighbour[] }, { entries: Neighbour[] }>(
   32,
   'view.shuffle',
   struct({ entries: list(neighbourField) }),
   struct({ entries: list(neighbourField) }),
 );
+
+/** Asks a node to try to reach another. */
 export const Probe = call<{ address: string }, { reached: boolean }>(
   33,
   'view.probe',
   struct({ address: text }),
   struct({ reached: flag }),
 );
+
+/** Asks a node whether it is there. */
 export const Ping = call<{ from: string }, { name: string }>(
   34,
   'view.ping',
@@ -78,6 +84,7 @@
   readonly turn: number;
 }
 
+/** The partial view that a node keeps of the live nodes of the fleet. */
 export class View {
   private readonly entries = new Map<string, Neighbour>();
   private readonly suspects = new Map<string, number>();
--- a/src/wire/field.ts
+++ b/src/wire/field.ts
@@ -8,6 +8,7 @@
 import { failed, reasonOf, type Outcome } from '../kernel/fault/fault.js';
 import { Right } from 'purify-ts';
 
+/** How a value is laid out in a frame. */
 export type Field<T> = r.Field<T>;
 
 const LENGTH = 2;
@@ -82,13 +83,28 @@
   }
 }
 
+/** An unsigned number of one byte. */
 export const byte = r.uint8;
+
+/** An unsigned number of two bytes. */
 export const short = r.uint16;
+
+/** An unsigned number of four bytes. */
 export const word = r.uint32;
+
+/** A double-precision number. */
 export const number = r.doublebe;
+
+/** A boolean, in one byte. */
 export const flag = new r.Boolean(r.uint8);
+
+/** A text in UTF-8, led by its length in bytes. */
 export const text: Field<string> = new Text(r.uint16, 'utf8');
+
+/** Bytes, led by their count. */
 export const blob = new r.Buffer(r.uint32);
+
+/** Items of one layout, led by their count. */
 export const list = <T>(item: Field<T>): Field<T[]> => new List(item);
 /** One of a fixed set of texts, sent as its place among them; the order is part of the frame. */
 export const choice = <T extends string>(values: readonly T[]): Field<T> => {
@@ -105,11 +121,15 @@
     size: () => 1,
   };
 };
+
+/** Named fields, one after another in the order given. */
 export const struct = <T>(fields: { readonly [K in keyof T]: Field<T[K]> }): Field<T> =>
   new Row<T>(fields);
 
+/** Makes the bytes of a value. */
 export const encode = <T>(field: Field<T>, value: T): Uint8Array => field.toBuffer(value);
 
+/** Reads a value, which must use the bytes up to the last one. */
 export const decode = <T>(
   field: Field<T>,
   bytes: Uint8Array,
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -34,6 +34,7 @@
 const WAITING_BOUND = 4096;
 const HELLO_LIMIT = 2000;
 
+/** Calls to other processes of the fleet, and answers to theirs. */
 export class Peers {
   private readonly handlers = new Map<number, Handler>();
   private readonly lines = new Map<string, Promise<Outcome<Line>>>();
--- a/src/wire/traffic.ts
+++ b/src/wire/traffic.ts
@@ -7,8 +7,10 @@
 import type { Channel, Listener, Net } from '../kernel/net/net.js';
 import { callNames, HELLO } from './call.js';
 
+/** Whether frames were sent or received. */
 export type Way = 'sent' | 'received';
 
+/** How many frames of one kind went one way, and their bytes. */
 export interface Count {
   readonly way: Way;
   readonly call: string;
@@ -73,6 +75,7 @@
   }
 }
 
+/** A net that counts the frames that go through it. */
 export class CountedNet implements Net {
   /** `kindOf` tells what an address or the name of a channel's other end stands for. */
   constructor(
