--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -140,7 +140,7 @@
     const { enrolled } = this;
     const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
     const addresses = [
-      ...keepers.map((name) => enrolled.get(name)!.address),
+      ...keepers.flatMap((name) => enrolled.get(name)?.address ?? []),
       ...this.roster.addresses,
     ];
     await within(
@@ -178,7 +178,7 @@
     const names = this.duty(key);
     if (names.length === 0) return 'none';
     const quorum = majority(names.length);
-    const addresses = names.map((name) => enrolled.get(name)!.address);
+    const addresses = names.flatMap((name) => enrolled.get(name)?.address ?? []);
     const granted = (replies: readonly TakeReply[]): number =>
       replies.filter((reply) => reply.granted).length;
     const replies = sound(
--- a/src/claim/keeper.ts
+++ b/src/claim/keeper.ts
@@ -76,14 +76,14 @@
 
   async start(): Promise<Outcome<void>> {
     const names = await this.disk.list('claims');
-    if (names.isLeft()) return names as Outcome<never>;
+    if (names.isLeft()) return names;
     let spoilt = false;
     for (const name of names.unsafeCoerce().filter((each) => each.startsWith('segment-'))) {
       const owners = await this.read(`claims/${name}`);
       spoilt ||= owners === undefined;
       this.segments.push({
         number: Number(name.slice(8)),
-        owners: owners ?? new Map(),
+        owners: owners ?? new Map<string, string>(),
         newest: this.clock.now(),
       });
       for (const [key, owner] of owners ?? []) this.memory.note(key, owner);
@@ -134,7 +134,7 @@
 
   private async keep({ set, key, owner }: KeepAsk): Promise<Outcome<KeepReply>> {
     const may = this.votes('claim.keep', set);
-    if (may.isLeft()) return may as Outcome<never>;
+    if (may.isLeft()) return may;
     const before = this.memory.owner(key);
     if (before !== undefined && before !== owner) return Right({ kept: false, owner: before });
     if (before === undefined) {
@@ -194,7 +194,7 @@
 
   private recall({ set, node, after }: RecallAsk): Outcome<RecallReply> {
     const may = this.votes('claim.recall', set);
-    if (may.isLeft()) return may as Outcome<never>;
+    if (may.isLeft()) return may;
     const routers = [...(this.member.newest?.enrolled.keys() ?? [])];
     return Right({
       whole: this.held,
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -129,7 +129,7 @@
   };
   context.get<Tracing>(names.tracing).serve(context.get<Peers>(names.peers));
   const started = await node.start();
-  if (started.isLeft()) return refuse(started.extract() as Fault);
+  if (started.isLeft()) return refuse(started.extract());
   const registry = new Registry();
   gauge(
     registry,
@@ -176,7 +176,7 @@
   const faces: Face[] = [];
   for (const open of opening) {
     const face = await open();
-    if (face.isLeft()) return refuse(face.extract() as Fault);
+    if (face.isLeft()) return refuse(face.extract());
     faces.push(face.unsafeCoerce());
   }
   open = true;
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -76,7 +76,7 @@
       type: 'number',
       describe:
         'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default',
-    }) as Argv<Common>;
+    });
 
 const expected = async (argv: Common, name: string): Promise<Outcome<number>> => {
   const list = await operate(target(argv), 'doorway.list', {});
@@ -378,7 +378,7 @@
       demandOption: true,
       describe: 'A change id, or a generation as a number',
     })
-    .option('json', { type: 'boolean', default: false }) as Argv;
+    .option('json', { type: 'boolean', default: false });
 
 /** The command `trace`: a change's steps through all nodes. */
 export const runTrace = async (argv: Common & { what: string; json: boolean }): Promise<void> => {
@@ -387,7 +387,7 @@
     'change.trace',
     /^[0-9]+$/.test(argv.what) ? { generation: Number(argv.what) } : { change: argv.what },
   );
-  if (argv.json || traced.isLeft()) return end(traced);
+  if (argv.json || traced.isLeft()) return void end(traced);
   const { generation, changes, nodes, silent } = traced.unsafeCoerce();
   process.stdout.write(`generation ${generation} changes ${changes.join(' ') || '-'}\n`);
   for (const { name, role, steps } of nodes)
@@ -451,7 +451,7 @@
 
 const seat = async (argv: Common, address: string): Promise<Outcome<Changed>> => {
   const core = await operate(target(argv), 'core.show', {});
-  if (core.isLeft()) return core as Outcome<never>;
+  if (core.isLeft()) return core;
   return operate(target(argv), 'core.seat', {
     change: argv.change ?? randomUUID(),
     address,
@@ -462,7 +462,7 @@
 
 const unseat = async (argv: Common, member: string): Promise<Outcome<Changed>> => {
   const core = await operate(target(argv), 'core.show', {});
-  if (core.isLeft()) return core as Outcome<never>;
+  if (core.isLeft()) return core;
   const { number, members } = core.unsafeCoerce();
   const id = members.find((each) => each.id === member || each.address === member)?.id ?? member;
   return operate(target(argv), 'core.unseat', {
--- a/src/command/routes.ts
+++ b/src/command/routes.ts
@@ -13,7 +13,7 @@
     type: 'string',
     demandOption: true,
     describe: 'JSON or YAML',
-  }) as Argv<Named>;
+  });
 
 const readItems = (path: string): Promise<Outcome<Record<string, unknown>>> =>
   attempt(
@@ -44,7 +44,7 @@
       return;
     }
     const expects = await base(argv);
-    if (expects.isLeft()) return end(expects);
+    if (expects.isLeft()) return void end(expects);
     end(await send(argv, items.unsafeCoerce(), expects.unsafeCoerce()));
   };
 
--- a/src/doorway/shape.ts
+++ b/src/doorway/shape.ts
@@ -65,7 +65,7 @@
 /** Says the first thing that is wrong with a value, naming the field, what it holds and what was expected. */
 export const checkDoorway = (value: unknown): Outcome<Doorway> => {
   const checked = DoorwayShape.inspect(value);
-  if (checked.success) return Right(checked.value as Doorway);
+  if (checked.success) return Right(checked.value);
   return failed('doorway.check', 'operator', explain(checked as never, value));
 };
 
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -19,7 +19,7 @@
     .option('folder', {
       type: 'string',
       describe: 'Where params, logs and data go; a new temporary folder by default',
-    }) as never;
+    });
 
 const planFor = (
   argv: { cores: number; routers: number; engines: number; folder?: string },
--- a/src/index/ledger.ts
+++ b/src/index/ledger.ts
@@ -8,7 +8,7 @@
 import type { Moment } from '../kernel/clock/clock.js';
 import type { Tree } from './tree.js';
 
-const BTree = (BTreeModule.default ?? BTreeModule) as typeof BTreeModule.default;
+const BTree = BTreeModule.default ?? BTreeModule;
 
 /** One block that an engine is believed to hold. */
 export interface Claim {
--- a/src/kernel/log/log.ts
+++ b/src/kernel/log/log.ts
@@ -24,9 +24,9 @@
   (debug as unknown as { formatArgs: (args: unknown[]) => void }).formatArgs = (): void =>
     undefined;
   return (event, fields = []) => {
-    const pairs = fields
-      .filter(([, value]) => value !== undefined)
-      .map(([key, value]) => `${key}=${quoted(value!)}`);
+    const pairs = fields.flatMap(([key, value]) =>
+      value === undefined ? [] : [`${key}=${quoted(value)}`],
+    );
     print(
       '%s',
       [`at=${new Date().toISOString()}`, `node=${quoted(node)}`, `event=${event}`, ...pairs].join(
--- a/src/main.ts
+++ b/src/main.ts
@@ -48,7 +48,7 @@
     .option('platform', {
       type: 'string',
       describe: "URL of the platform's list of engines",
-    }) as Argv<DaemonFlags>;
+    });
 
 const flagLayer = (argv: DaemonFlags): unknown => ({
   name: argv.name,
@@ -71,7 +71,7 @@
   async (argv: DaemonFlags): Promise<void> => {
     const reread = (): ReturnType<typeof readParams> => readParams(argv.params, flagLayer(argv));
     const read = await reread();
-    if (read.isLeft()) return bad(read.extract() as Fault);
+    if (read.isLeft()) return void bad(read.extract());
     process.exit(await runDaemon(role, read.unsafeCoerce(), reread));
   };
 
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -200,6 +200,6 @@
       'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on enrolled routers',
     );
   return checked.success
-    ? Right(checked.value as Params)
+    ? Right(checked.value)
     : failed('params.check', 'params', explain(checked as never, whole));
 };
--- a/src/passage/chart.ts
+++ b/src/passage/chart.ts
@@ -58,12 +58,12 @@
   }
 
   get ended(): boolean {
-    return ways.get(this.held)!.size === 0;
+    return ways.get(this.held)?.size === 0;
   }
 
   step(to: State, peer = ''): boolean {
     const from = this.held;
-    if (!ways.get(from)!.has(to)) {
+    if (!ways.get(from)?.has(to)) {
       this.journal.append({ kind: 'fault', request: this.request, from, to });
       return false;
     }
--- a/src/passage/line.ts
+++ b/src/passage/line.ts
@@ -34,10 +34,10 @@
 
   leave(liner: Liner): void {
     const line = this.lines.get(liner.doorway);
-    const at = line?.waiting.indexOf(liner) ?? -1;
-    if (at >= 0) line!.waiting.splice(at, 1);
-    if (line && line.waiting.length === 0 && line.served <= this.floor)
-      this.lines.delete(liner.doorway);
+    if (!line) return;
+    const at = line.waiting.indexOf(liner);
+    if (at >= 0) line.waiting.splice(at, 1);
+    if (line.waiting.length === 0 && line.served <= this.floor) this.lines.delete(liner.doorway);
   }
 
   /** Lets on as many as can go. */
@@ -48,8 +48,8 @@
         .filter(({ waiting }) => waiting.length > 0)
         .sort((a, b) => a.served - b.served);
       for (const line of order) {
-        const head = line.waiting[0]!;
-        if (!head.attempt()) continue;
+        const [head] = line.waiting;
+        if (!head?.attempt()) continue;
         this.floor = Math.max(this.floor, line.served);
         line.served += head.cost / head.share;
         this.leave(head);
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -464,30 +464,28 @@
     const { engine } = slot;
     trip.chart.step('placed', engine.identifier);
     const made: string[] = [];
-    const unclaimed = await this.claim(trip);
-    const opened = unclaimed ? undefined : await this.channels.open(engine);
-    const leg =
-      unclaimed ??
-      (await opened!.caseOf<Promise<Leg>>({
-        Left: async (reason) => {
-          this.soundness.bad(engine.identifier);
-          return { kind: 'again', fault: reason, sent: false };
-        },
-        Right: async (channel) => {
-          const barred = this.barred(trip, engine, signal);
-          if (barred) {
-            channel.close();
-            return barred;
-          }
-          return this.send(trip, slot, channel, signal, made);
-        },
-      }));
+    const leg = (await this.claim(trip)) ?? (await this.attempt(trip, slot, signal, made));
     this.flying -= 1;
     this.chooser.free(slot, made, this.params.blockTokens);
     this.stir();
     return leg;
   }
 
+  /** Opens a channel to the engine and sends, unless something forbids it by then. */
+  private async attempt(trip: Trip, slot: Slot, signal: AbortSignal, made: string[]): Promise<Leg> {
+    const { engine } = slot;
+    const opened = await this.channels.open(engine);
+    if (opened.isLeft()) {
+      this.soundness.bad(engine.identifier);
+      return { kind: 'again', fault: opened.extract(), sent: false };
+    }
+    const channel = opened.unsafeCoerce();
+    const barred = this.barred(trip, engine, signal);
+    if (!barred) return this.send(trip, slot, channel, signal, made);
+    channel.close();
+    return barred;
+  }
+
   /** Takes the fleet's claim on an id that may not be repeated; what forbids the send, if anything. */
   private async claim(trip: Trip): Promise<Leg | undefined> {
     if (trip.repeatable || trip.claimed) return undefined;
@@ -675,7 +673,7 @@
     );
     if (!replied) return giveUp(fault('engine.head', peer, 'no reply within the limit', 'unknown'));
     if (replied.isLeft()) {
-      const reason = replied.extract() as Fault;
+      const reason = replied.extract();
       if (reason.certainty === 'declined') {
         channel.close();
         return { kind: 'again', fault: reason, sent: false };
@@ -693,7 +691,7 @@
     this.report(engine, reply);
     if (reply.statusCode !== 200) return giveUp(await this.notServed(reply, peer));
     const reader = new SseReader();
-    const chunks = reply.body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array>;
+    const chunks = reply.body[Symbol.asyncIterator]();
     const decode = new Decoding(
       trip.prompt,
       this.blocks(trip, this.namespace(trip, engine.weightGeneration)),
@@ -721,7 +719,7 @@
       if (next.done)
         return giveUp(fault('engine.stream', peer, 'ended without its end marker', 'unknown'));
       const events: Outcome<SseEvent[]> = reader.push(next.value, peer);
-      if (events.isLeft()) return giveUp(events.extract() as Fault);
+      if (events.isLeft()) return giveUp(events.extract());
       for (const event of events.unsafeCoerce()) {
         if (event.data === '[DONE]') {
           if (!finished || owed || !reader.empty)
--- a/src/passage/pieces.ts
+++ b/src/passage/pieces.ts
@@ -38,7 +38,7 @@
     const blocks = blocksOf(this.pending.subarray(0, whole * this.size), this.size, this.last);
     this.pending = this.pending.subarray(whole * this.size);
     this.note.decoded(blocks, this.depth === 0 ? undefined : this.last, this.depth);
-    this.last = blocks[blocks.length - 1]!.external;
+    this.last = blocks.at(-1)?.external ?? this.last;
     this.depth += blocks.length;
   }
 }
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -35,10 +35,9 @@
 ): string => {
   if (enrolled.size > law.routers)
     return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
-  const [other] = [...enrolled].find(([, each]) => each.law !== lawText(law)) ?? [];
-  return other === undefined
-    ? ''
-    : `${other} keeps another law: ${enrolled.get(other)!.law}, not ${lawText(law)}`;
+  const own = lawText(law);
+  const other = [...enrolled].find(([, each]) => each.law !== own);
+  return other === undefined ? '' : `${other[0]} keeps another law: ${other[1].law}, not ${own}`;
 };
 
 /** The last block of a request may be counted whole; blocks are at most this large. */
--- a/src/pool/soundness.ts
+++ b/src/pool/soundness.ts
@@ -54,10 +54,9 @@
   /** The identifiers to use out of the ones that could serve. */
   usable(identifiers: readonly string[]): Set<string> {
     const now = this.clock.now();
-    const aside = identifiers.filter(
-      (identifier) => (this.records.get(identifier)?.until ?? now) > now,
-    );
-    aside.sort((a, b) => this.records.get(a)!.until - this.records.get(b)!.until);
+    const until = (identifier: string): Moment => this.records.get(identifier)?.until ?? now;
+    const aside = identifiers.filter((identifier) => until(identifier) > now);
+    aside.sort((a, b) => until(a) - until(b));
     const most = Math.floor(identifiers.length / 2);
     const out = new Set(aside.slice(Math.max(0, aside.length - most)));
     return new Set(identifiers.filter((identifier) => !out.has(identifier)));
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -103,7 +103,8 @@
       this.random,
       this.log,
       (documents, items, _settled, frames) => {
-        const newest = documents[documents.length - 1]!;
+        const newest = documents.at(-1);
+        if (!newest) return;
         relay.note(items, documents, frames);
         if (!this.inForce.swap(newest)) return;
         this.operations.noteClaims(newest);
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -104,9 +104,12 @@
     const body = await readAll(request);
     const url = request.url ?? '';
     if (url === '/identity')
-      return this.json(response, 200, { identifier: this.identifier, model: this.params.model });
+      return void this.json(response, 200, {
+        identifier: this.identifier,
+        model: this.params.model,
+      });
     if (url === '/stand/records')
-      return this.json(response, 200, {
+      return void this.json(response, 200, {
         identifier: this.identifier,
         records: this.records,
         judged: this.judged,
@@ -123,7 +126,7 @@
       return;
     }
     if (url !== '/v1/chat/completions' || request.method !== 'POST')
-      return this.json(response, 404, { error: { code: 'not_found' } });
+      return void this.json(response, 404, { error: { code: 'not_found' } });
     await this.chat(request, response, body);
   }
 
@@ -160,7 +163,12 @@
       'x-tokens-ahead': String(this.ahead),
     };
     if (this.behaviour === 'busy' || this.ahead > this.params.waitingBound)
-      return this.json(response, 429, { error: { code: 'not_run', message: 'too busy' } }, own);
+      return void this.json(
+        response,
+        429,
+        { error: { code: 'not_run', message: 'too busy' } },
+        own,
+      );
     const prompt = Buffer.from(
       asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') +
         `<assistant>\n${continues}`,
--- a/src/stand/opaque/caller.ts
+++ b/src/stand/opaque/caller.ts
@@ -182,7 +182,7 @@
           const limit = told.connected
             ? heard + asking.silence
             : heard + Math.min(CONNECT, asking.silence);
-          if (now >= limit) return over(told.connected ? 'silent' : 'no connection');
+          if (now >= limit) return void over(told.connected ? 'silent' : 'no connection');
           await this.clock.sleep(limit - now, timers.signal);
         }
       };
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -199,7 +199,7 @@
     const { name, incarnation } = oldest;
     oldest.age = Math.max(0, oldest.age - STALE);
     if ((await this.swap(oldest.address)) || (await this.reachedByOthers(oldest)))
-      return this.clear(name);
+      return void this.clear(name);
     const entry = this.entries.get(name);
     if (entry?.incarnation === incarnation) this.suspect(entry);
   }
@@ -267,7 +267,7 @@
       if (weights.size > VIEW * 4) weights.clear();
       for (const { name } of live) if (!weights.has(name)) weights.set(name, weight(duty, name));
       live
-        .sort((a, b) => (weights.get(a.name)! < weights.get(b.name)! ? 1 : -1))
+        .sort((a, b) => ((weights.get(a.name) ?? '') < (weights.get(b.name) ?? '') ? 1 : -1))
         .slice(0, HEADS)
         .forEach((entry) => heads.add(entry));
     }
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -74,7 +74,7 @@
     const end = this.clock.now() + limit;
     const opened = await within(this.clock, limit, this.line(address, limit));
     if (!opened) return failed(`${call.name}.dial`, address, `no channel within ${limit} ms`);
-    if (opened.isLeft()) return opened as Outcome<R>;
+    if (opened.isLeft()) return opened;
     const line = opened.extract() as Line;
     if (line.waiting.size >= WAITING_BOUND)
       return failed(`${call.name}.send`, address, 'too many calls waiting');
