--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -67,7 +67,13 @@
       readonly expects: number;
       readonly takeover: boolean;
     }
-  | { readonly kind: 'seat'; readonly seat: Seat; readonly expects: number }
+  | {
+      readonly kind: 'seat';
+      readonly seat: Seat;
+      readonly expects: number;
+      /** The voter it takes over from, which is removed next; how many are wanted stays as it is. */
+      readonly replaces?: string;
+    }
   | {
       readonly kind: 'unseat';
       readonly id: string;
@@ -132,6 +138,10 @@
   createHash('sha256').update(bytes).digest('hex');
 export { digestOf };
 
+/** Names a voter set by what it is: two proposed changes of one set bear the same number. */
+export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
+  digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
+
 /** A change as the history keeps it, without the whole of a configuration. */
 export const slim = (change: Change): Change => {
   if (change.act.kind !== 'configure') return change;
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -7,6 +7,7 @@
 import { SeededRandom, type Random } from '../kernel/random/random.js';
 import { Agenda } from './agenda.js';
 import type { Host } from './host.js';
+import { MemberObserver } from './member-observer.js';
 
 /** What befalls a frame on its way. */
 export type Mishap = 'pass' | 'drop' | 'twice' | 'late';
@@ -24,6 +25,8 @@
   now = 0;
   readonly random: Random;
   readonly net: NetParams = { latency: 1, jitter: 1, mishap: () => 'pass' };
+  /** Looks at all members of the register after each event. */
+  readonly members = new MemberObserver();
   private readonly agenda = new Agenda();
   /** How many faults under way cut each way. */
   private readonly cuts = new Map<string, number>();
@@ -50,6 +53,8 @@
       this.now = Math.max(this.now, due.at);
       due.run();
       await drained();
+      const fault = this.members.look();
+      if (fault) throw new Error(`at ${this.now} virtual ms, ${fault}`);
     }
     if (done()) return true;
     this.now = Math.max(this.now, until);
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { paramsOf, readSettings } from '../../platform/settings.js';
+import { answerLimitOf, paramsOf, readSettings } from '../../platform/settings.js';
 import { settingsText } from './samples.js';
 
 let folder = '';
@@ -26,6 +26,7 @@
     name: 'edge-1',
     zone: 'north',
     form: false,
+    firstStart: 'unknown',
     listen: {
       callers: '',
       requests: '10.0.0.5:8000',
@@ -41,6 +42,7 @@
   const first = (await read(settingsText('core'))).chain(paramsOf).unsafeCoerce();
   expect(first).toMatchObject({
     form: true,
+    firstStart: 'yes',
     folder: '/disk/core',
     listen: { requests: '', notice: 0 },
   });
@@ -49,7 +51,7 @@
   )
     .chain(paramsOf)
     .unsafeCoerce();
-  expect(later.form).toBe(false);
+  expect(later).toMatchObject({ form: false, firstStart: 'no' });
 });
 
 test('times follow from the bounds: a planned stop fits into the grace, polls into the drain', async () => {
@@ -65,6 +67,19 @@
   }
 });
 
+test('a call on the configuration is answered before its caller goes to another node', async () => {
+  for (const [acknowledge, limit] of [
+    [4000, 700],
+    [500, 500],
+  ]) {
+    const text = settingsText('core').replace(
+      /acknowledge_ms = \d+/,
+      `acknowledge_ms = ${acknowledge}`,
+    );
+    expect((await read(text)).map(answerLimitOf).unsafeCoerce()).toBe(limit);
+  }
+});
+
 test('fields that are not known are skipped; a missing or wrong one is named', async () => {
   expect(
     (await read(`surprise = [1, 2]\n${settingsText('front')}[more]\nof = "it"\n`)).isRight(),
