--- a/src/register/round-value.ts
+++ b/src/register/round-value.ts
@@ -8,7 +8,8 @@
 import type { Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST } from './ballot.js';
 import type { PrepareReply } from './calls.js';
-import { decodeDocument, digestOf, type Digest, type Document } from './document.js';
+import { decodeDocument, documentDigest, type Digest, type Document } from './document.js';
+import type { Revision } from './revision.js';
 
 /** The value that a round builds upon, and whether it is sure to have been chosen. */
 export interface RoundValue {
@@ -35,7 +36,7 @@
 
 /** The digest of a revision, where a value shows it: its own, or that of the revision before it. */
 const digestAt = ({ reply, document }: Candidate, revision: number): Digest | undefined => {
-  if (document.generation === revision) return digestOf(reply.document);
+  if (document.generation === revision) return documentDigest(reply.document);
   return document.generation === revision + 1 ? document.previous : undefined;
 };
 
@@ -48,14 +49,20 @@
   return shown !== undefined && known !== undefined && shown !== known;
 };
 
-const decode = (reply: PrepareReply): Outcome<Candidate> =>
-  decodeDocument(reply.document, 'core').map((document) => ({ reply, document }));
+const decode = (reply: PrepareReply, held: Revision | undefined): Outcome<Candidate> =>
+  reply.document === held?.bytes
+    ? Right({ reply, document: held.document })
+    : decodeDocument(reply.document, 'core').map((document) => ({ reply, document }));
 
 /** The value of the promise that knows most to be committed, decoded once where it is the one of the highest ballot. */
-const knownBy = (committer: PrepareReply, value: Candidate): Outcome<Candidate> =>
+const knownBy = (
+  committer: PrepareReply,
+  value: Candidate,
+  held: Revision | undefined,
+): Outcome<Candidate> =>
   isSameValue(committer, value.reply)
     ? Right({ reply: committer, document: value.document })
-    : decode(committer);
+    : decode(committer, held);
 
 const isChosen = (
   { reply, document }: Candidate,
@@ -75,16 +82,18 @@
  *
  * @param promises the promises of at least a majority of the voters
  * @param quorum the size of a majority
+ * @param held a revision that is decoded already
  * @returns a fault where a value can't be read
  */
 export const roundValue = (
   promises: readonly PrepareReply[],
   quorum: number,
+  held?: Revision,
 ): Outcome<RoundValue> => {
   const newest = highestBallot(promises);
   const committer = highestCommit(promises);
-  return decode(newest).chain((value) =>
-    knownBy(committer, value).map((known) => {
+  return decode(newest, held).chain((value) =>
+    knownBy(committer, value, held).map((known) => {
       const chosen = contradicts(value, known) ? known : value;
       return { ...chosen, isCommitted: isChosen(chosen, promises, quorum) };
     }),
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -10,6 +10,7 @@
 import { parseAddress } from '../../kernel/net/net.js';
 import { BlockCache } from './cache.js';
 
+/** The identity and the speed of a stand-in engine. */
 export interface EngineStandParams {
   readonly identifier: string;
   readonly address: string;
@@ -23,6 +24,7 @@
   readonly waitingBound: number;
 }
 
+/** A request that reached an engine. */
 export interface RunRecord {
   readonly engine: string;
   readonly passage: string;
@@ -41,6 +43,7 @@
 /** `cut-first` cuts every run but those that go on from words of another. */
 type Behaviour = 'well' | 'dark' | 'cut' | 'cut-first' | 'no-marker' | 'foreign' | 'busy' | 'stall';
 
+/** A stand-in engine for chat requests. */
 export class EngineStand {
   identifier: string;
   behaviour: Behaviour = 'well';
@@ -101,9 +104,12 @@
     const body = await readAll(request);
     const url = request.url ?? '';
     if (url === '/identity')
-      return this.json(response, 200, { identifier: this.identifier, model: this.params.model });
+      return void this.json(response, 200, {
+        identifier: this.identifier,
+        model: this.params.model,
+      });
     if (url === '/stand/records')
-      return this.json(response, 200, {
+      return void this.json(response, 200, {
         identifier: this.identifier,
         records: this.records,
         judged: this.judged,
@@ -120,7 +126,7 @@
       return;
     }
     if (url !== '/v1/chat/completions' || request.method !== 'POST')
-      return this.json(response, 404, { error: { code: 'not_found' } });
+      return void this.json(response, 404, { error: { code: 'not_found' } });
     await this.chat(request, response, body);
   }
 
@@ -157,7 +163,12 @@
       'x-tokens-ahead': String(this.ahead),
     };
     if (this.behaviour === 'busy' || this.ahead > this.params.waitingBound)
-      return this.json(response, 429, { error: { code: 'not_run', message: 'too busy' } }, own);
+      return void this.json(
+        response,
+        429,
+        { error: { code: 'not_run', message: 'too busy' } },
+        own,
+      );
     const prompt = Buffer.from(
       asked.messages.map(({ role, content }) => `<${role}>\n${content}\n`).join('') +
         `<assistant>\n${continues}`,
@@ -250,6 +261,7 @@
   }
 }
 
+/** Reads the body of a request. */
 export const readAll = async (request: IncomingMessage): Promise<string> => {
   const parts: Buffer[] = [];
   for await (const part of request) parts.push(part as Buffer);
