--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -47,9 +47,11 @@
 const RETRY = 150;
 const WINDOW = 6000;
 
+/** What became of a claim: taken, known to be another's, or not to be had. */
 export type Taken = 'taken' | 'known' | 'none';
 type Kept = 'kept' | 'known' | 'unsure';
 
+/** Takes claims on ids over the fleet, and holds those that fall to this router. */
 export class Claims {
   private readonly memory: ClaimMemory;
   /** Claims that rest on memory alone, of this router's own requests and of others that were copied here. */
@@ -138,7 +140,7 @@
     const { enrolled } = this;
     const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
     const addresses = [
-      ...keepers.map((name) => enrolled.get(name)!.address),
+      ...keepers.flatMap((name) => enrolled.get(name)?.address ?? []),
       ...this.roster.addresses,
     ];
     await within(
@@ -176,7 +178,7 @@
     const names = this.duty(key);
     if (names.length === 0) return 'none';
     const quorum = majority(names.length);
-    const addresses = names.map((name) => enrolled.get(name)!.address);
+    const addresses = names.flatMap((name) => enrolled.get(name)?.address ?? []);
     const granted = (replies: readonly TakeReply[]): number =>
       replies.filter((reply) => reply.granted).length;
     const replies = sound(
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -8,6 +8,7 @@
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import type { Engine } from '../pool/engine.js';
 
+/** What bounds the traffic of each router. */
 export interface LawParams {
   readonly routers: number;
   readonly largestPrompt: number;
@@ -15,6 +16,7 @@
   readonly rateShare: number;
 }
 
+/** The bound on what other routers may have pushed out of one engine's cache. */
 export interface Law {
   readonly warm: number;
   readonly largest: number;
@@ -33,15 +35,15 @@
 ): string => {
   if (enrolled.size > law.routers)
     return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
-  const [other] = [...enrolled].find(([, each]) => each.law !== lawText(law)) ?? [];
-  return other === undefined
-    ? ''
-    : `${other} keeps another law: ${enrolled.get(other)!.law}, not ${lawText(law)}`;
+  const own = lawText(law);
+  const other = [...enrolled].find(([, each]) => each.law !== own);
+  return other === undefined ? '' : `${other[0]} keeps another law: ${other[1].law}, not ${own}`;
 };
 
 /** The last block of a request may be counted whole; blocks are at most this large. */
 export const ROUNDING = 256;
 
+/** The bound that holds at an engine. */
 export const lawFor = (engine: Engine, params: LawParams): Law => ({
   warm: engine.cacheCapacity / (8 * params.routers),
   largest: params.largestPrompt + params.largestReply + ROUNDING,
@@ -53,6 +55,7 @@
 export const othersBound = (law: Law, span: number): number =>
   law.others * (law.warm + 2 * law.largest + (law.rate * Math.max(0, span)) / 1000);
 
+/** What a request pays from the router's allowance at an engine. */
 export interface Payment {
   readonly blocks: readonly string[];
   readonly paid: number;
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -12,16 +12,24 @@
  * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
-import type { Clock } from '../kernel/clock/clock.js';
+import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, type Ballot } from './ballot.js';
-import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
+import {
+  Accept,
+  Prepare,
+  Settled,
+  State,
+  type AcceptAsk,
+  type AcceptReply,
+  type PrepareReply,
+  type StateReply,
+} from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import {
-  digestOf,
   encodeDocument,
   voterSetDigest,
   type Change,
@@ -31,12 +39,15 @@
 import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
+import { deltaBetween, revisionOf, type Revision } from './revision.js';
 import { roundValue } from './round-value.js';
 import { decided, isOutdated, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** For how many ms a proposer holds the revision it used last. */
+const KNOWN_FOR = 10_000;
 /** How often a survey begins again because it learned of a newer core set. */
 const SURVEY_PASSES = 4;
 
@@ -47,13 +58,23 @@
   tell(outcome: Outcome<Verdict>): void;
 }
 
-interface Read {
+interface Read extends Revision {
   readonly ballot: Ballot;
   readonly core: CoreSet;
-  readonly document: Document;
   readonly settled: boolean;
 }
 
+interface Promises {
+  readonly ballot: Ballot;
+  readonly replies: Replies<PrepareReply>;
+  /** The revision that members need not send, where one is held. */
+  readonly known: Revision | undefined;
+}
+
+/** A promise with the revision that the member did not send since it is held here. */
+const withKnown = (reply: PrepareReply, known: Revision | undefined): PrepareReply =>
+  known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
+
 export interface Survey {
   readonly generation: number;
   readonly sources: readonly string[];
@@ -72,6 +93,9 @@
   private readonly waiting: Waiting[] = [];
   private counter = 0;
   private busy = false;
+  /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
+  private known: Revision | undefined;
+  private knownSince: Moment | undefined;
   readonly contact: QuorumContact;
 
   constructor(
@@ -223,7 +247,7 @@
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
-    const accepted = await this.accept(core, ballot, next);
+    const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
     if (accepted.isLeft()) {
       this.log('round-unsure', [
         ['generation', next.generation],
@@ -263,7 +287,7 @@
     const core = this.roster.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
-    let { ballot, replies } = await this.seekPromises(core);
+    let { ballot, replies, known } = await this.seekPromises(core);
     const outdated =
       promisesOf(replies).length < quorum
         ? sound(replies).filter((reply) => isOutdated(reply, ballot))
@@ -273,7 +297,7 @@
         ({ highest, accepted }) => compareBallots(highest, accepted) > 0,
       );
       if (contested) await this.backOff(0);
-      ({ ballot, replies } = await this.seekPromises(core));
+      ({ ballot, replies, known } = await this.seekPromises(core));
     }
     const promises = promisesOf(replies);
     if (promises.length < quorum) {
@@ -289,23 +313,40 @@
         sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
-    return roundValue(promises, quorum).map(({ reply, document, isCommitted }) => {
+    const complete = promises.map((reply) => withKnown(reply, known));
+    return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
+      const revision = this.hold(revisionOf(document, reply.document));
       if (isCommitted && promises.some(({ settled }) => settled < document.generation))
-        this.announce(core, reply.accepted, document, reply.document);
-      return { ballot, core, document, settled: isCommitted };
+        this.announce(core, reply.accepted, revision);
+      return { ballot, core, settled: isCommitted, ...revision };
     });
   }
 
+  /** Holds a revision until no other was read or proposed for a while. */
+  private hold(revision: Revision): Revision {
+    this.known = revision;
+    const now = this.clock.now();
+    this.knownSince = now;
+    void this.clock.sleep(KNOWN_FOR).then(() => {
+      if (this.knownSince === now) this.known = undefined;
+    });
+    return revision;
+  }
+
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(
-    core: CoreSet,
-  ): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+  private async seekPromises(core: CoreSet): Promise<Promises> {
+    const { known } = this;
     const ballot: Ballot = {
       counter: ++this.counter,
       node: this.peers.self.name,
       incarnation: this.peers.self.incarnation,
     };
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot };
+    const ask = {
+      set: core.number,
+      voters: voterSetDigest(core),
+      ballot,
+      known: known?.digest ?? '',
+    };
     const replies = await gather(
       core.members.map(({ address }) => address),
       (address) => this.peers.ask(address, Prepare, ask, ASK_LIMIT),
@@ -317,17 +358,27 @@
     );
     for (const { highest } of sound(replies))
       this.counter = Math.max(this.counter, highest.counter);
-    return { ballot, replies };
+    return { ballot, replies, known };
   }
 
-  private async accept(core: CoreSet, ballot: Ballot, document: Document): Promise<Outcome<void>> {
+  /** Asks the members to accept a document; where it was made from a base, as what changed from that. */
+  private async accept(
+    core: CoreSet,
+    ballot: Ballot,
+    document: Document,
+    base?: Revision,
+  ): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
-    const bytes = encodeDocument(document);
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot, document: bytes };
+    const revision = this.hold(revisionOf(document, encodeDocument(document)));
+    const { bytes, digest } = revision;
+    const round = { set: core.number, voters: voterSetDigest(core), ballot, digest };
+    const whole = { ...round, document: bytes, base: '' };
+    const delta = base && deltaBetween(base, revision);
+    const asks = delta ? [{ ...round, document: delta, base: base.digest }, whole] : [whole];
     const replies = await gather(
       addresses,
-      (address) => this.peers.ask(address, Accept, ask, ASK_LIMIT),
+      (address) => this.askToAccept(address, asks),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
@@ -345,13 +396,22 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
-    this.announce(core, ballot, document, bytes);
+    this.announce(core, ballot, revision);
     this.roster.learn(document.core);
     return Right(undefined);
   }
 
-  private announce(core: CoreSet, ballot: Ballot, document: Document, bytes: Uint8Array): void {
-    const digest = digestOf(bytes);
+  /** Asks by what changed first; a member that does not hold the base of that is asked by the whole. */
+  private async askToAccept(
+    address: string,
+    [first, ...rest]: readonly AcceptAsk[],
+  ): Promise<Outcome<AcceptReply>> {
+    const reply = await this.peers.ask(address, Accept, first!, ASK_LIMIT);
+    const lacksBase = reply.map((told) => told.lacksBase).orDefault(false);
+    return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
+  }
+
+  private announce(core: CoreSet, ballot: Ballot, { document, digest }: Revision): void {
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
--- a/src/router/module.ts
+++ b/src/router/module.ts
@@ -52,6 +52,7 @@
 const routersOf = (view: View, standing: Standing): number =>
   Math.max(view.live('router').length, standing.nodes);
 
+/** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
   private enrolment: Enrolment | undefined;
@@ -102,7 +103,8 @@
       this.random,
       this.log,
       (documents, items, _settled, frames) => {
-        const newest = documents[documents.length - 1]!;
+        const newest = documents.at(-1);
+        if (!newest) return;
         relay.note(items, documents, frames);
         if (!this.inForce.swap(newest)) return;
         this.operations.noteClaims(newest);
@@ -173,6 +175,7 @@
   }
 }
 
+/** Puts the services of a router together. */
 @Module({})
 export class RouterModule {
   static with(params: Params, { services }: Extension): DynamicModule {
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -38,6 +38,7 @@
 /** How many silent addresses are remembered, the latest ones. */
 const SILENT_BOUND = 1024;
 
+/** Calls to other processes of the fleet, and answers to theirs. */
 export class Peers {
   private readonly handlers = new Map<number, Handler>();
   private readonly lines = new Map<string, Promise<Outcome<Line>>>();
@@ -80,7 +81,7 @@
     const opened = await within(this.clock, limit, this.line(address, limit));
     if (!opened || opened.isLeft()) this.noteSilent(address);
     if (!opened) return failed(`${call.name}.dial`, address, `no channel within ${limit} ms`);
-    if (opened.isLeft()) return opened as Outcome<R>;
+    if (opened.isLeft()) return opened;
     const line = opened.extract() as Line;
     if (line.waiting.size >= WAITING_BOUND)
       return failed(`${call.name}.send`, address, 'too many calls waiting');
