--- a/src/fleet/slopes/child.ts
+++ b/src/fleet/slopes/child.ts
@@ -1,37 +1,9 @@
-/**
- * A process of a run of slopes, started by `Child`: it takes one role, says when it is ready, and answers reports. Its
- * processor time and memory are its own, so that each role's cost can be told apart.
- */
-import 'reflect-metadata';
+/** A child process of a run of slopes, as its parent sees it. */
 import { fork, type ChildProcess } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
+import type { Report } from './role.js';
 
-/** Processor time and memory of a process. */
-export interface Usage {
-  /** Seconds of processor time since the start. */
-  readonly processor: number;
-  readonly rss: number;
-  readonly heap: number;
-}
-
-/** What a child process answers, with its usage. */
-export interface Report<T> {
-  readonly usage: Usage;
-  readonly told: T;
-}
-
-/** Answers a question to a role. */
-export type Answer = (question: unknown) => unknown;
-
-/** What a role module offers: it starts with the plan given and answers questions from then on. */
-export type Role = (plan: never) => Promise<{ readonly ready: unknown; readonly answer: Answer }>;
-
-const usageNow = (): Usage => {
-  (globalThis as { gc?: () => void }).gc?.();
-  const { user, system } = process.cpuUsage();
-  const { rss, heapUsed } = process.memoryUsage();
-  return { processor: (user + system) / 1e6, rss, heap: heapUsed };
-};
+const PROCESS = fileURLToPath(new URL('./role-process.js', import.meta.url));
 
 /** One child process of this tool, ended by its own id. */
 export class Child<T = unknown> {
@@ -41,7 +13,7 @@
   ) {}
 
   static async start<T>(role: string, plan: unknown, gc = false): Promise<Child<T>> {
-    const child = fork(fileURLToPath(import.meta.url), [role], {
+    const child = fork(PROCESS, [role], {
       execArgv: gc ? ['--expose-gc'] : [],
       stdio: ['ignore', 'ignore', 'inherit', 'ipc'],
       env: { ...process.env, DEBUG: 'none' },
@@ -75,28 +47,3 @@
     });
   }
 }
-
-const roles = new Map<string, () => Promise<Role>>([
-  ['hollow', async () => (await import('./hollow.js')).hollow],
-  ['count', async () => (await import('./counts.js')).count],
-  ['forwarder', async () => (await import('./forwarding.js')).forwarder],
-  ['engine', async () => (await import('./forwarding.js')).engine],
-  ['index', async () => (await import('./prefixes.js')).index],
-]);
-
-const serve = async (name: string): Promise<void> => {
-  const role = await roles.get(name)!();
-  const { plan } = await new Promise<{ plan: never }>((resolve) =>
-    process.once('message', resolve),
-  );
-  const { ready, answer } = await role(plan);
-  process.on('message', ({ question }: { question: unknown }) => {
-    void Promise.resolve(answer(question)).then((told) =>
-      process.send!({ usage: usageNow(), told }),
-    );
-  });
-  process.on('disconnect', () => process.exit(0));
-  process.send!({ ready });
-};
-
-if (process.argv[1] === fileURLToPath(import.meta.url)) await serve(process.argv[2]!);
--- a/src/fleet/slopes/counts.ts
+++ b/src/fleet/slopes/counts.ts
@@ -3,7 +3,7 @@
  * changes take until they are in force everywhere, one by one, in a storm, and after two regions were cut apart.
  */
 import { loadavg } from 'node:os';
-import type { Role } from './child.js';
+import type { Role } from './role.js';
 import { configurationOf, patchOf } from './items.js';
 import { spreadOf } from './numbers.js';
 import { ControlPlane } from './plane.js';
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -14,7 +14,7 @@
 import type { Engine } from '../../pool/engine.js';
 import { genesis } from '../../register/document.js';
 import { RouterModule } from '../../router/module.js';
-import type { Role } from './child.js';
+import type { Role } from './role.js';
 
 /** The service that the requests are for. */
 export const SERVICE = 'slopes';
--- a/src/fleet/slopes/hollow.ts
+++ b/src/fleet/slopes/hollow.ts
@@ -12,7 +12,7 @@
 import type { Newsroom } from '../../pool/news.js';
 import { RouterModule, RouterNode } from '../../router/module.js';
 import { CountedNet, Traffic, type Count } from '../../wire/traffic.js';
-import type { Role } from './child.js';
+import type { Role } from './role.js';
 
 /** The routers of one process, and the core nodes they follow. */
 export interface HollowPlan {
--- a/src/fleet/slopes/prefixes.ts
+++ b/src/fleet/slopes/prefixes.ts
@@ -4,7 +4,7 @@
  */
 import { blocksOfParts } from '../../index/hash.js';
 import { PartIndex } from '../../index/parts.js';
-import type { Role } from './child.js';
+import type { Role } from './role.js';
 
 /** How many engines and services the index holds prefixes of. */
 export interface IndexPlan {
