--- a/test/unit/imports.test.ts
+++ b/test/unit/imports.test.ts
@@ -15,7 +15,7 @@
   if (ts.isExportDeclaration(statement)) return statement.isTypeOnly;
   const clause = statement.importClause;
   if (!clause) return false;
-  if (clause.isTypeOnly) return true;
+  if (clause.phaseModifier === ts.SyntaxKind.TypeKeyword) return true;
   const named = clause.namedBindings;
   return (
     !clause.name &&
