The simulated disk goes by the real steps; what a killed process left is synced before it is relied on

Cause: the simulated disk took a write as one act, kept or lost as a whole, so the order of steps of the program's disk was never proved. With the power, each unsynced name is kept or lost by itself, and unsynced bytes are present, absent or torn.

Mended: at start, and before voting again after trouble with the disk, the folders are synced; until then the member does not vote.

The disk of limited capacity of the catch-up tests is told by the step now, since the program's own disk writes its files aside there.

--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -39,7 +39,7 @@
   }
 
   async start(): Promise<Outcome<void>> {
-    const loaded = await this.recovery.load();
+    const loaded = await this.recovery.start();
     if (loaded.isLeft()) return loaded as Outcome<never>;
     await this.identify(loaded.unsafeCoerce().member);
     new Voting(this.replica).serve(this.peers);
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -17,15 +17,25 @@
 const PROBE = 65_536;
 const REVISIONS = 'generations/';
 
-/** Reads a replica from its disk. */
+/**
+ * Reads a replica from its disk. What a killed process or a failed write left there without a sync is made durable before the
+ * member answers by it.
+ */
 export class DiskRecovery {
   constructor(
     private readonly replica: Replica,
     private readonly learner: Learner,
   ) {}
 
+  /** Reads the disk at start; the member does not vote while it can't be relied on. */
+  async start(): Promise<Outcome<Found>> {
+    const { guard, store } = this.replica;
+    await guard.confirm(store.sync());
+    return this.load();
+  }
+
   /** Reads what the disk holds, on top of what is known here. */
-  async load(): Promise<Outcome<Found>> {
+  private async load(): Promise<Outcome<Found>> {
     const { store, acceptor, guard } = this.replica;
     const opened = await store.open();
     if (opened.isLeft()) return opened;
@@ -47,6 +57,7 @@
     const began = clock.now();
     const probed = await store.probe(2 * (acceptor.accepted?.document.length ?? 0) + PROBE);
     if (probed.isLeft() || clock.now() - began > stall) return false;
+    if ((await store.sync()).isLeft()) return false;
     return this.replica.exclusive(() => this.readAnew());
   }
 
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -217,6 +217,11 @@
     );
   }
 
+  /** Makes what earlier processes left on the disk durable, so that it may be relied on. */
+  sync(): Promise<Outcome<void>> {
+    return this.follow(this.disk.sync());
+  }
+
   /** Until no write is on its way any more, whatever becomes of it. */
   async idle(): Promise<void> {
     while (this.pending.size) await Promise.all(this.pending);
--- a/src/sim/day/faults/core.ts
+++ b/src/sim/day/faults/core.ts
@@ -3,6 +3,8 @@
 import type { Host } from '../../host.js';
 import type { FaultTable, FaultTarget } from './fault.js';
 
+/** A file is made, written, synced and renamed, and its folder synced. */
+const STEPS_OF_A_WRITE = 5;
 /** A planned replacement runs this long beside the machine that it takes over from. */
 const OVERLAP = 1000;
 
@@ -42,13 +44,14 @@
     return stage.some<{ readonly host: Host }>(stage.cores)[1].host;
   }
 
-  /** Power goes at the machine's next write, which is kept or lost by chance. */
+  /** Power goes at a step of the machine's next write; what is not synced is kept, lost or torn, each by itself. */
   private losePower(name: string, lasts: number): void {
     const { stage } = this.target;
     const disk = stage.disks.get(name)!;
-    disk.powerCut = () => (stage.random.fraction() < 0.5 ? 'before' : 'after');
+    const last = disk.steps + 1 + Math.floor(stage.random.fraction() * STEPS_OF_A_WRITE);
+    disk.powerCutAtStep = (step) => step >= last;
     disk.onPowerCut = () => {
-      disk.powerCut = () => 'no';
+      disk.powerCutAtStep = () => false;
       stage.killCore(name, lasts);
     };
   }
--- a/src/sim/day/faults/injector.ts
+++ b/src/sim/day/faults/injector.ts
@@ -72,7 +72,7 @@
     world.net.mishap = () => 'pass';
     for (const disk of disks.values()) {
       disk.stalled = false;
-      disk.powerCut = () => 'no';
+      disk.powerCutAtStep = () => false;
     }
     for (const { host } of [...cores.values(), ...routers.values()]) host.thaw();
   }
--- a/test/checker/catchup.ts
+++ b/test/checker/catchup.ts
@@ -47,7 +47,10 @@
   override open(host: Host): Disk {
     const disk = super.open(host);
     return {
-      ...disk,
+      sync: () => disk.sync(),
+      read: (path) => disk.read(path),
+      list: (folder) => disk.list(folder),
+      remove: (path) => disk.remove(path),
       write: (path, bytes) => {
         this.written.writes += 1;
         this.written.bytes += bytes.length;
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -3,141 +3,15 @@
  * restarts it holds on to its promise, its accepted ballot and the revisions that it knows to be committed.
  */
 import { expect, test } from 'vitest';
-import { silentLog } from '../../src/kernel/log/log.js';
-import type { Outcome } from '../../src/kernel/fault/fault.js';
-import type { Ballot } from '../../src/register/ballot.js';
+import { digestOf, type CoreSet } from '../../src/register/document.js';
 import {
-  Accept,
-  Form,
-  Prepare,
-  Settled,
-  type AcceptReply,
-  type PrepareReply,
-} from '../../src/register/calls.js';
-import {
-  digestOf,
-  encodeDocument,
-  genesis,
-  voterSetDigest,
-  type CoreSet,
-  type Document,
-} from '../../src/register/document.js';
-import { Member } from '../../src/register/member.js';
-import { Store } from '../../src/register/store.js';
-import { simBase, type SimBase } from '../../src/sim/nodes.js';
-import { SimDisk } from '../../src/sim/disk.js';
-import { Host } from '../../src/sim/host.js';
-import { World } from '../../src/sim/world.js';
-import { Peers } from '../../src/wire/peers.js';
-
-const ADDRESS = '127.0.0.1:1';
-const ballotOf = (counter: number): Ballot => ({ counter, node: 'p', incarnation: 'i' });
-
-interface Revision {
-  readonly document: Document;
-  readonly bytes: Uint8Array;
-}
-
-const revisionOf = (document: Document): Revision => ({
-  document,
-  bytes: encodeDocument(document),
-});
-
-/** A revision that follows another; the name makes it differ from others of its number. */
-const following = ({ document, bytes }: Revision, name: string, core = document.core): Revision =>
-  revisionOf({
-    ...document,
-    generation: document.generation + 1,
-    previous: digestOf(bytes),
-    core,
-    claims: new Map([[name, { firm: 's', renewal: 1, duration: 1 }]]),
-  });
-
-/** A member of a group of three, alone on its host, with all that it is asked. */
-class LoneMember {
-  readonly world = new World(3);
-  readonly disk = new SimDisk(this.world);
-  private readonly asker: SimBase;
-  member!: Member;
-  first!: Revision;
-  private host: Host | undefined;
-
-  constructor() {
-    const site = { fleet: 'f', seeds: [ADDRESS] };
-    this.asker = simBase(this.world, 'p', '127.0.0.1:9', 'z', 'router', site);
-  }
-
-  async form(): Promise<void> {
-    await this.start();
-    const ids = [this.member.id, 'second', 'third'];
-    const seats = ids.map((id, at) => ({ id, address: `127.0.0.1:${at + 1}` }));
-    this.first = revisionOf(genesis('f', seats));
-    await this.ask(this.asker.peers.ask(ADDRESS, Form, { document: this.first.bytes }, 1000));
-  }
-
-  /** Starts the member, again if it ran before. */
-  async start(): Promise<void> {
-    this.host?.kill();
-    const host = new Host(this.world, 'core', ADDRESS);
-    const self = { fleet: 'f', name: 'core', incarnation: host.random.identity() };
-    const peers = new Peers(host.net, host.clock, silentLog, self);
-    const store = new Store(this.disk.open(host), 'f');
-    const member = new Member(store, peers, host.clock, host.random, silentLog);
-    this.world.members.watch({
-      fleet: 'f',
-      isAlive: () => !host.dead,
-      progress: () => member.progress,
-    });
-    this.host = host;
-    this.member = member;
-    await this.ask(member.start());
-    await this.ask(peers.serve(ADDRESS));
-  }
-
-  ask<T>(promise: Promise<T>): Promise<T> {
-    return this.world.until(promise);
-  }
-
-  prepare(counter: number, core = this.first.document.core): Promise<Outcome<PrepareReply>> {
-    const round = { set: core.number, voters: voterSetDigest(core), ballot: ballotOf(counter) };
-    return this.ask(this.asker.peers.ask(ADDRESS, Prepare, round, 1000));
-  }
-
-  accept(
-    counter: number,
-    { bytes }: Revision,
-    core = this.first.document.core,
-  ): Promise<Outcome<AcceptReply>> {
-    const round = { set: core.number, voters: voterSetDigest(core), ballot: ballotOf(counter) };
-    const ask = { ...round, document: bytes };
-    return this.ask(this.asker.peers.ask(ADDRESS, Accept, ask, 1000));
-  }
-
-  async commit({ document, bytes }: Revision): Promise<boolean> {
-    const told = { generation: document.generation, ballot: ballotOf(1), digest: digestOf(bytes) };
-    const reply = await this.ask(this.asker.peers.ask(ADDRESS, Settled, told, 1000));
-    return reply.map(({ known }) => known).orDefault(false);
-  }
-
-  learn(counter: number, { document, bytes }: Revision): Promise<void> {
-    const items = [{ ballot: ballotOf(counter), document: bytes }];
-    return this.ask(this.member.takeSettled(items, document.generation));
-  }
-
-  get held(): { counter: number; revision: number; promised: number } {
-    const { accepted, revision, promised } = this.member.progress;
-    return { counter: accepted.counter, revision, promised: promised.counter };
-  }
-}
-
-const isAccepted = (reply: Outcome<AcceptReply>): boolean =>
-  reply.map(({ accepted }) => accepted).orDefault(false);
-
-const formed = async (): Promise<LoneMember> => {
-  const lone = new LoneMember();
-  await lone.form();
-  return lone;
-};
+  ballotOf,
+  following,
+  formed,
+  isAccepted,
+  revisionOf,
+  type Revision,
+} from './lone-member.js';
 
 test('a learned committed revision raises the promise, so that an older round gets no vote any more', async () => {
   const lone = await formed();
