--- a/test/checker/cutoff-stage.ts
+++ b/test/checker/cutoff-stage.ts
@@ -120,7 +120,7 @@
     };
   }
 
-  private get site(): { fleet: string; seeds: string[]; over: object } {
+  get site(): { fleet: string; seeds: string[]; over: object } {
     const over = {
       form: true,
       lease: {
--- a/test/checker/feed-source.test.ts
+++ b/test/checker/feed-source.test.ts
@@ -4,6 +4,11 @@
  * questions, for 3 voters with one dark and for 5 with two dark, or one dark and one cut off with the source.
  */
 import { expect, test } from 'vitest';
+import { silentLog } from '../../src/kernel/log/log.js';
+import { Feed } from '../../src/register/calls.js';
+import { Follower } from '../../src/register/follower.js';
+import { decodeFrame, Stage } from '../../src/wire/call.js';
+import { simBase } from '../../src/sim/nodes.js';
 import { APPLY, configurationOf, CutOffStage } from './cutoff-stage.js';
 
 /** The bound as it is proved: one turn with a member that is behind, one with a dark one, and room for the rest. */
@@ -75,3 +80,47 @@
     if (process.env['FIGURES']) console.log(voters, behind, dark, Math.round(most), bound);
     expect(most).toBeLessThanOrEqual(bound);
   });
+
+test('word that the source is behind counts also when it comes while something is being taken', async () => {
+  const TAKING = 300;
+  for (let seed = 1; seed <= 6; seed++) {
+    const stage = new CutOffStage(seed, 3, 1);
+    const { world } = stage;
+    await stage.ready();
+    const base = simBase(world, 'router-9', '127.0.0.1:109', 'z', 'router', stage.site);
+    const { host, peers, roster, proposer, inForce, stop } = base;
+    const follower = new Follower(
+      peers,
+      roster,
+      proposer,
+      host.clock,
+      host.random,
+      silentLog,
+      async (documents) => {
+        await host.clock.sleep(TAKING);
+        inForce.swap(documents.at(-1)!);
+      },
+      '',
+      undefined,
+      WAIT,
+    );
+    void follower.run(stop.signal);
+    await world.run(world.now + 1500);
+    let source = '';
+    world.net.mishap = (from, to, bytes) => {
+      const isFeed = decodeFrame(bytes, from)
+        .map(({ code, stage: kind }) => code === Feed.code && kind === Stage.reply)
+        .orDefault(false);
+      if (isFeed && to === 'router-9') source ||= from;
+      return 'pass';
+    };
+    await world.until(stage.change());
+    expect(await world.run(world.now + 1000, () => source !== '')).toBe(true);
+    const victim = stage.coreNames.indexOf(source);
+    stage.cutOff([victim], 'core');
+    const next = stage.version + 1;
+    const order = await world.until(stage.order((victim + 1) % 3, 'put', next, stage.version));
+    expect(order.outcome).toBe('accepted');
+    expect(await world.run(world.now + APPLY, () => inForce.routes.version === next)).toBe(true);
+  }
+});
