--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -56,6 +56,7 @@
   ({ duration, renew }) => renew * 2 <= duration || 'expected renew to be at most half of duration',
 ) as unknown as typeof LeaseShape;
 
+/** The shape of a node's params. */
 export const ParamsShape = Shape({
   fleet: Name,
   name: Name,
@@ -73,6 +74,8 @@
   ),
   folder: Text,
   form: Flag,
+  /** Whether this is the first start of the whole system, with empty disks, as far as that is told. */
+  firstStart: Union(Literal('unknown'), Literal('yes'), Literal('no')),
   firms: bounded(
     List(Shape({ name: Name, callerKeys: List(Hash), operatorKeys: List(Hash) }).exact()),
     (firms) => firms.length <= 64 || 'expected at most 64 firms',
@@ -132,6 +135,7 @@
   reread: between(0, 3_600_000),
 }).exact();
 
+/** The params of a node. */
 export type Params = Static<typeof ParamsShape>;
 
 const defaults = {
@@ -147,6 +151,7 @@
   seeds: ['127.0.0.1:7082'],
   folder: './data',
   form: false,
+  firstStart: 'unknown',
   firms: [],
   platform: { url: '', every: 500, slice: 4000, place: 2500 },
   index: { blockBytes: 64, blockTokens: 16 },
@@ -187,6 +192,7 @@
   return Object.fromEntries(merged);
 };
 
+/** Lays one layer of params over another, and checks the whole. */
 export const checkParams = (...layers: unknown[]): Outcome<Params> => {
   const whole = layers.reduce(overlay, defaults);
   const checked = ParamsShape.inspect(whole);
@@ -197,6 +203,6 @@
       'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on enrolled routers',
     );
   return checked.success
-    ? Right(checked.value as Params)
+    ? Right(checked.value)
     : failed('params.check', 'params', explain(checked as never, whole));
 };
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -18,47 +18,85 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { ballotText, compareBallots, type Ballot } from './ballot.js';
-import { Accept, Prepare, Settled, State, type PrepareReply, type StateReply } from './calls.js';
+import {
+  Accept,
+  Prepare,
+  Settled,
+  State,
+  type AcceptAsk,
+  type AcceptReply,
+  type PrepareReply,
+  type StateReply,
+} from './calls.js';
 import { applyChanges, type Verdict } from './change.js';
 import {
-  decodeDocument,
-  digestOf,
   encodeDocument,
   voterSetDigest,
   type Change,
   type CoreSet,
   type Document,
 } from './document.js';
+import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { Roster } from './roster.js';
-import { decided, isOutdated, isSettled, promisesOf } from './votes.js';
+import { deltaBetween, revisionOf, type Revision } from './revision.js';
+import { roundValue } from './round-value.js';
+import { decided, isOutdated, promisesOf } from './votes.js';
 
 const ASK_LIMIT = 1000;
 const BATCH = 256;
 const WAITING_BOUND = 4096;
+/** For how many ms a proposer holds the revision it used last. */
+const KNOWN_FOR = 10_000;
+/** How often a survey begins again because it learned of a newer core set. */
+const SURVEY_PASSES = 4;
+
 interface Waiting {
   readonly change: Change;
-  readonly limit: Moment;
+  readonly over: AbortController;
   unsure: boolean;
   tell(outcome: Outcome<Verdict>): void;
 }
 
-interface Read {
+interface Read extends Revision {
   readonly ballot: Ballot;
   readonly core: CoreSet;
-  readonly document: Document;
   readonly settled: boolean;
 }
 
+interface Promises {
+  readonly ballot: Ballot;
+  readonly replies: Replies<PrepareReply>;
+  /** The revision that members need not send, where one is held. */
+  readonly known: Revision | undefined;
+}
+
+/** A promise with the revision that the member did not send since it is held here. */
+const withKnown = (reply: PrepareReply, known: Revision | undefined): PrepareReply =>
+  known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
+
 export interface Survey {
   readonly generation: number;
   readonly sources: readonly string[];
 }
 
+/** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
+const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
+  const generation = Math.max(0, ...[...states.values()].map((state) => state.generation));
+  const sources = [...states]
+    .filter(([, { settled }]) => settled >= generation)
+    .map(([address]) => address);
+  return states.size >= quorum && sources.length > 0 ? { generation, sources } : undefined;
+};
+
 export class Proposer {
   private readonly waiting: Waiting[] = [];
   private counter = 0;
   private busy = false;
+  /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
+  private known: Revision | undefined;
+  private knownSince: Moment | undefined;
+  readonly contact: QuorumContact;
 
   constructor(
     private readonly peers: Peers,
@@ -66,19 +104,23 @@
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.contact = new QuorumContact(peers, roster, clock);
+  }
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
   propose(change: Change, duration: number): Promise<Outcome<Verdict>> {
+    return this.proposeWithin(change, { whole: duration, outOfContact: duration });
+  }
+
+  /** Proposes a change for as long as patience lasts; one that is given up before its first accept is never proposed. */
+  proposeWithin(change: Change, patience: Patience): Promise<Outcome<Verdict>> {
     if (this.waiting.length >= WAITING_BOUND)
       return Promise.resolve(failed('register.line', 'self', 'too many changes wait here'));
     return new Promise((tell) => {
-      this.waiting.push({
-        change,
-        limit: (this.clock.now() + duration) as Moment,
-        unsure: false,
-        tell,
-      });
+      const item = { change, over: new AbortController(), unsure: false, tell };
+      this.waiting.push(item);
+      void this.expire(item, patience);
       if (!this.busy) void this.work();
     });
   }
@@ -100,36 +142,42 @@
 
   /** The newest settled generation, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
+    const limit = this.clock.now() + duration;
     await this.learnCore();
-    for (let pass = 0; pass < 4; pass++) {
+    for (let pass = 0; pass < SURVEY_PASSES; pass++) {
       const { number, members } = this.roster.core;
-      const quorum = majority(members.length);
-      const surest = (all: Replies<StateReply>): Array<readonly [string, StateReply]> =>
+      const replies = await this.askStates(members);
+      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as CoreSet);
+      if (this.roster.core.number !== number) continue;
+      const survey = surveyOf(replies, majority(members.length));
+      if (number > 0 && survey) return Right(survey);
+      break;
+    }
+    const left = limit - this.clock.now();
+    if (left <= 0)
+      return failed('register.survey', 'core', `no majority told its state within ${duration} ms`);
+    return (await this.read(left)).map(({ generation }) => ({ generation, sources: [] }));
+  }
+
+  /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
+  private async askStates(members: CoreSet['members']): Promise<ReadonlyMap<string, StateReply>> {
+    const sureOf = (all: Replies<StateReply>): ReadonlyMap<string, StateReply> =>
+      new Map(
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
           return state?.sure &&
             members.some((seat) => seat.id === state.member && seat.address === address)
             ? [[address, state] as const]
             : [];
-        });
-      const replies = surest(
-        await gather(
-          members.map(({ address }) => address),
-          (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
-          (all) => surest(all).length >= quorum,
-        ),
+        }),
       );
-      for (const [, { core }] of replies) this.roster.learn(JSON.parse(core) as CoreSet);
-      if (this.roster.core.number !== number) continue;
-      const generation = Math.max(0, ...replies.map(([, state]) => state.generation));
-      const sources = replies
-        .filter(([, { settled }]) => settled >= generation)
-        .map(([address]) => address);
-      if (number > 0 && replies.length >= quorum && sources.length > 0)
-        return Right({ generation, sources });
-      break;
-    }
-    return (await this.read(duration)).map(({ generation }) => ({ generation, sources: [] }));
+    return sureOf(
+      await gather(
+        members.map(({ address }) => address),
+        (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
+        (all) => sureOf(all).size >= majority(members.length),
+      ),
+    );
   }
 
   private async work(): Promise<void> {
@@ -143,26 +191,31 @@
       outbid = done.isLeft() && (done.extract() as Fault).kind === 'outbid';
       tries = done.isLeft() && outbid === before ? tries + 1 : 0;
       if (done.isLeft()) await this.backOff(tries);
-      const now = this.clock.now();
-      for (const item of this.waiting.filter(({ limit }) => now >= limit)) {
-        const reason = 'the limit came before a majority of the core settled it';
-        this.finish(
-          item,
-          failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
-        );
-      }
     }
     this.busy = false;
   }
 
+  /** Gives a change up once patience has ended; before its first accept it certainly won't come to be by this node. */
+  private async expire(item: Waiting, patience: Patience): Promise<void> {
+    await this.contact.outlast(patience, item.over.signal);
+    const reason = this.contact.holds
+      ? 'the limit came before a majority of the core settled it'
+      : `no contact with a majority of the core: ${this.contact.silentVoters.join(' ')}`;
+    this.finish(
+      item,
+      failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+    );
+  }
+
   private finish(item: Waiting, outcome: Outcome<Verdict>): void {
     const at = this.waiting.indexOf(item);
     if (at < 0) return;
     this.waiting.splice(at, 1);
+    item.over.abort('over');
     item.tell(outcome);
   }
 
-  private async round(batch: readonly Waiting[]): Promise<Outcome<void>> {
+  private async round(taken: readonly Waiting[]): Promise<Outcome<void>> {
     const read = await this.readSettled();
     if (read.isLeft()) {
       this.log('round-failed', [
@@ -174,6 +227,7 @@
       return read as Outcome<never>;
     }
     const { ballot, core, document } = read.unsafeCoerce();
+    const batch = taken.filter((item) => this.waiting.includes(item));
     const { document: next, verdicts } = applyChanges(
       document,
       batch.map(({ change }) => change),
@@ -193,7 +247,7 @@
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
-    const accepted = await this.accept(core, ballot, next);
+    const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
     if (accepted.isLeft()) {
       this.log('round-unsure', [
         ['generation', next.generation],
@@ -233,7 +287,7 @@
     const core = this.roster.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
-    let { ballot, replies } = await this.seekPromises(core);
+    let { ballot, replies, known } = await this.seekPromises(core);
     const outdated =
       promisesOf(replies).length < quorum
         ? sound(replies).filter((reply) => isOutdated(reply, ballot))
@@ -243,7 +297,7 @@
         ({ highest, accepted }) => compareBallots(highest, accepted) > 0,
       );
       if (contested) await this.backOff(0);
-      ({ ballot, replies } = await this.seekPromises(core));
+      ({ ballot, replies, known } = await this.seekPromises(core));
     }
     const promises = promisesOf(replies);
     if (promises.length < quorum) {
@@ -259,27 +313,40 @@
         sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
-    const newest = promises.reduce((best, reply) =>
-      compareBallots(reply.accepted, best.accepted) > 0 ? reply : best,
-    );
-    return decodeDocument(newest.document, 'core').map((document) => {
-      const settled = isSettled(promises, newest, document.generation, quorum);
-      if (settled && promises.some((reply) => reply.settled < document.generation))
-        this.announce(core, newest.accepted, document, newest.document);
-      return { ballot, core, document, settled };
+    const complete = promises.map((reply) => withKnown(reply, known));
+    return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
+      const revision = this.hold(revisionOf(document, reply.document));
+      if (isCommitted && promises.some(({ settled }) => settled < document.generation))
+        this.announce(core, reply.accepted, revision);
+      return { ballot, core, settled: isCommitted, ...revision };
     });
   }
 
+  /** Holds a revision until no other was read or proposed for a while. */
+  private hold(revision: Revision): Revision {
+    this.known = revision;
+    const now = this.clock.now();
+    this.knownSince = now;
+    void this.clock.sleep(KNOWN_FOR).then(() => {
+      if (this.knownSince === now) this.known = undefined;
+    });
+    return revision;
+  }
+
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(
-    core: CoreSet,
-  ): Promise<{ ballot: Ballot; replies: Replies<PrepareReply> }> {
+  private async seekPromises(core: CoreSet): Promise<Promises> {
+    const { known } = this;
     const ballot: Ballot = {
       counter: ++this.counter,
       node: this.peers.self.name,
       incarnation: this.peers.self.incarnation,
     };
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot };
+    const ask = {
+      set: core.number,
+      voters: voterSetDigest(core),
+      ballot,
+      known: known?.digest ?? '',
+    };
     const replies = await gather(
       core.members.map(({ address }) => address),
       (address) => this.peers.ask(address, Prepare, ask, ASK_LIMIT),
@@ -291,17 +358,27 @@
     );
     for (const { highest } of sound(replies))
       this.counter = Math.max(this.counter, highest.counter);
-    return { ballot, replies };
+    return { ballot, replies, known };
   }
 
-  private async accept(core: CoreSet, ballot: Ballot, document: Document): Promise<Outcome<void>> {
+  /** Asks the members to accept a document; where it was made from a base, as what changed from that. */
+  private async accept(
+    core: CoreSet,
+    ballot: Ballot,
+    document: Document,
+    base?: Revision,
+  ): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
-    const bytes = encodeDocument(document);
-    const ask = { set: core.number, voters: voterSetDigest(core), ballot, document: bytes };
+    const revision = this.hold(revisionOf(document, encodeDocument(document)));
+    const { bytes, digest } = revision;
+    const round = { set: core.number, voters: voterSetDigest(core), ballot, digest };
+    const whole = { ...round, document: bytes, base: '' };
+    const delta = base && deltaBetween(base, revision);
+    const asks = delta ? [{ ...round, document: delta, base: base.digest }, whole] : [whole];
     const replies = await gather(
       addresses,
-      (address) => this.peers.ask(address, Accept, ask, ASK_LIMIT),
+      (address) => this.askToAccept(address, asks),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
@@ -319,13 +396,22 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
-    this.announce(core, ballot, document, bytes);
+    this.announce(core, ballot, revision);
     this.roster.learn(document.core);
     return Right(undefined);
   }
 
-  private announce(core: CoreSet, ballot: Ballot, document: Document, bytes: Uint8Array): void {
-    const digest = digestOf(bytes);
+  /** Asks by what changed first; a member that does not hold the base of that is asked by the whole. */
+  private async askToAccept(
+    address: string,
+    [first, ...rest]: readonly AcceptAsk[],
+  ): Promise<Outcome<AcceptReply>> {
+    const reply = await this.peers.ask(address, Accept, first!, ASK_LIMIT);
+    const lacksBase = reply.map((told) => told.lacksBase).orDefault(false);
+    return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
+  }
+
+  private announce(core: CoreSet, ballot: Ballot, { document, digest }: Revision): void {
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
