A failed sync of a folder and an uncommitted change of voters get their tests

Found by mutation: without the sync of the folders after trouble with the disk, or with the voter set of an uncommitted value told as the committed one, no test failed. Both do now (power.test.ts, member.test.ts).

--- a/src/sim/disk.ts
+++ b/src/sim/disk.ts
@@ -72,6 +72,8 @@
   powerCut: (write: number) => 'no' | 'before' | 'after' = () => 'no';
   /** Asked before each step; yes means that power goes at that very moment. */
   powerCutAtStep: (step: number, kind: StepKind) => boolean = () => false;
+  /** Asked at each step; the error code with which it fails, or nothing. */
+  failure: (step: Step) => string = () => '';
   /** What ends with the power; the host that uses the disk at least. */
   onPowerCut: () => void = () => undefined;
   private cutsAfterWrite = false;
@@ -101,10 +103,9 @@
   }
 
   /** Why a step is refused now, or nothing. */
-  protected refusal({ kind }: Step): string {
-    return this.full && (kind === 'create' || kind === 'write' || kind === 'makeFolder')
-      ? 'ENOSPC'
-      : '';
+  protected refusal(step: Step): string {
+    const needsRoom = ['create', 'write', 'makeFolder'].includes(step.kind);
+    return this.full && needsRoom ? 'ENOSPC' : this.failure(step);
   }
 
   /** How long a step takes. */
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -123,6 +123,9 @@
   const others: CoreSet = { ...some, members: [members[0]!, members[2]!] };
   const without: CoreSet = { ...some, members: members.slice(1) };
   expect(isAccepted(await lone.accept(5, following(lone.first, 'some', some)))).toBe(true);
+  expect(lone.member.knownCore.number).toBe(number);
+  await lone.start();
+  expect(lone.member.knownCore.number).toBe(number);
   expect((await lone.prepare(6, others)).isLeft()).toBe(true);
   expect((await lone.prepare(6, some)).isRight()).toBe(true);
   expect((await lone.prepare(7)).isRight()).toBe(true);
--- a/test/checker/power.test.ts
+++ b/test/checker/power.test.ts
@@ -82,6 +82,23 @@
     }
 });
 
+test('a member whose folder failed to sync votes again only by what a loss of power leaves', async () => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const lone = await formed(seed);
+    lone.disk.failure = ({ kind }) => (kind === 'syncFolder' ? 'EIO' : '');
+    expect(isAccepted(await lone.accept(9, following(lone.first, 'second')))).toBe(false);
+    expect(await lone.ask(lone.member.recover())).toBe(false);
+    lone.disk.failure = () => '';
+    expect(await lone.ask(lone.member.recover())).toBe(true);
+    const told = (await lone.prepare(20)).unsafeCoerce();
+    lone.kill();
+    lone.disk.losePower();
+    await lone.start();
+    expect(lone.held.counter, `seed ${seed}`).toBeGreaterThanOrEqual(told.accepted.counter);
+    expect(lone.held.promised, `seed ${seed}`).toBe(20);
+  }
+});
+
 test('a member killed in its very first writes, and started again before power goes, keeps its id and what it answered', async () => {
   const last = (await formed()).disk.steps;
   expect(last).toBeGreaterThan(10);
