--- a/src/faces/callers/controller.ts
+++ b/src/faces/callers/controller.ts
@@ -5,7 +5,8 @@
 import { fault, reasonOf, type Fault } from '../../kernel/fault/fault.js';
 import type { Keys } from '../../node/keys.js';
 import { names } from '../../node/names.js';
-import type { Decline, Passage } from '../../passage/passage.js';
+import type { Passage } from '../../passage/passage.js';
+import type { Decline } from '../../passage/trip.js';
 import { readRequest } from '../../passage/request.js';
 import { CollectSink, StreamSink } from './sinks.js';
 
--- a/src/faces/callers/sinks.ts
+++ b/src/faces/callers/sinks.ts
@@ -5,7 +5,7 @@
  */
 import type { FastifyReply } from 'fastify';
 import type { Fault } from '../../kernel/fault/fault.js';
-import type { Sink } from '../../passage/passage.js';
+import type { Sink } from '../../passage/trip.js';
 import type { SseEvent } from '../../passage/sse.js';
 
 abstract class CallerSink implements Sink {
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -7,106 +7,48 @@
  * may go on elsewhere only where its doorway allows it; the other engine must first repeat all that was handed on, word
  * for word, before anything of it is handed on.
  */
-import type { Placed } from '../doorway/shape.js';
+import type { Claims } from '../claim/claims.js';
 import type { InForce } from '../doorway/match.js';
-import { blocksOf, promptBytes, rootHash, type Block, type Namespace } from '../index/hash.js';
+import { promptBytes } from '../index/hash.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
-import { within } from '../kernel/clock/clock.js';
-import { fault, type Fault, type Outcome } from '../kernel/fault/fault.js';
+import { fault, type Fault } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Standing } from '../lease/standing.js';
 import type { Chooser, Need, Slot } from '../place/choose.js';
 import type { LawParams } from '../place/law.js';
-import type { EngineChannel, EngineChannels, EngineReply } from '../pool/channel.js';
+import type { EngineChannels } from '../pool/channel.js';
 import { allows, type Engine } from '../pool/engine.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Soundness } from '../pool/soundness.js';
 import { Chart, type PassageEvent } from './chart.js';
-import type { Claims } from '../claim/claims.js';
+import { EngineExchange } from './exchange.js';
 import type { TakenIds } from './ids.js';
 import type { Liner, Lines } from './line.js';
 import type { CallerRequest } from './request.js';
 import type { RetryBudget } from './retry.js';
-import { Decoding, readChunk, renamed, type Notes } from './pieces.js';
-import { SseReader, type SseEvent } from './sse.js';
-
-/** Where an answer goes: the caller's connection. */
-export interface Sink {
-  readonly gone: AbortSignal;
-  write(event: SseEvent, engine: string): Promise<boolean>;
-  complete(): void;
-  broken(reason: Fault): void;
-}
-
-/** A request that did not run, or may have, with the status that its caller gets. */
-export interface Decline {
-  readonly outcome: 'declined' | 'unknown';
-  readonly status: number;
-  readonly fault: Fault;
-  readonly retryAfter: number | undefined;
-}
-
-/** How a request ended. */
-export type Ending =
-  { readonly outcome: 'result' } | { readonly outcome: 'broken'; readonly fault: Fault } | Decline;
-
-/** The bounds that requests are carried within. */
-export interface PassageParams {
-  readonly inFlight: number;
-  readonly silence: number;
-  readonly blockBytes: number;
-  readonly blockTokens: number;
-}
+import {
+  blocksIn,
+  namespaceOf,
+  over,
+  type Decline,
+  type Ending,
+  type Leg,
+  type PassageParams,
+  type Sink,
+  type Trip,
+} from './trip.js';
 
 const REPLACEMENTS = 2;
 
-/** What a caller has of a stream so far. */
-interface Handed {
-  text: string;
-  pieces: number;
-  id: string;
-  weightGeneration: string;
-  /** Whether all of it is plain text, and the stream was not yet at its finish. */
-  plain: boolean;
-}
-
-interface Trip {
-  readonly request: CallerRequest;
-  readonly chart: Chart;
-  readonly sink: Sink;
-  readonly placed: Placed;
-  readonly repeatable: boolean;
-  readonly firstToken: Moment;
-  readonly total: Moment;
-  readonly prompt: Uint8Array;
-  readonly tokens: number;
-  readonly reply: number;
-  readonly blocks: Map<string, readonly Block[]>;
-  readonly avoid: Set<string>;
-  readonly handed: Handed;
-  /** Whether this goes on with a stream that broke at another engine. */
-  readonly resumed: boolean;
-  /** Names this request among all that may come under its id. */
-  readonly owner: string;
-  claimed: boolean;
-}
-
-type Leg =
-  | { readonly kind: 'over'; readonly ending: Ending }
-  | { readonly kind: 'broken'; readonly fault: Fault }
-  | { readonly kind: 'again'; readonly fault: Fault; readonly sent: boolean };
-
-const over = (ending: Ending): Leg => ({ kind: 'over', ending });
-
 /** Carries chat requests from callers to engines. */
 export class Passage {
   private draining = false;
   private readonly trips = new Map<Trip, AbortController>();
   private flying = 0;
   private ticking = false;
-  private sends = 0;
+  private readonly exchange: EngineExchange;
   private owners = 0;
 
   constructor(
@@ -127,7 +69,11 @@
     private readonly clock: Clock,
     private readonly journal: Journal<PassageEvent>,
     private readonly log: Log,
-  ) {}
+  ) {
+    this.exchange = new EngineExchange(node, prefixes, chooser, soundness, params, clock, () =>
+      this.stir(),
+    );
+  }
 
   get inFlight(): number {
     return this.flying;
@@ -429,14 +375,17 @@
     const engines = open.filter(({ identifier }) => usable.has(identifier));
     const overlaps = new Map<string, number>();
     for (const weightGeneration of new Set(engines.map((engine) => engine.weightGeneration))) {
-      const namespace = this.namespace(trip, weightGeneration);
-      for (const [identifier, count] of this.prefixes.find(namespace, this.blocks(trip, namespace)))
+      const namespace = namespaceOf(trip, weightGeneration);
+      for (const [identifier, count] of this.prefixes.find(
+        namespace,
+        blocksIn(trip, namespace, this.params.blockBytes),
+      ))
         overlaps.set(identifier, count);
     }
     const need: Need = {
       prompt: trip.tokens,
       blocks: (engine) =>
-        this.blocks(trip, this.namespace(trip, engine.weightGeneration)).map(
+        blocksIn(trip, namespaceOf(trip, engine.weightGeneration), this.params.blockBytes).map(
           ({ external }) => external,
         ),
       blockTokens: this.params.blockTokens,
@@ -481,7 +430,7 @@
     }
     const channel = opened.unsafeCoerce();
     const barred = this.barred(trip, engine, signal);
-    if (!barred) return this.send(trip, slot, channel, signal, made);
+    if (!barred) return this.exchange.send(trip, slot, channel, signal, made);
     channel.close();
     return barred;
   }
@@ -546,269 +495,4 @@
       sent: false,
     };
   }
-
-  private async send(
-    trip: Trip,
-    slot: Slot,
-    channel: EngineChannel,
-    signal: AbortSignal,
-    made: string[],
-  ): Promise<Leg> {
-    const { engine } = slot;
-    const passageId = `${this.node}-${++this.sends}-${trip.request.id}`.slice(0, 200);
-    const namespace = this.namespace(trip, engine.weightGeneration);
-    const asked = Object.fromEntries(trip.request.body);
-    const goesOn = trip.resumed
-      ? {
-          messages: [
-            ...(asked['messages'] as unknown[]),
-            { role: 'assistant', content: trip.handed.text },
-          ],
-          add_generation_prompt: false,
-          continue_final_message: true,
-          echo: true,
-        }
-      : {};
-    const body = JSON.stringify({
-      ...asked,
-      ...goesOn,
-      stream: true,
-      stream_options: { include_usage: true },
-      max_tokens: trip.reply,
-    });
-    const headers = new Map([
-      ['content-type', 'application/json'],
-      ['x-request-id', passageId],
-      ['x-caller-request-id', trip.request.id],
-      ['x-firm', trip.request.firm],
-      [
-        'x-claimed-blocks',
-        String(Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens)),
-      ],
-    ]);
-    const reserve = trip.tokens + trip.reply + this.params.blockTokens;
-    const sentAt = this.clock.strict();
-    this.prefixes.fly(engine, reserve);
-    trip.chart.step('sent', engine.identifier);
-    const stop = new AbortController();
-    const cancel = (): void => stop.abort();
-    signal.addEventListener('abort', cancel, { once: true });
-    let stored = 0;
-    const leg = await this.converse(trip, slot, channel, stop, passageId, body, headers, {
-      prompt: () => {
-        const blocks = this.blocks(trip, namespace);
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
-          namespace,
-          parent: undefined,
-          depth: 0,
-          blocks,
-          touched: sentAt,
-        });
-        stored += blocks.length;
-        made.push(...blocks.map(({ external }) => external));
-      },
-      decoded: (blocks, parent, depth) => {
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
-          namespace,
-          parent,
-          depth,
-          blocks,
-          touched: sentAt,
-        });
-        stored += blocks.length;
-        made.push(...blocks.map(({ external }) => external));
-      },
-      cached: (tokens) => {
-        const count = Math.floor(tokens / this.params.blockTokens);
-        const claimed = Math.floor((trip.tokens - slot.fresh) / this.params.blockTokens);
-        if (count >= claimed) return;
-        const blocks = this.blocks(trip, namespace);
-        this.prefixes.shorten(engine, namespace, blocks, count);
-        this.prefixes.store(engine, this.prefixes.nextEvent(engine), {
-          namespace,
-          parent: undefined,
-          depth: 0,
-          blocks,
-          touched: sentAt,
-        });
-      },
-    });
-    signal.removeEventListener('abort', cancel);
-    this.prefixes.land(
-      engine,
-      reserve,
-      Math.max(this.params.blockTokens, reserve - stored * this.params.blockTokens),
-    );
-    return leg;
-  }
-
-  private async converse(
-    trip: Trip,
-    slot: Slot,
-    channel: EngineChannel,
-    stop: AbortController,
-    passageId: string,
-    body: string,
-    headers: ReadonlyMap<string, string>,
-    note: Notes,
-  ): Promise<Leg> {
-    const { engine } = slot;
-    const peer = engine.identifier;
-    const giveUp = (reason: Fault): Leg => {
-      stop.abort();
-      channel.close();
-      if (reason.certainty === 'declined') return { kind: 'again', fault: reason, sent: true };
-      this.soundness.bad(peer);
-      if (trip.repeatable && trip.chart.state === 'sent' && !trip.sink.gone.aborted)
-        return { kind: 'again', fault: reason, sent: true };
-      if (trip.chart.state !== 'streaming')
-        return over({ outcome: 'unknown', status: 502, fault: reason, retryAfter: undefined });
-      return { kind: 'broken', fault: reason };
-    };
-    const wait = async <T>(promise: Promise<T>, limit: number): Promise<T | undefined> =>
-      within(this.clock, Math.max(1, limit), promise);
-    const replied = await wait(
-      channel.send('/v1/chat/completions', headers, body, stop.signal),
-      trip.firstToken - this.clock.now(),
-    );
-    if (!replied) return giveUp(fault('engine.head', peer, 'no reply within the limit', 'unknown'));
-    if (replied.isLeft()) {
-      const reason = replied.extract();
-      if (reason.certainty === 'declined') {
-        channel.close();
-        return { kind: 'again', fault: reason, sent: false };
-      }
-      return giveUp(reason);
-    }
-    const reply = replied.unsafeCoerce();
-    const foreign =
-      reply.headers['x-request-id'] !== passageId ||
-      reply.headers['x-engine-id'] !== engine.identifier;
-    if (foreign)
-      return giveUp(
-        fault('engine.head', peer, 'the reply belongs to another request or engine', 'unknown'),
-      );
-    this.report(engine, reply);
-    if (reply.statusCode !== 200) return giveUp(await this.notServed(reply, peer));
-    const reader = new SseReader();
-    const chunks = reply.body[Symbol.asyncIterator]();
-    const decode = new Decoding(
-      trip.prompt,
-      this.blocks(trip, this.namespace(trip, engine.weightGeneration)),
-      this.params.blockBytes,
-      rootHash(this.namespace(trip, engine.weightGeneration)),
-      note,
-    );
-    let finished = false;
-    let chunkId: string | undefined;
-    const { handed } = trip;
-    /** What the engine must repeat before anything new. */
-    let owed = trip.resumed ? handed.text : '';
-    for (;;) {
-      const limit = Math.min(
-        trip.chart.state === 'sent' ? trip.firstToken - this.clock.now() : this.params.silence,
-        trip.total - this.clock.now(),
-      );
-      const next = await wait(
-        chunks.next().catch((thrown: unknown) => ({ thrown })),
-        limit,
-      );
-      if (!next) return giveUp(fault('engine.stream', peer, 'silent past the limit', 'unknown'));
-      if ('thrown' in next)
-        return giveUp(fault('engine.stream', peer, String(next.thrown), 'unknown'));
-      if (next.done)
-        return giveUp(fault('engine.stream', peer, 'ended without its end marker', 'unknown'));
-      const events: Outcome<SseEvent[]> = reader.push(next.value, peer);
-      if (events.isLeft()) return giveUp(events.extract());
-      for (const event of events.unsafeCoerce()) {
-        if (event.data === '[DONE]') {
-          if (!finished || owed || !reader.empty)
-            return giveUp(fault('engine.stream', peer, 'an end marker out of place', 'unknown'));
-          if (trip.chart.state === 'sent') trip.chart.step('streaming', peer);
-          if (!(await trip.sink.write(event, peer)))
-            return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
-          trip.sink.complete();
-          trip.chart.step('complete', peer);
-          this.soundness.good(peer);
-          return over({ outcome: 'result' });
-        }
-        const chunk = readChunk(event.data);
-        if (!chunk || (chunkId !== undefined && chunk.id !== chunkId))
-          return giveUp(
-            fault('engine.stream', peer, 'a piece that is not of this result', 'unknown'),
-          );
-        chunkId = chunk.id;
-        const repeated = chunk.content.slice(0, owed.length);
-        if (!owed.startsWith(repeated) || (owed.length > repeated.length && chunk.finished))
-          return giveUp(
-            fault(
-              'engine.resume',
-              peer,
-              'does not go on exactly where the stream broke',
-              'unknown',
-            ),
-          );
-        const content = chunk.content.slice(repeated.length);
-        const silent = trip.resumed && !content && !chunk.finished && owed !== '';
-        owed = owed.slice(repeated.length);
-        if (chunk.cached !== undefined) note.cached(chunk.cached);
-        if (silent) continue;
-        if (trip.chart.state === 'sent') {
-          trip.chart.step('streaming', peer);
-          this.chooser.begin(slot);
-          note.prompt();
-          this.stir();
-        }
-        decode.push(content);
-        finished ||= chunk.finished;
-        const shown = trip.resumed ? renamed(event, handed.id, content) : event;
-        if (!trip.resumed) handed.id = chunk.id;
-        handed.weightGeneration = engine.weightGeneration;
-        handed.text += content;
-        handed.pieces += content ? 1 : 0;
-        handed.plain &&= chunk.plain && !finished;
-        if (!(await trip.sink.write(shown, peer)))
-          return giveUp(fault('caller.write', 'caller', 'the caller is gone', 'unknown'));
-      }
-    }
-  }
-
-  private report(engine: Engine, reply: EngineReply): void {
-    const ahead = Number(reply.headers['x-tokens-ahead']);
-    if (Number.isFinite(ahead) && ahead >= 0) this.chooser.report(engine, ahead);
-  }
-
-  /** Only an explicit word that it was not run makes a sent request declined. */
-  private async notServed(reply: EngineReply, peer: string): Promise<Fault> {
-    const text = await within(
-      this.clock,
-      1000,
-      reply.body.text().catch(() => ''),
-    );
-    let code: unknown;
-    try {
-      code = (JSON.parse(text ?? '') as { error?: { code?: unknown } }).error?.code;
-    } catch {
-      code = undefined;
-    }
-    const notRun = (reply.statusCode === 429 || reply.statusCode === 503) && code === 'not_run';
-    return fault(
-      'engine.head',
-      peer,
-      `status ${reply.statusCode}`,
-      notRun ? 'declined' : 'unknown',
-    );
-  }
-
-  private namespace({ request }: Trip, weightGeneration: string): Namespace {
-    return { model: request.model, weightGeneration, firm: request.firm };
-  }
-
-  private blocks(trip: Trip, namespace: Namespace): readonly Block[] {
-    const known = trip.blocks.get(namespace.weightGeneration);
-    if (known) return known;
-    const made = blocksOf(trip.prompt, this.params.blockBytes, rootHash(namespace));
-    trip.blocks.set(namespace.weightGeneration, made);
-    return made;
-  }
 }
--- a/src/passage/pieces.ts
+++ b/src/passage/pieces.ts
@@ -55,7 +55,8 @@
   return { data, raw: `data: ${data}\n\n` };
 };
 
-interface Chunk {
+/** What one event of a stream holds. */
+export interface Chunk {
   readonly id: string;
   readonly plain: boolean;
   readonly content: string;
--- a/src/sim/day/traffic.ts
+++ b/src/sim/day/traffic.ts
@@ -3,7 +3,7 @@
  * questions that may not be repeated, some of which are sent again later in the day under the same id. All that a
  * caller is told is kept for the judge.
  */
-import type { Sink } from '../../passage/passage.js';
+import type { Sink } from '../../passage/trip.js';
 import { readRequest } from '../../passage/request.js';
 import { pick } from '../../kernel/random/random.js';
 import type { CallerRecord } from '../../stand/caller/caller.js';
