--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -16,7 +16,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Standing } from '../lease/standing.js';
-import type { Chooser, Need, Slot } from '../place/choose.js';
+import type { Chooser, Slot } from '../place/choose.js';
 import type { LawParams } from '../place/law.js';
 import type { EngineChannels } from '../pool/channel.js';
 import { allows, type Engine } from '../pool/engine.js';
@@ -25,20 +25,19 @@
 import { Chart, type PassageEvent } from './chart.js';
 import { EngineExchange } from './exchange.js';
 import type { TakenIds } from './ids.js';
-import type { Liner, Lines } from './line.js';
+import type { Lines } from './line.js';
 import type { CallerRequest } from './request.js';
 import type { RetryBudget } from './retry.js';
 import {
-  blocksIn,
-  namespaceOf,
+  decline,
   over,
-  type Decline,
   type Ending,
   type Leg,
   type PassageParams,
   type Sink,
   type Trip,
 } from './trip.js';
+import { Waiting } from './waiting.js';
 
 const REPLACEMENTS = 2;
 
@@ -46,8 +45,7 @@
 export class Passage {
   private draining = false;
   private readonly trips = new Map<Trip, AbortController>();
-  private flying = 0;
-  private ticking = false;
+  private readonly waiting: Waiting;
   private readonly exchange: EngineExchange;
   private owners = 0;
 
@@ -58,8 +56,8 @@
     private readonly news: Newsroom,
     private readonly channels: EngineChannels,
     private readonly soundness: Soundness,
-    private readonly prefixes: Prefixes,
-    private readonly chooser: Chooser,
+    prefixes: Prefixes,
+    chooser: Chooser,
     readonly lines: Lines,
     readonly budget: RetryBudget,
     private readonly ids: TakenIds,
@@ -70,13 +68,25 @@
     private readonly journal: Journal<PassageEvent>,
     private readonly log: Log,
   ) {
+    this.waiting = new Waiting(
+      node,
+      standing,
+      inForce,
+      news,
+      soundness,
+      prefixes,
+      chooser,
+      lines,
+      params,
+      clock,
+    );
     this.exchange = new EngineExchange(node, prefixes, chooser, soundness, params, clock, () =>
       this.stir(),
     );
   }
 
   get inFlight(): number {
-    return this.flying;
+    return this.waiting.inFlight;
   }
 
   get open(): number {
@@ -118,23 +128,13 @@
     return Math.ceil((prompt.length * this.params.blockTokens) / this.params.blockBytes);
   }
 
-  private decline(
-    step: string,
-    peer: string,
-    reason: string,
-    status: number,
-    retryAfter?: number,
-  ): Decline {
-    return { outcome: 'declined', status, fault: fault(step, peer, reason), retryAfter };
-  }
-
   private async through(request: CallerRequest, sink: Sink, chart: Chart): Promise<Ending> {
-    if (this.draining) return this.decline('receive', this.node, 'this node is stopping', 503, 1);
+    if (this.draining) return decline('receive', this.node, 'this node is stopping', 503, 1);
     if (!this.standing.serves())
-      return this.decline('receive', this.node, 'this node has no standing', 503, 1);
+      return decline('receive', this.node, 'this node has no standing', 503, 1);
     const placed = this.inForce.current.match(request);
     if (!placed)
-      return this.decline(
+      return decline(
         'match',
         this.node,
         `no doorway of ${request.firm} matches model ${request.model}`,
@@ -145,14 +145,14 @@
     const tokens = this.tokensOf(prompt);
     const reply = request.maxTokens ?? this.law.largestReply;
     if (tokens > this.law.largestPrompt)
-      return this.decline(
+      return decline(
         'match',
         this.node,
         `the prompt has about ${tokens} tokens, the most is ${this.law.largestPrompt}`,
         413,
       );
     if (reply > this.law.largestReply)
-      return this.decline(
+      return decline(
         'match',
         this.node,
         `max_tokens is ${reply}, the most is ${this.law.largestReply}`,
@@ -165,7 +165,7 @@
     if (!repeatable) {
       const taken = this.ids.take(request.firm, request.id);
       if (taken === 'full')
-        return this.decline('claim', this.node, 'too many request ids are remembered', 503, 5);
+        return decline('claim', this.node, 'too many request ids are remembered', 503, 5);
       if (taken === 'known')
         return {
           outcome: 'unknown',
@@ -232,7 +232,7 @@
         : ending;
     };
     for (let replacements = 0; ;) {
-      const slot = await this.line(trip, signal);
+      const slot = await this.waiting.enter(trip, signal);
       if ('outcome' in slot) return told(slot);
       const leg = await this.leg(trip, slot, signal);
       if (leg.kind === 'over') return told(leg.ending);
@@ -283,140 +283,12 @@
     return { ...trip, firstToken, prompt, tokens, reply, blocks: new Map(), resumed: true };
   }
 
-  private line(trip: Trip, signal: AbortSignal): Promise<Slot | Decline> {
-    trip.chart.step('lined');
-    return new Promise((resolve) => {
-      const timer = new AbortController();
-      const settle = (result: Slot | Decline): void => {
-        this.lines.leave(liner);
-        timer.abort();
-        signal.removeEventListener('abort', cancel);
-        resolve(result);
-      };
-      const cancel = (): void =>
-        settle(
-          this.decline(
-            'line',
-            'caller',
-            'the caller left, or this node had to stop, before it was sent',
-            503,
-            1,
-          ),
-        );
-      const { doorway } = trip.placed;
-      const liner: Liner = {
-        doorway: doorway.name,
-        share: doorway.share,
-        bound: doorway.line,
-        cost: trip.tokens + trip.reply,
-        attempt: () => {
-          const tried = this.tryPlace(trip);
-          if (tried) settle(tried);
-          return tried !== undefined;
-        },
-      };
-      if (signal.aborted) return cancel();
-      signal.addEventListener('abort', cancel, { once: true });
-      if (!this.lines.enter(liner))
-        return settle(
-          this.decline('line', this.node, `the line of doorway ${doorway.name} is full`, 429, 1),
-        );
-      void this.clock.sleep(trip.firstToken - this.clock.now(), timer.signal).then(() => {
-        if (!timer.signal.aborted)
-          settle(this.decline('line', this.node, 'no engine opened within the limit', 503, 1));
-      });
-      this.lines.serve();
-      void this.tick();
-    });
-  }
-
-  private async tick(): Promise<void> {
-    if (this.ticking) return;
-    this.ticking = true;
-    while (this.lines.waiting > 0) {
-      await this.clock.sleep(20);
-      this.lines.serve();
-    }
-    this.ticking = false;
-  }
-
-  /** A slot at an engine, a final answer at once when there is none to be had in time, or nothing yet. */
-  private tryPlace(trip: Trip): Slot | Decline | undefined {
-    if (this.flying >= this.params.inFlight) return undefined;
-    const { request } = trip;
-    if (!this.standing.serves())
-      return this.decline('place', this.node, 'this node lost its standing', 503, 1);
-    const placed = this.inForce.current.match(request);
-    if (placed?.doorway.name !== trip.placed.doorway.name)
-      return this.decline(
-        'place',
-        this.node,
-        'the doorway changed while the request waited',
-        503,
-        1,
-      );
-    const fits = (engine: Engine): boolean =>
-      !trip.resumed || engine.weightGeneration === trip.handed.weightGeneration;
-    const allowed = [...this.news.placed().values()].filter(
-      (engine) =>
-        !engine.leaving && fits(engine) && allows(placed.doorway.engines, request.model, engine),
-    );
-    if (allowed.length === 0)
-      return this.decline(
-        'place',
-        this.node,
-        'no engine with a confirmed place may serve this',
-        503,
-        2,
-      );
-    const fresh = allowed.filter(({ identifier }) => !trip.avoid.has(identifier));
-    const open = fresh.length ? fresh : allowed;
-    const usable = this.soundness.usable(open.map(({ identifier }) => identifier));
-    const engines = open.filter(({ identifier }) => usable.has(identifier));
-    const overlaps = new Map<string, number>();
-    for (const weightGeneration of new Set(engines.map((engine) => engine.weightGeneration))) {
-      const namespace = namespaceOf(trip, weightGeneration);
-      for (const [identifier, count] of this.prefixes.find(
-        namespace,
-        blocksIn(trip, namespace, this.params.blockBytes),
-      ))
-        overlaps.set(identifier, count);
-    }
-    const need: Need = {
-      prompt: trip.tokens,
-      blocks: (engine) =>
-        blocksIn(trip, namespaceOf(trip, engine.weightGeneration), this.params.blockBytes).map(
-          ({ external }) => external,
-        ),
-      blockTokens: this.params.blockTokens,
-      extra: trip.reply + this.params.blockTokens,
-    };
-    const choice = this.chooser.choose(engines, overlaps, need);
-    const left = trip.firstToken - this.clock.now();
-    if (!choice) return this.decline('place', this.node, 'no engine is usable now', 503, 1);
-    const wait = 'wait' in choice ? choice.wait : choice.estimate;
-    if (wait > left)
-      return this.decline(
-        'place',
-        this.node,
-        `the first token would take about ${Math.ceil(wait)} ms, the limit leaves ${Math.ceil(left)}`,
-        503,
-        Math.max(1, Math.ceil((wait - left) / 1000)),
-      );
-    if ('wait' in choice) return undefined;
-    this.flying += 1;
-    this.soundness.begin(choice.engine.identifier);
-    return this.chooser.take(choice, need);
-  }
-
   private async leg(trip: Trip, slot: Slot, signal: AbortSignal): Promise<Leg> {
     const { engine } = slot;
     trip.chart.step('placed', engine.identifier);
     const made: string[] = [];
     const leg = (await this.claim(trip)) ?? (await this.attempt(trip, slot, signal, made));
-    this.flying -= 1;
-    this.chooser.free(slot, made, this.params.blockTokens);
-    this.stir();
+    this.waiting.free(slot, made);
     return leg;
   }
 
@@ -454,7 +326,7 @@
         retryAfter: undefined,
       });
     return over(
-      this.decline(
+      decline(
         'claim',
         this.node,
         'the id could not be claimed at the routers that keep it',
@@ -466,13 +338,13 @@
 
   /** What forbids the send at the very last moment, if anything. */
   private barred(trip: Trip, engine: Engine, signal: AbortSignal): Leg | undefined {
-    const decline = (step: string, reason: string): Leg =>
-      over(this.decline(step, this.node, reason, 503, 1));
+    const forbid = (step: string, reason: string): Leg =>
+      over(decline(step, this.node, reason, 503, 1));
     if (signal.aborted)
-      return decline('send', 'the caller left, or this node had to stop, before it was sent');
-    if (!this.standing.serves()) return decline('send', 'this node lost its standing');
+      return forbid('send', 'the caller left, or this node had to stop, before it was sent');
+    if (!this.standing.serves()) return forbid('send', 'this node lost its standing');
     if (this.clock.now() >= trip.firstToken)
-      return decline('send', 'the limit came before it was sent');
+      return forbid('send', 'the limit came before it was sent');
     const placed = this.inForce.current.match(trip.request);
     const there = this.news.placed().get(engine.identifier);
     const still =
--- a/src/passage/trip.ts
+++ b/src/passage/trip.ts
@@ -2,7 +2,7 @@
 import type { Placed } from '../doorway/shape.js';
 import { blocksOf, rootHash, type Block, type Namespace } from '../index/hash.js';
 import type { Moment } from '../kernel/clock/clock.js';
-import type { Fault } from '../kernel/fault/fault.js';
+import { fault, type Fault } from '../kernel/fault/fault.js';
 import type { Chart } from './chart.js';
 import type { CallerRequest } from './request.js';
 import type { SseEvent } from './sse.js';
@@ -76,6 +76,15 @@
 /** An attempt that ended the request. */
 export const over = (ending: Ending): Leg => ({ kind: 'over', ending });
 
+/** The word that a request certainly did not run, with the status that its caller gets. */
+export const decline = (
+  step: string,
+  peer: string,
+  reason: string,
+  status: number,
+  retryAfter?: number,
+): Decline => ({ outcome: 'declined', status, fault: fault(step, peer, reason), retryAfter });
+
 /** The namespace of a request's prompt at engines of one weight generation. */
 export const namespaceOf = ({ request }: Trip, weightGeneration: string): Namespace => ({
   model: request.model,
