--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -34,7 +34,8 @@
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Roster } from '../register/roster.js';
-import { RouterModule, RouterNode } from '../router/module.js';
+import { RouterModule } from '../router/module.js';
+import { RouterNode } from '../router/node.js';
 import type { Tracing } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
@@ -146,7 +147,7 @@
   };
   context.get<Tracing>(names.tracing).serve(context.get<Peers>(names.peers));
   const started = await node.start();
-  if (started.isLeft()) return refuse(started.extract() as Fault);
+  if (started.isLeft()) return refuse(started.extract());
   const registry = new Registry();
   gauge(
     registry,
@@ -194,7 +195,7 @@
   const faces: Face[] = [];
   for (const open of opening) {
     const face = await open();
-    if (face.isLeft()) return refuse(face.extract() as Fault);
+    if (face.isLeft()) return refuse(face.extract());
     faces.push(face.unsafeCoerce());
   }
   open = true;
--- a/src/fleet/slopes/loopback.ts
+++ b/src/fleet/slopes/loopback.ts
@@ -7,13 +7,15 @@
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { Fleet, freePorts } from '../fleet.js';
-import { Child, type Report } from './child.js';
+import { Child } from './child.js';
+import type { Report } from './role.js';
 import type { HollowTold } from './hollow.js';
 import { spreadOf } from './numbers.js';
 import { listedEngine, ZONES } from './plane.js';
 import type { Point } from './shape.js';
 import { usageOf, type ProcessUsage } from './usage.js';
 
+/** One point of a sweep with real processes. */
 export interface LoopbackAsk {
   readonly sweep: string;
   readonly at: number;
@@ -45,6 +47,7 @@
     ...over,
   }));
 
+/** Takes one point of a sweep with real processes. */
 export const loopbackPoint = async ({
   sweep,
   at,
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -7,10 +7,26 @@
 import { Right } from 'purify-ts';
 import type { Peers } from '../wire/peers.js';
 import { Settled, type FeedItem, type SettledTell } from './calls.js';
-import { decodeDocument, digestOf, type Document } from './document.js';
+import { decodeDocument, documentDigest, type Document } from './document.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
 
+interface FedRevision {
+  readonly document: Document;
+  readonly item: FeedItem;
+}
+
+/** The revisions up to the first that can't be read. */
+const readable = (items: readonly FeedItem[]): FedRevision[] => {
+  const revisions: FedRevision[] = [];
+  for (const item of items) {
+    const decoded = decodeDocument(item.document, 'peer');
+    if (decoded.isLeft()) break;
+    revisions.push({ document: decoded.unsafeCoerce(), item });
+  }
+  return revisions;
+};
+
 /** Takes committed revisions in. */
 export class Learner {
   constructor(private readonly replica: Replica) {}
@@ -19,18 +35,21 @@
     peers.handle(Settled, async (tell, peer) => Right({ known: await this.learnTold(tell, peer) }));
   }
 
-  /** Takes revisions that a peer knows to be committed, oldest first. */
+  /**
+   * Takes revisions that a peer knows to be committed, oldest first. Only the newest is written, since it stands for all
+   * before it: on a slow disk a write for each would hold up the votes of this member.
+   */
   takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
+    const { acceptor, guard } = this.replica;
     return this.replica.exclusive(async () => {
-      for (const item of items) {
-        const decoded = decodeDocument(item.document, 'peer');
-        if (decoded.isLeft()) return;
-        const document = decoded.unsafeCoerce();
-        if (document.generation > committed) return;
-        const kept = await this.keep(document, item);
-        if (!kept && !this.replica.guard.isSuspended) return;
-        if (this.isCurrent(document)) this.commit(document, item);
-      }
+      const revisions = readable(items).filter(({ document }) => document.generation <= committed);
+      const newest = revisions.at(-1);
+      if (!newest) return;
+      const oldestOpen = acceptor.lowestOpenRevision;
+      const kept = await this.keep(newest.document, newest.item);
+      if (!kept && !guard.isSuspended) return;
+      for (const { document, item } of revisions)
+        if (document.generation >= oldestOpen) this.commit(document, item);
     });
   }
 
@@ -50,7 +69,7 @@
     const read = await this.replica.store.readGeneration(revision);
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
-    const digest = digestOf(filed.document);
+    const digest = documentDigest(filed.document);
     const { chain } = this.replica;
     if (digest === chain.digest(revision) && !chain.isLinked(revision))
       this.replica.link(revision, filed.document);
@@ -61,7 +80,7 @@
   mend(revision: number, item: FeedItem): Promise<boolean> {
     const { replica } = this;
     return replica.exclusive(async () => {
-      if (replica.guard.reason || digestOf(item.document) !== replica.chain.digest(revision))
+      if (replica.guard.reason || documentDigest(item.document) !== replica.chain.digest(revision))
         return false;
       if (!(await this.rewrite(revision, item))) return false;
       replica.link(revision, item.document);
@@ -77,7 +96,8 @@
     const { accepted } = replica.acceptor;
     if (revision !== accepted?.parsed.generation)
       return replica.keepHistory(revision, item.document);
-    if (digestOf(accepted.document) !== digestOf(item.document)) return Promise.resolve(false);
+    if (documentDigest(accepted.document) !== documentDigest(item.document))
+      return Promise.resolve(false);
     return replica.hold(accepted);
   }
 
@@ -100,7 +120,7 @@
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
     if (generation <= chain.settled) return true;
-    if (accepted?.parsed.generation !== generation || digestOf(accepted.document) !== digest)
+    if (accepted?.parsed.generation !== generation || documentDigest(accepted.document) !== digest)
       return false;
     this.commit(accepted.parsed, accepted);
     return true;
@@ -118,18 +138,16 @@
   private async isOnDisk({ generation }: Document, filed: Filed): Promise<boolean> {
     const present = await this.replica.store.readGeneration(generation);
     return present
-      .map((there) => there !== undefined && digestOf(there.document) === digestOf(filed.document))
+      .map(
+        (there) =>
+          there !== undefined && documentDigest(there.document) === documentDigest(filed.document),
+      )
       .orDefault(false);
   }
 
-  /** A revision below one that is known to be committed is history: it is kept, and not told as the newest. */
-  private isCurrent({ generation }: Document): boolean {
-    return generation >= this.replica.acceptor.lowestOpenRevision;
-  }
-
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
-    if (!chain.settle(document, digestOf(filed.document), filed)) return;
+    if (!chain.settle(document, documentDigest(filed.document), filed)) return;
     log('settled', [['generation', document.generation]]);
     this.replica.prune();
   }
