--- a/test/forward/scripted.ts
+++ b/test/forward/scripted.ts
@@ -28,7 +28,7 @@
   readonly closed: () => boolean;
 }
 
-export type Script = (exchange: Exchange) => void;
+export type Script = (exchange: Exchange) => void | Promise<void>;
 
 const closers: Array<() => Promise<void> | void> = [];
 afterEach(async () => {
@@ -100,7 +100,7 @@
         };
         pending = pending.subarray(whole);
         this.exchanges.push(exchange);
-        this.script(exchange);
+        void this.script(exchange);
       }
     });
   }
