--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -123,7 +123,7 @@
   troubleDisk(at: number, { trouble, duration }: DiskStep): void {
     const disk = this.disks[at]!;
     const usual = new SimDisk(this.world).latency;
-    this.noteBusy(at, duration);
+    if (trouble !== 'full') this.noteBusy(at, duration);
     if (trouble === 'slow') disk.latency = SLOW_DISK;
     else disk[trouble] = true;
     this.world.at(duration, () => {
@@ -143,8 +143,7 @@
     this.world.heal();
     this.rules.clear();
     this.disks.forEach((disk, at) => {
-      if (disk.stalled || disk.latency === SLOW_DISK) this.diskBusyUntil[at] = this.world.now;
-      this.noteBusy(at, 0);
+      this.diskBusyUntil[at] = this.world.now + SLOWEST_WRITE;
       Object.assign(disk, {
         stalled: false,
         full: false,
--- a/test/schedule/operators.ts
+++ b/test/schedule/operators.ts
@@ -1,10 +1,11 @@
 /** The operators of a schedule: they send orders and reads to members and note what they were answered. */
+import { contentOf } from '../../src/history/order.js';
 import type { ConfigureReply } from '../../src/api/configuration.js';
 import type { ChangeAnswer, ReadAnswer } from '../../src/history/call.js';
 import { HistoryRecorder } from '../../src/history/recorder.js';
 import type { Configuration, Patch } from '../../src/route/shape.js';
 import type { Cluster } from './cluster.js';
-import { contentOf, orderFor, type Order } from './requests.js';
+import { orderFor, type Order } from './requests.js';
 import { CALLS_AT_ONCE, type CallPlan, type ChangeStep, type RepeatStep } from './steps.js';
 
 /** For how long a member works on a call. */
--- a/test/schedule/play.ts
+++ b/test/schedule/play.ts
@@ -8,8 +8,8 @@
 import { orderFor } from './requests.js';
 import type { Action, Schedule } from './steps.js';
 
-/** How long leases, disks and connections may take to be well again. */
-const RECOVERY = 4000;
+/** How long leases, disks and connections may take to be well again, and calls to members that are gone to be given up. */
+const RECOVERY = 6000;
 /** Tries in the calm until a call must have had a clear answer. */
 const CLOSING_TRIES = 5;
 
--- a/test/schedule/requests.ts
+++ b/test/schedule/requests.ts
@@ -1,5 +1,6 @@
 /** The requests that operators send in schedules, for the product and for the history checker. */
-import type { ChangeRequest, Content } from '../../src/history/call.js';
+import { requestOf } from '../../src/history/order.js';
+import type { ChangeRequest } from '../../src/history/call.js';
 import type { Configuration, Patch, Route } from '../../src/route/shape.js';
 import type { ChangeStep } from './steps.js';
 
@@ -20,22 +21,10 @@
   service,
 });
 
-/** The named items of a configuration as the checker compares them. */
-export const contentOf = ({ routes = [], services = [] }: Partial<Configuration>): Content =>
-  new Map([
-    ...routes.map((each) => [`route ${each.name}`, JSON.stringify(each)] as const),
-    ...services.map((each) => [`service ${each.name}`, JSON.stringify(each)] as const),
-  ]);
-
-const orderOf = (body: Configuration | Patch, expects: number, valid: boolean): Order => {
-  const { version } = body;
-  const common = { id: `${expects} ${JSON.stringify(body)}`, version, expects, valid };
-  if ('routes' in body)
-    return { body, request: { ...common, kind: 'replace', content: contentOf(body) } };
-  const { set, remove } = body;
-  const names = (remove.routes ?? []).map((name) => `route ${name}`);
-  return { body, request: { ...common, kind: 'patch', set: contentOf(set), remove: names } };
-};
+const orderOf = (body: Configuration | Patch, expects: number, valid: boolean): Order => ({
+  body,
+  request: requestOf({ body, expects }, valid),
+});
 
 /** The order that a step stands for, on top of the version given. */
 export const orderFor = (
--- a/test/schedule/schedule.test.ts
+++ b/test/schedule/schedule.test.ts
@@ -11,7 +11,7 @@
 import { schedules, type Schedule } from './steps.js';
 
 const SEED = Number(process.env['SCHEDULE_SEED'] ?? 17);
-const RUNS = Number(process.env['SCHEDULE_RUNS'] ?? 25);
+const RUNS = Number(process.env['SCHEDULE_RUNS'] ?? 150);
 const PATH = process.env['SCHEDULE_PATH'];
 
 const holds = async (schedule: Schedule): Promise<void> => {
