A success that bears the word "not run" is not taken for it

It contradicts itself, and counts as unknown now. Seen to fail first (targets.test.ts: 200 from a second engine in the place of 502).

--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -176,7 +176,8 @@
   ): Extract<Attempt, { kind: 'not-run' | 'unknown' }> | undefined {
     const field = (name: string): string | undefined => only(fields, name);
     const own = field(this.dialect.requestId) === job.id;
-    if (own && (status === 421 || (field(this.dialect.notRun) !== undefined && status !== 400))) {
+    const marked = field(this.dialect.notRun) !== undefined;
+    if (own && (status === 421 || (marked && status > 400))) {
       const wait = Number(field('retry-after'));
       return {
         kind: 'not-run',
@@ -187,6 +188,7 @@
     const reason = [
       !own && 'an answer with another id',
       !framed && 'an answer whose end can not be told',
+      marked && status < 400 && 'an answer that is no refusal, with the word that it did not run',
       success && field(this.dialect.seal) === undefined && 'a success without the seal',
       success && field('content-encoding') !== undefined && 'an encoded body nobody asked for',
       (status === 408 || status === 429 || status === 503) &&
