Forming goes on with a majority's promises, however long another seed holds its own back

Cause: an attempt waited for every seed that had answered, up to its limit of a second. A seed that answers questions but not votes, as with a stalled disk, held each attempt up for so long that the other seeds' attempts overtook it, again and again: 19 of 20 seeds were not formed after 10 s. Now an attempt goes on as soon as a majority promised. Ruled out: a shorter limit (a slow disk may need it), longer turns (a dark first seed would cost them at each start).

--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -269,12 +269,25 @@
     };
     if (unanimous) return this.inTurn(seeds, ask);
     const own = await ask(self);
-    if (!own) return [];
+    return own ? this.withOthers(own, seeds, survey, ask) : [];
+  }
+
+  /** Until a majority promised: one that holds its answer back, as with a stalled disk, must not use up the ballot. */
+  private async withOthers(
+    own: Promised,
+    seeds: readonly string[],
+    survey: Survey,
+    ask: (address: string) => Promise<Promised | undefined>,
+  ): Promise<Promised[]> {
     const others = seeds.filter(
-      (seed) => seed !== self && survey.answers.get(seed)?.role === 'voter',
+      (seed) => seed !== own.address && survey.answers.get(seed)?.role === 'voter',
+    );
+    const replies = await gather(
+      others,
+      async (address) => Right(await ask(address)),
+      (all) => sound(all).filter(Boolean).length + 1 >= majority(seeds.length),
     );
-    const promises = await Promise.all(others.map(ask));
-    return [own, ...promises.flatMap((promise) => promise ?? [])];
+    return [own, ...sound(replies).flatMap((promise) => promise ?? [])];
   }
 
   /** One after the other, so that rounds over different seeds meet at the first that they share. */
