A voter that never received the first revision takes it from any voter that has it

The follower of the one without began only after a majority of the voters told where; two were left, one of them without a state, so nobody told, for good. A member needs no such floor: it takes only what is committed and never goes back by its own rules; the floor is for routers, which serve what they follow. Ruled out: repeating the forming call (helps while revision 1 is the newest only).

--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -94,6 +94,7 @@
       undefined,
       this.params.feed.wait,
       () => this.member.settledGeneration,
+      () => Promise.resolve(this.member.settledGeneration),
     );
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -85,6 +85,9 @@
     private readonly wait = WAIT,
     /** What this node has by another way. */
     private readonly own: () => number = () => 0,
+    /** Below which revision this node may not begin, while no majority of the voters tells it. */
+    private readonly floorWithoutMajority: () => Promise<number | undefined> = () =>
+      relay?.floor() ?? Promise.resolve(undefined),
   ) {}
 
   async run(signal: AbortSignal): Promise<void> {
@@ -106,7 +109,7 @@
   /** Looks for the generation below which this node may not begin, and for a member that holds it. */
   private async begin(): Promise<string | undefined> {
     const survey = (await this.proposer.survey(LOOK)).toMaybe().extract();
-    const floor = survey?.generation ?? (await this.relay?.floor());
+    const floor = survey?.generation ?? (await this.floorWithoutMajority());
     if (floor === undefined) return undefined;
     this.floor = floor;
     this.log('feed-floor', [['generation', floor]]);
