A group of which one member is killed and back before all lose power

At every step of every write, formation included: what was acknowledged is read back and changes go on. A step that was under way when power went does nothing any more on the simulated disk.

--- a/src/sim/disk.ts
+++ b/src/sim/disk.ts
@@ -167,6 +167,7 @@
         if (this.stalled) return this.world.at(STALL_LOOK, due);
         if (host.dead) return this.finishDead(act);
         if (this.cutBefore(kind)) return this.cut();
+        if (losses !== this.powerLosses) return;
         const refusal = this.refusal({ kind, bytes });
         if (refusal) return host.reach(() => reject(errorOf(refusal)));
         try {
--- a/test/checker/power.test.ts
+++ b/test/checker/power.test.ts
@@ -135,9 +135,10 @@
   constructor(
     seed: number,
     private readonly cutAt: number,
+    private readonly strike: (group: Group, at: number) => void,
   ) {
     this.world = new World(seed);
-    this.disks = addresses.map(() => this.disk());
+    this.disks = addresses.map((_, at) => this.disk(at));
     this.start();
     this.client = simBase(this.world, 'client', '127.0.0.1:9', 'z', 'router', site);
   }
@@ -156,29 +157,46 @@
     return new Set(read.map(({ claims }) => [...claims.keys()]).orDefault([]));
   }
 
-  private disk(): SimDisk {
-    const disk = new SimDisk(this.world);
-    disk.powerCutAtStep = (): boolean => ++this.steps === this.cutAt;
-    disk.onPowerCut = (): void => this.losePower();
-    return disk;
-  }
-
-  private losePower(): void {
+  /** All members at once. */
+  losePower(): void {
     for (const { host } of this.cores) host.kill();
     for (const disk of this.disks) disk.losePower();
     this.world.at(300, () => this.start());
   }
 
+  /** One member's process ends in the middle of a step and is started again; all lose power once it has answered. */
+  killThenLosePower(at: number): void {
+    this.cores[at]!.host.kill();
+    this.world.at(50, () => (this.cores[at] = this.startCore(at)));
+    this.world.at(120, () => this.losePower());
+  }
+
+  private disk(at: number): SimDisk {
+    const disk = new SimDisk(this.world);
+    disk.powerCutAtStep = (): boolean => {
+      if (++this.steps === this.cutAt) this.strike(this, at);
+      return false;
+    };
+    return disk;
+  }
+
   private start(): void {
-    this.cores = addresses.map((address, at) =>
-      simCore(this.world, `core-${at}`, address, 'z', this.disks[at]!, site),
-    );
-    for (const { node } of this.cores) void node.start();
+    this.cores = addresses.map((_, at) => this.startCore(at));
+  }
+
+  private startCore(at: number): SimCore {
+    const core = simCore(this.world, `core-${at}`, addresses[at]!, 'z', this.disks[at]!, site);
+    void core.node.start();
+    return core;
   }
 }
 
-const day = async (seed: number, cutAt: number): Promise<Group> => {
-  const group = new Group(seed, cutAt);
+const day = async (
+  seed: number,
+  cutAt: number,
+  strike: (group: Group, at: number) => void,
+): Promise<Group> => {
+  const group = new Group(seed, cutAt, strike);
   for (let at = 0; at < 4; at++) await group.change();
   const read = await group.read();
   for (const name of group.acknowledged)
@@ -187,13 +205,20 @@
   return group;
 };
 
-test('all members lose power at any step of any write: what was acknowledged is read back, and changes go on', async () => {
-  for (let seed = 1; seed <= 2; seed++) {
-    const { steps } = await day(seed, -1);
-    expect(steps).toBeGreaterThan(100);
-    for (let step = 1; step <= steps; step++) await day(seed, step);
-  }
-});
+for (const [name, strike] of [
+  ['all members lose power', (group: Group) => group.losePower()],
+  [
+    'one member is killed and back, and then all lose power',
+    (group: Group, at: number) => group.killThenLosePower(at),
+  ],
+] as const)
+  test(`${name}, at any step of any write: what was acknowledged is read back, and changes go on`, async () => {
+    for (let seed = 1; seed <= 2; seed++) {
+      const { steps } = await day(seed, -1, strike);
+      expect(steps).toBeGreaterThan(100);
+      for (let step = 1; step <= steps; step++) await day(seed, step, strike);
+    }
+  });
 
 test('the simulated disk keeps or loses each unsynced name by itself, and tears unsynced bytes', () => {
   const outcomes = new Set<string>();
