--- a/test/schedule/operators.ts
+++ b/test/schedule/operators.ts
@@ -1,14 +1,17 @@
 /** The operators of a schedule: they send orders and reads to members and note what they were answered. */
+import { contentOf } from '../../src/history/order.js';
 import type { ConfigureReply } from '../../src/api/configuration.js';
 import type { ChangeAnswer, ReadAnswer } from '../../src/history/call.js';
 import { HistoryRecorder } from '../../src/history/recorder.js';
 import type { Configuration, Patch } from '../../src/route/shape.js';
 import type { Cluster } from './cluster.js';
-import { contentOf, orderFor, type Order } from './requests.js';
+import { orderFor, type Order } from './requests.js';
 import { CALLS_AT_ONCE, type CallPlan, type ChangeStep, type RepeatStep } from './steps.js';
 
 /** For how long a member works on a call. */
 const WAIT = 4000;
+/** After this long a call counts as never answered: its member may be gone. */
+export const GIVEN_UP_AFTER = WAIT + 1000;
 
 const answers: Record<ConfigureReply['outcome'], ChangeAnswer> = {
   accepted: 'acknowledged',
@@ -96,7 +99,7 @@
     const { world } = this.cluster;
     this.underWay += 1;
     const givenUp = new Promise<undefined>((resolve) =>
-      world.at(WAIT + 1000, () => resolve(undefined)),
+      world.at(GIVEN_UP_AFTER, () => resolve(undefined)),
     );
     const reply = await Promise.race([call, givenUp]);
     this.underWay -= 1;
