A disqualified voter is replaced like one whose disk is gone

Cause: a voter whose disk lost what it had voted for answers State under its own id with vote 'disqualified'. It counted as present, so it kept its seat for good, was even drawn as the one to change the voter set, and a learner at hand never took over. It now counts as unrecoverable, as a voter in whose place another disk answers. Dropping the check for a majority of the rest is not seen by them: with fewer votes the change itself can't be committed.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -4,11 +4,11 @@
  * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
  * does the vote that is given.
  *
- * The members watch each other. A voter that has been silent for the param's time, or in whose place another disk answers,
- * is removed once a learner is ready to take over and those that are left and answer at that very look vote, hold the
- * newest committed revision, and are a majority of what is left. One that says that it stops is replaced without waiting
- * for its silence: the learner is added first. A voter that is merely silent is kept while another disk answers in the place
- * of a third, which is gone for good and is removed first.
+ * The members watch each other. A voter that has been silent for the param's time, in whose place another disk answers, or
+ * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
+ * that are left and answer at that very look vote, hold the newest committed revision, and are a majority of what is left.
+ * One that says that it stops is replaced without waiting for its silence: the learner is added first. A voter that is
+ * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first.
  *
  * One member does this, cut by rendezvous hashing over the voters that answer, fenced by the number of the voter set: of two
  * who both think it is theirs only one change can win, and a change that lost does nothing.
@@ -66,8 +66,8 @@
   readonly present: readonly Seat[];
   /** Of those, the ones that vote and hold the newest committed revision on disk. */
   readonly current: readonly Seat[];
-  /** Voters in whose place another disk answered. */
-  readonly swapped: readonly Seat[];
+  /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
+  readonly unrecoverable: readonly Seat[];
   readonly silent: readonly Seat[];
   readonly leaving: readonly Seat[];
   /** Learners that hold the newest committed revision on disk. */
@@ -174,7 +174,10 @@
     const vacant = last.set.members.length < last.set.wanted;
     const waiting = vacant && this.freshLearners(last.set, this.clock.now()).length > 0;
     return (
-      this.liveness.anyFailing || last.swapped.length > 0 || last.leaving.length > 0 || waiting
+      this.liveness.anyFailing ||
+      last.unrecoverable.length > 0 ||
+      last.leaving.length > 0 ||
+      waiting
     );
   }
 
@@ -211,9 +214,9 @@
     const look = await this.look();
     this.last = look;
     if (this.after === 0) return false;
-    const { set, silent, swapped, leaving } = look;
+    const { set, silent, unrecoverable, leaving } = look;
     const staying = set.members.filter(
-      (seat) => ![...silent, ...swapped, ...leaving].includes(seat),
+      (seat) => ![...silent, ...unrecoverable, ...leaving].includes(seat),
     );
     const [holder] = holders(
       `succession-${set.number}`,
@@ -252,6 +255,10 @@
     );
     const now = this.clock.now();
     const isPresent = (seat: Seat): boolean => states.get(seat)?.member === seat.id;
+    const isUnrecoverable = (seat: Seat): boolean => {
+      const state = states.get(seat);
+      return state !== undefined && (!isPresent(seat) || state.vote === 'disqualified');
+    };
     const present = members.filter(isPresent);
     this.liveness.note(
       members.map(({ id }) => id),
@@ -269,7 +276,7 @@
       set,
       present,
       current: present.filter((seat) => states.get(seat)!.voting && holdsNewest(seat)),
-      swapped: members.filter((seat) => states.get(seat) && !isPresent(seat)),
+      unrecoverable: members.filter(isUnrecoverable),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
@@ -290,11 +297,13 @@
 
   /** The change of the voter set that is due by what was seen. */
   private due(look: Look): VoterChange | undefined {
-    const { set, ready, swapped, silent, leaving } = look;
+    const { set, ready, unrecoverable, silent, leaving } = look;
     const { number, wanted, members } = set;
     const apart = ready.find((seat) => !members.some(({ address }) => address === seat.address));
     if (apart && members.length < wanted) return { kind: 'seat', seat: apart, expects: number };
-    const gone = (swapped.length > 0 ? swapped : silent).find(({ id }) => id !== this.member.id);
+    const gone = (unrecoverable.length > 0 ? unrecoverable : silent).find(
+      ({ id }) => id !== this.member.id,
+    );
     const left = look.current.filter((seat) => seat !== gone).length;
     const isSpared = ready.length > 0 || members.length > wanted;
     if (gone && isSpared && left >= majority(members.length - 1))
