--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -111,6 +111,7 @@
         );
       },
     });
+    this.checkVoters(final);
     for (const name of stage.lostFor)
       if (!stage.cores.get(name)?.member.state().voting) tally.find('not-replaced', name);
     const wholes = new Set(
@@ -126,6 +127,18 @@
     return final;
   }
 
+  /** Every voter is a machine that lives, and there are no more than wanted: a voter that is gone only costs a majority. */
+  private checkVoters({ core }: Document): void {
+    const { stage, tally } = this;
+    const living = new Set(
+      [...stage.cores.values()].filter(({ host }) => !host.dead).map(({ host }) => host.address),
+    );
+    if (core.members.length > core.wanted)
+      tally.find('too-many-voters', `${core.members.length} of ${core.wanted}`);
+    for (const { address } of core.members)
+      if (!living.has(address)) tally.find('voter-gone', address);
+  }
+
   private result(final: Document | undefined): DayResult {
     const { stage, traffic, operators, tally } = this;
     const { facts } = stage;
--- a/src/sim/day/faults/core.ts
+++ b/src/sim/day/faults/core.ts
@@ -7,6 +7,7 @@
 const STEPS_OF_A_WRITE = 5;
 /** A planned replacement runs this long beside the machine that it takes over from. */
 const OVERLAP = 1000;
+const BETWEEN_REPLACEMENTS = 12_000;
 
 export class CoreFaults {
   readonly table: FaultTable = [
@@ -24,6 +25,7 @@
     ['core-disk-lost', (lasts) => this.lose(lasts, false)],
     ['core-moved', (lasts) => this.lose(lasts, true)],
     ['core-replaced', () => this.replace()],
+    ['core-replaced-twice', () => void this.replaceTwice()],
     ['core-acked-then-lost', (lasts) => void this.loseOneThatAccepted(lasts)],
     ['seed-foreign', (lasts) => this.foreignSeed(lasts)],
   ];
@@ -100,6 +102,15 @@
     if (!this.lostBefore) this.target.stage.replaceCore(this.some(), OVERLAP);
   }
 
+  /** Two planned replacements, the second of the machine that took over in the first. */
+  private async replaceTwice(): Promise<void> {
+    const { stage } = this.target;
+    if (this.lostBefore) return;
+    const successor = stage.replaceCore(this.some(), OVERLAP);
+    await stage.pause(BETWEEN_REPLACEMENTS);
+    stage.replaceCore(successor, OVERLAP);
+  }
+
   /** A change is told accepted, and at that very moment a core machine is gone with its disk. */
   private async loseOneThatAccepted(lasts: number): Promise<void> {
     const { stage, operators } = this.target;
--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -181,12 +181,13 @@
   }
 
   /** As planned: an empty machine at a new address starts first; after a while the one it takes over from stops for good. */
-  replaceCore(name: string, overlap: number): void {
+  replaceCore(name: string, overlap: number): string {
     const done = this.disturb();
     const successor = `core-${Number(name.split('-')[1]) + this.plan.cores}`;
     this.lostFor.add(successor);
     this.startCore(successor);
     this.world.at(overlap, () => void this.retireCore(name, done));
+    return successor;
   }
 
   /** A core machine is told to stop, hands over what it can, and is gone with its disk. */
@@ -197,6 +198,7 @@
     leaver.host.kill();
     this.disks.get(name)!.lose();
     this.cores.delete(name);
+    this.lostFor.delete(name);
     this.world.at(RECOVERED_AFTER, done);
   }
 
--- a/test/days/kinds.test.ts
+++ b/test/days/kinds.test.ts
@@ -9,6 +9,7 @@
       'core-slow',
       'core-resets',
       'core-replaced',
+      'core-replaced-twice',
       'router-slow',
       'router-resets',
       'engines-grey',
