--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -24,6 +24,7 @@
   decodeDocument,
   digestOf,
   encodeDocument,
+  voterSetDigest,
   type Change,
   type CoreSet,
   type Document,
@@ -277,9 +278,10 @@
       node: this.peers.self.name,
       incarnation: this.peers.self.incarnation,
     };
+    const ask = { set: core.number, voters: voterSetDigest(core), ballot };
     const replies = await gather(
       core.members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Prepare, { set: core.number, ballot }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Prepare, ask, ASK_LIMIT),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ promised }) => promised).orDefault(false)),
@@ -295,10 +297,10 @@
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
     const bytes = encodeDocument(document);
+    const ask = { set: core.number, voters: voterSetDigest(core), ballot, document: bytes };
     const replies = await gather(
       addresses,
-      (address) =>
-        this.peers.ask(address, Accept, { set: core.number, ballot, document: bytes }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Accept, ask, ASK_LIMIT),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -16,12 +16,15 @@
   readonly under?: CoreSet;
 }
 
+/** What the disk holds of a member: what it accepted is the value of the highest ballot among the revisions. */
 export interface Found {
   readonly member: string | undefined;
   readonly promised: Ballot;
   readonly accepted: Filed | undefined;
   readonly generations: ReadonlyMap<number, Ballot>;
   readonly spoilt: readonly string[];
+  /** Why an earlier life of this member was disqualified, where one was. */
+  readonly disqualified: string | undefined;
 }
 
 export const seal = (head: ReadonlyMap<string, unknown>, body: Uint8Array): Uint8Array => {
@@ -89,9 +92,11 @@
     };
     const identity = await take('member');
     const promise = await take('promise');
+    const disqualified = await take('disqualified');
     const names = await this.disk.list('generations');
     if (identity.isLeft()) return identity as Outcome<Found>;
     if (promise.isLeft()) return promise as Outcome<Found>;
+    if (disqualified.isLeft()) return disqualified as Outcome<Found>;
     if (names.isLeft()) return names as Outcome<Found>;
     const generations = new Map<number, Ballot>();
     let accepted: Filed | undefined;
@@ -103,7 +108,8 @@
       const ballot = held.head.get('ballot') as Ballot;
       generations.set(Number(name), ballot);
       this.sizes.set(Number(name), held.body.length);
-      if (!accepted || compareBallots(ballot, accepted.ballot) > 0)
+      const isVoted = compareBallots(ballot, FIRST) > 0;
+      if (isVoted && (!accepted || compareBallots(ballot, accepted.ballot) >= 0))
         accepted = {
           ballot,
           document: held.body,
@@ -120,6 +126,9 @@
       accepted,
       generations,
       spoilt,
+      disqualified: (
+        disqualified.extract() as { head: Map<string, unknown> } | undefined
+      )?.head.get('reason') as string | undefined,
     });
   }
 
@@ -149,6 +158,20 @@
     );
   }
 
+  /** What this member voted for was found to be lost; its id never votes again, also after the next start. */
+  keepDisqualified(reason: string): Promise<Outcome<void>> {
+    return this.write(
+      'disqualified',
+      seal(
+        new Map([
+          ['fleet', this.fleet],
+          ['reason', reason],
+        ]),
+        Buffer.alloc(0),
+      ),
+    );
+  }
+
   keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
     this.sizes.set(generation, filed.document.length);
     return this.write(
@@ -164,6 +187,11 @@
     );
   }
 
+  /** Keeps a committed revision below the accepted one. Without a ballot it is never taken for the accepted one again. */
+  keepHistory(generation: number, document: Uint8Array): Promise<Outcome<void>> {
+    return this.keepGeneration(generation, { ballot: FIRST, document });
+  }
+
   async readGeneration(generation: number): Promise<Outcome<Filed | undefined>> {
     const bytes = await this.disk.read(fileOf(generation));
     return bytes.chain((held) =>
