--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -146,7 +146,7 @@
   };
   context.get<Tracing>(names.tracing).serve(context.get<Peers>(names.peers));
   const started = await node.start();
-  if (started.isLeft()) return refuse(started.extract() as Fault);
+  if (started.isLeft()) return refuse(started.extract());
   const registry = new Registry();
   gauge(
     registry,
@@ -186,6 +186,7 @@
       new RequestsFace(
         context.get<RequestHandler>(names.forwarder),
         () => inForce.routes.limits,
+        context.get<Clock>(names.clock),
       ).listen(params.listen.requests),
     );
   }
@@ -193,7 +194,7 @@
   const faces: Face[] = [];
   for (const open of opening) {
     const face = await open();
-    if (face.isLeft()) return refuse(face.extract() as Fault);
+    if (face.isLeft()) return refuse(face.extract());
     faces.push(face.unsafeCoerce());
   }
   open = true;
