--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -1,7 +1,7 @@
 /**
  * The calls on the configuration of routes, the same on every node. What is wrong in itself is refused here without a
  * round of the register; everything else is judged there, against the value in place. A call that can't be settled within
- * its time is "unknown". A read looks at a majority of the core first, and then takes the generation it was shown, so it
+ * its time is "unknown". A read looks at a majority of the core first, and then takes the revision it was shown, so it
  * is never older than what was accepted anywhere before it.
  */
 import { Right } from 'purify-ts';
@@ -81,30 +81,30 @@
       return failed(
         'configuration.read',
         'core',
-        `no majority told its newest generation in time; silent: ${contact.silentVoters.join(' ')}`,
+        `no majority told its newest revision in time; silent: ${contact.silentVoters.join(' ')}`,
       );
     if (looked.isLeft()) return looked as Outcome<never>;
-    const generation = looked.unsafeCoerce();
+    const revision = looked.unsafeCoerce();
     for (;;) {
       const left = Math.max(0, limit - this.clock.now());
-      const document = await within(this.clock, left, this.fetch(generation));
+      const document = await within(this.clock, left, this.fetch(revision));
       if (document) return Right(document.configuration);
       if (this.clock.now() + PAUSE >= limit)
         return failed(
           'configuration.read',
           'core',
-          `no member gave generation ${generation} within ${wait} ms`,
+          `no member gave revision ${revision} within ${wait} ms`,
         );
       await this.clock.sleep(PAUSE);
     }
   }
 
-  private async fetch(generation: number): Promise<Document | undefined> {
-    if (this.inForce.whole && this.inForce.generation >= generation) return this.inForce.whole;
+  private async fetch(revision: number): Promise<Document | undefined> {
+    if (this.inForce.whole && this.inForce.revision >= revision) return this.inForce.whole;
     const fresh = (reply: { items: { document: Uint8Array }[] }): Document | undefined => {
       const [item] = reply.items;
       const document = item && decodeDocument(item.document, 'core').toMaybe().extract();
-      return document && document.generation >= generation ? document : undefined;
+      return document && document.revision >= revision ? document : undefined;
     };
     const replies = await gather(
       this.roster.addresses,
@@ -120,7 +120,7 @@
 
   /** What is wrong in itself can never be in force, whatever is in place. */
   private refused({ reason }: Fault, expects: number): ConfigureReply {
-    if (expects !== this.version && this.inForce.generation > 0)
+    if (expects !== this.version && this.inForce.revision > 0)
       return {
         outcome: 'conflict',
         version: this.version,
@@ -159,7 +159,7 @@
       };
     if (verdict.kind === 'declined')
       return { outcome: 'invalid', version: this.version, reason: verdict.reason };
-    const accord = await this.acceptance.of(verdict.generation, limit - this.clock.now());
+    const accord = await this.acceptance.of(verdict.revision, limit - this.clock.now());
     if (accord.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
     return {
       outcome: 'unknown',
--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -13,7 +13,7 @@
         };
         get?: never;
         put?: never;
-        /** Sets a doorway that is at the generation expected */
+        /** Sets a doorway that is at the revision expected */
         post: operations["doorway.set"];
         delete?: never;
         options?: never;
@@ -30,7 +30,7 @@
         };
         get?: never;
         put?: never;
-        /** Removes a doorway that is at the generation expected */
+        /** Removes a doorway that is at the revision expected */
         post: operations["doorway.remove"];
         delete?: never;
         options?: never;
@@ -81,7 +81,7 @@
         };
         get?: never;
         put?: never;
-        /** One doorway with its generation */
+        /** One doorway with its revision */
         post: operations["doorway.get"];
         delete?: never;
         options?: never;
@@ -132,7 +132,7 @@
         };
         get?: never;
         put?: never;
-        /** The whole configuration at a settled generation, 0 for the newest */
+        /** The whole configuration at a settled revision, 0 for the newest */
         post: operations["config.at"];
         delete?: never;
         options?: never;
@@ -149,7 +149,7 @@
         };
         get?: never;
         put?: never;
-        /** Settled generations with who changed what */
+        /** Settled revisions with who changed what */
         post: operations["config.history"];
         delete?: never;
         options?: never;
@@ -166,7 +166,7 @@
         };
         get?: never;
         put?: never;
-        /** One change or generation through all nodes */
+        /** One change or revision through all nodes */
         post: operations["change.trace"];
         delete?: never;
         options?: never;
@@ -375,7 +375,7 @@
         };
         PlacedDoorway: {
             doorway: components["schemas"]["Doorway"];
-            generation: number;
+            revision: number;
         };
         DoorwaySetAsk: {
             change: components["schemas"]["ChangeId"];
@@ -418,7 +418,7 @@
             wait: components["schemas"]["Wait"];
         };
         AtAsk: {
-            generation: number;
+            revision: number;
         };
         HistoryAsk: {
             from: number;
@@ -446,10 +446,10 @@
         /** @description One of the two */
         TraceAsk: {
             change?: components["schemas"]["ChangeId"];
-            generation?: number;
+            revision?: number;
         };
         TraceReply: {
-            generation: number;
+            revision: number;
             changes: string[];
             nodes: {
                 name: string;
@@ -509,18 +509,18 @@
              * @enum {string}
              */
             outcome: "accepted" | "lost" | "declined" | "unknown";
-            /** @description The generation that holds it */
-            generation: number;
+            /** @description The revision that holds it */
+            revision: number;
             /** @description Nodes that have not reported it in force */
             silent: string[];
             reason: string;
         };
         DoorwayListReply: {
-            generation: number;
+            revision: number;
             doorways: components["schemas"]["PlacedDoorway"][];
             removed: {
                 name: string;
-                generation: number;
+                revision: number;
             }[];
             claims: {
                 name: string;
@@ -530,15 +530,15 @@
             }[];
         };
         ConfigReply: {
-            generation: number;
+            revision: number;
             digest: string;
-            /** @description The generation as it is kept */
+            /** @description The revision as it is kept */
             document: string;
         };
         HistoryReply: {
             settled: number;
-            generations: {
-                generation: number;
+            revisions: {
+                revision: number;
                 digest: string;
                 changes: {
                     id: string;
@@ -559,7 +559,7 @@
             }[];
             standing: {
                 name: string;
-                generation: number;
+                revision: number;
                 remaining: number;
                 grants: number;
             }[];
@@ -581,7 +581,7 @@
                 address: string;
                 id: string;
                 state: string;
-                generation: number;
+                revision: number;
                 settled: number;
                 /** @description Digest over its whole history, empty while it is not whole */
                 whole: string;
@@ -641,7 +641,7 @@
                 "application/json": components["schemas"]["DoorwayListReply"];
             };
         };
-        /** @description A whole generation */
+        /** @description A whole revision */
         Config: {
             headers: {
                 [name: string]: unknown;
@@ -650,7 +650,7 @@
                 "application/json": components["schemas"]["ConfigReply"];
             };
         };
-        /** @description Generations */
+        /** @description Revisions */
         History: {
             headers: {
                 [name: string]: unknown;
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -1,6 +1,6 @@
 /**
  * What the operator calls do, the same on every node. A change gets a verdict from the register and, when applied, is
- * told "accepted" only once no node can stand on an older generation; what stays open at the limit is "unknown".
+ * told "accepted" only once no node can stand on an older revision; what stays open at the limit is "unknown".
  */
 import { Maybe, Right } from 'purify-ts';
 import { checkDoorway } from '../doorway/shape.js';
@@ -160,7 +160,7 @@
       return Right({
         change,
         outcome: 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
         reason: read.extract().reason,
       });
@@ -170,65 +170,65 @@
       return Right({
         change,
         outcome: 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
-        reason: `not among the changes kept at generation ${document.generation}; repeat the change under the same id to have it settled`,
+        reason: `not among the changes kept at revision ${document.revision}; repeat the change under the same id to have it settled`,
       });
-    return this.accord(change, kept.generation, limit - this.clock.now());
+    return this.accord(change, kept.revision, limit - this.clock.now());
   }
 
   get(name: string): Outcome<Schemas['PlacedDoorway']> {
     const placed = this.inForce.current.named(name);
     if (!placed) return failed('doorway.get', this.peers.self.name, `there is no doorway ${name}`);
-    return Right({ doorway: placed.doorway as Schemas['Doorway'], generation: placed.generation });
+    return Right({ doorway: placed.doorway as Schemas['Doorway'], revision: placed.revision });
   }
 
   list(): Outcome<Schemas['DoorwayListReply']> {
     const document = this.inForce.whole;
     if (!document)
-      return failed('doorway.list', this.peers.self.name, 'no generation is in force here yet');
+      return failed('doorway.list', this.peers.self.name, 'no revision is in force here yet');
     return Right({
-      generation: document.generation,
+      revision: document.revision,
       doorways: [...document.doorways.values()] as Schemas['PlacedDoorway'][],
-      removed: [...document.removed].map(([name, generation]) => ({ name, generation })),
+      removed: [...document.removed].map(([name, revision]) => ({ name, revision })),
       claims: [...document.claims].map(([name, claim]) => ({ name, ...claim })),
     });
   }
 
-  async at(generation: number): Promise<Outcome<Schemas['ConfigReply']>> {
-    const item = generation === 0 ? await this.newest() : await this.generation(generation);
+  async at(revision: number): Promise<Outcome<Schemas['ConfigReply']>> {
+    const item = revision === 0 ? await this.newest() : await this.revision(revision);
     return item.chain((held) =>
       decodeDocument(held.document, 'core').map((document) => ({
-        generation: document.generation,
+        revision: document.revision,
         digest: digestOf(held.document),
         document: Buffer.from(held.document).toString('utf8'),
       })),
     );
   }
 
-  /** Generations from a number on; the chain of digests is checked on the way. */
+  /** Revisions from a number on; the chain of digests is checked on the way. */
   async history({ from, count }: Schemas['HistoryAsk']): Promise<Outcome<Schemas['HistoryReply']>> {
     const newest = (await this.newest()).chain((held) => decodeDocument(held.document, 'core'));
     if (newest.isLeft()) return newest as Outcome<never>;
-    const settled = newest.unsafeCoerce().generation;
-    const generations: Schemas['HistoryReply']['generations'] = [];
+    const settled = newest.unsafeCoerce().revision;
+    const revisions: Schemas['HistoryReply']['revisions'] = [];
     for (
-      let generation = Math.max(1, from);
-      generation <= Math.min(settled, from + count - 1);
-      generation++
+      let revision = Math.max(1, from);
+      revision <= Math.min(settled, from + count - 1);
+      revision++
     ) {
-      const held = await this.generation(generation);
+      const held = await this.revision(revision);
       if (held.isLeft()) return held as Outcome<never>;
       const item = held.unsafeCoerce();
       const decoded = decodeDocument(item.document, 'core');
       if (decoded.isLeft()) return decoded as Outcome<never>;
       const document = decoded.unsafeCoerce();
-      const before = generations[generations.length - 1];
+      const before = revisions[revisions.length - 1];
       if (before && before.digest !== document.previous)
         return failed(
           'config.history',
           'core',
-          `generation ${generation} does not follow the one before it`,
+          `revision ${revision} does not follow the one before it`,
         );
       const changes = document.cause.map(({ id, firm, who, act }) => ({
         id,
@@ -237,26 +237,23 @@
         kind: act.kind,
         name: subjectOf(act),
       }));
-      generations.push({ generation, digest: digestOf(item.document), changes });
+      revisions.push({ revision, digest: digestOf(item.document), changes });
     }
-    return Right({ settled, generations });
+    return Right({ settled, revisions });
   }
 
-  /** One generation through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
-  async trace({
-    change,
-    generation,
-  }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
+  /** One revision through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
+  async trace({ change, revision }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
     const read = await this.proposer.read(3000);
     const known = read.toMaybe().alt(Maybe.fromNullable(this.inForce.whole)).extract();
     const wanted =
-      generation ?? (change === undefined ? undefined : known?.outcomes.get(change)?.generation);
+      revision ?? (change === undefined ? undefined : known?.outcomes.get(change)?.revision);
     if (wanted === undefined)
       return failed(
         'change.trace',
         this.peers.self.name,
         change === undefined
-          ? 'name a change or a generation'
+          ? 'name a change or a revision'
           : `${change} is not among the changes that are kept`,
       );
     const nodes = new Map<string, { name: string; role: string }>();
@@ -268,10 +265,10 @@
       for (const { name, address } of this.view.live(role)) nodes.set(address, { name, role });
     const replies = await gather(
       [...nodes.keys()],
-      (address) => this.peers.ask(address, Trace, { generation: wanted }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Trace, { revision: wanted }, ASK_LIMIT),
       () => false,
     );
-    const changes = (await this.generation(wanted))
+    const changes = (await this.revision(wanted))
       .chain((item) => decodeDocument(item.document, 'core'))
       .map(({ cause }) => cause.map(({ id }) => id))
       .orDefault([]);
@@ -281,7 +278,7 @@
         .orDefault([]),
     );
     return Right({
-      generation: wanted,
+      revision: wanted,
       changes,
       nodes: told.sort((a, b) => (a.name < b.name ? -1 : 1)),
       silent: replies
@@ -302,11 +299,11 @@
       ),
     );
     const standing = new Map<string, Schemas['NodeListReply']['standing'][number]>();
-    for (const { node, generation, remaining } of replies.flatMap(({ standees }) => standees)) {
+    for (const { node, revision, remaining } of replies.flatMap(({ standees }) => standees)) {
       const before = standing.get(node);
       standing.set(node, {
         name: node,
-        generation: Math.max(generation, before?.generation ?? 0),
+        revision: Math.max(revision, before?.revision ?? 0),
         remaining: Math.max(remaining, before?.remaining ?? 0),
         grants: (before?.grants ?? 0) + 1,
       });
@@ -357,7 +354,7 @@
             address,
             id: members.find((seat) => seat.address === address)?.id ?? '',
             state: `silent: ${reason}`,
-            generation: 0,
+            revision: 0,
             settled: 0,
             whole: '',
           }),
@@ -373,7 +370,7 @@
                   : state.formed
                     ? `not voting: ${state.reason}${remedy(state.vote)}`
                     : 'newcomer',
-            generation: state.generation,
+            revision: state.revision,
             settled: state.settled,
           }),
         }),
@@ -405,11 +402,11 @@
   private async formedBefore(
     addresses: readonly string[],
     by: string,
-    { core, generation }: StateReply,
+    { core, revision }: StateReply,
   ): Promise<Outcome<Schemas['CoreReply']>> {
     const { members } = JSON.parse(core) as CoreSet;
     const there = new Set(members.map(({ address }) => address));
-    if (generation > 1) return failed('core.form', by, 'is already part of a formed core');
+    if (revision > 1) return failed('core.form', by, 'is already part of a formed core');
     if (there.size !== addresses.length || addresses.some((address) => !there.has(address)))
       return failed('core.form', 'core', 'a group of other members was begun there');
     await this.proposer.read(2000);
@@ -425,15 +422,15 @@
     if (committed.isLeft()) return committed as Outcome<never>;
     const state = await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
     if (state.isLeft()) return state as Outcome<never>;
-    const { member, vote, reason, generation, settled } = state.unsafeCoerce();
+    const { member, vote, reason, revision, settled } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
       return failed('core.seat', address, `can not vote: ${reason}`);
     const newest = committed.unsafeCoerce();
-    if (Math.min(generation, settled) < newest)
+    if (Math.min(revision, settled) < newest)
       return failed(
         'core.seat',
         address,
-        `holds revision ${Math.min(generation, settled)}, and ${newest} is committed; try again once it has caught up`,
+        `holds revision ${Math.min(revision, settled)}, and ${newest} is committed; try again once it has caught up`,
       );
     return this.change(
       operator,
@@ -510,7 +507,7 @@
       return Right({
         change: id,
         outcome: certainty === 'declined' ? 'declined' : 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
         reason,
       });
@@ -520,25 +517,21 @@
       return Right({
         change: id,
         outcome: told.kind === 'indeterminate' ? 'unknown' : told.kind,
-        generation: 0,
+        revision: 0,
         silent: [],
         reason: told.reason,
       });
-    return this.accord(id, told.generation, limit - this.clock.now());
+    return this.accord(id, told.revision, limit - this.clock.now());
   }
 
-  private async accord(
-    change: string,
-    generation: number,
-    left: number,
-  ): Promise<Outcome<Changed>> {
-    const accord = await this.acceptance.of(generation, left);
+  private async accord(change: string, revision: number, left: number): Promise<Outcome<Changed>> {
+    const accord = await this.acceptance.of(revision, left);
     if (accord.everywhere)
-      return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
+      return Right({ change, outcome: 'accepted', revision, silent: [], reason: '' });
     return Right({
       change,
       outcome: 'unknown',
-      generation,
+      revision,
       silent: [...accord.silent],
       reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
     });
@@ -553,20 +546,20 @@
       if (
         item &&
         decodeDocument(item.document, address)
-          .map((document) => document.generation >= settled.unsafeCoerce())
+          .map((document) => document.revision >= settled.unsafeCoerce())
           .orDefault(false)
       )
         return Right(item);
     }
-    return failed('config.newest', 'core', 'no member gave the newest generation');
+    return failed('config.newest', 'core', 'no member gave the newest revision');
   }
 
-  private async generation(generation: number): Promise<Outcome<FeedItem>> {
+  private async revision(revision: number): Promise<Outcome<FeedItem>> {
     for (const address of this.roster.addresses) {
-      const reply = await this.peers.ask(address, History, { generation }, ASK_LIMIT);
+      const reply = await this.peers.ask(address, History, { revision }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (item) return Right(item);
     }
-    return failed('config.at', 'core', `no member holds generation ${generation}`);
+    return failed('config.at', 'core', `no member holds revision ${revision}`);
   }
 }
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -152,9 +152,9 @@
   const registry = new Registry();
   gauge(
     registry,
-    'generation_in_force',
-    'The generation in force here',
-    () => context.get<InForce>(names.inForce).generation,
+    'revision_in_force',
+    'The revision in force here',
+    () => context.get<InForce>(names.inForce).revision,
   );
   const { contact } = context.get<Proposer>(names.proposer);
   gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -75,7 +75,7 @@
     .option('expects', {
       type: 'number',
       describe:
-        'What must be there now: the generation of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default',
+        'What must be there now: the revision of the doorway, the renewal of the claim, the number of the core set, the version of the routes; read from the node by default',
     });
 
 const expected = async (argv: Common, name: string): Promise<Outcome<number>> => {
@@ -83,8 +83,8 @@
   return list.map(
     ({ doorways, removed }) =>
       argv.expects ??
-      doorways.find(({ doorway }) => doorway.name === name)?.generation ??
-      removed.find((each) => each.name === name)?.generation ??
+      doorways.find(({ doorway }) => doorway.name === name)?.revision ??
+      removed.find((each) => each.name === name)?.revision ??
       0,
   );
 };
@@ -145,7 +145,7 @@
         const list = await operate(target(argv), 'doorway.list', {});
         if (list.isLeft()) return end(list);
         const { sets, removes, shown } = compare(read.unsafeCoerce(), list.unsafeCoerce());
-        if (argv.dryRun) return show({ generation: list.unsafeCoerce().generation, ...shown });
+        if (argv.dryRun) return show({ revision: list.unsafeCoerce().revision, ...shown });
         if (sets.length + removes.length === 0)
           return show({ outcome: 'accepted', reason: 'nothing to change', ...shown });
         end(
@@ -244,7 +244,7 @@
     return { doorways, remove };
   });
 
-/** What a file wants against what is there: each item with the generation it is at now. */
+/** What a file wants against what is there: each item with the revision it is at now. */
 const compare = (
   { doorways, remove }: Wanted,
   list: Schemas['DoorwayListReply'],
@@ -254,10 +254,10 @@
   shown: object;
 } => {
   const there = new Map(
-    list.doorways.map(({ doorway, generation }) => [doorway.name, { doorway, generation }]),
+    list.doorways.map(({ doorway, revision }) => [doorway.name, { doorway, revision }]),
   );
-  const gone = new Map(list.removed.map(({ name, generation }) => [name, generation]));
-  const at = (name: string): number => there.get(name)?.generation ?? gone.get(name) ?? 0;
+  const gone = new Map(list.removed.map(({ name, revision }) => [name, revision]));
+  const at = (name: string): number => there.get(name)?.revision ?? gone.get(name) ?? 0;
   const differs = (doorway: Schemas['Doorway']): string[] => {
     const before = new Map(Object.entries(there.get(doorway.name)?.doorway ?? {}));
     return Object.entries(doorway)
@@ -274,7 +274,7 @@
         .filter(({ name }) => there.has(name))
         .map((doorway) => ({
           name: doorway.name,
-          generation: at(doorway.name),
+          revision: at(doorway.name),
           fields: differs(doorway),
         })),
       removed: remove,
@@ -286,21 +286,19 @@
 /** The command `config`. */
 export const configCommand = (yargs: Argv): Argv =>
   yargs
-    .command('show', 'Shows the newest generation', common, async (argv) =>
-      end((await operate(target(argv), 'config.at', { generation: 0 })).map(readable)),
+    .command('show', 'Shows the newest revision', common, async (argv) =>
+      end((await operate(target(argv), 'config.at', { revision: 0 })).map(readable)),
     )
     .command(
-      'at <generation>',
-      'Shows one generation',
-      (y) => common(y).positional('generation', { type: 'number', demandOption: true }),
+      'at <revision>',
+      'Shows one revision',
+      (y) => common(y).positional('revision', { type: 'number', demandOption: true }),
       async (argv) =>
-        end(
-          (await operate(target(argv), 'config.at', { generation: argv.generation })).map(readable),
-        ),
+        end((await operate(target(argv), 'config.at', { revision: argv.revision })).map(readable)),
     )
     .command(
       'history',
-      'Lists generations with who changed what',
+      'Lists revisions with who changed what',
       (y) =>
         common(y)
           .option('from', { type: 'number', default: 1 })
@@ -316,25 +314,25 @@
     )
     .demandCommand(1, 'name what to do with the configuration');
 
-const readable = ({ generation, digest, document }: Schemas['ConfigReply']): unknown => ({
-  generation,
+const readable = ({ revision, digest, document }: Schemas['ConfigReply']): unknown => ({
+  revision,
   digest,
   document: JSON.parse(document) as unknown,
 });
 
 const exportAll = async (to: Target, file: string): Promise<Outcome<unknown>> => {
-  const newest = await operate(to, 'config.at', { generation: 0 });
+  const newest = await operate(to, 'config.at', { revision: 0 });
   if (newest.isLeft()) return newest;
   const lines: string[] = [];
   let previous = '';
-  for (let generation = 1; generation <= newest.unsafeCoerce().generation; generation++) {
-    const one = await operate(to, 'config.at', { generation });
+  for (let revision = 1; revision <= newest.unsafeCoerce().revision; revision++) {
+    const one = await operate(to, 'config.at', { revision });
     if (one.isLeft()) return one;
     const { digest, document } = one.unsafeCoerce();
     const chained = (JSON.parse(document) as { previous: string }).previous;
     if (digestOf(document) !== digest || chained !== previous)
       return attempt('config.export', to.node, () =>
-        Promise.reject(new Error(`generation ${generation} does not follow the one before it`)),
+        Promise.reject(new Error(`revision ${revision} does not follow the one before it`)),
       );
     previous = digest;
     lines.push(document);
@@ -342,7 +340,7 @@
   const text = lines.map((line) => `${line}\n`).join('');
   return attempt('config.export', file, async () => {
     await writeFile(file, text);
-    return { file, generations: lines.length, digest: digestOf(text) };
+    return { file, revisions: lines.length, digest: digestOf(text) };
   });
 };
 
@@ -376,7 +374,7 @@
     .positional('what', {
       type: 'string',
       demandOption: true,
-      describe: 'A change id, or a generation as a number',
+      describe: 'A change id, or a revision as a number',
     })
     .option('json', { type: 'boolean', default: false });
 
@@ -385,11 +383,11 @@
   const traced = await operate(
     target(argv),
     'change.trace',
-    /^[0-9]+$/.test(argv.what) ? { generation: Number(argv.what) } : { change: argv.what },
+    /^[0-9]+$/.test(argv.what) ? { revision: Number(argv.what) } : { change: argv.what },
   );
   if (argv.json || traced.isLeft()) return void end(traced);
-  const { generation, changes, nodes, silent } = traced.unsafeCoerce();
-  process.stdout.write(`generation ${generation} changes ${changes.join(' ') || '-'}\n`);
+  const { revision, changes, nodes, silent } = traced.unsafeCoerce();
+  process.stdout.write(`revision ${revision} changes ${changes.join(' ') || '-'}\n`);
   for (const { name, role, steps } of nodes)
     process.stdout.write(
       `${name} ${role} ${steps.map(({ step, after, ballot }) => `${step}+${after}ms${ballot ? `(${ballot})` : ''}`).join(' ') || 'nothing noted'}\n`,
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -132,27 +132,27 @@
       : `no contact with a majority of the core; silent: ${contact.silentVoters.join(' ')}`;
   }
 
-  /** Settles what a proposer left undecided here, so that an accepted generation doesn't hang. */
+  /** Settles what a proposer left undecided here, so that an accepted revision doesn't hang. */
   private async settle(): Promise<void> {
     let before = 0;
     while (!this.stop.signal.aborted) {
-      const { generation, settled, voting } = this.member.state();
-      if (voting && generation > settled && generation === before) await this.proposer.read(1000);
-      before = generation;
+      const { revision, settled, voting } = this.member.state();
+      if (voting && revision > settled && revision === before) await this.proposer.read(1000);
+      before = revision;
       await this.clock.sleep(SETTLE_EVERY * (1 + this.random.fraction()), this.stop.signal);
     }
   }
 
-  /** Keeps the newest settled generation in force here too, for the operators' questions. */
+  /** Keeps the newest settled revision in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
       if (newest && this.inForce.swap(newest)) {
         this.roster.learn(newest.core);
         this.operations.noteClaims(newest);
-        this.log('in-force', [['generation', newest.generation]]);
+        this.log('in-force', [['revision', newest.revision]]);
       }
-      await this.member.chain.beyond(this.inForce.generation, 500);
+      await this.member.chain.beyond(this.inForce.revision, 500);
     }
   }
 
@@ -195,7 +195,7 @@
             useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
               new Member(
                 new Store(disk, params.fleet, {
-                  generations: params.core.keep,
+                  revisions: params.core.keep,
                   bytes: params.core.keepBytes,
                 }),
                 peers,
--- a/src/doorway/match.ts
+++ b/src/doorway/match.ts
@@ -1,8 +1,8 @@
 /**
- * The doorways in force at this node: compiled whole for a generation and swapped at once. Matching is deterministic:
+ * The doorways in force at this node: compiled whole for a revision and swapped at once. Matching is deterministic:
  * tag before path before model, the doorway that names more of the earlier kinds first.
  */
-import type { Document, Generation } from '../register/document.js';
+import type { Document, Revision } from '../register/document.js';
 import { RouteTable } from '../route/table.js';
 import type { Doorway, Placed } from './shape.js';
 
@@ -30,7 +30,7 @@
   private readonly byName = new Map<string, Placed>();
 
   constructor(
-    readonly generation: Generation,
+    readonly revision: Revision,
     placed: Iterable<Placed>,
   ) {
     for (const each of placed) {
@@ -57,18 +57,18 @@
   private compiled = new Compiled(0, []);
   private table = new RouteTable(undefined);
 
-  /** Swaps in a newer generation; an older one is left aside. */
+  /** Swaps in a newer revision; an older one is left aside. */
   swap(document: Document): boolean {
-    if (document.generation <= this.generation) return false;
-    this.compiled = new Compiled(document.generation, document.doorways.values());
+    if (document.revision <= this.revision) return false;
+    this.compiled = new Compiled(document.revision, document.doorways.values());
     if (document.configuration !== this.table.configuration)
       this.table = new RouteTable(document.configuration);
     this.document = document;
     return true;
   }
 
-  get generation(): Generation {
-    return this.document?.generation ?? 0;
+  get revision(): Revision {
+    return this.document?.revision ?? 0;
   }
 
   get current(): Compiled {
--- a/src/doorway/shape.ts
+++ b/src/doorway/shape.ts
@@ -59,7 +59,7 @@
 /** A doorway with the number of the document that last changed it. */
 export interface Placed {
   readonly doorway: Doorway;
-  readonly generation: number;
+  readonly revision: number;
 }
 
 /** Says the first thing that is wrong with a value, naming the field, what it holds and what was expected. */
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -50,7 +50,7 @@
       ['doorway.get', checked('NamedAsk', ({ name }) => operations.get(name))],
       ['doorway.list', checked('NothingAsk', () => operations.list())],
       ['change.outcome', checked('ChangeAsk', (ask) => operations.outcome(ask))],
-      ['config.at', checked('AtAsk', ({ generation }) => operations.at(generation))],
+      ['config.at', checked('AtAsk', ({ revision }) => operations.at(revision))],
       ['config.history', checked('HistoryAsk', (ask) => operations.history(ask))],
       ['change.trace', checked('TraceAsk', (ask) => operations.trace(ask))],
       [
--- a/src/fleet/measure.ts
+++ b/src/fleet/measure.ts
@@ -78,7 +78,7 @@
     );
     if (told?.outcome !== 'accepted') continue;
     times.push(performance.now() - began);
-    expects = told.generation;
+    expects = told.revision;
   }
   return { acceptedMs: spread(times) };
 };
--- a/src/fleet/slopes/hollow.ts
+++ b/src/fleet/slopes/hollow.ts
@@ -25,8 +25,8 @@
 export interface HollowTold {
   /** How many have standing and a list of engines. */
   readonly steady: number;
-  /** The least generation in force at any of them, and the least operators' version. */
-  readonly generation: number;
+  /** The least revision in force at any of them, and the least operators' version. */
+  readonly revision: number;
   readonly version: number;
   readonly counts: ReadonlyArray<readonly [string, readonly Count[]]>;
 }
@@ -72,7 +72,7 @@
   for (const over of params) nodes.push(await startOne(over, known));
   const answer = (): HollowTold => ({
     steady: nodes.filter(({ standing, news }) => standing.holds() && news.placed().size > 0).length,
-    generation: Math.min(...nodes.map(({ inForce }) => inForce.generation)),
+    revision: Math.min(...nodes.map(({ inForce }) => inForce.revision)),
     version: Math.min(...nodes.map(({ inForce }) => inForce.routes.version)),
     counts: nodes.map(({ name, traffic }) => [name, traffic.counts]),
   });
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -102,9 +102,9 @@
     }
     const end = world.now + limit;
     for (let seen = 0, since = world.now; world.now < end; await world.run(world.now + 250)) {
-      const generation = this.cores[0]!.member.settledGeneration;
-      if (generation === 0 || generation !== seen || !this.steady()) {
-        seen = generation;
+      const revision = this.cores[0]!.member.settledRevision;
+      if (revision === 0 || revision !== seen || !this.steady()) {
+        seen = revision;
         since = world.now;
       } else if (world.now - since >= CALM) return true;
     }
@@ -202,7 +202,7 @@
     return this.cores[0]!.inForce.routes.version;
   }
 
-  /** Bytes of the newest generation as a whole. */
+  /** Bytes of the newest revision as a whole. */
   get documentBytes(): number {
     const { whole } = this.cores[0]!.inForce;
     return whole ? encodeDocument(whole).length : 0;
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -1,6 +1,6 @@
 /**
  * From a verdict of the register to "accepted". Where a router without standing stops, a settled change is accepted once
- * the accord on its generation says that it is in force wherever it must be. Where it serves on, a settled change is
+ * the accord on its revision says that it is in force wherever it must be. Where it serves on, a settled change is
  * accepted as it is; the routers that hold leases are waited for, as the core knows them, but never beyond the patience of
  * the terms, so that one that is frozen, killed or cut off delays nothing further.
  */
@@ -22,19 +22,19 @@
     private readonly terms: LeaseTerms = TERMS,
   ) {}
 
-  /** Waits, at most so many ms, until a settled generation may be called accepted. */
-  of(generation: number, duration: number): Promise<Accord> {
+  /** Waits, at most so many ms, until a settled revision may be called accepted. */
+  of(revision: number, duration: number): Promise<Accord> {
     const limit = Math.max(0, duration);
     return this.terms.lapse === 'stop'
-      ? seekAccord(generation, limit, this.peers, this.roster, this.clock)
-      : this.reports(generation, Math.min(limit, this.terms.patience));
+      ? seekAccord(revision, limit, this.peers, this.roster, this.clock)
+      : this.reports(revision, Math.min(limit, this.terms.patience));
   }
 
-  private async reports(generation: number, patience: number): Promise<Accord> {
+  private async reports(revision: number, patience: number): Promise<Accord> {
     const { members } = this.roster.core;
     const asking = gather(
       members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Vouch, { generation, wait: patience }, patience + SLACK),
+      (address) => this.peers.ask(address, Vouch, { revision, wait: patience }, patience + SLACK),
       (all) => sound(all).filter(({ vouched }) => vouched).length >= majority(members.length),
     );
     const replies = patience > 0 ? await within(this.clock, patience, asking) : undefined;
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -1,5 +1,5 @@
 /**
- * When a settled generation may be called accepted: once a majority of the core has vouched that no node stands on an
+ * When a settled revision may be called accepted: once a majority of the core has vouched that no node stands on an
  * older one, and a majority of the enrolled routers have reported it in force. A node's standing needs a majority of the
  * core's grants, so it would meet one of those who vouched, or of the routers' leases, so it would meet one of those who
  * reported.
@@ -17,7 +17,7 @@
 }
 
 export const seekAccord = async (
-  generation: number,
+  revision: number,
   duration: number,
   peers: Peers,
   roster: Roster,
@@ -48,14 +48,13 @@
         const reply = await peers.ask(
           address,
           Vouch,
-          { generation, wait: Math.max(0, Math.min(left, 1000)) },
+          { revision, wait: Math.max(0, Math.min(left, 1000)) },
           Math.max(50, Math.min(left, 1000)) + 200,
         );
         reply.ifRight((told) => {
           if (told.refusal === 'behind') return;
           enrolled = told.enrolled;
-          for (const { node, generation: at } of told.reports)
-            if (at >= generation) reported.add(node);
+          for (const { node, revision: at } of told.reports) if (at >= revision) reported.add(node);
           const seat = open.find((each) => each.address === address);
           if (told.vouched && seat) vouchers.add(seat.id);
         });
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -1,4 +1,4 @@
-/** The calls of the leases: renewing a node's standing, giving it back, and vouching that none stands on an old generation. */
+/** The calls of the leases: renewing a node's standing, giving it back, and vouching that none stands on an old revision. */
 import { call } from '../wire/call.js';
 import { choice, flag, list, number, struct, text } from '../wire/field.js';
 
@@ -7,7 +7,7 @@
   incarnation: string;
   address: string;
   zone: string;
-  generation: number;
+  revision: number;
   report: number;
 }
 /** `nodes`: how many nodes hold leases of this member, the asker counted. */
@@ -25,7 +25,7 @@
     incarnation: text,
     address: text,
     zone: text,
-    generation: number,
+    revision: number,
     report: number,
   }),
   struct({ granted: flag, duration: number, reason: text, nodes: number }),
@@ -40,16 +40,16 @@
 
 export interface Report {
   node: string;
-  generation: number;
+  revision: number;
 }
-const reportField = struct<Report>({ node: text, generation: number });
+const reportField = struct<Report>({ node: text, revision: number });
 /**
- * Why a member does not vouch for a generation:
+ * Why a member does not vouch for a revision:
  * - `none`: it vouches.
  * - `not-voting`: it does not vote now.
- * - `behind`: it holds only an older generation, so what it knows of the routers may be old as well.
+ * - `behind`: it holds only an older revision, so what it knows of the routers may be old as well.
  * - `new-voter`: it has been voting for less than one lease and may have forgotten grants.
- * - `older-lease`: a node may still serve by an older generation.
+ * - `older-lease`: a node may still serve by an older revision.
  */
 export type VouchRefusal = (typeof VOUCH_REFUSALS)[number];
 const VOUCH_REFUSALS = ['none', 'not-voting', 'behind', 'new-voter', 'older-lease'] as const;
@@ -62,10 +62,10 @@
   enrolled: string[];
   reports: Report[];
 }
-export const Vouch = call<{ generation: number; wait: number }, VouchReply>(
+export const Vouch = call<{ revision: number; wait: number }, VouchReply>(
   18,
   'lease.vouch',
-  struct({ generation: number, wait: number }),
+  struct({ revision: number, wait: number }),
   struct({
     vouched: flag,
     refusal: choice(VOUCH_REFUSALS),
@@ -81,7 +81,7 @@
   incarnation: string;
   address: string;
   zone: string;
-  generation: number;
+  revision: number;
   remaining: number;
 }
 export const Standees = call<{ from: string }, { standees: Standee[] }>(
@@ -95,17 +95,17 @@
         incarnation: text,
         address: text,
         zone: text,
-        generation: number,
+        revision: number,
         remaining: number,
       }),
     ),
   }),
 );
 
-/** One router vouching for another: it will report nothing newer than the generation until the lease ends. */
+/** One router vouching for another: it will report nothing newer than the revision until the lease ends. */
 export interface VowAsk {
   node: string;
-  generation: number;
+  revision: number;
 }
 export interface VowReply {
   node: string;
@@ -116,6 +116,6 @@
 export const Vow = call<VowAsk, VowReply>(
   20,
   'lease.vow',
-  struct({ node: text, generation: number }),
+  struct({ node: text, revision: number }),
   struct({ node: text, granted: flag, duration: number, reason: text }),
 );
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -1,5 +1,5 @@
 /**
- * Standing as a core member grants it. A lease is granted only to a node whose generation in force is at least the
+ * Standing as a core member grants it. A lease is granted only to a node whose revision in force is at least the
  * newest one this member has accepted on its disk, so what it vouched for holds through its own restart. A member that
  * restarted has forgotten its grants, and waits one whole lease before it vouches; one that was formed in this very
  * life has none to forget.
@@ -39,7 +39,7 @@
 
 export class Grants {
   private readonly grants = new Map<string, Grant>();
-  /** The newest generation each router has reported; a report is a fact and is never taken back. */
+  /** The newest revision each router has reported; a report is a fact and is never taken back. */
   private readonly reports = new Map<string, number>();
   private readonly watchers = new Set<() => void>();
   /** When this process first found itself voting; before that it may have granted, or others in its stead. */
@@ -62,20 +62,20 @@
       this.wake();
       return Right({ known });
     });
-    this.peers.handle(Vouch, ({ generation, wait }) =>
-      this.vouch(generation, Math.min(wait, WAIT_BOUND)),
+    this.peers.handle(Vouch, ({ revision, wait }) =>
+      this.vouch(revision, Math.min(wait, WAIT_BOUND)),
     );
     this.peers.handle(Standees, () => {
       this.sweep();
       const now = this.clock.now();
       return Right({
         standees: [...this.grants.values()].map(
-          ({ node, incarnation, address, zone, generation, until }) => ({
+          ({ node, incarnation, address, zone, revision, until }) => ({
             node,
             incarnation,
             address,
             zone,
-            generation,
+            revision,
             remaining: until - now,
           }),
         ),
@@ -93,8 +93,8 @@
       nodes: 0,
     });
     if (!state.voting) return declined(state.reason);
-    if (ask.generation < state.generation)
-      return declined(`generation ${state.generation} is newer than ${ask.generation}`);
+    if (ask.revision < state.revision)
+      return declined(`revision ${state.revision} is newer than ${ask.revision}`);
     const key = `${ask.node}/${ask.incarnation}`;
     this.sweep();
     if (!this.grants.has(key) && this.grants.size >= BOUND)
@@ -106,10 +106,10 @@
     return { granted: true, duration: this.terms.duration, reason: '', nodes: this.grants.size };
   }
 
-  private async vouch(generation: number, wait: number): Promise<Outcome<VouchReply>> {
+  private async vouch(revision: number, wait: number): Promise<Outcome<VouchReply>> {
     const limit = this.clock.now() + wait;
     for (;;) {
-      const reply = this.judge(generation);
+      const reply = this.judge(revision);
       const left = limit - this.clock.now();
       if (reply.vouched || left <= 0) return Right(reply);
       let wake: () => void = () => undefined;
@@ -119,21 +119,21 @@
     }
   }
 
-  private judge(generation: number): VouchReply {
+  private judge(revision: number): VouchReply {
     const known = this.member.newest;
     const enrolled = [...(known?.enrolled.keys() ?? [])];
     return {
-      ...this.weigh(generation),
+      ...this.weigh(revision),
       enrolled,
-      reports: [...this.reports].map(([node, reported]) => ({ node, generation: reported })),
+      reports: [...this.reports].map(([node, reported]) => ({ node, revision: reported })),
     };
   }
 
-  private weigh(generation: number): Verdict {
+  private weigh(revision: number): Verdict {
     const state = this.member.state();
     if (!state.voting) return refused('not-voting', state.reason);
-    if (state.generation < generation)
-      return refused('behind', `holds only generation ${state.generation}`);
+    if (state.revision < revision)
+      return refused('behind', `holds only revision ${state.revision}`);
     this.seated ??= this.clock.now();
     const founder = this.newborn && this.member.founder;
     if (
@@ -144,11 +144,11 @@
       return refused('new-voter', 'voting for less than one lease');
     this.sweep();
     const silent = [...this.grants.values()]
-      .filter((grant) => grant.generation < generation)
+      .filter((grant) => grant.revision < revision)
       .map(({ node }) => node);
     return silent.length === 0
       ? { vouched: true, refusal: 'none', silent, reason: '' }
-      : refused('older-lease', 'nodes still stand on an older generation', silent);
+      : refused('older-lease', 'nodes still stand on an older revision', silent);
   }
 
   private sweep(): void {
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -53,9 +53,7 @@
 
   /** Whether this node may serve with what it has in force. */
   serves(): boolean {
-    return this.terms.lapse === 'stop'
-      ? this.holds()
-      : !this.leaving && this.inForce.generation > 0;
+    return this.terms.lapse === 'stop' ? this.holds() : !this.leaving && this.inForce.revision > 0;
   }
 
   get remaining(): number {
@@ -67,7 +65,7 @@
     return this.counted;
   }
 
-  /** Renews at once, as when a new generation came into force. */
+  /** Renews at once, as when a new revision came into force. */
   renewNow(): void {
     this.nudge();
   }
@@ -81,12 +79,12 @@
           resolve();
         };
       });
-      if (this.inForce.generation > 0 && !this.leaving)
+      if (this.inForce.revision > 0 && !this.leaving)
         await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
         this.log(this.stood ? 'standing-held' : 'standing-lapsed', [
-          ['generation', this.inForce.generation],
+          ['revision', this.inForce.revision],
           ['by', this.clock.strict() < this.until ? 'core' : 'routers'],
         ]);
       }
@@ -121,7 +119,7 @@
         this.peers.ask(
           address,
           Renew,
-          { ...this.self, generation: this.inForce.generation, report },
+          { ...this.self, revision: this.inForce.revision, report },
           this.limit,
         ),
       (all) => granted(sound(all)).length >= quorum,
@@ -131,7 +129,7 @@
     const duration = Math.min(...grants.map((reply) => reply.duration));
     this.counted = Math.max(...grants.map(({ nodes }) => nodes));
     this.until = Math.max(this.until, asked + duration) as Moment;
-    if (report > this.reported) this.log('reported', [['generation', report]]);
+    if (report > this.reported) this.log('reported', [['revision', report]]);
     this.reported = Math.max(this.reported, report);
   }
 
@@ -151,7 +149,7 @@
         const reply = await this.peers.ask(
           address,
           Vow,
-          { node: this.self.node, generation: document.generation },
+          { node: this.self.node, revision: document.revision },
           this.limit,
         );
         reply.ifRight((vow) => {
--- a/src/lease/vows.ts
+++ b/src/lease/vows.ts
@@ -1,5 +1,5 @@
 /**
- * Routers vouching for each other, for when the core is out of reach. A router grants a lease to one whose generation
+ * Routers vouching for each other, for when the core is out of reach. A router grants a lease to one whose revision
  * in force is no older than its own, and then holds back its report of anything newer until that lease has ended. Since
  * "accepted" needs the reports of a majority of the enrolled routers, and a cut-off router needs the leases of a
  * majority, one of those who vouched would have had to report too early. A router that was started again has forgotten
@@ -15,7 +15,7 @@
 const BOUND = 1024;
 
 export class Vows {
-  /** For each node, until when it may stand on a generation by this one's word. */
+  /** For each node, until when it may stand on a revision by this one's word. */
   private readonly granted = new Map<string, Map<number, Moment>>();
   private readonly started: Moment;
   private enrolledBefore: boolean | undefined;
@@ -34,37 +34,37 @@
     this.peers.handle(Vow, (ask) => Right(this.grant(ask)));
   }
 
-  /** The newest generation this router may tell the core that it has in force. */
+  /** The newest revision this router may tell the core that it has in force. */
   get report(): number {
     const document = this.inForce.whole;
     if (!document) return 0;
     this.enrolledBefore ??= document.enrolled.has(this.node);
     const now = this.clock.now();
     if (this.enrolledBefore && now < this.started + this.terms.duration) return 0;
-    let report = document.generation;
+    let report = document.revision;
     for (const [node, leases] of this.granted) {
-      for (const [generation, until] of leases) {
-        if (until <= now) leases.delete(generation);
-        else report = Math.min(report, generation);
+      for (const [revision, until] of leases) {
+        if (until <= now) leases.delete(revision);
+        else report = Math.min(report, revision);
       }
       if (leases.size === 0) this.granted.delete(node);
     }
     return report;
   }
 
-  private grant({ node, generation }: VowAsk): VowReply {
+  private grant({ node, revision }: VowAsk): VowReply {
     const declined = (reason: string): VowReply => ({
       node: this.node,
       granted: false,
       duration: 0,
       reason,
     });
-    const own = this.inForce.generation;
+    const own = this.inForce.revision;
     if (own === 0) return declined('nothing is in force here yet');
-    if (own > generation) return declined(`generation ${own} is in force here`);
+    if (own > revision) return declined(`revision ${own} is in force here`);
     if (!this.granted.has(node) && this.granted.size >= BOUND) return declined('too many leases');
     const leases = this.granted.get(node) ?? new Map<number, Moment>();
-    this.granted.set(node, leases.set(generation, later(this.clock.now(), this.terms.duration)));
+    this.granted.set(node, leases.set(revision, later(this.clock.now(), this.terms.duration)));
     return { node: this.node, granted: true, duration: this.terms.duration, reason: '' };
   }
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -97,7 +97,7 @@
   .command('core-set', 'Forms and shows the core group', coreSetCommand)
   .command(
     'trace <what>',
-    'Follows one change or generation through all nodes',
+    'Follows one change or revision through all nodes',
     traceCommand,
     (argv) => runTrace(argv as unknown as Parameters<typeof runTrace>[0]),
   )
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -34,7 +34,7 @@
 /** Whether a value is behind another: of a lower ballot, or of the same ballot at a lower revision. */
 const isBehind = (one: AcceptedValue, other: AcceptedValue): boolean => {
   const order = compareBallots(one.ballot, other.ballot);
-  return order < 0 || (order === 0 && one.parsed.generation < other.parsed.generation);
+  return order < 0 || (order === 0 && one.parsed.revision < other.parsed.revision);
 };
 
 /** What one acceptor promised and accepted. */
@@ -52,7 +52,7 @@
 
   /** The accepted revision, 0 while nothing was accepted. */
   get revision(): number {
-    return this.value?.parsed.generation ?? 0;
+    return this.value?.parsed.revision ?? 0;
   }
 
   /** The lowest revision that may still be accepted: the one before the accepted one is committed, as all below it. */
@@ -82,9 +82,9 @@
     const { value } = this;
     const learned = { ballot: filed.ballot, document: filed.document, parsed: document };
     if (!value) return learned;
-    if (document.generation < this.revision) return undefined;
+    if (document.revision < this.revision) return undefined;
     const isSame =
-      document.generation === this.revision &&
+      document.revision === this.revision &&
       documentDigest(value.document) === documentDigest(filed.document);
     if (isSame && compareBallots(filed.ballot, value.ballot) <= 0) return undefined;
     return { ...learned, ballot: higherOf(value.ballot, filed.ballot) };
@@ -92,7 +92,7 @@
 
   /** Why a proposed value contradicts what was accepted or committed here, or nothing where it does not. */
   contradiction(ballot: Ballot, document: Document, digest: Digest, chain: Chain): string {
-    const { generation: revision, previous } = document;
+    const { revision: revision, previous } = document;
     const { value } = this;
     const isSameRound = value !== undefined && compareBallots(value.ballot, ballot) === 0;
     if (isSameRound && documentDigest(value.document) !== digest)
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -63,14 +63,14 @@
 );
 
 export interface SettledTell {
-  generation: number;
+  revision: number;
   ballot: Ballot;
   digest: string;
 }
 export const Settled = call<SettledTell, { known: boolean }>(
   3,
   'register.settled',
-  struct({ generation: number, ballot: ballotField, digest: text }),
+  struct({ revision: number, ballot: ballotField, digest: text }),
   struct({ known: flag }),
 );
 
@@ -93,7 +93,7 @@
   sure?: boolean;
   reason: string;
   accepted: Ballot;
-  generation: number;
+  revision: number;
   settled: number;
   core: string;
   whole: string;
@@ -110,7 +110,7 @@
     sure: flag,
     reason: text,
     accepted: ballotField,
-    generation: number,
+    revision: number,
     settled: number,
     core: text,
     whole: text,
@@ -121,7 +121,7 @@
   ballot: Ballot;
   document: Uint8Array;
 }
-/** An item as it is sent: whole when `base` is 0, else the delta from that generation, with the digest of what it makes. */
+/** An item as it is sent: whole when `base` is 0, else the delta from that revision, with the digest of what it makes. */
 export interface FeedFrame extends FeedItem {
   base: number;
   digest: string;
@@ -131,7 +131,7 @@
   checkpoint: boolean;
   items: FeedFrame[];
 }
-/** `deltas`: the asker holds the generation it names, and takes what follows as deltas. */
+/** `deltas`: the asker holds the revision it names, and takes what follows as deltas. */
 export interface FeedAsk {
   from: number;
   wait: number;
@@ -150,7 +150,7 @@
   }),
 );
 
-/** A whole generation as it is sent. */
+/** A whole revision as it is sent. */
 export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({
   ballot,
   document,
@@ -158,7 +158,7 @@
   digest: '',
 });
 
-/** Waits until something settled beyond a generation, without taking it: how a follower notices a source that is behind. */
+/** Waits until something settled beyond a revision, without taking it: how a follower notices a source that is behind. */
 export const Tip = call<{ from: number; wait: number }, { settled: number }>(
   9,
   'register.tip',
@@ -173,9 +173,9 @@
   struct({ formed: flag }),
 );
 
-export const History = call<{ generation: number }, { items: FeedItem[] }>(
+export const History = call<{ revision: number }, { items: FeedItem[] }>(
   7,
   'register.history',
-  struct({ generation: number }),
+  struct({ revision: number }),
   struct({ items: list(struct<FeedItem>({ ballot: ballotField, document: blob })) }),
 );
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -1,5 +1,5 @@
 /**
- * Settled generations as a member knows them: the digests back from the newest one, as far as the links are known; the
+ * Settled revisions as a member knows them: the digests back from the newest one, as far as the links are known; the
  * newest ones themselves and the deltas between them, for those who follow; and those who wait for the next. Below the
  * floor nothing is kept, and of the newest ones no more whole than fits the bound.
  */
@@ -12,15 +12,15 @@
 import type { Filed } from './store.js';
 
 const DEPTH = 16;
-/** Bytes of whole generations, and of deltas, that are held for those who follow; the newest one is held at any rate. */
+/** Bytes of whole revisions, and of deltas, that are held for those who follow; the newest one is held at any rate. */
 const HELD_BYTES = 8 * 1024 * 1024;
-/** Below this many bytes a generation is handed on whole: a delta of it would hardly be smaller. */
+/** Below this many bytes a revision is handed on whole: a delta of it would hardly be smaller. */
 export const DELTA_LEAST = 4096;
 const FEED_BYTES = 4 * 1024 * 1024;
 
 /** A committed revision from which deltas can be applied. */
 export interface KnownRevision {
-  readonly generation: number;
+  readonly revision: number;
   readonly digest: Digest;
   readonly document: Document;
 }
@@ -39,7 +39,7 @@
   private newest = 0;
   private lowest = 1;
   private current: Document | undefined;
-  /** The generation before the newest, until the delta between them was made. */
+  /** The revision before the newest, until the delta between them was made. */
   private before: Document | undefined;
   private readonly deltas = new Map<number, FeedFrame>();
   private readonly digests = new Map<number, string>();
@@ -63,7 +63,7 @@
     const document = this.current;
     const digest = this.digests.get(this.newest);
     return document && digest !== undefined
-      ? { generation: this.newest, digest, document }
+      ? { revision: this.newest, digest, document }
       : undefined;
   }
 
@@ -71,44 +71,44 @@
     return this.lowest;
   }
 
-  digest(generation: number): string | undefined {
-    return this.digests.get(generation);
+  digest(revision: number): string | undefined {
+    return this.digests.get(revision);
   }
 
-  /** A generation handed on to followers, while it is among the newest. */
-  filed(generation: number): Filed | undefined {
-    return this.recent.get(generation);
+  /** A revision handed on to followers, while it is among the newest. */
+  filed(revision: number): Filed | undefined {
+    return this.recent.get(revision);
   }
 
   settle(document: Document, digest: string, filed: Filed): boolean {
-    const { generation, previous } = document;
-    if (generation <= this.newest) return false;
+    const { revision, previous } = document;
+    if (revision <= this.newest) return false;
     const cameByDelta = filed.delta?.base === previous && filed.delta !== undefined;
-    if (cameByDelta) this.holdDelta(generation, digest, filed.ballot, filed.delta.bytes);
+    if (cameByDelta) this.holdDelta(revision, digest, filed.ballot, filed.delta.bytes);
     this.before =
       !cameByDelta &&
-      this.current?.generation === generation - 1 &&
+      this.current?.revision === revision - 1 &&
       filed.document.length >= DELTA_LEAST
         ? this.current
         : undefined;
-    this.newest = generation;
+    this.newest = revision;
     this.current = document;
-    this.digests.set(generation, digest);
-    if (generation > 1) this.digests.set(generation - 1, previous);
-    this.recent.set(generation, filed);
+    this.digests.set(revision, digest);
+    if (revision > 1) this.digests.set(revision - 1, previous);
+    this.recent.set(revision, filed);
     shed(this.recent, (item) => item.document.length);
     for (const wake of [...this.watchers]) wake();
     return true;
   }
 
-  /** What follows a generation, whole or as deltas; nothing when it is not all held here. */
+  /** What follows a revision, whole or as deltas; nothing when it is not all held here. */
   following(from: number, deltas: boolean): FeedFrame[] {
     if (from <= 0 || this.newest - from > DEPTH) return [];
     const frames: FeedFrame[] = [];
     let bytes = 0;
-    for (let generation = from + 1; generation <= this.newest; generation++) {
-      const filed = this.recent.get(generation);
-      const frame = (deltas ? this.delta(generation) : undefined) ?? (filed && wholeFrame(filed));
+    for (let revision = from + 1; revision <= this.newest; revision++) {
+      const filed = this.recent.get(revision);
+      const frame = (deltas ? this.delta(revision) : undefined) ?? (filed && wholeFrame(filed));
       bytes += frame?.document.length ?? 0;
       if (!frame || bytes > FEED_BYTES) break;
       frames.push(frame);
@@ -116,45 +116,39 @@
     return frames;
   }
 
-  /** Made when it is first asked for, while both generations are at hand. */
-  private delta(generation: number): FeedFrame | undefined {
+  /** Made when it is first asked for, while both revisions are at hand. */
+  private delta(revision: number): FeedFrame | undefined {
     const { before, current } = this;
-    if (generation === this.newest && before && current) {
+    if (revision === this.newest && before && current) {
       this.before = undefined;
-      const digest = this.digests.get(generation)!;
-      const filed = this.recent.get(generation);
+      const digest = this.digests.get(revision)!;
+      const filed = this.recent.get(revision);
       const made = deltaOf(before, current, digest);
       if (made && filed && made.length < filed.document.length)
-        this.holdDelta(generation, digest, filed.ballot, made);
+        this.holdDelta(revision, digest, filed.ballot, made);
     }
-    return this.deltas.get(generation);
+    return this.deltas.get(revision);
   }
 
-  private holdDelta(
-    generation: number,
-    digest: string,
-    ballot: Ballot,
-    document: Uint8Array,
-  ): void {
-    this.deltas.set(generation, { ballot, document, base: generation - 1, digest });
+  private holdDelta(revision: number, digest: string, ballot: Ballot, document: Uint8Array): void {
+    this.deltas.set(revision, { ballot, document, base: revision - 1, digest });
     shed(this.deltas, (item) => item.document.length);
   }
 
-  /** Notes the link of a generation that is known to belong here to the one before it. */
-  link(generation: number, previous: string): void {
-    if (generation > this.lowest && previous) this.digests.set(generation - 1, previous);
+  /** Notes the link of a revision that is known to belong here to the one before it. */
+  link(revision: number, previous: string): void {
+    if (revision > this.lowest && previous) this.digests.set(revision - 1, previous);
   }
 
-  /** Whether the digest of the generation before is known, or not needed any more. */
-  isLinked(generation: number): boolean {
-    return generation <= this.lowest || this.digests.has(generation - 1);
+  /** Whether the digest of the revision before is known, or not needed any more. */
+  isLinked(revision: number): boolean {
+    return revision <= this.lowest || this.digests.has(revision - 1);
   }
 
   raise(floor: number): void {
     if (floor <= this.lowest) return;
     this.lowest = floor;
-    for (const generation of this.digests.keys())
-      if (generation < floor) this.digests.delete(generation);
+    for (const revision of this.digests.keys()) if (revision < floor) this.digests.delete(revision);
   }
 
   /** One digest over all from the floor up, or nothing while some links are not known. */
@@ -169,14 +163,14 @@
 
   rangeDigest(from: number, to: number): string {
     const digests: string[] = [];
-    for (let generation = from; generation <= to; generation++)
-      digests.push(this.digests.get(generation) ?? '');
+    for (let revision = from; revision <= to; revision++)
+      digests.push(this.digests.get(revision) ?? '');
     return digestOf(digests.join(' '));
   }
 
-  /** Waits until something settled beyond the generation given, or until the limit. */
-  async beyond(generation: number, limit: number): Promise<void> {
-    if (this.newest > generation) return;
+  /** Waits until something settled beyond the revision given, or until the limit. */
+  async beyond(revision: number, limit: number): Promise<void> {
+    if (this.newest > revision) return;
     let wake: () => void = () => undefined;
     const news = new Promise<void>((resolve) => {
       wake = resolve;
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -1,8 +1,8 @@
 /**
- * Changes as functions of the current value: "doorway D is at generation G, make it X", or else the change lost the
- * race. A batch of waiting changes is applied in turn to one settled document and makes at most one new generation.
+ * Changes as functions of the current value: "doorway D is at revision G, make it X", or else the change lost the
+ * race. A batch of waiting changes is applied in turn to one settled document and makes at most one new revision.
  * Applied ids are kept, newest last, in a window of bounded size; repeating an id inside it gives the first outcome.
- * A removed name keeps the generation of its removal, so that no old change can ever apply again.
+ * A removed name keeps the revision of its removal, so that no old change can ever apply again.
  */
 import { checkApart } from '../doorway/shape.js';
 import { checkMeaning, mergePatch } from '../route/check.js';
@@ -17,7 +17,7 @@
   type ConfigureAct,
   type Document,
   type DoorwayAct,
-  type Generation,
+  type Revision,
   type Kept,
 } from './document.js';
 import { changeVoters, type VoterChange } from './voters.js';
@@ -34,19 +34,19 @@
 export const ENROLLED_BOUND = 256;
 
 export type Verdict =
-  | { readonly kind: 'applied'; readonly generation: Generation }
+  | { readonly kind: 'applied'; readonly revision: Revision }
   /** For a configuration, with the operators' version that was in place. */
   | { readonly kind: 'lost'; readonly reason: string; readonly inPlace?: number }
   | { readonly kind: 'declined'; readonly reason: string }
   /** Not applied now; whether it was before, or may be later by another call that carries it, can't be told. */
   | { readonly kind: 'indeterminate'; readonly reason: string };
 
-const standing = (document: Document, name: string): Generation =>
-  document.doorways.get(name)?.generation ?? document.removed.get(name) ?? 0;
+const standing = (document: Document, name: string): Revision =>
+  document.doorways.get(name)?.revision ?? document.removed.get(name) ?? 0;
 
 const lost = (name: string, expects: number, held: number): Verdict => ({
   kind: 'lost',
-  reason: `doorway ${name} is at generation ${held}, not ${expects}`,
+  reason: `doorway ${name} is at revision ${held}, not ${expects}`,
 });
 const declined = (reason: string): Verdict => ({ kind: 'declined', reason });
 
@@ -73,12 +73,12 @@
 const reenrol = (
   document: Document,
   act: Extract<Act, { kind: 'enrol' | 'retire' }>,
-  next: Generation,
+  next: Revision,
 ): Document | Verdict => {
   if (act.expects !== document.enrolledAt)
     return {
       kind: 'lost',
-      reason: `the enrolment is at generation ${document.enrolledAt}, not ${act.expects}`,
+      reason: `the enrolment is at revision ${document.enrolledAt}, not ${act.expects}`,
     };
   const enrolled = new Map(document.enrolled);
   if (act.kind === 'retire') {
@@ -97,7 +97,7 @@
   document: Document,
   act: DoorwayAct,
   firm: string,
-  next: Generation,
+  next: Revision,
 ): Document | Verdict => {
   const name = act.kind === 'set' ? act.doorway.name : act.name;
   const owner = document.doorways.get(name)?.doorway.firm;
@@ -119,7 +119,7 @@
   if (held !== act.expects) return lost(name, act.expects, held);
   if (!owner && document.doorways.size >= DOORWAY_BOUND)
     return declined(`there are ${DOORWAY_BOUND} doorways already`);
-  const doorways = new Map(document.doorways).set(name, { doorway: act.doorway, generation: next });
+  const doorways = new Map(document.doorways).set(name, { doorway: act.doorway, revision: next });
   const removed = new Map(document.removed);
   removed.delete(name);
   return { ...document, doorways, removed, claims: renewed(document.claims, name, firm) };
@@ -130,7 +130,7 @@
   document: Document,
   items: readonly DoorwayAct[],
   firm: string,
-  next: Generation,
+  next: Revision,
 ): Document | Verdict => {
   const seen = new Set<string>();
   let draft = document;
@@ -182,7 +182,7 @@
 };
 
 /** The next configuration, as a function of the one in place. */
-const configure = (document: Document, act: ConfigureAct, next: Generation): Document | Verdict => {
+const configure = (document: Document, act: ConfigureAct, next: Revision): Document | Verdict => {
   const { version = 0 } = document.configuration ?? {};
   if (!Number.isSafeInteger(act.version) || act.version <= act.expects)
     return declined(`version ${act.version} is not above ${act.expects}, which it builds on`);
@@ -194,7 +194,7 @@
         act.patch ?? { version: act.version, set: {}, remove: {} },
       );
   if (made.isLeft()) return declined(made.extract().reason);
-  const kept = { generation: next, digest: act.digest };
+  const kept = { revision: next, digest: act.digest };
   return {
     ...document,
     configuration: { ...made.unsafeCoerce(), version: act.version },
@@ -202,7 +202,7 @@
   };
 };
 
-const alter = (document: Document, change: Change, next: Generation): Document | Verdict => {
+const alter = (document: Document, change: Change, next: Revision): Document | Verdict => {
   const { act, firm } = change;
   switch (act.kind) {
     case 'seat':
@@ -253,10 +253,10 @@
   return kept && { kept, same: kept.digest === changeDigest(change) };
 };
 
-const remember = (document: Document, change: Change, next: Generation): Document => {
+const remember = (document: Document, change: Change, next: Revision): Document => {
   if (change.act.kind === 'configure') return document;
   const outcomes = new Map(document.outcomes).set(change.id, {
-    generation: next,
+    revision: next,
     digest: changeDigest(change),
   });
   for (const id of outcomes.keys()) {
@@ -267,7 +267,7 @@
 };
 
 export const applyChanges = (base: Document, changes: readonly Change[]): Applied => {
-  const next = base.generation + 1;
+  const next = base.revision + 1;
   const verdicts = new Map<string, Verdict>();
   const cause: Change[] = [];
   let draft = base;
@@ -277,7 +277,7 @@
       verdicts.set(
         change.id,
         before.same
-          ? { kind: 'applied', generation: before.kept.generation }
+          ? { kind: 'applied', revision: before.kept.revision }
           : declined('this change id was used for another change'),
       );
       continue;
@@ -296,11 +296,11 @@
     }
     draft = remember(altered, change, next);
     cause.push(slim(change));
-    verdicts.set(change.id, { kind: 'applied', generation: next });
+    verdicts.set(change.id, { kind: 'applied', revision: next });
   }
   if (cause.length === 0) return { document: base, verdicts };
   return {
-    document: { ...draft, generation: next, previous: digestOf(encodeDocument(base)), cause },
+    document: { ...draft, revision: next, previous: digestOf(encodeDocument(base)), cause },
     verdicts,
   };
 };
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -1,5 +1,5 @@
 /**
- * What changed from one generation to the next, so that whoever holds the one needs not be sent the other whole. Tables
+ * What changed from one revision to the next, so that whoever holds the one needs not be sent the other whole. Tables
  * and named items are compared one by one; what stayed is not told. The one who makes a delta also applies it, and gives
  * it out only when the very same document comes of it; the one who takes it is told the digest of what must come of it.
  */
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -1,5 +1,5 @@
 /**
- * One generation of the fleet's configuration: the register's whole value at that generation, chained to the one
+ * One revision of the fleet's configuration: the register's whole value at that revision, chained to the one
  * before by digest, with the changes that made it. As text it is JSON with tables as sorted pairs, so that equal
  * documents have equal digests on every node.
  */
@@ -9,7 +9,7 @@
 import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 
-export type Generation = number;
+export type Revision = number;
 export type ChangeId = string;
 export type Digest = string;
 
@@ -40,8 +40,8 @@
 }
 
 export type DoorwayAct =
-  | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Generation }
-  | { readonly kind: 'remove'; readonly name: string; readonly expects: Generation };
+  | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Revision }
+  | { readonly kind: 'remove'; readonly name: string; readonly expects: Revision };
 
 /**
  * The operators' configuration under the next version, on top of the version expected: whole, or as a patch. What is kept
@@ -84,9 +84,9 @@
       readonly kind: 'enrol';
       readonly name: string;
       readonly enrolled: Enrolled;
-      readonly expects: Generation;
+      readonly expects: Revision;
     }
-  | { readonly kind: 'retire'; readonly name: string; readonly expects: Generation }
+  | { readonly kind: 'retire'; readonly name: string; readonly expects: Revision }
   | ConfigureAct;
 
 export interface Change {
@@ -97,22 +97,22 @@
 }
 
 export interface Kept {
-  readonly generation: Generation;
+  readonly revision: Revision;
   readonly digest: Digest;
 }
 
 export interface Document {
   readonly fleet: string;
-  readonly generation: Generation;
+  readonly revision: Revision;
   readonly previous: Digest;
   readonly core: CoreSet;
   readonly doorways: ReadonlyMap<string, Placed>;
-  readonly removed: ReadonlyMap<string, Generation>;
+  readonly removed: ReadonlyMap<string, Revision>;
   readonly claims: ReadonlyMap<string, Claim>;
   readonly outcomes: ReadonlyMap<ChangeId, Kept>;
   readonly enrolled: ReadonlyMap<string, Enrolled>;
-  /** The generation of the last enrolment or retirement. */
-  readonly enrolledAt: Generation;
+  /** The revision of the last enrolment or retirement. */
+  readonly enrolledAt: Revision;
   /** The routes of the operators' newest version, where there are any. */
   readonly configuration?: Configuration | undefined;
   /** The requests that made the last versions, by version, oldest first, so that one that is resent is known again. */
@@ -129,7 +129,7 @@
   versions?: Array<[number, Kept]>;
   enrolled: Array<[string, Enrolled]>;
   doorways: Array<[string, Placed]>;
-  removed: Array<[string, Generation]>;
+  removed: Array<[string, Revision]>;
   claims: Array<[string, Claim]>;
   outcomes: Array<[ChangeId, Kept]>;
 }
@@ -174,7 +174,7 @@
   Buffer.from(
     JSON.stringify({
       fleet: document.fleet,
-      generation: document.generation,
+      revision: document.revision,
       previous: document.previous,
       core: document.core,
       doorways: pairs(document.doorways),
@@ -193,11 +193,11 @@
 export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
-    if (!Number.isSafeInteger(raw.generation) || typeof raw.fleet !== 'string')
-      return failed('document.decode', peer, 'not a generation of ours');
+    if (!Number.isSafeInteger(raw.revision) || typeof raw.fleet !== 'string')
+      return failed('document.decode', peer, 'not a revision of ours');
     return Right({
       fleet: raw.fleet,
-      generation: raw.generation,
+      revision: raw.revision,
       previous: raw.previous,
       core: raw.core,
       doorways: new Map(raw.doorways),
@@ -222,7 +222,7 @@
   wanted = members.length,
 ): Document => ({
   fleet,
-  generation: 1,
+  revision: 1,
   previous: '',
   core: { number: 1, wanted: Math.max(wanted, members.length), members },
   doorways: new Map(),
--- a/src/register/feed-server.ts
+++ b/src/register/feed-server.ts
@@ -27,7 +27,7 @@
       await chain.beyond(from, Math.min(wait, WAIT_BOUND));
       return Right({ settled: chain.settled });
     });
-    peers.handle(History, ({ generation }) => this.history(generation));
+    peers.handle(History, ({ revision }) => this.history(revision));
   }
 
   private async feed({ from, wait, deltas = false }: FeedAsk): Promise<Outcome<FeedReply>> {
@@ -40,7 +40,7 @@
     const items = chain.following(from, deltas);
     if (items.length) return Right({ settled, checkpoint: false, items });
     const newest = chain.filed(settled);
-    if (!newest) return failed('member.feed', id, `generation ${settled} is not held here`);
+    if (!newest) return failed('member.feed', id, `revision ${settled} is not held here`);
     return Right({ settled, checkpoint: true, items: [wholeFrame(newest)] });
   }
 
@@ -50,7 +50,7 @@
     if (revision < chain.floor || revision > chain.settled) return Right({ items: [] });
     const filed = chain.filed(revision);
     if (filed) return Right({ items: [filed] });
-    const read = await store.readGeneration(revision);
+    const read = await store.readRevision(revision);
     return read.map((held) => ({
       items: held && digestOf(held.document) === chain.digest(revision) ? [held] : [],
     }));
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,8 +1,8 @@
 /**
- * Following the numbered feed of settled generations: from one core member at a time, the one quickest to say that it has
+ * Following the numbered feed of settled revisions: from one core member at a time, the one quickest to say that it has
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
  * While one member feeds, another is asked only how far it is, and all others as soon as that one is silent; when one is
- * further than the feed for longer than a moment, the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
+ * further than the feed for longer than a moment, the source is left. The first revision comes only after a look at a majority of the core, or of the routers, so that
  * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
  * something is held, what follows comes as deltas.
  */
@@ -40,28 +40,28 @@
 /** How many neighbours are asked at a time while no core member answers. */
 const NEIGHBOURS = 3;
 
-/** The whole of what a frame tells: itself, or what its delta makes of the generation before. */
+/** The whole of what a frame tells: itself, or what its delta makes of the revision before. */
 const rebuild = (
   { base, digest, document: bytes }: FeedFrame,
   before: Document | undefined,
   peer: string,
 ): Outcome<Rebuilt> => {
   if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
-  return before?.generation === base
+  return before?.revision === base
     ? applyDelta(before, bytes, digest, peer)
-    : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
+    : failed('feed.rebuild', peer, `a delta from revision ${base}, which is not held`);
 };
 
 export class Follower {
   held = 0;
   private digest = '';
-  /** The document of the generation held, from which deltas can be applied. */
+  /** The document of the revision held, from which deltas can be applied. */
   private base: Document | undefined;
   private floor: number | undefined;
-  /** The newest generation that any member is known to have settled. */
+  /** The newest revision that any member is known to have settled. */
   private known = 0;
   private source = '';
-  /** The generation that any source must have given by now. */
+  /** The revision that any source must have given by now. */
   private overdue = 0;
   private outrun: () => void = () => undefined;
   /** Members other than the source that left the last watch unanswered. */
@@ -104,13 +104,13 @@
     }
   }
 
-  /** Looks for the generation below which this node may not begin, and for a member that holds it. */
+  /** Looks for the revision below which this node may not begin, and for a member that holds it. */
   private async begin(): Promise<string | undefined> {
     const survey = (await this.proposer.survey(LOOK)).toMaybe().extract();
-    const floor = survey?.generation ?? (await this.relay?.floor());
+    const floor = survey?.revision ?? (await this.relay?.floor());
     if (floor === undefined) return undefined;
     this.floor = floor;
-    this.log('feed-floor', [['generation', floor]]);
+    this.log('feed-floor', [['revision', floor]]);
     return survey?.sources.find((address) => address !== this.self) ?? this.seek();
   }
 
@@ -187,7 +187,7 @@
     return sound(replies).length > 0;
   }
 
-  /** Another member has settled a generation: the source has a moment to give it too. */
+  /** Another member has settled a revision: the source has a moment to give it too. */
   private noteSettled(settled: number): void {
     if (settled <= Math.max(this.held, this.known)) return;
     this.known = settled;
@@ -198,7 +198,7 @@
   }
 
   private get isOverdue(): boolean {
-    return Math.max(this.held, this.own()?.generation ?? 0) < this.overdue;
+    return Math.max(this.held, this.own()?.revision ?? 0) < this.overdue;
   }
 
   /** Without the core, takes what some neighbours have. */
@@ -245,7 +245,7 @@
       if (!reply) {
         this.log('feed-left', [
           ['peer', source],
-          ['generation', this.known],
+          ['revision', this.known],
         ]);
         return true;
       }
@@ -258,19 +258,19 @@
   /** Goes on from what this node has by another way, so that it is sent only what changed since. */
   private holdOwn(): void {
     const own = this.own();
-    if (!own || own.generation <= this.held) return;
-    this.held = own.generation;
+    if (!own || own.revision <= this.held) return;
+    this.held = own.revision;
     this.digest = own.digest;
     this.base = own.document;
   }
 
-  /** Takes what follows the generation held; says whether the source is worth asking again. */
+  /** Takes what follows the revision held; says whether the source is worth asking again. */
   private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
     if (settled < Math.max(this.held, this.floor ?? 0)) return false;
     const documents: Document[] = [];
     const frames: FeedFrame[] = [];
     const taken: FeedItem[] = [];
-    let held = { generation: this.held, digest: this.digest, document: this.base };
+    let held = { revision: this.held, digest: this.digest, document: this.base };
     for (const frame of items) {
       const rebuilt = rebuild(frame, held.document, source);
       if (rebuilt.isLeft()) {
@@ -278,17 +278,17 @@
         return false;
       }
       const { document: next, bytes } = rebuilt.unsafeCoerce();
-      if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
-      if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
+      if (next.revision <= held.revision || next.fleet !== this.peers.self.fleet) continue;
+      if (next.revision === held.revision + 1 && held.digest && next.previous !== held.digest) {
         this.log('feed-declined', [
           ['peer', source],
-          ['generation', next.generation],
+          ['revision', next.revision],
           ['reason', 'does not follow the one held'],
         ]);
         return false;
       }
       held = {
-        generation: next.generation,
+        revision: next.revision,
         digest: frame.base > 0 ? frame.digest : digestOf(bytes),
         document: next,
       };
@@ -298,13 +298,13 @@
       this.roster.learn(next.core);
     }
     if (documents.length === 0) return true;
-    for (const { generation } of documents)
+    for (const { revision } of documents)
       this.log('fed', [
-        ['generation', generation],
+        ['revision', revision],
         ['peer', source],
       ]);
     await this.take(documents, taken, settled, frames);
-    this.held = held.generation;
+    this.held = held.revision;
     this.digest = held.digest;
     this.base = held.document;
     return true;
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -42,14 +42,14 @@
   takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
     const { acceptor, guard } = this.replica;
     return this.replica.exclusive(async () => {
-      const revisions = readable(items).filter(({ document }) => document.generation <= committed);
+      const revisions = readable(items).filter(({ document }) => document.revision <= committed);
       const newest = revisions.at(-1);
       if (!newest) return;
       const oldestOpen = acceptor.lowestOpenRevision;
       const kept = await this.keep(newest.document, newest.item);
       if (!kept && !guard.isSuspended) return;
       for (const { document, item } of revisions)
-        if (document.generation >= oldestOpen) this.commit(document, item);
+        if (document.revision >= oldestOpen) this.commit(document, item);
     });
   }
 
@@ -66,7 +66,7 @@
    * The digest of a revision as it is on the disk now, noting its link to the one before when it is the committed one.
    */
   async inspect(revision: number): Promise<string | undefined> {
-    const read = await this.replica.store.readGeneration(revision);
+    const read = await this.replica.store.readRevision(revision);
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
     const digest = documentDigest(filed.document);
@@ -84,7 +84,7 @@
         return false;
       if (!(await this.rewrite(revision, item))) return false;
       replica.link(revision, item.document);
-      replica.log('generation-mended', [['generation', revision]]);
+      replica.log('revision-mended', [['revision', revision]]);
       replica.prune();
       return true;
     });
@@ -94,8 +94,7 @@
   private rewrite(revision: number, item: FeedItem): Promise<boolean> {
     const { replica } = this;
     const { accepted } = replica.acceptor;
-    if (revision !== accepted?.parsed.generation)
-      return replica.keepHistory(revision, item.document);
+    if (revision !== accepted?.parsed.revision) return replica.keepHistory(revision, item.document);
     if (documentDigest(accepted.document) !== documentDigest(item.document))
       return Promise.resolve(false);
     return replica.hold(accepted);
@@ -108,7 +107,7 @@
       const known = this.commitHeld(tell);
       if (!known && this.replica.acceptor.accepted)
         this.replica.log('settled-unheld', [
-          ['generation', tell.generation],
+          ['revision', tell.revision],
           ['ballot', tell.ballot.counter],
           ['peer', peer],
         ]);
@@ -116,11 +115,11 @@
     });
   }
 
-  private commitHeld({ generation, digest }: SettledTell): boolean {
+  private commitHeld({ revision, digest }: SettledTell): boolean {
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
-    if (generation <= chain.settled) return true;
-    if (accepted?.parsed.generation !== generation || documentDigest(accepted.document) !== digest)
+    if (revision <= chain.settled) return true;
+    if (accepted?.parsed.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
     this.commit(accepted.parsed, accepted);
     return true;
@@ -130,13 +129,13 @@
     const { acceptor, guard } = this.replica;
     const value = acceptor.valueLearned(document, filed);
     if (value) return !guard.reason && (await this.replica.hold(value));
-    if (document.generation === acceptor.revision || (await this.isOnDisk(document, filed)))
+    if (document.revision === acceptor.revision || (await this.isOnDisk(document, filed)))
       return true;
-    return !guard.reason && this.replica.keepHistory(document.generation, filed.document);
+    return !guard.reason && this.replica.keepHistory(document.revision, filed.document);
   }
 
-  private async isOnDisk({ generation }: Document, filed: Filed): Promise<boolean> {
-    const present = await this.replica.store.readGeneration(generation);
+  private async isOnDisk({ revision }: Document, filed: Filed): Promise<boolean> {
+    const present = await this.replica.store.readRevision(revision);
     return present
       .map(
         (there) =>
@@ -148,7 +147,7 @@
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
     if (!chain.settle(document, documentDigest(filed.document), filed)) return;
-    log('settled', [['generation', document.generation]]);
+    log('settled', [['revision', document.revision]]);
     this.replica.prune();
   }
 }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -71,7 +71,7 @@
     return this.replica.committedVoters;
   }
 
-  get settledGeneration(): number {
+  get settledRevision(): number {
     return this.chain.settled;
   }
 
@@ -94,7 +94,7 @@
       sure: isVoter && !guard.isDisqualified,
       reason: guard.reason || (isVoter ? '' : 'not in the core set'),
       accepted: acceptor.accepted?.ballot ?? FIRST,
-      generation: acceptor.revision,
+      revision: acceptor.revision,
       settled: chain.settled,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -2,7 +2,7 @@
  * Changing the register: prepare and accept at a majority of the core, no log, no leader. Changes that wait while a
  * round runs are combined into the next one. A value read from the majority is built upon only once it is settled:
  * known so to a member, or accepted in one same ballot by a majority; otherwise it is first accepted again as it is.
- * So the settled generations form one chain, and a change that is missing from a settled value read after its last
+ * So the settled revisions form one chain, and a change that is missing from a settled value read after its last
  * accept can never come to be. "Lost" and "declined" are said only then; after an accept without a majority's word,
  * the change stays unsure until a later round settles it, and is "unknown" when its limit comes first.
  *
@@ -76,17 +76,17 @@
   known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
 
 export interface Survey {
-  readonly generation: number;
+  readonly revision: number;
   readonly sources: readonly string[];
 }
 
 /** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
 const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
-  const generation = Math.max(0, ...[...states.values()].map((state) => state.generation));
+  const revision = Math.max(0, ...[...states.values()].map((state) => state.revision));
   const sources = [...states]
-    .filter(([, { settled }]) => settled >= generation)
+    .filter(([, { settled }]) => settled >= revision)
     .map(([address]) => address);
-  return states.size >= quorum && sources.length > 0 ? { generation, sources } : undefined;
+  return states.size >= quorum && sources.length > 0 ? { revision, sources } : undefined;
 };
 
 export class Proposer {
@@ -137,10 +137,10 @@
 
   /** The newest settled value, without a new ballot where a majority already agrees. */
   async look(duration: number): Promise<Outcome<number>> {
-    return (await this.survey(duration)).map(({ generation }) => generation);
+    return (await this.survey(duration)).map(({ revision }) => revision);
   }
 
-  /** The newest settled generation, and the members that were quickest to say that they hold it. */
+  /** The newest settled revision, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
     const limit = this.clock.now() + duration;
     await this.learnCore();
@@ -156,7 +156,7 @@
     const left = limit - this.clock.now();
     if (left <= 0)
       return failed('register.survey', 'core', `no majority told its state within ${duration} ms`);
-    return (await this.read(left)).map(({ generation }) => ({ generation, sources: [] }));
+    return (await this.read(left)).map(({ revision }) => ({ revision, sources: [] }));
   }
 
   /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
@@ -234,7 +234,7 @@
     );
     const certain = batch.filter(({ change }) => {
       const verdict = verdicts.get(change.id);
-      return verdict && (verdict.kind !== 'applied' || verdict.generation <= document.generation);
+      return verdict && (verdict.kind !== 'applied' || verdict.revision <= document.revision);
     });
     if (next === document) {
       for (const item of certain) this.finish(item, Right(verdicts.get(item.change.id)!));
@@ -243,14 +243,14 @@
     const proposed = batch.filter((item) => !certain.includes(item));
     for (const item of proposed) item.unsure = true;
     this.log('proposed', [
-      ['generation', next.generation],
+      ['revision', next.revision],
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
     const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
     if (accepted.isLeft()) {
       this.log('round-unsure', [
-        ['generation', next.generation],
+        ['revision', next.revision],
         ['changes', proposed.length],
         ['reason', accepted.extract().reason],
       ]);
@@ -316,7 +316,7 @@
     const complete = promises.map((reply) => withKnown(reply, known));
     return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
       const revision = this.hold(revisionOf(document, reply.document));
-      if (isCommitted && promises.some(({ settled }) => settled < document.generation))
+      if (isCommitted && promises.some(({ settled }) => settled < document.revision))
         this.announce(core, reply.accepted, revision);
       return { ballot, core, settled: isCommitted, ...revision };
     });
@@ -419,7 +419,7 @@
       void this.peers.ask(
         address,
         Settled,
-        { generation: document.generation, ballot, digest },
+        { revision: document.revision, ballot, digest },
         ASK_LIMIT,
       );
   }
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -15,7 +15,7 @@
 const EVERY = 300;
 /** How many bytes beside room for a revision a disk must take before it counts as working again. */
 const PROBE = 65_536;
-const REVISIONS = 'generations/';
+const REVISIONS = 'revisions/';
 
 /**
  * Reads a replica from its disk. What a killed process or a failed write left there without a sync is made durable before the
@@ -76,7 +76,7 @@
     if (!(await this.keepIdentity(found))) return false;
     if (!(await this.learner.holdNewest())) return false;
     guard.resume();
-    log('voting-resumed', [['generation', acceptor.revision]]);
+    log('voting-resumed', [['revision', acceptor.revision]]);
     return true;
   }
 
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -1,6 +1,6 @@
 /**
- * News of generations between routers, for when the core is out of reach. A router hands on what it has in force by the
- * same numbered feed as a core member. What is in force anywhere is settled, so a newer generation from a neighbour may
+ * News of revisions between routers, for when the core is out of reach. A router hands on what it has in force by the
+ * same numbered feed as a core member. What is in force anywhere is settled, so a newer revision from a neighbour may
  * be put in force at once; it is shown as accepted only by the core's word, as ever.
  *
  * A router that starts has nothing, and must not begin behind what was accepted. It begins from its neighbours only when
@@ -35,11 +35,9 @@
       if (from >= this.newest) return Right({ settled: this.newest, checkpoint: false, items: [] });
       const items: FeedFrame[] = [];
       let bytes = 0;
-      for (let generation = from + 1; from > 0 && generation <= this.newest; generation++) {
+      for (let revision = from + 1; from > 0 && revision <= this.newest; revision++) {
         const frame =
-          generation === this.newest && !deltas
-            ? wholeFrame(this.whole)
-            : this.recent.get(generation);
+          revision === this.newest && !deltas ? wholeFrame(this.whole) : this.recent.get(revision);
         bytes += frame?.document.length ?? 0;
         if (!frame || (frame.base > 0 && !deltas) || bytes > BYTES) break;
         items.push(frame);
@@ -58,10 +56,10 @@
     documents: readonly Document[],
     frames: readonly FeedFrame[] = items.map(wholeFrame),
   ): void {
-    documents.forEach(({ generation }, at) => {
-      this.recent.set(generation, frames[at]!);
-      if (generation > this.newest) {
-        this.newest = generation;
+    documents.forEach(({ revision }, at) => {
+      this.recent.set(revision, frames[at]!);
+      if (revision > this.newest) {
+        this.newest = revision;
         this.whole = items[at];
       }
     });
@@ -73,7 +71,7 @@
     return this.neighbours();
   }
 
-  /** The generation from which a router that has nothing may begin, by the word of a majority of the enrolled routers. */
+  /** The revision from which a router that has nothing may begin, by the word of a majority of the enrolled routers. */
   async floor(): Promise<number | undefined> {
     const first = sound(
       await gather(
@@ -89,7 +87,7 @@
           .flatMap((read) => (read.isRight() ? [read.unsafeCoerce()] : [])),
       )
       .reduce<Document | undefined>(
-        (best, each) => (!best || each.generation > best.generation ? each : best),
+        (best, each) => (!best || each.revision > best.revision ? each : best),
         undefined,
       );
     if (!newest || newest.fleet !== this.peers.self.fleet || newest.enrolled.size === 0)
@@ -100,13 +98,13 @@
     const told = sound(
       await gather(
         addresses,
-        (address) => this.peers.ask(address, Feed, { from: newest.generation, wait: 0 }, ASK_LIMIT),
+        (address) => this.peers.ask(address, Feed, { from: newest.revision, wait: 0 }, ASK_LIMIT),
         () => false,
       ),
     );
     const enough =
       told.length >= majority(newest.enrolled.size) &&
-      told.every(({ settled }) => settled <= newest.generation);
-    return enough ? newest.generation : undefined;
+      told.every(({ settled }) => settled <= newest.revision);
+    return enough ? newest.revision : undefined;
   }
 }
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -1,9 +1,9 @@
 /**
- * Repair of a member's history. It walks back from the newest settled generation along the digests each generation
- * names for the one before; where its own file is missing, spoilt or was never chosen, it takes the generation from
+ * Repair of a member's history. It walks back from the newest settled revision along the digests each revision
+ * names for the one before; where its own file is missing, spoilt or was never chosen, it takes the revision from
  * another member and checks it against the chain. Once the history is whole, ranges of files are read again in turn
  * and compared by one digest over the range, so that what spoils on the disk later is found and mended as well. Where old
- * generations are taken away, the history begins at the floor, or above what no other member holds any more.
+ * revisions are taken away, the history begins at the floor, or above what no other member holds any more.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
@@ -44,10 +44,10 @@
 
   /** Goes back along the chain over what was not yet looked at. */
   private async walk(signal: AbortSignal): Promise<void> {
-    const top = this.member.settledGeneration;
+    const top = this.member.settledRevision;
     const bottom = (): number => Math.max(this.cursor, this.member.chain.floor - 1);
-    for (let generation = top; generation > bottom() && !signal.aborted; generation--)
-      if (!(await this.check(generation))) return;
+    for (let revision = top; revision > bottom() && !signal.aborted; revision--)
+      if (!(await this.check(revision))) return;
     this.cursor = Math.max(this.cursor, top);
   }
 
@@ -57,37 +57,37 @@
     const from = Math.max(this.scrub + 1, this.member.chain.floor);
     const to = Math.min(this.cursor, from + RANGE - 1);
     const digests: string[] = [];
-    for (let generation = from; generation <= to; generation++)
-      digests.push((await this.member.inspect(generation)) ?? '');
+    for (let revision = from; revision <= to; revision++)
+      digests.push((await this.member.inspect(revision)) ?? '');
     if (digestOf(digests.join(' ')) !== this.member.chain.rangeDigest(from, to)) {
       this.log('range-differs', [
         ['from', from],
         ['to', to],
       ]);
-      for (let generation = from; generation <= to; generation++) await this.check(generation);
+      for (let revision = from; revision <= to; revision++) await this.check(revision);
     }
     this.scrub = to >= this.cursor ? 0 : to;
   }
 
-  private async check(generation: number): Promise<boolean> {
-    const wanted = this.member.chain.digest(generation);
+  private async check(revision: number): Promise<boolean> {
+    const wanted = this.member.chain.digest(revision);
     if (wanted === undefined) return false;
-    if ((await this.member.inspect(generation)) === wanted) return true;
+    if ((await this.member.inspect(revision)) === wanted) return true;
     const others = shuffled(
       this.random,
       this.roster.addresses.filter((each) => each !== this.self),
     );
     let without = 0;
     for (const address of others) {
-      const reply = await this.peers.ask(address, History, { generation }, ASK_LIMIT);
+      const reply = await this.peers.ask(address, History, { revision }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
-      if (item && (await this.member.mend(generation, item))) return true;
+      if (item && (await this.member.mend(revision, item))) return true;
       if (reply.isRight() && !item) without += 1;
     }
-    if (this.missing !== generation) this.log('generation-missing', [['generation', generation]]);
-    this.missing = generation;
+    if (this.missing !== revision) this.log('revision-missing', [['revision', revision]]);
+    this.missing = revision;
     if (this.pruned && others.length > 0 && without === others.length)
-      this.member.chain.raise(generation + 1);
+      this.member.chain.raise(revision + 1);
     return false;
   }
 }
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -81,7 +81,7 @@
   /** Holds a value as accepted, on the disk first. */
   async hold(value: AcceptedValue): Promise<boolean> {
     const { ballot, document, parsed, under } = value;
-    const writing = this.store.keepGeneration(parsed.generation, { ballot, document, under });
+    const writing = this.store.keepRevision(parsed.revision, { ballot, document, under });
     if (!(await this.guard.confirm(writing))) return false;
     const isHeld = this.acceptor.hold(value);
     this.prune();
@@ -110,7 +110,7 @@
     const { accepted } = this.acceptor;
     if (!accepted) return NO_VOTERS;
     const { parsed, under } = accepted;
-    const isCommitted = parsed.generation <= this.chain.settled;
+    const isCommitted = parsed.revision <= this.chain.settled;
     const sure = isCommitted ? parsed.core : (under ?? parsed.core);
     const committed = this.chain.document?.core;
     return committed && committed.number > sure.number ? committed : sure;
--- a/src/register/roster.ts
+++ b/src/register/roster.ts
@@ -1,5 +1,5 @@
 /**
- * Where the core members are, as this node knows: the seeds at first, then the core set of the newest generation it
+ * Where the core members are, as this node knows: the seeds at first, then the core set of the newest revision it
  * has seen. What was learned is kept when seeds change or fall silent.
  */
 import type { CoreSet } from './document.js';
--- a/src/register/round-value.ts
+++ b/src/register/round-value.ts
@@ -36,14 +36,14 @@
 
 /** The digest of a revision, where a value shows it: its own, or that of the revision before it. */
 const digestAt = ({ reply, document }: Candidate, revision: number): Digest | undefined => {
-  if (document.generation === revision) return documentDigest(reply.document);
-  return document.generation === revision + 1 ? document.previous : undefined;
+  if (document.revision === revision) return documentDigest(reply.document);
+  return document.revision === revision + 1 ? document.previous : undefined;
 };
 
 /** Whether a value lies before the committed revision, or on another branch than it. */
 const contradicts = (value: Candidate, committer: Candidate): boolean => {
   const committed = committer.reply.settled;
-  if (value.document.generation < committed) return true;
+  if (value.document.revision < committed) return true;
   const shown = digestAt(value, committed);
   const known = digestAt(committer, committed);
   return shown !== undefined && known !== undefined && shown !== known;
@@ -69,7 +69,7 @@
   promises: readonly PrepareReply[],
   quorum: number,
 ): boolean => {
-  if (promises.some(({ settled }) => settled >= document.generation)) return true;
+  if (promises.some(({ settled }) => settled >= document.revision)) return true;
   if (compareBallots(reply.accepted, FIRST) <= 0) return false;
   const votes = promises.filter(
     (other) => compareBallots(other.accepted, reply.accepted) === 0 && isSameValue(other, reply),
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -1,5 +1,5 @@
 /**
- * The register on disk: the member's own identity, the highest promise, and one file for each generation. Every file
+ * The register on disk: the member's own identity, the highest promise, and one file for each revision. Every file
  * is a head line with a digest and then its body; what does not match its digest is treated as lost and named, never
  * read as data.
  */
@@ -29,7 +29,7 @@
   readonly member: string | undefined;
   readonly promised: Ballot;
   readonly accepted: Filed | undefined;
-  readonly generations: ReadonlyMap<number, Ballot>;
+  readonly revisions: ReadonlyMap<number, Ballot>;
   readonly spoilt: readonly string[];
   /** Why an earlier life of this member was disqualified, where one was. */
   readonly disqualified: string | undefined;
@@ -56,12 +56,11 @@
   return Right({ head, body: buffer.subarray(end + 1) });
 };
 
-const fileOf = (generation: number): string =>
-  `generations/${String(generation).padStart(12, '0')}`;
+const fileOf = (revision: number): string => `revisions/${String(revision).padStart(12, '0')}`;
 
 /** How much of the past is kept on disk; 0 keeps all. */
 export interface Keeping {
-  readonly generations: number;
+  readonly revisions: number;
   readonly bytes: number;
 }
 
@@ -78,7 +77,7 @@
   constructor(
     private readonly disk: Disk,
     private readonly fleet: string,
-    private readonly keeping: Keeping = { generations: 0, bytes: 0 },
+    private readonly keeping: Keeping = { revisions: 0, bytes: 0 },
   ) {}
 
   async open(): Promise<Outcome<Found>> {
@@ -105,20 +104,20 @@
     const identity = await take('member');
     const promise = await take('promise');
     const disqualified = await take('disqualified');
-    const names = await this.disk.list('generations');
+    const names = await this.disk.list('revisions');
     if (identity.isLeft()) return identity as Outcome<Found>;
     if (promise.isLeft()) return promise as Outcome<Found>;
     if (disqualified.isLeft()) return disqualified as Outcome<Found>;
     if (names.isLeft()) return names as Outcome<Found>;
-    const generations = new Map<number, Ballot>();
+    const revisions = new Map<number, Ballot>();
     let accepted: Filed | undefined;
     for (const name of names.extract() as string[]) {
-      const file = await take(`generations/${name}`);
+      const file = await take(`revisions/${name}`);
       if (file.isLeft()) return file as Outcome<Found>;
       const held = file.extract() as { head: Map<string, unknown>; body: Uint8Array } | undefined;
       if (!held) continue;
       const ballot = held.head.get('ballot') as Ballot;
-      generations.set(Number(name), ballot);
+      revisions.set(Number(name), ballot);
       this.sizes.set(Number(name), held.body.length);
       const isVoted = compareBallots(ballot, FIRST) > 0;
       if (isVoted && (!accepted || compareBallots(ballot, accepted.ballot) >= 0))
@@ -136,7 +135,7 @@
         string | undefined,
       promised,
       accepted,
-      generations,
+      revisions,
       spoilt,
       disqualified: (
         disqualified.extract() as { head: Map<string, unknown> } | undefined
@@ -184,17 +183,17 @@
     );
   }
 
-  keepGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
-    return this.follow(this.writeGeneration(generation, filed));
+  keepRevision(revision: number, filed: Filed): Promise<Outcome<void>> {
+    return this.follow(this.writeRevision(revision, filed));
   }
 
-  private async writeGeneration(generation: number, filed: Filed): Promise<Outcome<void>> {
+  private async writeRevision(revision: number, filed: Filed): Promise<Outcome<void>> {
     const room = await this.makeRoom();
     if (room.isLeft()) return room;
-    const before = this.sizes.get(generation) ?? 0;
-    this.sizes.set(generation, Math.max(before, filed.document.length));
+    const before = this.sizes.get(revision) ?? 0;
+    this.sizes.set(revision, Math.max(before, filed.document.length));
     const written = await this.write(
-      fileOf(generation),
+      fileOf(revision),
       seal(
         new Map<string, unknown>([
           ['fleet', this.fleet],
@@ -204,20 +203,20 @@
         filed.document,
       ),
     );
-    if (written.isRight()) this.sizes.set(generation, filed.document.length);
+    if (written.isRight()) this.sizes.set(revision, filed.document.length);
     return written;
   }
 
   /** Keeps a committed revision below the accepted one. Without a ballot it is never taken for the accepted one again. */
-  keepHistory(generation: number, document: Uint8Array): Promise<Outcome<void>> {
-    return this.keepGeneration(generation, { ballot: FIRST, document });
+  keepHistory(revision: number, document: Uint8Array): Promise<Outcome<void>> {
+    return this.keepRevision(revision, { ballot: FIRST, document });
   }
 
-  async readGeneration(generation: number): Promise<Outcome<Filed | undefined>> {
-    const bytes = await this.disk.read(fileOf(generation));
+  async readRevision(revision: number): Promise<Outcome<Filed | undefined>> {
+    const bytes = await this.disk.read(fileOf(revision));
     return bytes.chain((held) =>
       held
-        ? unseal(fileOf(generation), held).map(({ head, body }) => ({
+        ? unseal(fileOf(revision), held).map(({ head, body }) => ({
             ballot: head.get('ballot') as Ballot,
             document: body,
           }))
@@ -242,15 +241,15 @@
     return written;
   }
 
-  /** The lowest generation to be kept when all up to the one given are settled. */
+  /** The lowest revision to be kept when all up to the one given are settled. */
   floor(settled: number): number {
-    const { generations, bytes } = this.keeping;
-    let floor = generations > 0 ? Math.max(1, settled - Math.max(LEAST, generations) + 1) : 1;
+    const { revisions, bytes } = this.keeping;
+    let floor = revisions > 0 ? Math.max(1, settled - Math.max(LEAST, revisions) + 1) : 1;
     if (bytes === 0) return floor;
     let held = 0;
-    for (let generation = settled; generation >= floor; generation--) {
-      held += this.sizes.get(generation) ?? 0;
-      if (held > bytes && settled - generation >= LEAST) floor = generation + 1;
+    for (let revision = settled; revision >= floor; revision--) {
+      held += this.sizes.get(revision) ?? 0;
+      if (held > bytes && settled - revision >= LEAST) floor = revision + 1;
     }
     return floor;
   }
@@ -261,20 +260,20 @@
    */
   prune(floor: number): void {
     this.lowest = Math.max(this.lowest, floor);
-    for (const generation of this.obsolete())
-      if (!this.removing.has(generation)) void this.remove(generation);
+    for (const revision of this.obsolete())
+      if (!this.removing.has(revision)) void this.remove(revision);
   }
 
   private obsolete(): number[] {
-    return [...this.sizes.keys()].filter((generation) => generation < this.lowest);
+    return [...this.sizes.keys()].filter((revision) => revision < this.lowest);
   }
 
-  private async remove(generation: number): Promise<void> {
-    const removal = this.follow(this.disk.remove(fileOf(generation)));
-    this.removing.set(generation, removal);
+  private async remove(revision: number): Promise<void> {
+    const removal = this.follow(this.disk.remove(fileOf(revision)));
+    this.removing.set(revision, removal);
     const removed = await removal;
-    this.removing.delete(generation);
-    if (removed.isRight()) this.sizes.delete(generation);
+    this.removing.delete(revision);
+    if (removed.isRight()) this.sizes.delete(revision);
   }
 
   /** Whether revisions that need not be kept any more take up as much as all that are kept may. */
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -116,13 +116,13 @@
       ]);
       return failed('member.accept', id, contradiction);
     }
-    const isStepBack = parsed.generation < acceptor.revision;
+    const isStepBack = parsed.revision < acceptor.revision;
     if (isStepBack && !(await this.replica.promise(ballot)))
       return failed('member.accept', id, 'could not keep a promise', 'unknown');
     if (!(await this.replica.hold(value)))
-      return failed('member.accept', id, 'could not keep a generation', 'unknown');
+      return failed('member.accept', id, 'could not keep a revision', 'unknown');
     log('accepted', [
-      ['generation', parsed.generation],
+      ['revision', parsed.revision],
       ['ballot', ballotText(ballot)],
     ]);
     return Right({ accepted: true, highest: ballot, lacksBase: false });
@@ -136,10 +136,10 @@
     const parsed = decoded.unsafeCoerce();
     if (guard.reason) return failed('member.form', id, guard.reason);
     if (acceptor.accepted) return Right({ formed: false });
-    if (parsed.generation !== 1 || !parsed.core.members.some((member) => member.id === id))
+    if (parsed.revision !== 1 || !parsed.core.members.some((member) => member.id === id))
       return failed('member.form', id, 'not named in that core set');
     if (!(await replica.hold({ ballot: GENESIS, document, parsed })))
-      return failed('member.form', id, 'could not keep the first generation', 'unknown');
+      return failed('member.form', id, 'could not keep the first revision', 'unknown');
     replica.founder = true;
     replica.log('formed', [
       ['member', id],
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -84,7 +84,7 @@
         relay.note(items, documents, frames);
         if (!this.inForce.swap(newest)) return;
         this.operations.noteClaims(newest);
-        this.log('in-force', [['generation', newest.generation]]);
+        this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
         this.standing.renewNow();
         this.passage.stir();
--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -61,12 +61,12 @@
     for (const { host, standing, inForce } of routers.values()) {
       if (host.dead) continue;
       const holds = standing.holds();
-      if (holds && inForce.generation < accepted)
+      if (holds && inForce.revision < accepted)
         this.tally.find(
           'accepted-not-in-force',
-          `${host.name} stands on ${inForce.generation}, accepted is ${accepted}, at ${Math.round(world.now)}`,
+          `${host.name} stands on ${inForce.revision}, accepted is ${accepted}, at ${Math.round(world.now)}`,
         );
-      if (!holds && inForce.generation > 0 && !this.lapsed.has(host.name))
+      if (!holds && inForce.revision > 0 && !this.lapsed.has(host.name))
         this.tally.note('lapsedStandings');
       if (holds) this.lapsed.delete(host.name);
       else this.lapsed.add(host.name);
@@ -86,10 +86,10 @@
     }
     const final = read.unsafeCoerce();
     for (const { host, inForce } of stage.routers.values())
-      if (!host.dead && inForce.generation < operators.accepted)
+      if (!host.dead && inForce.revision < operators.accepted)
         tally.find(
           'slid-back',
-          `${host.name} at ${inForce.generation}, accepted ${operators.accepted}`,
+          `${host.name} at ${inForce.revision}, accepted ${operators.accepted}`,
         );
     const core = [...stage.cores.values()].find(
       ({ host, member }) => !host.dead && member.state().voting,
@@ -101,13 +101,13 @@
     const history = await world.until(core.operations.history({ from: 1, count: 2000 }), 120_000);
     history.caseOf({
       Left: ({ reason }) => tally.find('history-not-whole', reason),
-      Right: ({ generations, settled }) => {
-        if (generations.length !== settled)
-          tally.find('history-not-whole', `${generations.length} of ${settled}`);
-        tally.note('historyRead', generations.length);
+      Right: ({ revisions, settled }) => {
+        if (revisions.length !== settled)
+          tally.find('history-not-whole', `${revisions.length} of ${settled}`);
+        tally.note('historyRead', revisions.length);
         operators.check(
           final,
-          new Set(generations.flatMap(({ changes }) => changes.map(({ id }) => id))),
+          new Set(revisions.flatMap(({ changes }) => changes.map(({ id }) => id))),
         );
       },
     });
@@ -122,7 +122,7 @@
     const kept = (await world.until(core.operations.at(0))).chain(({ document }) =>
       decodeDocument(Buffer.from(document), 'core'),
     );
-    if (kept.isLeft()) tally.find('unreadable', 'the newest generation');
+    if (kept.isLeft()) tally.find('unreadable', 'the newest revision');
     return final;
   }
 
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -22,7 +22,7 @@
 
 interface Answer {
   readonly outcome: string;
-  readonly generation: number;
+  readonly revision: number;
 }
 
 export interface Told {
@@ -32,7 +32,7 @@
   readonly groups: Groups;
   readonly asked: number;
   outcome: string;
-  generation: number;
+  revision: number;
   at: number;
 }
 
@@ -40,7 +40,7 @@
   readonly told: Told[] = [];
   readonly calmAccepted: number[] = [];
   readonly names = ['sahel-short', 'sahel-long', 'aconcagua-short', 'aconcagua-long'];
-  /** The newest generation that any operator was told is accepted. */
+  /** The newest revision that any operator was told is accepted. */
   accepted = 1;
   /** Which share of the answers is lost on its way; the same change is then asked for again, at any living node. */
   answersLost = 0;
@@ -117,7 +117,7 @@
         groups,
         asked: this.stage.world.now,
         outcome: 'silent',
-        generation: 0,
+        revision: 0,
         at: Infinity,
       }));
       void this.ask(wanted, 5000, (operations) =>
@@ -145,7 +145,7 @@
       groups,
       asked: this.stage.world.now,
       outcome: 'silent',
-      generation: 0,
+      revision: 0,
       at: Infinity,
     };
     await this.ask([told], wait, (operations) =>
@@ -157,13 +157,13 @@
     return told;
   }
 
-  /** The newest generation of a doorway that any operator was told of. */
+  /** The newest revision of a doorway that any operator was told of. */
   newest(name: string): number {
     return Math.max(
       0,
       ...this.told
-        .filter((each) => each.doorway === name && each.generation > 0)
-        .map(({ generation }) => generation),
+        .filter((each) => each.doorway === name && each.revision > 0)
+        .map(({ revision }) => revision),
     );
   }
 
@@ -176,13 +176,13 @@
     const given = await this.askUntilHeard(told.id, wait, act);
     if (!given) return;
     told.outcome = given.outcome;
-    told.generation = given.generation;
+    told.revision = given.revision;
     told.at = world.now;
     for (const each of wanted)
-      Object.assign(each, { outcome: told.outcome, generation: told.generation, at: told.at });
+      Object.assign(each, { outcome: told.outcome, revision: told.revision, at: told.at });
     const took = Math.round(told.at - told.asked);
     if (told.outcome === 'accepted') {
-      this.accepted = Math.max(this.accepted, told.generation);
+      this.accepted = Math.max(this.accepted, told.revision);
       tally.note('acceptedInForce');
     } else if (told.outcome !== 'silent' && told.outcome !== 'unknown')
       tally.note('declinedChanges');
@@ -224,10 +224,10 @@
       act(via.operations),
       stage.pause(wait + 3000).then(() => undefined),
     ]);
-    if (!done) return { outcome: 'silent', generation: 0 };
+    if (!done) return { outcome: 'silent', revision: 0 };
     return done.caseOf<Answer>({
-      Left: ({ certainty }: Failure) => ({ outcome: certainty, generation: 0 }),
-      Right: ({ outcome, generation }) => ({ outcome, generation }),
+      Left: ({ certainty }: Failure) => ({ outcome: certainty, revision: 0 }),
+      Right: ({ outcome, revision }) => ({ outcome, revision }),
     });
   }
 
@@ -237,19 +237,15 @@
     const wins = new Map<string, Told[]>();
     for (const told of this.told) {
       const applied = final.outcomes.get(told.id);
-      if (told.outcome === 'accepted' && applied?.generation !== told.generation)
-        tally.find(
-          'accepted-lost',
-          `told ${told.generation}, kept ${applied?.generation}`,
-          told.id,
-        );
+      if (told.outcome === 'accepted' && applied?.revision !== told.revision)
+        tally.find('accepted-lost', `told ${told.revision}, kept ${applied?.revision}`, told.id);
       if (told.outcome === 'accepted' && !history.has(told.id))
         tally.find('accepted-lost', 'not in the history', told.id);
       if (
         (told.outcome === 'lost' || told.outcome === 'declined') &&
         (applied || history.has(told.id))
       )
-        tally.find('declined-took-effect', `in generation ${applied?.generation}`, told.id);
+        tally.find('declined-took-effect', `in revision ${applied?.revision}`, told.id);
       if (!applied) continue;
       const key = `${told.doorway}@${told.expects}`;
       wins.set(key, [...(wins.get(key) ?? []), told]);
@@ -263,7 +259,7 @@
   allows(doorway: string, engine: string, at: number, final: Document): boolean {
     if (!engine.startsWith('engine-')) return false;
     const number = Number(engine.split('+')[0]!.split('-')[1]);
-    const placeOf = ({ id }: Told): number => final.outcomes.get(id)!.generation;
+    const placeOf = ({ id }: Told): number => final.outcomes.get(id)!.revision;
     const values = this.told
       .filter((told) => told.doorway === doorway && final.outcomes.has(told.id))
       .sort((a, b) => placeOf(a) - placeOf(b));
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -129,7 +129,7 @@
   const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
   const folder = disk.open(host);
   const member = new Member(
-    new Store(folder, site.fleet, { generations: params.core.keep, bytes: params.core.keepBytes }),
+    new Store(folder, site.fleet, { revisions: params.core.keep, bytes: params.core.keepBytes }),
     peers,
     host.clock,
     host.random,
--- a/src/trace/tracing.ts
+++ b/src/trace/tracing.ts
@@ -1,7 +1,7 @@
 /**
  * What a node remembers of the changes that went through it: a bounded journal of the control events it logs, each with
- * the moment on the node's own clock. Asked for a generation, it gives the steps that generation took here; promises
- * carry no generation, and are found by the ballot they share with the round that proposed or accepted it.
+ * the moment on the node's own clock. Asked for a revision, it gives the steps that revision took here; promises
+ * carry no revision, and are found by the ballot they share with the round that proposed or accepted it.
  */
 import { Right } from 'purify-ts';
 import type { Clock } from '../kernel/clock/clock.js';
@@ -25,10 +25,10 @@
 }
 
 /** Asks a node for the steps it remembers of one change. */
-export const Trace = call<{ generation: number }, TraceReply>(
+export const Trace = call<{ revision: number }, TraceReply>(
   64,
   'trace.steps',
-  struct({ generation: number }),
+  struct({ revision: number }),
   struct({
     node: text,
     steps: list(struct<TraceStep>({ step: text, after: number, ballot: text })),
@@ -43,13 +43,13 @@
   'fed',
   'in-force',
   'reported',
-  'generation-mended',
+  'revision-mended',
 ]);
 const BOUND = 4096;
 
 interface Noted {
   readonly step: string;
-  readonly generation: number | undefined;
+  readonly revision: number | undefined;
   readonly ballot: string;
 }
 
@@ -73,18 +73,16 @@
   }
 
   serve(peers: Peers): void {
-    peers.handle(Trace, ({ generation }) =>
-      Right({ node: this.node, steps: this.steps(generation) }),
-    );
+    peers.handle(Trace, ({ revision }) => Right({ node: this.node, steps: this.steps(revision) }));
   }
 
-  steps(generation: number): TraceStep[] {
+  steps(revision: number): TraceStep[] {
     const tail = this.journal.tail();
-    const own = tail.filter(({ event }) => event.generation === generation);
+    const own = tail.filter(({ event }) => event.revision === revision);
     const ballots = new Set(own.map(({ event }) => event.ballot).filter(Boolean));
     const all = tail.filter(
       ({ event }) =>
-        event.generation === generation || (event.step === 'promised' && ballots.has(event.ballot)),
+        event.revision === revision || (event.step === 'promised' && ballots.has(event.ballot)),
     );
     const first = all[0]?.moment ?? 0;
     return all.slice(0, 256).map(({ moment, event }) => ({
@@ -96,10 +94,10 @@
 
   private note(step: string, fields: Fields): void {
     const held = new Map(fields);
-    const generation = held.get('generation');
+    const revision = held.get('revision');
     this.journal.append({
       step,
-      generation: typeof generation === 'number' ? generation : undefined,
+      revision: typeof revision === 'number' ? revision : undefined,
       ballot: String(held.get('ballot') ?? ''),
     });
   }
--- a/test/checker/changes.test.ts
+++ b/test/checker/changes.test.ts
@@ -29,7 +29,7 @@
       this.inForce.set(router, version);
     }
     this.plane.cores.forEach(({ member, host }, at) => {
-      const revision = member.newest?.generation;
+      const revision = member.newest?.revision;
       if (revision === undefined || host.dead) return;
       if (revision < this.held[at]!)
         this.steps.push(`${host.name}: ${this.held[at]} to ${revision}`);
@@ -190,12 +190,12 @@
   const [first, second, behind] = plane.cores;
   const heal = world.part([behind!.host.name], [first!.host.name, second!.host.name]);
   for (let at = 0; at < 5; at++) expect(await plane.change()).toBeDefined();
-  const held = behind!.member.newest!.generation;
+  const held = behind!.member.newest!.revision;
   world.net.mishap = (_from, _to, frame) => (frame[CODE_AT] === FEED ? 'drop' : 'pass');
   heal();
   await plane.pass(100);
   second!.host.kill();
-  expect(behind!.member.newest!.generation).toBe(held);
+  expect(behind!.member.newest!.revision).toBe(held);
   const rounds = (): number =>
     plane
       .trafficOf(behind!.host.name)
--- a/test/checker/channel.test.ts
+++ b/test/checker/channel.test.ts
@@ -23,7 +23,7 @@
       vote: 'non-voting',
       reason: '',
       accepted: FIRST,
-      generation: 0,
+      revision: 0,
       settled: 0,
       core: '',
       whole: '',
--- a/test/checker/configure.test.ts
+++ b/test/checker/configure.test.ts
@@ -48,7 +48,7 @@
 
   async formed(): Promise<void> {
     expect(
-      await this.world.run(10_000, () => this.cores.every(({ inForce }) => inForce.generation > 0)),
+      await this.world.run(10_000, () => this.cores.every(({ inForce }) => inForce.revision > 0)),
     ).toBe(true);
   }
 
--- a/test/checker/cutoff.test.ts
+++ b/test/checker/cutoff.test.ts
@@ -95,7 +95,7 @@
     );
     stage.restartRouter(0);
     await world.run(world.now + CUT);
-    expect(stage.routers[0]!.inForce.generation).toBe(0);
+    expect(stage.routers[0]!.inForce.revision).toBe(0);
     heal();
     mend();
     expect(
--- a/test/checker/delta.test.ts
+++ b/test/checker/delta.test.ts
@@ -1,6 +1,6 @@
 /**
- * Deltas between generations: whatever happens to a document, the delta makes the very same one or is not given out; a
- * follower that holds a generation is sent what changed, and one that does not, or is told a wrong one, the whole.
+ * Deltas between revisions: whatever happens to a document, the delta makes the very same one or is not given out; a
+ * follower that holds a revision is sent what changed, and one that does not, or is told a wrong one, the whole.
  */
 import { expect, test } from 'vitest';
 import { SeededRandom, pick, type Random } from '../../src/kernel/random/random.js';
@@ -33,7 +33,7 @@
 const someAct = (random: Random, document: Document): Act => {
   const version = document.configuration?.version ?? 0;
   const name = `d${Math.floor(random.fraction() * 6)}`;
-  const expects = document.doorways.get(name)?.generation ?? document.removed.get(name) ?? 0;
+  const expects = document.doorways.get(name)?.revision ?? document.removed.get(name) ?? 0;
   const routes = document.configuration?.routes ?? [];
   const acts: Act[] = [
     { kind: 'set', doorway: doorway(name, 200 + Math.floor(random.fraction() * 100)), expects },
@@ -86,7 +86,7 @@
         act: someAct(random, document),
       }));
       const { document: next } = applyChanges(document, changes);
-      if (next.generation === document.generation) continue;
+      if (next.revision === document.revision) continue;
       const bytes = encodeDocument(next);
       const read = decodeDocument(bytes, 'p').unsafeCoerce();
       const delta = deltaOf(
@@ -150,7 +150,7 @@
 
   const [router] = plane.routers;
   const [core] = plane.cores;
-  const from = whole.generation - 1;
+  const from = whole.revision - 1;
   const asked = await plane.world.until(
     router!.peers.ask(core!.params.listen.peers, Feed, { from, wait: 0 }, 1000),
   );
--- a/test/checker/disk.test.ts
+++ b/test/checker/disk.test.ts
@@ -1,7 +1,7 @@
 /**
  * Disks of core members that fill up, stall, refuse or slow down: the member stays readable and out of the vote, changes go
  * on without it, and it votes again by itself once its disk works, so that another member may be lost next. Old
- * generations go, and what is left is whole on every member.
+ * revisions go, and what is left is whole on every member.
  */
 import { mkdtemp, readdir, rm, writeFile, mkdir } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
@@ -97,9 +97,7 @@
   }
 
   files(at: number): string[] {
-    return [...this.disks[at]!.files.keys()]
-      .filter((path) => path.startsWith('generations/'))
-      .sort();
+    return [...this.disks[at]!.files.keys()].filter((path) => path.startsWith('revisions/')).sort();
   }
 }
 
@@ -195,7 +193,7 @@
   expect(core.cores[1]!.member.state()).toMatchObject({ voting: false, sure: false });
 });
 
-test('old generations go, by count and by bytes; histories stay whole, and a newcomer joins', async () => {
+test('old revisions go, by count and by bytes; histories stay whole, and a newcomer joins', async () => {
   for (const [keep, most] of [
     [{ keep: 5 }, 6],
     [{ keepBytes: 200_000 }, 6],
@@ -233,11 +231,11 @@
 
 test('what a failed or broken-off write left aside is taken away from a folder', async () => {
   const root = await mkdtemp(join(tmpdir(), 'disk-'));
-  await mkdir(join(root, 'generations', 'taken'), { recursive: true });
-  await writeFile(join(root, 'generations', '1.aside-0-7'), 'cut short');
+  await mkdir(join(root, 'revisions', 'taken'), { recursive: true });
+  await writeFile(join(root, 'revisions', '1.aside-0-7'), 'cut short');
   const disk = new FolderDisk(root);
-  expect((await disk.write('generations/taken', Buffer.from('x'))).isLeft()).toBe(true);
-  expect((await disk.write('generations/2', Buffer.from('x'))).isRight()).toBe(true);
-  expect((await readdir(join(root, 'generations'))).sort()).toEqual(['2', 'taken']);
+  expect((await disk.write('revisions/taken', Buffer.from('x'))).isLeft()).toBe(true);
+  expect((await disk.write('revisions/2', Buffer.from('x'))).isRight()).toBe(true);
+  expect((await readdir(join(root, 'revisions'))).sort()).toEqual(['2', 'taken']);
   await rm(root, { recursive: true });
 });
--- a/test/checker/feed-source.test.ts
+++ b/test/checker/feed-source.test.ts
@@ -38,11 +38,11 @@
   await world.run(world.now + phase);
   const expects = stage.version;
   const writer = stage.cores[healthy.at(-1)!]!;
-  const { generation } = writer.inForce;
+  const { revision } = writer.inForce;
   const reply = writer.configurator.replace(configurationOf(expects + 1), expects, 4000);
-  expect(
-    await world.run(world.now + 4000, () => writer.member.settledGeneration > generation),
-  ).toBe(true);
+  expect(await world.run(world.now + 4000, () => writer.member.settledRevision > revision)).toBe(
+    true,
+  );
   const before = world.now;
   const router = stage.routers[0]!;
   expect(
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -46,7 +46,7 @@
 ): Revision =>
   revisionOf({
     ...document,
-    generation: document.generation + 1,
+    revision: document.revision + 1,
     previous: digestOf(bytes),
     core,
     claims: new Map([[name, { firm: 's', renewal: 1, duration: 1 }]]),
@@ -133,14 +133,14 @@
   }
 
   async commit({ document, bytes }: Revision): Promise<boolean> {
-    const told = { generation: document.generation, ballot: ballotOf(1), digest: digestOf(bytes) };
+    const told = { revision: document.revision, ballot: ballotOf(1), digest: digestOf(bytes) };
     const reply = await this.ask(this.asker.peers.ask(ADDRESS, Settled, told, 1000));
     return reply.map(({ known }) => known).orDefault(false);
   }
 
   learn(counter: number, { document, bytes }: Revision): Promise<void> {
     const items = [{ ballot: ballotOf(counter), document: bytes }];
-    return this.ask(this.member.takeSettled(items, document.generation));
+    return this.ask(this.member.takeSettled(items, document.revision));
   }
 
   get held(): { counter: number; revision: number; promised: number } {
--- a/test/checker/machines.ts
+++ b/test/checker/machines.ts
@@ -7,7 +7,7 @@
 import { simBase, simCore, type SimBase, type SimCore, type SimSite } from '../../src/sim/nodes.js';
 import { World } from '../../src/sim/world.js';
 
-const FIRST_REVISION = 'generations/000000000001';
+const FIRST_REVISION = 'revisions/000000000001';
 const LINE_FEED = 10;
 
 export const SEEDS = [1, 2, 3];
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -80,7 +80,7 @@
     [2, second, 10],
   ];
   for (const [revision, { bytes }, counter] of copies) {
-    lone.disk.spoil(`generations/00000000000${revision}`);
+    lone.disk.spoil(`revisions/00000000000${revision}`);
     const item = { ballot: ballotOf(counter), document: bytes };
     expect(await lone.ask(lone.member.mend(revision, item))).toBe(true);
     await lone.learn(counter, revisionOf(revision === 2 ? second.document : third.document));
@@ -100,7 +100,7 @@
   expect(isAccepted(await lone.accept(7, second))).toBe(true);
   await lone.start();
   expect(lone.held).toEqual({ counter: 7, revision: 2, promised: 7 });
-  lone.disk.spoil('generations/000000000002');
+  lone.disk.spoil('revisions/000000000002');
   await lone.start();
   expect(lone.member.state()).toMatchObject({ voting: false, sure: false });
 });
@@ -111,7 +111,7 @@
   await lone.prepare(4);
   await lone.accept(4, second);
   await lone.accept(5, following(second, 'third'));
-  lone.disk.spoil('generations/000000000002');
+  lone.disk.spoil('revisions/000000000002');
   await lone.start();
   expect(lone.member.state()).toMatchObject({ voting: true });
 });
@@ -141,7 +141,7 @@
   await lone.accept(5, second);
   lone.disk.full = true;
   expect((await lone.prepare(6)).isLeft()).toBe(true);
-  lone.disk.files.delete('generations/000000000002');
+  lone.disk.files.delete('revisions/000000000002');
   lone.disk.full = false;
   await lone.ask(lone.member.recover());
   expect(lone.member.state()).toMatchObject({ voting: false, sure: false });
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -128,7 +128,7 @@
     outcome.caseOf({
       Right: (verdict) => {
         if (verdict.kind === 'applied')
-          expect(final.outcomes.get(id)?.generation).toBe(verdict.generation);
+          expect(final.outcomes.get(id)?.revision).toBe(verdict.revision);
         else expect(final.outcomes.has(id)).toBe(false);
       },
       Left: ({ certainty }) => {
@@ -145,15 +145,15 @@
     Promise.all(
       addresses.map((address) =>
         Promise.all(
-          [1, 2, 3].map((generation) => reader.peers.ask(address, History, { generation }, 1000)),
+          [1, 2, 3].map((revision) => reader.peers.ask(address, History, { revision }, 1000)),
         ),
       ),
     ),
   );
-  for (const generation of [0, 1, 2]) {
+  for (const revision of [0, 1, 2]) {
     const digests = new Set(
       chains.flatMap((chain) =>
-        chain[generation]!.map(({ items }) =>
+        chain[revision]!.map(({ items }) =>
           items.map((item) =>
             digestOf(encodeDocument(decodeDocument(item.document, 'x').unsafeCoerce())),
           ),
@@ -309,7 +309,7 @@
   expect(await world.until(prepare(5))).toBe(true);
   const next = encodeDocument({
     ...first,
-    generation: 2,
+    revision: 2,
     previous: digestOf(encodeDocument(first)),
   });
   const accept = (counter: number): Promise<boolean> =>
@@ -322,7 +322,7 @@
       )
       .then(
         (reply) =>
-          reply.isRight() && text('generations/000000000002').includes(`"counter":${counter}`),
+          reply.isRight() && text('revisions/000000000002').includes(`"counter":${counter}`),
       );
   expect(await world.until(accept(5))).toBe(true);
   disk.stalled = true;
--- a/test/checker/repair.test.ts
+++ b/test/checker/repair.test.ts
@@ -63,22 +63,22 @@
   await world.run(world.now + 15_000);
   expect(wholes(cores)[0]).not.toBe('');
   expect(new Set(wholes(cores)).size).toBe(1);
-  expect(cores[2]!.member.settledGeneration).toBe(46);
+  expect(cores[2]!.member.settledRevision).toBe(46);
 });
 
 test('what spoils on the disk is found and mended, and a spoilt newest file ends voting until then', async () => {
   const { world, disks, cores, startCore, change } = await start();
   await change(0, 12);
   await world.run(world.now + 8000);
-  const path = 'generations/000000000004';
+  const path = 'revisions/000000000004';
   const before = bodyOf(disks[1]!.files.get(path));
   disks[1]!.spoil(path);
-  disks[0]!.files.delete('generations/000000000007');
+  disks[0]!.files.delete('revisions/000000000007');
   await world.run(world.now + 10_000);
   expect(bodyOf(disks[1]!.files.get(path))).toBe(before);
-  expect(disks[0]!.files.has('generations/000000000007')).toBe(true);
+  expect(disks[0]!.files.has('revisions/000000000007')).toBe(true);
   cores[1]!.host.kill();
-  disks[1]!.spoil('generations/000000000013');
+  disks[1]!.spoil('revisions/000000000013');
   startCore(1);
   await world.run(world.now + 5000);
   expect(cores[1]!.member.state()).toMatchObject({
@@ -88,12 +88,12 @@
   await change(12, 14);
 });
 
-test('a generation that was accepted here but never chosen is not told as history, and is replaced', async () => {
+test('a revision that was accepted here but never chosen is not told as history, and is replaced', async () => {
   const { world, disks, cores, startCore, change } = await start();
   await change(0, 3);
   cores[0]!.host.kill();
   await change(3, 30);
-  const path = 'generations/000000000005';
+  const path = 'revisions/000000000005';
   const chosen = disks[1]!.files.get(path)!;
   const text = Buffer.from(chosen).toString('utf8');
   const body = text.slice(text.indexOf('\n') + 1);
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -1,6 +1,6 @@
 /**
  * A fleet whose routers serve on when their lease lapses: a change is accepted within bounds whatever befalls a router, a
- * core member or its disk; generations reach every router that is in touch at once; a restarted router has the newest one
+ * core member or its disk; revisions reach every router that is in touch at once; a restarted router has the newest one
  * at once; and nothing is enrolled, vowed or claimed.
  */
 import { expect, test } from 'vitest';
@@ -93,7 +93,7 @@
   }
 }
 
-test('with all well a change is accepted once every router has it in force, and no generation is made for anything else', async () => {
+test('with all well a change is accepted once every router has it in force, and no revision is made for anything else', async () => {
   const fleet = new Fleet();
   const calls = new Set<number>();
   fleet.world.net.mishap = (from, _, frame) => {
@@ -105,7 +105,7 @@
   expect(fleet.routers.map(({ inForce }) => inForce.routes.version)).toEqual([4, 4, 4, 4]);
   expect(took).toBeLessThan(100);
   await fleet.world.run(fleet.world.now + 5000);
-  expect(fleet.cores.map(({ member }) => member.settledGeneration)).toEqual([2, 2, 2]);
+  expect(fleet.cores.map(({ member }) => member.settledRevision)).toEqual([2, 2, 2]);
   expect([Vow.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
 });
 
@@ -176,13 +176,13 @@
   fleet.routers[0]!.host.kill();
   const restarted = fleet.startRouter(1);
   await fleet.world.run(fleet.world.now + 5000);
-  expect([restarted.standing.serves(), restarted.inForce.generation]).toEqual([false, 0]);
+  expect([restarted.standing.serves(), restarted.inForce.revision]).toEqual([false, 0]);
   cores.forEach((at) => (fleet.cores[at - 1] = fleet.startCore(at)));
   expect(await fleet.reaches(4, [restarted])).toBeLessThan(1500);
   expect(restarted.standing.serves()).toBe(true);
 });
 
-test('a restarted router has the newest generation at once, also with a core member dead, frozen or cut off', async () => {
+test('a restarted router has the newest revision at once, also with a core member dead, frozen or cut off', async () => {
   for (const strike of ['none', 'freeze', 'kill', 'cut'] as const)
     for (const hit of cores) {
       const fleet = new Fleet(hit);
--- a/test/checker/space.test.ts
+++ b/test/checker/space.test.ts
@@ -29,13 +29,13 @@
   const world = new World(seed);
   const disk = new CapacityDisk(world, 4 * KEPT);
   const host = new Host(world, 'core', '127.0.0.1:1');
-  const store = new Store(disk.open(host), 'f', { generations: 0, bytes: KEPT });
+  const store = new Store(disk.open(host), 'f', { revisions: 0, bytes: KEPT });
   await world.until(store.open());
   const write = async (from: number, to: number): Promise<number> => {
     let refused = 0;
     for (let revision = from; revision <= to; revision++) {
       const filed = { ballot: ballot(revision), document: Buffer.alloc(DOCUMENT, revision) };
-      const kept = await world.until(store.keepGeneration(revision, filed));
+      const kept = await world.until(store.keepRevision(revision, filed));
       if (kept.isLeft()) refused += 1;
       store.prune(store.floor(revision));
     }
@@ -73,15 +73,15 @@
 
 test('a process removes what an earlier one left aside, also one with the same process number', async () => {
   const root = await mkdtemp(join(tmpdir(), 'disk-'));
-  await mkdir(join(root, 'generations'));
-  const aside = join(root, 'generations', `000000000007.aside-${process.pid}-3`);
+  await mkdir(join(root, 'revisions'));
+  const aside = join(root, 'revisions', `000000000007.aside-${process.pid}-3`);
   await writeFile(aside, 'cut short');
   const disk = new FolderDisk(root);
   const written = await Promise.all(
-    ['1', '2', '3'].map((name) => disk.write(`generations/${name}`, Buffer.from('x'))),
+    ['1', '2', '3'].map((name) => disk.write(`revisions/${name}`, Buffer.from('x'))),
   );
   expect(written.every((each) => each.isRight())).toBe(true);
-  expect((await readdir(join(root, 'generations'))).sort()).toEqual(['1', '2', '3']);
+  expect((await readdir(join(root, 'revisions'))).sort()).toEqual(['1', '2', '3']);
   await rm(root, { recursive: true });
 });
 
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -1,7 +1,7 @@
 /**
  * Standing and "accepted" under the checker: three members and two nodes whose leases are renewed while a change is
  * made, with frames lost, late or repeated, a node frozen, and members started again. At no moment after "accepted"
- * was told may any node hold standing on an older generation.
+ * was told may any node hold standing on an older revision.
  */
 import { expect, test } from 'vitest';
 import { Goodbye, Renew, Vouch, Vow } from '../../src/lease/calls.js';
@@ -27,7 +27,7 @@
   readonly restart?: readonly number[];
   /** The first node is cut off from the core, and maybe from the other nodes too. */
   readonly cut?: 'core' | 'all';
-  /** Nodes don't hand on generations, so that the first stays on the old one. */
+  /** Nodes don't hand on revisions, so that the first stays on the old one. */
   readonly mute?: boolean;
 }
 
@@ -61,8 +61,8 @@
   if (fault.cut) await world.run(world.now + 7000);
   if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(fault.cut === 'core');
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict
-    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+  const revision = verdict
+    .map((told) => (told.kind === 'applied' ? told.revision : 0))
     .orDefault(0);
   for (const at of fault.restart ?? []) {
     cores[at]!.host.kill();
@@ -70,7 +70,7 @@
   }
   let accepted = false;
   const seeking = seekAccord(
-    generation,
+    revision,
     12_000,
     operator.peers,
     operator.roster,
@@ -80,26 +80,26 @@
     return everywhere;
   });
   const wrong = (): boolean =>
-    nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation) &&
+    nodes.some(({ standing, inForce }) => standing.holds() && inForce.revision < revision) &&
     accepted;
-  // A generation in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
+  // A revision in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
   const calm = Object.keys(fault).length === 0;
   const surelyOver = (): boolean =>
     calm &&
     accepted &&
     choices >= CHOICES &&
-    nodes.every(({ inForce }) => inForce.generation >= generation);
+    nodes.every(({ inForce }) => inForce.revision >= revision);
   await world.run(world.now + 16_000, () => wrong() || surelyOver());
   expect(wrong()).toBe(false);
-  expect(generation).toBe(5);
+  expect(revision).toBe(5);
   expect(await world.until(seeking)).toBe(true);
   const behind = fault.cut === 'all' || (fault.cut === 'core' && fault.mute);
-  expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([behind ? 4 : 5, 5, 5]);
+  expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([behind ? 4 : 5, 5, 5]);
   if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(!behind);
   return choices;
 };
 
-test('accepted is never told while a node can stand on an older generation: lost, late and repeated frames', async () => {
+test('accepted is never told while a node can stand on an older revision: lost, late and repeated frames', async () => {
   const { runs, choices } = await explore((script) => run(script), 60);
   expect(choices).toBe(CHOICES);
   expect(runs).toBeGreaterThan(200);
@@ -147,13 +147,13 @@
   await world.run(world.now + 2500);
   expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict
-    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+  const revision = verdict
+    .map((told) => (told.kind === 'applied' ? told.revision : 0))
     .orDefault(0);
   expect(
     (
       await world.until(
-        seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock),
+        seekAccord(revision, 12_000, operator.peers, operator.roster, operator.host.clock),
       )
     ).everywhere,
   ).toBe(true);
@@ -163,11 +163,11 @@
   const { world, cores, nodes, restart, startCore, operator } = await openStage();
   world.part(['n'], ['core-0', 'core-1', 'core-2']);
   expect((await world.until(operator.proposer.propose(change, 5000))).isRight()).toBe(true);
-  expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.generation === 5)).toBe(true);
+  expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.revision === 5)).toBe(true);
   for (const { host } of cores) host.kill();
   restart(2);
   expect(await world.run(world.now + 12_000, () => nodes[2]!.standing.holds())).toBe(true);
-  expect(nodes[2]!.inForce.generation).toBe(5);
+  expect(nodes[2]!.inForce.revision).toBe(5);
   world.heal();
   cores.forEach((_, at) => startCore(at));
   expect(
@@ -196,13 +196,13 @@
     restart(2);
     world.heal();
     const behind = (): boolean =>
-      nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < 5);
+      nodes.some(({ standing, inForce }) => standing.holds() && inForce.revision < 5);
     expect(await world.run(world.now + 15_000, behind)).toBe(false);
-    expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([4, 0, 0]);
+    expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([4, 0, 0]);
     cores.forEach((_, at) => startCore(at));
     expect(
       await world.run(world.now + 10_000, () =>
-        nodes.every(({ standing, inForce }) => standing.holds() && inForce.generation === 5),
+        nodes.every(({ standing, inForce }) => standing.holds() && inForce.revision === 5),
       ),
     ).toBe(true);
   }
--- a/test/process/missed.test.ts
+++ b/test/process/missed.test.ts
@@ -55,10 +55,10 @@
 
 /** Until a node has the newest revision in force. */
 const caughtUp = async (name: string): Promise<number> => {
-  const newest = await fleet.metric('core-1', 'generation_in_force');
+  const newest = await fleet.metric('core-1', 'revision_in_force');
   await fleet.until(
     `${name} to be caught up`,
-    async () => (await fleet.metric(name, 'generation_in_force').catch(() => 0)) >= newest,
+    async () => (await fleet.metric(name, 'revision_in_force').catch(() => 0)) >= newest,
   );
   return usageOf(fleet.pid(name)).processor;
 };
@@ -80,8 +80,8 @@
     const processor = await Promise.all([caughtUp(CORE), caughtUp(ROUTER)]);
     if (process.env['FIGURES']) console.log(JSON.stringify({ missed, processor }));
     await fleet.ready([CORE]);
-    expect(await fleet.metric(ROUTER, 'generation_in_force')).toBe(
-      await fleet.metric('core-1', 'generation_in_force'),
+    expect(await fleet.metric(ROUTER, 'revision_in_force')).toBe(
+      await fleet.metric('core-1', 'revision_in_force'),
     );
   }
 });
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -408,8 +408,7 @@
     await reason('doorway.set', { change: 'c', doorway: { name: 'x' }, expects: 0, wait: 1000 }),
   ).toMatch(/^declined: .*required property/);
   expect(await reason('nothing.here', {})).toMatch(/^declined: there is no call/);
-  const opened = (await operate(to, 'doorway.get', { name: doorway.name })).unsafeCoerce()
-    .generation;
+  const opened = (await operate(to, 'doorway.get', { name: doorway.name })).unsafeCoerce().revision;
   const rivals = await Promise.all(
     ['r1', 'r2', 'r3'].map((id, at) =>
       fleet.setDoorway(
@@ -486,6 +485,6 @@
   expect(steps('router-1')).toEqual(['fed', 'in-force', 'reported']);
   await fleet.kill('router-2');
   expect(
-    (await operate(to, 'change.trace', { generation: traced.generation })).unsafeCoerce().silent,
+    (await operate(to, 'change.trace', { revision: traced.revision })).unsafeCoerce().silent,
   ).toContain('router-2');
 });
--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -61,7 +61,7 @@
   /** Waits until every member has the first revision in force. */
   formed(): Promise<boolean> {
     return this.world.run(FORMING_LIMIT, () =>
-      this.members.every(({ inForce }) => inForce.generation > 0),
+      this.members.every(({ inForce }) => inForce.revision > 0),
     );
   }
 
--- a/test/unit/change.test.ts
+++ b/test/unit/change.test.ts
@@ -109,7 +109,7 @@
   ).toEqual(['declined']);
 });
 
-test('the window of ids is bounded, and a generation survives its text', () => {
+test('the window of ids is bounded, and a revision survives its text', () => {
   let document = start;
   for (let at = 0; at < WINDOW + 20; at += 256)
     document = apply(
@@ -145,9 +145,9 @@
   const swapped = apply(document, swap);
   expect(swapped.kinds).toEqual(['applied']);
   expect(
-    [...swapped.document.doorways.values()].map(({ doorway: { match }, generation }) => [
+    [...swapped.document.doorways.values()].map(({ doorway: { match }, revision }) => [
       match.tag,
-      generation,
+      revision,
     ]),
   ).toEqual([
     ['e', 3],
@@ -163,7 +163,7 @@
   const lost = applyChanges(document, [stale]);
   expect(lost.verdicts.get('stale')).toEqual({
     kind: 'lost',
-    reason: 'items[1]: doorway d is at generation 2, not 1',
+    reason: 'items[1]: doorway d is at revision 2, not 1',
   });
   expect(lost.document).toBe(document);
   const tie = change('tie', {
--- a/test/unit/configure.test.ts
+++ b/test/unit/configure.test.ts
@@ -219,7 +219,7 @@
 test('of two rivals on one version one wins, in one batch and in two', () => {
   const together = apply(start, whole(3, 0), whole(5, 0));
   expect(together.verdicts).toMatchObject([
-    { kind: 'applied', generation: 2 },
+    { kind: 'applied', revision: 2 },
     { kind: 'lost', inPlace: 3 },
   ]);
   expect(together.document.configuration?.version).toBe(3);
@@ -237,7 +237,7 @@
 
 test('one number with two contents: the one in place is accepted again, the other has lost', () => {
   const { document } = apply(start, whole(3, 0));
-  expect(apply(document, whole(3, 0)).verdicts).toEqual([{ kind: 'applied', generation: 2 }]);
+  expect(apply(document, whole(3, 0)).verdicts).toEqual([{ kind: 'applied', revision: 2 }]);
   expect(
     apply(document, whole(3, 0, { services: [{ name: 's' }] }, 'other')).verdicts,
   ).toMatchObject([{ kind: 'lost' }]);
@@ -265,7 +265,7 @@
   for (let version = 2; version <= VERSIONS + 10; version++)
     document = apply(document, whole(version, version - 1)).document;
   expect(document.versions.size).toBe(VERSIONS);
-  expect(apply(document, whole(11, 10)).verdicts).toEqual([{ kind: 'applied', generation: 12 }]);
+  expect(apply(document, whole(11, 10)).verdicts).toEqual([{ kind: 'applied', revision: 12 }]);
   expect(document.outcomes.size).toBe(0);
 });
 
@@ -285,7 +285,7 @@
     patched(4, 2, { set: {}, remove: {} }),
   ])
     expect(apply(document, forgotten).verdicts).toMatchObject([{ kind: 'indeterminate' }]);
-  expect(apply(document, whole(6, 4)).verdicts).toEqual([{ kind: 'applied', generation: 4 }]);
+  expect(apply(document, whole(6, 4)).verdicts).toEqual([{ kind: 'applied', revision: 4 }]);
   for (const loser of [whole(5, 4), whole(6, 4, {}, 'other'), whole(newest + 6, newest)])
     expect(apply(document, loser).verdicts).toMatchObject([{ kind: 'lost' }]);
   const again = decodeDocument(encodeDocument(document), 'x').unsafeCoerce();
@@ -316,6 +316,6 @@
   const again = decodeDocument(encodeDocument(document), 'x').unsafeCoerce();
   expect(Buffer.from(encodeDocument(again)).toString()).toBe(text);
   expect(apply(again, whole(3, 0, { routes })).verdicts).toEqual([
-    { kind: 'applied', generation: 2 },
+    { kind: 'applied', revision: 2 },
   ]);
 });
--- a/test/unit/round-value.test.ts
+++ b/test/unit/round-value.test.ts
@@ -61,7 +61,7 @@
   ])
     expect(chosenOf(...promises)).toEqual({
       value: known,
-      isCommitted: known.generation <= committed,
+      isCommitted: known.revision <= committed,
     });
 });
 
