--- a/src/api/configuration.ts
+++ b/src/api/configuration.ts
@@ -1,5 +1,5 @@
 /**
- * The calls on the configuration of routes as faces use them, found by name (`names.configurator`). "accepted": settled
+ * The calls on the configuration of routes as faces use them, found by name (`names.configurator`). "accepted": committed
  * at a majority of the core and on its way to every router; "conflict": another version is in place and this change will
  * never be in force; "invalid": it can never be in force as it is; "unknown": it may or may not come to be.
  */
--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -1,6 +1,6 @@
 /**
  * The calls on the configuration of routes, the same on every node. What is wrong in itself is refused here without a
- * round of the register; everything else is judged there, against the value in place. A call that can't be settled within
+ * round of the register; everything else is judged there, against the value in place. A call that can't be committed within
  * its time is "unknown". A read looks at a majority of the core first, and then takes the revision it was shown, so it
  * is never older than what was accepted anywhere before it.
  */
@@ -147,7 +147,7 @@
       version: this.version,
       reason,
     });
-    if (!told) return unsettled(`not settled within ${wait} ms`);
+    if (!told) return unsettled(`not committed within ${wait} ms`);
     if (told.isLeft()) return unsettled((told.extract() as Fault).reason);
     const verdict = told.extract() as Verdict;
     if (verdict.kind === 'indeterminate') return unsettled(verdict.reason);
@@ -164,7 +164,7 @@
     return {
       outcome: 'unknown',
       version: act.version,
-      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}`,
+      reason: `committed, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}`,
     };
   }
 }
--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -132,7 +132,7 @@
         };
         get?: never;
         put?: never;
-        /** The whole configuration at a settled revision, 0 for the newest */
+        /** The whole configuration at a committed revision, 0 for the newest */
         post: operations["config.at"];
         delete?: never;
         options?: never;
@@ -149,7 +149,7 @@
         };
         get?: never;
         put?: never;
-        /** Settled revisions with who changed what */
+        /** Committed revisions with who changed what */
         post: operations["config.history"];
         delete?: never;
         options?: never;
@@ -536,7 +536,7 @@
             document: string;
         };
         HistoryReply: {
-            settled: number;
+            committed: number;
             revisions: {
                 revision: number;
                 digest: string;
@@ -582,7 +582,7 @@
                 id: string;
                 state: string;
                 revision: number;
-                settled: number;
+                committed: number;
                 /** @description Digest over its whole history, empty while it is not whole */
                 whole: string;
             }[];
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -172,7 +172,7 @@
         outcome: 'unknown',
         revision: 0,
         silent: [],
-        reason: `not among the changes kept at revision ${document.revision}; repeat the change under the same id to have it settled`,
+        reason: `not among the changes kept at revision ${document.revision}; repeat the change under the same id to have it committed`,
       });
     return this.accord(change, kept.revision, limit - this.clock.now());
   }
@@ -210,11 +210,11 @@
   async history({ from, count }: Schemas['HistoryAsk']): Promise<Outcome<Schemas['HistoryReply']>> {
     const newest = (await this.newest()).chain((held) => decodeDocument(held.document, 'core'));
     if (newest.isLeft()) return newest as Outcome<never>;
-    const settled = newest.unsafeCoerce().revision;
+    const committed = newest.unsafeCoerce().revision;
     const revisions: Schemas['HistoryReply']['revisions'] = [];
     for (
       let revision = Math.max(1, from);
-      revision <= Math.min(settled, from + count - 1);
+      revision <= Math.min(committed, from + count - 1);
       revision++
     ) {
       const held = await this.revision(revision);
@@ -239,7 +239,7 @@
       }));
       revisions.push({ revision, digest: digestOf(item.document), changes });
     }
-    return Right({ settled, revisions });
+    return Right({ committed, revisions });
   }
 
   /** One revision through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
@@ -355,7 +355,7 @@
             id: members.find((seat) => seat.address === address)?.id ?? '',
             state: `silent: ${reason}`,
             revision: 0,
-            settled: 0,
+            committed: 0,
             whole: '',
           }),
           Right: (state) => ({
@@ -371,7 +371,7 @@
                     ? `not voting: ${state.reason}${remedy(state.vote)}`
                     : 'newcomer',
             revision: state.revision,
-            settled: state.settled,
+            committed: state.committed,
           }),
         }),
       ),
@@ -422,15 +422,15 @@
     if (committed.isLeft()) return committed as Outcome<never>;
     const state = await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
     if (state.isLeft()) return state as Outcome<never>;
-    const { member, vote, reason, revision, settled } = state.unsafeCoerce();
+    const { member, vote, reason, revision, committed: held } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
       return failed('core.seat', address, `can not vote: ${reason}`);
     const newest = committed.unsafeCoerce();
-    if (Math.min(revision, settled) < newest)
+    if (Math.min(revision, held) < newest)
       return failed(
         'core.seat',
         address,
-        `holds revision ${Math.min(revision, settled)}, and ${newest} is committed; try again once it has caught up`,
+        `holds revision ${Math.min(revision, held)}, and ${newest} is committed; try again once it has caught up`,
       );
     return this.change(
       operator,
@@ -533,20 +533,20 @@
       outcome: 'unknown',
       revision,
       silent: [...accord.silent],
-      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
+      reason: `committed, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
     });
   }
 
   private async newest(): Promise<Outcome<FeedItem>> {
-    const settled = await this.proposer.look(2000);
-    if (settled.isLeft()) return settled as Outcome<never>;
+    const committed = await this.proposer.look(2000);
+    if (committed.isLeft()) return committed as Outcome<never>;
     for (const address of this.roster.addresses) {
       const reply = await this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (
         item &&
         decodeDocument(item.document, address)
-          .map((document) => document.revision >= settled.unsafeCoerce())
+          .map((document) => document.revision >= committed.unsafeCoerce())
           .orDefault(false)
       )
         return Right(item);
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -28,7 +28,7 @@
 import { controlProviders } from '../node/control.js';
 import { nodeProviders } from '../node/module.js';
 
-const SETTLE_EVERY = 250;
+const COMMIT_EVERY = 250;
 
 @Injectable()
 export class CoreNode {
@@ -89,7 +89,7 @@
       this.clock,
       this.random,
       this.log,
-      (_, items, settled) => this.member.takeSettled(items, settled),
+      (_, items, committed) => this.member.takeCommitted(items, committed),
       this.params.listen.peers,
       undefined,
       this.params.feed.wait,
@@ -111,7 +111,7 @@
     void replacement.run(this.stop.signal);
     void keepRecovering(this.member, this.clock, this.stop.signal);
     if (enabled) void this.keeper.run(this.stop.signal);
-    void this.settle();
+    void this.commit();
     void this.enforce();
     if (this.params.form || this.params.firstStart !== 'unknown')
       void bootstrap.run(this.stop.signal);
@@ -132,18 +132,18 @@
       : `no contact with a majority of the core; silent: ${contact.silentVoters.join(' ')}`;
   }
 
-  /** Settles what a proposer left undecided here, so that an accepted revision doesn't hang. */
-  private async settle(): Promise<void> {
+  /** Commits what a proposer left undecided here, so that an accepted revision doesn't hang. */
+  private async commit(): Promise<void> {
     let before = 0;
     while (!this.stop.signal.aborted) {
-      const { revision, settled, voting } = this.member.state();
-      if (voting && revision > settled && revision === before) await this.proposer.read(1000);
+      const { revision, committed, voting } = this.member.state();
+      if (voting && revision > committed && revision === before) await this.proposer.read(1000);
       before = revision;
-      await this.clock.sleep(SETTLE_EVERY * (1 + this.random.fraction()), this.stop.signal);
+      await this.clock.sleep(COMMIT_EVERY * (1 + this.random.fraction()), this.stop.signal);
     }
   }
 
-  /** Keeps the newest settled revision in force here too, for the operators' questions. */
+  /** Keeps the newest committed revision in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -102,7 +102,7 @@
     }
     const end = world.now + limit;
     for (let seen = 0, since = world.now; world.now < end; await world.run(world.now + 250)) {
-      const revision = this.cores[0]!.member.settledRevision;
+      const revision = this.cores[0]!.member.committedRevision;
       if (revision === 0 || revision !== seen || !this.steady()) {
         seen = revision;
         since = world.now;
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -1,6 +1,6 @@
 /**
- * From a verdict of the register to "accepted". Where a router without standing stops, a settled change is accepted once
- * the accord on its revision says that it is in force wherever it must be. Where it serves on, a settled change is
+ * From a verdict of the register to "accepted". Where a router without standing stops, a committed change is accepted once
+ * the accord on its revision says that it is in force wherever it must be. Where it serves on, a committed change is
  * accepted as it is; the routers that hold leases are waited for, as the core knows them, but never beyond the patience of
  * the terms, so that one that is frozen, killed or cut off delays nothing further.
  */
@@ -22,7 +22,7 @@
     private readonly terms: LeaseTerms = TERMS,
   ) {}
 
-  /** Waits, at most so many ms, until a settled revision may be called accepted. */
+  /** Waits, at most so many ms, until a committed revision may be called accepted. */
   of(revision: number, duration: number): Promise<Accord> {
     const limit = Math.max(0, duration);
     return this.terms.lapse === 'stop'
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -1,5 +1,5 @@
 /**
- * When a settled revision may be called accepted: once a majority of the core has vouched that no node stands on an
+ * When a committed revision may be called accepted: once a majority of the core has vouched that no node stands on an
  * older one, and a majority of the enrolled routers have reported it in force. A node's standing needs a majority of the
  * core's grants, so it would meet one of those who vouched, or of the routers' leases, so it would meet one of those who
  * reported.
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -97,7 +97,7 @@
     const isSameRound = value !== undefined && compareBallots(value.ballot, ballot) === 0;
     if (isSameRound && documentDigest(value.document) !== digest)
       return 'another value was accepted under that ballot';
-    const least = Math.max(chain.settled, this.lowestOpenRevision);
+    const least = Math.max(chain.committed, this.lowestOpenRevision);
     if (revision < least) return `revision ${revision} is older than committed revision ${least}`;
     const committed = chain.digest(revision) ?? this.parentDigest(revision);
     if (committed !== undefined && committed !== digest)
--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -159,8 +159,8 @@
 
   /** A group exists, and if this member is among the first voters, its first revision is known to be committed. */
   private get over(): boolean {
-    const { newest, settledRevision } = this.member;
-    return newest ? newest.revision > 1 || settledRevision > 0 : this.roster.core.number > 0;
+    const { newest, committedRevision } = this.member;
+    return newest ? newest.revision > 1 || committedRevision > 0 : this.roster.core.number > 0;
   }
 
   private complete({ answers }: Survey): boolean {
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -16,7 +16,7 @@
   promised: boolean;
   highest: Ballot;
   accepted: Ballot;
-  settled: number;
+  committed: number;
   document: Uint8Array;
 }
 export const Prepare = call<PrepareAsk, PrepareReply>(
@@ -27,7 +27,7 @@
     promised: flag,
     highest: ballotField,
     accepted: ballotField,
-    settled: number,
+    committed: number,
     document: blob,
   }),
 );
@@ -62,14 +62,14 @@
   struct({ accepted: flag, highest: ballotField, lacksBase: flag }),
 );
 
-export interface SettledTell {
+export interface CommitNotice {
   revision: number;
   ballot: Ballot;
   digest: string;
 }
-export const Settled = call<SettledTell, { known: boolean }>(
+export const Committed = call<CommitNotice, { known: boolean }>(
   3,
-  'register.settled',
+  'register.committed',
   struct({ revision: number, ballot: ballotField, digest: text }),
   struct({ known: flag }),
 );
@@ -94,7 +94,7 @@
   reason: string;
   accepted: Ballot;
   revision: number;
-  settled: number;
+  committed: number;
   core: string;
   whole: string;
 }
@@ -111,7 +111,7 @@
     reason: text,
     accepted: ballotField,
     revision: number,
-    settled: number,
+    committed: number,
     core: text,
     whole: text,
   }),
@@ -127,7 +127,7 @@
   digest: string;
 }
 export interface FeedReply {
-  settled: number;
+  committed: number;
   checkpoint: boolean;
   items: FeedFrame[];
 }
@@ -142,7 +142,7 @@
   'register.feed',
   struct<FeedAsk>({ from: number, wait: number, deltas: flag as Field<boolean | undefined> }),
   struct({
-    settled: number,
+    committed: number,
     checkpoint: flag,
     items: list(
       struct<FeedFrame>({ ballot: ballotField, document: blob, base: number, digest: text }),
@@ -158,12 +158,12 @@
   digest: '',
 });
 
-/** Waits until something settled beyond a revision, without taking it: how a follower notices a source that is behind. */
-export const Tip = call<{ from: number; wait: number }, { settled: number }>(
+/** Waits until something committed beyond a revision, without taking it: how a follower notices a source that is behind. */
+export const Tip = call<{ from: number; wait: number }, { committed: number }>(
   9,
   'register.tip',
   struct({ from: number, wait: number }),
-  struct({ settled: number }),
+  struct({ committed: number }),
 );
 
 export const Form = call<{ document: Uint8Array }, { formed: boolean }>(
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -1,5 +1,5 @@
 /**
- * Settled revisions as a member knows them: the digests back from the newest one, as far as the links are known; the
+ * Committed revisions as a member knows them: the digests back from the newest one, as far as the links are known; the
  * newest ones themselves and the deltas between them, for those who follow; and those who wait for the next. Below the
  * floor nothing is kept, and of the newest ones no more whole than fits the bound.
  */
@@ -49,11 +49,11 @@
 
   constructor(private readonly clock: Clock) {}
 
-  get settled(): number {
+  get committed(): number {
     return this.newest;
   }
 
-  /** The newest settled document, on the disk or not yet. */
+  /** The newest committed document, on the disk or not yet. */
   get document(): Document | undefined {
     return this.current;
   }
@@ -80,7 +80,7 @@
     return this.recent.get(revision);
   }
 
-  settle(document: Document, digest: string, filed: Filed): boolean {
+  commit(document: Document, digest: string, filed: Filed): boolean {
     const { revision, previous } = document;
     if (revision <= this.newest) return false;
     const cameByDelta = filed.delta?.base === previous && filed.delta !== undefined;
@@ -168,7 +168,7 @@
     return digestOf(digests.join(' '));
   }
 
-  /** Waits until something settled beyond the revision given, or until the limit. */
+  /** Waits until something committed beyond the revision given, or until the limit. */
   async beyond(revision: number, limit: number): Promise<void> {
     if (this.newest > revision) return;
     let wake: () => void = () => undefined;
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -1,6 +1,6 @@
 /**
  * Changes as functions of the current value: "doorway D is at revision G, make it X", or else the change lost the
- * race. A batch of waiting changes is applied in turn to one settled document and makes at most one new revision.
+ * race. A batch of waiting changes is applied in turn to one committed document and makes at most one new revision.
  * Applied ids are kept, newest last, in a window of bounded size; repeating an id inside it gives the first outcome.
  * A removed name keeps the revision of its removal, so that no old change can ever apply again.
  */
--- a/src/register/feed-server.ts
+++ b/src/register/feed-server.ts
@@ -25,29 +25,29 @@
     peers.handle(Feed, (ask) => this.feed(ask));
     peers.handle(Tip, async ({ from, wait }) => {
       await chain.beyond(from, Math.min(wait, WAIT_BOUND));
-      return Right({ settled: chain.settled });
+      return Right({ committed: chain.committed });
     });
     peers.handle(History, ({ revision }) => this.history(revision));
   }
 
   private async feed({ from, wait, deltas = false }: FeedAsk): Promise<Outcome<FeedReply>> {
     const { chain, guard, id } = this.replica;
-    if (chain.settled <= from && from > 0 && guard.reason)
+    if (chain.committed <= from && from > 0 && guard.reason)
       return failed('member.feed', id, `does not vote and may be behind: ${guard.reason}`);
-    if (chain.settled <= from) await chain.beyond(from, Math.min(wait, WAIT_BOUND));
-    const { settled } = chain;
-    if (settled <= from) return Right({ settled, checkpoint: false, items: [] });
+    if (chain.committed <= from) await chain.beyond(from, Math.min(wait, WAIT_BOUND));
+    const { committed } = chain;
+    if (committed <= from) return Right({ committed, checkpoint: false, items: [] });
     const items = chain.following(from, deltas);
-    if (items.length) return Right({ settled, checkpoint: false, items });
-    const newest = chain.filed(settled);
-    if (!newest) return failed('member.feed', id, `revision ${settled} is not held here`);
-    return Right({ settled, checkpoint: true, items: [wholeFrame(newest)] });
+    if (items.length) return Right({ committed, checkpoint: false, items });
+    const newest = chain.filed(committed);
+    if (!newest) return failed('member.feed', id, `revision ${committed} is not held here`);
+    return Right({ committed, checkpoint: true, items: [wholeFrame(newest)] });
   }
 
   /** The committed revision asked for, from memory or disk, only when it belongs to the chain that was committed. */
   private async history(revision: number): Promise<Outcome<{ items: FeedItem[] }>> {
     const { chain, store } = this.replica;
-    if (revision < chain.floor || revision > chain.settled) return Right({ items: [] });
+    if (revision < chain.floor || revision > chain.committed) return Right({ items: [] });
     const filed = chain.filed(revision);
     if (filed) return Right({ items: [filed] });
     const read = await store.readRevision(revision);
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,5 +1,5 @@
 /**
- * Following the numbered feed of settled revisions: from one core member at a time, the one quickest to say that it has
+ * Following the numbered feed of committed revisions: from one core member at a time, the one quickest to say that it has
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
  * While one member feeds, another is asked only how far it is, and all others as soon as that one is silent; when one is
  * further than the feed for longer than a moment, the source is left. The first revision comes only after a look at a majority of the core, or of the routers, so that
@@ -58,7 +58,7 @@
   /** The document of the revision held, from which deltas can be applied. */
   private base: Document | undefined;
   private floor: number | undefined;
-  /** The newest revision that any member is known to have settled. */
+  /** The newest revision that any member is known to have committed. */
   private known = 0;
   private source = '';
   /** The revision that any source must have given by now. */
@@ -78,7 +78,7 @@
     private readonly take: (
       documents: readonly Document[],
       items: readonly FeedItem[],
-      settled: number,
+      committed: number,
       frames: readonly FeedFrame[],
     ) => Promise<void> | void,
     private readonly self = '',
@@ -124,7 +124,7 @@
     );
     const fit = (all: Replies<StateReply>): string | undefined =>
       all.find(([, reply]) =>
-        reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false),
+        reply.map(({ voting, committed }) => voting && committed >= needed).orDefault(false),
       )?.[0];
     const replies = await gather(
       others,
@@ -134,7 +134,7 @@
     return (
       fit(replies) ??
       replies.find(([, reply]) =>
-        reply.map(({ settled }) => settled >= least).orDefault(false),
+        reply.map(({ committed }) => committed >= least).orDefault(false),
       )?.[0]
     );
   }
@@ -179,7 +179,7 @@
         const reply = await this.peers.ask(address, Tip, { from, wait: this.wait }, this.patience);
         if (reply.isRight()) this.unheard.delete(address);
         else this.unheard.add(address);
-        reply.ifRight(({ settled }) => this.noteSettled(settled));
+        reply.ifRight(({ committed }) => this.noteCommitted(committed));
         return reply;
       },
       (all) => sound(all).length > 0,
@@ -187,12 +187,12 @@
     return sound(replies).length > 0;
   }
 
-  /** Another member has settled a revision: the source has a moment to give it too. */
-  private noteSettled(settled: number): void {
-    if (settled <= Math.max(this.held, this.known)) return;
-    this.known = settled;
+  /** Another member has committed a revision: the source has a moment to give it too. */
+  private noteCommitted(committed: number): void {
+    if (committed <= Math.max(this.held, this.known)) return;
+    this.known = committed;
     void this.clock.sleep(GRACE).then(() => {
-      this.overdue = Math.max(this.overdue, settled);
+      this.overdue = Math.max(this.overdue, committed);
       if (this.isOverdue) this.outrun();
     });
   }
@@ -265,8 +265,8 @@
   }
 
   /** Takes what follows the revision held; says whether the source is worth asking again. */
-  private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
-    if (settled < Math.max(this.held, this.floor ?? 0)) return false;
+  private async consume(source: string, { committed, items }: FeedReply): Promise<boolean> {
+    if (committed < Math.max(this.held, this.floor ?? 0)) return false;
     const documents: Document[] = [];
     const frames: FeedFrame[] = [];
     const taken: FeedItem[] = [];
@@ -303,7 +303,7 @@
         ['revision', revision],
         ['peer', source],
       ]);
-    await this.take(documents, taken, settled, frames);
+    await this.take(documents, taken, committed, frames);
     this.held = held.revision;
     this.digest = held.digest;
     this.base = held.document;
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -6,7 +6,7 @@
  */
 import { Right } from 'purify-ts';
 import type { Peers } from '../wire/peers.js';
-import { Settled, type FeedItem, type SettledTell } from './calls.js';
+import { Committed, type FeedItem, type CommitNotice } from './calls.js';
 import { decodeDocument, documentDigest, type Document } from './document.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
@@ -32,7 +32,9 @@
   constructor(private readonly replica: Replica) {}
 
   serve(peers: Peers): void {
-    peers.handle(Settled, async (tell, peer) => Right({ known: await this.learnTold(tell, peer) }));
+    peers.handle(Committed, async (tell, peer) =>
+      Right({ known: await this.learnTold(tell, peer) }),
+    );
   }
 
   /**
@@ -56,7 +58,7 @@
   /** Holds the newest revision known to be committed, which the disk could not take while it was in trouble. */
   async holdNewest(): Promise<boolean> {
     const { chain } = this.replica;
-    const filed = chain.filed(chain.settled);
+    const filed = chain.filed(chain.committed);
     if (!chain.document || !filed) return true;
     const value = this.replica.acceptor.valueLearned(chain.document, filed);
     return !value || (await this.replica.hold(value));
@@ -101,12 +103,12 @@
   }
 
   /** What was committed is noted at once when it is held here, else once what is being written now is. */
-  private async learnTold(tell: SettledTell, peer: string): Promise<boolean> {
+  private async learnTold(tell: CommitNotice, peer: string): Promise<boolean> {
     if (this.commitHeld(tell)) return true;
     return this.replica.exclusive(() => {
       const known = this.commitHeld(tell);
       if (!known && this.replica.acceptor.accepted)
-        this.replica.log('settled-unheld', [
+        this.replica.log('committed-unheld', [
           ['revision', tell.revision],
           ['ballot', tell.ballot.counter],
           ['peer', peer],
@@ -115,10 +117,10 @@
     });
   }
 
-  private commitHeld({ revision, digest }: SettledTell): boolean {
+  private commitHeld({ revision, digest }: CommitNotice): boolean {
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
-    if (revision <= chain.settled) return true;
+    if (revision <= chain.committed) return true;
     if (accepted?.parsed.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
     this.commit(accepted.parsed, accepted);
@@ -146,8 +148,8 @@
 
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
-    if (!chain.settle(document, documentDigest(filed.document), filed)) return;
-    log('settled', [['revision', document.revision]]);
+    if (!chain.commit(document, documentDigest(filed.document), filed)) return;
+    log('committed', [['revision', document.revision]]);
     this.replica.prune();
   }
 }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -71,8 +71,8 @@
     return this.replica.committedVoters;
   }
 
-  get settledRevision(): number {
-    return this.chain.settled;
+  get committedRevision(): number {
+    return this.chain.committed;
   }
 
   get wholeDigest(): string {
@@ -95,7 +95,7 @@
       reason: guard.reason || (isVoter ? '' : 'not in the core set'),
       accepted: acceptor.accepted?.ballot ?? FIRST,
       revision: acceptor.revision,
-      settled: chain.settled,
+      committed: chain.committed,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
     };
@@ -124,8 +124,8 @@
   }
 
   /** Takes revisions that a peer knows to be committed, oldest first. */
-  takeSettled(items: readonly FeedItem[], settled: number): Promise<void> {
-    return this.learner.takeCommitted(items, settled);
+  takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
+    return this.learner.takeCommitted(items, committed);
   }
 
   private async identify(known: string | undefined): Promise<void> {
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -1,10 +1,10 @@
 /**
  * Changing the register: prepare and accept at a majority of the core, no log, no leader. Changes that wait while a
- * round runs are combined into the next one. A value read from the majority is built upon only once it is settled:
+ * round runs are combined into the next one. A value read from the majority is built upon only once it is committed:
  * known so to a member, or accepted in one same ballot by a majority; otherwise it is first accepted again as it is.
- * So the settled revisions form one chain, and a change that is missing from a settled value read after its last
+ * So the committed revisions form one chain, and a change that is missing from a committed value read after its last
  * accept can never come to be. "Lost" and "declined" are said only then; after an accept without a majority's word,
- * the change stays unsure until a later round settles it, and is "unknown" when its limit comes first.
+ * the change stays unsure until a later round commits it, and is "unknown" when its limit comes first.
  *
  * A ballot that others overtook while this node was idle or backed off is no sign of a rival: it is raised and asked
  * for again within the same round, at once where no other round is open. Otherwise a node with a long back-off would
@@ -21,7 +21,7 @@
 import {
   Accept,
   Prepare,
-  Settled,
+  Committed,
   State,
   type AcceptAsk,
   type AcceptReply,
@@ -61,7 +61,7 @@
 interface Read extends Revision {
   readonly ballot: Ballot;
   readonly core: CoreSet;
-  readonly settled: boolean;
+  readonly committed: boolean;
 }
 
 interface Promises {
@@ -80,11 +80,11 @@
   readonly sources: readonly string[];
 }
 
-/** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
+/** What a majority's states amount to; undefined while none of them knows the newest one to be committed. */
 const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
   const revision = Math.max(0, ...[...states.values()].map((state) => state.revision));
   const sources = [...states]
-    .filter(([, { settled }]) => settled >= revision)
+    .filter(([, { committed }]) => committed >= revision)
     .map(([address]) => address);
   return states.size >= quorum && sources.length > 0 ? { revision, sources } : undefined;
 };
@@ -125,7 +125,7 @@
     });
   }
 
-  /** Reads the newest settled value through a majority, settling what is undecided. */
+  /** Reads the newest committed value through a majority, committing what is undecided. */
   async read(duration: number): Promise<Outcome<Document>> {
     const limit = this.clock.now() + duration;
     for (let tries = 0; ; tries++) {
@@ -135,12 +135,12 @@
     }
   }
 
-  /** The newest settled value, without a new ballot where a majority already agrees. */
+  /** The newest committed value, without a new ballot where a majority already agrees. */
   async look(duration: number): Promise<Outcome<number>> {
     return (await this.survey(duration)).map(({ revision }) => revision);
   }
 
-  /** The newest settled revision, and the members that were quickest to say that they hold it. */
+  /** The newest committed revision, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
     const limit = this.clock.now() + duration;
     await this.learnCore();
@@ -199,11 +199,11 @@
   private async expire(item: Waiting, patience: Patience): Promise<void> {
     await this.contact.outlast(patience, item.over.signal);
     const reason = this.contact.holds
-      ? 'the limit came before a majority of the core settled it'
+      ? 'the limit came before a majority of the core committed it'
       : `no contact with a majority of the core: ${this.contact.silentVoters.join(' ')}`;
     this.finish(
       item,
-      failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+      failed('register.commit', 'core', reason, item.unsure ? 'unknown' : 'declined'),
     );
   }
 
@@ -216,7 +216,7 @@
   }
 
   private async round(taken: readonly Waiting[]): Promise<Outcome<void>> {
-    const read = await this.readSettled();
+    const read = await this.readCommitted();
     if (read.isLeft()) {
       this.log('round-failed', [
         ['kind', (read.extract() as Fault).kind],
@@ -261,17 +261,17 @@
   }
 
   private async readOnce(): Promise<Outcome<Document>> {
-    return (await this.readSettled()).map(({ document }) => document);
+    return (await this.readCommitted()).map(({ document }) => document);
   }
 
-  /** Prepares, and when the value found is not sure to be settled, settles it and prepares again. */
-  private async readSettled(): Promise<Outcome<Read>> {
+  /** Prepares, and when the value found is not sure to be committed, commits it and prepares again. */
+  private async readCommitted(): Promise<Outcome<Read>> {
     for (let pass = 0; ; pass++) {
       const read = await this.prepare();
       if (read.isLeft()) return read;
       const found = read.unsafeCoerce();
-      if (found.settled && found.document.core.number <= found.core.number) return read;
-      if (found.settled) {
+      if (found.committed && found.document.core.number <= found.core.number) return read;
+      if (found.committed) {
         this.roster.learn(found.document.core);
         continue;
       }
@@ -316,9 +316,9 @@
     const complete = promises.map((reply) => withKnown(reply, known));
     return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
       const revision = this.hold(revisionOf(document, reply.document));
-      if (isCommitted && promises.some(({ settled }) => settled < document.revision))
+      if (isCommitted && promises.some(({ committed }) => committed < document.revision))
         this.announce(core, reply.accepted, revision);
-      return { ballot, core, settled: isCommitted, ...revision };
+      return { ballot, core, committed: isCommitted, ...revision };
     });
   }
 
@@ -418,7 +418,7 @@
     for (const address of addresses)
       void this.peers.ask(
         address,
-        Settled,
+        Committed,
         { revision: document.revision, ballot, digest },
         ASK_LIMIT,
       );
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -1,6 +1,6 @@
 /**
  * News of revisions between routers, for when the core is out of reach. A router hands on what it has in force by the
- * same numbered feed as a core member. What is in force anywhere is settled, so a newer revision from a neighbour may
+ * same numbered feed as a core member. What is in force anywhere is committed, so a newer revision from a neighbour may
  * be put in force at once; it is shown as accepted only by the core's word, as ever.
  *
  * A router that starts has nothing, and must not begin behind what was accepted. It begins from its neighbours only when
@@ -32,7 +32,8 @@
     this.peers.handle(Feed, ({ from, deltas = false }) => {
       if (!this.whole)
         return failed('register.relay', this.peers.self.name, 'nothing is in force here yet');
-      if (from >= this.newest) return Right({ settled: this.newest, checkpoint: false, items: [] });
+      if (from >= this.newest)
+        return Right({ committed: this.newest, checkpoint: false, items: [] });
       const items: FeedFrame[] = [];
       let bytes = 0;
       for (let revision = from + 1; from > 0 && revision <= this.newest; revision++) {
@@ -44,8 +45,8 @@
       }
       return Right(
         items.length
-          ? { settled: this.newest, checkpoint: false, items }
-          : { settled: this.newest, checkpoint: true, items: [wholeFrame(this.whole)] },
+          ? { committed: this.newest, checkpoint: false, items }
+          : { committed: this.newest, checkpoint: true, items: [wholeFrame(this.whole)] },
       );
     });
   }
@@ -104,7 +105,7 @@
     );
     const enough =
       told.length >= majority(newest.enrolled.size) &&
-      told.every(({ settled }) => settled <= newest.revision);
+      told.every(({ committed }) => committed <= newest.revision);
     return enough ? newest.revision : undefined;
   }
 }
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -1,5 +1,5 @@
 /**
- * Repair of a member's history. It walks back from the newest settled revision along the digests each revision
+ * Repair of a member's history. It walks back from the newest committed revision along the digests each revision
  * names for the one before; where its own file is missing, spoilt or was never chosen, it takes the revision from
  * another member and checks it against the chain. Once the history is whole, ranges of files are read again in turn
  * and compared by one digest over the range, so that what spoils on the disk later is found and mended as well. Where old
@@ -44,7 +44,7 @@
 
   /** Goes back along the chain over what was not yet looked at. */
   private async walk(signal: AbortSignal): Promise<void> {
-    const top = this.member.settledRevision;
+    const top = this.member.committedRevision;
     const bottom = (): number => Math.max(this.cursor, this.member.chain.floor - 1);
     for (let revision = top; revision > bottom() && !signal.aborted; revision--)
       if (!(await this.check(revision))) return;
--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -260,10 +260,10 @@
       now,
       forgiving,
     );
-    const committed = this.member.settledRevision;
+    const committed = this.member.committedRevision;
     const holdsNewest = (seat: Seat): boolean => {
       const state = states.get(seat);
-      return state !== undefined && state.revision >= committed && state.settled >= committed;
+      return state !== undefined && state.revision >= committed && state.committed >= committed;
     };
     return {
       set,
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -57,8 +57,8 @@
       promised: acceptor.promised,
       accepted: acceptor.accepted?.ballot ?? FIRST,
       revision: acceptor.revision,
-      committed: chain.settled,
-      digest: chain.digest(chain.settled) ?? '',
+      committed: chain.committed,
+      digest: chain.digest(chain.committed) ?? '',
       isVoting: !guard.reason && acceptor.hasVoter(id),
       isDisqualified: guard.isDisqualified,
     };
@@ -94,9 +94,9 @@
    */
   prune(): void {
     const { revision } = this.acceptor;
-    const committed = Math.max(revision - 1, Math.min(this.chain.settled, revision));
+    const committed = Math.max(revision - 1, Math.min(this.chain.committed, revision));
     const floor = this.store.floor(committed);
-    this.chain.raise(Math.min(floor, this.chain.settled));
+    this.chain.raise(Math.min(floor, this.chain.committed));
     this.store.prune(floor);
   }
 
@@ -110,7 +110,7 @@
     const { accepted } = this.acceptor;
     if (!accepted) return NO_VOTERS;
     const { parsed, under } = accepted;
-    const isCommitted = parsed.revision <= this.chain.settled;
+    const isCommitted = parsed.revision <= this.chain.committed;
     const sure = isCommitted ? parsed.core : (under ?? parsed.core);
     const committed = this.chain.document?.core;
     return committed && committed.number > sure.number ? committed : sure;
--- a/src/register/round-value.ts
+++ b/src/register/round-value.ts
@@ -32,7 +32,7 @@
   );
 
 const highestCommit = (promises: readonly PrepareReply[]): PrepareReply =>
-  promises.reduce((best, reply) => (reply.settled > best.settled ? reply : best));
+  promises.reduce((best, reply) => (reply.committed > best.committed ? reply : best));
 
 /** The digest of a revision, where a value shows it: its own, or that of the revision before it. */
 const digestAt = ({ reply, document }: Candidate, revision: number): Digest | undefined => {
@@ -42,7 +42,7 @@
 
 /** Whether a value lies before the committed revision, or on another branch than it. */
 const contradicts = (value: Candidate, committer: Candidate): boolean => {
-  const committed = committer.reply.settled;
+  const committed = committer.reply.committed;
   if (value.document.revision < committed) return true;
   const shown = digestAt(value, committed);
   const known = digestAt(committer, committed);
@@ -69,7 +69,7 @@
   promises: readonly PrepareReply[],
   quorum: number,
 ): boolean => {
-  if (promises.some(({ settled }) => settled >= document.revision)) return true;
+  if (promises.some(({ committed }) => committed >= document.revision)) return true;
   if (compareBallots(reply.accepted, FIRST) <= 0) return false;
   const votes = promises.filter(
     (other) => compareBallots(other.accepted, reply.accepted) === 0 && isSameValue(other, reply),
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -12,7 +12,7 @@
 export interface Filed {
   readonly ballot: Ballot;
   readonly document: Uint8Array;
-  /** The core set under which it was proposed here; absent when it was learned as settled. */
+  /** The core set under which it was proposed here; absent when it was learned as committed. */
   readonly under?: CoreSet;
   /** How it was made from the revision before, where it came so; it is not kept on disk. */
   readonly delta?: RevisionDelta;
@@ -241,15 +241,15 @@
     return written;
   }
 
-  /** The lowest revision to be kept when all up to the one given are settled. */
-  floor(settled: number): number {
+  /** The lowest revision to be kept when all up to the one given are committed. */
+  floor(committed: number): number {
     const { revisions, bytes } = this.keeping;
-    let floor = revisions > 0 ? Math.max(1, settled - Math.max(LEAST, revisions) + 1) : 1;
+    let floor = revisions > 0 ? Math.max(1, committed - Math.max(LEAST, revisions) + 1) : 1;
     if (bytes === 0) return floor;
     let held = 0;
-    for (let revision = settled; revision >= floor; revision--) {
+    for (let revision = committed; revision >= floor; revision--) {
       held += this.sizes.get(revision) ?? 0;
-      if (held > bytes && settled - revision >= LEAST) floor = revision + 1;
+      if (held > bytes && committed - revision >= LEAST) floor = revision + 1;
     }
     return floor;
   }
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -85,7 +85,7 @@
       promised,
       highest: acceptor.promised,
       accepted: value.ballot,
-      settled: chain.settled,
+      committed: chain.committed,
       document: isSent ? value.document : Buffer.alloc(0),
     });
   }
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -78,7 +78,7 @@
       this.clock,
       this.random,
       this.log,
-      (documents, items, _settled, frames) => {
+      (documents, items, _committed, frames) => {
         const newest = documents.at(-1);
         if (!newest) return;
         relay.note(items, documents, frames);
--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -101,9 +101,9 @@
     const history = await world.until(core.operations.history({ from: 1, count: 2000 }), 120_000);
     history.caseOf({
       Left: ({ reason }) => tally.find('history-not-whole', reason),
-      Right: ({ revisions, settled }) => {
-        if (revisions.length !== settled)
-          tally.find('history-not-whole', `${revisions.length} of ${settled}`);
+      Right: ({ revisions, committed }) => {
+        if (revisions.length !== committed)
+          tally.find('history-not-whole', `${revisions.length} of ${committed}`);
         tally.note('historyRead', revisions.length);
         operators.check(
           final,
--- a/src/sim/platter.ts
+++ b/src/sim/platter.ts
@@ -92,7 +92,7 @@
     const { files, folders } = this.durable;
     for (const [path, node] of files) {
       if (!folders.has(dirname(path))) files.delete(path);
-      else if (node.bytes !== node.synced) files.set(path, settled(node, random));
+      else if (node.bytes !== node.synced) files.set(path, committed(node, random));
     }
     this.seen = { files: new Map(files), folders: new Set(folders) };
   }
@@ -127,7 +127,7 @@
 }
 
 /** What is left of a file that was not synced. */
-const settled = ({ bytes, synced }: FileNode, random: Random): FileNode => {
+const committed = ({ bytes, synced }: FileNode, random: Random): FileNode => {
   const draw = random.fraction();
   const torn = bytes.subarray(0, Math.floor(bytes.length * random.fraction()));
   const left = draw < 1 / 3 ? bytes : draw < 2 / 3 ? synced : torn;
--- a/src/trace/tracing.ts
+++ b/src/trace/tracing.ts
@@ -39,7 +39,7 @@
   'proposed',
   'promised',
   'accepted',
-  'settled',
+  'committed',
   'fed',
   'in-force',
   'reported',
--- a/test/checker/acceptor.test.ts
+++ b/test/checker/acceptor.test.ts
@@ -121,7 +121,7 @@
     expect(await group.propose(operator, group.claim('two'))).toBe(true);
     await world.run(world.now + 2000);
     const learned = group.voter(4).member.state();
-    expect(learned.settled).toBe(old.revision + 2);
+    expect(learned.committed).toBe(old.revision + 2);
 
     await world.until(
       late.peers.ask(addressOf(4), Accept, { ...round, document, base: '', digest: '' }, 1000),
--- a/test/checker/catchup.ts
+++ b/test/checker/catchup.ts
@@ -167,7 +167,7 @@
     );
   }
 
-  /** The ms until a member votes and knows the newest version as settled. */
+  /** The ms until a member votes and knows the newest version as committed. */
   async caughtUp(at: number, limit = CATCH_UP): Promise<number | undefined> {
     const began = this.world.now;
     const { member } = this.cores[at]!;
--- a/test/checker/channel.test.ts
+++ b/test/checker/channel.test.ts
@@ -24,7 +24,7 @@
       reason: '',
       accepted: FIRST,
       revision: 0,
-      settled: 0,
+      committed: 0,
       core: '',
       whole: '',
     }),
--- a/test/checker/configure.test.ts
+++ b/test/checker/configure.test.ts
@@ -5,7 +5,7 @@
  */
 import { expect, test } from 'vitest';
 import type { ConfigureReply } from '../../src/api/configuration.js';
-import { Accept, Prepare, Settled } from '../../src/register/calls.js';
+import { Accept, Prepare, Committed } from '../../src/register/calls.js';
 import type { Configuration } from '../../src/route/shape.js';
 import { explore, type Script } from '../../src/sim/explore.js';
 import { simCore, type SimCore } from '../../src/sim/nodes.js';
@@ -14,7 +14,7 @@
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 
 const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
-const watched = new Set([Prepare.code, Accept.code, Settled.code]);
+const watched = new Set([Prepare.code, Accept.code, Committed.code]);
 const site = { fleet: 'f', seeds: addresses, over: { form: true } };
 const version = (number: number): Configuration => ({
   version: number,
@@ -53,7 +53,7 @@
   }
 
   /** Sends a version again, to one node after the other, until it has a clear answer. */
-  async settle(number: number, expects: number): Promise<ConfigureReply['outcome']> {
+  async commit(number: number, expects: number): Promise<ConfigureReply['outcome']> {
     for (let at = 0; ; at++) {
       const { outcome } = await this.world.until(
         this.cores[at % 3]!.configurator.replace(version(number), expects, 8000),
@@ -97,9 +97,9 @@
   const clear = [];
   for (const [at, number] of [3, 5].entries()) {
     const first = answers[at]?.outcome ?? 'unknown';
-    const settled = await fleet.settle(number, 0);
-    if (first !== 'unknown') expect(settled).toBe(first);
-    clear.push(settled);
+    const committed = await fleet.commit(number, 0);
+    if (first !== 'unknown') expect(committed).toBe(first);
+    clear.push(committed);
   }
   expect([...clear].sort()).toEqual(['accepted', 'conflict']);
   const winner = clear[0] === 'accepted' ? 3 : 5;
@@ -148,9 +148,9 @@
     if (lost !== undefined) disks[lost]!.lose();
     for (const at of [0, 1, 2]) cores[at] = fleet.start(at);
     for (const at of [0, 1, 2]) expect(await fleet.read(at)).toBe(6);
-    expect(await fleet.settle(4, 0)).toBe('accepted');
-    expect(await fleet.settle(9, 4)).toBe('conflict');
-    expect(await fleet.settle(9, 6)).toBe('accepted');
+    expect(await fleet.commit(4, 0)).toBe('accepted');
+    expect(await fleet.commit(9, 4)).toBe('conflict');
+    expect(await fleet.commit(9, 6)).toBe('accepted');
   }
 });
 
@@ -179,5 +179,5 @@
   expect(world.now - before).toBeLessThanOrEqual(3010);
   expect((await world.until(cores[0]!.configurator.read(1500))).isLeft()).toBe(true);
   cores[2]!.host.thaw();
-  expect(await fleet.settle(4, 0)).toBe('accepted');
+  expect(await fleet.commit(4, 0)).toBe('accepted');
 });
--- a/test/checker/disk.test.ts
+++ b/test/checker/disk.test.ts
@@ -151,7 +151,7 @@
     }
 });
 
-test('with a disk that is slow by twenty-five times, and another member gone, a change is settled in time', async () => {
+test('with a disk that is slow by twenty-five times, and another member gone, a change is committed in time', async () => {
   for (const hit of [0, 1, 2]) {
     const core = new Core(hit + 7);
     core.disks.forEach((disk) => (disk.latency = 10));
--- a/test/checker/feed-source.test.ts
+++ b/test/checker/feed-source.test.ts
@@ -40,7 +40,7 @@
   const writer = stage.cores[healthy.at(-1)!]!;
   const { revision } = writer.inForce;
   const reply = writer.configurator.replace(configurationOf(expects + 1), expects, 4000);
-  expect(await world.run(world.now + 4000, () => writer.member.settledRevision > revision)).toBe(
+  expect(await world.run(world.now + 4000, () => writer.member.committedRevision > revision)).toBe(
     true,
   );
   const before = world.now;
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -6,7 +6,7 @@
   Accept,
   Form,
   Prepare,
-  Settled,
+  Committed,
   type AcceptReply,
   type PrepareReply,
 } from '../../src/register/calls.js';
@@ -134,13 +134,13 @@
 
   async commit({ document, bytes }: Revision): Promise<boolean> {
     const told = { revision: document.revision, ballot: ballotOf(1), digest: digestOf(bytes) };
-    const reply = await this.ask(this.asker.peers.ask(ADDRESS, Settled, told, 1000));
+    const reply = await this.ask(this.asker.peers.ask(ADDRESS, Committed, told, 1000));
     return reply.map(({ known }) => known).orDefault(false);
   }
 
   learn(counter: number, { document, bytes }: Revision): Promise<void> {
     const items = [{ ballot: ballotOf(counter), document: bytes }];
-    return this.ask(this.member.takeSettled(items, document.revision));
+    return this.ask(this.member.takeCommitted(items, document.revision));
   }
 
   get held(): { counter: number; revision: number; promised: number } {
--- a/test/checker/machines.ts
+++ b/test/checker/machines.ts
@@ -88,12 +88,12 @@
       this.formed.add(digestOf(file.subarray(file.indexOf(LINE_FEED) + 1)));
     }
     for (const { host, member } of this.cores.values()) {
-      const { settled } = member.chain;
-      const digest = host.dead || settled === 0 ? undefined : member.chain.digest(settled);
+      const { committed } = member.chain;
+      const digest = host.dead || committed === 0 ? undefined : member.chain.digest(committed);
       if (digest === undefined) continue;
-      const known = this.committed.get(settled);
-      if (known !== undefined && known !== digest) this.forks.add(settled);
-      this.committed.set(settled, digest);
+      const known = this.committed.get(committed);
+      if (known !== undefined && known !== digest) this.forks.add(committed);
+      this.committed.set(committed, digest);
     }
   }
 
@@ -113,7 +113,7 @@
     const states = this.alive.map(({ member }) => member.state()).filter(({ voting }) => voting);
     return (
       states.length >= count &&
-      states.every(({ settled }) => settled > 0 && settled === states[0]!.settled)
+      states.every(({ committed }) => committed > 0 && committed === states[0]!.committed)
     );
   }
 
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -58,7 +58,7 @@
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(true);
     await lone.learn(5, newest);
     expect(lone.held).toEqual({ counter: 8, revision, promised: 8 });
-    expect(lone.member.state()).toMatchObject({ settled: revision, voting: true });
+    expect(lone.member.state()).toMatchObject({ committed: revision, voting: true });
     expect(lone.member.knownCore.number).toBe(1);
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(false);
     await lone.start();
@@ -157,7 +157,7 @@
   lone.disk.full = true;
   expect((await lone.prepare(10)).isLeft()).toBe(true);
   await lone.learn(8, third);
-  expect(lone.member.state()).toMatchObject({ voting: false, settled: 3 });
+  expect(lone.member.state()).toMatchObject({ voting: false, committed: 3 });
   lone.disk.full = false;
   expect(await lone.ask(lone.member.recover())).toBe(true);
   expect(lone.held).toMatchObject({ counter: 9, revision: 3 });
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -6,7 +6,7 @@
 import { expect, test } from 'vitest';
 import type { Doorway } from '../../src/doorway/shape.js';
 import { silentLog } from '../../src/kernel/log/log.js';
-import { Accept, Form, History, Prepare, Settled } from '../../src/register/calls.js';
+import { Accept, Form, History, Prepare, Committed } from '../../src/register/calls.js';
 import type { Verdict } from '../../src/register/change.js';
 import {
   decodeDocument,
@@ -28,7 +28,7 @@
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 
 const addresses = ['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3'];
-const watched = new Set([Prepare.code, Accept.code, Settled.code]);
+const watched = new Set([Prepare.code, Accept.code, Committed.code]);
 
 const doorwayFor = (firm: string, path: string): Doorway => ({
   name: 'quotes',
@@ -187,7 +187,7 @@
   expect(runs).toBe(216);
 });
 
-test('a change whose proposer is cut off after a single vote is told unknown, and the next change settles it one way for good', async () => {
+test('a change whose proposer is cut off after a single vote is told unknown, and the next change commits it one way for good', async () => {
   const world = new World(9);
   const disks = addresses.map(() => new SimDisk(world));
   const members = await world.until(
@@ -256,8 +256,8 @@
         Promise.all(addresses.map((address) => other.peers.ask(address, Form, { document }, 1000))),
       );
       const formed = world.now;
-      let settled = Infinity;
-      void told.then(() => (settled = world.now));
+      let committed = Infinity;
+      void told.then(() => (committed = world.now));
       for (let turn = 1; turn <= 40; turn++) {
         if (act === 'change')
           await world.until(
@@ -278,7 +278,7 @@
         else await world.until(other.proposer.read(5000));
         await world.run(world.now + 150);
       }
-      expect(settled - formed, `${act}, seed ${seed}`).toBeLessThan(1000);
+      expect(committed - formed, `${act}, seed ${seed}`).toBeLessThan(1000);
     }
 });
 
--- a/test/checker/repair.test.ts
+++ b/test/checker/repair.test.ts
@@ -63,7 +63,7 @@
   await world.run(world.now + 15_000);
   expect(wholes(cores)[0]).not.toBe('');
   expect(new Set(wholes(cores)).size).toBe(1);
-  expect(cores[2]!.member.settledRevision).toBe(46);
+  expect(cores[2]!.member.committedRevision).toBe(46);
 });
 
 test('what spoils on the disk is found and mended, and a spoilt newest file ends voting until then', async () => {
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -105,7 +105,7 @@
   expect(fleet.routers.map(({ inForce }) => inForce.routes.version)).toEqual([4, 4, 4, 4]);
   expect(took).toBeLessThan(100);
   await fleet.world.run(fleet.world.now + 5000);
-  expect(fleet.cores.map(({ member }) => member.settledRevision)).toEqual([2, 2, 2]);
+  expect(fleet.cores.map(({ member }) => member.committedRevision)).toEqual([2, 2, 2]);
   expect([Vow.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
 });
 
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -105,12 +105,12 @@
   };
   const cores = addresses.map((_, at) => startCore(at));
   const nodes = names.map((name) => startNode(world, name, news));
-  const settled = (): boolean =>
+  const committed = (): boolean =>
     nodes.every(
       ({ standing, inForce, claims }) =>
         standing.holds() && inForce.whole!.enrolled.size === count && claims.open,
     );
-  expect(await world.run(30_000, settled)).toBe(true);
+  expect(await world.run(30_000, committed)).toBe(true);
   const loseMemories = async (survivor?: number): Promise<void> => {
     nodes.forEach(({ host }, at) => at !== survivor && host.kill());
     nodes.splice(
@@ -118,7 +118,7 @@
       count,
       ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name, news))),
     );
-    expect(await world.run(world.now + 30_000, settled)).toBe(true);
+    expect(await world.run(world.now + 30_000, committed)).toBe(true);
   };
   const restart = (at: number): void => {
     nodes[at]!.host.kill();
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -481,7 +481,7 @@
   const steps = (name: string): string[] =>
     traced.nodes.find((node) => node.name === name)!.steps.map(({ step }) => step);
   expect(traced.changes).toEqual(['traced']);
-  expect(steps('core-1').slice(0, 4)).toEqual(['promised', 'proposed', 'accepted', 'settled']);
+  expect(steps('core-1').slice(0, 4)).toEqual(['promised', 'proposed', 'accepted', 'committed']);
   expect(steps('router-1')).toEqual(['fed', 'in-force', 'reported']);
   await fleet.kill('router-2');
   expect(
--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -1,5 +1,5 @@
 /** Core members of a simulated world, on disks that outlive them, with the faults that a schedule may bring upon them. */
-import { Accept, Prepare, Settled } from '../../src/register/calls.js';
+import { Accept, Prepare, Committed } from '../../src/register/calls.js';
 import { simCore, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { World, type Mishap } from '../../src/sim/world.js';
@@ -31,7 +31,7 @@
 const codes: Record<WatchedCall, number> = {
   prepare: Prepare.code,
   accept: Accept.code,
-  settled: Settled.code,
+  committed: Committed.code,
 };
 
 /** What may happen to a message on its way; `pass` leaves it to the next rule. */
--- a/test/schedule/steps.ts
+++ b/test/schedule/steps.ts
@@ -52,7 +52,7 @@
   readonly downtime: number;
 }
 
-export type WatchedCall = 'prepare' | 'accept' | 'settled';
+export type WatchedCall = 'prepare' | 'accept' | 'committed';
 
 /** The process ends at a message that is yet to come: its receiver before it reads it, its sender right after sending. */
 export interface CrashAtMessageStep {
@@ -143,7 +143,7 @@
 const downtime = fc.integer({ min: 20, max: 3000 });
 const duration = fc.integer({ min: 50, max: 6000 });
 const direction = fc.constantFrom<Direction>('both', 'inbound', 'outbound');
-const watchedCall = fc.constantFrom<WatchedCall>('accept', 'prepare', 'settled');
+const watchedCall = fc.constantFrom<WatchedCall>('accept', 'prepare', 'committed');
 const callPlan = fc.record({ node: small, answerLost: fc.boolean() });
 const calls = (most: number): fc.Arbitrary<CallPlan[]> =>
   fc.array(callPlan, { minLength: 1, maxLength: most });
--- a/test/unit/round-value.test.ts
+++ b/test/unit/round-value.test.ts
@@ -19,11 +19,11 @@
     },
   ]).document;
 
-const promiseOf = (counter: number, settled: number, document: Document): PrepareReply => ({
+const promiseOf = (counter: number, committed: number, document: Document): PrepareReply => ({
   promised: true,
   highest: ballotOf(99),
   accepted: ballotOf(counter),
-  settled,
+  committed,
   document: encodeDocument(document),
 });
 
