--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -242,7 +242,7 @@
         patch?: never;
         trace?: never;
     };
-    "/rpc/core.seat": {
+    "/rpc/core.addVoter": {
         parameters: {
             query?: never;
             header?: never;
@@ -251,15 +251,15 @@
         };
         get?: never;
         put?: never;
-        /** Gives the newcomer at an address a seat in the core */
-        post: operations["core.seat"];
+        /** Gives the newcomer at an address a vote in the core */
+        post: operations["core.addVoter"];
         delete?: never;
         options?: never;
         head?: never;
         patch?: never;
         trace?: never;
     };
-    "/rpc/core.unseat": {
+    "/rpc/core.removeVoter": {
         parameters: {
             query?: never;
             header?: never;
@@ -268,8 +268,8 @@
         };
         get?: never;
         put?: never;
-        /** Takes a member's seat in the core */
-        post: operations["core.unseat"];
+        /** Takes a member's vote in the core */
+        post: operations["core.removeVoter"];
         delete?: never;
         options?: never;
         head?: never;
@@ -424,14 +424,14 @@
             from: number;
             count: number;
         };
-        CoreSeatAsk: {
+        AddVoterAsk: {
             change: components["schemas"]["ChangeId"];
             address: string;
             /** @description The core set's number */
             expects: number;
             wait: components["schemas"]["Wait"];
         };
-        CoreUnseatAsk: {
+        RemoveVoterAsk: {
             change: components["schemas"]["ChangeId"];
             id: string;
             /** @description The core set's number */
@@ -767,14 +767,14 @@
                 "application/json": components["schemas"]["HistoryAsk"];
             };
         };
-        CoreSeat: {
+        AddVoter: {
             content: {
-                "application/json": components["schemas"]["CoreSeatAsk"];
+                "application/json": components["schemas"]["AddVoterAsk"];
             };
         };
-        CoreUnseat: {
+        RemoveVoter: {
             content: {
-                "application/json": components["schemas"]["CoreUnseatAsk"];
+                "application/json": components["schemas"]["RemoveVoterAsk"];
             };
         };
         Retire: {
@@ -980,27 +980,27 @@
             default: components["responses"]["Fault"];
         };
     };
-    "core.seat": {
+    "core.addVoter": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["CoreSeat"];
+        requestBody: components["requestBodies"]["AddVoter"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
         };
     };
-    "core.unseat": {
+    "core.removeVoter": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["CoreUnseat"];
+        requestBody: components["requestBodies"]["RemoveVoter"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -27,7 +27,7 @@
   subjectOf,
   type Act,
   type Change,
-  type CoreSet,
+  type VoterSet,
   type Document,
   type DoorwayAct,
 } from '../register/document.js';
@@ -47,7 +47,7 @@
 const remedy = (vote: VoteState): string => {
   switch (vote) {
     case 'disqualified':
-      return '; stop it, empty its folder, start it, and it is given its seat again';
+      return '; stop it, empty its folder, start it, and it is given its vote again';
     case 'recovering':
       return '; mend its disk or make room on it, and it votes again by itself';
     case 'voting':
@@ -242,7 +242,7 @@
     return Right({ committed, revisions });
   }
 
-  /** One revision through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
+  /** One revision through all nodes that can be thought of: heard of, a voter of the core, or enrolled. */
   async trace({ change, revision }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
     const read = await this.proposer.read(3000);
     const known = read.toMaybe().alt(Maybe.fromNullable(this.inForce.whole)).extract();
@@ -352,7 +352,7 @@
         reply.caseOf({
           Left: ({ reason }) => ({
             address,
-            id: members.find((seat) => seat.address === address)?.id ?? '',
+            id: members.find((voter) => voter.address === address)?.id ?? '',
             state: `silent: ${reason}`,
             revision: 0,
             committed: 0,
@@ -360,10 +360,10 @@
           }),
           Right: (state) => ({
             address,
-            id: members.find((seat) => seat.address === address)?.id ?? state.member,
+            id: members.find((voter) => voter.address === address)?.id ?? state.member,
             whole: state.whole,
             state:
-              number && !members.some((seat) => seat.id === state.member)
+              number && !members.some((voter) => voter.id === state.member)
                 ? 'swapped: another machine answers here'
                 : state.voting
                   ? 'voting'
@@ -404,7 +404,7 @@
     by: string,
     { core, revision }: StateReply,
   ): Promise<Outcome<Schemas['CoreReply']>> {
-    const { members } = JSON.parse(core) as CoreSet;
+    const { members } = JSON.parse(core) as VoterSet;
     const there = new Set(members.map(({ address }) => address));
     if (revision > 1) return failed('core.form', by, 'is already part of a formed core');
     if (there.size !== addresses.length || addresses.some((address) => !there.has(address)))
@@ -414,9 +414,9 @@
   }
 
   /** Promotes a learner, which must answer, be able to vote, and hold the newest committed revision. */
-  async seat(
+  async addVoter(
     operator: Operator,
-    { change, address, expects, wait }: Schemas['CoreSeatAsk'],
+    { change, address, expects, wait }: Schemas['AddVoterAsk'],
   ): Promise<Outcome<Changed>> {
     const committed = await this.proposer.look(ASK_LIMIT);
     if (committed.isLeft()) return committed as Outcome<never>;
@@ -424,43 +424,43 @@
     if (state.isLeft()) return state as Outcome<never>;
     const { member, vote, reason, revision, committed: held } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
-      return failed('core.seat', address, `can not vote: ${reason}`);
+      return failed('core.addVoter', address, `can not vote: ${reason}`);
     const newest = committed.unsafeCoerce();
     if (Math.min(revision, held) < newest)
       return failed(
-        'core.seat',
+        'core.addVoter',
         address,
         `holds revision ${Math.min(revision, held)}, and ${newest} is committed; try again once it has caught up`,
       );
     return this.change(
       operator,
       change,
-      { kind: 'seat', seat: { id: member, address }, expects },
+      { kind: 'addVoter', voter: { id: member, address }, expects },
       wait,
     );
   }
 
-  async unseat(
+  async removeVoter(
     operator: Operator,
-    { change, id, expects, wait }: Schemas['CoreUnseatAsk'],
+    { change, id, expects, wait }: Schemas['RemoveVoterAsk'],
   ): Promise<Outcome<Changed>> {
     const { members } = this.roster.core;
-    const rest = members.filter((seat) => seat.id !== id);
+    const rest = members.filter((voter) => voter.id !== id);
     const replies = await gather(
       rest.map(({ address }) => address),
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       () => false,
     );
     const answering = sound(replies).filter(
-      ({ member, voting }) => voting && rest.some((seat) => seat.id === member),
+      ({ member, voting }) => voting && rest.some((voter) => voter.id === member),
     ).length;
     if (answering < majority(rest.length))
       return failed(
-        'core.unseat',
+        'core.removeVoter',
         id,
         `only ${answering} of the ${rest.length} members that would be left answer and vote; without a majority of them nothing could be changed again`,
       );
-    return this.change(operator, change, { kind: 'unseat', id, vacant: false, expects }, wait);
+    return this.change(operator, change, { kind: 'removeVoter', id, vacant: false, expects }, wait);
   }
 
   /** Takes a router that is gone for good out of the enrolment, once the last enrolment is in force everywhere else. */
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -409,15 +409,15 @@
     )
     .command(
       'add <address>',
-      'Gives the newcomer at a peer address a seat',
+      'Gives the newcomer at a peer address a vote',
       (y) => common(y).positional('address', { type: 'string', demandOption: true }),
-      async (argv) => end(await seat(argv, argv.address)),
+      async (argv) => end(await addVoter(argv, argv.address)),
     )
     .command(
       'remove <member>',
-      'Takes a seat away, by id or peer address',
+      'Takes a vote away, by id or peer address',
       (y) => common(y).positional('member', { type: 'string', demandOption: true }),
-      async (argv) => end(await unseat(argv, argv.member)),
+      async (argv) => end(await removeVoter(argv, argv.member)),
     )
     .command(
       'replace <old> <new>',
@@ -434,8 +434,8 @@
           .members.find(({ id, address }) => id === argv.old || address === argv.old);
         const steps =
           old?.state === 'voting' && old.address !== argv.new
-            ? [() => seat(argv, argv.new), () => unseat(argv, argv.old)]
-            : [() => unseat(argv, argv.old), () => seat(argv, argv.new)];
+            ? [() => addVoter(argv, argv.new), () => removeVoter(argv, argv.old)]
+            : [() => removeVoter(argv, argv.old), () => addVoter(argv, argv.new)];
         for (const step of steps) {
           const done = await step();
           end(done);
@@ -447,10 +447,10 @@
 
 type Changed = Schemas['ChangedReply'];
 
-const seat = async (argv: Common, address: string): Promise<Outcome<Changed>> => {
+const addVoter = async (argv: Common, address: string): Promise<Outcome<Changed>> => {
   const core = await operate(target(argv), 'core.show', {});
   if (core.isLeft()) return core;
-  return operate(target(argv), 'core.seat', {
+  return operate(target(argv), 'core.addVoter', {
     change: argv.change ?? randomUUID(),
     address,
     expects: argv.expects ?? core.unsafeCoerce().number,
@@ -458,12 +458,12 @@
   });
 };
 
-const unseat = async (argv: Common, member: string): Promise<Outcome<Changed>> => {
+const removeVoter = async (argv: Common, member: string): Promise<Outcome<Changed>> => {
   const core = await operate(target(argv), 'core.show', {});
   if (core.isLeft()) return core;
   const { number, members } = core.unsafeCoerce();
   const id = members.find((each) => each.id === member || each.address === member)?.id ?? member;
-  return operate(target(argv), 'core.unseat', {
+  return operate(target(argv), 'core.removeVoter', {
     change: argv.change ?? randomUUID(),
     id,
     expects: argv.expects ?? number,
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -75,10 +75,13 @@
       ['node.retire', checked('RetireAsk', (ask, operator) => operations.retire(operator, ask))],
       ['engine.list', checked('NothingAsk', () => operations.engines())],
       ['core.form', checked('FormAsk', ({ members }) => operations.form(members))],
-      ['core.seat', checked('CoreSeatAsk', (ask, operator) => operations.seat(operator, ask))],
       [
-        'core.unseat',
-        checked('CoreUnseatAsk', (ask, operator) => operations.unseat(operator, ask)),
+        'core.addVoter',
+        checked('AddVoterAsk', (ask, operator) => operations.addVoter(operator, ask)),
+      ],
+      [
+        'core.removeVoter',
+        checked('RemoveVoterAsk', (ask, operator) => operations.removeVoter(operator, ask)),
       ],
       ['core.show', checked('NothingAsk', () => operations.core())],
     ]);
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -55,8 +55,8 @@
           if (told.refusal === 'behind') return;
           enrolled = told.enrolled;
           for (const { node, revision: at } of told.reports) if (at >= revision) reported.add(node);
-          const seat = open.find((each) => each.address === address);
-          if (told.vouched && seat) vouchers.add(seat.id);
+          const voter = open.find((each) => each.address === address);
+          if (told.vouched && voter) vouchers.add(voter.id);
         });
         return reply;
       },
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -43,7 +43,7 @@
   private readonly reports = new Map<string, number>();
   private readonly watchers = new Set<() => void>();
   /** When this process first found itself voting; before that it may have granted, or others in its stead. */
-  private seated: Moment | undefined;
+  private votingSince: Moment | undefined;
   private readonly newborn: boolean;
 
   constructor(
@@ -85,7 +85,7 @@
 
   private renew(ask: RenewAsk): RenewReply {
     const state = this.member.state();
-    if (state.voting) this.seated ??= this.clock.now();
+    if (state.voting) this.votingSince ??= this.clock.now();
     const declined = (reason: string): RenewReply => ({
       granted: false,
       duration: 0,
@@ -134,12 +134,12 @@
     if (!state.voting) return refused('not-voting', state.reason);
     if (state.revision < revision)
       return refused('behind', `holds only revision ${state.revision}`);
-    this.seated ??= this.clock.now();
+    this.votingSince ??= this.clock.now();
     const founder = this.newborn && this.member.founder;
     if (
       this.terms.lapse === 'stop' &&
       !founder &&
-      this.clock.now() < this.seated + this.terms.duration
+      this.clock.now() < this.votingSince + this.terms.duration
     )
       return refused('new-voter', 'voting for less than one lease');
     this.sweep();
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -8,7 +8,7 @@
 import {
   documentDigest,
   voterSetDigest,
-  type CoreSet,
+  type VoterSet,
   type Digest,
   type Document,
 } from './document.js';
@@ -28,7 +28,7 @@
 const higherOf = (one: Ballot, other: Ballot): Ballot =>
   compareBallots(one, other) >= 0 ? one : other;
 
-const isVoter = (set: CoreSet, id: string): boolean =>
+const isVoter = (set: VoterSet, id: string): boolean =>
   set.members.some((member) => member.id === id);
 
 /** Whether a value is behind another: of a lower ballot, or of the same ballot at a lower revision. */
@@ -113,7 +113,7 @@
    * under. A round under an older set can't find a majority any more once a value proposed under the newer one was
    * accepted.
    */
-  get voterSets(): readonly CoreSet[] {
+  get voterSets(): readonly VoterSet[] {
     if (!this.value) return [];
     const { parsed, under } = this.value;
     return under && under.number !== parsed.core.number ? [parsed.core, under] : [parsed.core];
@@ -125,7 +125,7 @@
   }
 
   /** The very voter set of a round, where the member is one of its voters and the acceptor votes under it. */
-  voterSet(id: string, { set, voters }: VoterSetId): CoreSet | undefined {
+  voterSet(id: string, { set, voters }: VoterSetId): VoterSet | undefined {
     return this.voterSets.find(
       (each) => each.number === set && isVoter(each, id) && voterSetDigest(each) === voters,
     );
--- a/src/register/bootstrap/evidence.ts
+++ b/src/register/bootstrap/evidence.ts
@@ -1,5 +1,5 @@
 /** What the answers of the core machines say about forming the first group: whether it may be formed, by whom and how. */
-import type { CoreSet, Seat } from '../document.js';
+import type { VoterSet, Voter } from '../document.js';
 import { majority } from '../gather.js';
 import type { StatusReply } from './calls.js';
 
@@ -12,7 +12,7 @@
 
 export type Plan =
   /** A group exists; nothing is to be formed. */
-  | { readonly kind: 'formed'; readonly core: CoreSet; readonly by: string }
+  | { readonly kind: 'formed'; readonly core: VoterSet; readonly by: string }
   /** A round of those that are voters, decided by a majority of the seeds. */
   | { readonly kind: 'majority'; readonly seeds: readonly string[] }
   /** A round in which every seed must promise, since too few of them are voters. */
@@ -47,7 +47,7 @@
 ): Plan => {
   const { answers } = survey;
   for (const [address, { formed, core }] of answers)
-    if (formed) return { kind: 'formed', core: JSON.parse(core) as CoreSet, by: address };
+    if (formed) return { kind: 'formed', core: JSON.parse(core) as VoterSet, by: address };
   const bound = boundSeeds(self, survey);
   const seeds =
     bound ?? inOrder(configured.length >= evidence ? configured : [...configured, ...survey.asked]);
@@ -74,14 +74,14 @@
   seeds: readonly string[],
   wanted: number,
   { answers }: Survey,
-): Seat[] => {
+): Voter[] => {
   const fit = [...answers].filter(([, { healthy, formed }]) => healthy && !formed);
-  const seatOf = ([address, { member }]: readonly [string, StatusReply]): Seat => ({
+  const voterOf = ([address, { member }]: readonly [string, StatusReply]): Voter => ({
     id: member,
     address,
   });
-  const first = fit.filter(([address]) => seeds.includes(address)).map(seatOf);
-  const others = fit.filter(([address]) => !seeds.includes(address)).map(seatOf);
+  const first = fit.filter(([address]) => seeds.includes(address)).map(voterOf);
+  const others = fit.filter(([address]) => !seeds.includes(address)).map(voterOf);
   const vacant = Math.max(0, wanted - first.length);
   return [...first, ...others.slice(0, vacant)].sort((a, b) => (a.id < b.id ? -1 : 1));
 };
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -205,8 +205,8 @@
 const alter = (document: Document, change: Change, next: Revision): Document | Verdict => {
   const { act, firm } = change;
   switch (act.kind) {
-    case 'seat':
-    case 'unseat':
+    case 'addVoter':
+    case 'removeVoter':
       return withVoters(document, act);
     case 'enrol':
     case 'retire':
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -13,16 +13,16 @@
 export type ChangeId = string;
 export type Digest = string;
 
-export interface Seat {
+export interface Voter {
   readonly id: string;
   readonly address: string;
 }
 
-export interface CoreSet {
+export interface VoterSet {
   readonly number: number;
-  /** How many seats there should be; fewer members than this means that a newcomer may take one. */
+  /** How many voters there should be; fewer members than this means that a newcomer may take one. */
   readonly wanted: number;
-  readonly members: readonly Seat[];
+  readonly members: readonly Voter[];
 }
 
 /** A router that counts toward the majority that vouches for routers cut off from the core. */
@@ -68,14 +68,14 @@
       readonly takeover: boolean;
     }
   | {
-      readonly kind: 'seat';
-      readonly seat: Seat;
+      readonly kind: 'addVoter';
+      readonly voter: Voter;
       readonly expects: number;
       /** The voter it takes over from, which is removed next; how many are wanted stays as it is. */
       readonly replaces?: string;
     }
   | {
-      readonly kind: 'unseat';
+      readonly kind: 'removeVoter';
       readonly id: string;
       readonly vacant: boolean;
       readonly expects: number;
@@ -105,7 +105,7 @@
   readonly fleet: string;
   readonly revision: Revision;
   readonly previous: Digest;
-  readonly core: CoreSet;
+  readonly core: VoterSet;
   readonly doorways: ReadonlyMap<string, Placed>;
   readonly removed: ReadonlyMap<string, Revision>;
   readonly claims: ReadonlyMap<string, Claim>;
@@ -150,7 +150,7 @@
 };
 
 /** Names a voter set by what it is: two proposed changes of one set bear the same number. */
-export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
+export const voterSetDigest = ({ number, members }: VoterSet): Digest =>
   digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
 
 /** A change as the history keeps it, without the whole of a configuration. */
@@ -218,7 +218,7 @@
 
 export const genesis = (
   fleet: string,
-  members: readonly Seat[],
+  members: readonly Voter[],
   wanted = members.length,
 ): Document => ({
   fleet,
@@ -242,9 +242,9 @@
       return act.doorway.name;
     case 'apply':
       return act.items.map(subjectOf).join(' ').slice(0, 400);
-    case 'seat':
-      return act.seat.address;
-    case 'unseat':
+    case 'addVoter':
+      return act.voter.address;
+    case 'removeVoter':
       return act.id;
     case 'configure':
       return `version ${act.version}`;
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -11,7 +11,7 @@
 import { compareBallots, FIRST } from './ballot.js';
 import { State, type FeedItem, type StateReply, type VoteState } from './calls.js';
 import type { Chain } from './chain.js';
-import type { CoreSet, Document } from './document.js';
+import type { VoterSet, Document } from './document.js';
 import { FeedServer } from './feed-server.js';
 import { Learner } from './learner.js';
 import { DiskRecovery } from './recovery.js';
@@ -67,7 +67,7 @@
   }
 
   /** The newest core set that is sure to have been chosen. */
-  get knownCore(): CoreSet {
+  get knownCore(): VoterSet {
     return this.replica.committedVoters;
   }
 
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -33,7 +33,7 @@
   encodeDocument,
   voterSetDigest,
   type Change,
-  type CoreSet,
+  type VoterSet,
   type Document,
 } from './document.js';
 import { QuorumContact, type Patience } from './contact.js';
@@ -60,7 +60,7 @@
 
 interface Read extends Revision {
   readonly ballot: Ballot;
-  readonly core: CoreSet;
+  readonly core: VoterSet;
   readonly committed: boolean;
 }
 
@@ -147,7 +147,7 @@
     for (let pass = 0; pass < SURVEY_PASSES; pass++) {
       const { number, members } = this.roster.core;
       const replies = await this.askStates(members);
-      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as CoreSet);
+      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as VoterSet);
       if (this.roster.core.number !== number) continue;
       const survey = surveyOf(replies, majority(members.length));
       if (number > 0 && survey) return Right(survey);
@@ -160,13 +160,13 @@
   }
 
   /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
-  private async askStates(members: CoreSet['members']): Promise<ReadonlyMap<string, StateReply>> {
+  private async askStates(members: VoterSet['members']): Promise<ReadonlyMap<string, StateReply>> {
     const sureOf = (all: Replies<StateReply>): ReadonlyMap<string, StateReply> =>
       new Map(
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
           return state?.sure &&
-            members.some((seat) => seat.id === state.member && seat.address === address)
+            members.some((voter) => voter.id === state.member && voter.address === address)
             ? [[address, state] as const]
             : [];
         }),
@@ -334,7 +334,7 @@
   }
 
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(core: CoreSet): Promise<Promises> {
+  private async seekPromises(core: VoterSet): Promise<Promises> {
     const { known } = this;
     const ballot: Ballot = {
       counter: ++this.counter,
@@ -363,7 +363,7 @@
 
   /** Asks the members to accept a document; where it was made from a base, as what changed from that. */
   private async accept(
-    core: CoreSet,
+    core: VoterSet,
     ballot: Ballot,
     document: Document,
     base?: Revision,
@@ -411,7 +411,7 @@
     return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
   }
 
-  private announce(core: CoreSet, ballot: Ballot, { document, digest }: Revision): void {
+  private announce(core: VoterSet, ballot: Ballot, { document, digest }: Revision): void {
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
@@ -433,14 +433,14 @@
   private async refreshCore(): Promise<void> {
     const { number, members } = this.roster.core;
     const enough = (told: readonly StateReply[]): boolean =>
-      told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) ||
+      told.some(({ core }) => (JSON.parse(core) as VoterSet).number > number) ||
       (number > 0 && told.length >= majority(members.length));
     const replies = await gather(
       this.roster.leads,
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       (all) => enough(sound(all)),
     );
-    for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as CoreSet);
+    for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as VoterSet);
   }
 
   private backOff(tries: number): Promise<void> {
--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -22,7 +22,7 @@
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 import { State, type StateReply } from './calls.js';
-import type { Act, CoreSet, Seat } from './document.js';
+import type { Act, VoterSet, Voter } from './document.js';
 import { gather, majority, sound } from './gather.js';
 import { VoterLiveness } from './liveness.js';
 import type { Member } from './member.js';
@@ -30,7 +30,7 @@
 import type { Roster } from './roster.js';
 
 /** A learner tells the members where it is. */
-export const Announce = call<Seat, { heard: boolean }>(
+export const Announce = call<Voter, { heard: boolean }>(
   8,
   'register.announce',
   struct<{ id: string; address: string }>({ id: text, address: text }),
@@ -57,25 +57,25 @@
 /** How many looks fall into one pause while something is amiss. */
 const HURRY = 4;
 
-type VoterChange = Extract<Act, { kind: 'seat' | 'unseat' }>;
+type VoterChange = Extract<Act, { kind: 'addVoter' | 'removeVoter' }>;
 
 /** What one look at the voters and the learners showed. */
 interface Look {
-  readonly set: CoreSet;
+  readonly set: VoterSet;
   /** Voters that answered as themselves. */
-  readonly present: readonly Seat[];
+  readonly present: readonly Voter[];
   /** Of those, the ones that vote and hold the newest committed revision on disk. */
-  readonly current: readonly Seat[];
+  readonly current: readonly Voter[];
   /** Voters in whose place another disk answered. */
-  readonly swapped: readonly Seat[];
-  readonly silent: readonly Seat[];
-  readonly leaving: readonly Seat[];
+  readonly swapped: readonly Voter[];
+  readonly silent: readonly Voter[];
+  readonly leaving: readonly Voter[];
   /** Learners that hold the newest committed revision on disk. */
-  readonly ready: readonly Seat[];
+  readonly ready: readonly Voter[];
 }
 
 export class VoterReplacement {
-  private readonly learners = new Map<string, { seat: Seat; at: Moment }>();
+  private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
   private readonly every: number;
   private looked: Moment;
@@ -115,16 +115,16 @@
   }
 
   serve(): void {
-    this.peers.handle(Announce, (seat) => {
-      if (!this.learners.has(seat.id) && this.learners.size >= LEARNERS_BOUND)
+    this.peers.handle(Announce, (voter) => {
+      if (!this.learners.has(voter.id) && this.learners.size >= LEARNERS_BOUND)
         this.learners.delete(this.learners.keys().next().value as string);
-      this.learners.set(seat.id, { seat, at: this.clock.now() });
+      this.learners.set(voter.id, { voter, at: this.clock.now() });
       if (this.clock.now() - this.looked > this.every / HURRY) this.wake();
       return Right({ heard: true });
     });
     this.peers.handle(Leave, ({ id }) => {
       this.liveness.noteLeaving(id, this.clock.now());
-      const successor = this.last?.ready.some((seat) => seat.id !== id) ?? false;
+      const successor = this.last?.ready.some((voter) => voter.id !== id) ?? false;
       if (successor) this.wake();
       return Right({ successor });
     });
@@ -197,13 +197,13 @@
     return Math.min(ASK_LIMIT, this.every * 0.7);
   }
 
-  private freshLearners({ members }: CoreSet, now: Moment): Seat[] {
+  private freshLearners({ members }: VoterSet, now: Moment): Voter[] {
     return [...this.learners.values()]
       .filter(
-        ({ seat, at }) =>
-          now - at < FRESH * this.every && !members.some(({ id }) => id === seat.id),
+        ({ voter, at }) =>
+          now - at < FRESH * this.every && !members.some(({ id }) => id === voter.id),
       )
-      .map(({ seat }) => seat);
+      .map(({ voter }) => voter);
   }
 
   /** Looks at the voters, and changes the voter set where that is due here; says whether it did. */
@@ -213,7 +213,7 @@
     if (this.after === 0) return false;
     const { set, silent, swapped, leaving } = look;
     const staying = set.members.filter(
-      (seat) => ![...silent, ...swapped, ...leaving].includes(seat),
+      (voter) => ![...silent, ...swapped, ...leaving].includes(voter),
     );
     const [holder] = holders(
       `succession-${set.number}`,
@@ -227,11 +227,11 @@
 
   /** Removes the voter that was just replaced, without leaving that to a member that may not know of its going. */
   private async finish(change: VoterChange, { set, current }: Look): Promise<void> {
-    if (change.kind !== 'seat' || change.replaces === undefined) return;
+    if (change.kind !== 'addVoter' || change.replaces === undefined) return;
     const left = current.filter(({ id }) => id !== change.replaces).length + 1;
     if (left < majority(set.members.length)) return;
     await this.propose({
-      kind: 'unseat',
+      kind: 'removeVoter',
       id: change.replaces,
       vacant: true,
       expects: change.expects + 1,
@@ -247,11 +247,11 @@
     const learners = this.freshLearners(set, asked);
     const states = new Map(
       await Promise.all(
-        [...members, ...learners].map(async (seat) => [seat, await this.stateOf(seat)] as const),
+        [...members, ...learners].map(async (voter) => [voter, await this.stateOf(voter)] as const),
       ),
     );
     const now = this.clock.now();
-    const isPresent = (seat: Seat): boolean => states.get(seat)?.member === seat.id;
+    const isPresent = (voter: Voter): boolean => states.get(voter)?.member === voter.id;
     const present = members.filter(isPresent);
     this.liveness.note(
       members.map(({ id }) => id),
@@ -261,28 +261,28 @@
       forgiving,
     );
     const committed = this.member.committedRevision;
-    const holdsNewest = (seat: Seat): boolean => {
-      const state = states.get(seat);
+    const holdsNewest = (voter: Voter): boolean => {
+      const state = states.get(voter);
       return state !== undefined && state.revision >= committed && state.committed >= committed;
     };
     return {
       set,
       present,
-      current: present.filter((seat) => states.get(seat)!.voting && holdsNewest(seat)),
-      swapped: members.filter((seat) => states.get(seat) && !isPresent(seat)),
+      current: present.filter((voter) => states.get(voter)!.voting && holdsNewest(voter)),
+      swapped: members.filter((voter) => states.get(voter) && !isPresent(voter)),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
-        (seat) =>
-          isPresent(seat) &&
-          states.get(seat)!.vote === 'non-voting' &&
-          holdsNewest(seat) &&
-          !this.liveness.isLeaving(seat.id),
+        (voter) =>
+          isPresent(voter) &&
+          states.get(voter)!.vote === 'non-voting' &&
+          holdsNewest(voter) &&
+          !this.liveness.isLeaving(voter.id),
       ),
     };
   }
 
-  private async stateOf({ id, address }: Seat): Promise<StateReply | undefined> {
+  private async stateOf({ id, address }: Voter): Promise<StateReply | undefined> {
     if (id === this.member.id) return this.member.state();
     const reply = await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit);
     return reply.toMaybe().extract();
@@ -292,20 +292,21 @@
   private due(look: Look): VoterChange | undefined {
     const { set, ready, swapped, silent, leaving } = look;
     const { number, wanted, members } = set;
-    const apart = ready.find((seat) => !members.some(({ address }) => address === seat.address));
-    if (apart && members.length < wanted) return { kind: 'seat', seat: apart, expects: number };
+    const apart = ready.find((voter) => !members.some(({ address }) => address === voter.address));
+    if (apart && members.length < wanted)
+      return { kind: 'addVoter', voter: apart, expects: number };
     const gone = (swapped.length > 0 ? swapped : silent).find(({ id }) => id !== this.member.id);
-    const left = look.current.filter((seat) => seat !== gone).length;
+    const left = look.current.filter((voter) => voter !== gone).length;
     const isSpared = ready.length > 0 || members.length > wanted;
     if (gone && isSpared && left >= majority(members.length - 1))
-      return { kind: 'unseat', id: gone.id, vacant: true, expects: number };
+      return { kind: 'removeVoter', id: gone.id, vacant: true, expects: number };
     const leaver = leaving.find(({ id }) => id !== this.member.id);
     if (!leaver) return undefined;
-    const others = look.current.filter((seat) => seat !== leaver).length;
+    const others = look.current.filter((voter) => voter !== leaver).length;
     if (members.length > wanted && others >= majority(members.length - 1))
-      return { kind: 'unseat', id: leaver.id, vacant: true, expects: number };
+      return { kind: 'removeVoter', id: leaver.id, vacant: true, expects: number };
     return apart && members.length === wanted
-      ? { kind: 'seat', seat: apart, expects: number, replaces: leaver.id }
+      ? { kind: 'addVoter', voter: apart, expects: number, replaces: leaver.id }
       : undefined;
   }
 
@@ -318,7 +319,7 @@
     const done = told.map(({ kind }) => kind === 'applied').orDefault(false);
     this.log('succession', [
       ['act', act.kind],
-      ['member', act.kind === 'seat' ? act.seat.id : act.id],
+      ['member', act.kind === 'addVoter' ? act.voter.id : act.id],
       ['done', done],
     ]);
     return done;
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -9,11 +9,11 @@
 import { FIRST, type Ballot } from './ballot.js';
 import { Chain } from './chain.js';
 import { DiskGuard } from './disk-guard.js';
-import { decodeDocument, type CoreSet, type Digest } from './document.js';
+import { decodeDocument, type VoterSet, type Digest } from './document.js';
 import type { Store } from './store.js';
 
 const STALL = 1500;
-const NO_VOTERS: CoreSet = { number: 0, wanted: 0, members: [] };
+const NO_VOTERS: VoterSet = { number: 0, wanted: 0, members: [] };
 
 /** How far a member is, for those who watch that it never goes back. */
 export interface MemberProgress {
@@ -106,7 +106,7 @@
   }
 
   /** The newest voter set that is sure to have been chosen. */
-  get committedVoters(): CoreSet {
+  get committedVoters(): VoterSet {
     const { accepted } = this.acceptor;
     if (!accepted) return NO_VOTERS;
     const { parsed, under } = accepted;
--- a/src/register/roster.ts
+++ b/src/register/roster.ts
@@ -2,10 +2,10 @@
  * Where the core members are, as this node knows: the seeds at first, then the core set of the newest revision it
  * has seen. What was learned is kept when seeds change or fall silent.
  */
-import type { CoreSet } from './document.js';
+import type { VoterSet } from './document.js';
 
 export class Roster {
-  private known: CoreSet = { number: 0, wanted: 0, members: [] };
+  private known: VoterSet = { number: 0, wanted: 0, members: [] };
 
   constructor(private seeds: readonly string[]) {}
 
@@ -14,11 +14,11 @@
     this.seeds = seeds;
   }
 
-  learn(core: CoreSet): void {
+  learn(core: VoterSet): void {
     if (core.number > this.known.number) this.known = core;
   }
 
-  get core(): CoreSet {
+  get core(): VoterSet {
     return this.known;
   }
 
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -7,13 +7,13 @@
 import type { Disk } from '../kernel/disk/disk.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
-import { digestOf, type CoreSet, type Digest } from './document.js';
+import { digestOf, type VoterSet, type Digest } from './document.js';
 
 export interface Filed {
   readonly ballot: Ballot;
   readonly document: Uint8Array;
   /** The core set under which it was proposed here; absent when it was learned as committed. */
-  readonly under?: CoreSet;
+  readonly under?: VoterSet;
   /** How it was made from the revision before, where it came so; it is not kept on disk. */
   readonly delta?: RevisionDelta;
 }
@@ -124,7 +124,7 @@
         accepted = {
           ballot,
           document: held.body,
-          under: held.head.get('under') as CoreSet | undefined,
+          under: held.head.get('under') as VoterSet | undefined,
         };
     }
     const promised =
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -17,7 +17,7 @@
   type PrepareReply,
 } from './calls.js';
 import { applyDelta } from './delta.js';
-import { decodeDocument, documentDigest, type CoreSet, type Document } from './document.js';
+import { decodeDocument, documentDigest, type VoterSet, type Document } from './document.js';
 import type { Replica } from './replica.js';
 
 /** The ballot of the first revision, below that of every proposer but for those of the very first rounds. */
@@ -25,7 +25,7 @@
 
 interface Mandate {
   readonly value: AcceptedValue;
-  readonly voters: CoreSet;
+  readonly voters: VoterSet;
 }
 
 /** The value that a proposer asks to accept: sent whole, or as what changed from the revision held here. */
--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -44,7 +44,7 @@
   readonly disks = new Map<string, SimDisk>();
   /** When each engine was marked as leaving. */
   readonly left = new Map<string, number>();
-  /** Core machines whose disk or whole machine is gone for good, by the name that should have a seat at the day's end. */
+  /** Core machines whose disk or whole machine is gone for good, by the name that should have a vote at the day's end. */
   readonly lostFor = new Set<string>();
   lag = 300;
   private readonly shown: Array<{ at: number; text: string }> = [];
--- a/test/checker/acceptor.test.ts
+++ b/test/checker/acceptor.test.ts
@@ -53,7 +53,7 @@
   }
 
   removalOf(number: number, expects: number): Act {
-    return { kind: 'unseat', id: this.voter(number).member.id, vacant: true, expects };
+    return { kind: 'removeVoter', id: this.voter(number).member.id, vacant: true, expects };
   }
 
   claim(name: string): Act {
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -79,8 +79,8 @@
 
   private async formOnce(): Promise<boolean> {
     const ids = [this.member.id, 'second', 'third'];
-    const seats = ids.map((id, at) => ({ id, address: `127.0.0.1:${at + 1}` }));
-    this.first = revisionOf(genesis('f', seats));
+    const voters = ids.map((id, at) => ({ id, address: `127.0.0.1:${at + 1}` }));
+    this.first = revisionOf(genesis('f', voters));
     const form = { document: this.first.bytes };
     const formed = await this.ask(this.asker.peers.ask(ADDRESS, Form, form, 1000));
     return formed.isRight();
--- a/test/checker/machines.ts
+++ b/test/checker/machines.ts
@@ -2,7 +2,7 @@
  * Core machines of a simulated fleet that come, go and lose their disks, with a client that changes the configuration and
  * judges: at no time two groups, no acknowledged change lost, changes acknowledged again within a bound.
  */
-import { digestOf, type CoreSet } from '../../src/register/document.js';
+import { digestOf, type VoterSet } from '../../src/register/document.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { simBase, simCore, type SimBase, type SimCore, type SimSite } from '../../src/sim/nodes.js';
 import { World } from '../../src/sim/world.js';
@@ -118,7 +118,7 @@
   }
 
   /** The newest committed voter set that a living machine knows. */
-  get voterSet(): CoreSet {
+  get voterSet(): VoterSet {
     return this.alive
       .map(({ member }) => member.knownCore)
       .reduce((newest, set) => (set.number > newest.number ? set : newest));
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -3,7 +3,7 @@
  * restarts it holds on to its promise, its accepted ballot and the revisions that it knows to be committed.
  */
 import { expect, test } from 'vitest';
-import { digestOf, type CoreSet } from '../../src/register/document.js';
+import { digestOf, type VoterSet } from '../../src/register/document.js';
 import {
   ballotOf,
   following,
@@ -54,7 +54,7 @@
     const chosen = following(lone.first, 'chosen');
     const newest = revision === 2 ? chosen : following(chosen, 'newest');
     const { number, members, wanted } = lone.first.document.core;
-    const fewer: CoreSet = { number: number + 1, wanted, members: members.slice(0, 2) };
+    const fewer: VoterSet = { number: number + 1, wanted, members: members.slice(0, 2) };
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(true);
     await lone.learn(5, newest);
     expect(lone.held).toEqual({ counter: 8, revision, promised: 8 });
@@ -119,9 +119,9 @@
 test('a voter that holds a proposed change of voters does not vote under another of the same number', async () => {
   const lone = await formed();
   const { number, members, wanted } = lone.first.document.core;
-  const some: CoreSet = { number: number + 1, wanted, members: members.slice(0, 2) };
-  const others: CoreSet = { ...some, members: [members[0]!, members[2]!] };
-  const without: CoreSet = { ...some, members: members.slice(1) };
+  const some: VoterSet = { number: number + 1, wanted, members: members.slice(0, 2) };
+  const others: VoterSet = { ...some, members: [members[0]!, members[2]!] };
+  const without: VoterSet = { ...some, members: members.slice(1) };
   expect(isAccepted(await lone.accept(5, following(lone.first, 'some', some)))).toBe(true);
   expect(lone.member.knownCore.number).toBe(number);
   await lone.start();
--- a/test/checker/seats.test.ts
+++ b/test/checker/replacement.test.ts
@@ -1,6 +1,6 @@
 /**
- * Core machines that come and go by themselves: vacant seats are taken at once, and an empty machine, at a new address or
- * at the old one, has its seat and the data within seconds of its start, with seeds that name dead or other machines. The
+ * Core machines that come and go by themselves: vacant voters are taken at once, and an empty machine, at a new address or
+ * at the old one, has its vote and the data within seconds of its start, with seeds that name dead or other machines. The
  * next loss is then borne.
  */
 import { expect, test } from 'vitest';
@@ -92,7 +92,7 @@
     });
   }
 
-  get seats(): string[] {
+  get voters(): string[] {
     const [newest] = [...this.cores.values()]
       .filter(({ host }) => !host.dead)
       .sort((a, b) => b.member.knownCore.number - a.member.knownCore.number);
@@ -105,12 +105,12 @@
   }
 }
 
-test('later machines take the seats that are wanted at once', async () => {
+test('later machines take the voters that are wanted at once', async () => {
   const core = new Core(1, 5);
   core.start(4);
   core.start(5, [3, 2, 1]);
   await core.world.run(core.world.now + 2500);
-  expect(core.seats).toEqual([1, 2, 3, 4, 5].map(at));
+  expect(core.voters).toEqual([1, 2, 3, 4, 5].map(at));
   await core.change();
   core.kill(1);
   core.kill(4);
@@ -118,7 +118,7 @@
   expect(await core.whole(5, 100)).toBe(true);
 });
 
-test('a machine at a new address has the seat and the data in time, whenever it starts and whatever its seeds name', async () => {
+test('a machine at a new address has the voter and the data in time, whenever it starts and whatever its seeds name', async () => {
   for (const lost of [1, 2, 3])
     for (const [later, seeds] of [
       [0, [1, 2, 3]],
@@ -137,7 +137,7 @@
     }
 });
 
-test('a machine that lost its disk has its seat back in time at the old address', async () => {
+test('a machine that lost its disk has its vote back in time at the old address', async () => {
   for (const lost of [1, 2, 3])
     for (const down of [0, 300, 1000, 5000]) {
       const core = new Core(lost + down);
@@ -165,7 +165,7 @@
     expect({ number, whole: await core.whole(number) }).toEqual({ number, whole: true });
     await core.change();
   }
-  expect(core.seats).toEqual([4, 5, 6].map(at));
+  expect(core.voters).toEqual([4, 5, 6].map(at));
   const back = core.start(3, [1, 2, 6]);
   await core.world.run(core.world.now + 3000);
   expect(back.member.state()).toMatchObject({ voting: false, reason: 'not in the core set' });
@@ -184,7 +184,7 @@
   expect(await core.whole(3)).toBe(true);
 });
 
-test('a member that froze and lost its seat to a newcomer asks for one again when it wakes', async () => {
+test('a member that froze and lost its vote to a newcomer asks for one again when it wakes', async () => {
   const core = new Core(8);
   await core.formed();
   core.cores.get(2)!.host.freeze();
@@ -193,13 +193,13 @@
   await core.change();
   core.cores.get(2)!.host.thaw();
   await core.world.run(core.world.now + 3000);
-  expect(core.seats).toEqual([1, 3, 4].map(at));
+  expect(core.voters).toEqual([1, 3, 4].map(at));
   core.kill(1);
   expect(await core.whole(2)).toBe(true);
-  expect(core.seats).toEqual([2, 3, 4].map(at));
+  expect(core.voters).toEqual([2, 3, 4].map(at));
 });
 
-test('a member that wakes takes no seat away for the silence it slept through', async () => {
+test('a member that wakes takes no voter away for the silence it slept through', async () => {
   for (const frozen of [1, 2, 3]) {
     const core = new Core(9 + frozen);
     await core.formed();
@@ -209,7 +209,7 @@
     await core.world.run(core.world.now + 700);
     core.cores.get(frozen)!.host.thaw();
     await core.world.run(core.world.now + 3000);
-    expect(core.seats).toEqual([1, 2, 3].map(at));
+    expect(core.voters).toEqual([1, 2, 3].map(at));
   }
 });
 
@@ -219,6 +219,6 @@
   await core.world.run(core.world.now + 2000);
   core.start(1, [1, 2, 3]);
   await core.world.run(core.world.now + 3000);
-  expect(core.seats).toEqual([1, 2, 3].map(at));
+  expect(core.voters).toEqual([1, 2, 3].map(at));
   await core.change();
 });
--- a/test/checker/coreset.test.ts
+++ b/test/checker/voterset.test.ts
@@ -60,11 +60,11 @@
     return told.map(({ kind }) => kind as string).orDefault('fault');
   }
 
-  async seat(via: number, address: string): Promise<Schemas['ChangedReply']> {
+  async addVoter(via: number, address: string): Promise<Schemas['ChangedReply']> {
     const { operations, roster } = this.at(via);
     return (
       await this.world.until(
-        operations.seat(operator, {
+        operations.addVoter(operator, {
           change: `c${++this.changes}`,
           address,
           expects: roster.core.number,
@@ -74,12 +74,12 @@
     ).unsafeCoerce();
   }
 
-  async unseat(via: number, number: number): Promise<Schemas['ChangedReply']> {
+  async removeVoter(via: number, number: number): Promise<Schemas['ChangedReply']> {
     const { operations, roster } = this.at(via);
     const { id } = roster.core.members.find(({ address }) => address === `127.0.0.1:${number}`)!;
     return (
       await this.world.until(
-        operations.unseat(operator, {
+        operations.removeVoter(operator, {
           change: `c${++this.changes}`,
           id,
           expects: roster.core.number,
@@ -103,8 +103,8 @@
   core.start(3);
   await core.world.run(core.world.now + 3000);
   expect(core.at(3).member.state()).toMatchObject({ voting: false });
-  expect((await core.unseat(1, 3)).outcome).toBe('accepted');
-  expect((await core.seat(2, '127.0.0.1:3')).outcome).toBe('accepted');
+  expect((await core.removeVoter(1, 3)).outcome).toBe('accepted');
+  expect((await core.addVoter(2, '127.0.0.1:3')).outcome).toBe('accepted');
   await core.world.run(core.world.now + 2000);
   expect(core.at(3).member.state()).toMatchObject({ voting: true });
   core.at(1).host.kill();
@@ -122,9 +122,9 @@
   const router = simBase(core.world, 'late', '127.0.0.1:91', 'z', 'router', site);
   core.start(4);
   await core.world.run(core.world.now + 2000);
-  expect((await core.seat(1, '127.0.0.1:4')).outcome).toBe('accepted');
+  expect((await core.addVoter(1, '127.0.0.1:4')).outcome).toBe('accepted');
   core.at(3).host.kill();
-  expect((await core.unseat(1, 3)).outcome).toBe('accepted');
+  expect((await core.removeVoter(1, 3)).outcome).toBe('accepted');
   core.start(3);
   await core.world.run(core.world.now + 4000);
   expect(core.at(3).member.state()).toMatchObject({ voting: false, reason: 'not in the core set' });
@@ -166,7 +166,7 @@
   expect(core.at(4).member.newest!.claims.get('n')!.renewal).toBe(core.claimed);
 });
 
-test('no seat is taken away when those that answer would not be a majority of the rest', async () => {
+test('no voter is taken away when those that answer would not be a majority of the rest', async () => {
   const core = new Core(6, 3000);
   await core.world.run(3000);
   core.at(3).host.kill();
@@ -188,7 +188,7 @@
   await core.world.run(core.world.now + 500);
   const { id } = core.at(1).roster.core.members.find(({ address }) => address === '127.0.0.1:2')!;
   const told = await core.world.until(
-    core.at(1).operations.unseat(operator, {
+    core.at(1).operations.removeVoter(operator, {
       change: 'x',
       id,
       expects: core.at(1).roster.core.number,
@@ -200,10 +200,10 @@
       .swap()
       .map(({ step }) => step)
       .extract(),
-  ).toBe('core.unseat');
+  ).toBe('core.removeVoter');
 });
 
-test("a sleeping member keeps its seat while another member's disk is lost for good, whenever that happens", async () => {
+test("a sleeping member keeps its vote while another member's disk is lost for good, whenever that happens", async () => {
   for (let lost = 400; lost <= 4000; lost += 300) {
     const core = new Core(8, 3000);
     await core.world.run(3000);
@@ -224,7 +224,7 @@
   }
 });
 
-test('a seat that was taken away stays to be filled when giving it to the newcomer fails at first', async () => {
+test('a vote that was taken away stays to be filled when giving it to the newcomer fails at first', async () => {
   const core = new Core(5, 3000);
   await core.world.run(3000);
   core.at(3).host.kill();
@@ -253,11 +253,11 @@
       if (!decoded.isRight() || !watched.has((decoded.extract() as Frame).code)) return 'pass';
       return choices < 40 ? (script.get(choices++) ?? 'pass') : 'pass';
     };
-    const seating = core.seat(1, '127.0.0.1:4');
+    const adding = core.addVoter(1, '127.0.0.1:4');
     const claiming = core.claim();
-    const seated = await seating;
+    const added = await adding;
     const claimed = await claiming;
-    expect(['accepted', 'unknown']).toContain(seated.outcome);
+    expect(['accepted', 'unknown']).toContain(added.outcome);
     expect(claimed).toBe('applied');
     core.world.net.mishap = () => 'pass';
     await core.world.run(core.world.now + 4000);
@@ -265,7 +265,7 @@
     await core.world.run(core.world.now + 500);
     const read = (await core.world.until(core.at(2).proposer.read(15_000))).unsafeCoerce();
     expect(read.claims.get('n')!.renewal).toBe(core.claimed);
-    if (seated.outcome === 'accepted') expect(read.core.members).toHaveLength(4);
+    if (added.outcome === 'accepted') expect(read.core.members).toHaveLength(4);
     return choices;
   };
   const { runs } = await explore(run, 40);
