--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -20,7 +20,7 @@
 import { patienceOf } from '../register/contact.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { readConfiguration, readPatch } from '../route/check.js';
 import type { Configuration } from '../route/shape.js';
 import type { Peers } from '../wire/peers.js';
@@ -32,7 +32,7 @@
 export class Configurator implements ConfigurationCalls {
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly acceptance: Acceptance,
     private readonly inForce: InForce,
@@ -107,7 +107,7 @@
       return document && document.revision >= revision ? document : undefined;
     };
     const replies = await gather(
-      this.roster.addresses,
+      this.voterDirectory.addresses,
       (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT),
       (all) => sound(all).some((reply) => fresh(reply) !== undefined),
     );
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -33,7 +33,7 @@
 } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { Trace } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
@@ -68,13 +68,13 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly inForce: InForce,
     private readonly view: View,
     private readonly news: Newsroom | undefined,
     private readonly clock: Clock,
-    private readonly acceptance = new Acceptance(peers, roster, clock),
+    private readonly acceptance = new Acceptance(peers, voterDirectory, clock),
   ) {}
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
@@ -257,7 +257,7 @@
           : `${change} is not among the changes that are kept`,
       );
     const nodes = new Map<string, { name: string; role: string }>();
-    for (const { address } of this.roster.core.members)
+    for (const { address } of this.voterDirectory.core.members)
       nodes.set(address, { name: address, role: 'core' });
     for (const [name, { address }] of known?.enrolled ?? [])
       nodes.set(address, { name, role: 'router' });
@@ -293,7 +293,7 @@
       .map(({ name, role, zone, address, age }) => ({ name, role, zone, address, age }));
     const replies = sound(
       await gather(
-        this.roster.addresses,
+        this.voterDirectory.addresses,
         (address) => this.peers.ask(address, Standees, { from: this.peers.self.name }, ASK_LIMIT),
         () => false,
       ),
@@ -339,8 +339,8 @@
 
   async core(): Promise<Outcome<Schemas['CoreReply']>> {
     await this.proposer.learnCore();
-    const { number, members } = this.roster.core;
-    const addresses = number ? members.map(({ address }) => address) : this.roster.leads;
+    const { number, members } = this.voterDirectory.core;
+    const addresses = number ? members.map(({ address }) => address) : this.voterDirectory.contacts;
     const replies = await gather(
       addresses,
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
@@ -444,7 +444,7 @@
     operator: Operator,
     { change, id, expects, wait }: Schemas['RemoveVoterAsk'],
   ): Promise<Outcome<Changed>> {
-    const { members } = this.roster.core;
+    const { members } = this.voterDirectory.core;
     const rest = members.filter((voter) => voter.id !== id);
     const replies = await gather(
       rest.map(({ address }) => address),
@@ -476,7 +476,7 @@
       expects,
       (limit - this.clock.now()) / 2,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
     );
     if (!accord.everywhere)
@@ -540,7 +540,7 @@
   private async newest(): Promise<Outcome<FeedItem>> {
     const committed = await this.proposer.look(2000);
     if (committed.isLeft()) return committed as Outcome<never>;
-    for (const address of this.roster.addresses) {
+    for (const address of this.voterDirectory.addresses) {
       const reply = await this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (
@@ -555,7 +555,7 @@
   }
 
   private async revision(revision: number): Promise<Outcome<FeedItem>> {
-    for (const address of this.roster.addresses) {
+    for (const address of this.voterDirectory.addresses) {
       const reply = await this.peers.ask(address, History, { revision }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (item) return Right(item);
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -20,7 +20,7 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Enrolled } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import {
   Copy,
@@ -71,7 +71,7 @@
     private readonly node: string,
     private readonly inForce: InForce,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
@@ -141,7 +141,7 @@
     const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
     const addresses = [
       ...keepers.flatMap((name) => enrolled.get(name)?.address ?? []),
-      ...this.roster.addresses,
+      ...this.voterDirectory.addresses,
     ];
     await within(
       this.clock,
@@ -214,7 +214,7 @@
   }
 
   private async atCore(key: string, owner: string): Promise<Kept> {
-    const { number, members } = this.roster.core;
+    const { number, members } = this.voterDirectory.core;
     const quorum = majority(members.length);
     if (members.length === 0) return 'unsure';
     const kept = (replies: readonly { kept: boolean }[]): number =>
@@ -326,7 +326,7 @@
 
   /** Reads this one's duties back from a majority of the core. */
   private async recall(): Promise<boolean> {
-    const { number, members } = this.roster.core;
+    const { number, members } = this.voterDirectory.core;
     if (members.length === 0) return false;
     const told = (
       await Promise.all(
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -34,7 +34,7 @@
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { RouterModule } from '../router/module.js';
 import { RouterNode } from '../router/node.js';
 import type { Tracing } from '../trace/tracing.js';
@@ -230,7 +230,7 @@
         if (changed.length === 0 && !asked) return;
         taken = next;
         context.get<Keys>(names.keys).reload(next);
-        context.get<Roster>(names.roster).reseed(next.seeds);
+        context.get<VoterDirectory>(names.voterDirectory).reseed(next.seeds);
         context.get<View>(names.view).reseed(next.seeds);
         log('reloaded', [
           ['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')],
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -19,7 +19,7 @@
 import type { Proposer } from '../register/proposer.js';
 import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { VoterReplacement } from '../register/replacement.js';
 import { Store } from '../register/store.js';
 import type { View } from '../view/view.js';
@@ -42,7 +42,7 @@
     @Inject(names.disk) private readonly disk: Disk,
     @Inject(names.member) private readonly member: Member,
     @Inject(names.keeper) private readonly keeper: Keeper,
-    @Inject(names.roster) private readonly roster: Roster,
+    @Inject(names.voterDirectory) private readonly voterDirectory: VoterDirectory,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
     @Inject(names.view) private readonly view: View,
@@ -71,7 +71,7 @@
       this.params.listen.peers,
       this.params.core.replaceAfter,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
@@ -81,10 +81,10 @@
     this.replacement = replacement;
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
-    if (this.member.newest) this.roster.learn(this.member.newest.core);
+    if (this.member.newest) this.voterDirectory.learn(this.member.newest.core);
     const follower = new Follower(
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
@@ -100,7 +100,7 @@
     const repair = new Repair(
       this.member,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
       this.random,
       this.log,
@@ -148,7 +148,7 @@
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
       if (newest && this.inForce.swap(newest)) {
-        this.roster.learn(newest.core);
+        this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
       }
@@ -170,7 +170,7 @@
       acceptor,
       member,
       peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -6,7 +6,7 @@
  */
 import { within, type Clock } from '../kernel/clock/clock.js';
 import { gather, majority, sound } from '../register/gather.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import { seekAccord, type Accord } from './accord.js';
 import { Vouch } from './calls.js';
@@ -17,7 +17,7 @@
 export class Acceptance {
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly terms: LeaseTerms = TERMS,
   ) {}
@@ -26,12 +26,12 @@
   of(revision: number, duration: number): Promise<Accord> {
     const limit = Math.max(0, duration);
     return this.terms.lapse === 'stop'
-      ? seekAccord(revision, limit, this.peers, this.roster, this.clock)
+      ? seekAccord(revision, limit, this.peers, this.voterDirectory, this.clock)
       : this.reports(revision, Math.min(limit, this.terms.patience));
   }
 
   private async reports(revision: number, patience: number): Promise<Accord> {
-    const { members } = this.roster.core;
+    const { members } = this.voterDirectory.core;
     const asking = gather(
       members.map(({ address }) => address),
       (address) => this.peers.ask(address, Vouch, { revision, wait: patience }, patience + SLACK),
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import { gather, majority, sound } from '../register/gather.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import { Vouch } from './calls.js';
 
@@ -20,7 +20,7 @@
   revision: number,
   duration: number,
   peers: Peers,
-  roster: Roster,
+  voterDirectory: VoterDirectory,
   clock: Clock,
 ): Promise<Accord> => {
   const limit = clock.now() + duration;
@@ -38,7 +38,7 @@
     );
   };
   for (let pause = 50; ; pause = 100) {
-    const { members } = roster.core;
+    const { members } = voterDirectory.core;
     const left = limit - clock.now();
     const vouched = members.filter(({ id }) => vouchers.has(id)).length >= majority(members.length);
     const open = members.filter(({ id }) => vouched || !vouchers.has(id));
--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -9,7 +9,7 @@
 import type { Random } from '../kernel/random/random.js';
 import type { Act, Enrolled } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import { seekAccord } from './accord.js';
 import type { Standing } from './standing.js';
@@ -29,7 +29,7 @@
     private readonly standing: Standing,
     private readonly proposer: Proposer,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
@@ -80,7 +80,8 @@
     const end = this.clock.now() + limit;
     if (
       act.expects > 0 &&
-      !(await seekAccord(act.expects, limit, this.peers, this.roster, this.clock)).everywhere
+      !(await seekAccord(act.expects, limit, this.peers, this.voterDirectory, this.clock))
+        .everywhere
     )
       return;
     const told = await this.proposer.propose(
--- a/src/lease/standing.ts
+++ b/src/lease/standing.ts
@@ -9,7 +9,7 @@
 import { SLACK, within } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import { gather, majority, sound } from '../register/gather.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import type { InForce } from '../doorway/match.js';
 import { Goodbye, Renew, Vow, type RenewReply } from './calls.js';
@@ -41,7 +41,7 @@
     private readonly inForce: InForce,
     private readonly vows: Vows,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly terms: LeaseTerms = TERMS,
@@ -100,7 +100,7 @@
     this.leaving = true;
     const { node, incarnation } = this.self;
     await gather(
-      this.roster.addresses,
+      this.voterDirectory.addresses,
       (address) => this.peers.ask(address, Goodbye, { node, incarnation }, this.limit),
       () => false,
     );
@@ -109,7 +109,7 @@
   private async renew(): Promise<void> {
     const asked = this.clock.strict();
     const { report } = this.vows;
-    const { members } = this.roster.core;
+    const { members } = this.voterDirectory.core;
     const quorum = majority(members.length);
     const granted = (replies: readonly RenewReply[]): RenewReply[] =>
       replies.filter((reply) => reply.granted);
--- a/src/node/control.ts
+++ b/src/node/control.ts
@@ -9,7 +9,7 @@
 import type { Params } from '../params/shape.js';
 import { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
 
@@ -19,7 +19,7 @@
     provide: names.operations,
     inject: [
       names.peers,
-      names.roster,
+      names.voterDirectory,
       names.proposer,
       names.inForce,
       names.view,
@@ -29,26 +29,26 @@
     ],
     useFactory: (
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       proposer: Proposer,
       inForce: InForce,
       view: View,
       news: Newsroom | undefined,
       clock: Clock,
       acceptance: Acceptance,
-    ) => new Operations(peers, roster, proposer, inForce, view, news, clock, acceptance),
+    ) => new Operations(peers, voterDirectory, proposer, inForce, view, news, clock, acceptance),
   },
   {
     provide: names.acceptance,
-    inject: [names.peers, names.roster, names.clock],
-    useFactory: (peers: Peers, roster: Roster, clock: Clock) =>
-      new Acceptance(peers, roster, clock, params.lease),
+    inject: [names.peers, names.voterDirectory, names.clock],
+    useFactory: (peers: Peers, voterDirectory: VoterDirectory, clock: Clock) =>
+      new Acceptance(peers, voterDirectory, clock, params.lease),
   },
   {
     provide: names.configurator,
     inject: [
       names.peers,
-      names.roster,
+      names.voterDirectory,
       names.proposer,
       names.acceptance,
       names.inForce,
@@ -56,11 +56,11 @@
     ],
     useFactory: (
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       proposer: Proposer,
       acceptance: Acceptance,
       inForce: InForce,
       clock: Clock,
-    ) => new Configurator(peers, roster, proposer, acceptance, inForce, clock),
+    ) => new Configurator(peers, voterDirectory, proposer, acceptance, inForce, clock),
   },
 ];
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -8,7 +8,7 @@
 import { SystemRandom, type Random } from '../kernel/random/random.js';
 import type { Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
-import { Roster } from '../register/roster.js';
+import { VoterDirectory } from '../register/voter-directory.js';
 import { Tracing } from '../trace/tracing.js';
 import { View } from '../view/view.js';
 import type { Hello } from '../wire/call.js';
@@ -52,7 +52,7 @@
     inject: [names.net, names.clock, names.log, names.self],
     useFactory: (net: Net, clock: Clock, log: Log, self: Hello) => new Peers(net, clock, log, self),
   },
-  { provide: names.roster, useFactory: () => new Roster(params.seeds) },
+  { provide: names.voterDirectory, useFactory: () => new VoterDirectory(params.seeds) },
   {
     provide: names.view,
     inject: [names.peers, names.clock, names.random, names.self],
@@ -77,8 +77,13 @@
   },
   {
     provide: names.proposer,
-    inject: [names.peers, names.roster, names.clock, names.random, names.log],
-    useFactory: (peers: Peers, roster: Roster, clock: Clock, random: Random, log: Log) =>
-      new Proposer(peers, roster, clock, random, log),
+    inject: [names.peers, names.voterDirectory, names.clock, names.random, names.log],
+    useFactory: (
+      peers: Peers,
+      voterDirectory: VoterDirectory,
+      clock: Clock,
+      random: Random,
+      log: Log,
+    ) => new Proposer(peers, voterDirectory, clock, random, log),
   },
 ];
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -9,7 +9,7 @@
   stop: 'node.stop',
   self: 'node.self',
   peers: 'wire.peers',
-  roster: 'register.roster',
+  voterDirectory: 'register.voterDirectory',
   proposer: 'register.proposer',
   member: 'register.member',
   grants: 'lease.grants',
--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -24,7 +24,7 @@
 import { gather, majority, sound } from '../gather.js';
 import type { Member } from '../member.js';
 import type { Proposer } from '../proposer.js';
-import type { Roster } from '../roster.js';
+import type { VoterDirectory } from '../voter-directory.js';
 import type { BootstrapAcceptor } from './acceptor.js';
 import {
   BootstrapAccept,
@@ -75,7 +75,7 @@
     private readonly acceptor: BootstrapAcceptor,
     private readonly member: Member,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -121,7 +121,7 @@
       const plan = planFor(address, seeds, evidence, survey);
       const age = this.clock.now() - began;
       const due = age >= Math.max(0, rank) * TURN && (age >= PATIENCE || this.complete(survey));
-      if (plan.kind === 'formed') this.roster.learn(plan.core);
+      if (plan.kind === 'formed') this.voterDirectory.learn(plan.core);
       else if (plan.kind === 'wait') {
         if (plan.reason !== waited) this.log('bootstrap-waits', [['reason', plan.reason]]);
         waited = plan.reason;
@@ -160,7 +160,9 @@
   /** A group exists, and if this member is among the first voters, its first revision is known to be committed. */
   private get over(): boolean {
     const { newest, committedRevision } = this.member;
-    return newest ? newest.revision > 1 || committedRevision > 0 : this.roster.core.number > 0;
+    return newest
+      ? newest.revision > 1 || committedRevision > 0
+      : this.voterDirectory.core.number > 0;
   }
 
   private complete({ answers }: Survey): boolean {
--- a/src/register/contact.ts
+++ b/src/register/contact.ts
@@ -8,7 +8,7 @@
 import { within, type Clock, type Duration } from '../kernel/clock/clock.js';
 import type { Peers } from '../wire/peers.js';
 import { majority } from './gather.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 
 /** How long a call may take, and how long while no majority is in contact. */
 export interface Patience {
@@ -29,20 +29,20 @@
 export class QuorumContact {
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
   ) {}
 
   /** The addresses of the voters that are silent. */
   get silentVoters(): readonly string[] {
-    return this.roster.core.members
+    return this.voterDirectory.core.members
       .map(({ address }) => address)
       .filter((address) => this.peers.isSilent(address));
   }
 
   /** Whether a majority of the voters may still answer; true while no voter is known. */
   get holds(): boolean {
-    const voters = this.roster.core.members.length;
+    const voters = this.voterDirectory.core.members.length;
     return voters === 0 || voters - this.silentVoters.length >= majority(voters);
   }
 
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -26,7 +26,7 @@
 import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 
 const WAIT = 1000;
 const PAUSE = 200;
@@ -70,7 +70,7 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -120,7 +120,7 @@
     const needed = Math.max(least, this.known);
     const others = shuffled(
       this.random,
-      this.roster.addresses.filter((address) => address !== this.self),
+      this.voterDirectory.addresses.filter((address) => address !== this.self),
     );
     const fit = (all: Replies<StateReply>): string | undefined =>
       all.find(([, reply]) =>
@@ -151,7 +151,7 @@
    */
   private async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const others = this.roster.addresses.filter(
+      const others = this.voterDirectory.addresses.filter(
         (address) => address !== this.self && address !== this.source,
       );
       const next = this.nextWatched(others);
@@ -295,7 +295,7 @@
       documents.push(next);
       frames.push(frame);
       taken.push({ ballot: frame.ballot, document: bytes });
-      this.roster.learn(next.core);
+      this.voterDirectory.learn(next.core);
     }
     if (documents.length === 0) return true;
     for (const { revision } of documents)
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -38,7 +38,7 @@
 } from './document.js';
 import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 import { deltaBetween, revisionOf, type Revision } from './revision.js';
 import { roundValue } from './round-value.js';
 import { decided, isOutdated, promisesOf } from './votes.js';
@@ -100,12 +100,12 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
   ) {
-    this.contact = new QuorumContact(peers, roster, clock);
+    this.contact = new QuorumContact(peers, voterDirectory, clock);
   }
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
@@ -145,10 +145,11 @@
     const limit = this.clock.now() + duration;
     await this.learnCore();
     for (let pass = 0; pass < SURVEY_PASSES; pass++) {
-      const { number, members } = this.roster.core;
+      const { number, members } = this.voterDirectory.core;
       const replies = await this.askStates(members);
-      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as VoterSet);
-      if (this.roster.core.number !== number) continue;
+      for (const { core } of replies.values())
+        this.voterDirectory.learn(JSON.parse(core) as VoterSet);
+      if (this.voterDirectory.core.number !== number) continue;
       const survey = surveyOf(replies, majority(members.length));
       if (number > 0 && survey) return Right(survey);
       break;
@@ -272,7 +273,7 @@
       const found = read.unsafeCoerce();
       if (found.committed && found.document.core.number <= found.core.number) return read;
       if (found.committed) {
-        this.roster.learn(found.document.core);
+        this.voterDirectory.learn(found.document.core);
         continue;
       }
       if (pass >= 3)
@@ -284,7 +285,7 @@
 
   private async prepare(): Promise<Outcome<Read>> {
     await this.learnCore();
-    const core = this.roster.core;
+    const core = this.voterDirectory.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
     let { ballot, replies, known } = await this.seekPromises(core);
@@ -397,7 +398,7 @@
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
     this.announce(core, ballot, revision);
-    this.roster.learn(document.core);
+    this.voterDirectory.learn(document.core);
     return Right(undefined);
   }
 
@@ -424,23 +425,23 @@
       );
   }
 
-  /** Finds the core set from the leads while none is known. */
+  /** Finds the core set from the contacts while none is known. */
   async learnCore(): Promise<void> {
-    if (this.roster.core.number === 0) await this.refreshCore();
+    if (this.voterDirectory.core.number === 0) await this.refreshCore();
   }
 
-  /** Asks the leads for a newer core set, until one tells it or a majority of the one known knows no other. */
+  /** Asks the contacts for a newer core set, until one tells it or a majority of the one known knows no other. */
   private async refreshCore(): Promise<void> {
-    const { number, members } = this.roster.core;
+    const { number, members } = this.voterDirectory.core;
     const enough = (told: readonly StateReply[]): boolean =>
       told.some(({ core }) => (JSON.parse(core) as VoterSet).number > number) ||
       (number > 0 && told.length >= majority(members.length));
     const replies = await gather(
-      this.roster.leads,
+      this.voterDirectory.contacts,
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       (all) => enough(sound(all)),
     );
-    for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as VoterSet);
+    for (const { core } of sound(replies)) this.voterDirectory.learn(JSON.parse(core) as VoterSet);
   }
 
   private backOff(tries: number): Promise<void> {
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -12,7 +12,7 @@
 import { History } from './calls.js';
 import { digestOf } from './document.js';
 import type { Member } from './member.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 
 const RANGE = 64;
 const EVERY = 2000;
@@ -26,7 +26,7 @@
   constructor(
     private readonly member: Member,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
@@ -75,7 +75,7 @@
     if ((await this.member.inspect(revision)) === wanted) return true;
     const others = shuffled(
       this.random,
-      this.roster.addresses.filter((each) => each !== this.self),
+      this.voterDirectory.addresses.filter((each) => each !== this.self),
     );
     let without = 0;
     for (const address of others) {
--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -27,7 +27,7 @@
 import { VoterLiveness } from './liveness.js';
 import type { Member } from './member.js';
 import type { Proposer } from './proposer.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 
 /** A learner tells the members where it is. */
 export const Announce = call<Voter, { heard: boolean }>(
@@ -88,7 +88,7 @@
     private readonly address: string,
     private readonly after: number,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -180,14 +180,14 @@
 
   private async announce(): Promise<void> {
     await this.proposer.learnCore();
-    const leads = this.roster.leads.filter((lead) => lead !== this.address);
+    const contacts = this.voterDirectory.contacts.filter((contact) => contact !== this.address);
     const { limit } = this;
     await within(
       this.clock,
       limit / 2,
       Promise.all(
-        leads.map((lead) =>
-          this.peers.ask(lead, Announce, { id: this.member.id, address: this.address }, limit),
+        contacts.map((contact) =>
+          this.peers.ask(contact, Announce, { id: this.member.id, address: this.address }, limit),
         ),
       ),
     );
--- a/src/register/roster.ts
+++ b/src/register/voter-directory.ts
@@ -4,7 +4,7 @@
  */
 import type { VoterSet } from './document.js';
 
-export class Roster {
+export class VoterDirectory {
   private known: VoterSet = { number: 0, wanted: 0, members: [] };
 
   constructor(private seeds: readonly string[]) {}
@@ -28,7 +28,7 @@
   }
 
   /** Every address worth asking for news of the core set. */
-  get leads(): readonly string[] {
+  get contacts(): readonly string[] {
     return [...new Set([...this.known.members.map(({ address }) => address), ...this.seeds])];
   }
 }
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -9,7 +9,7 @@
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Hello } from '../wire/call.js';
 import type { Peers } from '../wire/peers.js';
 
@@ -28,7 +28,7 @@
       names.inForce,
       names.vows,
       names.peers,
-      names.roster,
+      names.voterDirectory,
       names.clock,
       names.log,
     ],
@@ -37,7 +37,7 @@
       inForce: InForce,
       vows: Vows,
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       clock: Clock,
       log: Log,
     ) =>
@@ -51,7 +51,7 @@
         inForce,
         vows,
         peers,
-        roster,
+        voterDirectory,
         clock,
         log,
         params.lease,
@@ -59,14 +59,31 @@
   },
   {
     provide: names.claims,
-    inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log],
+    inject: [
+      names.inForce,
+      names.peers,
+      names.voterDirectory,
+      names.clock,
+      names.random,
+      names.log,
+    ],
     useFactory: (
       inForce: InForce,
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       clock: Clock,
       random: Random,
       log: Log,
-    ) => new Claims(params.name, inForce, peers, roster, clock, random, log, params.claims.enabled),
+    ) =>
+      new Claims(
+        params.name,
+        inForce,
+        peers,
+        voterDirectory,
+        clock,
+        random,
+        log,
+        params.claims.enabled,
+      ),
   },
 ];
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -21,7 +21,7 @@
 import type { Document } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
 import { Relay } from '../register/relay.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
 
@@ -36,7 +36,7 @@
   constructor(
     @Inject(names.params) private readonly params: Params,
     @Inject(names.peers) private readonly peers: Peers,
-    @Inject(names.roster) private readonly roster: Roster,
+    @Inject(names.voterDirectory) private readonly voterDirectory: VoterDirectory,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
     @Inject(names.standing) private readonly standing: Standing,
@@ -68,12 +68,12 @@
         .map(({ address }) => address),
     );
     relay.serve();
-    this.view.lead(() =>
+    this.view.addContacts(() =>
       [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address),
     );
     const follower = new Follower(
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
@@ -112,7 +112,7 @@
       this.standing,
       this.proposer,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
       this.random,
       this.log,
--- a/src/sim/day/faults/fleet.ts
+++ b/src/sim/day/faults/fleet.ts
@@ -58,11 +58,14 @@
   private reload(): void {
     const { stage } = this.target;
     const addresses = [...stage.cores.values()].map(({ host }) => host.address);
-    for (const { host, roster, view } of [...stage.cores.values(), ...stage.routers.values()]) {
+    for (const { host, voterDirectory, view } of [
+      ...stage.cores.values(),
+      ...stage.routers.values(),
+    ]) {
       if (host.dead) continue;
       const first = Math.floor(stage.random.fraction() * addresses.length);
       const seeds = [...addresses.slice(first), ...addresses.slice(0, first)];
-      roster.reseed(seeds);
+      voterDirectory.reseed(seeds);
       view.reseed(seeds);
     }
     stage.tally.note('reloads');
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -9,7 +9,7 @@
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
-import { Roster } from '../register/roster.js';
+import { VoterDirectory } from '../register/voter-directory.js';
 import { Store } from '../register/store.js';
 import { Tracing } from '../trace/tracing.js';
 import { View } from '../view/view.js';
@@ -47,7 +47,7 @@
   readonly log: Log;
   readonly params: Params;
   readonly peers: Peers;
-  readonly roster: Roster;
+  readonly voterDirectory: VoterDirectory;
   readonly proposer: Proposer;
   readonly inForce: InForce;
   readonly view: View;
@@ -88,8 +88,8 @@
   const self = { fleet: site.fleet, name, incarnation: host.random.identity() };
   const peers = new Peers(site.net?.(host.net, name) ?? host.net, host.clock, log, self);
   tracing.serve(peers);
-  const roster = new Roster(params.seeds);
-  const proposer = new Proposer(peers, roster, host.clock, host.random, log);
+  const voterDirectory = new VoterDirectory(params.seeds);
+  const proposer = new Proposer(peers, voterDirectory, host.clock, host.random, log);
   const view = new View(
     { name, incarnation: self.incarnation, address, zone, role, age: 0, beat: 0, suspect: false },
     params.seeds,
@@ -99,14 +99,21 @@
     params.view.every,
   );
   const inForce = new InForce();
-  const acceptance = new Acceptance(peers, roster, host.clock, params.lease);
-  const configurator = new Configurator(peers, roster, proposer, acceptance, inForce, host.clock);
+  const acceptance = new Acceptance(peers, voterDirectory, host.clock, params.lease);
+  const configurator = new Configurator(
+    peers,
+    voterDirectory,
+    proposer,
+    acceptance,
+    inForce,
+    host.clock,
+  );
   return {
     host,
     log,
     params,
     peers,
-    roster,
+    voterDirectory,
     proposer,
     inForce,
     view,
@@ -126,7 +133,7 @@
   outer: Log = silentLog,
 ): SimCore => {
   const base = simBase(world, name, address, zone, 'core', site, outer);
-  const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
+  const { host, log, params, peers, voterDirectory, proposer, inForce, view, stop } = base;
   const folder = disk.open(host);
   const member = new Member(
     new Store(folder, site.fleet, { revisions: params.core.keep, bytes: params.core.keepBytes }),
@@ -144,7 +151,7 @@
   const keeper = new Keeper(folder, site.fleet, member, peers, host.clock, log);
   const operations = new Operations(
     peers,
-    roster,
+    voterDirectory,
     proposer,
     inForce,
     view,
@@ -158,7 +165,7 @@
     folder,
     member,
     keeper,
-    roster,
+    voterDirectory,
     proposer,
     inForce,
     view,
@@ -193,7 +200,7 @@
   outer: Log = silentLog,
 ): SimRouter => {
   const base = simBase(world, name, address, zone, 'router', site, outer);
-  const { host, log, params, peers, roster, proposer, inForce, view, stop } = base;
+  const { host, log, params, peers, voterDirectory, proposer, inForce, view, stop } = base;
   const { clock, random } = host;
   const journal = new Journal<PassageEvent>(clock, 256);
   const channels = new SimChannels(host, engineAt);
@@ -220,7 +227,7 @@
     inForce,
     vows,
     peers,
-    roster,
+    voterDirectory,
     clock,
     log,
     params.lease,
@@ -229,7 +236,7 @@
     name,
     inForce,
     peers,
-    roster,
+    voterDirectory,
     clock,
     random,
     log,
@@ -256,7 +263,7 @@
   );
   const operations = new Operations(
     peers,
-    roster,
+    voterDirectory,
     proposer,
     inForce,
     view,
@@ -267,7 +274,7 @@
   const node = new RouterNode(
     params,
     peers,
-    roster,
+    voterDirectory,
     proposer,
     inForce,
     standing,
--- a/src/view/view.ts
+++ b/src/view/view.ts
@@ -94,7 +94,7 @@
     { readonly role: string; readonly weights: Map<string, string> }
   >();
   private turns = 0;
-  private leads: () => readonly string[] = () => [];
+  private contacts: () => readonly string[] = () => [];
 
   constructor(
     readonly self: Neighbour,
@@ -140,8 +140,8 @@
   }
 
   /** Names addresses of nodes that ought to be there; one that is not in the view is asked at each turn. */
-  lead(leads: () => readonly string[]): void {
-    this.leads = leads;
+  addContacts(contacts: () => readonly string[]): void {
+    this.contacts = contacts;
   }
 
   /** From now on the first holders of a duty among the nodes of a role are kept in view, however many nodes there are. */
@@ -181,7 +181,7 @@
     ]);
     const missing = pick(
       this.random,
-      this.leads().filter((address) => !known.has(address)),
+      this.contacts().filter((address) => !known.has(address)),
     );
     if (missing) void this.swap(missing);
     const oldest = [...this.entries.values()].reduce<Neighbour | undefined>(
--- a/test/checker/replacement.test.ts
+++ b/test/checker/replacement.test.ts
@@ -151,7 +151,7 @@
     }
 });
 
-test('all machines are replaced one after the other; one whose roster is from the start finds the new ones through its seeds', async () => {
+test('all machines are replaced one after the other; one whose voterDirectory is from the start finds the new ones through its seeds', async () => {
   const core = new Core(7);
   await core.formed();
   core.kill(3);
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -29,18 +29,18 @@
 const startNode = (world: World, name: string, news: boolean): Node => {
   const address = places.get(name)!;
   const base = simBase(world, name, address, 'z', 'router', site);
-  const { host, inForce, peers, roster, proposer, stop } = base;
+  const { host, inForce, peers, voterDirectory, proposer, stop } = base;
   const { clock, random } = host;
   const vows = new Vows(name, inForce, peers, clock);
   vows.serve();
-  const claims = new Claims(name, inForce, peers, roster, clock, random, silentLog);
+  const claims = new Claims(name, inForce, peers, voterDirectory, clock, random, silentLog);
   claims.serve();
   const standing = new Standing(
     { node: name, incarnation: peers.self.incarnation, address, zone: 'z' },
     inForce,
     vows,
     peers,
-    roster,
+    voterDirectory,
     clock,
     silentLog,
   );
@@ -50,7 +50,7 @@
   relay.serve();
   const follower = new Follower(
     peers,
-    roster,
+    voterDirectory,
     proposer,
     clock,
     random,
@@ -72,7 +72,7 @@
     standing,
     proposer,
     peers,
-    roster,
+    voterDirectory,
     clock,
     random,
     silentLog,
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -73,7 +73,7 @@
     revision,
     12_000,
     operator.peers,
-    operator.roster,
+    operator.voterDirectory,
     operator.host.clock,
   ).then(({ everywhere }) => {
     accepted = everywhere;
@@ -153,7 +153,7 @@
   expect(
     (
       await world.until(
-        seekAccord(revision, 12_000, operator.peers, operator.roster, operator.host.clock),
+        seekAccord(revision, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
       )
     ).everywhere,
   ).toBe(true);
@@ -171,8 +171,11 @@
   world.heal();
   cores.forEach((_, at) => startCore(at));
   expect(
-    (await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock)))
-      .everywhere,
+    (
+      await world.until(
+        seekAccord(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
+      )
+    ).everywhere,
   ).toBe(true);
 });
 
@@ -186,7 +189,7 @@
     expect(
       (
         await world.until(
-          seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock),
+          seekAccord(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
         )
       ).everywhere,
     ).toBe(true);
--- a/test/checker/voterset.test.ts
+++ b/test/checker/voterset.test.ts
@@ -61,13 +61,13 @@
   }
 
   async addVoter(via: number, address: string): Promise<Schemas['ChangedReply']> {
-    const { operations, roster } = this.at(via);
+    const { operations, voterDirectory } = this.at(via);
     return (
       await this.world.until(
         operations.addVoter(operator, {
           change: `c${++this.changes}`,
           address,
-          expects: roster.core.number,
+          expects: voterDirectory.core.number,
           wait: 15_000,
         }),
       )
@@ -75,14 +75,16 @@
   }
 
   async removeVoter(via: number, number: number): Promise<Schemas['ChangedReply']> {
-    const { operations, roster } = this.at(via);
-    const { id } = roster.core.members.find(({ address }) => address === `127.0.0.1:${number}`)!;
+    const { operations, voterDirectory } = this.at(via);
+    const { id } = voterDirectory.core.members.find(
+      ({ address }) => address === `127.0.0.1:${number}`,
+    )!;
     return (
       await this.world.until(
         operations.removeVoter(operator, {
           change: `c${++this.changes}`,
           id,
-          expects: roster.core.number,
+          expects: voterDirectory.core.number,
           wait: 15_000,
         }),
       )
@@ -140,7 +142,7 @@
       .map(({ claims }) => claims.get('n')!.renewal)
       .extract(),
   ).toBe(core.claimed);
-  expect(router.roster.addresses).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:4']);
+  expect(router.voterDirectory.addresses).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:4']);
 });
 
 test("a member silent for the param's time is replaced by a newcomer by itself, at a new address or on a lost disk; without a newcomer nothing changes", async () => {
@@ -149,10 +151,10 @@
   await core.claim();
   core.at(3).host.kill();
   await core.world.run(core.world.now + 8000);
-  expect(core.at(1).roster.core.number).toBe(1);
+  expect(core.at(1).voterDirectory.core.number).toBe(1);
   core.start(4);
   await core.world.run(core.world.now + 8000);
-  expect(core.at(1).roster.core).toMatchObject({
+  expect(core.at(1).voterDirectory.core).toMatchObject({
     number: 3,
     members: [{ address: '127.0.0.1:1' }, { address: '127.0.0.1:2' }, { address: '127.0.0.1:4' }],
   });
@@ -179,19 +181,21 @@
   expect(
     core
       .at(1)
-      .roster.core.members.map(({ address }) => address)
+      .voterDirectory.core.members.map(({ address }) => address)
       .sort(),
   ).toEqual(['127.0.0.1:1', '127.0.0.1:2', '127.0.0.1:3']);
   expect([1, 2, 3].map((at) => core.at(at).member.state().voting)).toEqual([true, true, true]);
   core.at(2).host.kill();
   core.at(3).host.kill();
   await core.world.run(core.world.now + 500);
-  const { id } = core.at(1).roster.core.members.find(({ address }) => address === '127.0.0.1:2')!;
+  const { id } = core
+    .at(1)
+    .voterDirectory.core.members.find(({ address }) => address === '127.0.0.1:2')!;
   const told = await core.world.until(
     core.at(1).operations.removeVoter(operator, {
       change: 'x',
       id,
-      expects: core.at(1).roster.core.number,
+      expects: core.at(1).voterDirectory.core.number,
       wait: 3000,
     }),
   );
@@ -230,7 +234,7 @@
   core.at(3).host.kill();
   core.start(4);
   expect(
-    await core.world.run(core.world.now + 9000, () => core.at(1).roster.core.number === 2),
+    await core.world.run(core.world.now + 9000, () => core.at(1).voterDirectory.core.number === 2),
   ).toBe(true);
   core.at(2).host.kill();
   await core.world.run(core.world.now + 12_000);
