--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -183,7 +183,7 @@
         };
         get?: never;
         put?: never;
-        /** Nodes this node has heard of and those with standing */
+        /** Nodes this node has heard of and those with a lease */
         post: operations["node.list"];
         delete?: never;
         options?: never;
@@ -505,7 +505,7 @@
         ChangedReply: {
             change: components["schemas"]["ChangeId"];
             /**
-             * @description accepted: in force at every node with standing; lost and declined: never in effect; unknown: ask again by change id
+             * @description accepted: in force at every node with a lease; lost and declined: never in effect; unknown: ask again by change id
              * @enum {string}
              */
             outcome: "accepted" | "lost" | "declined" | "unknown";
@@ -557,7 +557,7 @@
                 address: string;
                 age: number;
             }[];
-            standing: {
+            leases: {
                 name: string;
                 revision: number;
                 remaining: number;
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -9,7 +9,7 @@
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import { Acceptance } from '../lease/acceptance.js';
 import { seekAccord } from '../lease/accord.js';
-import { Standees } from '../lease/calls.js';
+import { LeaseHolders } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
 import { BootstrapBegin } from '../register/bootstrap/calls.js';
 import {
@@ -294,14 +294,17 @@
     const replies = sound(
       await gather(
         this.voterDirectory.addresses,
-        (address) => this.peers.ask(address, Standees, { from: this.peers.self.name }, ASK_LIMIT),
+        (address) =>
+          this.peers.ask(address, LeaseHolders, { from: this.peers.self.name }, ASK_LIMIT),
         () => false,
       ),
     );
-    const standing = new Map<string, Schemas['NodeListReply']['standing'][number]>();
-    for (const { node, revision, remaining } of replies.flatMap(({ standees }) => standees)) {
-      const before = standing.get(node);
-      standing.set(node, {
+    const lease = new Map<string, Schemas['NodeListReply']['leases'][number]>();
+    for (const { node, revision, remaining } of replies.flatMap(
+      ({ leaseHolders }) => leaseHolders,
+    )) {
+      const before = lease.get(node);
+      lease.set(node, {
         name: node,
         revision: Math.max(revision, before?.revision ?? 0),
         remaining: Math.max(remaining, before?.remaining ?? 0),
@@ -310,7 +313,7 @@
     }
     return Right({
       known,
-      standing: [...standing.values()].sort((a, b) => (a.name < b.name ? -1 : 1)),
+      leases: [...lease.values()].sort((a, b) => (a.name < b.name ? -1 : 1)),
     });
   }
 
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -25,7 +25,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
-import type { Standing } from '../lease/standing.js';
+import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
 import { countPassages, gauge } from '../node/metrics.js';
 import { names } from '../node/names.js';
@@ -53,7 +53,7 @@
   const passage = context.get<Passage>(names.passage);
   const prefixes = context.get<Prefixes>(names.prefixes);
   const news = context.get<Newsroom>(names.news);
-  const standing = context.get<Standing>(names.standing);
+  const lease = context.get<RouterLease>(names.lease);
   countPassages(registry, context.get<Journal<PassageEvent>>(names.journal));
   gauge(registry, 'requests_open', 'Requests taken and not ended', () => passage.open);
   gauge(registry, 'requests_in_flight', 'Requests placed at an engine', () => passage.inFlight);
@@ -74,7 +74,7 @@
   gauge(registry, 'list_age_ms', 'Age of the engine list', () => Math.min(news.age, 1e9));
   gauge(registry, 'list_polls', 'Polls of the platform by this node', () => news.polls);
   gauge(registry, 'engines_placed', 'Engines with a confirmed place', () => news.placed().size);
-  gauge(registry, 'standing_ms', 'How long standing still holds', () => standing.remaining);
+  gauge(registry, 'lease_ms', 'How long standing still holds', () => lease.remaining);
   gauge(
     registry,
     'law_kept',
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -347,7 +347,7 @@
 /** The command `node`. */
 export const nodeCommand = (yargs: Argv): Argv =>
   yargs
-    .command('list', 'Nodes heard of, and nodes with standing', common, async (argv) =>
+    .command('list', 'Nodes heard of, and nodes with a lease', common, async (argv) =>
       end(await operate(target(argv), 'node.list', {})),
     )
     .command('engines', 'Engines as one node has them', common, async (argv) =>
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -83,7 +83,7 @@
   );
   const services = new Map<string, unknown>([
     [names.log, silentLog],
-    [names.standing, { holds: () => true, serves: () => true, nodes: 1 }],
+    [names.lease, { holds: () => true, serves: () => true, nodes: 1 }],
     [names.news, { placed: () => listed, listed }],
   ]);
   const context = await NestFactory.createApplicationContext(
--- a/src/fleet/slopes/hollow.ts
+++ b/src/fleet/slopes/hollow.ts
@@ -5,7 +5,7 @@
 import { NestFactory } from '@nestjs/core';
 import { TcpNet } from '../../kernel/net/net.js';
 import { silentLog } from '../../kernel/log/log.js';
-import type { Standing } from '../../lease/standing.js';
+import type { RouterLease } from '../../lease/router-lease.js';
 import { names } from '../../node/names.js';
 import { checkParams } from '../../params/shape.js';
 import type { InForce } from '../../doorway/match.js';
@@ -23,7 +23,7 @@
 
 /** How far the routers of one process are. */
 export interface HollowTold {
-  /** How many have standing and a list of engines. */
+  /** How many have a lease and a list of engines. */
   readonly steady: number;
   /** The least revision in force at any of them, and the least operators' version. */
   readonly revision: number;
@@ -33,7 +33,7 @@
 
 interface Node {
   readonly name: string;
-  readonly standing: Standing;
+  readonly lease: RouterLease;
   readonly inForce: InForce;
   readonly news: Newsroom;
   readonly traffic: Traffic;
@@ -58,7 +58,7 @@
   );
   return {
     name: params.name,
-    standing: context.get(names.standing),
+    lease: context.get(names.lease),
     inForce: context.get(names.inForce),
     news: context.get(names.news),
     traffic,
@@ -71,7 +71,7 @@
   const nodes: Node[] = [];
   for (const over of params) nodes.push(await startOne(over, known));
   const answer = (): HollowTold => ({
-    steady: nodes.filter(({ standing, news }) => standing.holds() && news.placed().size > 0).length,
+    steady: nodes.filter(({ lease, news }) => lease.holds() && news.placed().size > 0).length,
     revision: Math.min(...nodes.map(({ inForce }) => inForce.revision)),
     version: Math.min(...nodes.map(({ inForce }) => inForce.routes.version)),
     counts: nodes.map(({ name, traffic }) => [name, traffic.counts]),
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -51,7 +51,7 @@
     this.engines = Array.from({ length: plan.engines }, (_, at) => listedEngine(at));
   }
 
-  /** Starts all nodes and runs until each has standing and the engines, and no change has been made for a while. */
+  /** Starts all nodes and runs until each has a lease and the engines, and no change has been made for a while. */
   async start(limit = 240_000): Promise<boolean> {
     const { plan, world } = this;
     const address = (at: number, base: number): string => `10.${base}.${at >> 8}.${at & 255}:7082`;
@@ -113,7 +113,7 @@
 
   steady(): boolean {
     return this.routers.every(
-      ({ standing, news }) => standing.holds() && news.placed().size === this.engines.length,
+      ({ lease, news }) => lease.holds() && news.placed().size === this.engines.length,
     );
   }
 
@@ -139,7 +139,7 @@
 
   /** How many routers a router takes all to be, in the middle. */
   get countedRouters(): number {
-    const counted = this.routers.map(({ standing }) => standing.nodes).sort((a, b) => a - b);
+    const counted = this.routers.map(({ lease }) => lease.nodes).sort((a, b) => a - b);
     return counted[Math.floor(counted.length / 2)] ?? 0;
   }
 
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -1,5 +1,5 @@
 /**
- * From a verdict of the register to "accepted". Where a router without standing stops, a committed change is accepted once
+ * From a verdict of the register to "accepted". Where a router without a lease stops, a committed change is accepted once
  * the accord on its revision says that it is in force wherever it must be. Where it serves on, a committed change is
  * accepted as it is; the routers that hold leases are waited for, as the core knows them, but never beyond the patience of
  * the terms, so that one that is frozen, killed or cut off delays nothing further.
--- a/src/lease/accord.ts
+++ b/src/lease/accord.ts
@@ -1,6 +1,6 @@
 /**
  * When a committed revision may be called accepted: once a majority of the core has vouched that no node stands on an
- * older one, and a majority of the enrolled routers have reported it in force. A node's standing needs a majority of the
+ * older one, and a majority of the enrolled routers have reported it in force. A node's lease needs a majority of the
  * core's grants, so it would meet one of those who vouched, or of the routers' leases, so it would meet one of those who
  * reported.
  */
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -1,4 +1,4 @@
-/** The calls of the leases: renewing a node's standing, giving it back, and vouching that none stands on an old revision. */
+/** The calls of the leases: renewing a node's lease, giving it back, and vouching that none stands on an old revision. */
 import { call } from '../wire/call.js';
 import { choice, flag, list, number, struct, text } from '../wire/field.js';
 
@@ -76,7 +76,7 @@
   }),
 );
 
-export interface Standee {
+export interface LeaseHolder {
   node: string;
   incarnation: string;
   address: string;
@@ -84,13 +84,13 @@
   revision: number;
   remaining: number;
 }
-export const Standees = call<{ from: string }, { standees: Standee[] }>(
+export const LeaseHolders = call<{ from: string }, { leaseHolders: LeaseHolder[] }>(
   19,
-  'lease.standees',
+  'lease.leaseHolders',
   struct({ from: text }),
   struct({
-    standees: list(
-      struct<Standee>({
+    leaseHolders: list(
+      struct<LeaseHolder>({
         node: text,
         incarnation: text,
         address: text,
--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -1,5 +1,5 @@
 /**
- * A router enrols itself once it has standing, and on a planned stop takes itself out again, so that those that are
+ * A router enrols itself once it has a lease, and on a planned stop takes itself out again, so that those that are
  * left remain a majority of the enrolled and its duties are handed over. Enrolments go one at a time: each builds on
  * the last, and is proposed only once the last is in force everywhere, so that majorities before and after always meet.
  */
@@ -12,7 +12,7 @@
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import { seekAccord } from './accord.js';
-import type { Standing } from './standing.js';
+import type { RouterLease } from './router-lease.js';
 
 const EVERY = 200;
 const LIMIT = 6000;
@@ -26,7 +26,7 @@
     private readonly node: string,
     private readonly own: Enrolled,
     private readonly inForce: InForce,
-    private readonly standing: Standing,
+    private readonly lease: RouterLease,
     private readonly proposer: Proposer,
     private readonly peers: Peers,
     private readonly voterDirectory: VoterDirectory,
@@ -47,7 +47,7 @@
         document &&
         calm &&
         !this.leaving &&
-        this.standing.holds() &&
+        this.lease.holds() &&
         (there?.address !== this.own.address || there.law !== this.own.law)
       ) {
         const expects = document.enrolledAt;
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -1,5 +1,5 @@
 /**
- * Standing as a core member grants it. A lease is granted only to a node whose revision in force is at least the
+ * Leases as a core member grants them. A lease is granted only to a node whose revision in force is at least the
  * newest one this member has accepted on its disk, so what it vouched for holds through its own restart. A member that
  * restarted has forgotten its grants, and waits one whole lease before it vouches; one that was formed in this very
  * life has none to forget.
@@ -12,7 +12,7 @@
 import {
   Goodbye,
   Renew,
-  Standees,
+  LeaseHolders,
   Vouch,
   type RenewAsk,
   type RenewReply,
@@ -65,11 +65,11 @@
     this.peers.handle(Vouch, ({ revision, wait }) =>
       this.vouch(revision, Math.min(wait, WAIT_BOUND)),
     );
-    this.peers.handle(Standees, () => {
+    this.peers.handle(LeaseHolders, () => {
       this.sweep();
       const now = this.clock.now();
       return Right({
-        standees: [...this.grants.values()].map(
+        leaseHolders: [...this.grants.values()].map(
           ({ node, incarnation, address, zone, revision, until }) => ({
             node,
             incarnation,
--- a/src/lease/standing.ts
+++ b/src/lease/router-lease.ts
@@ -1,5 +1,5 @@
 /**
- * A node's own standing: a lease that a majority of the core renews, or when the core is out of reach a majority of the
+ * A node's own lease: a lease that a majority of the core renews, or when the core is out of reach a majority of the
  * enrolled routers, counted strictly from the moment the node asked. `holds`
  * is asked immediately before each act the lease covers, since a process may have been frozen in between. Whether a node
  * may serve is the same question under terms by which it stops when the lease lapses; under the others it may serve with
@@ -27,7 +27,7 @@
   readonly zone: string;
 }
 
-export class Standing {
+export class RouterLease {
   private until = -Infinity as Moment;
   private vouched = -Infinity as Moment;
   private nudge: () => void = () => undefined;
@@ -83,7 +83,7 @@
         await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
-        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [
+        this.log(this.stood ? 'lease-held' : 'lease-lapsed', [
           ['revision', this.inForce.revision],
           ['by', this.clock.strict() < this.until ? 'core' : 'routers'],
         ]);
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -21,7 +21,7 @@
   soundness: 'pool.soundness',
   prefixes: 'index.prefixes',
   chooser: 'place.chooser',
-  standing: 'lease.standing',
+  lease: 'lease.lease',
   vows: 'lease.vows',
   acceptance: 'lease.acceptance',
   journal: 'passage.journal',
--- a/src/passage/passage.ts
+++ b/src/passage/passage.ts
@@ -1,7 +1,7 @@
 /**
  * The passage of a request from caller to engine and back, straight down and step by step. It gives one of three
  * outcomes: a result, "declined" (certainly not run) or "unknown". Immediately before the request is written to an
- * engine, the node's standing, the doorway in force, the engine's place and the limit are checked again. Once a byte
+ * engine, the node's lease, the doorway in force, the engine's place and the limit are checked again. Once a byte
  * was written, a request that may not be repeated is never written again. A stream is handed on by whole events, from
  * one engine only, and is complete only with its end marker from the engine and request it belongs to. One that broke
  * may go on elsewhere only where its doorway allows it; the other engine must first repeat all that was handed on, word
@@ -15,7 +15,7 @@
 import { fault, type Fault } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
-import type { Standing } from '../lease/standing.js';
+import type { RouterLease } from '../lease/router-lease.js';
 import type { Chooser, Slot } from '../place/choose.js';
 import type { LawParams } from '../place/law.js';
 import type { EngineChannels } from '../pool/channel.js';
@@ -51,7 +51,7 @@
 
   constructor(
     private readonly node: string,
-    private readonly standing: Standing,
+    private readonly lease: RouterLease,
     private readonly inForce: InForce,
     private readonly news: Newsroom,
     private readonly channels: EngineChannels,
@@ -70,7 +70,7 @@
   ) {
     this.waiting = new Waiting(
       node,
-      standing,
+      lease,
       inForce,
       news,
       soundness,
@@ -130,8 +130,8 @@
 
   private async through(request: CallerRequest, sink: Sink, chart: Chart): Promise<Ending> {
     if (this.draining) return decline('receive', this.node, 'this node is stopping', 503, 1);
-    if (!this.standing.serves())
-      return decline('receive', this.node, 'this node has no standing', 503, 1);
+    if (!this.lease.serves())
+      return decline('receive', this.node, 'this node has no lease', 503, 1);
     const placed = this.inForce.current.match(request);
     if (!placed)
       return decline(
@@ -342,7 +342,7 @@
       over(decline(step, this.node, reason, 503, 1));
     if (signal.aborted)
       return forbid('send', 'the caller left, or this node had to stop, before it was sent');
-    if (!this.standing.serves()) return forbid('send', 'this node lost its standing');
+    if (!this.lease.serves()) return forbid('send', 'this node lost its lease');
     if (this.clock.now() >= trip.firstToken)
       return forbid('send', 'the limit came before it was sent');
     const placed = this.inForce.current.match(trip.request);
--- a/src/passage/waiting.ts
+++ b/src/passage/waiting.ts
@@ -7,7 +7,7 @@
 import type { Block } from '../index/hash.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Clock } from '../kernel/clock/clock.js';
-import type { Standing } from '../lease/standing.js';
+import type { RouterLease } from '../lease/router-lease.js';
 import type { Chooser, Need, Slot } from '../place/choose.js';
 import { allows, type Engine } from '../pool/engine.js';
 import type { Newsroom } from '../pool/news.js';
@@ -32,7 +32,7 @@
 
   constructor(
     private readonly node: string,
-    private readonly standing: Standing,
+    private readonly lease: RouterLease,
     private readonly inForce: InForce,
     private readonly news: Newsroom,
     private readonly soundness: Soundness,
@@ -117,8 +117,8 @@
   private tryPlace(trip: Trip): Slot | Decline | undefined {
     if (this.taken >= this.params.inFlight) return undefined;
     const { request } = trip;
-    if (!this.standing.serves())
-      return decline('place', this.node, 'this node lost its standing', 503, 1);
+    if (!this.lease.serves())
+      return decline('place', this.node, 'this node lost its lease', 503, 1);
     const placed = this.inForce.current.match(request);
     if (placed?.doorway.name !== trip.placed.doorway.name)
       return decline('place', this.node, 'the doorway changed while the request waited', 503, 1);
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -41,7 +41,7 @@
   /** Not applied now; whether it was before, or may be later by another call that carries it, can't be told. */
   | { readonly kind: 'indeterminate'; readonly reason: string };
 
-const standing = (document: Document, name: string): Revision =>
+const lease = (document: Document, name: string): Revision =>
   document.doorways.get(name)?.revision ?? document.removed.get(name) ?? 0;
 
 const lost = (name: string, expects: number, held: number): Verdict => ({
@@ -102,7 +102,7 @@
   const name = act.kind === 'set' ? act.doorway.name : act.name;
   const owner = document.doorways.get(name)?.doorway.firm;
   if (owner && owner !== firm) return declined(`doorway ${name} belongs to ${owner}`);
-  const held = standing(document, name);
+  const held = lease(document, name);
   if (act.kind === 'remove') {
     if (!owner && held === act.expects) return declined(`there is no doorway ${name}`);
     if (held !== act.expects) return lost(name, act.expects, held);
--- a/src/router/chat.ts
+++ b/src/router/chat.ts
@@ -6,7 +6,7 @@
 import { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { Standing } from '../lease/standing.js';
+import { RouterLease } from '../lease/router-lease.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
@@ -42,7 +42,7 @@
   {
     provide: names.passage,
     inject: [
-      names.standing,
+      names.lease,
       names.inForce,
       names.news,
       names.channels,
@@ -56,7 +56,7 @@
       names.claims,
     ],
     useFactory: (
-      standing: Standing,
+      lease: RouterLease,
       inForce: InForce,
       news: Newsroom,
       channels: Channels,
@@ -71,7 +71,7 @@
     ) =>
       new Passage(
         `${self.name}-${self.incarnation}`,
-        standing,
+        lease,
         inForce,
         news,
         channels,
--- a/src/router/forwarding.ts
+++ b/src/router/forwarding.ts
@@ -13,29 +13,29 @@
 import { LeastLoadPlacer } from '../place/least.js';
 import type { Placer } from '../place/placer.js';
 import { PrefixPlacer, prefixPlacerDefaults } from '../place/prefix.js';
-import { Standing } from '../lease/standing.js';
+import { RouterLease } from '../lease/router-lease.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Newsroom } from '../pool/news.js';
 import type { View } from '../view/view.js';
 
 /** How many routers there are: a view has room for some only, and the core knows who holds leases, while it is there. */
-const routersOf = (view: View, standing: Standing): number =>
-  Math.max(view.live('router').length, standing.nodes);
+const routersOf = (view: View, lease: RouterLease): number =>
+  Math.max(view.live('router').length, lease.nodes);
 
 /** The providers of this module, by name. */
 export const forwardProviders = (params: Params): Provider[] => [
   {
     provide: names.placer,
-    inject: [names.view, names.standing, names.clock, names.random],
-    useFactory: (view: View, standing: Standing, clock: Clock, random: Random): Placer =>
+    inject: [names.view, names.lease, names.clock, names.random],
+    useFactory: (view: View, lease: RouterLease, clock: Clock, random: Random): Placer =>
       params.place.policy === 'index'
         ? new PrefixPlacer(
             {
               ...prefixPlacerDefaults,
               zone: params.zone,
               zoneCost: params.place.zoneCost,
-              routers: () => routersOf(view, standing),
+              routers: () => routersOf(view, lease),
             },
             clock,
             random,
@@ -52,7 +52,7 @@
     provide: names.forwarder,
     inject: [
       names.inForce,
-      names.standing,
+      names.lease,
       names.news,
       names.links,
       names.placer,
@@ -64,7 +64,7 @@
     ],
     useFactory: (
       inForce: InForce,
-      standing: Standing,
+      lease: RouterLease,
       news: Newsroom,
       links: Links,
       placer: Placer,
@@ -76,13 +76,13 @@
     ) =>
       new Forwarder(
         inForce,
-        () => standing.serves(),
+        () => lease.serves(),
         news,
         links,
         placer,
         new RepeatBudget(params.forward.retryShare, params.forward.retryWindow, clock),
         dialect,
-        () => routersOf(view, standing),
+        () => routersOf(view, lease),
         params.forward,
         clock,
         random,
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -4,7 +4,7 @@
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { Standing } from '../lease/standing.js';
+import { RouterLease } from '../lease/router-lease.js';
 import { Vows } from '../lease/vows.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
@@ -22,7 +22,7 @@
       new Vows(params.name, inForce, peers, clock, params.lease),
   },
   {
-    provide: names.standing,
+    provide: names.lease,
     inject: [
       names.self,
       names.inForce,
@@ -41,7 +41,7 @@
       clock: Clock,
       log: Log,
     ) =>
-      new Standing(
+      new RouterLease(
         {
           node: self.name,
           incarnation: self.incarnation,
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { Enrolment } from '../lease/enrolment.js';
-import { Standing } from '../lease/standing.js';
+import { RouterLease } from '../lease/router-lease.js';
 import { Vows } from '../lease/vows.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
@@ -39,7 +39,7 @@
     @Inject(names.voterDirectory) private readonly voterDirectory: VoterDirectory,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
-    @Inject(names.standing) private readonly standing: Standing,
+    @Inject(names.lease) private readonly lease: RouterLease,
     @Inject(names.vows) private readonly vows: Vows,
     @Inject(names.view) private readonly view: View,
     @Inject(names.news) private readonly news: Newsroom,
@@ -86,7 +86,7 @@
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
-        this.standing.renewNow();
+        this.lease.renewNow();
         this.passage.stir();
       },
       '',
@@ -96,7 +96,7 @@
     const { signal } = this.stop;
     void this.view.run(signal);
     void this.news.run(signal);
-    void this.standing.run(signal);
+    void this.lease.run(signal);
     void follower.run(signal);
     if (this.params.claims.enabled) void this.claims.run(signal);
     if (this.params.lease.lapse === 'serve') return served;
@@ -109,7 +109,7 @@
       this.params.name,
       own,
       this.inForce,
-      this.standing,
+      this.lease,
       this.proposer,
       this.peers,
       this.voterDirectory,
@@ -130,22 +130,22 @@
   }
 
   ready(): string {
-    if (!this.standing.serves())
-      return this.params.lease.lapse === 'stop' ? 'no standing' : 'nothing is in force yet';
+    if (!this.lease.serves())
+      return this.params.lease.lapse === 'stop' ? 'no lease' : 'nothing is in force yet';
     if (this.params.listen.requests && this.inForce.routes.version === 0)
       return 'no routes are in force';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
 
-  /** Finishes what was taken, hands its duties over, gives standing back, and closes. */
+  /** Finishes what was taken, hands its duties over, gives its lease back, and closes. */
   async drain(): Promise<number> {
     const began = this.clock.now();
     const left = await this.passage.drain(this.params.drain);
     await this.enrolment?.leave(
       Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)),
     );
-    await this.standing.leave();
+    await this.lease.leave();
     this.channels.close();
     return left;
   }
--- a/src/sim/day/day.ts
+++ b/src/sim/day/day.ts
@@ -54,20 +54,20 @@
     return this.result(final);
   }
 
-  /** Looks, at every turn, that no node which holds standing is behind what was told accepted. */
+  /** Looks, at every turn, that no node which holds a lease is behind what was told accepted. */
   private watch(): void {
     const { routers, world } = this.stage;
     const { accepted } = this.operators;
-    for (const { host, standing, inForce } of routers.values()) {
+    for (const { host, lease, inForce } of routers.values()) {
       if (host.dead) continue;
-      const holds = standing.holds();
+      const holds = lease.holds();
       if (holds && inForce.revision < accepted)
         this.tally.find(
           'accepted-not-in-force',
           `${host.name} stands on ${inForce.revision}, accepted is ${accepted}, at ${Math.round(world.now)}`,
         );
       if (!holds && inForce.revision > 0 && !this.lapsed.has(host.name))
-        this.tally.note('lapsedStandings');
+        this.tally.note('lapsedLeases');
       if (holds) this.lapsed.delete(host.name);
       else this.lapsed.add(host.name);
     }
--- a/src/sim/day/plan.ts
+++ b/src/sim/day/plan.ts
@@ -214,7 +214,7 @@
   'outages',
   'claimsCompared',
   'resumed',
-  'lapsedStandings',
+  'lapsedLeases',
   'answersLost',
   'greyFailures',
   'connectionsReset',
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -17,7 +17,7 @@
 import { Prefixes } from '../index/prefixes.js';
 import { Journal } from '../kernel/journal/journal.js';
 import { Acceptance } from '../lease/acceptance.js';
-import { Standing } from '../lease/standing.js';
+import { RouterLease } from '../lease/router-lease.js';
 import { Vows } from '../lease/vows.js';
 import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
@@ -179,7 +179,7 @@
 };
 
 export interface SimRouter extends SimBase {
-  readonly standing: Standing;
+  readonly lease: RouterLease;
   readonly news: Newsroom;
   readonly claims: Claims;
   readonly prefixes: Prefixes;
@@ -222,7 +222,7 @@
     },
   );
   const vows = new Vows(name, inForce, peers, clock, params.lease);
-  const standing = new Standing(
+  const lease = new RouterLease(
     { node: name, incarnation: peers.self.incarnation, address, zone },
     inForce,
     vows,
@@ -244,7 +244,7 @@
   );
   const passage = new Passage(
     `${name}-${peers.self.incarnation}`,
-    standing,
+    lease,
     inForce,
     news,
     channels,
@@ -277,7 +277,7 @@
     voterDirectory,
     proposer,
     inForce,
-    standing,
+    lease,
     vows,
     view,
     news,
@@ -291,5 +291,5 @@
     log,
     stop,
   );
-  return { ...base, standing, news, claims, prefixes, passage, operations, journal, node };
+  return { ...base, lease, news, claims, prefixes, passage, operations, journal, node };
 };
--- a/test/checker/cutoff-stage.ts
+++ b/test/checker/cutoff-stage.ts
@@ -183,9 +183,9 @@
 
   async ready(): Promise<void> {
     const { world } = this;
-    expect(
-      await world.run(10_000, () => this.routers.every(({ standing }) => standing.holds())),
-    ).toBe(true);
+    expect(await world.run(10_000, () => this.routers.every(({ lease }) => lease.holds()))).toBe(
+      true,
+    );
     this.sample();
   }
 
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -67,7 +67,7 @@
 
   async ready(): Promise<void> {
     expect(
-      await this.world.run(10_000, () => this.routers.every(({ standing }) => standing.holds())),
+      await this.world.run(10_000, () => this.routers.every(({ lease }) => lease.holds())),
     ).toBe(true);
   }
 
@@ -170,16 +170,16 @@
   await fleet.configure(1, 4, 0);
   fleet.cores.forEach(({ host }) => host.kill());
   await fleet.world.run(fleet.world.now + 20_000);
-  expect(fleet.routers.map(({ standing }) => [standing.holds(), standing.serves()])).toEqual(
+  expect(fleet.routers.map(({ lease }) => [lease.holds(), lease.serves()])).toEqual(
     routers.map(() => [false, true]),
   );
   fleet.routers[0]!.host.kill();
   const restarted = fleet.startRouter(1);
   await fleet.world.run(fleet.world.now + 5000);
-  expect([restarted.standing.serves(), restarted.inForce.revision]).toEqual([false, 0]);
+  expect([restarted.lease.serves(), restarted.inForce.revision]).toEqual([false, 0]);
   cores.forEach((at) => (fleet.cores[at - 1] = fleet.startCore(at)));
   expect(await fleet.reaches(4, [restarted])).toBeLessThan(1500);
-  expect(restarted.standing.serves()).toBe(true);
+  expect(restarted.lease.serves()).toBe(true);
 });
 
 test('a restarted router has the newest revision at once, also with a core member dead, frozen or cut off', async () => {
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -1,9 +1,9 @@
-/** Three members and some enrolled nodes, put together from the program's own classes, for the checkers that need standing. */
+/** Three members and some enrolled nodes, put together from the program's own classes, for the checkers that need lease. */
 import { expect } from 'vitest';
 import { Claims } from '../../src/claim/claims.js';
 import { silentLog } from '../../src/kernel/log/log.js';
 import { Enrolment } from '../../src/lease/enrolment.js';
-import { Standing } from '../../src/lease/standing.js';
+import { RouterLease } from '../../src/lease/router-lease.js';
 import { Vows } from '../../src/lease/vows.js';
 import { Relay } from '../../src/register/relay.js';
 import { Follower } from '../../src/register/follower.js';
@@ -22,7 +22,7 @@
 ]);
 
 export interface Node extends SimBase {
-  readonly standing: Standing;
+  readonly lease: RouterLease;
   readonly claims: Claims;
 }
 
@@ -35,7 +35,7 @@
   vows.serve();
   const claims = new Claims(name, inForce, peers, voterDirectory, clock, random, silentLog);
   claims.serve();
-  const standing = new Standing(
+  const lease = new RouterLease(
     { node: name, incarnation: peers.self.incarnation, address, zone: 'z' },
     inForce,
     vows,
@@ -57,19 +57,19 @@
     silentLog,
     (documents, items) => {
       relay.note(items, documents);
-      if (inForce.swap(documents.at(-1)!)) standing.renewNow();
+      if (inForce.swap(documents.at(-1)!)) lease.renewNow();
     },
     '',
     relay,
   );
   void peers.serve(address);
-  void standing.run(stop.signal);
+  void lease.run(stop.signal);
   void claims.run(stop.signal);
   void new Enrolment(
     name,
     { address, zone: 'z', law: '' },
     inForce,
-    standing,
+    lease,
     proposer,
     peers,
     voterDirectory,
@@ -78,7 +78,7 @@
     silentLog,
   ).run(stop.signal);
   void follower.run(stop.signal);
-  return { ...base, standing, claims };
+  return { ...base, lease, claims };
 };
 
 export interface Stage {
@@ -107,8 +107,8 @@
   const nodes = names.map((name) => startNode(world, name, news));
   const committed = (): boolean =>
     nodes.every(
-      ({ standing, inForce, claims }) =>
-        standing.holds() && inForce.whole!.enrolled.size === count && claims.open,
+      ({ lease, inForce, claims }) =>
+        lease.holds() && inForce.whole!.enrolled.size === count && claims.open,
     );
   expect(await world.run(30_000, committed)).toBe(true);
   const loseMemories = async (survivor?: number): Promise<void> => {
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -1,5 +1,5 @@
 /**
- * Standing and "accepted" under the checker: three members and two nodes whose leases are renewed while a change is
+ * Leases and "accepted" under the checker: three members and two nodes whose leases are renewed while a change is
  * made, with frames lost, late or repeated, a node frozen, and members started again. At no moment after "accepted"
  * was told may any node hold standing on an older revision.
  */
@@ -59,7 +59,7 @@
   if (fault.cut)
     world.part(['n'], ['core-0', 'core-1', 'core-2', ...(fault.cut === 'all' ? ['m', 'o'] : [])]);
   if (fault.cut) await world.run(world.now + 7000);
-  if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(fault.cut === 'core');
+  if (fault.cut) expect(nodes[0]!.lease.holds()).toBe(fault.cut === 'core');
   const verdict = await world.until(operator.proposer.propose(change, 5000));
   const revision = verdict
     .map((told) => (told.kind === 'applied' ? told.revision : 0))
@@ -80,8 +80,7 @@
     return everywhere;
   });
   const wrong = (): boolean =>
-    nodes.some(({ standing, inForce }) => standing.holds() && inForce.revision < revision) &&
-    accepted;
+    nodes.some(({ lease, inForce }) => lease.holds() && inForce.revision < revision) && accepted;
   // A revision in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
   const calm = Object.keys(fault).length === 0;
   const surelyOver = (): boolean =>
@@ -95,7 +94,7 @@
   expect(await world.until(seeking)).toBe(true);
   const behind = fault.cut === 'all' || (fault.cut === 'core' && fault.mute);
   expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([behind ? 4 : 5, 5, 5]);
-  if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(!behind);
+  if (fault.cut) expect(nodes[0]!.lease.holds()).toBe(!behind);
   return choices;
 };
 
@@ -137,15 +136,15 @@
   for (const { host } of cores) host.kill();
   for (let second = 0; second < 20; second++) {
     await world.run(world.now + 1000);
-    expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
+    expect(nodes.map(({ lease }) => lease.holds())).toEqual([true, true, true]);
   }
   world.part(['n'], ['m', 'o']);
   await world.run(world.now + 7000);
-  expect(nodes.map(({ standing }) => standing.holds())).toEqual([false, true, true]);
+  expect(nodes.map(({ lease }) => lease.holds())).toEqual([false, true, true]);
   world.heal();
   cores.forEach((_, at) => startCore(at));
   await world.run(world.now + 2500);
-  expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
+  expect(nodes.map(({ lease }) => lease.holds())).toEqual([true, true, true]);
   const verdict = await world.until(operator.proposer.propose(change, 5000));
   const revision = verdict
     .map((told) => (told.kind === 'applied' ? told.revision : 0))
@@ -166,7 +165,7 @@
   expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.revision === 5)).toBe(true);
   for (const { host } of cores) host.kill();
   restart(2);
-  expect(await world.run(world.now + 12_000, () => nodes[2]!.standing.holds())).toBe(true);
+  expect(await world.run(world.now + 12_000, () => nodes[2]!.lease.holds())).toBe(true);
   expect(nodes[2]!.inForce.revision).toBe(5);
   world.heal();
   cores.forEach((_, at) => startCore(at));
@@ -199,13 +198,13 @@
     restart(2);
     world.heal();
     const behind = (): boolean =>
-      nodes.some(({ standing, inForce }) => standing.holds() && inForce.revision < 5);
+      nodes.some(({ lease, inForce }) => lease.holds() && inForce.revision < 5);
     expect(await world.run(world.now + 15_000, behind)).toBe(false);
     expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([4, 0, 0]);
     cores.forEach((_, at) => startCore(at));
     expect(
       await world.run(world.now + 10_000, () =>
-        nodes.every(({ standing, inForce }) => standing.holds() && inForce.revision === 5),
+        nodes.every(({ lease, inForce }) => lease.holds() && inForce.revision === 5),
       ),
     ).toBe(true);
   }
--- a/test/days/incidents.test.ts
+++ b/test/days/incidents.test.ts
@@ -115,7 +115,7 @@
     for (const { host } of stage.cores.values()) host.kill();
     stage.disks.get('core-1')!.lose();
     await look(away + duration);
-    expect([...stage.routers.values()].filter(({ standing }) => standing.holds())).toEqual([]);
+    expect([...stage.routers.values()].filter(({ lease }) => lease.holds())).toEqual([]);
     for (const name of cores) stage.startCore(name);
     await look(4 * replaceAfter);
     expect(unready).toEqual([]);
--- a/test/days/routers.test.ts
+++ b/test/days/routers.test.ts
@@ -16,5 +16,5 @@
     'clocks-jump',
     'lossy-net',
   ],
-  ['idsSentAgainAfterRun', 'outages', 'takenAtStop', 'lapsedStandings', 'brokenStreams'],
+  ['idsSentAgainAfterRun', 'outages', 'takenAtStop', 'lapsedLeases', 'brokenStreams'],
 );
--- a/test/process/alone.test.ts
+++ b/test/process/alone.test.ts
@@ -1,4 +1,4 @@
-/** Routers whose standing does not stop them serve on without the core, as long as it is gone, and never by an older version. */
+/** Routers whose lease does not stop them serve on without the core, as long as it is gone, and never by an older version. */
 import { mkdtempSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
