--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -159,12 +159,12 @@
       };
     if (verdict.kind === 'declined')
       return { outcome: 'invalid', version: this.version, reason: verdict.reason };
-    const accord = await this.acceptance.of(verdict.revision, limit - this.clock.now());
-    if (accord.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
+    const application = await this.acceptance.of(verdict.revision, limit - this.clock.now());
+    if (application.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
     return {
       outcome: 'unknown',
       version: act.version,
-      reason: `committed, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}`,
+      reason: `committed, but not yet known to be in force everywhere: ${application.reasons.join('; ') || application.silent.join(' ') || 'the limit came'}`,
     };
   }
 }
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -8,7 +8,7 @@
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import { Acceptance } from '../lease/acceptance.js';
-import { seekAccord } from '../lease/accord.js';
+import { awaitApplication } from '../lease/application.js';
 import { LeaseHolders } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
 import { BootstrapBegin } from '../register/bootstrap/calls.js';
@@ -174,7 +174,7 @@
         silent: [],
         reason: `not among the changes kept at revision ${document.revision}; repeat the change under the same id to have it committed`,
       });
-    return this.accord(change, kept.revision, limit - this.clock.now());
+    return this.application(change, kept.revision, limit - this.clock.now());
   }
 
   get(name: string): Outcome<Schemas['PlacedDoorway']> {
@@ -475,18 +475,18 @@
     const read = await this.proposer.read(wait);
     if (read.isLeft()) return read as Outcome<never>;
     const expects = read.unsafeCoerce().enrolledAt;
-    const accord = await seekAccord(
+    const application = await awaitApplication(
       expects,
       (limit - this.clock.now()) / 2,
       this.peers,
       this.voterDirectory,
       this.clock,
     );
-    if (!accord.everywhere)
+    if (!application.everywhere)
       return failed(
         'node.retire',
-        accord.silent.join(' '),
-        `the last enrolment is not yet known to be in force everywhere: ${accord.reasons.join('; ')}`,
+        application.silent.join(' '),
+        `the last enrolment is not yet known to be in force everywhere: ${application.reasons.join('; ')}`,
       );
     return this.change(
       operator,
@@ -524,19 +524,23 @@
         silent: [],
         reason: told.reason,
       });
-    return this.accord(id, told.revision, limit - this.clock.now());
+    return this.application(id, told.revision, limit - this.clock.now());
   }
 
-  private async accord(change: string, revision: number, left: number): Promise<Outcome<Changed>> {
-    const accord = await this.acceptance.of(revision, left);
-    if (accord.everywhere)
+  private async application(
+    change: string,
+    revision: number,
+    left: number,
+  ): Promise<Outcome<Changed>> {
+    const application = await this.acceptance.of(revision, left);
+    if (application.everywhere)
       return Right({ change, outcome: 'accepted', revision, silent: [], reason: '' });
     return Right({
       change,
       outcome: 'unknown',
       revision,
-      silent: [...accord.silent],
-      reason: `committed, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
+      silent: [...application.silent],
+      reason: `committed, but not yet known to be in force everywhere: ${application.reasons.join('; ') || 'the limit came'}`,
     });
   }
 
--- a/src/lease/acceptance.ts
+++ b/src/lease/acceptance.ts
@@ -1,6 +1,6 @@
 /**
  * From a verdict of the register to "accepted". Where a router without a lease stops, a committed change is accepted once
- * the accord on its revision says that it is in force wherever it must be. Where it serves on, a committed change is
+ * the application on its revision says that it is in force wherever it must be. Where it serves on, a committed change is
  * accepted as it is; the routers that hold leases are waited for, as the core knows them, but never beyond the patience of
  * the terms, so that one that is frozen, killed or cut off delays nothing further.
  */
@@ -8,8 +8,8 @@
 import { gather, majority, sound } from '../register/gather.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
-import { seekAccord, type Accord } from './accord.js';
-import { Vouch } from './calls.js';
+import { awaitApplication, type ApplicationStatus } from './application.js';
+import { Confirm } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
 const SLACK = 100;
@@ -23,19 +23,19 @@
   ) {}
 
   /** Waits, at most so many ms, until a committed revision may be called accepted. */
-  of(revision: number, duration: number): Promise<Accord> {
+  of(revision: number, duration: number): Promise<ApplicationStatus> {
     const limit = Math.max(0, duration);
     return this.terms.lapse === 'stop'
-      ? seekAccord(revision, limit, this.peers, this.voterDirectory, this.clock)
+      ? awaitApplication(revision, limit, this.peers, this.voterDirectory, this.clock)
       : this.reports(revision, Math.min(limit, this.terms.patience));
   }
 
-  private async reports(revision: number, patience: number): Promise<Accord> {
+  private async reports(revision: number, patience: number): Promise<ApplicationStatus> {
     const { members } = this.voterDirectory.core;
     const asking = gather(
       members.map(({ address }) => address),
-      (address) => this.peers.ask(address, Vouch, { revision, wait: patience }, patience + SLACK),
-      (all) => sound(all).filter(({ vouched }) => vouched).length >= majority(members.length),
+      (address) => this.peers.ask(address, Confirm, { revision, wait: patience }, patience + SLACK),
+      (all) => sound(all).filter(({ confirmed }) => confirmed).length >= majority(members.length),
     );
     const replies = patience > 0 ? await within(this.clock, patience, asking) : undefined;
     return {
--- a/src/lease/accord.ts
+++ b/src/lease/application.ts
@@ -1,36 +1,36 @@
 /**
- * When a committed revision may be called accepted: once a majority of the core has vouched that no node stands on an
+ * When a committed revision may be called accepted: once a majority of the core has confirmed that no node stands on an
  * older one, and a majority of the enrolled routers have reported it in force. A node's lease needs a majority of the
- * core's grants, so it would meet one of those who vouched, or of the routers' leases, so it would meet one of those who
+ * core's grants, so it would meet one of those who confirmed, or of the routers' leases, so it would meet one of those who
  * reported.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
-import { Vouch } from './calls.js';
+import { Confirm } from './calls.js';
 
-export interface Accord {
+export interface ApplicationStatus {
   readonly everywhere: boolean;
   readonly silent: readonly string[];
   readonly reasons: readonly string[];
 }
 
-export const seekAccord = async (
+export const awaitApplication = async (
   revision: number,
   duration: number,
   peers: Peers,
   voterDirectory: VoterDirectory,
   clock: Clock,
-): Promise<Accord> => {
+): Promise<ApplicationStatus> => {
   const limit = clock.now() + duration;
-  const vouchers = new Set<string>();
+  const confirmers = new Set<string>();
   const reported = new Set<string>();
   let enrolled: readonly string[] | undefined;
   const done = (members: readonly { id: string }[]): boolean => {
     const core =
       members.length > 0 &&
-      members.filter(({ id }) => vouchers.has(id)).length >= majority(members.length);
+      members.filter(({ id }) => confirmers.has(id)).length >= majority(members.length);
     if (!core || !enrolled) return false;
     return (
       enrolled.length === 0 ||
@@ -40,14 +40,15 @@
   for (let pause = 50; ; pause = 100) {
     const { members } = voterDirectory.core;
     const left = limit - clock.now();
-    const vouched = members.filter(({ id }) => vouchers.has(id)).length >= majority(members.length);
-    const open = members.filter(({ id }) => vouched || !vouchers.has(id));
+    const confirmed =
+      members.filter(({ id }) => confirmers.has(id)).length >= majority(members.length);
+    const open = members.filter(({ id }) => confirmed || !confirmers.has(id));
     const replies = await gather(
       open.map(({ address }) => address),
       async (address) => {
         const reply = await peers.ask(
           address,
-          Vouch,
+          Confirm,
           { revision, wait: Math.max(0, Math.min(left, 1000)) },
           Math.max(50, Math.min(left, 1000)) + 200,
         );
@@ -56,7 +57,7 @@
           enrolled = told.enrolled;
           for (const { node, revision: at } of told.reports) if (at >= revision) reported.add(node);
           const voter = open.find((each) => each.address === address);
-          if (told.vouched && voter) vouchers.add(voter.id);
+          if (told.confirmed && voter) confirmers.add(voter.id);
         });
         return reply;
       },
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -1,4 +1,4 @@
-/** The calls of the leases: renewing a node's lease, giving it back, and vouching that none stands on an old revision. */
+/** The calls of the leases: renewing a node's lease, giving it back, and confirming that none stands on an old revision. */
 import { call } from '../wire/call.js';
 import { choice, flag, list, number, struct, text } from '../wire/field.js';
 
@@ -44,31 +44,31 @@
 }
 const reportField = struct<Report>({ node: text, revision: number });
 /**
- * Why a member does not vouch for a revision:
- * - `none`: it vouches.
+ * Why a member does not confirm for a revision:
+ * - `none`: it confirms.
  * - `not-voting`: it does not vote now.
  * - `behind`: it holds only an older revision, so what it knows of the routers may be old as well.
  * - `new-voter`: it has been voting for less than one lease and may have forgotten grants.
  * - `older-lease`: a node may still serve by an older revision.
  */
-export type VouchRefusal = (typeof VOUCH_REFUSALS)[number];
-const VOUCH_REFUSALS = ['none', 'not-voting', 'behind', 'new-voter', 'older-lease'] as const;
+export type ConfirmRefusal = (typeof CONFIRM_REFUSALS)[number];
+const CONFIRM_REFUSALS = ['none', 'not-voting', 'behind', 'new-voter', 'older-lease'] as const;
 
-export interface VouchReply {
-  vouched: boolean;
-  refusal: VouchRefusal;
+export interface ConfirmReply {
+  confirmed: boolean;
+  refusal: ConfirmRefusal;
   silent: string[];
   reason: string;
   enrolled: string[];
   reports: Report[];
 }
-export const Vouch = call<{ revision: number; wait: number }, VouchReply>(
+export const Confirm = call<{ revision: number; wait: number }, ConfirmReply>(
   18,
-  'lease.vouch',
+  'lease.confirm',
   struct({ revision: number, wait: number }),
   struct({
-    vouched: flag,
-    refusal: choice(VOUCH_REFUSALS),
+    confirmed: flag,
+    refusal: choice(CONFIRM_REFUSALS),
     silent: list(text),
     reason: text,
     enrolled: list(text),
@@ -102,20 +102,20 @@
   }),
 );
 
-/** One router vouching for another: it will report nothing newer than the revision until the lease ends. */
-export interface VowAsk {
+/** One router confirming for another: it will report nothing newer than the revision until the lease ends. */
+export interface PeerLeaseAsk {
   node: string;
   revision: number;
 }
-export interface VowReply {
+export interface PeerLeaseReply {
   node: string;
   granted: boolean;
   duration: number;
   reason: string;
 }
-export const Vow = call<VowAsk, VowReply>(
+export const PeerLease = call<PeerLeaseAsk, PeerLeaseReply>(
   20,
-  'lease.vow',
+  'lease.peer',
   struct({ node: text, revision: number }),
   struct({ node: text, granted: flag, duration: number, reason: text }),
 );
--- a/src/lease/enrolment.ts
+++ b/src/lease/enrolment.ts
@@ -11,7 +11,7 @@
 import type { Proposer } from '../register/proposer.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
-import { seekAccord } from './accord.js';
+import { awaitApplication } from './application.js';
 import type { RouterLease } from './router-lease.js';
 
 const EVERY = 200;
@@ -80,7 +80,7 @@
     const end = this.clock.now() + limit;
     if (
       act.expects > 0 &&
-      !(await seekAccord(act.expects, limit, this.peers, this.voterDirectory, this.clock))
+      !(await awaitApplication(act.expects, limit, this.peers, this.voterDirectory, this.clock))
         .everywhere
     )
       return;
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -1,7 +1,7 @@
 /**
  * Leases as a core member grants them. A lease is granted only to a node whose revision in force is at least the
- * newest one this member has accepted on its disk, so what it vouched for holds through its own restart. A member that
- * restarted has forgotten its grants, and waits one whole lease before it vouches; one that was formed in this very
+ * newest one this member has accepted on its disk, so what it confirmed for holds through its own restart. A member that
+ * restarted has forgotten its grants, and waits one whole lease before it confirms; one that was formed in this very
  * life has none to forget.
  */
 import { Right } from 'purify-ts';
@@ -13,11 +13,11 @@
   Goodbye,
   Renew,
   LeaseHolders,
-  Vouch,
+  Confirm,
   type RenewAsk,
   type RenewReply,
-  type VouchRefusal,
-  type VouchReply,
+  type ConfirmRefusal,
+  type ConfirmReply,
 } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
@@ -28,10 +28,10 @@
   readonly until: Moment;
 }
 
-type Verdict = Omit<VouchReply, 'enrolled' | 'reports'>;
+type Verdict = Omit<ConfirmReply, 'enrolled' | 'reports'>;
 
-const refused = (refusal: VouchRefusal, reason: string, silent: string[] = []): Verdict => ({
-  vouched: false,
+const refused = (refusal: ConfirmRefusal, reason: string, silent: string[] = []): Verdict => ({
+  confirmed: false,
   refusal,
   silent,
   reason,
@@ -62,8 +62,8 @@
       this.wake();
       return Right({ known });
     });
-    this.peers.handle(Vouch, ({ revision, wait }) =>
-      this.vouch(revision, Math.min(wait, WAIT_BOUND)),
+    this.peers.handle(Confirm, ({ revision, wait }) =>
+      this.confirm(revision, Math.min(wait, WAIT_BOUND)),
     );
     this.peers.handle(LeaseHolders, () => {
       this.sweep();
@@ -106,12 +106,12 @@
     return { granted: true, duration: this.terms.duration, reason: '', nodes: this.grants.size };
   }
 
-  private async vouch(revision: number, wait: number): Promise<Outcome<VouchReply>> {
+  private async confirm(revision: number, wait: number): Promise<Outcome<ConfirmReply>> {
     const limit = this.clock.now() + wait;
     for (;;) {
       const reply = this.judge(revision);
       const left = limit - this.clock.now();
-      if (reply.vouched || left <= 0) return Right(reply);
+      if (reply.confirmed || left <= 0) return Right(reply);
       let wake: () => void = () => undefined;
       const news = new Promise<void>((resolve) => this.watchers.add((wake = resolve)));
       await within(this.clock, Math.min(left, 100), news);
@@ -119,7 +119,7 @@
     }
   }
 
-  private judge(revision: number): VouchReply {
+  private judge(revision: number): ConfirmReply {
     const known = this.member.newest;
     const enrolled = [...(known?.enrolled.keys() ?? [])];
     return {
@@ -147,7 +147,7 @@
       .filter((grant) => grant.revision < revision)
       .map(({ node }) => node);
     return silent.length === 0
-      ? { vouched: true, refusal: 'none', silent, reason: '' }
+      ? { confirmed: true, refusal: 'none', silent, reason: '' }
       : refused('older-lease', 'nodes still stand on an older revision', silent);
   }
 
--- a/src/lease/vows.ts
+++ b/src/lease/peer-leases.ts
@@ -1,20 +1,20 @@
 /**
- * Routers vouching for each other, for when the core is out of reach. A router grants a lease to one whose revision
+ * Routers confirming for each other, for when the core is out of reach. A router grants a lease to one whose revision
  * in force is no older than its own, and then holds back its report of anything newer until that lease has ended. Since
  * "accepted" needs the reports of a majority of the enrolled routers, and a cut-off router needs the leases of a
- * majority, one of those who vouched would have had to report too early. A router that was started again has forgotten
+ * majority, one of those who confirmed would have had to report too early. A router that was started again has forgotten
  * its grants and reports nothing for one lease, unless it was not enrolled before.
  */
 import { Right } from 'purify-ts';
 import type { InForce } from '../doorway/match.js';
 import { later, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Peers } from '../wire/peers.js';
-import { Vow, type VowAsk, type VowReply } from './calls.js';
+import { PeerLease, type PeerLeaseAsk, type PeerLeaseReply } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
 const BOUND = 1024;
 
-export class Vows {
+export class PeerLeases {
   /** For each node, until when it may stand on a revision by this one's word. */
   private readonly granted = new Map<string, Map<number, Moment>>();
   private readonly started: Moment;
@@ -31,7 +31,7 @@
   }
 
   serve(): void {
-    this.peers.handle(Vow, (ask) => Right(this.grant(ask)));
+    this.peers.handle(PeerLease, (ask) => Right(this.grant(ask)));
   }
 
   /** The newest revision this router may tell the core that it has in force. */
@@ -52,8 +52,8 @@
     return report;
   }
 
-  private grant({ node, revision }: VowAsk): VowReply {
-    const declined = (reason: string): VowReply => ({
+  private grant({ node, revision }: PeerLeaseAsk): PeerLeaseReply {
+    const declined = (reason: string): PeerLeaseReply => ({
       node: this.node,
       granted: false,
       duration: 0,
--- a/src/lease/router-lease.ts
+++ b/src/lease/router-lease.ts
@@ -12,12 +12,12 @@
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import type { InForce } from '../doorway/match.js';
-import { Goodbye, Renew, Vow, type RenewReply } from './calls.js';
+import { Goodbye, Renew, PeerLease, type RenewReply } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
-import type { Vows } from './vows.js';
+import type { PeerLeases } from './peer-leases.js';
 
 const ASK_LIMIT = 900;
-/** Below this share left of the core's lease, the other routers are asked to vouch. */
+/** Below this share left of the core's lease, the other routers are asked to confirm. */
 const WORRY = 0.64;
 
 export interface Self {
@@ -29,7 +29,7 @@
 
 export class RouterLease {
   private until = -Infinity as Moment;
-  private vouched = -Infinity as Moment;
+  private confirmed = -Infinity as Moment;
   private nudge: () => void = () => undefined;
   private leaving = false;
   private stood = false;
@@ -39,7 +39,7 @@
   constructor(
     private readonly self: Self,
     private readonly inForce: InForce,
-    private readonly vows: Vows,
+    private readonly peerLeases: PeerLeases,
     private readonly peers: Peers,
     private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
@@ -57,7 +57,7 @@
   }
 
   get remaining(): number {
-    return Math.max(0, Math.max(this.until, this.vouched) - SLACK - this.clock.strict());
+    return Math.max(0, Math.max(this.until, this.confirmed) - SLACK - this.clock.strict());
   }
 
   /** How many nodes stood when this one's lease was last renewed, as far as the core knows; 0 before. */
@@ -80,7 +80,7 @@
         };
       });
       if (this.inForce.revision > 0 && !this.leaving)
-        await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
+        await Promise.race([Promise.all([this.renew(), this.seekPeerLeases()]), nudged]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
         this.log(this.stood ? 'lease-held' : 'lease-lapsed', [
@@ -108,7 +108,7 @@
 
   private async renew(): Promise<void> {
     const asked = this.clock.strict();
-    const { report } = this.vows;
+    const { report } = this.peerLeases;
     const { members } = this.voterDirectory.core;
     const quorum = majority(members.length);
     const granted = (replies: readonly RenewReply[]): RenewReply[] =>
@@ -133,8 +133,8 @@
     this.reported = Math.max(this.reported, report);
   }
 
-  /** Cut off from the core: a majority of the enrolled routers, this one counted, may vouch for it. */
-  private async seekVows(): Promise<void> {
+  /** Cut off from the core: a majority of the enrolled routers, this one counted, may confirm for it. */
+  private async seekPeerLeases(): Promise<void> {
     const document = this.inForce.whole;
     const asked = this.clock.strict();
     if (!document?.enrolled.has(this.self.node) || this.until - asked > this.terms.duration * WORRY)
@@ -148,18 +148,19 @@
       async (address) => {
         const reply = await this.peers.ask(
           address,
-          Vow,
+          PeerLease,
           { node: this.self.node, revision: document.revision },
           this.limit,
         );
-        reply.ifRight((vow) => {
-          if (vow.granted && vow.node === names.get(address)) granted.add(vow.node);
+        reply.ifRight((peerLease) => {
+          if (peerLease.granted && peerLease.node === names.get(address))
+            granted.add(peerLease.node);
         });
         return reply;
       },
       () => granted.size >= quorum,
     );
     if (granted.size >= quorum)
-      this.vouched = Math.max(this.vouched, asked + this.terms.duration) as Moment;
+      this.confirmed = Math.max(this.confirmed, asked + this.terms.duration) as Moment;
   }
 }
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -22,7 +22,7 @@
   prefixes: 'index.prefixes',
   chooser: 'place.chooser',
   lease: 'lease.lease',
-  vows: 'lease.vows',
+  peerLeases: 'lease.peerLeases',
   acceptance: 'lease.acceptance',
   journal: 'passage.journal',
   passage: 'passage.passage',
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -25,7 +25,7 @@
   readonly members: readonly Voter[];
 }
 
-/** A router that counts toward the majority that vouches for routers cut off from the core. */
+/** A router that counts toward the majority that confirms for routers cut off from the core. */
 export interface Enrolled {
   readonly address: string;
   readonly zone: string;
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -5,7 +5,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { RouterLease } from '../lease/router-lease.js';
-import { Vows } from '../lease/vows.js';
+import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
@@ -16,17 +16,17 @@
 /** The providers of this module, by name. */
 export const leaseProviders = (params: Params): Provider[] => [
   {
-    provide: names.vows,
+    provide: names.peerLeases,
     inject: [names.inForce, names.peers, names.clock],
     useFactory: (inForce: InForce, peers: Peers, clock: Clock) =>
-      new Vows(params.name, inForce, peers, clock, params.lease),
+      new PeerLeases(params.name, inForce, peers, clock, params.lease),
   },
   {
     provide: names.lease,
     inject: [
       names.self,
       names.inForce,
-      names.vows,
+      names.peerLeases,
       names.peers,
       names.voterDirectory,
       names.clock,
@@ -35,7 +35,7 @@
     useFactory: (
       self: Hello,
       inForce: InForce,
-      vows: Vows,
+      peerLeases: PeerLeases,
       peers: Peers,
       voterDirectory: VoterDirectory,
       clock: Clock,
@@ -49,7 +49,7 @@
           zone: params.zone,
         },
         inForce,
-        vows,
+        peerLeases,
         peers,
         voterDirectory,
         clock,
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -9,7 +9,7 @@
 import type { Random } from '../kernel/random/random.js';
 import { Enrolment } from '../lease/enrolment.js';
 import { RouterLease } from '../lease/router-lease.js';
-import { Vows } from '../lease/vows.js';
+import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
@@ -40,7 +40,7 @@
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
     @Inject(names.lease) private readonly lease: RouterLease,
-    @Inject(names.vows) private readonly vows: Vows,
+    @Inject(names.peerLeases) private readonly peerLeases: PeerLeases,
     @Inject(names.view) private readonly view: View,
     @Inject(names.news) private readonly news: Newsroom,
     @Inject(names.claims) private readonly claims: Claims,
@@ -57,7 +57,7 @@
   async start(): Promise<Outcome<unknown>> {
     this.view.serve();
     this.news.serve();
-    this.vows.serve();
+    this.peerLeases.serve();
     if (this.params.claims.enabled) this.claims.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -18,7 +18,7 @@
 import { Journal } from '../kernel/journal/journal.js';
 import { Acceptance } from '../lease/acceptance.js';
 import { RouterLease } from '../lease/router-lease.js';
-import { Vows } from '../lease/vows.js';
+import { PeerLeases } from '../lease/peer-leases.js';
 import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
 import { TakenIds } from '../passage/ids.js';
@@ -221,11 +221,11 @@
       chooser.listed(engines);
     },
   );
-  const vows = new Vows(name, inForce, peers, clock, params.lease);
+  const peerLeases = new PeerLeases(name, inForce, peers, clock, params.lease);
   const lease = new RouterLease(
     { node: name, incarnation: peers.self.incarnation, address, zone },
     inForce,
-    vows,
+    peerLeases,
     peers,
     voterDirectory,
     clock,
@@ -278,7 +278,7 @@
     proposer,
     inForce,
     lease,
-    vows,
+    peerLeases,
     view,
     news,
     claims,
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -1,11 +1,11 @@
 /**
  * A fleet whose routers serve on when their lease lapses: a change is accepted within bounds whatever befalls a router, a
  * core member or its disk; revisions reach every router that is in touch at once; a restarted router has the newest one
- * at once; and nothing is enrolled, vowed or claimed.
+ * at once; and nothing is enrolled, granted or claimed.
  */
 import { expect, test } from 'vitest';
 import { failed } from '../../src/kernel/fault/fault.js';
-import { Vow } from '../../src/lease/calls.js';
+import { PeerLease } from '../../src/lease/calls.js';
 import { Keep, Take } from '../../src/claim/calls.js';
 import type { Configuration } from '../../src/route/shape.js';
 import { simCore, simRouter, type SimCore, type SimRouter } from '../../src/sim/nodes.js';
@@ -106,7 +106,7 @@
   expect(took).toBeLessThan(100);
   await fleet.world.run(fleet.world.now + 5000);
   expect(fleet.cores.map(({ member }) => member.committedRevision)).toEqual([2, 2, 2]);
-  expect([Vow.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
+  expect([PeerLease.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
 });
 
 test('a router that is frozen, killed or cut off delays acceptance by the patience at most', async () => {
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -4,7 +4,7 @@
 import { silentLog } from '../../src/kernel/log/log.js';
 import { Enrolment } from '../../src/lease/enrolment.js';
 import { RouterLease } from '../../src/lease/router-lease.js';
-import { Vows } from '../../src/lease/vows.js';
+import { PeerLeases } from '../../src/lease/peer-leases.js';
 import { Relay } from '../../src/register/relay.js';
 import { Follower } from '../../src/register/follower.js';
 import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
@@ -31,14 +31,14 @@
   const base = simBase(world, name, address, 'z', 'router', site);
   const { host, inForce, peers, voterDirectory, proposer, stop } = base;
   const { clock, random } = host;
-  const vows = new Vows(name, inForce, peers, clock);
-  vows.serve();
+  const peerLeases = new PeerLeases(name, inForce, peers, clock);
+  peerLeases.serve();
   const claims = new Claims(name, inForce, peers, voterDirectory, clock, random, silentLog);
   claims.serve();
   const lease = new RouterLease(
     { node: name, incarnation: peers.self.incarnation, address, zone: 'z' },
     inForce,
-    vows,
+    peerLeases,
     peers,
     voterDirectory,
     clock,
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -4,14 +4,14 @@
  * was told may any node hold standing on an older revision.
  */
 import { expect, test } from 'vitest';
-import { Goodbye, Renew, Vouch, Vow } from '../../src/lease/calls.js';
-import { seekAccord } from '../../src/lease/accord.js';
+import { Goodbye, Renew, Confirm, PeerLease } from '../../src/lease/calls.js';
+import { awaitApplication } from '../../src/lease/application.js';
 import type { Change } from '../../src/register/document.js';
 import { explore, type Script } from '../../src/sim/explore.js';
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 import { openStage } from './stage.js';
 
-const watched = new Set([Renew.code, Vouch.code, Goodbye.code, Vow.code]);
+const watched = new Set([Renew.code, Confirm.code, Goodbye.code, PeerLease.code]);
 
 /** So many frames of each run may meet a mishap. */
 const CHOICES = 60;
@@ -69,7 +69,7 @@
     world.at(50, () => (cores[at] = startCore(at)));
   }
   let accepted = false;
-  const seeking = seekAccord(
+  const seeking = awaitApplication(
     revision,
     12_000,
     operator.peers,
@@ -123,7 +123,7 @@
     for (const freeze of [0, 3000, 7000]) await run(new Map(), { restart, freeze });
 });
 
-test('nor while a node is cut off from the core and the others vouch for it, with lost, late and repeated frames', async () => {
+test('nor while a node is cut off from the core and the others confirm for it, with lost, late and repeated frames', async () => {
   for (const cut of ['core', 'all'] as const)
     for (const mute of [true, false]) await run(new Map(), { cut, mute });
   for (const mishap of ['drop', 'late', 'twice'] as const)
@@ -152,7 +152,13 @@
   expect(
     (
       await world.until(
-        seekAccord(revision, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
+        awaitApplication(
+          revision,
+          12_000,
+          operator.peers,
+          operator.voterDirectory,
+          operator.host.clock,
+        ),
       )
     ).everywhere,
   ).toBe(true);
@@ -172,7 +178,7 @@
   expect(
     (
       await world.until(
-        seekAccord(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
+        awaitApplication(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
       )
     ).everywhere,
   ).toBe(true);
@@ -188,7 +194,7 @@
     expect(
       (
         await world.until(
-          seekAccord(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
+          awaitApplication(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
         )
       ).everywhere,
     ).toBe(true);
