--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -191,7 +191,7 @@
         patch?: never;
         trace?: never;
     };
-    "/rpc/node.retire": {
+    "/rpc/node.deregister": {
         parameters: {
             query?: never;
             header?: never;
@@ -200,8 +200,8 @@
         };
         get?: never;
         put?: never;
-        /** Takes a router that is gone for good out of the enrolment */
-        post: operations["node.retire"];
+        /** Takes a router that is gone for good out of the registration */
+        post: operations["node.deregister"];
         delete?: never;
         options?: never;
         head?: never;
@@ -438,7 +438,7 @@
             expects: number;
             wait: components["schemas"]["Wait"];
         };
-        RetireAsk: {
+        DeregisterAsk: {
             change: components["schemas"]["ChangeId"];
             name: string;
             wait: components["schemas"]["Wait"];
@@ -777,9 +777,9 @@
                 "application/json": components["schemas"]["RemoveVoterAsk"];
             };
         };
-        Retire: {
+        Deregister: {
             content: {
-                "application/json": components["schemas"]["RetireAsk"];
+                "application/json": components["schemas"]["DeregisterAsk"];
             };
         };
         Trace: {
@@ -941,14 +941,14 @@
             default: components["responses"]["Fault"];
         };
     };
-    "node.retire": {
+    "node.deregister": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["Retire"];
+        requestBody: components["requestBodies"]["Deregister"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -242,7 +242,7 @@
     return Right({ committed, revisions });
   }
 
-  /** One revision through all nodes that can be thought of: heard of, a voter of the core, or enrolled. */
+  /** One revision through all nodes that can be thought of: heard of, a voter of the core, or registered. */
   async trace({ change, revision }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
     const read = await this.proposer.read(3000);
     const known = read.toMaybe().alt(Maybe.fromNullable(this.inForce.whole)).extract();
@@ -259,7 +259,7 @@
     const nodes = new Map<string, { name: string; role: string }>();
     for (const { address } of this.voterDirectory.core.members)
       nodes.set(address, { name: address, role: 'core' });
-    for (const [name, { address }] of known?.enrolled ?? [])
+    for (const [name, { address }] of known?.registered ?? [])
       nodes.set(address, { name, role: 'router' });
     for (const role of ['core', 'router'])
       for (const { name, address } of this.view.live(role)) nodes.set(address, { name, role });
@@ -466,15 +466,15 @@
     return this.change(operator, change, { kind: 'removeVoter', id, vacant: false, expects }, wait);
   }
 
-  /** Takes a router that is gone for good out of the enrolment, once the last enrolment is in force everywhere else. */
-  async retire(
+  /** Takes a router that is gone for good out of the registration, once the last registration is in force everywhere else. */
+  async deregister(
     operator: Operator,
-    { change, name, wait }: Schemas['RetireAsk'],
+    { change, name, wait }: Schemas['DeregisterAsk'],
   ): Promise<Outcome<Changed>> {
     const limit = this.clock.now() + wait;
     const read = await this.proposer.read(wait);
     if (read.isLeft()) return read as Outcome<never>;
-    const expects = read.unsafeCoerce().enrolledAt;
+    const expects = read.unsafeCoerce().registeredAt;
     const application = await awaitApplication(
       expects,
       (limit - this.clock.now()) / 2,
@@ -484,14 +484,14 @@
     );
     if (!application.everywhere)
       return failed(
-        'node.retire',
+        'node.deregister',
         application.silent.join(' '),
-        `the last enrolment is not yet known to be in force everywhere: ${application.reasons.join('; ')}`,
+        `the last registration is not yet known to be in force everywhere: ${application.reasons.join('; ')}`,
       );
     return this.change(
       operator,
       change,
-      { kind: 'retire', name, expects },
+      { kind: 'deregister', name, expects },
       Math.max(100, limit - this.clock.now()),
     );
   }
--- a/src/claim/calls.ts
+++ b/src/claim/calls.ts
@@ -7,7 +7,7 @@
 export interface TakeAsk {
   key: string;
   owner: string;
-  enrolledAt: number;
+  registeredAt: number;
 }
 
 /** Whether the claim was granted, and otherwise who has it. */
@@ -21,7 +21,7 @@
 export const Take = call<TakeAsk, TakeReply>(
   80,
   'claim.take',
-  struct({ key: text, owner: text, enrolledAt: number }),
+  struct({ key: text, owner: text, registeredAt: number }),
   struct({ granted: flag, owner: text, reason: text }),
 );
 
@@ -53,14 +53,14 @@
 /** What one router holds of another's duties, from a place in its own order on. */
 export interface GatherAsk {
   node: string;
-  enrolledAt: number;
+  registeredAt: number;
   after: number;
 }
 
 /** One page of the claims that a router holds. */
 export interface GatherReply {
   open: boolean;
-  enrolledAt: number;
+  registeredAt: number;
   more: boolean;
   next: number;
   claims: HeldClaim[];
@@ -70,8 +70,8 @@
 export const Gather = call<GatherAsk, GatherReply>(
   82,
   'claim.gather',
-  struct({ node: text, enrolledAt: number, after: number }),
-  struct({ open: flag, enrolledAt: number, more: flag, next: number, claims: heldField }),
+  struct({ node: text, registeredAt: number, after: number }),
+  struct({ open: flag, registeredAt: number, more: flag, next: number, claims: heldField }),
 );
 
 /** Keeps a claim on a core member's disk, under the core set that both know. */
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -1,9 +1,9 @@
 /**
  * Claims on the ids of requests that may not be repeated, over the whole fleet. Two must agree before such a request is
- * sent. Uniqueness: the duty for an id is cut by rendezvous hashing over the enrolled routers; of its three holders two
- * must grant the claim, under the same enrolment. Durability: a majority of the core must have the claim on disk, where
+ * sent. Uniqueness: the duty for an id is cut by rendezvous hashing over the registered routers; of its three holders two
+ * must grant the claim, under the same registration. Durability: a majority of the core must have the claim on disk, where
  * the first owner of an id keeps it too, so that it outlasts every router. While the core is out of reach a claim rests
- * on memory alone, of a majority of all enrolled routers and of every other that answers, and is brought to the core
+ * on memory alone, of a majority of all registered routers and of every other that answers, and is brought to the core
  * later.
  *
  * A holder whose duties changed first gathers what the others hold. One that lost its memory also reads back from a
@@ -18,7 +18,7 @@
 import { later, within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import type { Enrolled } from '../register/document.js';
+import type { Registered } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
@@ -59,10 +59,13 @@
   private epoch = 0;
   private epochBegan: Moment;
   private readonly started: Moment;
-  private before: { enrolledAt: number; names: readonly string[] } = { enrolledAt: 0, names: [] };
+  private before: { registeredAt: number; names: readonly string[] } = {
+    registeredAt: 0,
+    names: [],
+  };
   private openFor = -1;
   private names: readonly string[] = [];
-  /** Who has told all since this enrolment came into force; what they grant later is known to two holders without this one. */
+  /** Who has told all since this registration came into force; what they grant later is known to two holders without this one. */
   private readonly told = new Set<string>();
   private recalled = false;
   private coreFailed = -Infinity as Moment;
@@ -91,7 +94,7 @@
       this.remember({ key, owner, age: 0, kept: false });
       return Right({ owner: this.memory.owner(key) ?? '' });
     });
-    this.peers.handle(Gather, ({ node, enrolledAt, after }) => {
+    this.peers.handle(Gather, ({ node, registeredAt, after }) => {
       this.turn();
       const page = this.memory.page(
         after,
@@ -99,10 +102,10 @@
         (key) => !this.unkept.has(key),
       );
       return Right({
-        open: this.openFor >= this.before.enrolledAt && this.openFor >= 0,
-        enrolledAt: this.epoch,
+        open: this.openFor >= this.before.registeredAt && this.openFor >= 0,
+        registeredAt: this.epoch,
         ...page,
-        more: page.more && enrolledAt === this.epoch,
+        more: page.more && registeredAt === this.epoch,
       });
     });
   }
@@ -137,10 +140,10 @@
   async release(firm: string, id: string, owner: string): Promise<void> {
     if (!this.enabled) return;
     const key = keyOf(firm, id);
-    const { enrolled } = this;
-    const keepers = this.unkept.delete(key) ? [...enrolled.keys()] : this.duty(key);
+    const { registered } = this;
+    const keepers = this.unkept.delete(key) ? [...registered.keys()] : this.duty(key);
     const addresses = [
-      ...keepers.flatMap((name) => enrolled.get(name)?.address ?? []),
+      ...keepers.flatMap((name) => registered.get(name)?.address ?? []),
       ...this.voterDirectory.addresses,
     ];
     await within(
@@ -165,8 +168,8 @@
     return this.unkept.size;
   }
 
-  private get enrolled(): ReadonlyMap<string, Enrolled> {
-    return this.inForce.whole?.enrolled ?? new Map<string, Enrolled>();
+  private get registered(): ReadonlyMap<string, Registered> {
+    return this.inForce.whole?.registered ?? new Map<string, Registered>();
   }
 
   private get coreOut(): boolean {
@@ -174,18 +177,18 @@
   }
 
   private async atHolders(key: string, owner: string): Promise<Taken> {
-    const { enrolled } = this;
+    const { registered } = this;
     const names = this.duty(key);
     if (names.length === 0) return 'none';
     const quorum = majority(names.length);
-    const addresses = names.flatMap((name) => enrolled.get(name)?.address ?? []);
+    const addresses = names.flatMap((name) => registered.get(name)?.address ?? []);
     const granted = (replies: readonly TakeReply[]): number =>
       replies.filter((reply) => reply.granted).length;
     const replies = sound(
       await gather(
         addresses,
         (address) =>
-          this.peers.ask(address, Take, { key, owner, enrolledAt: this.epoch }, ASK_LIMIT),
+          this.peers.ask(address, Take, { key, owner, registeredAt: this.epoch }, ASK_LIMIT),
         (all) => granted(sound(all)) >= quorum,
       ),
     );
@@ -195,10 +198,10 @@
       : 'none';
   }
 
-  /** Without the core, a majority of all enrolled routers must remember the claim, and every one that answers does. */
+  /** Without the core, a majority of all registered routers must remember the claim, and every one that answers does. */
   private async copy(key: string, owner: string): Promise<Taken> {
     this.remember({ key, owner, age: 0, kept: false });
-    const addresses = [...this.enrolled.values()].map(({ address }) => address);
+    const addresses = [...this.registered.values()].map(({ address }) => address);
     const replies = sound(
       await gather(
         addresses,
@@ -261,22 +264,22 @@
   }
 
   private duty(key: string): string[] {
-    return holders(key, [...this.enrolled.keys()]).slice(0, HOLDERS);
+    return holders(key, [...this.registered.keys()]).slice(0, HOLDERS);
   }
 
-  /** Notes a new enrolment as soon as it is in force. */
+  /** Notes a new registration as soon as it is in force. */
   private turn(): void {
     const document = this.inForce.whole;
-    if (!document || document.enrolledAt <= this.epoch) return;
-    this.before = { enrolledAt: this.epoch, names: this.names };
-    this.names = [...document.enrolled.keys()];
-    this.epoch = document.enrolledAt;
+    if (!document || document.registeredAt <= this.epoch) return;
+    this.before = { registeredAt: this.epoch, names: this.names };
+    this.names = [...document.registered.keys()];
+    this.epoch = document.registeredAt;
     this.epochBegan = this.clock.now();
     this.told.clear();
     this.recalled = false;
   }
 
-  private grant({ key, owner, enrolledAt }: TakeAsk): TakeReply {
+  private grant({ key, owner, registeredAt }: TakeAsk): TakeReply {
     this.turn();
     const declined = (reason: string, by = ''): TakeReply => ({
       granted: false,
@@ -286,10 +289,10 @@
     const known = this.memory.owner(key);
     if (known !== undefined)
       return known === owner ? { granted: true, owner, reason: '' } : declined('taken', known);
-    if (enrolledAt !== this.epoch) return declined('another enrolment is in force here');
+    if (registeredAt !== this.epoch) return declined('another registration is in force here');
     if (!this.duty(key).includes(this.node)) return declined('not a holder');
     const carried =
-      this.openFor === this.before.enrolledAt &&
+      this.openFor === this.before.registeredAt &&
       this.openFor > 0 &&
       holders(key, this.before.names).slice(0, HOLDERS).includes(this.node);
     if (this.openFor !== this.epoch && !carried)
@@ -302,10 +305,10 @@
   /** Asks what is held of this one's duties; opens when enough have told. */
   private async collect(): Promise<void> {
     const epoch = this.epoch;
-    const { enrolled } = this;
-    if (!enrolled.has(this.node)) return;
+    const { registered } = this;
+    if (!registered.has(this.node)) return;
     const remembers = this.openFor > 0;
-    const others = [...enrolled].filter(([name]) => name !== this.node && !this.told.has(name));
+    const others = [...registered].filter(([name]) => name !== this.node && !this.told.has(name));
     if (!remembers && !this.recalled) this.recalled = await this.recall();
     await Promise.all(
       others.map(async ([name, { address }]) => {
@@ -313,12 +316,12 @@
       }),
     );
     if (this.epoch !== epoch) return;
-    const missing = enrolled.size - 1 - this.told.size;
+    const missing = registered.size - 1 - this.told.size;
     const waited = this.clock.now() >= later(remembers ? this.epochBegan : this.started, WINDOW);
     if (!(remembers || this.recalled) || (missing > (remembers ? 1 : 0) && !waited)) return;
     this.openFor = epoch;
     this.log('claims-open', [
-      ['enrolledAt', epoch],
+      ['registeredAt', epoch],
       ['missing', missing],
       ['held', this.memory.size],
     ]);
@@ -342,13 +345,13 @@
       const reply = await this.peers.ask(
         address,
         Gather,
-        { node: this.node, enrolledAt: epoch, after },
+        { node: this.node, registeredAt: epoch, after },
         ASK_LIMIT * 2,
       );
       const told = reply.toMaybe().extract();
       if (!told) return false;
       for (const claim of told.claims) this.remember(claim);
-      if (!told.open || told.enrolledAt !== epoch) return false;
+      if (!told.open || told.registeredAt !== epoch) return false;
       if (!told.more) return true;
       after = told.next;
     }
--- a/src/claim/keeper.ts
+++ b/src/claim/keeper.ts
@@ -195,7 +195,7 @@
   private recall({ set, node, after }: RecallAsk): Outcome<RecallReply> {
     const may = this.votes('claim.recall', set);
     if (may.isLeft()) return may;
-    const routers = [...(this.member.newest?.enrolled.keys() ?? [])];
+    const routers = [...(this.member.newest?.registered.keys() ?? [])];
     return Right({
       whole: this.held,
       ...this.memory.page(
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -354,12 +354,12 @@
       end(await operate(target(argv), 'engine.list', {})),
     )
     .command(
-      'retire <name>',
-      'Takes a router that is gone for good out of the enrolment',
+      ['deregister <name>', 'deregister <name>'],
+      'Takes a router that is gone for good out of the registration',
       (y) => common(y).positional('name', { type: 'string', demandOption: true }),
       async (argv) =>
         end(
-          await operate(target(argv), 'node.retire', {
+          await operate(target(argv), 'node.deregister', {
             change: argv.change ?? randomUUID(),
             name: argv.name,
             wait: argv.wait,
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -72,7 +72,10 @@
         ),
       ],
       ['node.list', checked('NothingAsk', () => operations.nodes())],
-      ['node.retire', checked('RetireAsk', (ask, operator) => operations.retire(operator, ask))],
+      [
+        'node.deregister',
+        checked('DeregisterAsk', (ask, operator) => operations.deregister(operator, ask)),
+      ],
       ['engine.list', checked('NothingAsk', () => operations.engines())],
       ['core.form', checked('FormAsk', ({ members }) => operations.form(members))],
       [
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -222,7 +222,7 @@
       );
   }
 
-  /** Until each router is enrolled and grants claims on ids, so that what may not be repeated is let in too. */
+  /** Until each router is registered and grants claims on ids, so that what may not be repeated is let in too. */
   async claiming(names: Iterable<string>): Promise<void> {
     for (const name of names)
       await this.until(
--- a/src/lease/application.ts
+++ b/src/lease/application.ts
@@ -1,6 +1,6 @@
 /**
  * When a committed revision may be called accepted: once a majority of the core has confirmed that no node stands on an
- * older one, and a majority of the enrolled routers have reported it in force. A node's lease needs a majority of the
+ * older one, and a majority of the registered routers have reported it in force. A node's lease needs a majority of the
  * core's grants, so it would meet one of those who confirmed, or of the routers' leases, so it would meet one of those who
  * reported.
  */
@@ -26,15 +26,15 @@
   const limit = clock.now() + duration;
   const confirmers = new Set<string>();
   const reported = new Set<string>();
-  let enrolled: readonly string[] | undefined;
+  let registered: readonly string[] | undefined;
   const done = (members: readonly { id: string }[]): boolean => {
     const core =
       members.length > 0 &&
       members.filter(({ id }) => confirmers.has(id)).length >= majority(members.length);
-    if (!core || !enrolled) return false;
+    if (!core || !registered) return false;
     return (
-      enrolled.length === 0 ||
-      enrolled.filter((name) => reported.has(name)).length >= majority(enrolled.length)
+      registered.length === 0 ||
+      registered.filter((name) => reported.has(name)).length >= majority(registered.length)
     );
   };
   for (let pause = 50; ; pause = 100) {
@@ -54,7 +54,7 @@
         );
         reply.ifRight((told) => {
           if (told.refusal === 'behind') return;
-          enrolled = told.enrolled;
+          registered = told.registered;
           for (const { node, revision: at } of told.reports) if (at >= revision) reported.add(node);
           const voter = open.find((each) => each.address === address);
           if (told.confirmed && voter) confirmers.add(voter.id);
@@ -67,7 +67,7 @@
     if (clock.now() >= limit) {
       const silent = new Set([
         ...sound(replies).flatMap((reply) => reply.silent),
-        ...(enrolled ?? []).filter((name) => !reported.has(name)),
+        ...(registered ?? []).filter((name) => !reported.has(name)),
       ]);
       const reasons = replies
         .map(([address, reply]) =>
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -59,7 +59,7 @@
   refusal: ConfirmRefusal;
   silent: string[];
   reason: string;
-  enrolled: string[];
+  registered: string[];
   reports: Report[];
 }
 export const Confirm = call<{ revision: number; wait: number }, ConfirmReply>(
@@ -71,7 +71,7 @@
     refusal: choice(CONFIRM_REFUSALS),
     silent: list(text),
     reason: text,
-    enrolled: list(text),
+    registered: list(text),
     reports: list(reportField),
   }),
 );
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -28,7 +28,7 @@
   readonly until: Moment;
 }
 
-type Verdict = Omit<ConfirmReply, 'enrolled' | 'reports'>;
+type Verdict = Omit<ConfirmReply, 'registered' | 'reports'>;
 
 const refused = (refusal: ConfirmRefusal, reason: string, silent: string[] = []): Verdict => ({
   confirmed: false,
@@ -121,10 +121,10 @@
 
   private judge(revision: number): ConfirmReply {
     const known = this.member.newest;
-    const enrolled = [...(known?.enrolled.keys() ?? [])];
+    const registered = [...(known?.registered.keys() ?? [])];
     return {
       ...this.weigh(revision),
-      enrolled,
+      registered,
       reports: [...this.reports].map(([node, reported]) => ({ node, revision: reported })),
     };
   }
--- a/src/lease/peer-leases.ts
+++ b/src/lease/peer-leases.ts
@@ -1,9 +1,9 @@
 /**
  * Routers confirming for each other, for when the core is out of reach. A router grants a lease to one whose revision
  * in force is no older than its own, and then holds back its report of anything newer until that lease has ended. Since
- * "accepted" needs the reports of a majority of the enrolled routers, and a cut-off router needs the leases of a
+ * "accepted" needs the reports of a majority of the registered routers, and a cut-off router needs the leases of a
  * majority, one of those who confirmed would have had to report too early. A router that was started again has forgotten
- * its grants and reports nothing for one lease, unless it was not enrolled before.
+ * its grants and reports nothing for one lease, unless it was not registered before.
  */
 import { Right } from 'purify-ts';
 import type { InForce } from '../doorway/match.js';
@@ -18,7 +18,7 @@
   /** For each node, until when it may stand on a revision by this one's word. */
   private readonly granted = new Map<string, Map<number, Moment>>();
   private readonly started: Moment;
-  private enrolledBefore: boolean | undefined;
+  private registeredBefore: boolean | undefined;
 
   constructor(
     private readonly node: string,
@@ -38,9 +38,9 @@
   get report(): number {
     const document = this.inForce.whole;
     if (!document) return 0;
-    this.enrolledBefore ??= document.enrolled.has(this.node);
+    this.registeredBefore ??= document.registered.has(this.node);
     const now = this.clock.now();
-    if (this.enrolledBefore && now < this.started + this.terms.duration) return 0;
+    if (this.registeredBefore && now < this.started + this.terms.duration) return 0;
     let report = document.revision;
     for (const [node, leases] of this.granted) {
       for (const [revision, until] of leases) {
--- a/src/lease/router-lease.ts
+++ b/src/lease/router-lease.ts
@@ -1,6 +1,6 @@
 /**
  * A node's own lease: a lease that a majority of the core renews, or when the core is out of reach a majority of the
- * enrolled routers, counted strictly from the moment the node asked. `holds`
+ * registered routers, counted strictly from the moment the node asked. `holds`
  * is asked immediately before each act the lease covers, since a process may have been frozen in between. Whether a node
  * may serve is the same question under terms by which it stops when the lease lapses; under the others it may serve with
  * whatever it has in force.
@@ -133,14 +133,17 @@
     this.reported = Math.max(this.reported, report);
   }
 
-  /** Cut off from the core: a majority of the enrolled routers, this one counted, may confirm for it. */
+  /** Cut off from the core: a majority of the registered routers, this one counted, may confirm for it. */
   private async seekPeerLeases(): Promise<void> {
     const document = this.inForce.whole;
     const asked = this.clock.strict();
-    if (!document?.enrolled.has(this.self.node) || this.until - asked > this.terms.duration * WORRY)
+    if (
+      !document?.registered.has(this.self.node) ||
+      this.until - asked > this.terms.duration * WORRY
+    )
       return;
-    const quorum = majority(document.enrolled.size);
-    const others = [...document.enrolled].filter(([name]) => name !== this.self.node);
+    const quorum = majority(document.registered.size);
+    const others = [...document.registered].filter(([name]) => name !== this.self.node);
     const names = new Map(others.map(([name, { address }]) => [address, name]));
     const granted = new Set([this.self.node]);
     await gather(
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -200,7 +200,7 @@
     return failed(
       'params.check',
       'params',
-      'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on enrolled routers',
+      'claims.enabled is true: expected false where lease.lapse is "serve", since claims rest on registered routers',
     );
   return checked.success
     ? Right(checked.value)
--- a/src/place/law.ts
+++ b/src/place/law.ts
@@ -28,15 +28,15 @@
 export const lawText = ({ routers, largestPrompt, largestReply, rateShare }: LawParams): string =>
   `${routers}/${largestPrompt}/${largestReply}/${rateShare}`;
 
-/** Why no claim can be made under this law beside the routers enrolled; empty when they can. */
+/** Why no claim can be made under this law beside the routers registered; empty when they can. */
 export const lawBroken = (
   law: LawParams,
-  enrolled: ReadonlyMap<string, { readonly law: string }>,
+  registered: ReadonlyMap<string, { readonly law: string }>,
 ): string => {
-  if (enrolled.size > law.routers)
-    return `${enrolled.size} routers are enrolled, law.routers is ${law.routers}`;
+  if (registered.size > law.routers)
+    return `${registered.size} routers are registered, law.routers is ${law.routers}`;
   const own = lawText(law);
-  const other = [...enrolled].find(([, each]) => each.law !== own);
+  const other = [...registered].find(([, each]) => each.law !== own);
   return other === undefined ? '' : `${other[0]} keeps another law: ${other[1].law}, not ${own}`;
 };
 
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -31,7 +31,7 @@
 export const VERSIONS = ORDERS_AT_ONCE * REPEAT_SPAN;
 export const DOORWAY_BOUND = 2048;
 export const REMOVED_BOUND = 8192;
-export const ENROLLED_BOUND = 256;
+export const REGISTERED_BOUND = 256;
 
 export type Verdict =
   | { readonly kind: 'applied'; readonly revision: Revision }
@@ -69,27 +69,28 @@
   return verdict.kind === 'changed' ? { ...document, core: verdict.core } : verdict;
 };
 
-/** Enrolled routers change one at a time too, each building on the last. */
-const reenrol = (
+/** Registered routers change one at a time too, each building on the last. */
+const registerAgain = (
   document: Document,
-  act: Extract<Act, { kind: 'enrol' | 'retire' }>,
+  act: Extract<Act, { kind: 'registerRouter' | 'deregister' }>,
   next: Revision,
 ): Document | Verdict => {
-  if (act.expects !== document.enrolledAt)
+  if (act.expects !== document.registeredAt)
     return {
       kind: 'lost',
-      reason: `the enrolment is at revision ${document.enrolledAt}, not ${act.expects}`,
+      reason: `the registration is at revision ${document.registeredAt}, not ${act.expects}`,
     };
-  const enrolled = new Map(document.enrolled);
-  if (act.kind === 'retire') {
-    if (!enrolled.delete(act.name)) return declined(`${act.name} is not enrolled`);
+  const registered = new Map(document.registered);
+  if (act.kind === 'deregister') {
+    if (!registered.delete(act.name)) return declined(`${act.name} is not registered`);
   } else {
-    if (enrolled.has(act.name)) return declined(`${act.name} is enrolled already; retire it first`);
-    if (enrolled.size >= ENROLLED_BOUND)
-      return declined(`${ENROLLED_BOUND} routers are enrolled already`);
-    enrolled.set(act.name, act.enrolled);
+    if (registered.has(act.name))
+      return declined(`${act.name} is registered already; deregister it first`);
+    if (registered.size >= REGISTERED_BOUND)
+      return declined(`${REGISTERED_BOUND} routers are registered already`);
+    registered.set(act.name, act.registered);
   }
-  return { ...document, enrolled, enrolledAt: next };
+  return { ...document, registered, registeredAt: next };
 };
 
 /** Sets or removes one doorway; whether all doorways can be told apart is looked at by the caller. */
@@ -208,9 +209,9 @@
     case 'addVoter':
     case 'removeVoter':
       return withVoters(document, act);
-    case 'enrol':
-    case 'retire':
-      return reenrol(document, act, next);
+    case 'registerRouter':
+    case 'deregister':
+      return registerAgain(document, act, next);
     case 'set':
     case 'remove':
       return placeAll(document, [act], firm, next);
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -34,7 +34,7 @@
   };
 }
 
-const TABLES = ['doorways', 'removed', 'claims', 'outcomes', 'enrolled', 'versions'] as const;
+const TABLES = ['doorways', 'removed', 'claims', 'outcomes', 'registered', 'versions'] as const;
 
 type Table = ReadonlyMap<string | number, unknown>;
 
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -26,7 +26,7 @@
 }
 
 /** A router that counts toward the majority that confirms for routers cut off from the core. */
-export interface Enrolled {
+export interface Registered {
   readonly address: string;
   readonly zone: string;
   /** The touching law it keeps, so that others notice one that differs. */
@@ -81,12 +81,12 @@
       readonly expects: number;
     }
   | {
-      readonly kind: 'enrol';
+      readonly kind: 'registerRouter';
       readonly name: string;
-      readonly enrolled: Enrolled;
+      readonly registered: Registered;
       readonly expects: Revision;
     }
-  | { readonly kind: 'retire'; readonly name: string; readonly expects: Revision }
+  | { readonly kind: 'deregister'; readonly name: string; readonly expects: Revision }
   | ConfigureAct;
 
 export interface Change {
@@ -110,9 +110,9 @@
   readonly removed: ReadonlyMap<string, Revision>;
   readonly claims: ReadonlyMap<string, Claim>;
   readonly outcomes: ReadonlyMap<ChangeId, Kept>;
-  readonly enrolled: ReadonlyMap<string, Enrolled>;
-  /** The revision of the last enrolment or retirement. */
-  readonly enrolledAt: Revision;
+  readonly registered: ReadonlyMap<string, Registered>;
+  /** The revision of the last registration or deregistration. */
+  readonly registeredAt: Revision;
   /** The routes of the operators' newest version, where there are any. */
   readonly configuration?: Configuration | undefined;
   /** The requests that made the last versions, by version, oldest first, so that one that is resent is known again. */
@@ -124,10 +124,10 @@
 
 interface Raw extends Omit<
   Document,
-  'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled' | 'versions'
+  'doorways' | 'removed' | 'claims' | 'outcomes' | 'registered' | 'versions'
 > {
   versions?: Array<[number, Kept]>;
-  enrolled: Array<[string, Enrolled]>;
+  registered: Array<[string, Registered]>;
   doorways: Array<[string, Placed]>;
   removed: Array<[string, Revision]>;
   claims: Array<[string, Claim]>;
@@ -181,8 +181,8 @@
       removed: pairs(document.removed),
       claims: pairs(document.claims),
       outcomes: [...document.outcomes],
-      enrolled: pairs(document.enrolled),
-      enrolledAt: document.enrolledAt,
+      registered: pairs(document.registered),
+      registeredAt: document.registeredAt,
       configuration: document.configuration,
       versions: document.versions.size ? [...document.versions] : undefined,
       forgottenVersion: document.forgottenVersion,
@@ -204,8 +204,8 @@
       removed: new Map(raw.removed),
       claims: new Map(raw.claims),
       outcomes: new Map(raw.outcomes),
-      enrolled: new Map(raw.enrolled),
-      enrolledAt: raw.enrolledAt,
+      registered: new Map(raw.registered),
+      registeredAt: raw.registeredAt,
       configuration: raw.configuration,
       versions: new Map(raw.versions ?? []),
       forgottenVersion: raw.forgottenVersion,
@@ -229,8 +229,8 @@
   removed: new Map(),
   claims: new Map(),
   outcomes: new Map(),
-  enrolled: new Map(),
-  enrolledAt: 0,
+  registered: new Map(),
+  registeredAt: 0,
   versions: new Map(),
   cause: [],
 });
@@ -250,8 +250,8 @@
       return `version ${act.version}`;
     case 'remove':
     case 'claim':
-    case 'enrol':
-    case 'retire':
+    case 'registerRouter':
+    case 'deregister':
       return act.name;
   }
 };
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -4,7 +4,7 @@
  * be put in force at once; it is shown as accepted only by the core's word, as ever.
  *
  * A router that starts has nothing, and must not begin behind what was accepted. It begins from its neighbours only when
- * a majority of the enrolled routers, all of which have something in force since before, hold nothing newer: a change
+ * a majority of the registered routers, all of which have something in force since before, hold nothing newer: a change
  * that was accepted was in force at a majority, and the two would meet.
  */
 import { Right } from 'purify-ts';
@@ -72,7 +72,7 @@
     return this.neighbours();
   }
 
-  /** The revision from which a router that has nothing may begin, by the word of a majority of the enrolled routers. */
+  /** The revision from which a router that has nothing may begin, by the word of a majority of the registered routers. */
   async floor(): Promise<number | undefined> {
     const first = sound(
       await gather(
@@ -91,9 +91,9 @@
         (best, each) => (!best || each.revision > best.revision ? each : best),
         undefined,
       );
-    if (!newest || newest.fleet !== this.peers.self.fleet || newest.enrolled.size === 0)
+    if (!newest || newest.fleet !== this.peers.self.fleet || newest.registered.size === 0)
       return undefined;
-    const addresses = [...newest.enrolled]
+    const addresses = [...newest.registered]
       .filter(([name]) => name !== this.peers.self.name)
       .map(([, { address }]) => address);
     const told = sound(
@@ -104,7 +104,7 @@
       ),
     );
     const enough =
-      told.length >= majority(newest.enrolled.size) &&
+      told.length >= majority(newest.registered.size) &&
       told.every(({ committed }) => committed <= newest.revision);
     return enough ? newest.revision : undefined;
   }
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -7,7 +7,7 @@
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { Enrolment } from '../lease/enrolment.js';
+import { Registration } from '../lease/registration.js';
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
@@ -31,7 +31,7 @@
 /** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
-  private enrolment: Enrolment | undefined;
+  private registration: Registration | undefined;
 
   constructor(
     @Inject(names.params) private readonly params: Params,
@@ -69,7 +69,7 @@
     );
     relay.serve();
     this.view.addContacts(() =>
-      [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address),
+      [...(this.inForce.whole?.registered.values() ?? [])].map(({ address }) => address),
     );
     const follower = new Follower(
       this.peers,
@@ -105,7 +105,7 @@
       zone: this.params.zone,
       law: lawText(this.params.law),
     };
-    this.enrolment = new Enrolment(
+    this.registration = new Registration(
       this.params.name,
       own,
       this.inForce,
@@ -117,13 +117,13 @@
       this.random,
       this.log,
     );
-    void this.enrolment.run(signal);
+    void this.registration.run(signal);
     return served;
   }
 
   /** Claims rest on what all routers promise about their own traffic; when one promises otherwise, none are made. */
-  private heedLaw({ enrolled }: Document): void {
-    const reason = lawBroken(this.params.law, enrolled);
+  private heedLaw({ registered }: Document): void {
+    const reason = lawBroken(this.params.law, registered);
     if (this.prefixes.lawful !== (reason === ''))
       this.log(reason ? 'law-broken' : 'law-kept', [['reason', reason || undefined]]);
     this.prefixes.lawful = reason === '';
@@ -142,7 +142,7 @@
   async drain(): Promise<number> {
     const began = this.clock.now();
     const left = await this.passage.drain(this.params.drain);
-    await this.enrolment?.leave(
+    await this.registration?.leave(
       Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)),
     );
     await this.lease.leave();
--- a/test/checker/delta.test.ts
+++ b/test/checker/delta.test.ts
@@ -39,12 +39,12 @@
     { kind: 'set', doorway: doorway(name, 200 + Math.floor(random.fraction() * 100)), expects },
     { kind: 'remove', name, expects },
     {
-      kind: 'enrol',
+      kind: 'registerRouter',
       name,
-      enrolled: { address: '127.0.0.1:1', zone: 'z', law: '' },
-      expects: document.enrolledAt,
+      registered: { address: '127.0.0.1:1', zone: 'z', law: '' },
+      expects: document.registeredAt,
     },
-    { kind: 'retire', name, expects: document.enrolledAt },
+    { kind: 'deregister', name, expects: document.registeredAt },
     {
       kind: 'configure',
       version: version + 1 + Math.floor(random.fraction() * 3),
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -1,7 +1,7 @@
 /**
  * A fleet whose routers serve on when their lease lapses: a change is accepted within bounds whatever befalls a router, a
  * core member or its disk; revisions reach every router that is in touch at once; a restarted router has the newest one
- * at once; and nothing is enrolled, granted or claimed.
+ * at once; and nothing is registered, granted or claimed.
  */
 import { expect, test } from 'vitest';
 import { failed } from '../../src/kernel/fault/fault.js';
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -1,8 +1,8 @@
-/** Three members and some enrolled nodes, put together from the program's own classes, for the checkers that need lease. */
+/** Three members and some registered nodes, put together from the program's own classes, for the checkers that need lease. */
 import { expect } from 'vitest';
 import { Claims } from '../../src/claim/claims.js';
 import { silentLog } from '../../src/kernel/log/log.js';
-import { Enrolment } from '../../src/lease/enrolment.js';
+import { Registration } from '../../src/lease/registration.js';
 import { RouterLease } from '../../src/lease/router-lease.js';
 import { PeerLeases } from '../../src/lease/peer-leases.js';
 import { Relay } from '../../src/register/relay.js';
@@ -65,7 +65,7 @@
   void peers.serve(address);
   void lease.run(stop.signal);
   void claims.run(stop.signal);
-  void new Enrolment(
+  void new Registration(
     name,
     { address, zone: 'z', law: '' },
     inForce,
@@ -108,7 +108,7 @@
   const committed = (): boolean =>
     nodes.every(
       ({ lease, inForce, claims }) =>
-        lease.holds() && inForce.whole!.enrolled.size === count && claims.open,
+        lease.holds() && inForce.whole!.registered.size === count && claims.open,
     );
   expect(await world.run(30_000, committed)).toBe(true);
   const loseMemories = async (survivor?: number): Promise<void> => {
--- a/test/unit/overreach.test.ts
+++ b/test/unit/overreach.test.ts
@@ -162,19 +162,19 @@
   stage.start();
   const lawful = (): boolean[] =>
     [...stage.routers.values()].map(({ prefixes }) => prefixes.lawful);
-  const enrolled = (count: number): boolean =>
-    [...stage.routers.values()].every(({ inForce }) => inForce.whole?.enrolled.size === count);
-  expect(await stage.world.run(20_000, () => enrolled(2))).toBe(true);
+  const registered = (count: number): boolean =>
+    [...stage.routers.values()].every(({ inForce }) => inForce.whole?.registered.size === count);
+  expect(await stage.world.run(20_000, () => registered(2))).toBe(true);
   expect(lawful()).toEqual([true, true]);
   stage.startRouter('router-3');
-  expect(await stage.world.run(40_000, () => enrolled(3))).toBe(true);
+  expect(await stage.world.run(40_000, () => registered(3))).toBe(true);
   expect(lawful()).toEqual([false, false, false]);
   await stage.world.until(stage.routers.get('router-3')!.node.drain());
   stage.routers.get('router-3')!.host.kill();
   stage.routers.delete('router-3');
-  expect(await stage.world.run(60_000, () => enrolled(2))).toBe(true);
+  expect(await stage.world.run(60_000, () => registered(2))).toBe(true);
   expect(lawful()).toEqual([true, true]);
-  const law = [...stage.routers.values()][0]!.inForce.whole!.enrolled.get('router-1')!.law;
+  const law = [...stage.routers.values()][0]!.inForce.whole!.registered.get('router-1')!.law;
   expect(
     lawBroken(
       { routers: 2, largestPrompt: 8192, largestReply: 1024, rateShare: 2 },
