A folder of a version that named its files otherwise is refused at start

Cause: revisions are kept in revisions/ now. A member that started on a folder with generations/ would have kept its identity and forgotten its votes.

--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -65,6 +65,8 @@
 }
 
 const LEAST = 2;
+/** Where versions before this one kept the revisions. */
+const OLDER_FOLDER = 'generations';
 
 export class Store {
   /** The bytes of each revision that is on disk, or may be. */
@@ -109,6 +111,8 @@
     if (promise.isLeft()) return promise as Outcome<Found>;
     if (disqualified.isLeft()) return disqualified as Outcome<Found>;
     if (names.isLeft()) return names as Outcome<Found>;
+    const older = await this.refuseOlder(names.unsafeCoerce());
+    if (older.isLeft()) return older as Outcome<Found>;
     const revisions = new Map<number, Ballot>();
     let accepted: Filed | undefined;
     for (const name of names.extract() as string[]) {
@@ -143,6 +147,21 @@
     });
   }
 
+  /** Refuses a folder of a version that kept its files under another name, since taking it for empty would forget votes. */
+  private async refuseOlder(names: readonly string[]): Promise<Outcome<void>> {
+    if (names.length > 0) return Right(undefined);
+    const older = await this.disk.list(OLDER_FOLDER);
+    return older.chain((held) =>
+      held.length > 0
+        ? failed(
+            'store.open',
+            OLDER_FOLDER,
+            'was written by an older version; start with an empty folder',
+          )
+        : Right(undefined),
+    );
+  }
+
   keepIdentity(id: string): Promise<Outcome<void>> {
     return this.write(
       'member',
