--- a/test/checker/slopes.test.ts
+++ b/test/checker/slopes.test.ts
@@ -22,7 +22,7 @@
 test('at rest a router keeps within its bytes, and what it sends hardly grows with the fleet', async () => {
   const [small, large] = [await at(5), await at(10)];
   for (const { roles, figures } of [small, large]) {
-    expect(figures).toMatchObject({ committed: 1, pollers: 1, configured: 1, stormed: 30 });
+    expect(figures).toMatchObject({ settled: 1, pollers: 1, configured: 1, stormed: 30 });
     expect(roles.router!.all.sentBytes.median).toBeLessThan(BUDGET);
     expect(roles.router!.all.receivedBytes.median).toBeLessThan(BUDGET);
     expect(roles.router!.all.sentMessages.median).toBeLessThan(13);
