--- a/src/api/generated.ts
+++ b/src/api/generated.ts
@@ -13,7 +13,7 @@
         };
         get?: never;
         put?: never;
-        /** Sets a doorway that is at the generation expected */
+        /** Sets a doorway that is at the revision expected */
         post: operations["doorway.set"];
         delete?: never;
         options?: never;
@@ -30,7 +30,7 @@
         };
         get?: never;
         put?: never;
-        /** Removes a doorway that is at the generation expected */
+        /** Removes a doorway that is at the revision expected */
         post: operations["doorway.remove"];
         delete?: never;
         options?: never;
@@ -81,7 +81,7 @@
         };
         get?: never;
         put?: never;
-        /** One doorway with its generation */
+        /** One doorway with its revision */
         post: operations["doorway.get"];
         delete?: never;
         options?: never;
@@ -132,7 +132,7 @@
         };
         get?: never;
         put?: never;
-        /** The whole configuration at a settled generation, 0 for the newest */
+        /** The whole configuration at a committed revision, 0 for the newest */
         post: operations["config.at"];
         delete?: never;
         options?: never;
@@ -149,7 +149,7 @@
         };
         get?: never;
         put?: never;
-        /** Settled generations with who changed what */
+        /** Committed revisions with who changed what */
         post: operations["config.history"];
         delete?: never;
         options?: never;
@@ -166,7 +166,7 @@
         };
         get?: never;
         put?: never;
-        /** One change or generation through all nodes */
+        /** One change or revision through all nodes */
         post: operations["change.trace"];
         delete?: never;
         options?: never;
@@ -183,7 +183,7 @@
         };
         get?: never;
         put?: never;
-        /** Nodes this node has heard of and those with standing */
+        /** Nodes this node has heard of and those with a lease */
         post: operations["node.list"];
         delete?: never;
         options?: never;
@@ -191,7 +191,7 @@
         patch?: never;
         trace?: never;
     };
-    "/rpc/node.retire": {
+    "/rpc/node.deregister": {
         parameters: {
             query?: never;
             header?: never;
@@ -200,8 +200,8 @@
         };
         get?: never;
         put?: never;
-        /** Takes a router that is gone for good out of the enrolment */
-        post: operations["node.retire"];
+        /** Takes a router that is gone for good out of the registration */
+        post: operations["node.deregister"];
         delete?: never;
         options?: never;
         head?: never;
@@ -242,7 +242,7 @@
         patch?: never;
         trace?: never;
     };
-    "/rpc/core.seat": {
+    "/rpc/core.addVoter": {
         parameters: {
             query?: never;
             header?: never;
@@ -251,15 +251,15 @@
         };
         get?: never;
         put?: never;
-        /** Gives the newcomer at an address a seat in the core */
-        post: operations["core.seat"];
+        /** Gives the newcomer at an address a vote in the core */
+        post: operations["core.addVoter"];
         delete?: never;
         options?: never;
         head?: never;
         patch?: never;
         trace?: never;
     };
-    "/rpc/core.unseat": {
+    "/rpc/core.removeVoter": {
         parameters: {
             query?: never;
             header?: never;
@@ -268,8 +268,8 @@
         };
         get?: never;
         put?: never;
-        /** Takes a member's seat in the core */
-        post: operations["core.unseat"];
+        /** Takes a member's vote in the core */
+        post: operations["core.removeVoter"];
         delete?: never;
         options?: never;
         head?: never;
@@ -375,7 +375,7 @@
         };
         PlacedDoorway: {
             doorway: components["schemas"]["Doorway"];
-            generation: number;
+            revision: number;
         };
         DoorwaySetAsk: {
             change: components["schemas"]["ChangeId"];
@@ -418,27 +418,27 @@
             wait: components["schemas"]["Wait"];
         };
         AtAsk: {
-            generation: number;
+            revision: number;
         };
         HistoryAsk: {
             from: number;
             count: number;
         };
-        CoreSeatAsk: {
+        AddVoterAsk: {
             change: components["schemas"]["ChangeId"];
             address: string;
             /** @description The core set's number */
             expects: number;
             wait: components["schemas"]["Wait"];
         };
-        CoreUnseatAsk: {
+        RemoveVoterAsk: {
             change: components["schemas"]["ChangeId"];
             id: string;
             /** @description The core set's number */
             expects: number;
             wait: components["schemas"]["Wait"];
         };
-        RetireAsk: {
+        DeregisterAsk: {
             change: components["schemas"]["ChangeId"];
             name: string;
             wait: components["schemas"]["Wait"];
@@ -446,10 +446,10 @@
         /** @description One of the two */
         TraceAsk: {
             change?: components["schemas"]["ChangeId"];
-            generation?: number;
+            revision?: number;
         };
         TraceReply: {
-            generation: number;
+            revision: number;
             changes: string[];
             nodes: {
                 name: string;
@@ -505,22 +505,22 @@
         ChangedReply: {
             change: components["schemas"]["ChangeId"];
             /**
-             * @description accepted: in force at every node with standing; lost and declined: never in effect; unknown: ask again by change id
+             * @description accepted: in force at every node with a lease; lost and declined: never in effect; unknown: ask again by change id
              * @enum {string}
              */
             outcome: "accepted" | "lost" | "declined" | "unknown";
-            /** @description The generation that holds it */
-            generation: number;
+            /** @description The revision that holds it */
+            revision: number;
             /** @description Nodes that have not reported it in force */
             silent: string[];
             reason: string;
         };
         DoorwayListReply: {
-            generation: number;
+            revision: number;
             doorways: components["schemas"]["PlacedDoorway"][];
             removed: {
                 name: string;
-                generation: number;
+                revision: number;
             }[];
             claims: {
                 name: string;
@@ -530,15 +530,15 @@
             }[];
         };
         ConfigReply: {
-            generation: number;
+            revision: number;
             digest: string;
-            /** @description The generation as it is kept */
+            /** @description The revision as it is kept */
             document: string;
         };
         HistoryReply: {
-            settled: number;
-            generations: {
-                generation: number;
+            committed: number;
+            revisions: {
+                revision: number;
                 digest: string;
                 changes: {
                     id: string;
@@ -557,9 +557,9 @@
                 address: string;
                 age: number;
             }[];
-            standing: {
+            leases: {
                 name: string;
-                generation: number;
+                revision: number;
                 remaining: number;
                 grants: number;
             }[];
@@ -581,8 +581,8 @@
                 address: string;
                 id: string;
                 state: string;
-                generation: number;
-                settled: number;
+                revision: number;
+                committed: number;
                 /** @description Digest over its whole history, empty while it is not whole */
                 whole: string;
             }[];
@@ -641,7 +641,7 @@
                 "application/json": components["schemas"]["DoorwayListReply"];
             };
         };
-        /** @description A whole generation */
+        /** @description A whole revision */
         Config: {
             headers: {
                 [name: string]: unknown;
@@ -650,7 +650,7 @@
                 "application/json": components["schemas"]["ConfigReply"];
             };
         };
-        /** @description Generations */
+        /** @description Revisions */
         History: {
             headers: {
                 [name: string]: unknown;
@@ -767,19 +767,19 @@
                 "application/json": components["schemas"]["HistoryAsk"];
             };
         };
-        CoreSeat: {
+        AddVoter: {
             content: {
-                "application/json": components["schemas"]["CoreSeatAsk"];
+                "application/json": components["schemas"]["AddVoterAsk"];
             };
         };
-        CoreUnseat: {
+        RemoveVoter: {
             content: {
-                "application/json": components["schemas"]["CoreUnseatAsk"];
+                "application/json": components["schemas"]["RemoveVoterAsk"];
             };
         };
-        Retire: {
+        Deregister: {
             content: {
-                "application/json": components["schemas"]["RetireAsk"];
+                "application/json": components["schemas"]["DeregisterAsk"];
             };
         };
         Trace: {
@@ -941,14 +941,14 @@
             default: components["responses"]["Fault"];
         };
     };
-    "node.retire": {
+    "node.deregister": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["Retire"];
+        requestBody: components["requestBodies"]["Deregister"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
@@ -980,27 +980,27 @@
             default: components["responses"]["Fault"];
         };
     };
-    "core.seat": {
+    "core.addVoter": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["CoreSeat"];
+        requestBody: components["requestBodies"]["AddVoter"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
         };
     };
-    "core.unseat": {
+    "core.removeVoter": {
         parameters: {
             query?: never;
             header?: never;
             path?: never;
             cookie?: never;
         };
-        requestBody: components["requestBodies"]["CoreUnseat"];
+        requestBody: components["requestBodies"]["RemoveVoter"];
         responses: {
             200: components["responses"]["Changed"];
             default: components["responses"]["Fault"];
--- a/src/lease/standing.ts
+++ b/src/lease/router-lease.ts
@@ -1,6 +1,6 @@
 /**
- * A node's own standing: a lease that a majority of the core renews, or when the core is out of reach a majority of the
- * enrolled routers, counted strictly from the moment the node asked. `holds`
+ * A node's own lease: a lease that a majority of the core renews, or when the core is out of reach a majority of the
+ * registered routers, counted strictly from the moment the node asked. `holds`
  * is asked immediately before each act the lease covers, since a process may have been frozen in between. Whether a node
  * may serve is the same question under terms by which it stops when the lease lapses; under the others it may serve with
  * whatever it has in force.
@@ -9,15 +9,15 @@
 import { SLACK, within } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import { gather, majority, sound } from '../register/gather.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Peers } from '../wire/peers.js';
 import type { InForce } from '../doorway/match.js';
-import { Goodbye, Renew, Vow, type RenewReply } from './calls.js';
+import { Goodbye, Renew, PeerLease, type RenewReply } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
-import type { Vows } from './vows.js';
+import type { PeerLeases } from './peer-leases.js';
 
 const ASK_LIMIT = 900;
-/** Below this share left of the core's lease, the other routers are asked to vouch. */
+/** Below this share left of the core's lease, the other routers are asked to confirm. */
 const WORRY = 0.64;
 
 export interface Self {
@@ -27,9 +27,9 @@
   readonly zone: string;
 }
 
-export class Standing {
+export class RouterLease {
   private until = -Infinity as Moment;
-  private vouched = -Infinity as Moment;
+  private confirmed = -Infinity as Moment;
   private nudge: () => void = () => undefined;
   private leaving = false;
   private stood = false;
@@ -39,9 +39,9 @@
   constructor(
     private readonly self: Self,
     private readonly inForce: InForce,
-    private readonly vows: Vows,
+    private readonly peerLeases: PeerLeases,
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly terms: LeaseTerms = TERMS,
@@ -53,13 +53,11 @@
 
   /** Whether this node may serve with what it has in force. */
   serves(): boolean {
-    return this.terms.lapse === 'stop'
-      ? this.holds()
-      : !this.leaving && this.inForce.generation > 0;
+    return this.terms.lapse === 'stop' ? this.holds() : !this.leaving && this.inForce.revision > 0;
   }
 
   get remaining(): number {
-    return Math.max(0, Math.max(this.until, this.vouched) - SLACK - this.clock.strict());
+    return Math.max(0, Math.max(this.until, this.confirmed) - SLACK - this.clock.strict());
   }
 
   /** How many nodes stood when this one's lease was last renewed, as far as the core knows; 0 before. */
@@ -67,7 +65,7 @@
     return this.counted;
   }
 
-  /** Renews at once, as when a new generation came into force. */
+  /** Renews at once, as when a new revision came into force. */
   renewNow(): void {
     this.nudge();
   }
@@ -81,12 +79,12 @@
           resolve();
         };
       });
-      if (this.inForce.generation > 0 && !this.leaving)
-        await Promise.race([Promise.all([this.renew(), this.seekVows()]), nudged]);
+      if (this.inForce.revision > 0 && !this.leaving)
+        await Promise.race([Promise.all([this.renew(), this.seekPeerLeases()]), nudged]);
       if (this.holds() !== this.stood) {
         this.stood = this.holds();
-        this.log(this.stood ? 'standing-held' : 'standing-lapsed', [
-          ['generation', this.inForce.generation],
+        this.log(this.stood ? 'lease-held' : 'lease-lapsed', [
+          ['revision', this.inForce.revision],
           ['by', this.clock.strict() < this.until ? 'core' : 'routers'],
         ]);
       }
@@ -102,7 +100,7 @@
     this.leaving = true;
     const { node, incarnation } = this.self;
     await gather(
-      this.roster.addresses,
+      this.voterDirectory.addresses,
       (address) => this.peers.ask(address, Goodbye, { node, incarnation }, this.limit),
       () => false,
     );
@@ -110,8 +108,8 @@
 
   private async renew(): Promise<void> {
     const asked = this.clock.strict();
-    const { report } = this.vows;
-    const { members } = this.roster.core;
+    const { report } = this.peerLeases;
+    const { members } = this.voterDirectory.core;
     const quorum = majority(members.length);
     const granted = (replies: readonly RenewReply[]): RenewReply[] =>
       replies.filter((reply) => reply.granted);
@@ -121,7 +119,7 @@
         this.peers.ask(
           address,
           Renew,
-          { ...this.self, generation: this.inForce.generation, report },
+          { ...this.self, revision: this.inForce.revision, report },
           this.limit,
         ),
       (all) => granted(sound(all)).length >= quorum,
@@ -131,18 +129,21 @@
     const duration = Math.min(...grants.map((reply) => reply.duration));
     this.counted = Math.max(...grants.map(({ nodes }) => nodes));
     this.until = Math.max(this.until, asked + duration) as Moment;
-    if (report > this.reported) this.log('reported', [['generation', report]]);
+    if (report > this.reported) this.log('reported', [['revision', report]]);
     this.reported = Math.max(this.reported, report);
   }
 
-  /** Cut off from the core: a majority of the enrolled routers, this one counted, may vouch for it. */
-  private async seekVows(): Promise<void> {
+  /** Cut off from the core: a majority of the registered routers, this one counted, may confirm for it. */
+  private async seekPeerLeases(): Promise<void> {
     const document = this.inForce.whole;
     const asked = this.clock.strict();
-    if (!document?.enrolled.has(this.self.node) || this.until - asked > this.terms.duration * WORRY)
+    if (
+      !document?.registered.has(this.self.node) ||
+      this.until - asked > this.terms.duration * WORRY
+    )
       return;
-    const quorum = majority(document.enrolled.size);
-    const others = [...document.enrolled].filter(([name]) => name !== this.self.node);
+    const quorum = majority(document.registered.size);
+    const others = [...document.registered].filter(([name]) => name !== this.self.node);
     const names = new Map(others.map(([name, { address }]) => [address, name]));
     const granted = new Set([this.self.node]);
     await gather(
@@ -150,18 +151,19 @@
       async (address) => {
         const reply = await this.peers.ask(
           address,
-          Vow,
-          { node: this.self.node, generation: document.generation },
+          PeerLease,
+          { node: this.self.node, revision: document.revision },
           this.limit,
         );
-        reply.ifRight((vow) => {
-          if (vow.granted && vow.node === names.get(address)) granted.add(vow.node);
+        reply.ifRight((peerLease) => {
+          if (peerLease.granted && peerLease.node === names.get(address))
+            granted.add(peerLease.node);
         });
         return reply;
       },
       () => granted.size >= quorum,
     );
     if (granted.size >= quorum)
-      this.vouched = Math.max(this.vouched, asked + this.terms.duration) as Moment;
+      this.confirmed = Math.max(this.confirmed, asked + this.terms.duration) as Moment;
   }
 }
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -16,7 +16,7 @@
   promised: boolean;
   highest: Ballot;
   accepted: Ballot;
-  settled: number;
+  committed: number;
   document: Uint8Array;
 }
 export const Prepare = call<PrepareAsk, PrepareReply>(
@@ -27,7 +27,7 @@
     promised: flag,
     highest: ballotField,
     accepted: ballotField,
-    settled: number,
+    committed: number,
     document: blob,
   }),
 );
@@ -62,15 +62,15 @@
   struct({ accepted: flag, highest: ballotField, lacksBase: flag }),
 );
 
-export interface SettledTell {
-  generation: number;
+export interface CommitNotice {
+  revision: number;
   ballot: Ballot;
   digest: string;
 }
-export const Settled = call<SettledTell, { known: boolean }>(
+export const Committed = call<CommitNotice, { known: boolean }>(
   3,
-  'register.settled',
-  struct({ generation: number, ballot: ballotField, digest: text }),
+  'register.committed',
+  struct({ revision: number, ballot: ballotField, digest: text }),
   struct({ known: flag }),
 );
 
@@ -93,8 +93,8 @@
   sure?: boolean;
   reason: string;
   accepted: Ballot;
-  generation: number;
-  settled: number;
+  revision: number;
+  committed: number;
   core: string;
   whole: string;
 }
@@ -110,8 +110,8 @@
     sure: flag,
     reason: text,
     accepted: ballotField,
-    generation: number,
-    settled: number,
+    revision: number,
+    committed: number,
     core: text,
     whole: text,
   }),
@@ -121,17 +121,17 @@
   ballot: Ballot;
   document: Uint8Array;
 }
-/** An item as it is sent: whole when `base` is 0, else the delta from that generation, with the digest of what it makes. */
+/** An item as it is sent: whole when `base` is 0, else the delta from that revision, with the digest of what it makes. */
 export interface FeedFrame extends FeedItem {
   base: number;
   digest: string;
 }
 export interface FeedReply {
-  settled: number;
+  committed: number;
   checkpoint: boolean;
   items: FeedFrame[];
 }
-/** `deltas`: the asker holds the generation it names, and takes what follows as deltas. */
+/** `deltas`: the asker holds the revision it names, and takes what follows as deltas. */
 export interface FeedAsk {
   from: number;
   wait: number;
@@ -142,7 +142,7 @@
   'register.feed',
   struct<FeedAsk>({ from: number, wait: number, deltas: flag as Field<boolean | undefined> }),
   struct({
-    settled: number,
+    committed: number,
     checkpoint: flag,
     items: list(
       struct<FeedFrame>({ ballot: ballotField, document: blob, base: number, digest: text }),
@@ -150,7 +150,7 @@
   }),
 );
 
-/** A whole generation as it is sent. */
+/** A whole revision as it is sent. */
 export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({
   ballot,
   document,
@@ -158,12 +158,12 @@
   digest: '',
 });
 
-/** Waits until something settled beyond a generation, without taking it: how a follower notices a source that is behind. */
-export const Tip = call<{ from: number; wait: number }, { settled: number }>(
+/** Waits until something committed beyond a revision, without taking it: how a follower notices a source that is behind. */
+export const Tip = call<{ from: number; wait: number }, { committed: number }>(
   9,
   'register.tip',
   struct({ from: number, wait: number }),
-  struct({ settled: number }),
+  struct({ committed: number }),
 );
 
 export const Form = call<{ document: Uint8Array }, { formed: boolean }>(
@@ -173,9 +173,9 @@
   struct({ formed: flag }),
 );
 
-export const History = call<{ generation: number }, { items: FeedItem[] }>(
+export const History = call<{ revision: number }, { items: FeedItem[] }>(
   7,
   'register.history',
-  struct({ generation: number }),
+  struct({ revision: number }),
   struct({ items: list(struct<FeedItem>({ ballot: ballotField, document: blob })) }),
 );
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -9,11 +9,11 @@
 import { FIRST, type Ballot } from './ballot.js';
 import { Chain } from './chain.js';
 import { DiskGuard } from './disk-guard.js';
-import { decodeDocument, type CoreSet, type Digest } from './document.js';
+import { decodeDocument, type VoterSet, type Digest } from './document.js';
 import type { Store } from './store.js';
 
 const STALL = 1500;
-const NO_VOTERS: CoreSet = { number: 0, wanted: 0, members: [] };
+const NO_VOTERS: VoterSet = { number: 0, wanted: 0, members: [] };
 
 /** How far a member is, for those who watch that it never goes back. */
 export interface MemberProgress {
@@ -57,8 +57,8 @@
       promised: acceptor.promised,
       accepted: acceptor.accepted?.ballot ?? FIRST,
       revision: acceptor.revision,
-      committed: chain.settled,
-      digest: chain.digest(chain.settled) ?? '',
+      committed: chain.committed,
+      digest: chain.digest(chain.committed) ?? '',
       isVoting: !guard.reason && acceptor.hasVoter(id),
       isDisqualified: guard.isDisqualified,
     };
@@ -81,7 +81,7 @@
   /** Holds a value as accepted, on the disk first. */
   async hold(value: AcceptedValue): Promise<boolean> {
     const { ballot, document, parsed, under } = value;
-    const writing = this.store.keepGeneration(parsed.generation, { ballot, document, under });
+    const writing = this.store.keepRevision(parsed.revision, { ballot, document, under });
     if (!(await this.guard.confirm(writing))) return false;
     const isHeld = this.acceptor.hold(value);
     this.prune();
@@ -94,9 +94,9 @@
    */
   prune(): void {
     const { revision } = this.acceptor;
-    const committed = Math.max(revision - 1, Math.min(this.chain.settled, revision));
+    const committed = Math.max(revision - 1, Math.min(this.chain.committed, revision));
     const floor = this.store.floor(committed);
-    this.chain.raise(Math.min(floor, this.chain.settled));
+    this.chain.raise(Math.min(floor, this.chain.committed));
     this.store.prune(floor);
   }
 
@@ -106,11 +106,11 @@
   }
 
   /** The newest voter set that is sure to have been chosen. */
-  get committedVoters(): CoreSet {
+  get committedVoters(): VoterSet {
     const { accepted } = this.acceptor;
     if (!accepted) return NO_VOTERS;
     const { parsed, under } = accepted;
-    const isCommitted = parsed.generation <= this.chain.settled;
+    const isCommitted = parsed.revision <= this.chain.committed;
     const sure = isCommitted ? parsed.core : (under ?? parsed.core);
     const committed = this.chain.document?.core;
     return committed && committed.number > sure.number ? committed : sure;
--- a/test/checker/first-revision.test.ts
+++ b/test/checker/first-revision.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect, test } from 'vitest';
 import { BootstrapAccept, BootstrapPrepare } from '../../src/register/bootstrap/calls.js';
-import { Accept, Feed, Form, Prepare, Settled } from '../../src/register/calls.js';
+import { Accept, Feed, Form, Prepare, Committed } from '../../src/register/calls.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { simBase, simCore, type SimCore, type SimSite } from '../../src/sim/nodes.js';
 import { World } from '../../src/sim/world.js';
@@ -42,7 +42,7 @@
 
 /** Drops every frame that would bring a revision to a machine. */
 const loseRevisions = (world: World, machine: string): void => {
-  const calls = [BootstrapPrepare, BootstrapAccept, Form, Prepare, Accept, Settled, Feed];
+  const calls = [BootstrapPrepare, BootstrapAccept, Form, Prepare, Accept, Committed, Feed];
   const codes = new Set(calls.map(({ code }) => code));
   world.net.mishap = (from, to, frame) => {
     const isLost = decodeFrame(frame, from)
--- a/test/checker/machines.ts
+++ b/test/checker/machines.ts
@@ -2,12 +2,12 @@
  * Core machines of a simulated fleet that come, go and lose their disks, with a client that changes the configuration and
  * judges: at no time two groups, no acknowledged change lost, changes acknowledged again within a bound.
  */
-import { digestOf, type CoreSet } from '../../src/register/document.js';
+import { digestOf, type VoterSet } from '../../src/register/document.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { simBase, simCore, type SimBase, type SimCore, type SimSite } from '../../src/sim/nodes.js';
 import { World } from '../../src/sim/world.js';
 
-const FIRST_REVISION = 'generations/000000000001';
+const FIRST_REVISION = 'revisions/000000000001';
 const LINE_FEED = 10;
 
 export const SEEDS = [1, 2, 3];
@@ -88,12 +88,12 @@
       this.formed.add(digestOf(file.subarray(file.indexOf(LINE_FEED) + 1)));
     }
     for (const { host, member } of this.cores.values()) {
-      const { settled } = member.chain;
-      const digest = host.dead || settled === 0 ? undefined : member.chain.digest(settled);
+      const { committed } = member.chain;
+      const digest = host.dead || committed === 0 ? undefined : member.chain.digest(committed);
       if (digest === undefined) continue;
-      const known = this.committed.get(settled);
-      if (known !== undefined && known !== digest) this.forks.add(settled);
-      this.committed.set(settled, digest);
+      const known = this.committed.get(committed);
+      if (known !== undefined && known !== digest) this.forks.add(committed);
+      this.committed.set(committed, digest);
     }
   }
 
@@ -113,12 +113,12 @@
     const states = this.alive.map(({ member }) => member.state()).filter(({ voting }) => voting);
     return (
       states.length >= count &&
-      states.every(({ settled }) => settled > 0 && settled === states[0]!.settled)
+      states.every(({ committed }) => committed > 0 && committed === states[0]!.committed)
     );
   }
 
   /** The newest committed voter set that a living machine knows. */
-  get voterSet(): CoreSet {
+  get voterSet(): VoterSet {
     return this.alive
       .map(({ member }) => member.knownCore)
       .reduce((newest, set) => (set.number > newest.number ? set : newest));
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -1,10 +1,10 @@
-/** Three members and some enrolled nodes, put together from the program's own classes, for the checkers that need standing. */
+/** Three members and some registered nodes, put together from the program's own classes, for the checkers that need lease. */
 import { expect } from 'vitest';
 import { Claims } from '../../src/claim/claims.js';
 import { silentLog } from '../../src/kernel/log/log.js';
-import { Enrolment } from '../../src/lease/enrolment.js';
-import { Standing } from '../../src/lease/standing.js';
-import { Vows } from '../../src/lease/vows.js';
+import { Registration } from '../../src/lease/registration.js';
+import { RouterLease } from '../../src/lease/router-lease.js';
+import { PeerLeases } from '../../src/lease/peer-leases.js';
 import { Relay } from '../../src/register/relay.js';
 import { Follower } from '../../src/register/follower.js';
 import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
@@ -22,25 +22,25 @@
 ]);
 
 export interface Node extends SimBase {
-  readonly standing: Standing;
+  readonly lease: RouterLease;
   readonly claims: Claims;
 }
 
 const startNode = (world: World, name: string, news: boolean): Node => {
   const address = places.get(name)!;
   const base = simBase(world, name, address, 'z', 'router', site);
-  const { host, inForce, peers, roster, proposer, stop } = base;
+  const { host, inForce, peers, voterDirectory, proposer, stop } = base;
   const { clock, random } = host;
-  const vows = new Vows(name, inForce, peers, clock);
-  vows.serve();
-  const claims = new Claims(name, inForce, peers, roster, clock, random, silentLog);
+  const peerLeases = new PeerLeases(name, inForce, peers, clock);
+  peerLeases.serve();
+  const claims = new Claims(name, inForce, peers, voterDirectory, clock, random, silentLog);
   claims.serve();
-  const standing = new Standing(
+  const lease = new RouterLease(
     { node: name, incarnation: peers.self.incarnation, address, zone: 'z' },
     inForce,
-    vows,
+    peerLeases,
     peers,
-    roster,
+    voterDirectory,
     clock,
     silentLog,
   );
@@ -50,35 +50,35 @@
   relay.serve();
   const follower = new Follower(
     peers,
-    roster,
+    voterDirectory,
     proposer,
     clock,
     random,
     silentLog,
     (documents, items) => {
       relay.note(items, documents);
-      if (inForce.swap(documents.at(-1)!)) standing.renewNow();
+      if (inForce.swap(documents.at(-1)!)) lease.renewNow();
     },
     '',
     relay,
   );
   void peers.serve(address);
-  void standing.run(stop.signal);
+  void lease.run(stop.signal);
   void claims.run(stop.signal);
-  void new Enrolment(
+  void new Registration(
     name,
     { address, zone: 'z', law: '' },
     inForce,
-    standing,
+    lease,
     proposer,
     peers,
-    roster,
+    voterDirectory,
     clock,
     random,
     silentLog,
   ).run(stop.signal);
   void follower.run(stop.signal);
-  return { ...base, standing, claims };
+  return { ...base, lease, claims };
 };
 
 export interface Stage {
@@ -105,12 +105,12 @@
   };
   const cores = addresses.map((_, at) => startCore(at));
   const nodes = names.map((name) => startNode(world, name, news));
-  const settled = (): boolean =>
+  const committed = (): boolean =>
     nodes.every(
-      ({ standing, inForce, claims }) =>
-        standing.holds() && inForce.whole!.enrolled.size === count && claims.open,
+      ({ lease, inForce, claims }) =>
+        lease.holds() && inForce.whole!.registered.size === count && claims.open,
     );
-  expect(await world.run(30_000, settled)).toBe(true);
+  expect(await world.run(30_000, committed)).toBe(true);
   const loseMemories = async (survivor?: number): Promise<void> => {
     nodes.forEach(({ host }, at) => at !== survivor && host.kill());
     nodes.splice(
@@ -118,7 +118,7 @@
       count,
       ...names.map((name, at) => (at === survivor ? nodes[at]! : startNode(world, name, news))),
     );
-    expect(await world.run(world.now + 30_000, settled)).toBe(true);
+    expect(await world.run(world.now + 30_000, committed)).toBe(true);
   };
   const restart = (at: number): void => {
     nodes[at]!.host.kill();
