--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -1,7 +1,7 @@
 /**
  * The calls on the configuration of routes, the same on every node. What is wrong in itself is refused here without a
- * round of the register; everything else is judged there, against the value in place. A call that can't be settled within
- * its time is "unknown". A read looks at a majority of the core first, and then takes the generation it was shown, so it
+ * round of the register; everything else is judged there, against the value in place. A call that can't be committed within
+ * its time is "unknown". A read looks at a majority of the core first, and then takes the revision it was shown, so it
  * is never older than what was accepted anywhere before it.
  */
 import { Right } from 'purify-ts';
@@ -20,7 +20,7 @@
 import { patienceOf } from '../register/contact.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { readConfiguration, readPatch } from '../route/check.js';
 import type { Configuration } from '../route/shape.js';
 import type { Peers } from '../wire/peers.js';
@@ -32,7 +32,7 @@
 export class Configurator implements ConfigurationCalls {
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly acceptance: Acceptance,
     private readonly inForce: InForce,
@@ -81,33 +81,33 @@
       return failed(
         'configuration.read',
         'core',
-        `no majority told its newest generation in time; silent: ${contact.silentVoters.join(' ')}`,
+        `no majority told its newest revision in time; silent: ${contact.silentVoters.join(' ')}`,
       );
     if (looked.isLeft()) return looked as Outcome<never>;
-    const generation = looked.unsafeCoerce();
+    const revision = looked.unsafeCoerce();
     for (;;) {
       const left = Math.max(0, limit - this.clock.now());
-      const document = await within(this.clock, left, this.fetch(generation));
+      const document = await within(this.clock, left, this.fetch(revision));
       if (document) return Right(document.configuration);
       if (this.clock.now() + PAUSE >= limit)
         return failed(
           'configuration.read',
           'core',
-          `no member gave generation ${generation} within ${wait} ms`,
+          `no member gave revision ${revision} within ${wait} ms`,
         );
       await this.clock.sleep(PAUSE);
     }
   }
 
-  private async fetch(generation: number): Promise<Document | undefined> {
-    if (this.inForce.whole && this.inForce.generation >= generation) return this.inForce.whole;
+  private async fetch(revision: number): Promise<Document | undefined> {
+    if (this.inForce.whole && this.inForce.revision >= revision) return this.inForce.whole;
     const fresh = (reply: { items: { document: Uint8Array }[] }): Document | undefined => {
       const [item] = reply.items;
       const document = item && decodeDocument(item.document, 'core').toMaybe().extract();
-      return document && document.generation >= generation ? document : undefined;
+      return document && document.revision >= revision ? document : undefined;
     };
     const replies = await gather(
-      this.roster.addresses,
+      this.voterDirectory.addresses,
       (address) => this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT),
       (all) => sound(all).some((reply) => fresh(reply) !== undefined),
     );
@@ -120,7 +120,7 @@
 
   /** What is wrong in itself can never be in force, whatever is in place. */
   private refused({ reason }: Fault, expects: number): ConfigureReply {
-    if (expects !== this.version && this.inForce.generation > 0)
+    if (expects !== this.version && this.inForce.revision > 0)
       return {
         outcome: 'conflict',
         version: this.version,
@@ -147,7 +147,7 @@
       version: this.version,
       reason,
     });
-    if (!told) return unsettled(`not settled within ${wait} ms`);
+    if (!told) return unsettled(`not committed within ${wait} ms`);
     if (told.isLeft()) return unsettled((told.extract() as Fault).reason);
     const verdict = told.extract() as Verdict;
     if (verdict.kind === 'indeterminate') return unsettled(verdict.reason);
@@ -159,12 +159,12 @@
       };
     if (verdict.kind === 'declined')
       return { outcome: 'invalid', version: this.version, reason: verdict.reason };
-    const accord = await this.acceptance.of(verdict.generation, limit - this.clock.now());
-    if (accord.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
+    const application = await this.acceptance.of(verdict.revision, limit - this.clock.now());
+    if (application.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
     return {
       outcome: 'unknown',
       version: act.version,
-      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || accord.silent.join(' ') || 'the limit came'}`,
+      reason: `committed, but not yet known to be in force everywhere: ${application.reasons.join('; ') || application.silent.join(' ') || 'the limit came'}`,
     };
   }
 }
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -1,6 +1,6 @@
 /**
  * What the operator calls do, the same on every node. A change gets a verdict from the register and, when applied, is
- * told "accepted" only once no node can stand on an older generation; what stays open at the limit is "unknown".
+ * told "accepted" only once no node can stand on an older revision; what stays open at the limit is "unknown".
  */
 import { Maybe, Right } from 'purify-ts';
 import { checkDoorway } from '../doorway/shape.js';
@@ -8,8 +8,8 @@
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import { Acceptance } from '../lease/acceptance.js';
-import { seekAccord } from '../lease/accord.js';
-import { Standees } from '../lease/calls.js';
+import { awaitApplication } from '../lease/application.js';
+import { LeaseHolders } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
 import { BootstrapBegin } from '../register/bootstrap/calls.js';
 import {
@@ -27,13 +27,13 @@
   subjectOf,
   type Act,
   type Change,
-  type CoreSet,
+  type VoterSet,
   type Document,
   type DoorwayAct,
 } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { Trace } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
@@ -47,7 +47,7 @@
 const remedy = (vote: VoteState): string => {
   switch (vote) {
     case 'disqualified':
-      return '; stop it, empty its folder, start it, and it is given its seat again';
+      return '; stop it, empty its folder, start it, and it is given its vote again';
     case 'recovering':
       return '; mend its disk or make room on it, and it votes again by itself';
     case 'voting':
@@ -68,13 +68,13 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly inForce: InForce,
     private readonly view: View,
     private readonly news: Newsroom | undefined,
     private readonly clock: Clock,
-    private readonly acceptance = new Acceptance(peers, roster, clock),
+    private readonly acceptance = new Acceptance(peers, voterDirectory, clock),
   ) {}
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
@@ -160,7 +160,7 @@
       return Right({
         change,
         outcome: 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
         reason: read.extract().reason,
       });
@@ -170,65 +170,65 @@
       return Right({
         change,
         outcome: 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
-        reason: `not among the changes kept at generation ${document.generation}; repeat the change under the same id to have it settled`,
+        reason: `not among the changes kept at revision ${document.revision}; repeat the change under the same id to have it committed`,
       });
-    return this.accord(change, kept.generation, limit - this.clock.now());
+    return this.application(change, kept.revision, limit - this.clock.now());
   }
 
   get(name: string): Outcome<Schemas['PlacedDoorway']> {
     const placed = this.inForce.current.named(name);
     if (!placed) return failed('doorway.get', this.peers.self.name, `there is no doorway ${name}`);
-    return Right({ doorway: placed.doorway as Schemas['Doorway'], generation: placed.generation });
+    return Right({ doorway: placed.doorway as Schemas['Doorway'], revision: placed.revision });
   }
 
   list(): Outcome<Schemas['DoorwayListReply']> {
     const document = this.inForce.whole;
     if (!document)
-      return failed('doorway.list', this.peers.self.name, 'no generation is in force here yet');
+      return failed('doorway.list', this.peers.self.name, 'no revision is in force here yet');
     return Right({
-      generation: document.generation,
+      revision: document.revision,
       doorways: [...document.doorways.values()] as Schemas['PlacedDoorway'][],
-      removed: [...document.removed].map(([name, generation]) => ({ name, generation })),
+      removed: [...document.removed].map(([name, revision]) => ({ name, revision })),
       claims: [...document.claims].map(([name, claim]) => ({ name, ...claim })),
     });
   }
 
-  async at(generation: number): Promise<Outcome<Schemas['ConfigReply']>> {
-    const item = generation === 0 ? await this.newest() : await this.generation(generation);
+  async at(revision: number): Promise<Outcome<Schemas['ConfigReply']>> {
+    const item = revision === 0 ? await this.newest() : await this.revision(revision);
     return item.chain((held) =>
       decodeDocument(held.document, 'core').map((document) => ({
-        generation: document.generation,
+        revision: document.revision,
         digest: digestOf(held.document),
         document: Buffer.from(held.document).toString('utf8'),
       })),
     );
   }
 
-  /** Generations from a number on; the chain of digests is checked on the way. */
+  /** Revisions from a number on; the chain of digests is checked on the way. */
   async history({ from, count }: Schemas['HistoryAsk']): Promise<Outcome<Schemas['HistoryReply']>> {
     const newest = (await this.newest()).chain((held) => decodeDocument(held.document, 'core'));
     if (newest.isLeft()) return newest as Outcome<never>;
-    const settled = newest.unsafeCoerce().generation;
-    const generations: Schemas['HistoryReply']['generations'] = [];
+    const committed = newest.unsafeCoerce().revision;
+    const revisions: Schemas['HistoryReply']['revisions'] = [];
     for (
-      let generation = Math.max(1, from);
-      generation <= Math.min(settled, from + count - 1);
-      generation++
+      let revision = Math.max(1, from);
+      revision <= Math.min(committed, from + count - 1);
+      revision++
     ) {
-      const held = await this.generation(generation);
+      const held = await this.revision(revision);
       if (held.isLeft()) return held as Outcome<never>;
       const item = held.unsafeCoerce();
       const decoded = decodeDocument(item.document, 'core');
       if (decoded.isLeft()) return decoded as Outcome<never>;
       const document = decoded.unsafeCoerce();
-      const before = generations[generations.length - 1];
+      const before = revisions[revisions.length - 1];
       if (before && before.digest !== document.previous)
         return failed(
           'config.history',
           'core',
-          `generation ${generation} does not follow the one before it`,
+          `revision ${revision} does not follow the one before it`,
         );
       const changes = document.cause.map(({ id, firm, who, act }) => ({
         id,
@@ -237,41 +237,38 @@
         kind: act.kind,
         name: subjectOf(act),
       }));
-      generations.push({ generation, digest: digestOf(item.document), changes });
+      revisions.push({ revision, digest: digestOf(item.document), changes });
     }
-    return Right({ settled, generations });
+    return Right({ committed, revisions });
   }
 
-  /** One generation through all nodes that can be thought of: heard of, seated in the core, or enrolled. */
-  async trace({
-    change,
-    generation,
-  }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
+  /** One revision through all nodes that can be thought of: heard of, a voter of the core, or registered. */
+  async trace({ change, revision }: Schemas['TraceAsk']): Promise<Outcome<Schemas['TraceReply']>> {
     const read = await this.proposer.read(3000);
     const known = read.toMaybe().alt(Maybe.fromNullable(this.inForce.whole)).extract();
     const wanted =
-      generation ?? (change === undefined ? undefined : known?.outcomes.get(change)?.generation);
+      revision ?? (change === undefined ? undefined : known?.outcomes.get(change)?.revision);
     if (wanted === undefined)
       return failed(
         'change.trace',
         this.peers.self.name,
         change === undefined
-          ? 'name a change or a generation'
+          ? 'name a change or a revision'
           : `${change} is not among the changes that are kept`,
       );
     const nodes = new Map<string, { name: string; role: string }>();
-    for (const { address } of this.roster.core.members)
+    for (const { address } of this.voterDirectory.core.members)
       nodes.set(address, { name: address, role: 'core' });
-    for (const [name, { address }] of known?.enrolled ?? [])
+    for (const [name, { address }] of known?.registered ?? [])
       nodes.set(address, { name, role: 'router' });
     for (const role of ['core', 'router'])
       for (const { name, address } of this.view.live(role)) nodes.set(address, { name, role });
     const replies = await gather(
       [...nodes.keys()],
-      (address) => this.peers.ask(address, Trace, { generation: wanted }, ASK_LIMIT),
+      (address) => this.peers.ask(address, Trace, { revision: wanted }, ASK_LIMIT),
       () => false,
     );
-    const changes = (await this.generation(wanted))
+    const changes = (await this.revision(wanted))
       .chain((item) => decodeDocument(item.document, 'core'))
       .map(({ cause }) => cause.map(({ id }) => id))
       .orDefault([]);
@@ -281,7 +278,7 @@
         .orDefault([]),
     );
     return Right({
-      generation: wanted,
+      revision: wanted,
       changes,
       nodes: told.sort((a, b) => (a.name < b.name ? -1 : 1)),
       silent: replies
@@ -296,24 +293,27 @@
       .map(({ name, role, zone, address, age }) => ({ name, role, zone, address, age }));
     const replies = sound(
       await gather(
-        this.roster.addresses,
-        (address) => this.peers.ask(address, Standees, { from: this.peers.self.name }, ASK_LIMIT),
+        this.voterDirectory.addresses,
+        (address) =>
+          this.peers.ask(address, LeaseHolders, { from: this.peers.self.name }, ASK_LIMIT),
         () => false,
       ),
     );
-    const standing = new Map<string, Schemas['NodeListReply']['standing'][number]>();
-    for (const { node, generation, remaining } of replies.flatMap(({ standees }) => standees)) {
-      const before = standing.get(node);
-      standing.set(node, {
+    const lease = new Map<string, Schemas['NodeListReply']['leases'][number]>();
+    for (const { node, revision, remaining } of replies.flatMap(
+      ({ leaseHolders }) => leaseHolders,
+    )) {
+      const before = lease.get(node);
+      lease.set(node, {
         name: node,
-        generation: Math.max(generation, before?.generation ?? 0),
+        revision: Math.max(revision, before?.revision ?? 0),
         remaining: Math.max(remaining, before?.remaining ?? 0),
         grants: (before?.grants ?? 0) + 1,
       });
     }
     return Right({
       known,
-      standing: [...standing.values()].sort((a, b) => (a.name < b.name ? -1 : 1)),
+      leases: [...lease.values()].sort((a, b) => (a.name < b.name ? -1 : 1)),
     });
   }
 
@@ -342,8 +342,8 @@
 
   async core(): Promise<Outcome<Schemas['CoreReply']>> {
     await this.proposer.learnCore();
-    const { number, members } = this.roster.core;
-    const addresses = number ? members.map(({ address }) => address) : this.roster.leads;
+    const { number, members } = this.voterDirectory.core;
+    const addresses = number ? members.map(({ address }) => address) : this.voterDirectory.contacts;
     const replies = await gather(
       addresses,
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
@@ -355,26 +355,26 @@
         reply.caseOf({
           Left: ({ reason }) => ({
             address,
-            id: members.find((seat) => seat.address === address)?.id ?? '',
+            id: members.find((voter) => voter.address === address)?.id ?? '',
             state: `silent: ${reason}`,
-            generation: 0,
-            settled: 0,
+            revision: 0,
+            committed: 0,
             whole: '',
           }),
           Right: (state) => ({
             address,
-            id: members.find((seat) => seat.address === address)?.id ?? state.member,
+            id: members.find((voter) => voter.address === address)?.id ?? state.member,
             whole: state.whole,
             state:
-              number && !members.some((seat) => seat.id === state.member)
+              number && !members.some((voter) => voter.id === state.member)
                 ? 'swapped: another machine answers here'
                 : state.voting
                   ? 'voting'
                   : state.formed
                     ? `not voting: ${state.reason}${remedy(state.vote)}`
                     : 'newcomer',
-            generation: state.generation,
-            settled: state.settled,
+            revision: state.revision,
+            committed: state.committed,
           }),
         }),
       ),
@@ -405,11 +405,11 @@
   private async formedBefore(
     addresses: readonly string[],
     by: string,
-    { core, generation }: StateReply,
+    { core, revision }: StateReply,
   ): Promise<Outcome<Schemas['CoreReply']>> {
-    const { members } = JSON.parse(core) as CoreSet;
+    const { members } = JSON.parse(core) as VoterSet;
     const there = new Set(members.map(({ address }) => address));
-    if (generation > 1) return failed('core.form', by, 'is already part of a formed core');
+    if (revision > 1) return failed('core.form', by, 'is already part of a formed core');
     if (there.size !== addresses.length || addresses.some((address) => !there.has(address)))
       return failed('core.form', 'core', 'a group of other members was begun there');
     await this.proposer.read(2000);
@@ -417,81 +417,81 @@
   }
 
   /** Promotes a learner, which must answer, be able to vote, and hold the newest committed revision. */
-  async seat(
+  async addVoter(
     operator: Operator,
-    { change, address, expects, wait }: Schemas['CoreSeatAsk'],
+    { change, address, expects, wait }: Schemas['AddVoterAsk'],
   ): Promise<Outcome<Changed>> {
     const committed = await this.proposer.look(ASK_LIMIT);
     if (committed.isLeft()) return committed as Outcome<never>;
     const state = await this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT);
     if (state.isLeft()) return state as Outcome<never>;
-    const { member, vote, reason, generation, settled } = state.unsafeCoerce();
+    const { member, vote, reason, revision, committed: held } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
-      return failed('core.seat', address, `can not vote: ${reason}`);
+      return failed('core.addVoter', address, `can not vote: ${reason}`);
     const newest = committed.unsafeCoerce();
-    if (Math.min(generation, settled) < newest)
+    if (Math.min(revision, held) < newest)
       return failed(
-        'core.seat',
+        'core.addVoter',
         address,
-        `holds revision ${Math.min(generation, settled)}, and ${newest} is committed; try again once it has caught up`,
+        `holds revision ${Math.min(revision, held)}, and ${newest} is committed; try again once it has caught up`,
       );
     return this.change(
       operator,
       change,
-      { kind: 'seat', seat: { id: member, address }, expects },
+      { kind: 'addVoter', voter: { id: member, address }, expects },
       wait,
     );
   }
 
-  async unseat(
+  async removeVoter(
     operator: Operator,
-    { change, id, expects, wait }: Schemas['CoreUnseatAsk'],
+    { change, id, expects, wait }: Schemas['RemoveVoterAsk'],
   ): Promise<Outcome<Changed>> {
-    const { members } = this.roster.core;
-    const rest = members.filter((seat) => seat.id !== id);
+    const { members } = this.voterDirectory.core;
+    const rest = members.filter((voter) => voter.id !== id);
     const replies = await gather(
       rest.map(({ address }) => address),
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       () => false,
     );
     const answering = sound(replies).filter(
-      ({ member, voting }) => voting && rest.some((seat) => seat.id === member),
+      ({ member, voting }) => voting && rest.some((voter) => voter.id === member),
     ).length;
     if (answering < majority(rest.length))
       return failed(
-        'core.unseat',
+        'core.removeVoter',
         id,
         `only ${answering} of the ${rest.length} members that would be left answer and vote; without a majority of them nothing could be changed again`,
       );
-    return this.change(operator, change, { kind: 'unseat', id, vacant: false, expects }, wait);
+    return this.change(operator, change, { kind: 'removeVoter', id, vacant: false, expects }, wait);
   }
 
-  /** Takes a router that is gone for good out of the enrolment, once the last enrolment is in force everywhere else. */
-  async retire(
+  /** Takes a router that is gone for good out of the registration, once the last registration is in force everywhere else. */
+  async deregister(
     operator: Operator,
-    { change, name, wait }: Schemas['RetireAsk'],
+    { change, name, wait }: Schemas['DeregisterAsk'],
   ): Promise<Outcome<Changed>> {
     const limit = this.clock.now() + wait;
     const read = await this.proposer.read(wait);
     if (read.isLeft()) return read as Outcome<never>;
-    const expects = read.unsafeCoerce().enrolledAt;
-    const accord = await seekAccord(
+    const expects = read.unsafeCoerce().registeredAt;
+    const application = await awaitApplication(
       expects,
       (limit - this.clock.now()) / 2,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
     );
-    if (!accord.everywhere)
+    if (!application.everywhere)
       return failed(
-        'node.retire',
-        accord.silent.join(' '),
-        `the last enrolment is not yet known to be in force everywhere: ${accord.reasons.join('; ')}`,
+        'node.deregister',
+        application.silent.join(' '),
+        `the last registration is not yet known to be in force everywhere: ${application.reasons.join('; ')}`,
       );
     return this.change(
       operator,
       change,
-      { kind: 'retire', name, expects },
+      { kind: 'deregister', name, expects },
       Math.max(100, limit - this.clock.now()),
     );
   }
@@ -510,7 +510,7 @@
       return Right({
         change: id,
         outcome: certainty === 'declined' ? 'declined' : 'unknown',
-        generation: 0,
+        revision: 0,
         silent: [],
         reason,
       });
@@ -520,53 +520,53 @@
       return Right({
         change: id,
         outcome: told.kind === 'indeterminate' ? 'unknown' : told.kind,
-        generation: 0,
+        revision: 0,
         silent: [],
         reason: told.reason,
       });
-    return this.accord(id, told.generation, limit - this.clock.now());
+    return this.application(id, told.revision, limit - this.clock.now());
   }
 
-  private async accord(
+  private async application(
     change: string,
-    generation: number,
+    revision: number,
     left: number,
   ): Promise<Outcome<Changed>> {
-    const accord = await this.acceptance.of(generation, left);
-    if (accord.everywhere)
-      return Right({ change, outcome: 'accepted', generation, silent: [], reason: '' });
+    const application = await this.acceptance.of(revision, left);
+    if (application.everywhere)
+      return Right({ change, outcome: 'accepted', revision, silent: [], reason: '' });
     return Right({
       change,
       outcome: 'unknown',
-      generation,
-      silent: [...accord.silent],
-      reason: `settled, but not yet known to be in force everywhere: ${accord.reasons.join('; ') || 'the limit came'}`,
+      revision,
+      silent: [...application.silent],
+      reason: `committed, but not yet known to be in force everywhere: ${application.reasons.join('; ') || 'the limit came'}`,
     });
   }
 
   private async newest(): Promise<Outcome<FeedItem>> {
-    const settled = await this.proposer.look(2000);
-    if (settled.isLeft()) return settled as Outcome<never>;
-    for (const address of this.roster.addresses) {
+    const committed = await this.proposer.look(2000);
+    if (committed.isLeft()) return committed as Outcome<never>;
+    for (const address of this.voterDirectory.addresses) {
       const reply = await this.peers.ask(address, Feed, { from: 0, wait: 0 }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (
         item &&
         decodeDocument(item.document, address)
-          .map((document) => document.generation >= settled.unsafeCoerce())
+          .map((document) => document.revision >= committed.unsafeCoerce())
           .orDefault(false)
       )
         return Right(item);
     }
-    return failed('config.newest', 'core', 'no member gave the newest generation');
+    return failed('config.newest', 'core', 'no member gave the newest revision');
   }
 
-  private async generation(generation: number): Promise<Outcome<FeedItem>> {
-    for (const address of this.roster.addresses) {
-      const reply = await this.peers.ask(address, History, { generation }, ASK_LIMIT);
+  private async revision(revision: number): Promise<Outcome<FeedItem>> {
+    for (const address of this.voterDirectory.addresses) {
+      const reply = await this.peers.ask(address, History, { revision }, ASK_LIMIT);
       const item = reply.map(({ items }) => items[0]).orDefault(undefined);
       if (item) return Right(item);
     }
-    return failed('config.at', 'core', `no member holds generation ${generation}`);
+    return failed('config.at', 'core', `no member holds revision ${revision}`);
   }
 }
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -25,7 +25,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
-import type { Standing } from '../lease/standing.js';
+import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
 import { countPassages, gauge } from '../node/metrics.js';
 import { names } from '../node/names.js';
@@ -34,7 +34,7 @@
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { RouterModule } from '../router/module.js';
 import { RouterNode } from '../router/node.js';
 import type { Tracing } from '../trace/tracing.js';
@@ -53,7 +53,7 @@
   const passage = context.get<Passage>(names.passage);
   const prefixes = context.get<Prefixes>(names.prefixes);
   const news = context.get<Newsroom>(names.news);
-  const standing = context.get<Standing>(names.standing);
+  const lease = context.get<RouterLease>(names.lease);
   countPassages(registry, context.get<Journal<PassageEvent>>(names.journal));
   gauge(registry, 'requests_open', 'Requests taken and not ended', () => passage.open);
   gauge(registry, 'requests_in_flight', 'Requests placed at an engine', () => passage.inFlight);
@@ -74,7 +74,7 @@
   gauge(registry, 'list_age_ms', 'Age of the engine list', () => Math.min(news.age, 1e9));
   gauge(registry, 'list_polls', 'Polls of the platform by this node', () => news.polls);
   gauge(registry, 'engines_placed', 'Engines with a confirmed place', () => news.placed().size);
-  gauge(registry, 'standing_ms', 'How long standing still holds', () => standing.remaining);
+  gauge(registry, 'lease_ms', 'How long standing still holds', () => lease.remaining);
   gauge(
     registry,
     'law_kept',
@@ -152,9 +152,9 @@
   const registry = new Registry();
   gauge(
     registry,
-    'generation_in_force',
-    'The generation in force here',
-    () => context.get<InForce>(names.inForce).generation,
+    'revision_in_force',
+    'The revision in force here',
+    () => context.get<InForce>(names.inForce).revision,
   );
   const { contact } = context.get<Proposer>(names.proposer);
   gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
@@ -230,7 +230,7 @@
         if (changed.length === 0 && !asked) return;
         taken = next;
         context.get<Keys>(names.keys).reload(next);
-        context.get<Roster>(names.roster).reseed(next.seeds);
+        context.get<VoterDirectory>(names.voterDirectory).reseed(next.seeds);
         context.get<View>(names.view).reseed(next.seeds);
         log('reloaded', [
           ['taken', changed.filter((key) => RELOADABLE.has(key)).join(',')],
--- a/src/faces/operators/controller.ts
+++ b/src/faces/operators/controller.ts
@@ -50,7 +50,7 @@
       ['doorway.get', checked('NamedAsk', ({ name }) => operations.get(name))],
       ['doorway.list', checked('NothingAsk', () => operations.list())],
       ['change.outcome', checked('ChangeAsk', (ask) => operations.outcome(ask))],
-      ['config.at', checked('AtAsk', ({ generation }) => operations.at(generation))],
+      ['config.at', checked('AtAsk', ({ revision }) => operations.at(revision))],
       ['config.history', checked('HistoryAsk', (ask) => operations.history(ask))],
       ['change.trace', checked('TraceAsk', (ask) => operations.trace(ask))],
       [
@@ -72,13 +72,19 @@
         ),
       ],
       ['node.list', checked('NothingAsk', () => operations.nodes())],
-      ['node.retire', checked('RetireAsk', (ask, operator) => operations.retire(operator, ask))],
+      [
+        'node.deregister',
+        checked('DeregisterAsk', (ask, operator) => operations.deregister(operator, ask)),
+      ],
       ['engine.list', checked('NothingAsk', () => operations.engines())],
       ['core.form', checked('FormAsk', ({ members }) => operations.form(members))],
-      ['core.seat', checked('CoreSeatAsk', (ask, operator) => operations.seat(operator, ask))],
       [
-        'core.unseat',
-        checked('CoreUnseatAsk', (ask, operator) => operations.unseat(operator, ask)),
+        'core.addVoter',
+        checked('AddVoterAsk', (ask, operator) => operations.addVoter(operator, ask)),
+      ],
+      [
+        'core.removeVoter',
+        checked('RemoveVoterAsk', (ask, operator) => operations.removeVoter(operator, ask)),
       ],
       ['core.show', checked('NothingAsk', () => operations.core())],
     ]);
--- a/src/lease/calls.ts
+++ b/src/lease/calls.ts
@@ -1,4 +1,4 @@
-/** The calls of the leases: renewing a node's standing, giving it back, and vouching that none stands on an old generation. */
+/** The calls of the leases: renewing a node's lease, giving it back, and confirming that none stands on an old revision. */
 import { call } from '../wire/call.js';
 import { choice, flag, list, number, struct, text } from '../wire/field.js';
 
@@ -7,7 +7,7 @@
   incarnation: string;
   address: string;
   zone: string;
-  generation: number;
+  revision: number;
   report: number;
 }
 /** `nodes`: how many nodes hold leases of this member, the asker counted. */
@@ -25,7 +25,7 @@
     incarnation: text,
     address: text,
     zone: text,
-    generation: number,
+    revision: number,
     report: number,
   }),
   struct({ granted: flag, duration: number, reason: text, nodes: number }),
@@ -40,82 +40,82 @@
 
 export interface Report {
   node: string;
-  generation: number;
+  revision: number;
 }
-const reportField = struct<Report>({ node: text, generation: number });
+const reportField = struct<Report>({ node: text, revision: number });
 /**
- * Why a member does not vouch for a generation:
- * - `none`: it vouches.
+ * Why a member does not confirm for a revision:
+ * - `none`: it confirms.
  * - `not-voting`: it does not vote now.
- * - `behind`: it holds only an older generation, so what it knows of the routers may be old as well.
+ * - `behind`: it holds only an older revision, so what it knows of the routers may be old as well.
  * - `new-voter`: it has been voting for less than one lease and may have forgotten grants.
- * - `older-lease`: a node may still serve by an older generation.
+ * - `older-lease`: a node may still serve by an older revision.
  */
-export type VouchRefusal = (typeof VOUCH_REFUSALS)[number];
-const VOUCH_REFUSALS = ['none', 'not-voting', 'behind', 'new-voter', 'older-lease'] as const;
+export type ConfirmRefusal = (typeof CONFIRM_REFUSALS)[number];
+const CONFIRM_REFUSALS = ['none', 'not-voting', 'behind', 'new-voter', 'older-lease'] as const;
 
-export interface VouchReply {
-  vouched: boolean;
-  refusal: VouchRefusal;
+export interface ConfirmReply {
+  confirmed: boolean;
+  refusal: ConfirmRefusal;
   silent: string[];
   reason: string;
-  enrolled: string[];
+  registered: string[];
   reports: Report[];
 }
-export const Vouch = call<{ generation: number; wait: number }, VouchReply>(
+export const Confirm = call<{ revision: number; wait: number }, ConfirmReply>(
   18,
-  'lease.vouch',
-  struct({ generation: number, wait: number }),
+  'lease.confirm',
+  struct({ revision: number, wait: number }),
   struct({
-    vouched: flag,
-    refusal: choice(VOUCH_REFUSALS),
+    confirmed: flag,
+    refusal: choice(CONFIRM_REFUSALS),
     silent: list(text),
     reason: text,
-    enrolled: list(text),
+    registered: list(text),
     reports: list(reportField),
   }),
 );
 
-export interface Standee {
+export interface LeaseHolder {
   node: string;
   incarnation: string;
   address: string;
   zone: string;
-  generation: number;
+  revision: number;
   remaining: number;
 }
-export const Standees = call<{ from: string }, { standees: Standee[] }>(
+export const LeaseHolders = call<{ from: string }, { leaseHolders: LeaseHolder[] }>(
   19,
-  'lease.standees',
+  'lease.leaseHolders',
   struct({ from: text }),
   struct({
-    standees: list(
-      struct<Standee>({
+    leaseHolders: list(
+      struct<LeaseHolder>({
         node: text,
         incarnation: text,
         address: text,
         zone: text,
-        generation: number,
+        revision: number,
         remaining: number,
       }),
     ),
   }),
 );
 
-/** One router vouching for another: it will report nothing newer than the generation until the lease ends. */
-export interface VowAsk {
+/** One router confirming for another: it will report nothing newer than the revision until the lease ends. */
+export interface PeerLeaseAsk {
   node: string;
-  generation: number;
+  revision: number;
 }
-export interface VowReply {
+export interface PeerLeaseReply {
   node: string;
   granted: boolean;
   duration: number;
   reason: string;
 }
-export const Vow = call<VowAsk, VowReply>(
+export const PeerLease = call<PeerLeaseAsk, PeerLeaseReply>(
   20,
-  'lease.vow',
-  struct({ node: text, generation: number }),
+  'lease.peer',
+  struct({ node: text, revision: number }),
   struct({ node: text, granted: flag, duration: number, reason: text }),
 );
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -1,7 +1,7 @@
 /**
- * Standing as a core member grants it. A lease is granted only to a node whose generation in force is at least the
- * newest one this member has accepted on its disk, so what it vouched for holds through its own restart. A member that
- * restarted has forgotten its grants, and waits one whole lease before it vouches; one that was formed in this very
+ * Leases as a core member grants them. A lease is granted only to a node whose revision in force is at least the
+ * newest one this member has accepted on its disk, so what it confirmed for holds through its own restart. A member that
+ * restarted has forgotten its grants, and waits one whole lease before it confirms; one that was formed in this very
  * life has none to forget.
  */
 import { Right } from 'purify-ts';
@@ -12,12 +12,12 @@
 import {
   Goodbye,
   Renew,
-  Standees,
-  Vouch,
+  LeaseHolders,
+  Confirm,
   type RenewAsk,
   type RenewReply,
-  type VouchRefusal,
-  type VouchReply,
+  type ConfirmRefusal,
+  type ConfirmReply,
 } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
@@ -28,10 +28,10 @@
   readonly until: Moment;
 }
 
-type Verdict = Omit<VouchReply, 'enrolled' | 'reports'>;
+type Verdict = Omit<ConfirmReply, 'registered' | 'reports'>;
 
-const refused = (refusal: VouchRefusal, reason: string, silent: string[] = []): Verdict => ({
-  vouched: false,
+const refused = (refusal: ConfirmRefusal, reason: string, silent: string[] = []): Verdict => ({
+  confirmed: false,
   refusal,
   silent,
   reason,
@@ -39,11 +39,11 @@
 
 export class Grants {
   private readonly grants = new Map<string, Grant>();
-  /** The newest generation each router has reported; a report is a fact and is never taken back. */
+  /** The newest revision each router has reported; a report is a fact and is never taken back. */
   private readonly reports = new Map<string, number>();
   private readonly watchers = new Set<() => void>();
   /** When this process first found itself voting; before that it may have granted, or others in its stead. */
-  private seated: Moment | undefined;
+  private votingSince: Moment | undefined;
   private readonly newborn: boolean;
 
   constructor(
@@ -62,20 +62,20 @@
       this.wake();
       return Right({ known });
     });
-    this.peers.handle(Vouch, ({ generation, wait }) =>
-      this.vouch(generation, Math.min(wait, WAIT_BOUND)),
+    this.peers.handle(Confirm, ({ revision, wait }) =>
+      this.confirm(revision, Math.min(wait, WAIT_BOUND)),
     );
-    this.peers.handle(Standees, () => {
+    this.peers.handle(LeaseHolders, () => {
       this.sweep();
       const now = this.clock.now();
       return Right({
-        standees: [...this.grants.values()].map(
-          ({ node, incarnation, address, zone, generation, until }) => ({
+        leaseHolders: [...this.grants.values()].map(
+          ({ node, incarnation, address, zone, revision, until }) => ({
             node,
             incarnation,
             address,
             zone,
-            generation,
+            revision,
             remaining: until - now,
           }),
         ),
@@ -85,7 +85,7 @@
 
   private renew(ask: RenewAsk): RenewReply {
     const state = this.member.state();
-    if (state.voting) this.seated ??= this.clock.now();
+    if (state.voting) this.votingSince ??= this.clock.now();
     const declined = (reason: string): RenewReply => ({
       granted: false,
       duration: 0,
@@ -93,8 +93,8 @@
       nodes: 0,
     });
     if (!state.voting) return declined(state.reason);
-    if (ask.generation < state.generation)
-      return declined(`generation ${state.generation} is newer than ${ask.generation}`);
+    if (ask.revision < state.revision)
+      return declined(`revision ${state.revision} is newer than ${ask.revision}`);
     const key = `${ask.node}/${ask.incarnation}`;
     this.sweep();
     if (!this.grants.has(key) && this.grants.size >= BOUND)
@@ -106,12 +106,12 @@
     return { granted: true, duration: this.terms.duration, reason: '', nodes: this.grants.size };
   }
 
-  private async vouch(generation: number, wait: number): Promise<Outcome<VouchReply>> {
+  private async confirm(revision: number, wait: number): Promise<Outcome<ConfirmReply>> {
     const limit = this.clock.now() + wait;
     for (;;) {
-      const reply = this.judge(generation);
+      const reply = this.judge(revision);
       const left = limit - this.clock.now();
-      if (reply.vouched || left <= 0) return Right(reply);
+      if (reply.confirmed || left <= 0) return Right(reply);
       let wake: () => void = () => undefined;
       const news = new Promise<void>((resolve) => this.watchers.add((wake = resolve)));
       await within(this.clock, Math.min(left, 100), news);
@@ -119,36 +119,36 @@
     }
   }
 
-  private judge(generation: number): VouchReply {
+  private judge(revision: number): ConfirmReply {
     const known = this.member.newest;
-    const enrolled = [...(known?.enrolled.keys() ?? [])];
+    const registered = [...(known?.registered.keys() ?? [])];
     return {
-      ...this.weigh(generation),
-      enrolled,
-      reports: [...this.reports].map(([node, reported]) => ({ node, generation: reported })),
+      ...this.weigh(revision),
+      registered,
+      reports: [...this.reports].map(([node, reported]) => ({ node, revision: reported })),
     };
   }
 
-  private weigh(generation: number): Verdict {
+  private weigh(revision: number): Verdict {
     const state = this.member.state();
     if (!state.voting) return refused('not-voting', state.reason);
-    if (state.generation < generation)
-      return refused('behind', `holds only generation ${state.generation}`);
-    this.seated ??= this.clock.now();
+    if (state.revision < revision)
+      return refused('behind', `holds only revision ${state.revision}`);
+    this.votingSince ??= this.clock.now();
     const founder = this.newborn && this.member.founder;
     if (
       this.terms.lapse === 'stop' &&
       !founder &&
-      this.clock.now() < this.seated + this.terms.duration
+      this.clock.now() < this.votingSince + this.terms.duration
     )
       return refused('new-voter', 'voting for less than one lease');
     this.sweep();
     const silent = [...this.grants.values()]
-      .filter((grant) => grant.generation < generation)
+      .filter((grant) => grant.revision < revision)
       .map(({ node }) => node);
     return silent.length === 0
-      ? { vouched: true, refusal: 'none', silent, reason: '' }
-      : refused('older-lease', 'nodes still stand on an older generation', silent);
+      ? { confirmed: true, refusal: 'none', silent, reason: '' }
+      : refused('older-lease', 'nodes still stand on an older revision', silent);
   }
 
   private sweep(): void {
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -6,7 +6,7 @@
  */
 import { Right } from 'purify-ts';
 import type { Peers } from '../wire/peers.js';
-import { Settled, type FeedItem, type SettledTell } from './calls.js';
+import { Committed, type FeedItem, type CommitNotice } from './calls.js';
 import { decodeDocument, documentDigest, type Document } from './document.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
@@ -32,7 +32,9 @@
   constructor(private readonly replica: Replica) {}
 
   serve(peers: Peers): void {
-    peers.handle(Settled, async (tell, peer) => Right({ known: await this.learnTold(tell, peer) }));
+    peers.handle(Committed, async (tell, peer) =>
+      Right({ known: await this.learnTold(tell, peer) }),
+    );
   }
 
   /**
@@ -42,21 +44,21 @@
   takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
     const { acceptor, guard } = this.replica;
     return this.replica.exclusive(async () => {
-      const revisions = readable(items).filter(({ document }) => document.generation <= committed);
+      const revisions = readable(items).filter(({ document }) => document.revision <= committed);
       const newest = revisions.at(-1);
       if (!newest) return;
       const oldestOpen = acceptor.lowestOpenRevision;
       const kept = await this.keep(newest.document, newest.item);
       if (!kept && !guard.isSuspended) return;
       for (const { document, item } of revisions)
-        if (document.generation >= oldestOpen) this.commit(document, item);
+        if (document.revision >= oldestOpen) this.commit(document, item);
     });
   }
 
   /** Holds the newest revision known to be committed, which the disk could not take while it was in trouble. */
   async holdNewest(): Promise<boolean> {
     const { chain } = this.replica;
-    const filed = chain.filed(chain.settled);
+    const filed = chain.filed(chain.committed);
     if (!chain.document || !filed) return true;
     const value = this.replica.acceptor.valueLearned(chain.document, filed);
     return !value || (await this.replica.hold(value));
@@ -66,7 +68,7 @@
    * The digest of a revision as it is on the disk now, noting its link to the one before when it is the committed one.
    */
   async inspect(revision: number): Promise<string | undefined> {
-    const read = await this.replica.store.readGeneration(revision);
+    const read = await this.replica.store.readRevision(revision);
     const filed = read.toMaybe().extract();
     if (!filed) return undefined;
     const digest = documentDigest(filed.document);
@@ -84,7 +86,7 @@
         return false;
       if (!(await this.rewrite(revision, item))) return false;
       replica.link(revision, item.document);
-      replica.log('generation-mended', [['generation', revision]]);
+      replica.log('revision-mended', [['revision', revision]]);
       replica.prune();
       return true;
     });
@@ -94,21 +96,20 @@
   private rewrite(revision: number, item: FeedItem): Promise<boolean> {
     const { replica } = this;
     const { accepted } = replica.acceptor;
-    if (revision !== accepted?.parsed.generation)
-      return replica.keepHistory(revision, item.document);
+    if (revision !== accepted?.parsed.revision) return replica.keepHistory(revision, item.document);
     if (documentDigest(accepted.document) !== documentDigest(item.document))
       return Promise.resolve(false);
     return replica.hold(accepted);
   }
 
   /** What was committed is noted at once when it is held here, else once what is being written now is. */
-  private async learnTold(tell: SettledTell, peer: string): Promise<boolean> {
+  private async learnTold(tell: CommitNotice, peer: string): Promise<boolean> {
     if (this.commitHeld(tell)) return true;
     return this.replica.exclusive(() => {
       const known = this.commitHeld(tell);
       if (!known && this.replica.acceptor.accepted)
-        this.replica.log('settled-unheld', [
-          ['generation', tell.generation],
+        this.replica.log('committed-unheld', [
+          ['revision', tell.revision],
           ['ballot', tell.ballot.counter],
           ['peer', peer],
         ]);
@@ -116,11 +117,11 @@
     });
   }
 
-  private commitHeld({ generation, digest }: SettledTell): boolean {
+  private commitHeld({ revision, digest }: CommitNotice): boolean {
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
-    if (generation <= chain.settled) return true;
-    if (accepted?.parsed.generation !== generation || documentDigest(accepted.document) !== digest)
+    if (revision <= chain.committed) return true;
+    if (accepted?.parsed.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
     this.commit(accepted.parsed, accepted);
     return true;
@@ -130,13 +131,13 @@
     const { acceptor, guard } = this.replica;
     const value = acceptor.valueLearned(document, filed);
     if (value) return !guard.reason && (await this.replica.hold(value));
-    if (document.generation === acceptor.revision || (await this.isOnDisk(document, filed)))
+    if (document.revision === acceptor.revision || (await this.isOnDisk(document, filed)))
       return true;
-    return !guard.reason && this.replica.keepHistory(document.generation, filed.document);
+    return !guard.reason && this.replica.keepHistory(document.revision, filed.document);
   }
 
-  private async isOnDisk({ generation }: Document, filed: Filed): Promise<boolean> {
-    const present = await this.replica.store.readGeneration(generation);
+  private async isOnDisk({ revision }: Document, filed: Filed): Promise<boolean> {
+    const present = await this.replica.store.readRevision(revision);
     return present
       .map(
         (there) =>
@@ -147,8 +148,8 @@
 
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
-    if (!chain.settle(document, documentDigest(filed.document), filed)) return;
-    log('settled', [['generation', document.generation]]);
+    if (!chain.commit(document, documentDigest(filed.document), filed)) return;
+    log('committed', [['revision', document.revision]]);
     this.replica.prune();
   }
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -1,10 +1,10 @@
 /**
  * Changing the register: prepare and accept at a majority of the core, no log, no leader. Changes that wait while a
- * round runs are combined into the next one. A value read from the majority is built upon only once it is settled:
+ * round runs are combined into the next one. A value read from the majority is built upon only once it is committed:
  * known so to a member, or accepted in one same ballot by a majority; otherwise it is first accepted again as it is.
- * So the settled generations form one chain, and a change that is missing from a settled value read after its last
+ * So the committed revisions form one chain, and a change that is missing from a committed value read after its last
  * accept can never come to be. "Lost" and "declined" are said only then; after an accept without a majority's word,
- * the change stays unsure until a later round settles it, and is "unknown" when its limit comes first.
+ * the change stays unsure until a later round commits it, and is "unknown" when its limit comes first.
  *
  * A ballot that others overtook while this node was idle or backed off is no sign of a rival: it is raised and asked
  * for again within the same round, at once where no other round is open. Otherwise a node with a long back-off would
@@ -21,7 +21,7 @@
 import {
   Accept,
   Prepare,
-  Settled,
+  Committed,
   State,
   type AcceptAsk,
   type AcceptReply,
@@ -33,12 +33,12 @@
   encodeDocument,
   voterSetDigest,
   type Change,
-  type CoreSet,
+  type VoterSet,
   type Document,
 } from './document.js';
 import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 import { deltaBetween, revisionOf, type Revision } from './revision.js';
 import { roundValue } from './round-value.js';
 import { decided, isOutdated, promisesOf } from './votes.js';
@@ -60,8 +60,8 @@
 
 interface Read extends Revision {
   readonly ballot: Ballot;
-  readonly core: CoreSet;
-  readonly settled: boolean;
+  readonly core: VoterSet;
+  readonly committed: boolean;
 }
 
 interface Promises {
@@ -76,17 +76,17 @@
   known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
 
 export interface Survey {
-  readonly generation: number;
+  readonly revision: number;
   readonly sources: readonly string[];
 }
 
-/** What a majority's states amount to; undefined while none of them knows the newest one to be settled. */
+/** What a majority's states amount to; undefined while none of them knows the newest one to be committed. */
 const surveyOf = (states: ReadonlyMap<string, StateReply>, quorum: number): Survey | undefined => {
-  const generation = Math.max(0, ...[...states.values()].map((state) => state.generation));
+  const revision = Math.max(0, ...[...states.values()].map((state) => state.revision));
   const sources = [...states]
-    .filter(([, { settled }]) => settled >= generation)
+    .filter(([, { committed }]) => committed >= revision)
     .map(([address]) => address);
-  return states.size >= quorum && sources.length > 0 ? { generation, sources } : undefined;
+  return states.size >= quorum && sources.length > 0 ? { revision, sources } : undefined;
 };
 
 export class Proposer {
@@ -100,12 +100,12 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
   ) {
-    this.contact = new QuorumContact(peers, roster, clock);
+    this.contact = new QuorumContact(peers, voterDirectory, clock);
   }
 
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
@@ -125,7 +125,7 @@
     });
   }
 
-  /** Reads the newest settled value through a majority, settling what is undecided. */
+  /** Reads the newest committed value through a majority, committing what is undecided. */
   async read(duration: number): Promise<Outcome<Document>> {
     const limit = this.clock.now() + duration;
     for (let tries = 0; ; tries++) {
@@ -135,20 +135,21 @@
     }
   }
 
-  /** The newest settled value, without a new ballot where a majority already agrees. */
+  /** The newest committed value, without a new ballot where a majority already agrees. */
   async look(duration: number): Promise<Outcome<number>> {
-    return (await this.survey(duration)).map(({ generation }) => generation);
+    return (await this.survey(duration)).map(({ revision }) => revision);
   }
 
-  /** The newest settled generation, and the members that were quickest to say that they hold it. */
+  /** The newest committed revision, and the members that were quickest to say that they hold it. */
   async survey(duration: number): Promise<Outcome<Survey>> {
     const limit = this.clock.now() + duration;
     await this.learnCore();
     for (let pass = 0; pass < SURVEY_PASSES; pass++) {
-      const { number, members } = this.roster.core;
+      const { number, members } = this.voterDirectory.core;
       const replies = await this.askStates(members);
-      for (const { core } of replies.values()) this.roster.learn(JSON.parse(core) as CoreSet);
-      if (this.roster.core.number !== number) continue;
+      for (const { core } of replies.values())
+        this.voterDirectory.learn(JSON.parse(core) as VoterSet);
+      if (this.voterDirectory.core.number !== number) continue;
       const survey = surveyOf(replies, majority(members.length));
       if (number > 0 && survey) return Right(survey);
       break;
@@ -156,17 +157,17 @@
     const left = limit - this.clock.now();
     if (left <= 0)
       return failed('register.survey', 'core', `no majority told its state within ${duration} ms`);
-    return (await this.read(left)).map(({ generation }) => ({ generation, sources: [] }));
+    return (await this.read(left)).map(({ revision }) => ({ revision, sources: [] }));
   }
 
   /** The states of the members that surely tell all they ever voted for, by address, until a majority has told. */
-  private async askStates(members: CoreSet['members']): Promise<ReadonlyMap<string, StateReply>> {
+  private async askStates(members: VoterSet['members']): Promise<ReadonlyMap<string, StateReply>> {
     const sureOf = (all: Replies<StateReply>): ReadonlyMap<string, StateReply> =>
       new Map(
         all.flatMap(([address, reply]) => {
           const state = reply.toMaybe().extract();
           return state?.sure &&
-            members.some((seat) => seat.id === state.member && seat.address === address)
+            members.some((voter) => voter.id === state.member && voter.address === address)
             ? [[address, state] as const]
             : [];
         }),
@@ -199,11 +200,11 @@
   private async expire(item: Waiting, patience: Patience): Promise<void> {
     await this.contact.outlast(patience, item.over.signal);
     const reason = this.contact.holds
-      ? 'the limit came before a majority of the core settled it'
+      ? 'the limit came before a majority of the core committed it'
       : `no contact with a majority of the core: ${this.contact.silentVoters.join(' ')}`;
     this.finish(
       item,
-      failed('register.settle', 'core', reason, item.unsure ? 'unknown' : 'declined'),
+      failed('register.commit', 'core', reason, item.unsure ? 'unknown' : 'declined'),
     );
   }
 
@@ -216,7 +217,7 @@
   }
 
   private async round(taken: readonly Waiting[]): Promise<Outcome<void>> {
-    const read = await this.readSettled();
+    const read = await this.readCommitted();
     if (read.isLeft()) {
       this.log('round-failed', [
         ['kind', (read.extract() as Fault).kind],
@@ -234,7 +235,7 @@
     );
     const certain = batch.filter(({ change }) => {
       const verdict = verdicts.get(change.id);
-      return verdict && (verdict.kind !== 'applied' || verdict.generation <= document.generation);
+      return verdict && (verdict.kind !== 'applied' || verdict.revision <= document.revision);
     });
     if (next === document) {
       for (const item of certain) this.finish(item, Right(verdicts.get(item.change.id)!));
@@ -243,14 +244,14 @@
     const proposed = batch.filter((item) => !certain.includes(item));
     for (const item of proposed) item.unsure = true;
     this.log('proposed', [
-      ['generation', next.generation],
+      ['revision', next.revision],
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
     const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
     if (accepted.isLeft()) {
       this.log('round-unsure', [
-        ['generation', next.generation],
+        ['revision', next.revision],
         ['changes', proposed.length],
         ['reason', accepted.extract().reason],
       ]);
@@ -261,18 +262,18 @@
   }
 
   private async readOnce(): Promise<Outcome<Document>> {
-    return (await this.readSettled()).map(({ document }) => document);
+    return (await this.readCommitted()).map(({ document }) => document);
   }
 
-  /** Prepares, and when the value found is not sure to be settled, settles it and prepares again. */
-  private async readSettled(): Promise<Outcome<Read>> {
+  /** Prepares, and when the value found is not sure to be committed, commits it and prepares again. */
+  private async readCommitted(): Promise<Outcome<Read>> {
     for (let pass = 0; ; pass++) {
       const read = await this.prepare();
       if (read.isLeft()) return read;
       const found = read.unsafeCoerce();
-      if (found.settled && found.document.core.number <= found.core.number) return read;
-      if (found.settled) {
-        this.roster.learn(found.document.core);
+      if (found.committed && found.document.core.number <= found.core.number) return read;
+      if (found.committed) {
+        this.voterDirectory.learn(found.document.core);
         continue;
       }
       if (pass >= 3)
@@ -284,7 +285,7 @@
 
   private async prepare(): Promise<Outcome<Read>> {
     await this.learnCore();
-    const core = this.roster.core;
+    const core = this.voterDirectory.core;
     const quorum = majority(core.members.length);
     if (core.number === 0) return failed('register.prepare', 'core', 'no core set is known yet');
     let { ballot, replies, known } = await this.seekPromises(core);
@@ -316,9 +317,9 @@
     const complete = promises.map((reply) => withKnown(reply, known));
     return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
       const revision = this.hold(revisionOf(document, reply.document));
-      if (isCommitted && promises.some(({ settled }) => settled < document.generation))
+      if (isCommitted && promises.some(({ committed }) => committed < document.revision))
         this.announce(core, reply.accepted, revision);
-      return { ballot, core, settled: isCommitted, ...revision };
+      return { ballot, core, committed: isCommitted, ...revision };
     });
   }
 
@@ -334,7 +335,7 @@
   }
 
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
-  private async seekPromises(core: CoreSet): Promise<Promises> {
+  private async seekPromises(core: VoterSet): Promise<Promises> {
     const { known } = this;
     const ballot: Ballot = {
       counter: ++this.counter,
@@ -363,7 +364,7 @@
 
   /** Asks the members to accept a document; where it was made from a base, as what changed from that. */
   private async accept(
-    core: CoreSet,
+    core: VoterSet,
     ballot: Ballot,
     document: Document,
     base?: Revision,
@@ -397,7 +398,7 @@
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
     this.announce(core, ballot, revision);
-    this.roster.learn(document.core);
+    this.voterDirectory.learn(document.core);
     return Right(undefined);
   }
 
@@ -411,36 +412,36 @@
     return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
   }
 
-  private announce(core: CoreSet, ballot: Ballot, { document, digest }: Revision): void {
+  private announce(core: VoterSet, ballot: Ballot, { document, digest }: Revision): void {
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
     for (const address of addresses)
       void this.peers.ask(
         address,
-        Settled,
-        { generation: document.generation, ballot, digest },
+        Committed,
+        { revision: document.revision, ballot, digest },
         ASK_LIMIT,
       );
   }
 
-  /** Finds the core set from the leads while none is known. */
+  /** Finds the core set from the contacts while none is known. */
   async learnCore(): Promise<void> {
-    if (this.roster.core.number === 0) await this.refreshCore();
+    if (this.voterDirectory.core.number === 0) await this.refreshCore();
   }
 
-  /** Asks the leads for a newer core set, until one tells it or a majority of the one known knows no other. */
+  /** Asks the contacts for a newer core set, until one tells it or a majority of the one known knows no other. */
   private async refreshCore(): Promise<void> {
-    const { number, members } = this.roster.core;
+    const { number, members } = this.voterDirectory.core;
     const enough = (told: readonly StateReply[]): boolean =>
-      told.some(({ core }) => (JSON.parse(core) as CoreSet).number > number) ||
+      told.some(({ core }) => (JSON.parse(core) as VoterSet).number > number) ||
       (number > 0 && told.length >= majority(members.length));
     const replies = await gather(
-      this.roster.leads,
+      this.voterDirectory.contacts,
       (address) => this.peers.ask(address, State, { from: this.peers.self.name }, ASK_LIMIT),
       (all) => enough(sound(all)),
     );
-    for (const { core } of sound(replies)) this.roster.learn(JSON.parse(core) as CoreSet);
+    for (const { core } of sound(replies)) this.voterDirectory.learn(JSON.parse(core) as VoterSet);
   }
 
   private backOff(tries: number): Promise<void> {
--- a/src/sim/day/plan.ts
+++ b/src/sim/day/plan.ts
@@ -216,7 +216,7 @@
   'outages',
   'claimsCompared',
   'resumed',
-  'lapsedStandings',
+  'lapsedLeases',
   'answersLost',
   'greyFailures',
   'connectionsReset',
--- a/test/checker/disqualified.test.ts
+++ b/test/checker/disqualified.test.ts
@@ -8,7 +8,7 @@
 const RANDOM_SEEDS = 10;
 const CATCH_UP = 5000;
 const STANDSTILL = 5000;
-const REVISIONS = 'generations/';
+const REVISIONS = 'revisions/';
 
 /** Restarts a machine with the revision that it had accepted last corrupt on its disk. */
 const disqualify = async (machines: Machines, number: number): Promise<void> => {
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -6,7 +6,7 @@
   Accept,
   Form,
   Prepare,
-  Settled,
+  Committed,
   type AcceptReply,
   type PrepareReply,
 } from '../../src/register/calls.js';
@@ -46,7 +46,7 @@
 ): Revision =>
   revisionOf({
     ...document,
-    generation: document.generation + 1,
+    revision: document.revision + 1,
     previous: digestOf(bytes),
     core,
     claims: new Map([[name, { firm: 's', renewal: 1, duration: 1 }]]),
@@ -79,8 +79,8 @@
 
   private async formOnce(): Promise<boolean> {
     const ids = [this.member.id, 'second', 'third'];
-    const seats = ids.map((id, at) => ({ id, address: `127.0.0.1:${at + 1}` }));
-    this.first = revisionOf(genesis('f', seats));
+    const voters = ids.map((id, at) => ({ id, address: `127.0.0.1:${at + 1}` }));
+    this.first = revisionOf(genesis('f', voters));
     const form = { document: this.first.bytes };
     const formed = await this.ask(this.asker.peers.ask(ADDRESS, Form, form, 1000));
     return formed.isRight();
@@ -133,14 +133,14 @@
   }
 
   async commit({ document, bytes }: Revision): Promise<boolean> {
-    const told = { generation: document.generation, ballot: ballotOf(1), digest: digestOf(bytes) };
-    const reply = await this.ask(this.asker.peers.ask(ADDRESS, Settled, told, 1000));
+    const told = { revision: document.revision, ballot: ballotOf(1), digest: digestOf(bytes) };
+    const reply = await this.ask(this.asker.peers.ask(ADDRESS, Committed, told, 1000));
     return reply.map(({ known }) => known).orDefault(false);
   }
 
   learn(counter: number, { document, bytes }: Revision): Promise<void> {
     const items = [{ ballot: ballotOf(counter), document: bytes }];
-    return this.ask(this.member.takeSettled(items, document.generation));
+    return this.ask(this.member.takeCommitted(items, document.revision));
   }
 
   get held(): { counter: number; revision: number; promised: number } {
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -3,7 +3,7 @@
  * restarts it holds on to its promise, its accepted ballot and the revisions that it knows to be committed.
  */
 import { expect, test } from 'vitest';
-import { digestOf, type CoreSet } from '../../src/register/document.js';
+import { digestOf, type VoterSet } from '../../src/register/document.js';
 import {
   ballotOf,
   following,
@@ -54,11 +54,11 @@
     const chosen = following(lone.first, 'chosen');
     const newest = revision === 2 ? chosen : following(chosen, 'newest');
     const { number, members, wanted } = lone.first.document.core;
-    const fewer: CoreSet = { number: number + 1, wanted, members: members.slice(0, 2) };
+    const fewer: VoterSet = { number: number + 1, wanted, members: members.slice(0, 2) };
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(true);
     await lone.learn(5, newest);
     expect(lone.held).toEqual({ counter: 8, revision, promised: 8 });
-    expect(lone.member.state()).toMatchObject({ settled: revision, voting: true });
+    expect(lone.member.state()).toMatchObject({ committed: revision, voting: true });
     expect(lone.member.knownCore.number).toBe(1);
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(false);
     await lone.start();
@@ -80,7 +80,7 @@
     [2, second, 10],
   ];
   for (const [revision, { bytes }, counter] of copies) {
-    lone.disk.spoil(`generations/00000000000${revision}`);
+    lone.disk.spoil(`revisions/00000000000${revision}`);
     const item = { ballot: ballotOf(counter), document: bytes };
     expect(await lone.ask(lone.member.mend(revision, item))).toBe(true);
     await lone.learn(counter, revisionOf(revision === 2 ? second.document : third.document));
@@ -100,7 +100,7 @@
   expect(isAccepted(await lone.accept(7, second))).toBe(true);
   await lone.start();
   expect(lone.held).toEqual({ counter: 7, revision: 2, promised: 7 });
-  lone.disk.spoil('generations/000000000002');
+  lone.disk.spoil('revisions/000000000002');
   await lone.start();
   expect(lone.member.state()).toMatchObject({ voting: false, sure: false });
 });
@@ -111,7 +111,7 @@
   await lone.prepare(4);
   await lone.accept(4, second);
   await lone.accept(5, following(second, 'third'));
-  lone.disk.spoil('generations/000000000002');
+  lone.disk.spoil('revisions/000000000002');
   await lone.start();
   expect(lone.member.state()).toMatchObject({ voting: true });
 });
@@ -119,9 +119,9 @@
 test('a voter that holds a proposed change of voters does not vote under another of the same number', async () => {
   const lone = await formed();
   const { number, members, wanted } = lone.first.document.core;
-  const some: CoreSet = { number: number + 1, wanted, members: members.slice(0, 2) };
-  const others: CoreSet = { ...some, members: [members[0]!, members[2]!] };
-  const without: CoreSet = { ...some, members: members.slice(1) };
+  const some: VoterSet = { number: number + 1, wanted, members: members.slice(0, 2) };
+  const others: VoterSet = { ...some, members: [members[0]!, members[2]!] };
+  const without: VoterSet = { ...some, members: members.slice(1) };
   expect(isAccepted(await lone.accept(5, following(lone.first, 'some', some)))).toBe(true);
   expect(lone.member.knownCore.number).toBe(number);
   await lone.start();
@@ -141,7 +141,7 @@
   await lone.accept(5, second);
   lone.disk.full = true;
   expect((await lone.prepare(6)).isLeft()).toBe(true);
-  lone.disk.files.delete('generations/000000000002');
+  lone.disk.files.delete('revisions/000000000002');
   lone.disk.full = false;
   await lone.ask(lone.member.recover());
   expect(lone.member.state()).toMatchObject({ voting: false, sure: false });
@@ -157,7 +157,7 @@
   lone.disk.full = true;
   expect((await lone.prepare(10)).isLeft()).toBe(true);
   await lone.learn(8, third);
-  expect(lone.member.state()).toMatchObject({ voting: false, settled: 3 });
+  expect(lone.member.state()).toMatchObject({ voting: false, committed: 3 });
   lone.disk.full = false;
   expect(await lone.ask(lone.member.recover())).toBe(true);
   expect(lone.held).toMatchObject({ counter: 9, revision: 3 });
--- a/test/checker/promotion.test.ts
+++ b/test/checker/promotion.test.ts
@@ -3,7 +3,7 @@
  * off is no voter, however much a voter is missed, until the feed works.
  */
 import { expect, test } from 'vitest';
-import { Accept, Feed, Form, History, Prepare, Settled } from '../../src/register/calls.js';
+import { Accept, Feed, Form, History, Prepare, Committed } from '../../src/register/calls.js';
 import { Announce } from '../../src/register/replacement.js';
 import { decodeFrame } from '../../src/wire/call.js';
 import { addressOf, Machines, SEEDS } from './machines.js';
@@ -15,7 +15,7 @@
 const LEARNER = 4;
 const LOST = 3;
 const REVISION_CODES = new Set(
-  [Feed, History, Prepare, Accept, Settled, Form].map(({ code }) => code),
+  [Feed, History, Prepare, Accept, Committed, Form].map(({ code }) => code),
 );
 
 /** Drops all that would bring a machine a revision, and counts its announcements. */
@@ -98,7 +98,7 @@
     const machines = await formed(seed);
     const learner = machines.start(LEARNER, { first: false });
     const hasCaughtUp = (): boolean =>
-      learner.member.settledGeneration === machines.cores.get(1)!.member.settledGeneration;
+      learner.member.committedRevision === machines.cores.get(1)!.member.committedRevision;
     expect(await machines.run(CATCH_UP, hasCaughtUp)).toBe(true);
     const counts = cutFeed(machines, LEARNER);
     expect(await machines.change()).toBe('applied');
--- a/test/checker/standing.test.ts
+++ b/test/checker/standing.test.ts
@@ -1,17 +1,17 @@
 /**
- * Standing and "accepted" under the checker: three members and two nodes whose leases are renewed while a change is
+ * Leases and "accepted" under the checker: three members and two nodes whose leases are renewed while a change is
  * made, with frames lost, late or repeated, a node frozen, and members started again. At no moment after "accepted"
- * was told may any node hold standing on an older generation.
+ * was told may any node hold standing on an older revision.
  */
 import { expect, test } from 'vitest';
-import { Goodbye, Renew, Vouch, Vow } from '../../src/lease/calls.js';
-import { seekAccord } from '../../src/lease/accord.js';
+import { Goodbye, Renew, Confirm, PeerLease } from '../../src/lease/calls.js';
+import { awaitApplication } from '../../src/lease/application.js';
 import type { Change } from '../../src/register/document.js';
 import { explore, type Script } from '../../src/sim/explore.js';
 import { decodeFrame, type Frame } from '../../src/wire/call.js';
 import { openStage } from './stage.js';
 
-const watched = new Set([Renew.code, Vouch.code, Goodbye.code, Vow.code]);
+const watched = new Set([Renew.code, Confirm.code, Goodbye.code, PeerLease.code]);
 
 /** So many frames of each run may meet a mishap. */
 const CHOICES = 60;
@@ -27,7 +27,7 @@
   readonly restart?: readonly number[];
   /** The first node is cut off from the core, and maybe from the other nodes too. */
   readonly cut?: 'core' | 'all';
-  /** Nodes don't hand on generations, so that the first stays on the old one. */
+  /** Nodes don't hand on revisions, so that the first stays on the old one. */
   readonly mute?: boolean;
 }
 
@@ -59,47 +59,46 @@
   if (fault.cut)
     world.part(['n'], ['core-0', 'core-1', 'core-2', ...(fault.cut === 'all' ? ['m', 'o'] : [])]);
   if (fault.cut) await world.run(world.now + 7000);
-  if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(fault.cut === 'core');
+  if (fault.cut) expect(nodes[0]!.lease.holds()).toBe(fault.cut === 'core');
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict
-    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+  const revision = verdict
+    .map((told) => (told.kind === 'applied' ? told.revision : 0))
     .orDefault(0);
   for (const at of fault.restart ?? []) {
     cores[at]!.host.kill();
     world.at(50, () => (cores[at] = startCore(at)));
   }
   let accepted = false;
-  const seeking = seekAccord(
-    generation,
+  const seeking = awaitApplication(
+    revision,
     12_000,
     operator.peers,
-    operator.roster,
+    operator.voterDirectory,
     operator.host.clock,
   ).then(({ everywhere }) => {
     accepted = everywhere;
     return everywhere;
   });
   const wrong = (): boolean =>
-    nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < generation) &&
-    accepted;
-  // A generation in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
+    nodes.some(({ lease, inForce }) => lease.holds() && inForce.revision < revision) && accepted;
+  // A revision in force never goes back, so once all have the new one and no mishap is left, nothing can go wrong.
   const calm = Object.keys(fault).length === 0;
   const surelyOver = (): boolean =>
     calm &&
     accepted &&
     choices >= CHOICES &&
-    nodes.every(({ inForce }) => inForce.generation >= generation);
+    nodes.every(({ inForce }) => inForce.revision >= revision);
   await world.run(world.now + 16_000, () => wrong() || surelyOver());
   expect(wrong()).toBe(false);
-  expect(generation).toBe(5);
+  expect(revision).toBe(5);
   expect(await world.until(seeking)).toBe(true);
   const behind = fault.cut === 'all' || (fault.cut === 'core' && fault.mute);
-  expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([behind ? 4 : 5, 5, 5]);
-  if (fault.cut) expect(nodes[0]!.standing.holds()).toBe(!behind);
+  expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([behind ? 4 : 5, 5, 5]);
+  if (fault.cut) expect(nodes[0]!.lease.holds()).toBe(!behind);
   return choices;
 };
 
-test('accepted is never told while a node can stand on an older generation: lost, late and repeated frames', async () => {
+test('accepted is never told while a node can stand on an older revision: lost, late and repeated frames', async () => {
   const { runs, choices } = await explore((script) => run(script), 60);
   expect(choices).toBe(CHOICES);
   expect(runs).toBeGreaterThan(200);
@@ -124,7 +123,7 @@
     for (const freeze of [0, 3000, 7000]) await run(new Map(), { restart, freeze });
 });
 
-test('nor while a node is cut off from the core and the others vouch for it, with lost, late and repeated frames', async () => {
+test('nor while a node is cut off from the core and the others confirm for it, with lost, late and repeated frames', async () => {
   for (const cut of ['core', 'all'] as const)
     for (const mute of [true, false]) await run(new Map(), { cut, mute });
   for (const mishap of ['drop', 'late', 'twice'] as const)
@@ -137,23 +136,29 @@
   for (const { host } of cores) host.kill();
   for (let second = 0; second < 20; second++) {
     await world.run(world.now + 1000);
-    expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
+    expect(nodes.map(({ lease }) => lease.holds())).toEqual([true, true, true]);
   }
   world.part(['n'], ['m', 'o']);
   await world.run(world.now + 7000);
-  expect(nodes.map(({ standing }) => standing.holds())).toEqual([false, true, true]);
+  expect(nodes.map(({ lease }) => lease.holds())).toEqual([false, true, true]);
   world.heal();
   cores.forEach((_, at) => startCore(at));
   await world.run(world.now + 2500);
-  expect(nodes.map(({ standing }) => standing.holds())).toEqual([true, true, true]);
+  expect(nodes.map(({ lease }) => lease.holds())).toEqual([true, true, true]);
   const verdict = await world.until(operator.proposer.propose(change, 5000));
-  const generation = verdict
-    .map((told) => (told.kind === 'applied' ? told.generation : 0))
+  const revision = verdict
+    .map((told) => (told.kind === 'applied' ? told.revision : 0))
     .orDefault(0);
   expect(
     (
       await world.until(
-        seekAccord(generation, 12_000, operator.peers, operator.roster, operator.host.clock),
+        awaitApplication(
+          revision,
+          12_000,
+          operator.peers,
+          operator.voterDirectory,
+          operator.host.clock,
+        ),
       )
     ).everywhere,
   ).toBe(true);
@@ -163,16 +168,19 @@
   const { world, cores, nodes, restart, startCore, operator } = await openStage();
   world.part(['n'], ['core-0', 'core-1', 'core-2']);
   expect((await world.until(operator.proposer.propose(change, 5000))).isRight()).toBe(true);
-  expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.generation === 5)).toBe(true);
+  expect(await world.run(world.now + 4000, () => nodes[0]!.inForce.revision === 5)).toBe(true);
   for (const { host } of cores) host.kill();
   restart(2);
-  expect(await world.run(world.now + 12_000, () => nodes[2]!.standing.holds())).toBe(true);
-  expect(nodes[2]!.inForce.generation).toBe(5);
+  expect(await world.run(world.now + 12_000, () => nodes[2]!.lease.holds())).toBe(true);
+  expect(nodes[2]!.inForce.revision).toBe(5);
   world.heal();
   cores.forEach((_, at) => startCore(at));
   expect(
-    (await world.until(seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock)))
-      .everywhere,
+    (
+      await world.until(
+        awaitApplication(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
+      )
+    ).everywhere,
   ).toBe(true);
 });
 
@@ -186,7 +194,7 @@
     expect(
       (
         await world.until(
-          seekAccord(5, 12_000, operator.peers, operator.roster, operator.host.clock),
+          awaitApplication(5, 12_000, operator.peers, operator.voterDirectory, operator.host.clock),
         )
       ).everywhere,
     ).toBe(true);
@@ -196,13 +204,13 @@
     restart(2);
     world.heal();
     const behind = (): boolean =>
-      nodes.some(({ standing, inForce }) => standing.holds() && inForce.generation < 5);
+      nodes.some(({ lease, inForce }) => lease.holds() && inForce.revision < 5);
     expect(await world.run(world.now + 15_000, behind)).toBe(false);
-    expect(nodes.map(({ inForce }) => inForce.generation)).toEqual([4, 0, 0]);
+    expect(nodes.map(({ inForce }) => inForce.revision)).toEqual([4, 0, 0]);
     cores.forEach((_, at) => startCore(at));
     expect(
       await world.run(world.now + 10_000, () =>
-        nodes.every(({ standing, inForce }) => standing.holds() && inForce.generation === 5),
+        nodes.every(({ lease, inForce }) => lease.holds() && inForce.revision === 5),
       ),
     ).toBe(true);
   }
