--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -9,6 +9,7 @@
   CutLinkStep,
   DiskStep,
   IsolateStep,
+  LoseDiskStep,
   MessagesStep,
   PowerLossStep,
   WatchedCall,
@@ -44,6 +45,8 @@
   private readonly addresses: readonly string[];
   private readonly diskBusyUntil: number[];
   private readonly rules = new Set<MessageRule>();
+  /** Members that lost their disk and have not been seen as voters beside all others since. */
+  private readonly recovering = new Set<number>();
 
   constructor(size: number, seed: number) {
     this.world = new World(seed);
@@ -83,6 +86,17 @@
     else if (!this.isUp(at)) this.members[at] = this.start(at);
   }
 
+  /** Loses the disk of a member, which comes back with an empty one; not while as many as are tolerated recover. */
+  loseDisk(at: number, { downtime }: LoseDiskStep): void {
+    if (this.hasCaughtUp()) this.recovering.clear();
+    const tolerated = Math.floor((this.size - 1) / 2);
+    if (!this.isUp(at) || this.recovering.has(at) || this.recovering.size >= tolerated) return;
+    this.recovering.add(at);
+    this.members[at]!.host.kill();
+    this.disks[at] = new SimDisk(this.world);
+    this.world.at(downtime, () => this.restart(at));
+  }
+
   losePower(at: number, { write, moment, downtime }: PowerLossStep): void {
     const disk = this.disks[at]!;
     const due = disk.writes + write;
@@ -111,6 +125,29 @@
     this.world.at(duration, () => this.rules.delete(rule));
   }
 
+  /** Lets asks of a kind through to the members given only, until what comes back is called. */
+  restrictAsks(call: WatchedCall, reached: readonly number[]): () => void {
+    const rule: MessageRule = (_, to, { code, stage }) =>
+      code === codes[call] && stage === Stage.ask && !reached.includes(this.numberOf(to))
+        ? 'drop'
+        : 'pass';
+    this.rules.add(rule);
+    return () => this.rules.delete(rule);
+  }
+
+  /** Calls back right after every one of the members given has sent a reply of a kind. */
+  afterReplies(call: WatchedCall, from: readonly number[], act: () => void): void {
+    const missing = new Set(from);
+    const rule: MessageRule = (sender, _, { code, stage }) => {
+      if (code !== codes[call] || stage !== Stage.reply) return 'pass';
+      if (!missing.delete(this.numberOf(sender)) || missing.size > 0) return 'pass';
+      this.rules.delete(rule);
+      this.world.at(0, act);
+      return 'pass';
+    };
+    this.rules.add(rule);
+  }
+
   isolate(at: number, { direction, duration }: IsolateStep): void {
     const others = this.names.filter((_, other) => other !== at);
     this.cut([this.names[at]!], others, direction, duration);
@@ -168,8 +205,17 @@
     return this.names.indexOf(name);
   }
 
+  /** Whether all members are up and vote, and hold one same committed revision. */
+  private hasCaughtUp(): boolean {
+    const states = this.members.map(({ member }) => member.state());
+    return this.members.every(
+      (_, at) => this.isUp(at) && states[at]!.voting && states[at]!.settled === states[0]!.settled,
+    );
+  }
+
   private start(at: number): SimCore {
-    const site = { fleet: 'f', seeds: this.addresses, over: PARAMS };
+    const over = { ...PARAMS, firstStart: this.world.now === 0 ? 'yes' : 'no' };
+    const site = { fleet: 'f', seeds: this.addresses, over };
     const disk = this.disks[at]!;
     const member = simCore(this.world, `core-${at}`, this.addresses[at]!, 'z', disk, site);
     void member.node.start();
--- a/test/schedule/play.ts
+++ b/test/schedule/play.ts
@@ -32,6 +32,8 @@
       return cluster.kill(numberOf(action.member), action.downtime);
     case 'power-loss':
       return cluster.losePower(numberOf(action.member), action);
+    case 'lose-disk':
+      return cluster.loseDisk(numberOf(action.member), action);
     case 'crash-at-message':
       return cluster.crashAtMessage(action);
     case 'isolate':
--- a/test/schedule/steps.ts
+++ b/test/schedule/steps.ts
@@ -54,6 +54,13 @@
 
 export type WatchedCall = 'prepare' | 'accept' | 'settled';
 
+/** The member's disk is lost with all that is on it; another process starts at its address on an empty one. */
+export interface LoseDiskStep {
+  readonly kind: 'lose-disk';
+  readonly member: number;
+  readonly downtime: number;
+}
+
 /** The process ends at a message that is yet to come: its receiver before it reads it, its sender right after sending. */
 export interface CrashAtMessageStep {
   readonly kind: 'crash-at-message';
@@ -115,6 +122,7 @@
   | ReadStep
   | KillStep
   | PowerLossStep
+  | LoseDiskStep
   | CrashAtMessageStep
   | IsolateStep
   | CutLinkStep
@@ -184,6 +192,7 @@
     moment: fc.constantFrom('before', 'after'),
     downtime,
   }),
+  fc.record({ kind: fc.constant('lose-disk'), member: small, downtime }),
   fc.record({
     kind: fc.constant('crash-at-message'),
     call: watchedCall,
