--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -19,7 +19,7 @@
 import type { Proposer } from '../register/proposer.js';
 import { keepRecovering } from '../register/recovery.js';
 import { Repair } from '../register/repair.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import { VoterReplacement } from '../register/replacement.js';
 import { Store } from '../register/store.js';
 import type { View } from '../view/view.js';
@@ -28,7 +28,7 @@
 import { controlProviders } from '../node/control.js';
 import { nodeProviders } from '../node/module.js';
 
-const SETTLE_EVERY = 250;
+const COMMIT_EVERY = 250;
 
 @Injectable()
 export class CoreNode {
@@ -42,7 +42,7 @@
     @Inject(names.disk) private readonly disk: Disk,
     @Inject(names.member) private readonly member: Member,
     @Inject(names.keeper) private readonly keeper: Keeper,
-    @Inject(names.roster) private readonly roster: Roster,
+    @Inject(names.voterDirectory) private readonly voterDirectory: VoterDirectory,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
     @Inject(names.view) private readonly view: View,
@@ -71,7 +71,7 @@
       this.params.listen.peers,
       this.params.core.replaceAfter,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
@@ -81,27 +81,27 @@
     this.replacement = replacement;
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
-    if (this.member.newest) this.roster.learn(this.member.newest.core);
+    if (this.member.newest) this.voterDirectory.learn(this.member.newest.core);
     const follower = new Follower(
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
       this.log,
-      (_, items, settled) => this.member.takeSettled(items, settled),
+      (_, items, committed) => this.member.takeCommitted(items, committed),
       this.params.listen.peers,
       undefined,
       this.params.feed.wait,
       () => this.member.chain.newestRevision,
-      () => Promise.resolve(this.member.settledGeneration),
+      () => Promise.resolve(this.member.committedRevision),
     );
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
     const repair = new Repair(
       this.member,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
       this.random,
       this.log,
@@ -112,7 +112,7 @@
     void replacement.run(this.stop.signal);
     void keepRecovering(this.member, this.clock, this.stop.signal);
     if (enabled) void this.keeper.run(this.stop.signal);
-    void this.settle();
+    void this.commit();
     void this.enforce();
     if (this.params.form || this.params.firstStart !== 'unknown')
       void bootstrap.run(this.stop.signal);
@@ -133,27 +133,27 @@
       : `no contact with a majority of the core; silent: ${contact.silentVoters.join(' ')}`;
   }
 
-  /** Settles what a proposer left undecided here, so that an accepted generation doesn't hang. */
-  private async settle(): Promise<void> {
+  /** Commits what a proposer left undecided here, so that an accepted revision doesn't hang. */
+  private async commit(): Promise<void> {
     let before = 0;
     while (!this.stop.signal.aborted) {
-      const { generation, settled, voting } = this.member.state();
-      if (voting && generation > settled && generation === before) await this.proposer.read(1000);
-      before = generation;
-      await this.clock.sleep(SETTLE_EVERY * (1 + this.random.fraction()), this.stop.signal);
+      const { revision, committed, voting } = this.member.state();
+      if (voting && revision > committed && revision === before) await this.proposer.read(1000);
+      before = revision;
+      await this.clock.sleep(COMMIT_EVERY * (1 + this.random.fraction()), this.stop.signal);
     }
   }
 
-  /** Keeps the newest settled generation in force here too, for the operators' questions. */
+  /** Keeps the newest committed revision in force here too, for the operators' questions. */
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
       if (newest && this.inForce.swap(newest)) {
-        this.roster.learn(newest.core);
+        this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
-        this.log('in-force', [['generation', newest.generation]]);
+        this.log('in-force', [['revision', newest.revision]]);
       }
-      await this.member.chain.beyond(this.inForce.generation, 500);
+      await this.member.chain.beyond(this.inForce.revision, 500);
     }
   }
 
@@ -171,7 +171,7 @@
       acceptor,
       member,
       peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
@@ -196,7 +196,7 @@
             useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
               new Member(
                 new Store(disk, params.fleet, {
-                  generations: params.core.keep,
+                  revisions: params.core.keep,
                   bytes: params.core.keepBytes,
                 }),
                 peers,
--- a/src/fleet/slopes/plane.ts
+++ b/src/fleet/slopes/plane.ts
@@ -51,7 +51,7 @@
     this.engines = Array.from({ length: plan.engines }, (_, at) => listedEngine(at));
   }
 
-  /** Starts all nodes and runs until each has standing and the engines, and no change has been made for a while. */
+  /** Starts all nodes and runs until each has a lease and the engines, and no change has been made for a while. */
   async start(limit = 240_000): Promise<boolean> {
     const { plan, world } = this;
     const address = (at: number, base: number): string => `10.${base}.${at >> 8}.${at & 255}:7082`;
@@ -102,9 +102,9 @@
     }
     const end = world.now + limit;
     for (let seen = 0, since = world.now; world.now < end; await world.run(world.now + 250)) {
-      const generation = this.cores[0]!.member.settledGeneration;
-      if (generation === 0 || generation !== seen || !this.steady()) {
-        seen = generation;
+      const revision = this.cores[0]!.member.committedRevision;
+      if (revision === 0 || revision !== seen || !this.steady()) {
+        seen = revision;
         since = world.now;
       } else if (world.now - since >= CALM) return true;
     }
@@ -113,7 +113,7 @@
 
   steady(): boolean {
     return this.routers.every(
-      ({ standing, news }) => standing.holds() && news.placed().size === this.engines.length,
+      ({ lease, news }) => lease.holds() && news.placed().size === this.engines.length,
     );
   }
 
@@ -139,7 +139,7 @@
 
   /** How many routers a router takes all to be, in the middle. */
   get countedRouters(): number {
-    const counted = this.routers.map(({ standing }) => standing.nodes).sort((a, b) => a - b);
+    const counted = this.routers.map(({ lease }) => lease.nodes).sort((a, b) => a - b);
     return counted[Math.floor(counted.length / 2)] ?? 0;
   }
 
@@ -202,7 +202,7 @@
     return this.cores[0]!.inForce.routes.version;
   }
 
-  /** Bytes of the newest generation as a whole. */
+  /** Bytes of the newest revision as a whole. */
   get documentBytes(): number {
     const { whole } = this.cores[0]!.inForce;
     return whole ? encodeDocument(whole).length : 0;
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -8,7 +8,7 @@
 import {
   documentDigest,
   voterSetDigest,
-  type CoreSet,
+  type VoterSet,
   type Digest,
   type Document,
 } from './document.js';
@@ -28,13 +28,13 @@
 const higherOf = (one: Ballot, other: Ballot): Ballot =>
   compareBallots(one, other) >= 0 ? one : other;
 
-const isVoter = (set: CoreSet, id: string): boolean =>
+const isVoter = (set: VoterSet, id: string): boolean =>
   set.members.some((member) => member.id === id);
 
 /** Whether a value is behind another: of a lower ballot, or of the same ballot at a lower revision. */
 const isBehind = (one: AcceptedValue, other: AcceptedValue): boolean => {
   const order = compareBallots(one.ballot, other.ballot);
-  return order < 0 || (order === 0 && one.parsed.generation < other.parsed.generation);
+  return order < 0 || (order === 0 && one.parsed.revision < other.parsed.revision);
 };
 
 /** What one acceptor promised and accepted. */
@@ -52,7 +52,7 @@
 
   /** The accepted revision, 0 while nothing was accepted. */
   get revision(): number {
-    return this.value?.parsed.generation ?? 0;
+    return this.value?.parsed.revision ?? 0;
   }
 
   /** The lowest revision that may still be accepted: the one before the accepted one is committed, as all below it. */
@@ -82,9 +82,9 @@
     const { value } = this;
     const learned = { ballot: filed.ballot, document: filed.document, parsed: document };
     if (!value) return learned;
-    if (document.generation < this.revision) return undefined;
+    if (document.revision < this.revision) return undefined;
     const isSame =
-      document.generation === this.revision &&
+      document.revision === this.revision &&
       documentDigest(value.document) === documentDigest(filed.document);
     if (isSame && compareBallots(filed.ballot, value.ballot) <= 0) return undefined;
     return { ...learned, ballot: higherOf(value.ballot, filed.ballot) };
@@ -92,12 +92,12 @@
 
   /** Why a proposed value contradicts what was accepted or committed here, or nothing where it does not. */
   contradiction(ballot: Ballot, document: Document, digest: Digest, chain: Chain): string {
-    const { generation: revision, previous } = document;
+    const { revision: revision, previous } = document;
     const { value } = this;
     const isSameRound = value !== undefined && compareBallots(value.ballot, ballot) === 0;
     if (isSameRound && documentDigest(value.document) !== digest)
       return 'another value was accepted under that ballot';
-    const least = Math.max(chain.settled, this.lowestOpenRevision);
+    const least = Math.max(chain.committed, this.lowestOpenRevision);
     if (revision < least) return `revision ${revision} is older than committed revision ${least}`;
     const committed = chain.digest(revision) ?? this.parentDigest(revision);
     if (committed !== undefined && committed !== digest)
@@ -113,7 +113,7 @@
    * under. A round under an older set can't find a majority any more once a value proposed under the newer one was
    * accepted.
    */
-  get voterSets(): readonly CoreSet[] {
+  get voterSets(): readonly VoterSet[] {
     if (!this.value) return [];
     const { parsed, under } = this.value;
     return under && under.number !== parsed.core.number ? [parsed.core, under] : [parsed.core];
@@ -125,7 +125,7 @@
   }
 
   /** The very voter set of a round, where the member is one of its voters and the acceptor votes under it. */
-  voterSet(id: string, { set, voters }: VoterSetId): CoreSet | undefined {
+  voterSet(id: string, { set, voters }: VoterSetId): VoterSet | undefined {
     return this.voterSets.find(
       (each) => each.number === set && isVoter(each, id) && voterSetDigest(each) === voters,
     );
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -1,5 +1,5 @@
 /**
- * One generation of the fleet's configuration: the register's whole value at that generation, chained to the one
+ * One revision of the fleet's configuration: the register's whole value at that revision, chained to the one
  * before by digest, with the changes that made it. As text it is JSON with tables as sorted pairs, so that equal
  * documents have equal digests on every node.
  */
@@ -9,24 +9,24 @@
 import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 
-export type Generation = number;
+export type Revision = number;
 export type ChangeId = string;
 export type Digest = string;
 
-export interface Seat {
+export interface Voter {
   readonly id: string;
   readonly address: string;
 }
 
-export interface CoreSet {
+export interface VoterSet {
   readonly number: number;
-  /** How many seats there should be; fewer members than this means that a newcomer may take one. */
+  /** How many voters there should be; fewer members than this means that a newcomer may take one. */
   readonly wanted: number;
-  readonly members: readonly Seat[];
+  readonly members: readonly Voter[];
 }
 
-/** A router that counts toward the majority that vouches for routers cut off from the core. */
-export interface Enrolled {
+/** A router that counts toward the majority that confirms for routers cut off from the core. */
+export interface Registered {
   readonly address: string;
   readonly zone: string;
   /** The touching law it keeps, so that others notice one that differs. */
@@ -40,8 +40,8 @@
 }
 
 export type DoorwayAct =
-  | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Generation }
-  | { readonly kind: 'remove'; readonly name: string; readonly expects: Generation };
+  | { readonly kind: 'set'; readonly doorway: Doorway; readonly expects: Revision }
+  | { readonly kind: 'remove'; readonly name: string; readonly expects: Revision };
 
 /**
  * The operators' configuration under the next version, on top of the version expected: whole, or as a patch. What is kept
@@ -68,25 +68,25 @@
       readonly takeover: boolean;
     }
   | {
-      readonly kind: 'seat';
-      readonly seat: Seat;
+      readonly kind: 'addVoter';
+      readonly voter: Voter;
       readonly expects: number;
       /** The voter it takes over from, which is removed next; how many are wanted stays as it is. */
       readonly replaces?: string;
     }
   | {
-      readonly kind: 'unseat';
+      readonly kind: 'removeVoter';
       readonly id: string;
       readonly vacant: boolean;
       readonly expects: number;
     }
   | {
-      readonly kind: 'enrol';
+      readonly kind: 'registerRouter';
       readonly name: string;
-      readonly enrolled: Enrolled;
-      readonly expects: Generation;
+      readonly registered: Registered;
+      readonly expects: Revision;
     }
-  | { readonly kind: 'retire'; readonly name: string; readonly expects: Generation }
+  | { readonly kind: 'deregister'; readonly name: string; readonly expects: Revision }
   | ConfigureAct;
 
 export interface Change {
@@ -97,22 +97,22 @@
 }
 
 export interface Kept {
-  readonly generation: Generation;
+  readonly revision: Revision;
   readonly digest: Digest;
 }
 
 export interface Document {
   readonly fleet: string;
-  readonly generation: Generation;
+  readonly revision: Revision;
   readonly previous: Digest;
-  readonly core: CoreSet;
+  readonly core: VoterSet;
   readonly doorways: ReadonlyMap<string, Placed>;
-  readonly removed: ReadonlyMap<string, Generation>;
+  readonly removed: ReadonlyMap<string, Revision>;
   readonly claims: ReadonlyMap<string, Claim>;
   readonly outcomes: ReadonlyMap<ChangeId, Kept>;
-  readonly enrolled: ReadonlyMap<string, Enrolled>;
-  /** The generation of the last enrolment or retirement. */
-  readonly enrolledAt: Generation;
+  readonly registered: ReadonlyMap<string, Registered>;
+  /** The revision of the last registration or deregistration. */
+  readonly registeredAt: Revision;
   /** The routes of the operators' newest version, where there are any. */
   readonly configuration?: Configuration | undefined;
   /** The requests that made the last versions, by version, oldest first, so that one that is resent is known again. */
@@ -124,12 +124,12 @@
 
 interface Raw extends Omit<
   Document,
-  'doorways' | 'removed' | 'claims' | 'outcomes' | 'enrolled' | 'versions'
+  'doorways' | 'removed' | 'claims' | 'outcomes' | 'registered' | 'versions'
 > {
   versions?: Array<[number, Kept]>;
-  enrolled: Array<[string, Enrolled]>;
+  registered: Array<[string, Registered]>;
   doorways: Array<[string, Placed]>;
-  removed: Array<[string, Generation]>;
+  removed: Array<[string, Revision]>;
   claims: Array<[string, Claim]>;
   outcomes: Array<[ChangeId, Kept]>;
 }
@@ -150,7 +150,7 @@
 };
 
 /** Names a voter set by what it is: two proposed changes of one set bear the same number. */
-export const voterSetDigest = ({ number, members }: CoreSet): Digest =>
+export const voterSetDigest = ({ number, members }: VoterSet): Digest =>
   digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
 
 /** A change as the history keeps it, without the whole of a configuration. */
@@ -174,15 +174,15 @@
   Buffer.from(
     JSON.stringify({
       fleet: document.fleet,
-      generation: document.generation,
+      revision: document.revision,
       previous: document.previous,
       core: document.core,
       doorways: pairs(document.doorways),
       removed: pairs(document.removed),
       claims: pairs(document.claims),
       outcomes: [...document.outcomes],
-      enrolled: pairs(document.enrolled),
-      enrolledAt: document.enrolledAt,
+      registered: pairs(document.registered),
+      registeredAt: document.registeredAt,
       configuration: document.configuration,
       versions: document.versions.size ? [...document.versions] : undefined,
       forgottenVersion: document.forgottenVersion,
@@ -193,19 +193,19 @@
 export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
-    if (!Number.isSafeInteger(raw.generation) || typeof raw.fleet !== 'string')
-      return failed('document.decode', peer, 'not a generation of ours');
+    if (!Number.isSafeInteger(raw.revision) || typeof raw.fleet !== 'string')
+      return failed('document.decode', peer, 'not a revision of ours');
     return Right({
       fleet: raw.fleet,
-      generation: raw.generation,
+      revision: raw.revision,
       previous: raw.previous,
       core: raw.core,
       doorways: new Map(raw.doorways),
       removed: new Map(raw.removed),
       claims: new Map(raw.claims),
       outcomes: new Map(raw.outcomes),
-      enrolled: new Map(raw.enrolled),
-      enrolledAt: raw.enrolledAt,
+      registered: new Map(raw.registered),
+      registeredAt: raw.registeredAt,
       configuration: raw.configuration,
       versions: new Map(raw.versions ?? []),
       forgottenVersion: raw.forgottenVersion,
@@ -218,19 +218,19 @@
 
 export const genesis = (
   fleet: string,
-  members: readonly Seat[],
+  members: readonly Voter[],
   wanted = members.length,
 ): Document => ({
   fleet,
-  generation: 1,
+  revision: 1,
   previous: '',
   core: { number: 1, wanted: Math.max(wanted, members.length), members },
   doorways: new Map(),
   removed: new Map(),
   claims: new Map(),
   outcomes: new Map(),
-  enrolled: new Map(),
-  enrolledAt: 0,
+  registered: new Map(),
+  registeredAt: 0,
   versions: new Map(),
   cause: [],
 });
@@ -242,16 +242,16 @@
       return act.doorway.name;
     case 'apply':
       return act.items.map(subjectOf).join(' ').slice(0, 400);
-    case 'seat':
-      return act.seat.address;
-    case 'unseat':
+    case 'addVoter':
+      return act.voter.address;
+    case 'removeVoter':
       return act.id;
     case 'configure':
       return `version ${act.version}`;
     case 'remove':
     case 'claim':
-    case 'enrol':
-    case 'retire':
+    case 'registerRouter':
+    case 'deregister':
       return act.name;
   }
 };
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -1,8 +1,8 @@
 /**
- * Following the numbered feed of settled generations: from one core member at a time, the one quickest to say that it has
+ * Following the numbered feed of committed revisions: from one core member at a time, the one quickest to say that it has
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
  * While one member feeds, another is asked only how far it is, and all others as soon as that one is silent; when one is
- * further than the feed for longer than a moment, the source is left. The first generation comes only after a look at a majority of the core, or of the routers, so that
+ * further than the feed for longer than a moment, the source is left. The first revision comes only after a look at a majority of the core, or of the routers, so that
  * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
  * something is held, what follows comes as deltas.
  */
@@ -26,7 +26,7 @@
 import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
-import type { Roster } from './roster.js';
+import type { VoterDirectory } from './voter-directory.js';
 
 const WAIT = 1000;
 const PAUSE = 200;
@@ -40,28 +40,28 @@
 /** How many neighbours are asked at a time while no core member answers. */
 const NEIGHBOURS = 3;
 
-/** The whole of what a frame tells: itself, or what its delta makes of the generation before. */
+/** The whole of what a frame tells: itself, or what its delta makes of the revision before. */
 const rebuild = (
   { base, digest, document: bytes }: FeedFrame,
   before: Document | undefined,
   peer: string,
 ): Outcome<Rebuilt> => {
   if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
-  return before?.generation === base
+  return before?.revision === base
     ? applyDelta(before, bytes, digest, peer)
-    : failed('feed.rebuild', peer, `a delta from generation ${base}, which is not held`);
+    : failed('feed.rebuild', peer, `a delta from revision ${base}, which is not held`);
 };
 
 export class Follower {
   held = 0;
   private digest = '';
-  /** The document of the generation held, from which deltas can be applied. */
+  /** The document of the revision held, from which deltas can be applied. */
   private base: Document | undefined;
   private floor: number | undefined;
-  /** The newest generation that any member is known to have settled. */
+  /** The newest revision that any member is known to have committed. */
   private known = 0;
   private source = '';
-  /** The generation that any source must have given by now. */
+  /** The revision that any source must have given by now. */
   private overdue = 0;
   private outrun: () => void = () => undefined;
   /** Members other than the source that left the last watch unanswered. */
@@ -70,7 +70,7 @@
 
   constructor(
     private readonly peers: Peers,
-    private readonly roster: Roster,
+    private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
     private readonly clock: Clock,
     private readonly random: Random,
@@ -78,7 +78,7 @@
     private readonly take: (
       documents: readonly Document[],
       items: readonly FeedItem[],
-      settled: number,
+      committed: number,
       frames: readonly FeedFrame[],
     ) => Promise<void> | void,
     private readonly self = '',
@@ -107,13 +107,13 @@
     }
   }
 
-  /** Looks for the generation below which this node may not begin, and for a member that holds it. */
+  /** Looks for the revision below which this node may not begin, and for a member that holds it. */
   private async begin(): Promise<string | undefined> {
     const survey = (await this.proposer.survey(LOOK)).toMaybe().extract();
-    const floor = survey?.generation ?? (await this.floorWithoutMajority());
+    const floor = survey?.revision ?? (await this.floorWithoutMajority());
     if (floor === undefined) return undefined;
     this.floor = floor;
-    this.log('feed-floor', [['generation', floor]]);
+    this.log('feed-floor', [['revision', floor]]);
     return survey?.sources.find((address) => address !== this.self) ?? this.seek();
   }
 
@@ -123,11 +123,11 @@
     const needed = Math.max(least, this.known);
     const others = shuffled(
       this.random,
-      this.roster.addresses.filter((address) => address !== this.self),
+      this.voterDirectory.addresses.filter((address) => address !== this.self),
     );
     const fit = (all: Replies<StateReply>): string | undefined =>
       all.find(([, reply]) =>
-        reply.map(({ voting, settled }) => voting && settled >= needed).orDefault(false),
+        reply.map(({ voting, committed }) => voting && committed >= needed).orDefault(false),
       )?.[0];
     const replies = await gather(
       others,
@@ -137,7 +137,7 @@
     return (
       fit(replies) ??
       replies.find(([, reply]) =>
-        reply.map(({ settled }) => settled >= least).orDefault(false),
+        reply.map(({ committed }) => committed >= least).orDefault(false),
       )?.[0]
     );
   }
@@ -154,7 +154,7 @@
    */
   private async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const others = this.roster.addresses.filter(
+      const others = this.voterDirectory.addresses.filter(
         (address) => address !== this.self && address !== this.source,
       );
       const next = this.nextWatched(others);
@@ -182,7 +182,7 @@
         const reply = await this.peers.ask(address, Tip, { from, wait: this.wait }, this.patience);
         if (reply.isRight()) this.unheard.delete(address);
         else this.unheard.add(address);
-        reply.ifRight(({ settled }) => this.noteSettled(settled));
+        reply.ifRight(({ committed }) => this.noteCommitted(committed));
         return reply;
       },
       (all) => sound(all).length > 0,
@@ -190,18 +190,18 @@
     return sound(replies).length > 0;
   }
 
-  /** Another member has settled a generation: the source has a moment to give it too. */
-  private noteSettled(settled: number): void {
-    if (settled <= Math.max(this.held, this.known)) return;
-    this.known = settled;
+  /** Another member has committed a revision: the source has a moment to give it too. */
+  private noteCommitted(committed: number): void {
+    if (committed <= Math.max(this.held, this.known)) return;
+    this.known = committed;
     void this.clock.sleep(GRACE).then(() => {
-      this.overdue = Math.max(this.overdue, settled);
+      this.overdue = Math.max(this.overdue, committed);
       if (this.isOverdue) this.outrun();
     });
   }
 
   private get isOverdue(): boolean {
-    return Math.max(this.held, this.own()?.generation ?? 0) < this.overdue;
+    return Math.max(this.held, this.own()?.revision ?? 0) < this.overdue;
   }
 
   /** Without the core, takes what some neighbours have. */
@@ -248,7 +248,7 @@
       if (!reply) {
         this.log('feed-left', [
           ['peer', source],
-          ['generation', this.known],
+          ['revision', this.known],
         ]);
         return true;
       }
@@ -261,19 +261,19 @@
   /** Goes on from what this node has by another way, so that it is sent only what changed since. */
   private holdOwn(): void {
     const own = this.own();
-    if (!own || own.generation <= this.held) return;
-    this.held = own.generation;
+    if (!own || own.revision <= this.held) return;
+    this.held = own.revision;
     this.digest = own.digest;
     this.base = own.document;
   }
 
-  /** Takes what follows the generation held; says whether the source is worth asking again. */
-  private async consume(source: string, { settled, items }: FeedReply): Promise<boolean> {
-    if (settled < Math.max(this.held, this.floor ?? 0)) return false;
+  /** Takes what follows the revision held; says whether the source is worth asking again. */
+  private async consume(source: string, { committed, items }: FeedReply): Promise<boolean> {
+    if (committed < Math.max(this.held, this.floor ?? 0)) return false;
     const documents: Document[] = [];
     const frames: FeedFrame[] = [];
     const taken: FeedItem[] = [];
-    let held = { generation: this.held, digest: this.digest, document: this.base };
+    let held = { revision: this.held, digest: this.digest, document: this.base };
     for (const frame of items) {
       const rebuilt = rebuild(frame, held.document, source);
       if (rebuilt.isLeft()) {
@@ -281,33 +281,33 @@
         return false;
       }
       const { document: next, bytes } = rebuilt.unsafeCoerce();
-      if (next.generation <= held.generation || next.fleet !== this.peers.self.fleet) continue;
-      if (next.generation === held.generation + 1 && held.digest && next.previous !== held.digest) {
+      if (next.revision <= held.revision || next.fleet !== this.peers.self.fleet) continue;
+      if (next.revision === held.revision + 1 && held.digest && next.previous !== held.digest) {
         this.log('feed-declined', [
           ['peer', source],
-          ['generation', next.generation],
+          ['revision', next.revision],
           ['reason', 'does not follow the one held'],
         ]);
         return false;
       }
       held = {
-        generation: next.generation,
+        revision: next.revision,
         digest: frame.base > 0 ? frame.digest : digestOf(bytes),
         document: next,
       };
       documents.push(next);
       frames.push(frame);
       taken.push({ ballot: frame.ballot, document: bytes });
-      this.roster.learn(next.core);
+      this.voterDirectory.learn(next.core);
     }
     if (documents.length === 0) return true;
-    for (const { generation } of documents)
+    for (const { revision } of documents)
       this.log('fed', [
-        ['generation', generation],
+        ['revision', revision],
         ['peer', source],
       ]);
-    await this.take(documents, taken, settled, frames);
-    this.held = held.generation;
+    await this.take(documents, taken, committed, frames);
+    this.held = held.revision;
     this.digest = held.digest;
     this.base = held.document;
     return true;
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -11,7 +11,7 @@
 import { compareBallots, FIRST } from './ballot.js';
 import { State, type FeedItem, type StateReply, type VoteState } from './calls.js';
 import type { Chain } from './chain.js';
-import type { CoreSet, Document } from './document.js';
+import type { VoterSet, Document } from './document.js';
 import { FeedServer } from './feed-server.js';
 import { Learner } from './learner.js';
 import { DiskRecovery } from './recovery.js';
@@ -67,12 +67,12 @@
   }
 
   /** The newest core set that is sure to have been chosen. */
-  get knownCore(): CoreSet {
+  get knownCore(): VoterSet {
     return this.replica.committedVoters;
   }
 
-  get settledGeneration(): number {
-    return this.chain.settled;
+  get committedRevision(): number {
+    return this.chain.committed;
   }
 
   get wholeDigest(): string {
@@ -94,8 +94,8 @@
       sure: isVoter && !guard.isDisqualified,
       reason: guard.reason || (isVoter ? '' : 'not in the core set'),
       accepted: acceptor.accepted?.ballot ?? FIRST,
-      generation: acceptor.revision,
-      settled: chain.settled,
+      revision: acceptor.revision,
+      committed: chain.committed,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
     };
@@ -124,8 +124,8 @@
   }
 
   /** Takes revisions that a peer knows to be committed, oldest first. */
-  takeSettled(items: readonly FeedItem[], settled: number): Promise<void> {
-    return this.learner.takeCommitted(items, settled);
+  takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
+    return this.learner.takeCommitted(items, committed);
   }
 
   private async identify(known: string | undefined): Promise<void> {
--- a/src/register/roster.ts
+++ b/src/register/voter-directory.ts
@@ -1,11 +1,11 @@
 /**
- * Where the core members are, as this node knows: the seeds at first, then the core set of the newest generation it
+ * Where the core members are, as this node knows: the seeds at first, then the core set of the newest revision it
  * has seen. What was learned is kept when seeds change or fall silent.
  */
-import type { CoreSet } from './document.js';
+import type { VoterSet } from './document.js';
 
-export class Roster {
-  private known: CoreSet = { number: 0, wanted: 0, members: [] };
+export class VoterDirectory {
+  private known: VoterSet = { number: 0, wanted: 0, members: [] };
 
   constructor(private seeds: readonly string[]) {}
 
@@ -14,11 +14,11 @@
     this.seeds = seeds;
   }
 
-  learn(core: CoreSet): void {
+  learn(core: VoterSet): void {
     if (core.number > this.known.number) this.known = core;
   }
 
-  get core(): CoreSet {
+  get core(): VoterSet {
     return this.known;
   }
 
@@ -28,7 +28,7 @@
   }
 
   /** Every address worth asking for news of the core set. */
-  get leads(): readonly string[] {
+  get contacts(): readonly string[] {
     return [...new Set([...this.known.members.map(({ address }) => address), ...this.seeds])];
   }
 }
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -4,44 +4,44 @@
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { Standing } from '../lease/standing.js';
-import { Vows } from '../lease/vows.js';
+import { RouterLease } from '../lease/router-lease.js';
+import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Hello } from '../wire/call.js';
 import type { Peers } from '../wire/peers.js';
 
 /** The providers of this module, by name. */
 export const leaseProviders = (params: Params): Provider[] => [
   {
-    provide: names.vows,
+    provide: names.peerLeases,
     inject: [names.inForce, names.peers, names.clock],
     useFactory: (inForce: InForce, peers: Peers, clock: Clock) =>
-      new Vows(params.name, inForce, peers, clock, params.lease),
+      new PeerLeases(params.name, inForce, peers, clock, params.lease),
   },
   {
-    provide: names.standing,
+    provide: names.lease,
     inject: [
       names.self,
       names.inForce,
-      names.vows,
+      names.peerLeases,
       names.peers,
-      names.roster,
+      names.voterDirectory,
       names.clock,
       names.log,
     ],
     useFactory: (
       self: Hello,
       inForce: InForce,
-      vows: Vows,
+      peerLeases: PeerLeases,
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       clock: Clock,
       log: Log,
     ) =>
-      new Standing(
+      new RouterLease(
         {
           node: self.name,
           incarnation: self.incarnation,
@@ -49,9 +49,9 @@
           zone: params.zone,
         },
         inForce,
-        vows,
+        peerLeases,
         peers,
-        roster,
+        voterDirectory,
         clock,
         log,
         params.lease,
@@ -59,14 +59,31 @@
   },
   {
     provide: names.claims,
-    inject: [names.inForce, names.peers, names.roster, names.clock, names.random, names.log],
+    inject: [
+      names.inForce,
+      names.peers,
+      names.voterDirectory,
+      names.clock,
+      names.random,
+      names.log,
+    ],
     useFactory: (
       inForce: InForce,
       peers: Peers,
-      roster: Roster,
+      voterDirectory: VoterDirectory,
       clock: Clock,
       random: Random,
       log: Log,
-    ) => new Claims(params.name, inForce, peers, roster, clock, random, log, params.claims.enabled),
+    ) =>
+      new Claims(
+        params.name,
+        inForce,
+        peers,
+        voterDirectory,
+        clock,
+        random,
+        log,
+        params.claims.enabled,
+      ),
   },
 ];
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -7,9 +7,9 @@
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { Enrolment } from '../lease/enrolment.js';
-import { Standing } from '../lease/standing.js';
-import { Vows } from '../lease/vows.js';
+import { Registration } from '../lease/registration.js';
+import { RouterLease } from '../lease/router-lease.js';
+import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
@@ -21,7 +21,7 @@
 import type { Document } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
 import { Relay } from '../register/relay.js';
-import type { Roster } from '../register/roster.js';
+import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
 
@@ -31,16 +31,16 @@
 /** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
-  private enrolment: Enrolment | undefined;
+  private registration: Registration | undefined;
 
   constructor(
     @Inject(names.params) private readonly params: Params,
     @Inject(names.peers) private readonly peers: Peers,
-    @Inject(names.roster) private readonly roster: Roster,
+    @Inject(names.voterDirectory) private readonly voterDirectory: VoterDirectory,
     @Inject(names.proposer) private readonly proposer: Proposer,
     @Inject(names.inForce) private readonly inForce: InForce,
-    @Inject(names.standing) private readonly standing: Standing,
-    @Inject(names.vows) private readonly vows: Vows,
+    @Inject(names.lease) private readonly lease: RouterLease,
+    @Inject(names.peerLeases) private readonly peerLeases: PeerLeases,
     @Inject(names.view) private readonly view: View,
     @Inject(names.news) private readonly news: Newsroom,
     @Inject(names.claims) private readonly claims: Claims,
@@ -57,7 +57,7 @@
   async start(): Promise<Outcome<unknown>> {
     this.view.serve();
     this.news.serve();
-    this.vows.serve();
+    this.peerLeases.serve();
     if (this.params.claims.enabled) this.claims.serve();
     const served = await this.peers.serve(this.params.listen.peers);
     if (served.isLeft()) return served;
@@ -68,25 +68,25 @@
         .map(({ address }) => address),
     );
     relay.serve();
-    this.view.lead(() =>
-      [...(this.inForce.whole?.enrolled.values() ?? [])].map(({ address }) => address),
+    this.view.addContacts(() =>
+      [...(this.inForce.whole?.registered.values() ?? [])].map(({ address }) => address),
     );
     const follower = new Follower(
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.proposer,
       this.clock,
       this.random,
       this.log,
-      (documents, items, _settled, frames) => {
+      (documents, items, _committed, frames) => {
         const newest = documents.at(-1);
         if (!newest) return;
         relay.note(items, documents, frames);
         if (!this.inForce.swap(newest)) return;
         this.operations.noteClaims(newest);
-        this.log('in-force', [['generation', newest.generation]]);
+        this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
-        this.standing.renewNow();
+        this.lease.renewNow();
         this.passage.stir();
       },
       '',
@@ -96,7 +96,7 @@
     const { signal } = this.stop;
     void this.view.run(signal);
     void this.news.run(signal);
-    void this.standing.run(signal);
+    void this.lease.run(signal);
     void follower.run(signal);
     if (this.params.claims.enabled) void this.claims.run(signal);
     if (this.params.lease.lapse === 'serve') return served;
@@ -105,47 +105,47 @@
       zone: this.params.zone,
       law: lawText(this.params.law),
     };
-    this.enrolment = new Enrolment(
+    this.registration = new Registration(
       this.params.name,
       own,
       this.inForce,
-      this.standing,
+      this.lease,
       this.proposer,
       this.peers,
-      this.roster,
+      this.voterDirectory,
       this.clock,
       this.random,
       this.log,
     );
-    void this.enrolment.run(signal);
+    void this.registration.run(signal);
     return served;
   }
 
   /** Claims rest on what all routers promise about their own traffic; when one promises otherwise, none are made. */
-  private heedLaw({ enrolled }: Document): void {
-    const reason = lawBroken(this.params.law, enrolled);
+  private heedLaw({ registered }: Document): void {
+    const reason = lawBroken(this.params.law, registered);
     if (this.prefixes.lawful !== (reason === ''))
       this.log(reason ? 'law-broken' : 'law-kept', [['reason', reason || undefined]]);
     this.prefixes.lawful = reason === '';
   }
 
   ready(): string {
-    if (!this.standing.serves())
-      return this.params.lease.lapse === 'stop' ? 'no standing' : 'nothing is in force yet';
+    if (!this.lease.serves())
+      return this.params.lease.lapse === 'stop' ? 'no lease' : 'nothing is in force yet';
     if (this.params.listen.requests && this.inForce.routes.version === 0)
       return 'no routes are in force';
     if (this.news.placed().size === 0) return 'no engine has a confirmed place';
     return '';
   }
 
-  /** Finishes what was taken, hands its duties over, gives standing back, and closes. */
+  /** Finishes what was taken, hands its duties over, gives its lease back, and closes. */
   async drain(): Promise<number> {
     const began = this.clock.now();
     const left = await this.passage.drain(this.params.drain);
-    await this.enrolment?.leave(
+    await this.registration?.leave(
       Math.min(HANDOVER, this.params.drain + HANDOVER - (this.clock.now() - began)),
     );
-    await this.standing.leave();
+    await this.lease.leave();
     this.channels.close();
     return left;
   }
--- a/test/checker/feed-source.test.ts
+++ b/test/checker/feed-source.test.ts
@@ -43,11 +43,11 @@
   await world.run(world.now + phase);
   const expects = stage.version;
   const writer = stage.cores[healthy.at(-1)!]!;
-  const { generation } = writer.inForce;
+  const { revision } = writer.inForce;
   const reply = writer.configurator.replace(configurationOf(expects + 1), expects, 4000);
-  expect(
-    await world.run(world.now + 4000, () => writer.member.settledGeneration > generation),
-  ).toBe(true);
+  expect(await world.run(world.now + 4000, () => writer.member.committedRevision > revision)).toBe(
+    true,
+  );
   const before = world.now;
   const router = stage.routers[0]!;
   expect(
@@ -88,10 +88,10 @@
     const { world } = stage;
     await stage.ready();
     const base = simBase(world, 'router-9', '127.0.0.1:109', 'z', 'router', stage.site);
-    const { host, peers, roster, proposer, inForce, stop } = base;
+    const { host, peers, voterDirectory, proposer, inForce, stop } = base;
     const follower = new Follower(
       peers,
-      roster,
+      voterDirectory,
       proposer,
       host.clock,
       host.random,
--- a/test/checker/serve.test.ts
+++ b/test/checker/serve.test.ts
@@ -1,11 +1,11 @@
 /**
  * A fleet whose routers serve on when their lease lapses: a change is accepted within bounds whatever befalls a router, a
- * core member or its disk; generations reach every router that is in touch at once; a restarted router has the newest one
- * at once; and nothing is enrolled, vowed or claimed.
+ * core member or its disk; revisions reach every router that is in touch at once; a restarted router has the newest one
+ * at once; and nothing is registered, granted or claimed.
  */
 import { expect, test } from 'vitest';
 import { failed } from '../../src/kernel/fault/fault.js';
-import { Vow } from '../../src/lease/calls.js';
+import { PeerLease } from '../../src/lease/calls.js';
 import { Keep, Take } from '../../src/claim/calls.js';
 import type { Configuration } from '../../src/route/shape.js';
 import { simCore, simRouter, type SimCore, type SimRouter } from '../../src/sim/nodes.js';
@@ -67,7 +67,7 @@
 
   async ready(): Promise<void> {
     expect(
-      await this.world.run(10_000, () => this.routers.every(({ standing }) => standing.holds())),
+      await this.world.run(10_000, () => this.routers.every(({ lease }) => lease.holds())),
     ).toBe(true);
   }
 
@@ -93,7 +93,7 @@
   }
 }
 
-test('with all well a change is accepted once every router has it in force, and no generation is made for anything else', async () => {
+test('with all well a change is accepted once every router has it in force, and no revision is made for anything else', async () => {
   const fleet = new Fleet();
   const calls = new Set<number>();
   fleet.world.net.mishap = (from, _, frame) => {
@@ -105,8 +105,8 @@
   expect(fleet.routers.map(({ inForce }) => inForce.routes.version)).toEqual([4, 4, 4, 4]);
   expect(took).toBeLessThan(100);
   await fleet.world.run(fleet.world.now + 5000);
-  expect(fleet.cores.map(({ member }) => member.settledGeneration)).toEqual([2, 2, 2]);
-  expect([Vow.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
+  expect(fleet.cores.map(({ member }) => member.committedRevision)).toEqual([2, 2, 2]);
+  expect([PeerLease.code, Keep.code, Take.code].filter((code) => calls.has(code))).toEqual([]);
 });
 
 test('a router that is frozen, killed or cut off delays acceptance by the patience at most', async () => {
@@ -170,19 +170,19 @@
   await fleet.configure(1, 4, 0);
   fleet.cores.forEach(({ host }) => host.kill());
   await fleet.world.run(fleet.world.now + 20_000);
-  expect(fleet.routers.map(({ standing }) => [standing.holds(), standing.serves()])).toEqual(
+  expect(fleet.routers.map(({ lease }) => [lease.holds(), lease.serves()])).toEqual(
     routers.map(() => [false, true]),
   );
   fleet.routers[0]!.host.kill();
   const restarted = fleet.startRouter(1);
   await fleet.world.run(fleet.world.now + 5000);
-  expect([restarted.standing.serves(), restarted.inForce.generation]).toEqual([false, 0]);
+  expect([restarted.lease.serves(), restarted.inForce.revision]).toEqual([false, 0]);
   cores.forEach((at) => (fleet.cores[at - 1] = fleet.startCore(at)));
   expect(await fleet.reaches(4, [restarted])).toBeLessThan(1500);
-  expect(restarted.standing.serves()).toBe(true);
+  expect(restarted.lease.serves()).toBe(true);
 });
 
-test('a restarted router has the newest generation at once, also with a core member dead, frozen or cut off', async () => {
+test('a restarted router has the newest revision at once, also with a core member dead, frozen or cut off', async () => {
   for (const strike of ['none', 'freeze', 'kill', 'cut'] as const)
     for (const hit of cores) {
       const fleet = new Fleet(hit);
