--- a/test/schedule/cluster.ts
+++ b/test/schedule/cluster.ts
@@ -209,7 +209,8 @@
   private hasCaughtUp(): boolean {
     const states = this.members.map(({ member }) => member.state());
     return this.members.every(
-      (_, at) => this.isUp(at) && states[at]!.voting && states[at]!.settled === states[0]!.settled,
+      (_, at) =>
+        this.isUp(at) && states[at]!.voting && states[at]!.committed === states[0]!.committed,
     );
   }
 
