A voter is replaced only after a silence of its whole time, counted from the first ask it missed

Cause: silence was counted from the last answer, which is up to a pause between two looks older than the silence. Now the silence counts from the first ask that was left unanswered.

--- a/src/register/liveness.ts
+++ b/src/register/liveness.ts
@@ -5,7 +5,6 @@
 const LEAVING_EXPIRES = 10_000;
 
 interface Contact {
-  answered: Moment;
   /** When the first ask began that it left unanswered since its last answer. */
   failingSince: Moment | undefined;
 }
@@ -32,8 +31,8 @@
       const before = this.contacts.get(id);
       if (answering.has(id)) {
         if (before?.failingSince !== undefined) this.leaving.delete(id);
-        this.contacts.set(id, { answered: now, failingSince: undefined });
-      } else if (!before || forgiving) this.contacts.set(id, { answered: now, failingSince: now });
+        this.contacts.set(id, { failingSince: undefined });
+      } else if (!before || forgiving) this.contacts.set(id, { failingSince: now });
       else before.failingSince ??= asked;
     }
     for (const id of this.contacts.keys()) if (!voters.includes(id)) this.contacts.delete(id);
@@ -50,11 +49,13 @@
     return this.leaving.has(id);
   }
 
-  /** Whether a voter gave no answer for so long that it may be replaced. */
+  /**
+   * Whether a voter gave no answer for so long that it may be replaced. Its silence counts from the first ask that it left
+   * unanswered: what lies between that and its last answer may be no more than the pause between two looks.
+   */
   isSilent(id: string, now: Moment): boolean {
-    const contact = this.contacts.get(id);
-    if (contact?.failingSince === undefined) return false;
-    return now - contact.answered > this.after && now - contact.failingSince >= this.after / 2;
+    const failingSince = this.contacts.get(id)?.failingSince;
+    return failingSince !== undefined && now - failingSince >= this.after;
   }
 
   /** Whether any voter left the last ask unanswered. */
--- a/test/checker/replacement.test.ts
+++ b/test/checker/replacement.test.ts
@@ -213,6 +213,21 @@
   }
 });
 
+test('a voter that is silent for less than the time keeps its place, whenever that happens', async () => {
+  for (let seed = 1; seed <= 15; seed++) {
+    const core = new Core(100 + seed);
+    await core.formed();
+    core.start(4);
+    await core.world.run(core.world.now + 1000 + 70 * seed);
+    const { host } = core.cores.get(1 + (seed % 3))!;
+    host.freeze();
+    await core.world.run(core.world.now + 700);
+    host.thaw();
+    await core.world.run(core.world.now + 3000);
+    expect({ seed, voters: core.voters }).toEqual({ seed, voters: [1, 2, 3].map(at) });
+  }
+});
+
 test('the group is formed also when the seed named first is gone before it could', async () => {
   const core = new Core(5);
   core.kill(1);
