Fleets of real processes take ports that no outgoing connection is given

Cause: a fleet asked the system for free ports and closed them again before its processes listened; the system may give such a port to an outgoing connection meanwhile, and the process cannot listen. Ports now come from below that range, each tried, none given twice by one process.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -4,7 +4,7 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
-import { createServer } from 'node:net';
+import { createServer, type Server } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
@@ -44,20 +44,38 @@
 /** The key of a firm's operators. */
 export const operatorKey = (firm: string): string => `${firm}-operator`;
 
-/** Ports that are free on loopback now. */
+/** Below the ports that systems give to outgoing connections, which could take one before a process listens on it. */
+const FIRST_PORT = 10_000;
+const PORT_COUNT = 22_000;
+/** Fleets of processes whose ids follow each other begin this far apart. */
+const PORT_STRIDE = 61;
+
+const listenOn = (port: number): Promise<Server | undefined> =>
+  new Promise((resolve) => {
+    const server = createServer();
+    server.once('error', () => {
+      resolve(undefined);
+    });
+    server.listen(port, '127.0.0.1', () => {
+      resolve(server);
+    });
+  });
+
+let lastPort = process.pid * PORT_STRIDE;
+
+/** Ports that are free on loopback now, and that no other call of this process is given. */
 export const freePorts = async (count: number): Promise<number[]> => {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<ReturnType<typeof createServer>>((resolve) => {
-          const server = createServer().listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
+  const servers = new Map<number, Server>();
+  for (let tries = 0; servers.size < count && tries < PORT_COUNT; tries++) {
+    const port = FIRST_PORT + (++lastPort % PORT_COUNT);
+    const server = await listenOn(port);
+    if (server) servers.set(port, server);
+  }
+  const closing = [...servers.values()].map(
+    (server) => new Promise((resolve) => server.close(resolve)),
   );
-  const ports = servers.map((server) => (server.address() as { port: number }).port);
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
+  await Promise.all(closing);
+  return [...servers.keys()];
 };
 
 /** A fleet of processes that this tool started. */
