Drawn schedules share one judgement

The same function stood in schedule.test.ts and cut-off.test.ts, to the letter; it is now test/schedule/holds.ts. Nothing is judged otherwise. Run after: both files, 150 and 25 schedules, pass.

--- a/test/schedule/cut-off.test.ts
+++ b/test/schedule/cut-off.test.ts
@@ -5,10 +5,8 @@
  */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { describeCall } from '../../src/history/call.js';
-import { judgeHistory } from '../../src/history/judge.js';
-import { play } from './play.js';
-import { schedules, stepsOf, type Action, type Direction, type Schedule } from './steps.js';
+import { holds } from './holds.js';
+import { schedules, stepsOf, type Action, type Direction } from './steps.js';
 
 const SEED = Number(process.env['SCHEDULE_SEED'] ?? 23);
 const RUNS = Number(process.env['SCHEDULE_RUNS'] ?? 25);
@@ -29,19 +27,6 @@
   }),
 ];
 
-const holds = async (schedule: Schedule): Promise<void> => {
-  const { history, unanswered } = await play(schedule);
-  const violations = judgeHistory(history);
-  if (violations.length + unanswered.length === 0) return;
-  throw new Error(
-    [
-      ...violations.map(({ kind, explanation }) => `${kind}: ${explanation}`),
-      ...unanswered.map((call) => `no clear answer in the calm: ${call}`),
-      ...history.map(describeCall),
-    ].join('\n'),
-  );
-};
-
 test('whoever is cut off, the calls are those of one register', async () => {
   const property = fc.asyncProperty(schedules(stepsOf(faults, MOST_STEPS)), holds);
   await fc.assert(property, {
--- a/test/schedule/schedule.test.ts
+++ b/test/schedule/schedule.test.ts
@@ -5,28 +5,13 @@
  */
 import fc from 'fast-check';
 import { expect, test } from 'vitest';
-import { describeCall } from '../../src/history/call.js';
-import { judgeHistory } from '../../src/history/judge.js';
-import { play } from './play.js';
-import { schedules, type Schedule } from './steps.js';
+import { holds } from './holds.js';
+import { schedules } from './steps.js';
 
 const SEED = Number(process.env['SCHEDULE_SEED'] ?? 17);
 const RUNS = Number(process.env['SCHEDULE_RUNS'] ?? 150);
 const PATH = process.env['SCHEDULE_PATH'];
 
-const holds = async (schedule: Schedule): Promise<void> => {
-  const { history, unanswered } = await play(schedule);
-  const violations = judgeHistory(history);
-  if (violations.length + unanswered.length === 0) return;
-  throw new Error(
-    [
-      ...violations.map(({ kind, explanation }) => `${kind}: ${explanation}`),
-      ...unanswered.map((call) => `no clear answer in the calm: ${call}`),
-      ...history.map(describeCall),
-    ].join('\n'),
-  );
-};
-
 test('whatever the order of calls and faults, the calls are those of one register', async () => {
   const property = fc.asyncProperty(schedules(), holds);
   await fc.assert(property, {
