Silence of an engine ends no stream: it is waited for while another one is asked to go on

Cause: the relay closed the link of a resumable stream after twice the longest gap of silence (500 ms on the grown sites), and where the stream could go on nowhere (attempts or budget spent, no other engine, turned away, the other one silent too) the caller's answer was cut, though the engine was at work. Class: a limit of our own ends an answer for the silence of another. Now only the end of an answer, its caller, or its time ends it: on silence another engine is asked beside the first (StreamResumption), whichever speaks first is heard, and further ones are asked beside those that say nothing. Ruled out in the tests: an engine that speaks to other requests is not left; a second run is never joined out of order.

--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -1,4 +1,5 @@
 /** What an exchange with an engine gives: the head of an answer, then its pieces, pulled one by one. */
+import type { Duration, Moment } from '../kernel/clock/clock.js';
 import type { Outcome } from '../kernel/fault/fault.js';
 import type { Fields } from './fields.js';
 
@@ -10,23 +11,18 @@
   readonly body: Buffer | undefined;
 }
 
-/**
- * How long silence is borne, in ms: `soft` while the engine says nothing to this node on any link, since then it may be
- * dead; `hard` in any case.
- */
-export interface Patience {
-  readonly soft: number;
-  readonly hard: number;
-}
-
 /** An engine's answer, from its head on. */
 export interface Answer {
   readonly status: number;
   readonly fields: Fields;
   /** Whether its end can be told from a broken connection. */
   readonly framed: boolean;
-  /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent beyond patience. */
-  next(patience: Patience): Promise<Outcome<Uint8Array | undefined>>;
+  /** Waits at most `limit` ms until a piece, or the answer's end, is at hand, and says whether it is. */
+  ready(limit: Duration): Promise<boolean>;
+  /** When the engine last said anything to this node, on any link. */
+  readonly heardAt: Moment;
+  /** The next piece; undefined at the whole answer's end; "unknown" when it broke off, or none came within `limit` ms. */
+  next(limit: Duration): Promise<Outcome<Uint8Array | undefined>>;
   /** Nothing more of it is wanted, though it is as it should be: the link is kept when the answer came whole. */
   settle(): void;
   /** Gives the answer up and closes the link, also when it came whole. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -4,10 +4,10 @@
  */
 import type { Dispatcher } from 'undici';
 import { Left, Right } from 'purify-ts';
-import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
+import { within, type Clock, type Duration, type Moment } from '../kernel/clock/clock.js';
 import { failed, fault, reasonOf, type Outcome } from '../kernel/fault/fault.js';
 import type { Engine } from '../pool/engine.js';
-import type { Answer, Patience } from './answer.js';
+import type { Answer } from './answer.js';
 import { fieldsOf, only, type Fields } from './fields.js';
 
 const HELD_BOUND = 256 * 1024;
@@ -107,24 +107,29 @@
   };
 
   /** Waits for the head of the answer; "declined" means that nothing was sent. */
-  async head(patience: Patience): Promise<Outcome<Answer>> {
-    const waited = await this.until(() => this.headed || this.over !== undefined, patience);
+  async head(limit: Duration): Promise<Outcome<Answer>> {
+    const waited = await this.until(() => this.headed || this.over !== undefined, limit);
     if (this.headed) return Right(this);
     this.link.close();
     if (waited) return this.over as unknown as Outcome<Answer>;
     return failed(
       'link.head',
       this.engine.address,
-      'no answer within patience',
+      `no answer within ${Math.round(limit)} ms`,
       this.sent ? 'unknown' : 'declined',
     );
   }
 
-  async next(patience: Patience): Promise<Outcome<Uint8Array | undefined>> {
-    const waited = await this.until(
-      () => this.held.length > 0 || this.over !== undefined,
-      patience,
-    );
+  ready(limit: Duration): Promise<boolean> {
+    return this.until(() => this.held.length > 0 || this.over !== undefined, limit);
+  }
+
+  get heardAt(): Moment {
+    return this.link.lastHeard();
+  }
+
+  async next(limit: Duration): Promise<Outcome<Uint8Array | undefined>> {
+    const waited = await this.ready(limit);
     const chunk = this.held.shift();
     if (chunk) return Right(this.taken(chunk));
     if (waited) {
@@ -132,7 +137,12 @@
       return this.over!;
     }
     this.link.close();
-    return failed('link.next', this.engine.address, 'silent beyond patience', 'unknown');
+    return failed(
+      'link.next',
+      this.engine.address,
+      `silent for ${Math.round(limit)} ms`,
+      'unknown',
+    );
   }
 
   settle(): void {
@@ -167,11 +177,10 @@
     return chunk;
   }
 
-  private async until(condition: () => boolean, { soft, hard }: Patience): Promise<boolean> {
-    const begun = this.clock.now();
+  private async until(condition: () => boolean, limit: Duration): Promise<boolean> {
+    const end = this.clock.now() + limit;
     while (!condition()) {
-      const silentSince = Math.max(begun, this.link.lastHeard());
-      const left = Math.min(begun + hard, silentSince + soft) - this.clock.now();
+      const left = end - this.clock.now();
       if (left <= 0) return false;
       await within(this.clock, left, new Promise<void>((resolve) => (this.wake = resolve)));
     }
--- a/src/forward/link.ts
+++ b/src/forward/link.ts
@@ -4,19 +4,22 @@
  * taken again, the last one kept first. A request that met its end before the socket was up was certainly not sent.
  */
 import { buildConnector, Client, type Dispatcher } from 'undici';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import type { Clock, Duration, Moment } from '../kernel/clock/clock.js';
 import { failed, reasonOf, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Engine } from '../pool/engine.js';
-import type { Answer, Outgoing, Patience } from './answer.js';
+import type { Answer, Outgoing } from './answer.js';
 import { Exchange, type ExchangeLink } from './exchange.js';
 import { only, type Fields } from './fields.js';
 
 export interface Links {
-  /** Sends a request and waits for the head of its answer; "declined" means that nothing was sent. The signal ends it at any point. */
+  /**
+   * Sends a request and waits at most `limit` ms for the head of its answer; "declined" means that nothing was sent. The
+   * signal ends it at any point.
+   */
   send(
     engine: Engine,
     outgoing: Outgoing,
-    patience: Patience,
+    limit: Duration,
     signal: AbortSignal,
   ): Promise<Outcome<Answer>>;
   /** Whether one more request can be sent without going over the engine's bound on links. */
@@ -62,13 +65,13 @@
   async send(
     engine: Engine,
     outgoing: Outgoing,
-    patience: Patience,
+    limit: Duration,
     signal: AbortSignal,
   ): Promise<Outcome<Answer>> {
     for (;;) {
       const reused = this.takeKept(engine);
       const link = reused ?? this.dial(engine);
-      const answer = await this.exchange(link, outgoing, patience, signal);
+      const answer = await this.exchange(link, outgoing, limit, signal);
       const unsent = answer.isLeft() && (answer.extract() as Fault).certainty === 'declined';
       if (!reused || !unsent || signal.aborted) return answer;
     }
@@ -96,7 +99,7 @@
   private async exchange(
     link: Link,
     outgoing: Outgoing,
-    patience: Patience,
+    limit: Duration,
     signal: AbortSignal,
   ): Promise<Outcome<Answer>> {
     const { client, engine } = link;
@@ -114,7 +117,7 @@
       exchangeLink.close();
       return failed('link.dispatch', engine.address, reasonOf(thrown));
     }
-    return exchange.head(patience);
+    return exchange.head(limit);
   }
 
   /** The link as one exchange sees it, counted as busy until it is released; the signal closes it. */
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -1,28 +1,29 @@
 /**
  * Hands an engine's answer on to its caller as it comes. A stream that may be taken up again goes on behind the last
  * whole event, in the same answer, when the next engine's events follow on; all else that breaks off is cut visibly.
+ * Silence of an engine ends nothing: another one may be asked to go on, and until it does the silent one is waited for.
  */
-import { within, type Clock } from '../kernel/clock/clock.js';
-import type { Fault } from '../kernel/fault/fault.js';
+import { within, type Clock, type Duration } from '../kernel/clock/clock.js';
+import type { Fault, Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Ticket, TicketEnd } from '../place/placer.js';
-import type { Patience } from './answer.js';
+import type { Answer } from './answer.js';
 import type { RepeatBudget } from './budget.js';
 import { EventCutter, type WholeEvent } from './events.js';
 import { endToEnd } from './fields.js';
-import {
-  attemptsOf,
-  UNSENT_BOUND,
-  type ForwardParams,
-  type Head,
-  type Job,
-  type Trail,
-} from './job.js';
+import type { ForwardParams, Head, Job, Trail } from './job.js';
+import { isSuccess, StreamResumption } from './resumption.js';
 import type { Sender } from './sender.js';
 
 /** How handing one engine's answer on ended: "late" when the request's time was over before its caller had read it. */
 type Ended = 'whole' | 'failed' | 'left' | 'late';
 
+/** How handing one engine's answer on ended, and the answer that goes on instead of one that fell silent. */
+interface Relayed {
+  readonly ended: Ended;
+  readonly successor?: Head;
+}
+
 /** What the engine's ticket is told of it. */
 const ticketEnds = new Map<Ended, TicketEnd>([
   ['whole', 'whole'],
@@ -34,15 +35,26 @@
 /** ms for which pieces that are on their way already are passed on after the request's time. */
 const OVERTIME = 100;
 
+/** Where an answer goes on: at the engine that gives it, or at another one. */
+type Continuation = Outcome<Uint8Array | undefined> | Head;
+
+const isHead = (continuation: Continuation): continuation is Head =>
+  'kind' in continuation && continuation.kind === 'head';
+
+/** Hands answers on. */
 export class AnswerRelay {
+  private readonly resumption: StreamResumption;
+
   constructor(
-    private readonly sender: Sender,
-    private readonly budget: RepeatBudget,
+    sender: Sender,
+    budget: RepeatBudget,
     private readonly params: ForwardParams,
     private readonly clock: Clock,
     private readonly log: Log,
     private readonly count: (what: string) => void,
-  ) {}
+  ) {
+    this.resumption = new StreamResumption(sender, budget, clock, count);
+  }
 
   /** Hands the answer on, and goes on elsewhere where a stream broke and may. */
   async relay(job: Job, head: Head): Promise<void> {
@@ -52,14 +64,15 @@
     caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
     chart.step('streaming', head.ticket.engine.identifier);
     for (let current: Head | undefined = head; current;) {
-      const ended = await this.relayOne(job, current, trail);
+      const { ended, successor }: Relayed = await this.relayOne(job, current, trail);
       if (ended === 'left') return void chart.step('left');
       if (ended === 'whole') {
         chart.step('complete');
         this.count('complete');
         return caller.finish();
       }
-      current = ended === 'failed' && trail ? await this.resume(job, trail) : undefined;
+      current =
+        successor ?? (ended === 'failed' && trail ? await this.resume(job, trail) : undefined);
       if (current) chart.step('streaming', current.ticket.engine.identifier);
     }
     chart.step('broken');
@@ -68,14 +81,14 @@
   }
 
   /** Hands one engine's answer on until its end. */
-  private async relayOne(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
-    const ended = await this.relayPieces(job, head, trail);
-    if (ended !== 'whole') head.answer.drop();
-    head.ticket.end(ticketEnds.get(ended)!);
-    return ended;
+  private async relayOne(job: Job, head: Head, trail: Trail | undefined): Promise<Relayed> {
+    const relayed = await this.relayPieces(job, head, trail);
+    if (relayed.ended !== 'whole') head.answer.drop();
+    head.ticket.end(ticketEnds.get(relayed.ended)!);
+    return relayed;
   }
 
-  private async relayPieces(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
+  private async relayPieces(job: Job, head: Head, trail: Trail | undefined): Promise<Relayed> {
     const { answer, ticket } = head;
     const cutter = trail && new EventCutter();
     let piece = head.first;
@@ -85,13 +98,18 @@
           trail && cutter
             ? await this.writeEvents(job, ticket, cutter.push(piece) ?? [overlong], trail)
             : await this.write(job, piece);
-        if (stopped) return stopped;
+        if (stopped) return { ended: stopped };
       }
-      if (ended) return (cutter?.rest.length && (await this.write(job, cutter.rest))) || 'whole';
-      if (this.clock.now() >= job.limit + OVERTIME) return 'late';
-      const next = await answer.next(this.patience(job, trail));
-      if (job.caller.gone.aborted) return 'left';
-      if (next.isLeft()) return this.broke(job, ticket, (next.extract() as Fault).reason);
+      if (ended)
+        return {
+          ended: (cutter?.rest.length && (await this.write(job, cutter.rest))) || 'whole',
+        };
+      if (this.clock.now() >= job.limit + OVERTIME) return { ended: 'late' };
+      const next = await this.continuation(job, answer, trail);
+      if (isHead(next)) return { ended: this.broke(job, ticket, 'silent'), successor: next };
+      if (job.caller.gone.aborted) return { ended: 'left' };
+      if (next.isLeft())
+        return { ended: this.broke(job, ticket, (next.extract() as Fault).reason) };
       piece = next.extract() as Uint8Array | undefined;
       ended = piece === undefined;
       if (piece) ticket.piece();
@@ -129,13 +147,58 @@
     return drained ? undefined : 'left';
   }
 
-  private patience({ route, limit }: Job, trail: Trail | undefined): Patience {
-    const left = Math.max(1, limit - this.clock.now());
-    const gap = trail && route.gap;
-    return {
-      soft: gap === undefined ? left : Math.max(this.params.gapLeast, gap * this.params.gapShare),
-      hard: left,
-    };
+  /**
+   * The next piece. While the engine of a stream that may be taken up again is silent, another one is asked to go on, and
+   * whichever speaks first is heard.
+   */
+  private async continuation(
+    job: Job,
+    answer: Answer,
+    trail: Trail | undefined,
+  ): Promise<Continuation> {
+    const { gap } = job.route;
+    const isSilent =
+      trail && gap !== undefined && (await this.fallsSilent(answer, this.silenceBound(gap)));
+    const next = answer.next(Math.max(1, job.limit - this.clock.now()));
+    return isSilent ? this.nextOrSuccessor(job, trail, next) : next;
+  }
+
+  private silenceBound(gap: Duration): Duration {
+    return Math.max(this.params.gapLeast, gap * this.params.gapShare);
+  }
+
+  /** Whether the engine says nothing to anyone here for so long, and gives no piece meanwhile. */
+  private async fallsSilent(answer: Answer, bound: Duration): Promise<boolean> {
+    const begun = this.clock.now();
+    for (;;) {
+      const left = Math.max(begun, answer.heardAt) + bound - this.clock.now();
+      if (left <= 0) return true;
+      if (await answer.ready(left)) return false;
+    }
+  }
+
+  /** The silent engine's next piece, or the answer of another one that goes on before it. */
+  private async nextOrSuccessor(
+    job: Job,
+    trail: Trail,
+    next: Promise<Outcome<Uint8Array | undefined>>,
+  ): Promise<Continuation> {
+    const { chart } = job;
+    const stop = new AbortController();
+    chart.step('resuming');
+    const resumed = this.resumption.resume(job, trail, stop.signal);
+    const spoke = next.then((outcome) => outcome.isRight());
+    const first = await Promise.race([resumed, spoke]);
+    if (typeof first === 'object') return first;
+    if (first === true) {
+      stop.abort();
+      void resumed.then((late) => discard(late));
+    }
+    const successor = first === false ? await resumed : undefined;
+    if (successor) return successor;
+    const outcome = await next;
+    chart.step('streaming');
+    return outcome;
   }
 
   private broke({ id }: Job, ticket: Ticket, reason: string): 'failed' {
@@ -148,34 +211,17 @@
   }
 
   /** Has a broken stream go on behind its last event at another engine. */
-  private async resume(job: Job, trail: Trail): Promise<Head | undefined> {
+  private resume(job: Job, trail: Trail): Promise<Head | undefined> {
     job.chart.step('resuming');
-    while (this.mayResume(job)) {
-      this.count('resumes');
-      const placed = this.sender.place(job);
-      if ('wait' in placed) return undefined;
-      const attempt = await this.sender.send(job, placed, trail);
-      if (attempt.kind === 'left') return undefined;
-      if (attempt.kind === 'unsent') job.unsent += 1;
-      if (attempt.kind !== 'head') continue;
-      if (isSuccess(attempt.answer.status)) return attempt;
-      attempt.answer.drop();
-      attempt.ticket.end('failed');
-    }
-    return undefined;
-  }
-
-  private mayResume(job: Job): boolean {
-    return (
-      job.sends < attemptsOf(job.route) &&
-      job.unsent < UNSENT_BOUND &&
-      this.clock.now() < job.limit &&
-      this.budget.take(job.service.name)
-    );
+    return this.resumption.resume(job, trail, job.caller.gone);
   }
 }
 
-const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+/** An answer that came too late to be taken. */
+const discard = (head: Head | undefined): void => {
+  head?.answer.drop();
+  head?.ticket.end('left');
+};
 
 /** How far a stream was handed on, where it may be taken up again. */
 const trailOf = ({ caller, route }: Job, status: number): Trail | undefined =>
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -3,7 +3,7 @@
  * names the engine it is meant for, so that the proof of identity travels with the request. An answer counts as the
  * engine's only with the request's id and an end that can be told, a success only with the engine's seal too.
  */
-import type { Clock } from '../kernel/clock/clock.js';
+import type { Clock, Duration } from '../kernel/clock/clock.js';
 import { fault, type Fault } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Placer, Ticket } from '../place/placer.js';
@@ -20,7 +20,7 @@
   type Pool,
   type Trail,
 } from './job.js';
-import type { Answer, Outgoing, Patience } from './answer.js';
+import type { Answer, Outgoing } from './answer.js';
 import type { Links } from './link.js';
 
 export class Sender {
@@ -81,7 +81,7 @@
     const { caller } = job;
     const { engine } = ticket;
     const { signal } = giveUp;
-    const left = (): Attempt => {
+    const abandoned = (): Attempt => {
       ticket.end('left');
       return { kind: 'left' };
     };
@@ -92,14 +92,14 @@
       body: job.body,
       fields: this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last),
     };
-    if (caller.gone.aborted) return left();
+    if (caller.gone.aborted) return abandoned();
     caller.gone.addEventListener('abort', () => giveUp.abort(), { once: true });
     job.sends += 1;
-    const patience = (): Patience => this.patience(job, ticket, trail);
-    const head = await this.links.send(engine, outgoing, patience(), signal);
+    const left = (): Duration => Math.max(1, job.limit - this.clock.now());
+    const head = await this.links.send(engine, outgoing, left(), signal);
     if (signal.aborted) {
       head.ifRight((answer) => answer.drop());
-      return left();
+      return abandoned();
     }
     if (head.isLeft()) {
       const fault = head.extract() as Fault;
@@ -131,10 +131,10 @@
         ]);
       return judged;
     }
-    const first = await answer.next(patience());
+    const first = await answer.next(left());
     if (signal.aborted) {
       answer.drop();
-      return left();
+      return abandoned();
     }
     if (first.isLeft()) {
       ticket.end('failed');
@@ -153,20 +153,9 @@
     return Math.max(route.target * this.params.impatience, expected * this.params.surprise);
   }
 
-  /** A stream that goes on elsewhere is not left at an engine that says nothing to anyone here; any other bears silence. */
-  private patience(
-    { limit, route }: Job,
-    { expected = 0 }: Ticket,
-    trail: Trail | undefined,
-  ): Patience {
-    const hard = Math.max(1, limit - this.clock.now());
-    return {
-      soft:
-        trail && route.target !== undefined
-          ? Math.max(route.target, expected * this.params.surprise)
-          : hard,
-      hard,
-    };
+  /** After how many ms without a byte of a stream that is taken up, another engine may be asked beside this one. */
+  resumePatience({ route }: Job, { expected = 0 }: Ticket): Duration {
+    return Math.max(route.target ?? 0, expected * this.params.surprise, this.params.gapLeast);
   }
 
   /** What is wrong with the head of an answer; undefined when it may be handed on. */
