A sleeper wakes only after the sockets were read, so a standstill is not taken for silence

Cause: after a standstill of the event loop (a large change applied, garbage collection, a machine with a third of a core) Node runs expired timers before it reads sockets. Each limit in the program was so judged before what had arrived in time: an engine's piece, a peer's reply, a feed. The idle limit of callers' connections did this by itself since earlier; now the clock does it for all that wait through it. Not covered: timers inside libraries (a dial's limit, undici's connect, the header timeout of node:http).

--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -3,7 +3,8 @@
  * so that they can only wait longer. Whoever relies on a lease counts by `strict`, which advances by the larger of what
  * the monotonic and the wall clock advance: a machine that was suspended with its monotonic clock standing finds its
  * leases lapsed, and a wall clock set forward only makes them lapse early. Every wait in the program goes through
- * `sleep`, so that the checker may run the same tasks on its own time.
+ * `sleep`, so that the checker may run the same tasks on its own time. A sleeper is woken only after the sockets were read,
+ * so that a process that stood still takes nobody for silent whose words lie unread.
  */
 import { Injectable } from '@nestjs/common';
 
@@ -77,7 +78,8 @@
   sleep(duration: Duration, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
-      const timer = setTimeout(done, Math.max(0, duration));
+      // After a standstill timers come first in the event loop: what has arrived meanwhile is read before anyone wakes.
+      const timer = setTimeout(() => setImmediate(done), Math.max(0, duration));
       function done(): void {
         clearTimeout(timer);
         signal?.removeEventListener('abort', done);
