Simulator: machines that lose power say nothing, and run slowly by degree

A killed process resets its connections and a dial to it is refused at once; a machine without power, or gone for good, says nothing, and dials to it hang. Until now only the first could be simulated for a core machine. World.darken and Host.losePower bring the second about; Host.slow takes the time of an event.

--- a/src/sim/host.ts
+++ b/src/sim/host.ts
@@ -10,10 +10,10 @@
 import { SimNet, type SimChannel } from './net.js';
 import type { World } from './world.js';
 
-/** One process with its clock, net and random numbers. */
-/** How long an event takes on a machine that runs slowly. */
+/** How long an event takes on a machine that runs slowly, unless told otherwise. */
 const SLOW_EVENT_COST = 2;
 
+/** One process with its clock, net and random numbers. */
 export class Host {
   dead = false;
   private frozen = false;
@@ -58,9 +58,9 @@
     });
   }
 
-  /** From now on each event takes time, until the machine is sped up again. */
-  slow(): void {
-    this.eventCost = SLOW_EVENT_COST;
+  /** From now on each event takes so many ms, until the machine is sped up again. */
+  slow(eventCost = SLOW_EVENT_COST): void {
+    this.eventCost = eventCost;
   }
 
   speedUp(): void {
@@ -113,6 +113,12 @@
     for (const channel of this.channels) channel.sever();
   }
 
+  /** The machine loses power here and now: its peers see nothing, and dials to it hang until it is back. */
+  losePower(): void {
+    this.dead = true;
+    this.world.darken(this.address);
+  }
+
   own(channel: SimChannel): void {
     this.channels.add(channel);
   }
--- a/src/sim/net.ts
+++ b/src/sim/net.ts
@@ -83,10 +83,10 @@
     const { world } = host;
     return new Promise((resolve) => {
       const found = world.listenerAt(address);
-      if (
-        found &&
-        (world.isCut(host.name, found.host.name) || world.isCut(found.host.name, host.name))
-      ) {
+      const isCut =
+        found !== undefined &&
+        (world.isCut(host.name, found.host.name) || world.isCut(found.host.name, host.name));
+      if (isCut || world.isDark(address)) {
         return host.later(limit, () =>
           resolve(failed('net.dial', address, `no channel within ${limit} ms`)),
         );
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -34,6 +34,8 @@
     string,
     { host: Host; accept: (channel: Channel) => void }
   >();
+  /** Addresses of machines without power: nothing there answers, not even that nobody listens. */
+  private readonly dark = new Set<string>();
   private count = 0;
 
   constructor(readonly seed: number) {
@@ -96,9 +98,19 @@
   }
 
   listen(host: Host, address: string, accept: (channel: Channel) => void): void {
+    this.dark.delete(address);
     this.listeners.set(address, { host, accept });
   }
 
+  /** The machine at an address has no power until something listens there again. */
+  darken(address: string): void {
+    this.dark.add(address);
+  }
+
+  isDark(address: string): boolean {
+    return this.dark.has(address);
+  }
+
   unlisten(address: string, host: Host): void {
     if (this.listeners.get(address)?.host === host) this.listeners.delete(address);
   }
