A machine that is behind at a look has a moment to reach the newest revision

Cause: VoterReplacement judged all answers of a look by the revision committed at its end, while the slowest answer (a dark voter's: 400 to 700 ms) was out. Amid changes every learner and every voter, the asker itself too, counted as behind, so no voter was removed and no learner promoted for as long as the storm lasted, and the next tolerated loss took what was acknowledged. Now 'newest' is what is committed once all have answered; whoever is behind is asked again, once it knows that revision to be committed or half of an ask's time has passed.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -4,6 +4,10 @@
  * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
  * does the vote that is given.
  *
+ * "Newest" is what was committed when the question was asked, and whoever is behind then has a moment to get there: while
+ * changes follow each other, any answer is behind what is committed by the time that the slowest answer has come, and a
+ * dark voter leaves its question open for the whole limit.
+ *
  * The members watch each other. A voter that has been silent for the param's time, in whose place another disk answers, or
  * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
  * that are left and answer at that very look vote, hold the newest committed revision, and are a majority of what is left.
@@ -21,7 +25,7 @@
 import { call } from '../wire/call.js';
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
-import { State, type StateReply } from './calls.js';
+import { State, Tip, type StateReply } from './calls.js';
 import type { Act, VoterSet, Voter } from './document.js';
 import { gather, majority, sound } from './gather.js';
 import { VoterLiveness } from './liveness.js';
@@ -47,6 +51,8 @@
 
 const EVERY = 1000;
 const ASK_LIMIT = 700;
+/** The part of an ask's limit that a machine which is behind is given to get to the newest revision. */
+const CATCH_UP_SHARE = 0.5;
 const LEAVE_ASK_LIMIT = 300;
 const LEAVE_PAUSE = 50;
 const CHANGE_LIMIT = 5000;
@@ -74,6 +80,11 @@
   readonly ready: readonly Voter[];
 }
 
+/** Whether a machine holds a revision on its disk and knows it to be committed. */
+const holds = (state: StateReply, revision: number): boolean =>
+  state.revision >= revision && state.committed >= revision;
+
+/** Watches the voters, and replaces those that are gone. */
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
@@ -248,11 +259,7 @@
     const forgiving = asked - this.looked > 3 * this.every + ASK_LIMIT;
     this.looked = asked;
     const learners = this.freshLearners(set, asked);
-    const states = new Map(
-      await Promise.all(
-        [...members, ...learners].map(async (voter) => [voter, await this.stateOf(voter)] as const),
-      ),
-    );
+    const states = await this.statesOf([...members, ...learners]);
     const now = this.clock.now();
     const isPresent = (voter: Voter): boolean => states.get(voter)?.member === voter.id;
     const isUnrecoverable = (voter: Voter): boolean => {
@@ -267,28 +274,48 @@
       now,
       forgiving,
     );
-    const committed = this.member.committedRevision;
-    const holdsNewest = (voter: Voter): boolean => {
-      const state = states.get(voter);
-      return state !== undefined && state.revision >= committed && state.committed >= committed;
-    };
+    const newest = this.member.committedRevision;
+    const behind = [...members, ...learners].filter(
+      (voter) => isPresent(voter) && !holds(states.get(voter)!, newest),
+    );
+    for (const [voter, state] of await this.statesOf(behind, newest)) states.set(voter, state);
+    const isAtNewest = (voter: Voter): boolean =>
+      isPresent(voter) && holds(states.get(voter)!, newest);
     return {
       set,
       present,
-      current: present.filter((voter) => states.get(voter)!.voting && holdsNewest(voter)),
+      current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
         (voter) =>
-          isPresent(voter) &&
+          isAtNewest(voter) &&
           states.get(voter)!.vote === 'non-voting' &&
-          holdsNewest(voter) &&
           !this.liveness.isLeaving(voter.id),
       ),
     };
   }
 
+  /** The states of those that answer in time; with a revision, once they know it to be committed or the limit has come. */
+  private async statesOf(
+    voters: readonly Voter[],
+    revision = 0,
+  ): Promise<Map<Voter, StateReply | undefined>> {
+    const states = voters.map(async (voter) => {
+      if (revision > 0) await this.awaitCommitted(voter, revision);
+      return [voter, await this.stateOf(voter)] as const;
+    });
+    return new Map(await Promise.all(states));
+  }
+
+  /** Waits until a machine knows a revision to be committed, or until the limit. */
+  private async awaitCommitted({ id, address }: Voter, revision: number): Promise<void> {
+    if (id === this.member.id) return;
+    const ask = { from: revision - 1, wait: this.limit * CATCH_UP_SHARE };
+    await this.peers.ask(address, Tip, ask, this.limit);
+  }
+
   private async stateOf({ id, address }: Voter): Promise<StateReply | undefined> {
     if (id === this.member.id) return this.member.state();
     const reply = await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit);
