A dark voter holds no look up, and a learner knows who is silent before it votes

Cause: a look lasted 400 to 700 ms for each dark voter, and the member that is to change the voter set next is drawn anew with each set: one that was just promoted began to count the silence of a second dark voter from nothing, a second and two or three looks more. Now a machine that left an ask unanswered is asked again beside the looks, which do not wait for it, and a learner looks at the voters too. Looks come quicker only where a machine is there that could help.

Ruled out on the way: taking any other answer at a voter's address for silence (voterset.test.ts found that).

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -68,9 +68,7 @@
 /** What one look at the voters and the learners showed. */
 interface Look {
   readonly set: VoterSet;
-  /** Voters that answered as themselves. */
-  readonly present: readonly Voter[];
-  /** Of those, the ones that vote and hold the newest committed revision on disk. */
+  /** Voters that vote and hold the newest committed revision on disk. */
   readonly current: readonly Voter[];
   /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
   readonly unrecoverable: readonly Voter[];
@@ -88,6 +86,9 @@
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
+  /** Machines that left the last ask unanswered. They are asked again beside the looks, which do not wait for them. */
+  private readonly unheard = new Set<string>();
+  private readonly probed = new Set<string>();
   private readonly every: number;
   private looked: Moment;
   private last: Look | undefined;
@@ -151,6 +152,8 @@
       const learner = vote === 'non-voting' && !this.stopping;
       if (vote === 'voting' && (await this.watch())) continue;
       if (learner) await this.announce();
+      // A learner watches too, so that it knows who is silent when it becomes a voter.
+      if (learner) this.last = await this.look();
       const pause = this.pause(learner) * (0.75 + 0.5 * this.random.fraction());
       await within(this.clock, pause, Promise.race([news, ended]));
     }
@@ -178,18 +181,19 @@
     return this.isHurried() ? this.every / HURRY : this.every;
   }
 
-  /** Whether a change of the voter set may be due soon. */
+  /** Whether a change of the voter set may be due soon: something is amiss, and a machine is there that could help. */
   private isHurried(): boolean {
     const { last } = this;
     if (!last || this.after === 0) return false;
-    const vacant = last.set.members.length < last.set.wanted;
-    const waiting = vacant && this.freshLearners(last.set, this.clock.now()).length > 0;
-    return (
+    const { members, wanted } = last.set;
+    const isSpared =
+      members.length > wanted || this.freshLearners(last.set, this.clock.now()).length > 0;
+    const isAmiss =
+      members.length < wanted ||
       this.liveness.anyFailing ||
       last.unrecoverable.length > 0 ||
-      last.leaving.length > 0 ||
-      waiting
-    );
+      last.leaving.length > 0;
+    return isSpared && isAmiss;
   }
 
   private async announce(): Promise<void> {
@@ -278,12 +282,13 @@
     const behind = [...members, ...learners].filter(
       (voter) => isPresent(voter) && !holds(states.get(voter)!, newest),
     );
-    for (const [voter, state] of await this.statesOf(behind, newest)) states.set(voter, state);
+    await Promise.all(
+      behind.map(async (voter) => states.set(voter, await this.stateAt(voter, newest))),
+    );
     const isAtNewest = (voter: Voter): boolean =>
       isPresent(voter) && holds(states.get(voter)!, newest);
     return {
       set,
-      present,
       current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
@@ -297,16 +302,34 @@
     };
   }
 
-  /** The states of those that answer in time; with a revision, once they know it to be committed or the limit has come. */
-  private async statesOf(
-    voters: readonly Voter[],
-    revision = 0,
-  ): Promise<Map<Voter, StateReply | undefined>> {
-    const states = voters.map(async (voter) => {
-      if (revision > 0) await this.awaitCommitted(voter, revision);
-      return [voter, await this.stateOf(voter)] as const;
-    });
-    return new Map(await Promise.all(states));
+  /** The states of all that answer in time; who left the last ask unanswered is not waited for. */
+  private async statesOf(voters: readonly Voter[]): Promise<Map<Voter, StateReply | undefined>> {
+    for (const id of this.unheard)
+      if (!voters.some((voter) => voter.id === id)) this.unheard.delete(id);
+    for (const voter of voters) if (this.unheard.has(voter.id)) void this.probe(voter);
+    const awaited = voters.filter(({ id }) => !this.unheard.has(id));
+    const states = await Promise.all(
+      awaited.map(async (voter) => [voter, await this.stateOf(voter)] as const),
+    );
+    for (const [{ id }, state] of states) if (!state) this.unheard.add(id);
+    return new Map(states);
+  }
+
+  /** Asks a machine without holding a look up; once it answers again, the next look asks it too. */
+  private async probe(voter: Voter): Promise<void> {
+    if (this.probed.has(voter.id)) return;
+    this.probed.add(voter.id);
+    const state = await this.stateOf(voter);
+    this.probed.delete(voter.id);
+    if (!state) return;
+    this.unheard.delete(voter.id);
+    this.wake();
+  }
+
+  /** The state of a machine once it knows a revision to be committed, or the limit has come. */
+  private async stateAt(voter: Voter, revision: number): Promise<StateReply | undefined> {
+    await this.awaitCommitted(voter, revision);
+    return this.stateOf(voter);
   }
 
   /** Waits until a machine knows a revision to be committed, or until the limit. */
