Each request's end is recorded by cause, and what must never be is counted

The forwarder records one end for each request it took: answered, refused, failed, or one of a closed set of causes for which its connection ended, with whether it was read whole and sent, its age and limit, and the ages of the last change in force, SIGHUP and SIGTERM. Each place that closes a client's connection notes why beforehand; a close that nobody noted shows as "unaccounted". Metrics: request_ends_total by cause, request_invariant_violations by invariant. No behaviour is changed.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -20,6 +20,7 @@
 import { OperatorsController } from '../faces/operators/controller.js';
 import type { InForce } from '../doorway/match.js';
 import type { RequestHandler } from '../forward/face.js';
+import type { RequestEnds } from '../forward/request-ends.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Fault, Outcome } from '../kernel/fault/fault.js';
 import type { Journal } from '../kernel/journal/journal.js';
@@ -27,7 +28,8 @@
 import type { Log } from '../kernel/log/log.js';
 import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
-import { countPassages, gauge } from '../node/metrics.js';
+import type { PlannedWork } from '../monitor/planned-work.js';
+import { countPassages, countRequestEnds, gauge } from '../node/metrics.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import type { PassageEvent } from '../passage/chart.js';
@@ -55,6 +57,7 @@
   const news = context.get<Newsroom>(names.news);
   const lease = context.get<RouterLease>(names.lease);
   countPassages(registry, context.get<Journal<PassageEvent>>(names.journal));
+  countRequestEnds(registry, context.get<RequestEnds>(names.requestEnds));
   gauge(registry, 'requests_open', 'Requests taken and not ended', () => passage.open);
   gauge(registry, 'requests_in_flight', 'Requests placed at an engine', () => passage.inFlight);
   gauge(registry, 'requests_waiting', 'Requests in lines', () => passage.lines.waiting);
@@ -239,7 +242,11 @@
       },
     });
   };
-  process.on('SIGHUP', () => void reload(true));
+  const plannedWork = context.get<PlannedWork>(names.plannedWork);
+  process.on('SIGHUP', () => {
+    plannedWork.note('reload');
+    void reload(true);
+  });
   const rereading =
     params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
@@ -247,6 +254,7 @@
     const end = (signal: string): void => {
       if (stopping) return;
       stopping = true;
+      plannedWork.note('stop');
       log('stopping', [['signal', signal]]);
       clearInterval(rereading);
       void (async () => {
--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { closeConnection, noteClose, type CloseCause } from '../../forward/connection-close.js';
 import type { Clock, Moment } from '../../kernel/clock/clock.js';
 
 interface Connection {
@@ -70,7 +71,8 @@
   /** What came is no request, or did not come to its end in time. */
   reject(socket: Socket, code: string | undefined): void {
     const connection = this.open.get(socket);
-    if (!connection || !socket.writable || code === 'ECONNRESET') return void socket.destroy();
+    if (!connection || !socket.writable || code === 'ECONNRESET')
+      return closeConnection(socket, 'client-left');
     connection.rejection ??= rejectionText(code);
     this.finishRejected(socket, connection);
   }
@@ -84,7 +86,7 @@
         this.resting(socket, connection) &&
         now - connection.idleSince! > Math.max(current, connection.idleLimit)
       )
-        socket.destroy();
+        closeConnection(socket, 'idle-limit');
   }
 
   /** Closes the connections on which nothing is under way, from now on as soon as that is so. */
@@ -93,8 +95,13 @@
     for (const [socket, connection] of this.open) this.closeResting(socket, connection);
   }
 
+  /** Notes why all connections that are still open are about to be closed. */
+  noteCloseOfAll(cause: CloseCause): void {
+    for (const socket of this.open.keys()) noteClose(socket, cause);
+  }
+
   private closeResting(socket: Socket, connection: Connection): void {
-    if (this.resting(socket, connection)) socket.destroy();
+    if (this.resting(socket, connection)) closeConnection(socket, 'idle-at-stop');
   }
 
   private resting(socket: Socket, { idleSince, bytesRead }: Connection): boolean {
@@ -116,6 +123,7 @@
     if ([...unanswered.values()].some(({ complete }) => complete)) return;
     const begun = [...unanswered.keys()].some(({ headersSent }) => headersSent);
     if (!begun && socket.writable) socket.write(rejection!);
+    noteClose(socket, 'parser-error');
     socket.destroySoon();
   }
 }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -90,6 +90,7 @@
     this.closed.abort();
     return new Promise((resolve) => {
       this.server.close(() => resolve());
+      this.connections.noteCloseOfAll('stop-deadline');
       this.server.closeAllConnections();
     });
   }
@@ -97,7 +98,7 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
-    if (!this.connections.begin(request, response)) return;
+    if (!this.connections.begin(request, response)) return this.handler.reject?.();
     this.handler.handle(request, response);
   }
 
--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -25,6 +25,8 @@
   readonly fields: Fields;
   /** Whether its end can be told from a broken connection. */
   readonly framed: boolean;
+  /** Whether it came whole, to its end. */
+  readonly whole: boolean;
   /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent beyond patience. */
   next(patience: Patience): Promise<Outcome<Uint8Array | undefined>>;
   /** Nothing more of it is wanted, though it is as it should be: the link is kept when the answer came whole. */
--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -8,7 +8,12 @@
 import { Right } from 'purify-ts';
 import type { Moment } from '../kernel/clock/clock.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { closeCauseOf } from './connection-close.js';
 import { fieldsOf, only, type Fields } from './fields.js';
+import type { CutCause, EndCause, SkipCause } from './request-end.js';
+
+/** The statuses of our own that say that a request may have run. */
+const statusesOfUnknown: ReadonlySet<number> = new Set([502, 504]);
 
 const left = (): Outcome<never> =>
   failed('caller.body', 'caller', 'the caller left before its request was whole');
@@ -30,7 +35,14 @@
   /** Until when its request may be held, once that is known. */
   limit: Moment | undefined;
   private ends = false;
-  private skipped = false;
+  private skipCause: SkipCause | undefined;
+  private cutCause: CutCause | undefined;
+  /** What the answer that was begun is; undefined before its head. */
+  private answerKind: 'answered' | 'refused' | 'failed' | undefined;
+  /** Bytes of the body that the answer's head tells of, and that were passed on. */
+  private toldBytes: number | undefined;
+  private passedBytes = 0;
+  private isShort = false;
   /** Whether the answer under way has neither a length nor chunks, so that its connection's end is its own. */
   private endsByClose = false;
 
@@ -83,10 +95,23 @@
     this.ends = true;
   }
 
-  /** Gives up a request that nothing was done for, because its connection ends before its turn. */
-  skip(): void {
+  /** Gives up a request that nothing was done for, because its connection ends with the one before. */
+  skip(before: Caller): void {
     this.ends = true;
-    this.skipped = true;
+    this.skipCause = before.endsByStop ? 'behind-stop' : 'behind-closed';
+  }
+
+  /** Whether its connection ends with it only because this process is stopping. */
+  private get endsByStop(): boolean {
+    if (this.skipCause) return this.skipCause === 'behind-stop';
+    return this.closing() && !this.gone.aborted && !this.cutCause && this.keepsConnection;
+  }
+
+  /** Whether the client would use the connection again, as far as the request tells. */
+  private get keepsConnection(): boolean {
+    const { headers, httpVersionMinor } = this.request;
+    const told = (headers.connection ?? '').toLowerCase();
+    return httpVersionMinor > 0 ? !told.includes('close') : told.includes('keep-alive');
   }
 
   private get bodied(): boolean {
@@ -131,7 +156,8 @@
   /** An answer of our own, with `retryAfter` in ms where the caller may come back. */
   refuse(status: number, reason: string, retryAfter?: number): void {
     const { response } = this;
-    if (response.headersSent || response.destroyed) return this.cut();
+    if (response.headersSent || response.destroyed) return this.cut('internal-fault');
+    this.answerKind = statusesOfUnknown.has(status) ? 'failed' : 'refused';
     const body = `${JSON.stringify({ error: reason })}\n`;
     const fields: Array<[string, string]> = [
       ['Content-Type', 'application/json'],
@@ -151,13 +177,16 @@
     this.ends ||= this.closing() || !this.response.shouldKeepAlive;
     const all = this.ends ? [...fields, ['Connection', 'close'] as const] : fields;
     this.response.writeHead(status, all.flat());
-    this.endsByClose =
-      !this.response.chunkedEncoding && only(fields, 'content-length') === undefined;
+    this.answerKind = 'answered';
+    const length = only(fields, 'content-length');
+    if (length !== undefined && this.hasBody(status)) this.toldBytes = Number(length);
+    this.endsByClose = !this.response.chunkedEncoding && length === undefined;
   }
 
   /** Passes a piece on; false when the caller has to read first, or is gone. */
   write(piece: Uint8Array): boolean {
     const { response } = this;
+    this.passedBytes += piece.length;
     return !response.destroyed && response.write(piece);
   }
 
@@ -172,7 +201,17 @@
   /** Whether the answer has been written to its last byte, or there will be none. */
   get settled(): boolean {
     const { response } = this;
-    return this.skipped || this.gone.aborted || response.closed || response.writableFinished;
+    return (
+      this.skipCause !== undefined ||
+      this.gone.aborted ||
+      response.closed ||
+      response.writableFinished
+    );
+  }
+
+  /** Why an answer that is not settled when its time is over is cut off: its client did not read, or there is none. */
+  get unflushedCause(): CutCause {
+    return this.response.writableEnded ? 'client-not-reading' : 'internal-fault';
   }
 
   /** Waits until it is settled. */
@@ -183,15 +222,44 @@
     await Promise.race([firstOf(response, 'finish', 'close'), left]);
   }
 
-  finish(): void {
+  /** Ends the answer; `isWhole` tells whether the engine's was whole. */
+  finish(isWhole: boolean): void {
+    this.isShort = !isWhole || this.passedBytes !== (this.toldBytes ?? this.passedBytes);
     this.response.end();
   }
 
   /** Ends the connection visibly in the middle: an answer that its connection's end would end is reset. */
-  cut(): void {
+  cut(cause: CutCause): void {
     const { response } = this;
     this.ends = true;
+    if (!this.gone.aborted) this.cutCause ??= cause;
     if (this.endsByClose) response.socket?.resetAndDestroy();
     response.destroy();
   }
+
+  /** How the request ended, once it has. */
+  get endCause(): EndCause {
+    const { request, response } = this;
+    if (response.writableFinished && this.answerKind) return this.answerKind;
+    return this.cutCause ?? closeCauseOf(request.socket) ?? this.skipCause ?? 'unaccounted';
+  }
+
+  /** The status that was sent; 0 when none was. */
+  get status(): number {
+    return this.response.headersSent ? this.response.statusCode : 0;
+  }
+
+  /** Whether the request came to its last byte. */
+  get isReadWhole(): boolean {
+    return this.request.complete;
+  }
+
+  /** Whether the answer was finished though the engine's was not whole. */
+  get isAnswerShort(): boolean {
+    return this.isShort;
+  }
+
+  private hasBody(status: number): boolean {
+    return this.method !== 'HEAD' && status !== 204 && status !== 304;
+  }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -57,6 +57,10 @@
     );
   }
 
+  get whole(): boolean {
+    return this.over?.isRight() ?? false;
+  }
+
   /** Whether there is no body, whatever the head tells of one. */
   private get bodiless(): boolean {
     return this.method === 'HEAD' || statusesWithoutBody.has(this.status);
@@ -132,7 +136,7 @@
       return this.over!;
     }
     this.link.close();
-    return failed('link.next', this.engine.address, 'silent beyond patience', 'unknown');
+    return failed('link.next', this.engine.address, 'silent beyond patience', 'unknown', 'silent');
   }
 
   settle(): void {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -8,6 +8,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
+import { PlannedWork } from '../monitor/planned-work.js';
 import type { Placer } from '../place/placer.js';
 import { Admission, type Refusal } from './admission.js';
 import { Attempts, type Result } from './attempts.js';
@@ -19,9 +20,18 @@
 import type { ForwardParams, Job, Pool } from './job.js';
 import type { Links } from './link.js';
 import { AnswerRelay } from './relay.js';
+import { RequestEnds, type OpenRequest } from './request-ends.js';
 import { Sender } from './sender.js';
 import { Turns } from './turns.js';
 
+/** A request that was taken, and what is known of it by its end. */
+interface Taken {
+  readonly caller: Caller;
+  readonly open: OpenRequest;
+  /** Set once the request was admitted. */
+  job: Job | undefined;
+}
+
 export class Forwarder implements RequestHandler {
   private readonly running = new Set<Caller>();
   private closing = false;
@@ -46,6 +56,7 @@
     random: Random,
     private readonly journal: Journal<ForwardEvent>,
     private readonly log: Log,
+    readonly ends: RequestEnds = new RequestEnds(clock, log, new PlannedWork(clock)),
   ) {
     const count = (what: string): void => this.count(what);
     const sender = new Sender(mayServe, pool, links, placer, dialect, routers, params, clock, log);
@@ -60,24 +71,30 @@
 
   handle(request: IncomingMessage, response: ServerResponse): void {
     const caller = new Caller(request, response, () => this.closing);
-    const arrived = this.clock.now();
+    const taken: Taken = { caller, open: this.ends.begin(request.socket), job: undefined };
+    const arrived = taken.open.begun;
     this.running.add(caller);
-    const ended = this.turns.take(request.socket, caller, () => this.carry(caller, arrived));
+    const ended = this.turns.take(request.socket, caller, () => this.carry(taken, arrived));
     void ended
       .catch((thrown: unknown) => {
         this.log('fault', [
           ['step', 'forward'],
           ['reason', String(thrown)],
         ]);
-        caller.cut();
+        caller.cut('internal-fault');
       })
       .then(() => this.flush(caller, arrived))
       .finally(() => {
         this.running.delete(caller);
+        this.recordEnd(taken);
         if (this.running.size === 0) this.emptied();
       });
   }
 
+  reject(): void {
+    this.ends.reject();
+  }
+
   async drain(limit: number): Promise<number> {
     this.closing = true;
     const stop = new AbortController();
@@ -105,15 +122,31 @@
     const limit = caller.limit ?? arrived + this.params.timeout;
     const left = Math.max(0, limit - this.clock.now());
     const flushed = caller.flushed().then(() => true);
-    if (!(await within(this.clock, left, flushed))) caller.cut();
+    if (!(await within(this.clock, left, flushed))) caller.cut(caller.unflushedCause);
+  }
+
+  private recordEnd({ caller, open, job }: Taken): void {
+    this.ends.end(open, {
+      id: job?.id ?? caller.field(this.dialect.requestId) ?? '',
+      cause: caller.endCause,
+      status: caller.status,
+      isReadWhole: caller.isReadWhole,
+      isSent: (job?.sends ?? 0) > 0,
+      isAnswerShort: caller.isAnswerShort,
+      engine: [...(job?.tried ?? [])].at(-1) ?? '',
+      age: this.clock.now() - open.begun,
+      limit: (caller.limit ?? open.begun + this.params.timeout) - open.begun,
+    });
   }
 
-  private async carry(caller: Caller, arrived: Moment): Promise<void> {
+  private async carry(taken: Taken, arrived: Moment): Promise<void> {
+    const { caller } = taken;
     const chart = new ForwardChart(caller.field(this.dialect.requestId) ?? '', this.journal);
     const admitted = await this.admission.admit(caller, chart, arrived);
     if (admitted.kind === 'refused') return this.refuse(caller, chart, admitted);
     if (admitted.kind === 'left') return void chart.step('left');
     const { job } = admitted;
+    taken.job = job;
     caller.limit = job.limit;
     this.budget.note(job.service.name);
     try {
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -18,17 +18,31 @@
   type Job,
   type Trail,
 } from './job.js';
+import type { CutCause } from './request-end.js';
 import type { Sender } from './sender.js';
 
-/** How handing one engine's answer on ended: "late" when the request's time was over before its caller had read it. */
-type Ended = 'whole' | 'failed' | 'left' | 'late';
+/**
+ * How handing one engine's answer on ended: "silent" when the engine said nothing for too long, "late" when the request's
+ * time was over, "unread" when it was over before its caller had read what was written.
+ */
+type Ended = 'whole' | 'failed' | 'silent' | 'left' | 'late' | 'unread';
 
 /** What the engine's ticket is told of it. */
 const ticketEnds = new Map<Ended, TicketEnd>([
   ['whole', 'whole'],
   ['failed', 'failed'],
+  ['silent', 'failed'],
   ['left', 'left'],
   ['late', 'left'],
+  ['unread', 'left'],
+]);
+
+/** What an answer that did not go on elsewhere was cut off for. */
+const cutCauses = new Map<Ended, CutCause>([
+  ['failed', 'engine-broke-off'],
+  ['silent', 'engine-silent'],
+  ['late', 'deadline'],
+  ['unread', 'client-not-reading'],
 ]);
 
 /** ms for which pieces that are on their way already are passed on after the request's time. */
@@ -51,20 +65,25 @@
     const trail = trailOf(job, status);
     caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
     chart.step('streaming', head.ticket.engine.identifier);
+    let ended: Ended = 'failed';
     for (let current: Head | undefined = head; current;) {
-      const ended = await this.relayOne(job, current, trail);
+      ended = await this.relayOne(job, current, trail);
       if (ended === 'left') return void chart.step('left');
       if (ended === 'whole') {
         chart.step('complete');
         this.count('complete');
-        return caller.finish();
+        return caller.finish(current.answer.whole);
       }
-      current = ended === 'failed' && trail ? await this.resume(job, trail) : undefined;
+      current =
+        (ended === 'failed' || ended === 'silent') && trail
+          ? await this.resume(job, trail)
+          : undefined;
       if (current) chart.step('streaming', current.ticket.engine.identifier);
     }
     chart.step('broken');
     this.count('broken');
-    caller.cut();
+    const isOver = ended === 'silent' && this.clock.now() >= job.limit;
+    caller.cut(isOver ? 'deadline' : cutCauses.get(ended)!);
   }
 
   /** Hands one engine's answer on until its end. */
@@ -91,7 +110,11 @@
       if (this.clock.now() >= job.limit + OVERTIME) return 'late';
       const next = await answer.next(this.patience(job, trail));
       if (job.caller.gone.aborted) return 'left';
-      if (next.isLeft()) return this.broke(job, ticket, (next.extract() as Fault).reason);
+      if (next.isLeft()) {
+        const fault = next.extract() as Fault;
+        this.broke(job, ticket, fault.reason);
+        return fault.kind === 'silent' ? 'silent' : 'failed';
+      }
       piece = next.extract() as Uint8Array | undefined;
       ended = piece === undefined;
       if (piece) ticket.piece();
@@ -125,7 +148,7 @@
     if (caller.write(piece)) return undefined;
     const left = Math.max(0, limit - this.clock.now());
     const drained = await within(this.clock, left, caller.drained());
-    if (drained === undefined) return 'late';
+    if (drained === undefined) return 'unread';
     return drained ? undefined : 'left';
   }
 
--- a/src/forward/turns.ts
+++ b/src/forward/turns.ts
@@ -17,7 +17,7 @@
   take(socket: Socket, caller: Caller, run: () => Promise<void>): Promise<void> {
     const before = this.newest.get(socket);
     const ended = before
-      ? before.ended.then(() => (before.caller.last ? caller.skip() : run()))
+      ? before.ended.then(() => (before.caller.last ? caller.skip(before.caller) : run()))
       : run();
     this.newest.set(socket, { caller, ended: ended.catch(() => undefined) });
     return ended;
--- a/src/kernel/fault/fault.ts
+++ b/src/kernel/fault/fault.ts
@@ -14,8 +14,9 @@
  * - `outbid`: an acceptor has promised a higher ballot.
  * - `refused-by-peer`: the peer took the call and answered it with a refusal.
  * - `connection-ended`: the connection had ended before anything was sent on it.
+ * - `silent`: the peer said nothing for longer than is waited for.
  */
-export type FaultKind = 'failed' | 'outbid' | 'refused-by-peer' | 'connection-ended';
+export type FaultKind = 'failed' | 'outbid' | 'refused-by-peer' | 'connection-ended' | 'silent';
 
 /** What went wrong: its kind, the step and the peer it arose with, and whether the act may have happened. */
 export interface Fault {
--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -1,6 +1,9 @@
 /** The metrics of a node, folded from its journal and read from its services when they are asked for. */
 import { Counter, Gauge, type Registry } from 'prom-client';
+import type { RequestEnds } from '../forward/request-ends.js';
+import { endCauses } from '../forward/request-end.js';
 import type { Journal } from '../kernel/journal/journal.js';
+import type { Violations } from '../monitor/violations.js';
 import type { PassageEvent } from '../passage/chart.js';
 
 /** Registers a metric whose value is read when it is asked for. */
@@ -13,6 +16,53 @@
   });
 };
 
+/** Registers a counter that is read from a table when it is asked for, one series for each of the table's keys. */
+const tableCounter = (
+  registry: Registry,
+  name: string,
+  help: string,
+  label: string,
+  read: () => Iterable<readonly [string, number]>,
+): void => {
+  const made: Counter = new Counter({
+    name: `rudderridge_${name}`,
+    help,
+    labelNames: [label],
+    registers: [registry],
+    collect: () => {
+      made.reset();
+      for (const [key, count] of read()) made.inc({ [label]: key }, count);
+    },
+  });
+};
+
+/** Counts violations by invariant; those that hold are there with 0. */
+export const countViolations = (
+  registry: Registry,
+  name: string,
+  help: string,
+  violations: Violations<string>,
+): void => {
+  tableCounter(registry, name, help, 'invariant', () => violations.counts);
+};
+
+/** Counts how requests ended, and what must never be about it. */
+export const countRequestEnds = (registry: Registry, ends: RequestEnds): void => {
+  tableCounter(registry, 'request_ends_total', 'Requests that ended, by cause', 'cause', () =>
+    endCauses.map((cause) => [cause, ends.counts.get(cause) ?? 0] as const),
+  );
+  gauge(registry, 'requests_unended', 'Requests taken whose end is not recorded', () => {
+    ends.sweep();
+    return ends.openCount;
+  });
+  countViolations(
+    registry,
+    'request_invariant_violations',
+    'Ends of requests that must never be, by invariant',
+    ends.violations,
+  );
+};
+
 /** Counts the outcomes and retries of requests from their journal. */
 export const countPassages = (registry: Registry, journal: Journal<PassageEvent>): void => {
   const steps = new Counter({
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -6,6 +6,7 @@
 import { openLog, type Log } from '../kernel/log/log.js';
 import { TcpNet, type Net } from '../kernel/net/net.js';
 import { SystemRandom, type Random } from '../kernel/random/random.js';
+import { PlannedWork } from '../monitor/planned-work.js';
 import type { Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
 import { VoterDirectory } from '../register/voter-directory.js';
@@ -34,6 +35,11 @@
     useFactory: (tracing: Tracing) => tracing.tap(openLog(params.name)),
   },
   { provide: names.stop, useValue: new AbortController() },
+  {
+    provide: names.plannedWork,
+    inject: [names.clock],
+    useFactory: (clock: Clock) => new PlannedWork(clock),
+  },
   { provide: names.keys, useFactory: () => new Keys(params) },
   { provide: names.dialect, useValue: ownDialect },
   { provide: names.schema, useClass: SchemaCheck },
--- a/src/router/forwarding.ts
+++ b/src/router/forwarding.ts
@@ -10,12 +10,14 @@
 import type { Dialect } from '../forward/dialect.js';
 import { Forwarder } from '../forward/forwarder.js';
 import { HttpLinks, type Links } from '../forward/link.js';
+import { RequestEnds } from '../forward/request-ends.js';
 import { LeastLoadPlacer } from '../place/least.js';
 import type { Placer } from '../place/placer.js';
 import { PrefixPlacer, prefixPlacerDefaults } from '../place/prefix.js';
 import { RouterLease } from '../lease/router-lease.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
+import type { PlannedWork } from '../monitor/planned-work.js';
 import { Newsroom } from '../pool/news.js';
 import type { View } from '../view/view.js';
 
@@ -48,6 +50,12 @@
     useFactory: (clock: Clock) =>
       new HttpLinks(clock, params.forward.connect, params.forward.keepLinks),
   },
+  {
+    provide: names.requestEnds,
+    inject: [names.clock, names.log, names.plannedWork],
+    useFactory: (clock: Clock, log: Log, plannedWork: PlannedWork) =>
+      new RequestEnds(clock, log, plannedWork),
+  },
   {
     provide: names.forwarder,
     inject: [
@@ -61,6 +69,7 @@
       names.clock,
       names.random,
       names.log,
+      names.requestEnds,
     ],
     useFactory: (
       inForce: InForce,
@@ -73,6 +82,7 @@
       clock: Clock,
       random: Random,
       log: Log,
+      requestEnds: RequestEnds,
     ) =>
       new Forwarder(
         inForce,
@@ -88,6 +98,7 @@
         random,
         new Journal<ForwardEvent>(clock),
         log,
+        requestEnds,
       ),
   },
 ];
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -11,6 +11,7 @@
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
+import type { PlannedWork } from '../monitor/planned-work.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
 import { Passage } from '../passage/passage.js';
@@ -52,6 +53,7 @@
     @Inject(names.random) private readonly random: Random,
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
+    @Inject(names.plannedWork) private readonly plannedWork: PlannedWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -83,6 +85,7 @@
         if (!newest) return;
         relay.note(items, documents, frames);
         if (!this.inForce.swap(newest)) return;
+        this.plannedWork.note('configuration');
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -21,6 +21,7 @@
 import { PeerLeases } from '../lease/peer-leases.js';
 import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
+import { PlannedWork } from '../monitor/planned-work.js';
 import { TakenIds } from '../passage/ids.js';
 import { Lines } from '../passage/line.js';
 import { Passage } from '../passage/passage.js';
@@ -290,6 +291,7 @@
     random,
     log,
     stop,
+    new PlannedWork(clock),
   );
   return { ...base, lease, news, claims, prefixes, passage, operations, journal, node };
 };
--- a/test/forward/proxy.ts
+++ b/test/forward/proxy.ts
@@ -5,9 +5,11 @@
 import { ownDialect } from '../../src/forward/dialect.js';
 import { Forwarder } from '../../src/forward/forwarder.js';
 import { HttpLinks } from '../../src/forward/link.js';
+import { RequestEnds } from '../../src/forward/request-ends.js';
 import type { Clock } from '../../src/kernel/clock/clock.js';
 import { Journal } from '../../src/kernel/journal/journal.js';
 import { SeededRandom } from '../../src/kernel/random/random.js';
+import { PlannedWork } from '../../src/monitor/planned-work.js';
 import type { Placer, TicketEnd } from '../../src/place/placer.js';
 import type { Engine } from '../../src/pool/engine.js';
 import { genesis } from '../../src/register/document.js';
@@ -25,6 +27,7 @@
 
 export interface Proxy {
   readonly forwarder: Forwarder;
+  readonly requestEnds: RequestEnds;
   readonly links: HttpLinks;
   readonly journal: Journal<ForwardEvent>;
   readonly route: Route;
@@ -110,6 +113,7 @@
   const inForce = new InForce();
   inForce.swap({ ...genesis('f', []), configuration });
   const ends: Array<readonly [string, TicketEnd]> = [];
+  const requestEnds = new RequestEnds(clock, () => undefined, new PlannedWork(clock));
   const journal = new Journal<ForwardEvent>(clock);
   const links = new HttpLinks(clock, connect, 5000);
   const forwarder = new Forwarder(
@@ -126,6 +130,7 @@
     new SeededRandom(1),
     journal,
     () => undefined,
+    requestEnds,
   );
-  return { forwarder, links, journal, route, configuration, ends };
+  return { forwarder, requestEnds, links, journal, route, configuration, ends };
 };
--- a/test/forward/scripted.ts
+++ b/test/forward/scripted.ts
@@ -5,6 +5,7 @@
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { afterEach } from 'vitest';
+import type { RequestHandler } from '../../src/forward/face.js';
 import { RequestsFace } from '../../src/faces/requests/face.js';
 import { SystemClock, type Clock } from '../../src/kernel/clock/clock.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
@@ -136,6 +137,8 @@
   readonly engines: readonly ScriptedEngine[];
   readonly listed: Map<string, Engine>;
   limits: Limits;
+  /** How many requests the face handed on. */
+  readonly taken: { count: number };
 }
 
 interface ScriptedPlan {
@@ -158,8 +161,18 @@
   for (const engine of engines)
     listed.set(engine.identifier, listedEngine(engine.identifier, await engine.listen()));
   const proxy = makeProxy({ listed, limits, clock, ...plan });
-  const stage = { ...proxy, engines, listed, limits };
-  const face = new RequestsFace(proxy.forwarder, () => stage.limits, clock);
+  const stage = { ...proxy, engines, listed, limits, taken: { count: 0 } };
+  const { forwarder } = proxy;
+  const handler: RequestHandler = {
+    open: 0,
+    drain: (limit) => forwarder.drain(limit),
+    reject: () => forwarder.reject(),
+    handle: (request, response) => {
+      stage.taken.count += 1;
+      forwarder.handle(request, response);
+    },
+  };
+  const face = new RequestsFace(handler, () => stage.limits, clock);
   (await face.listen('127.0.0.1:0')).unsafeCoerce();
   closers.push(() => {
     proxy.links.close();
--- a/test/forward/stage.ts
+++ b/test/forward/stage.ts
@@ -8,6 +8,7 @@
 import type { ForwardEvent } from '../../src/forward/chart.js';
 import type { Forwarder } from '../../src/forward/forwarder.js';
 import type { HttpLinks } from '../../src/forward/link.js';
+import type { RequestEnds } from '../../src/forward/request-ends.js';
 import { SystemClock } from '../../src/kernel/clock/clock.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
 import type { Journal } from '../../src/kernel/journal/journal.js';
@@ -36,6 +37,8 @@
   readonly listed: Map<string, Engine>;
   /** How the tickets of each engine ended, in order. */
   readonly ends: ReadonlyArray<readonly [string, TicketEnd]>;
+  /** How the requests ended. */
+  readonly requestEnds: RequestEnds;
   readonly links: HttpLinks;
   readonly caller: OpaqueCaller;
   readonly journal: Journal<ForwardEvent>;
@@ -90,7 +93,7 @@
     const { identifier } = each.params;
     listed.set(identifier, listedEngine(identifier, await each.listen()));
   }
-  const { forwarder, links, journal, route, configuration, ends } = makeProxy({
+  const { forwarder, requestEnds, links, journal, route, configuration, ends } = makeProxy({
     listed,
     route: over,
     ...(limits ? { limits } : {}),
@@ -128,6 +131,7 @@
     engines,
     listed,
     ends,
+    requestEnds,
     links,
     caller,
     journal,
@@ -150,10 +154,18 @@
   };
 };
 
+/** Each request that was taken ended once, in a way that may be. */
+export const expectNoViolation = (ends: RequestEnds): void => {
+  ends.sweep();
+  expect([...ends.violations.counts].filter(([, count]) => count > 0)).toEqual([]);
+  expect(ends.openCount).toBe(0);
+};
+
 /** Nothing was judged a breach, no step was out of order, and nothing is left open. */
 export const expectClean = async (stage: Stage): Promise<void> => {
   await until('no request under way', () => stage.forwarder.open === 0);
   expect(stage.judged()).toEqual([]);
+  expectNoViolation(stage.requestEnds);
   expect(stage.journal.tail().filter(({ event }) => event.kind === 'fault')).toEqual([]);
   expect(stage.engines.map(({ overlaps }) => overlaps)).toEqual(stage.engines.map(() => 0));
 };
