Tests: nine ways in which a whole request loses its connection, seen to fail

Seen to fail on the code as it is:

- a resumable stream whose engine is silent, with nowhere else to go on, is cut before its time;
- silence is judged after a standstill of the process before what has arrived is read;
- an idle limit that falls while a request is under way closes the connection sooner than its client was told;
- a planned stop closes idle connections over requests that have arrived, and resets connections not yet accepted;
- requests sent ahead before a planned stop are dropped behind the answer that says so;
- CONNECT behind a request under way cuts that;
- a header that has arrived whole during a standstill is called late (408);
- with a grace of 8 s, a planned stop cuts at 6 s what may be cut from 6.67 s on.

Ruled out: fields of engines that can't be written (all are told 502 or passed on), PRI.

--- a/test/forward/schedules.test.ts
+++ b/test/forward/schedules.test.ts
@@ -8,6 +8,7 @@
 import { expect, test } from 'vitest';
 import type { Route } from '../../src/route/shape.js';
 import { HandClock, turns } from './clock.js';
+import { expectNoViolation } from './stage.js';
 import {
   callerLine,
   chunked,
@@ -251,6 +252,16 @@
   }
 };
 
+/** Each request ended once, and in a way that may be. */
+const judgeEnds = ({ requestEnds, taken }: ScriptedStage): void => {
+  const ended = [...requestEnds.counts].reduce(
+    (sum, [cause, count]) => (cause === 'rejected' ? sum : sum + count),
+    0,
+  );
+  expect(ended).toBe(taken.count);
+  expectNoViolation(requestEnds);
+};
+
 const playSchedule = async ({ route, engines, callers }: Schedule): Promise<void> => {
   const clock = new HandClock();
   const stream = route.kind === 'streaming';
@@ -295,6 +306,7 @@
   const known = new Set(idsOf.flat());
   expect(reached.filter(({ id }) => !known.has(id))).toEqual([]);
   expect(stage.journal.tail().filter(({ event }) => event.kind === 'fault')).toEqual([]);
+  judgeEnds(stage);
   stage.links.close();
   await stage.face.close();
   for (const engine of stage.engines) await engine.close();
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -67,6 +67,16 @@
   }
 });
 
+test('a planned stop cuts nothing off before the last sixth of the grace, and ends within it', async () => {
+  for (const grace of [6, 8, 12, 30]) {
+    const text = settingsText('front').replace('grace_period_s = 10', `grace_period_s = ${grace}`);
+    const { drain, lease } = (await read(text)).chain(paramsOf).unsafeCoerce();
+    expect([grace, drain > (grace * 1000 * 5) / 6]).toEqual([grace, true]);
+    // Behind it, the lease is given back, for which the core is asked once.
+    expect([grace, drain + lease.renew < grace * 1000]).toEqual([grace, true]);
+  }
+});
+
 test('a call on the configuration is answered before its caller goes to another node', async () => {
   for (const [acknowledge, limit] of [
     [4000, 700],
