A connection rests as long as its client was told, and is told the limit in force

Cause: the limit that a kept connection may rest was taken when its answer ended, while its client was told the one of when the request came in; and the first answer after a change still told the old one, since the server settles that before the change is heeded. A client that rested by what it was told met a closed connection.

Now the told limit is kept with the connection, and the first answer after a change tells the new one. Other answers cost nothing more.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -16,7 +16,9 @@
   rejection: string | undefined;
   /** Since when nothing is under way; undefined before the first request. */
   idleSince: Moment | undefined;
-  /** The idle limit in force when it became idle. */
+  /** The idle limit that its client was told last. */
+  toldLimit: number;
+  /** How long it may rest at least: what its client was told, and the limit in force when it became idle. */
   idleLimit: number;
   /** Bytes that had been read when it became idle. */
   bytesRead: number;
@@ -45,18 +47,23 @@
       unanswered: new Map(),
       rejection: undefined,
       idleSince: undefined,
+      toldLimit: 0,
       idleLimit: 0,
       bytesRead: 0,
     });
     socket.once('close', () => this.open.delete(socket));
   }
 
-  /** Notes a request; false where its connection is to end before it, so that it must not be begun. */
-  begin(request: IncomingMessage, response: ServerResponse): boolean {
+  /**
+   * Notes a request, whose answer tells the idle limit given; false where its connection is to end before it, so that it
+   * must not be begun.
+   */
+  begin(request: IncomingMessage, response: ServerResponse, toldLimit: number): boolean {
     const { socket } = request;
     const connection = this.open.get(socket);
     if (!connection || connection.rejection !== undefined) return false;
     connection.idleSince = undefined;
+    connection.toldLimit = toldLimit;
     connection.unanswered.set(response, request);
     response.once('close', () => this.end(socket, connection, response));
     return true;
@@ -113,7 +120,7 @@
     if (connection.rejection !== undefined) return this.finishRejected(socket, connection);
     if (connection.unanswered.size > 0) return;
     connection.idleSince = this.clock.now();
-    connection.idleLimit = this.idleLimit();
+    connection.idleLimit = Math.max(this.idleLimit(), connection.toldLimit);
     connection.bytesRead = socket.bytesRead;
     if (this.closing) setImmediate(() => this.closeResting(socket, connection));
   }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -96,9 +96,13 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
-    this.heed();
+    const hasChanged = this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
-    if (!this.connections.begin(request, response)) return this.handler.reject?.();
+    // The server settled before the change what this answer would tell of the idle limit.
+    if (hasChanged && response.shouldKeepAlive)
+      response.setHeader('Keep-Alive', `timeout=${this.server.keepAliveTimeout / 1000}`);
+    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
+      return this.handler.reject?.();
     this.handler.handle(request, response);
   }
 
@@ -122,11 +126,13 @@
     return Math.max(1, Math.floor(limit / 1000));
   }
 
-  private heed(): void {
+  /** Takes the limits in force over; whether they have changed. */
+  private heed(): boolean {
     const limits = this.limits();
-    if (limits === this.heeded) return;
+    if (limits === this.heeded) return false;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
     this.server.keepAliveTimeout = this.toldSeconds(limits.idleTimeout ?? IDLE_TIMEOUT) * 1000;
+    return true;
   }
 }
--- a/test/forward/idle.test.ts
+++ b/test/forward/idle.test.ts
@@ -118,3 +118,14 @@
   await turns();
   await served(line, 2);
 });
+
+test('the first answer after the limit changed tells the one in force', async () => {
+  const { stage } = await open({ idleTimeout: 15_000 });
+  const line = callerLine(stage.address);
+  for (const [at, seconds] of [15, 5, 9].entries()) {
+    stage.limits = { idleTimeout: seconds * 1000 };
+    await served(line, at + 1);
+    expect(line.reader.answers[at]!.fields.get('keep-alive')).toBe(`timeout=${seconds}`);
+    expect(line.reader.answers[at]!.fields.get('connection')).toBe('keep-alive');
+  }
+});
