A planned stop reads what has arrived before it closes idle connections

Cause: the close ran in the turn of the timer that ended the notice, so a request that had arrived and was not read yet, as after a standstill of the process, lost its connection. The idle limit already waits for a turn of the event loop; now the planned stop does so too.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -96,10 +96,12 @@
         closeConnection(socket, 'idle-limit');
   }
 
-  /** Closes the connections on which nothing is under way, from now on as soon as that is so. */
+  /** Closes the connections on which nothing is under way, from now on as soon as that is so; what has arrived is read first. */
   closeIdle(): void {
     this.closing = true;
-    for (const [socket, connection] of this.open) this.closeResting(socket, connection);
+    setImmediate(() => {
+      for (const [socket, connection] of this.open) this.closeResting(socket, connection);
+    });
   }
 
   /** Notes why all connections that are still open are about to be closed. */
