A header that has arrived whole during a standstill is not called late

Cause: the server looks for late headers by a timer, which comes due before what has arrived is read; after a standstill of the process a request whose header had arrived whole was refused with 408 and its connection reset. Now what has arrived is read first, and only a header that is still not whole is refused. Test seen to fail before.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -7,11 +7,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { closeConnection, noteClose, type CloseCause } from '../../forward/connection-close.js';
+import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import type { Clock, Moment } from '../../kernel/clock/clock.js';
 
 interface Connection {
   /** Requests in their order whose answers have not been written to the last byte. */
   readonly unanswered: Map<ServerResponse, IncomingMessage>;
+  /** How many requests came. */
+  begun: number;
   /** What the parser's error is to be answered with, once nothing else is owed. */
   rejection: string | undefined;
   /** Since when nothing is under way; undefined before the first request. */
@@ -45,6 +48,7 @@
   add(socket: Socket): void {
     this.open.set(socket, {
       unanswered: new Map(),
+      begun: 0,
       rejection: undefined,
       idleSince: undefined,
       toldLimit: 0,
@@ -62,6 +66,7 @@
     const { socket } = request;
     const connection = this.open.get(socket);
     if (!connection || connection.rejection !== undefined) return false;
+    connection.begun += 1;
     connection.idleSince = undefined;
     connection.toldLimit = toldLimit;
     connection.unanswered.set(response, request);
@@ -84,6 +89,13 @@
     this.finishRejected(socket, connection);
   }
 
+  /** A header did not come to its end in time, unless the rest of it has arrived and was not read yet. */
+  async rejectLate(socket: Socket, code: string): Promise<void> {
+    const begun = this.open.get(socket)?.begun;
+    await arrivedIsRead();
+    if (this.open.get(socket)?.begun === begun) this.reject(socket, code);
+  }
+
   /** Closes the connections that have rested beyond their limit. */
   closeExpired(): void {
     const now = this.clock.now();
@@ -99,7 +111,7 @@
   /** Closes the connections on which nothing is under way, from now on as soon as that is so; what has arrived is read first. */
   closeIdle(): void {
     this.closing = true;
-    setImmediate(() => {
+    void arrivedIsRead().then(() => {
       for (const [socket, connection] of this.open) this.closeResting(socket, connection);
     });
   }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -11,6 +11,7 @@
 import type { RequestHandler } from '../../forward/face.js';
 import type { Clock } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
+import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Limits } from '../../route/shape.js';
 import { Connections } from './connections.js';
@@ -20,6 +21,8 @@
 const HEADER_TIMEOUT = 10_000;
 const IDLE_TIMEOUT = 15_000;
 const CHECK_EVERY = 1000;
+/** The server's error for a header that did not come to its end in time. */
+const HEADER_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const BACKLOG = 2048;
 
 export class RequestsFace implements Face {
@@ -53,7 +56,9 @@
     });
     this.server.on('request', (request, response) => this.take(request, response));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
-      this.connections.reject(socket, error.code),
+      error.code === HEADER_LATE
+        ? void this.connections.rejectLate(socket, HEADER_LATE)
+        : this.connections.reject(socket, error.code),
     );
     // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
     this.server.on('timeout', () => undefined);
@@ -111,7 +116,7 @@
     while (!signal.aborted) {
       await this.clock.sleep(CHECK_EVERY, signal);
       // After a long standstill, what has arrived meanwhile is read first.
-      await new Promise((resolve) => setImmediate(resolve));
+      await arrivedIsRead();
       if (!signal.aborted) this.connections.closeExpired();
     }
   }
