--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -17,6 +17,8 @@
   readonly fields: Fields;
   /** Whether its end can be told from a broken connection. */
   readonly framed: boolean;
+  /** Whether it came whole, to its end. */
+  readonly whole: boolean;
   /** Waits at most `limit` ms until a piece, or the answer's end, is at hand, and says whether it is. */
   ready(limit: Duration): Promise<boolean>;
   /** When the engine last said anything to this node, on any link. */
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -57,6 +57,10 @@
     );
   }
 
+  get whole(): boolean {
+    return this.over?.isRight() ?? false;
+  }
+
   /** Whether there is no body, whatever the head tells of one. */
   private get bodiless(): boolean {
     return this.method === 'HEAD' || statusesWithoutBody.has(this.status);
@@ -142,6 +146,7 @@
       this.engine.address,
       `silent for ${Math.round(limit)} ms`,
       'unknown',
+      'silent',
     );
   }
 
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -12,11 +12,15 @@
 import { EventCutter, type WholeEvent } from './events.js';
 import { endToEnd } from './fields.js';
 import type { ForwardParams, Head, Job, Trail } from './job.js';
+import type { CutCause } from './request-end.js';
 import { isSuccess, StreamResumption } from './resumption.js';
 import type { Sender } from './sender.js';
 
-/** How handing one engine's answer on ended: "late" when the request's time was over before its caller had read it. */
-type Ended = 'whole' | 'failed' | 'left' | 'late';
+/**
+ * How handing one engine's answer on ended: "silent" when the engine said nothing until the request's time was over, "late"
+ * when that was over while it spoke, "unread" when it was over before its caller had read what was written.
+ */
+type Ended = 'whole' | 'failed' | 'silent' | 'left' | 'late' | 'unread';
 
 /** How handing one engine's answer on ended, and the answer that goes on instead of one that fell silent. */
 interface Relayed {
@@ -28,8 +32,18 @@
 const ticketEnds = new Map<Ended, TicketEnd>([
   ['whole', 'whole'],
   ['failed', 'failed'],
+  ['silent', 'failed'],
   ['left', 'left'],
   ['late', 'left'],
+  ['unread', 'left'],
+]);
+
+/** What an answer that did not go on elsewhere was cut off for. */
+const cutCauses = new Map<Ended, CutCause>([
+  ['failed', 'engine-broke-off'],
+  ['silent', 'deadline'],
+  ['late', 'deadline'],
+  ['unread', 'client-not-reading'],
 ]);
 
 /** ms for which pieces that are on their way already are passed on after the request's time. */
@@ -63,21 +77,24 @@
     const trail = trailOf(job, status);
     caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
     chart.step('streaming', head.ticket.engine.identifier);
+    let ended: Ended = 'failed';
     for (let current: Head | undefined = head; current;) {
-      const { ended, successor }: Relayed = await this.relayOne(job, current, trail);
+      const relayed = await this.relayOne(job, current, trail);
+      ended = relayed.ended;
       if (ended === 'left') return void chart.step('left');
       if (ended === 'whole') {
         chart.step('complete');
         this.count('complete');
-        return caller.finish();
+        return caller.finish(current.answer.whole);
       }
       current =
-        successor ?? (ended === 'failed' && trail ? await this.resume(job, trail) : undefined);
+        relayed.successor ??
+        (ended === 'failed' && trail ? await this.resume(job, trail) : undefined);
       if (current) chart.step('streaming', current.ticket.engine.identifier);
     }
     chart.step('broken');
     this.count('broken');
-    caller.cut();
+    caller.cut(cutCauses.get(ended)!);
   }
 
   /** Hands one engine's answer on until its end. */
@@ -106,10 +123,10 @@
         };
       if (this.clock.now() >= job.limit + OVERTIME) return { ended: 'late' };
       const next = await this.continuation(job, answer, trail);
-      if (isHead(next)) return { ended: this.broke(job, ticket, 'silent'), successor: next };
+      if (isHead(next))
+        return { ended: this.broke(job, ticket, 'silent, taken up elsewhere'), successor: next };
       if (job.caller.gone.aborted) return { ended: 'left' };
-      if (next.isLeft())
-        return { ended: this.broke(job, ticket, (next.extract() as Fault).reason) };
+      if (next.isLeft()) return { ended: this.endedBy(job, ticket, next.extract() as Fault) };
       piece = next.extract() as Uint8Array | undefined;
       ended = piece === undefined;
       if (piece) ticket.piece();
@@ -143,7 +160,7 @@
     if (caller.write(piece)) return undefined;
     const left = Math.max(0, limit - this.clock.now());
     const drained = await within(this.clock, left, caller.drained());
-    if (drained === undefined) return 'late';
+    if (drained === undefined) return 'unread';
     return drained ? undefined : 'left';
   }
 
@@ -201,6 +218,12 @@
     return outcome;
   }
 
+  /** How an answer ended that broke off, or whose engine fell silent for the rest of the request's time. */
+  private endedBy(job: Job, ticket: Ticket, { kind, reason }: Fault): Ended {
+    const broke = this.broke(job, ticket, reason);
+    return kind === 'silent' ? 'silent' : broke;
+  }
+
   private broke({ id }: Job, ticket: Ticket, reason: string): 'failed' {
     this.log('answer-broke', [
       ['peer', ticket.engine.address],
