CONNECT behind a request under way does not cut that

Cause: without a listener the HTTP server destroys the socket on CONNECT, also over answers that are owed on it. It is now refused with 400 behind them, as any bytes that are no request are. Test seen to fail before.

--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -8,6 +8,7 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { Right } from 'purify-ts';
 import type { Face } from '../../node/extension.js';
+import { closeConnection } from '../../forward/connection-close.js';
 import type { RequestHandler } from '../../forward/face.js';
 import type { Clock } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
@@ -60,6 +61,7 @@
         ? void this.connections.rejectLate(socket, HEADER_LATE)
         : this.connections.reject(socket, error.code),
     );
+    this.server.on('connect', (_, socket: Socket) => this.refuseTunnel(socket));
     // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
     this.server.on('timeout', () => undefined);
     this.heed();
@@ -111,6 +113,17 @@
     this.handler.handle(request, response);
   }
 
+  /**
+   * Refuses CONNECT, behind the answers that are still owed on its connection. The server has let go of the socket, whose
+   * errors and end are looked after here.
+   */
+  private refuseTunnel(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    socket.once('end', () => closeConnection(socket, 'client-left'));
+    socket.resume();
+    this.connections.reject(socket, undefined);
+  }
+
   private async closeExpired(): Promise<void> {
     const { signal } = this.closed;
     while (!signal.aborted) {
