What an engine sent during a standstill is read before it is called silent

Cause: the wait for a piece ended by a timer, which comes due before what has arrived is read. After a standstill of the process longer than three gaps of a route, a stream that may go on elsewhere was given up though its engine had gone on, and was cut where it could go on nowhere; requests at their whole time likewise. Test seen to fail before.

--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -6,6 +6,7 @@
 import { Left, Right } from 'purify-ts';
 import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import { failed, fault, reasonOf, type Outcome } from '../kernel/fault/fault.js';
+import { arrivedIsRead } from '../kernel/net/arrived.js';
 import type { Engine } from '../pool/engine.js';
 import type { Answer, Patience } from './answer.js';
 import { fieldsOf, only, type Fields } from './fields.js';
@@ -173,11 +174,17 @@
 
   private async until(condition: () => boolean, { soft, hard }: Patience): Promise<boolean> {
     const begun = this.clock.now();
-    while (!condition()) {
+    const left = (): number => {
       const silentSince = Math.max(begun, this.link.lastHeard());
-      const left = Math.min(begun + hard, silentSince + soft) - this.clock.now();
-      if (left <= 0) return false;
-      await within(this.clock, left, new Promise<void>((resolve) => (this.wake = resolve)));
+      return Math.min(begun + hard, silentSince + soft) - this.clock.now();
+    };
+    while (!condition()) {
+      if (left() <= 0) {
+        await arrivedIsRead();
+        if (condition()) return true;
+        if (left() <= 0) return false;
+      }
+      await within(this.clock, left(), new Promise<void>((resolve) => (this.wake = resolve)));
     }
     return true;
   }
