A planned stop accepts the connections that came up before it closes the face

Cause: connections that wait to be accepted are reset when the listening socket closes, and the close ran in the turn of a timer, before they were accepted. The daemon now lets the event loop come round first.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -23,6 +23,7 @@
 import type { RequestEnds } from '../forward/request-ends.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Fault, Outcome } from '../kernel/fault/fault.js';
+import { arrivedIsRead } from '../kernel/net/arrived.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
@@ -262,6 +263,7 @@
         const limit = clock.now() + params.drain;
         for (const face of faces) face.retire?.();
         await clock.sleep(params.listen.notice);
+        await arrivedIsRead();
         for (const face of faces) face.halt?.();
         let left = 0;
         if (node instanceof RouterNode) {
--- a/src/node/extension.ts
+++ b/src/node/extension.ts
@@ -9,7 +9,7 @@
 export interface Face {
   /** Tells whoever is connected to go elsewhere, and goes on taking what comes. */
   retire?(): void;
-  /** Takes nothing new. */
+  /** Takes nothing new; connections that wait to be accepted are lost, unless the event loop has just come round. */
   halt?(): void;
   close(): Promise<unknown>;
 }
