A node may advertise another peer address than it listens on

Cause: cuts between real processes need a relay in front of each process, and a port that is forwarded to a node could not be told to its peers: listen.peers was both the address bound and the address by which seeds and voters name the node. Ruled out: other loopback addresses (the bound one would still be told). listen.advertise names the other one; empty keeps the old meaning. test/unit/params.test.ts holds default, override and message.

--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -11,7 +11,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { Grants } from '../lease/grants.js';
-import type { Params } from '../params/shape.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { BootstrapAcceptor } from '../register/bootstrap/acceptor.js';
 import { Bootstrap, viewOf } from '../register/bootstrap/bootstrap.js';
 import { Follower } from '../register/follower.js';
@@ -68,7 +68,7 @@
     this.view.serve();
     const replacement = new VoterReplacement(
       this.member,
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       this.params.core.replaceAfter,
       this.peers,
       this.voterDirectory,
@@ -90,7 +90,7 @@
       this.random,
       this.log,
       (_, items, committed) => this.member.takeCommitted(items, committed),
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       undefined,
       this.params.feed.wait,
       () => this.member.chain.newestRevision,
@@ -105,7 +105,7 @@
       this.clock,
       this.random,
       this.log,
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       this.params.core.keep + this.params.core.keepBytes > 0,
     );
     void repair.run(this.stop.signal);
@@ -162,7 +162,7 @@
     const acceptor = new BootstrapAcceptor(this.disk, params.fleet, () => viewOf(member));
     return new Bootstrap(
       {
-        address: params.listen.peers,
+        address: advertisedAddress(params),
         seeds: params.seeds,
         wanted: params.core.wanted,
         fixedSeeds: params.form,
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -6,7 +6,7 @@
 import { openLog, type Log } from '../kernel/log/log.js';
 import { TcpNet, type Net } from '../kernel/net/net.js';
 import { SystemRandom, type Random } from '../kernel/random/random.js';
-import type { Params } from '../params/shape.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
 import { VoterDirectory } from '../register/voter-directory.js';
 import { Tracing } from '../trace/tracing.js';
@@ -61,7 +61,7 @@
         {
           name: self.name,
           incarnation: self.incarnation,
-          address: params.listen.peers,
+          address: advertisedAddress(params),
           zone: params.zone,
           role,
           age: 0,
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -66,6 +66,7 @@
     operators: Address,
     peers: Address,
     requests: AddressOrNone,
+    advertise: AddressOrNone,
     notice: between(0, 60_000),
   }).exact(),
   seeds: bounded(
@@ -138,6 +139,10 @@
 /** The params of a node. */
 export type Params = Static<typeof ParamsShape>;
 
+/** The peer address that a node tells others: its own, or the one that is forwarded to it. */
+export const advertisedAddress = ({ listen }: Pick<Params, 'listen'>): string =>
+  listen.advertise || listen.peers;
+
 const defaults = {
   fleet: 'rudderridge',
   zone: 'zone-1',
@@ -146,6 +151,7 @@
     operators: '127.0.0.1:7081',
     peers: '127.0.0.1:7082',
     requests: '',
+    advertise: '',
     notice: 0,
   },
   seeds: ['127.0.0.1:7082'],
--- a/src/router/leases.ts
+++ b/src/router/leases.ts
@@ -7,7 +7,7 @@
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
-import type { Params } from '../params/shape.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { Hello } from '../wire/call.js';
@@ -45,7 +45,7 @@
         {
           node: self.name,
           incarnation: self.incarnation,
-          address: params.listen.peers,
+          address: advertisedAddress(params),
           zone: params.zone,
         },
         inForce,
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -11,7 +11,7 @@
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
-import type { Params } from '../params/shape.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
 import { Passage } from '../passage/passage.js';
 import { lawBroken, lawText } from '../place/law.js';
@@ -101,7 +101,7 @@
     if (this.params.claims.enabled) void this.claims.run(signal);
     if (this.params.lease.lapse === 'serve') return served;
     const own = {
-      address: this.params.listen.peers,
+      address: advertisedAddress(this.params),
       zone: this.params.zone,
       law: lawText(this.params.law),
     };
--- a/test/unit/params.test.ts
+++ b/test/unit/params.test.ts
@@ -1,7 +1,7 @@
 /** Params: the message for a bad or unknown field names it, what it holds and what was expected. */
 import { expect, test } from 'vitest';
 import { checkDoorway } from '../../src/doorway/shape.js';
-import { checkParams } from '../../src/params/shape.js';
+import { advertisedAddress, checkParams } from '../../src/params/shape.js';
 import { parseList } from '../../src/pool/engine.js';
 
 const reason = (outcome: { extract(): unknown }): string =>
@@ -21,6 +21,16 @@
   );
 });
 
+test('the peer address told to others is the one listened on unless another is named', () => {
+  const advertised = (listen: object): string =>
+    checkParams({ name: 'n', listen }).map(advertisedAddress).unsafeCoerce();
+  expect(advertised({ peers: '10.0.0.1:6100' })).toBe('10.0.0.1:6100');
+  expect(advertised({ peers: '10.0.0.1:6100', advertise: '10.9.0.1:7100' })).toBe('10.9.0.1:7100');
+  expect(reason(checkParams({ name: 'n', listen: { advertise: 'here' } }))).toMatch(
+    /^listen\.advertise is "here": .*expected IP:PORT/,
+  );
+});
+
 test('doorways and the platform list are checked', () => {
   expect(reason(checkDoorway({ name: 'UPPER' }))).toMatch(/^\w+ is/);
   expect(reason(parseList('{"engines":[{"identifier":"e"}]}', 'p'))).toMatch(
