--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -29,6 +29,8 @@
   readonly perSecond?: number;
   /** Routers take opaque requests too. */
   readonly opaque?: boolean;
+  /** Gives the address by which the others reach a process that listens for peers at `address`: the same by default. */
+  readonly advertise?: (name: string, address: string) => Promise<string>;
 }
 
 interface Running {
@@ -87,6 +89,8 @@
   readonly operators = new Map<string, string>();
   readonly engines = new Map<string, string>();
   readonly peers = new Map<string, string>();
+  /** By which address each process is known to its peers. */
+  readonly advertised = new Map<string, string>();
   platform = '';
 
   constructor(readonly plan: FleetPlan) {
@@ -110,7 +114,11 @@
       if (this.plan.opaque) this.requests.set(name, next());
     }
     for (const name of engineNames) this.engines.set(name, next());
-    const seeds = coreNames.map((name) => this.peers.get(name)!);
+    for (const name of [...coreNames, ...routerNames]) {
+      const own = this.peers.get(name)!;
+      this.advertised.set(name, (await this.plan.advertise?.(name, own)) ?? own);
+    }
+    const seeds = coreNames.map((name) => this.advertised.get(name)!);
     const keyed = firms.map((name) => ({
       name,
       callerKeys: [digestOf(callerKey(name))],
@@ -122,6 +130,7 @@
         callers: this.callers.get(name) ?? '127.0.0.1:1',
         operators: this.operators.get(name)!,
         peers: this.peers.get(name)!,
+        advertise: this.advertised.get(name)!,
         requests: this.requests.get(name) ?? '',
       };
       const params = {
