--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -29,6 +29,8 @@
   readonly perSecond?: number;
   /** Routers take opaque requests too. */
   readonly opaque?: boolean;
+  /** ms in which a process that is told to stop still takes what comes. */
+  readonly notice?: number;
   /** Gives the address by which the others reach a process that listens for peers at `address`: the same by default. */
   readonly advertise?: (name: string, address: string) => Promise<string>;
 }
@@ -131,6 +133,7 @@
         operators: this.operators.get(name)!,
         peers: this.peers.get(name)!,
         advertise: this.advertised.get(name)!,
+        notice: this.plan.notice ?? 0,
         requests: this.requests.get(name) ?? '',
       };
       const params = {
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -7,6 +7,7 @@
 import { Fleet, type FleetPlan } from './fleet.js';
 import { measureChanges, measureOverhead } from './measure.js';
 import { slopes } from './slopes/command.js';
+import { soakCommand } from './soak/command.js';
 import { faults, firms, openDoorways, play } from './scenario.js';
 
 const sized = (
@@ -134,6 +135,7 @@
     },
   )
   .command(slopes)
+  .command(soakCommand)
   .demandCommand(1)
   .strict()
   .parseAsync();
--- a/src/fleet/opaque.ts
+++ b/src/fleet/opaque.ts
@@ -30,6 +30,12 @@
   readonly perSecond: number;
 }
 
+/** By which addresses engines and routers are reached, where these aren't the ones they listen on. */
+export interface Wiring {
+  engine(identifier: string, bound: string): Promise<string>;
+  requests(router: string): string;
+}
+
 const READY_EVERY = 200;
 
 /** A fleet with engines and callers of opaque requests. */
@@ -39,6 +45,7 @@
   readonly configurations: SentConfiguration[] = [];
   readonly leaving = new Map<string, number>();
   private readonly past: Arrival[] = [];
+  private readonly listed = new Map<string, string>();
   private readonly clock = new SystemClock();
   private readonly random: Random;
   private readonly ready = new Set<string>();
@@ -49,6 +56,10 @@
     readonly fleet: Fleet,
     seed: number,
     private readonly engine: Partial<OpaqueEngineParams> = {},
+    private readonly wiring: Wiring = {
+      engine: (_, bound) => Promise.resolve(bound),
+      requests: (router) => fleet.requests.get(router)!,
+    },
   ) {
     this.random = new SeededRandom(seed);
     this.caller = new OpaqueCaller(this.clock, new SeededRandom(seed + 1));
@@ -63,7 +74,8 @@
     const engine = new OpaqueEngine({ ...this.engine, identifier, service, address }, this.clock);
     const bound = await engine.listen();
     this.engines.set(identifier, engine);
-    await this.list(identifier, service, bound, false);
+    this.listed.set(identifier, await this.wiring.engine(identifier, bound));
+    await this.list(identifier, service, false);
     return engine;
   }
 
@@ -85,7 +97,7 @@
   async leave(identifier: string): Promise<void> {
     const engine = this.engines.get(identifier)!;
     engine.draining = true;
-    await this.list(identifier, engine.params.service, engine.address, true);
+    await this.list(identifier, engine.params.service, true);
     this.leaving.set(identifier, this.clock.wall() + (this.fleet.plan.lag ?? 100));
   }
 
@@ -132,8 +144,7 @@
   }
 
   ask(name: string, asking: Kind['asking'], router?: string): Promise<Asked> {
-    const names = this.ready.size ? [...this.ready] : [...this.fleet.requests.keys()];
-    const choose = (): string => this.fleet.requests.get(router ?? pick(this.random, names)!)!;
+    const choose = (): string => this.wiring.requests(router ?? this.chooseRouter());
     const asked = this.caller.ask(
       {
         name,
@@ -150,6 +161,12 @@
     return asked;
   }
 
+  /** One of the routers that call themselves ready, of all where none does. */
+  chooseRouter(): string {
+    const names = this.ready.size ? [...this.ready] : [...this.fleet.requests.keys()];
+    return pick(this.random, names)!;
+  }
+
   /** Asks steadily until told to stop. */
   async drive(kinds: readonly Kind[]): Promise<void> {
     const whole = kinds.reduce((sum, { perSecond }) => sum + perSecond, 0);
@@ -212,16 +229,11 @@
     return told;
   }
 
-  private list(
-    identifier: string,
-    service: string,
-    address: string,
-    leaving: boolean,
-  ): Promise<unknown> {
+  private list(identifier: string, service: string, leaving: boolean): Promise<unknown> {
     const { slots, cacheTokens } = this.engines.get(identifier)!.params;
     return this.fleet.list({
       identifier,
-      address,
+      address: this.listed.get(identifier)!,
       model: 'm',
       adapters: [],
       weight_generation: '1',
--- /dev/null
+++ b/src/fleet/soak/troubles/process-troubles.ts
@@ -0,0 +1,127 @@
+/** Processes that are killed, paused, stopped and reloaded, and core machines whose disks are lost. */
+import type { Restart } from '../processes.js';
+import type { Trouble, TroubleKind } from '../schedule.js';
+import {
+  between,
+  chosen,
+  type TroubleAction,
+  type TroubleActions,
+  type TroubleContext,
+} from './context.js';
+
+type Choose = (context: TroubleContext, trouble: Trouble) => readonly string[];
+
+/** Holds the chosen processes while something is done to those that are free. */
+const holding =
+  (
+    choose: Choose,
+    act: (context: TroubleContext, names: readonly string[], trouble: Trouble) => Promise<void>,
+  ): TroubleAction =>
+  async (context, trouble) => {
+    const names = context.processes.hold(choose(context, trouble));
+    try {
+      if (names.length > 0) await act(context, names, trouble);
+    } finally {
+      context.processes.release(names);
+    }
+    return names;
+  };
+
+const restartAll = async (restarts: readonly Restart[]): Promise<void> => {
+  await Promise.all(restarts.map((restart) => restart()));
+};
+
+const killed = (choose: Choose): TroubleAction =>
+  holding(choose, async ({ processes, wait }, names, { duration }) => {
+    const restarts = await Promise.all(names.map((name) => processes.kill(name)));
+    await wait(duration);
+    await restartAll(restarts);
+  });
+
+const paused = (choose: Choose): TroubleAction =>
+  holding(choose, async ({ processes, wait }, names, { duration }) => {
+    const resumes = names.map((name) => processes.pause(name));
+    await wait(duration);
+    for (const resume of resumes) resume();
+  });
+
+const pausedAndKilled: TroubleAction = holding(
+  ({ processes }, trouble) => chosen(processes.cores, trouble),
+  async ({ processes, wait }, names, { duration }) => {
+    const resumes = names.map((name) => processes.pause(name));
+    await wait(duration / 2);
+    const restarts = await Promise.all(names.map((name) => processes.kill(name)));
+    for (const resume of resumes) resume();
+    await wait(duration / 2);
+    await restartAll(restarts);
+  },
+);
+
+const stopped = (choose: Choose): TroubleAction =>
+  holding(choose, async ({ processes, wait }, names, { duration }) => {
+    const restarts = await Promise.all(names.map((name) => processes.stop(name)));
+    await wait(duration / 4);
+    await restartAll(restarts);
+  });
+
+const stoppedAndKilled: TroubleAction = holding(
+  ({ processes }, trouble) => chosen(processes.routers, trouble),
+  async ({ processes, wait }, names, { duration }) => {
+    const restarts = await Promise.all(
+      names.map((name) => processes.stopAndKill(name, wait(duration / 3))),
+    );
+    await wait(duration / 3);
+    await restartAll(restarts);
+  },
+);
+
+/** No second disk is lost before all voters hold the newest configuration again. */
+const diskLost: TroubleAction = async (context, trouble) => {
+  const { redundancy } = context;
+  if (!(await redundancy.take())) return [];
+  const names = await loseDisks(context, trouble);
+  redundancy.give();
+  return names;
+};
+
+const loseDisks: TroubleAction = holding(
+  ({ processes }, trouble) => chosen(processes.cores, trouble),
+  async ({ processes, wait }, names, { duration }) => {
+    const restarts = await Promise.all(names.map((name) => processes.kill(name)));
+    await Promise.all(names.map((name) => processes.loseDisk(name)));
+    await wait(duration);
+    await restartAll(restarts);
+  },
+);
+
+const reloaded: TroubleAction = async ({ processes }, trouble) => {
+  const names = chosen(processes.all, trouble, between(trouble, 1, processes.all.length));
+  await Promise.all(names.map((name) => processes.reload(name)));
+  return names;
+};
+
+const oneCore: Choose = ({ processes }, trouble) => chosen(processes.cores, trouble);
+const oneRouter: Choose = ({ processes }, trouble) => chosen(processes.routers, trouble);
+const allCores: Choose = ({ processes }) => processes.cores;
+const severalCores: Choose = ({ processes: { cores } }, trouble) =>
+  chosen(cores, trouble, between(trouble, 2, cores.length - 1));
+const someRouters: Choose = ({ processes: { routers } }, trouble) =>
+  chosen(routers, trouble, between(trouble, 1, routers.length));
+const someCores: Choose = ({ processes: { cores } }, trouble) =>
+  chosen(cores, trouble, between(trouble, 1, Math.ceil(cores.length / 2)));
+
+/** The troubles of processes. */
+export const processTroubles: TroubleActions = new Map<TroubleKind, TroubleAction>([
+  ['core-killed', killed(oneCore)],
+  ['cores-killed', killed(severalCores)],
+  ['all-cores-killed', killed(allCores)],
+  ['router-killed', killed(someRouters)],
+  ['core-paused', paused(someCores)],
+  ['router-paused', paused(someRouters)],
+  ['core-disk-lost', diskLost],
+  ['core-paused-and-killed', pausedAndKilled],
+  ['router-stopped', stopped(oneRouter)],
+  ['router-stopped-and-killed', stoppedAndKilled],
+  ['core-stopped', stopped(oneCore)],
+  ['reloaded', reloaded],
+]);
--- a/src/stand/opaque/caller.ts
+++ b/src/stand/opaque/caller.ts
@@ -68,6 +68,59 @@
   return Buffer.concat(pieces);
 };
 
+/** A try that begins now. */
+export const openTry = (id: string, router: string, at: number, after = 0): Try => ({
+  id,
+  router,
+  at,
+  after,
+  ended: 0,
+  connected: false,
+  status: 0,
+  answeredId: '',
+  seal: '',
+  encoding: '',
+  retryAfter: undefined,
+  body: '',
+  events: [],
+  stream: false,
+  complete: false,
+  malformed: '',
+  surplus: 0,
+  reason: '',
+  firstAt: 0,
+});
+
+/** Notes what came back on a try, and why it ended where it did so without a whole answer. */
+export const noteAnswer = (
+  told: Try,
+  reader: AnswerReader,
+  reason: string,
+  dialect: Dialect = ownDialect,
+): void => {
+  const [answer] = reader.answers;
+  told.malformed = reader.malformed;
+  told.surplus =
+    Math.max(0, reader.answers.length - 1) + (answer?.complete && reader.rest > 0 ? 1 : 0);
+  if (!answer) {
+    told.reason = reason;
+    return;
+  }
+  const { status, fields, body, complete } = answer;
+  told.status = status;
+  told.complete = complete;
+  told.answeredId = fields.get(dialect.requestId) ?? '';
+  told.seal = fields.get(dialect.seal) ?? '';
+  told.encoding = fields.get('content-encoding') ?? '';
+  const wait = Number(fields.get('retry-after'));
+  told.retryAfter = fields.has('retry-after') && Number.isFinite(wait) ? wait * 1000 : undefined;
+  told.body = body.toString('latin1');
+  told.stream = (fields.get('content-type') ?? '').startsWith('text/event-stream');
+  if (told.stream)
+    told.events.push(...told.body.split(/(?<=\n\n)/).filter((event) => event.endsWith('\n\n')));
+  if (!complete) told.reason = reason;
+};
+
 /** Sends opaque requests, tries again as callers do, and records the answers. */
 export class OpaqueCaller {
   readonly asked: Asked[] = [];
@@ -128,27 +181,7 @@
     asked: Asked,
     gone?: AbortSignal,
   ): Promise<Try> {
-    const told: Try = {
-      id: this.random.identity(),
-      router,
-      at: this.clock.wall(),
-      after,
-      ended: 0,
-      connected: false,
-      status: 0,
-      answeredId: '',
-      seal: '',
-      encoding: '',
-      retryAfter: undefined,
-      body: '',
-      events: [],
-      stream: false,
-      complete: false,
-      malformed: '',
-      surplus: 0,
-      reason: '',
-      firstAt: 0,
-    };
+    const told = openTry(this.random.identity(), router, this.clock.wall(), after);
     asked.tries.push(told);
     const fields: Array<readonly [string, string]> = [
       ...(asking.fields ?? []),
@@ -169,7 +202,7 @@
         socket.destroy();
         reader.end();
         told.ended = this.clock.wall();
-        this.read(told, reader, reason);
+        noteAnswer(told, reader, reason, this.dialect);
         resolve(told);
       };
       const leave = (): void => over('given up by its caller');
@@ -206,29 +239,4 @@
       socket.once('close', () => over('closed'));
     });
   }
-
-  private read(told: Try, reader: AnswerReader, reason: string): void {
-    const [answer] = reader.answers;
-    told.malformed = reader.malformed;
-    told.surplus =
-      Math.max(0, reader.answers.length - 1) +
-      (reader.answers[0]?.complete && reader.rest > 0 ? 1 : 0);
-    if (!answer) {
-      told.reason = reason;
-      return;
-    }
-    const { status, fields, body, complete } = answer;
-    told.status = status;
-    told.complete = complete;
-    told.answeredId = fields.get(this.dialect.requestId) ?? '';
-    told.seal = fields.get(this.dialect.seal) ?? '';
-    told.encoding = fields.get('content-encoding') ?? '';
-    const wait = Number(fields.get('retry-after'));
-    told.retryAfter = fields.has('retry-after') && Number.isFinite(wait) ? wait * 1000 : undefined;
-    told.body = body.toString('latin1');
-    told.stream = (fields.get('content-type') ?? '').startsWith('text/event-stream');
-    if (told.stream)
-      told.events.push(...told.body.split(/(?<=\n\n)/).filter((event) => event.endsWith('\n\n')));
-    if (!complete) told.reason = reason;
-  }
 }
