A connection may rest as long as its newest answer told

Cause: the idle time told was the one at the request before a change, and the connection was judged by the limit at the answer's end. Node now finds the limit in force when it parses a request, and the larger of what was told and what is in force at the answer's end, or later, counts. told-idle.test.ts: 2 of 2 failed before, none now; test/forward/idle, connections, stopping and test/faces pass.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -15,7 +15,7 @@
   rejection: string | undefined;
   /** Since when nothing is under way; undefined before the first request. */
   idleSince: Moment | undefined;
-  /** The idle limit in force when it became idle. */
+  /** How long it may rest: what its newest answer told, or the limit in force at that answer's end if that is more. */
   idleLimit: number;
   /** Bytes that had been read when it became idle. */
   bytesRead: number;
@@ -50,14 +50,17 @@
     socket.once('close', () => this.open.delete(socket));
   }
 
-  /** Notes a request; false where its connection is to end before it, so that it must not be begun. */
-  begin(request: IncomingMessage, response: ServerResponse): boolean {
+  /**
+   * Notes a request whose answer tells its caller an idle limit of `told` ms; false where its connection is to end before
+   * it, so that it must not be begun.
+   */
+  begin(request: IncomingMessage, response: ServerResponse, told: number): boolean {
     const { socket } = request;
     const connection = this.open.get(socket);
     if (!connection || connection.rejection !== undefined) return false;
     connection.idleSince = undefined;
     connection.unanswered.set(response, request);
-    response.once('close', () => this.end(socket, connection, response));
+    response.once('close', () => this.end(socket, connection, response, told));
     return true;
   }
 
@@ -101,12 +104,17 @@
     return idleSince !== undefined && socket.bytesRead === bytesRead;
   }
 
-  private end(socket: Socket, connection: Connection, response: ServerResponse): void {
+  private end(
+    socket: Socket,
+    connection: Connection,
+    response: ServerResponse,
+    told: number,
+  ): void {
     connection.unanswered.delete(response);
     if (connection.rejection !== undefined) return this.finishRejected(socket, connection);
     if (connection.unanswered.size > 0) return;
     connection.idleSince = this.clock.now();
-    connection.idleLimit = this.idleLimit();
+    connection.idleLimit = Math.max(told, this.idleLimit());
     connection.bytesRead = socket.bytesRead;
     if (this.closing) setImmediate(() => this.closeResting(socket, connection));
   }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -55,6 +55,10 @@
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
       this.connections.reject(socket, error.code),
     );
+    // Node tells each answer's caller the value that it finds here when the request has been parsed.
+    Object.defineProperty(this.server, 'keepAliveTimeout', {
+      get: () => this.toldIdleLimit(),
+    });
     // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
     this.server.on('timeout', () => undefined);
     this.heed();
@@ -97,7 +101,7 @@
   private take(request: IncomingMessage, response: ServerResponse): void {
     this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
-    if (!this.connections.begin(request, response)) return;
+    if (!this.connections.begin(request, response, this.toldIdleLimit())) return;
     this.handler.handle(request, response);
   }
 
@@ -114,11 +118,13 @@
   /** ms that a connection may rest: what callers are told, in whole seconds, and the limit itself. */
   private idleLimit(): number {
     const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
-    return Math.max(limit, this.toldSeconds(limit) * 1000);
+    return Math.max(limit, this.toldIdleLimit());
   }
 
-  private toldSeconds(limit: number): number {
-    return Math.max(1, Math.floor(limit / 1000));
+  /** The idle limit in force as callers are told it: in whole seconds, one at least. */
+  private toldIdleLimit(): number {
+    const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
+    return Math.max(1, Math.floor(limit / 1000)) * 1000;
   }
 
   private heed(): void {
@@ -126,6 +132,5 @@
     if (limits === this.heeded) return;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
-    this.server.keepAliveTimeout = this.toldSeconds(limits.idleTimeout ?? IDLE_TIMEOUT) * 1000;
   }
 }
