--- a/src/fleet/soak/run.ts
+++ b/src/fleet/soak/run.ts
@@ -73,7 +73,7 @@
     this.scene = new OpaqueScene(
       this.fleet,
       seed,
-      { stepBase: 4, plainTokens: 25 },
+      { stepBase: 4, plainTokens: 25, readRate: 400 },
       {
         engine: (identifier, bound) => network.engines.add(slotOf(identifier), bound),
         requests: reach,
--- a/src/fleet/soak/traffic.ts
+++ b/src/fleet/soak/traffic.ts
@@ -25,7 +25,7 @@
 ];
 
 const SHORT = promptOf(400, 40);
-const LONG = promptOf(400, 300);
+const LONG = promptOf(400, 120);
 const patience = { host: HOST, deadline: DEADLINE, silence: SILENCE } as const;
 
 /** The kinds of requests that come steadily, each on a connection of its own. */
