--- a/src/fleet/soak/troubles/process-troubles.ts
+++ b/src/fleet/soak/troubles/process-troubles.ts
@@ -94,11 +94,13 @@
   },
 );
 
-const reloaded: TroubleAction = async ({ processes }, trouble) => {
-  const names = chosen(processes.all, trouble, between(trouble, 1, processes.all.length));
-  await Promise.all(names.map((name) => processes.reload(name)));
-  return names;
-};
+/** A process that begins to run can't take a signal yet, so only those that are up are told. */
+const reloaded: TroubleAction = holding(
+  ({ processes: { all } }, trouble) => chosen(all, trouble, between(trouble, 1, all.length)),
+  async ({ processes }, names) => {
+    await Promise.all(names.map((name) => processes.reload(name)));
+  },
+);
 
 const oneCore: Choose = ({ processes }, trouble) => chosen(processes.cores, trouble);
 const oneRouter: Choose = ({ processes }, trouble) => chosen(processes.routers, trouble);
