--- a/src/fleet/soak/operators.ts
+++ b/src/fleet/soak/operators.ts
@@ -19,8 +19,8 @@
   refusedAt: number | undefined;
 }
 
-const THINK_LEAST = 30;
-const THINK_MORE = 250;
+const THINK_LEAST = 10;
+const THINK_MORE = 100;
 const RESEND_FIRST = 50;
 const RESEND_MOST = 800;
 const READ_EVERY = 250;
