--- a/src/fleet/soak/run.ts
+++ b/src/fleet/soak/run.ts
@@ -2,10 +2,11 @@
  * One soak: a fleet of real processes under traffic and changes of the configuration while troubles overlap; then
  * everything heals, the configuration is read back, and all that is on record is judged.
  */
-import { SeededRandom, pick } from '../../kernel/random/random.js';
+import { SeededRandom } from '../../kernel/random/random.js';
 import { Fleet } from '../fleet.js';
 import { RecordedOperators } from '../history.js';
 import { OpaqueScene } from '../opaque.js';
+import { Closing } from './closing.js';
 import { firstConfiguration, SERVICES, TIMEOUTS } from './configurations.js';
 import { EngineSlots, slotOf } from './engine-slots.js';
 import type { ReadBack } from './judge/configuration.js';
@@ -15,25 +16,19 @@
 import { SentOrders, SoakOperator, type SentOrder } from './operators.js';
 import { paramsFor, RETRIES, TIMES, type SoakPlan } from './plan.js';
 import { Processes } from './processes.js';
-import { Incidents, type SoakFinding } from './record.js';
+import { Incidents } from './record.js';
 import { Redundancy } from './redundancy.js';
 import { reportOf, writeRecords, type SoakReport } from './report.js';
 import { drawSchedule } from './schedule.js';
-import { DEADLINE, KINDS, SoakTraffic } from './traffic.js';
+import { DEADLINE, SoakTraffic } from './traffic.js';
 import { TroubleRunner } from './troubles/runner.js';
 import { Vigil } from './vigil.js';
 
 /** ms that a call on the configuration is given, and after which its caller goes on. */
 const CALL_WAIT = 2000;
 const CALL_LIMIT = 3000;
-/** Far above what anything takes to come back; a busy machine is no verdict. */
-const HEAL_LIMIT = 120_000;
+/** Far above what a start takes; a busy machine is no verdict. */
 const START_LIMIT = 240_000;
-/** Requests of each kind that must be served after everything has healed. */
-const SERVED_AFTER = 5;
-/** Orders that are sent once more at the end, to see that their answers still hold. */
-const REPEATED = 40;
-const REPEATED_TRIES = 20;
 
 const OPERATORS = ['a', 'b'] as const;
 
@@ -50,13 +45,11 @@
   private readonly vigil: Vigil;
   private readonly runner: TroubleRunner;
   private readonly stopOperators = new AbortController();
-  private readonly random: SeededRandom;
-  private readonly findings: SoakFinding[] = [];
+  private readonly closing: Closing;
 
   constructor(private readonly plan: SoakPlan) {
     const { network, incidents } = this;
     const { seed } = plan;
-    this.random = new SeededRandom(seed + 5);
     this.fleet = new Fleet({
       folder: plan.folder,
       cores: plan.cores,
@@ -85,6 +78,14 @@
       network.operators.addresses.get(node)!,
     );
     this.traffic = new SoakTraffic(this.scene, reach, this.orders, seed + 2);
+    this.closing = new Closing(
+      this.fleet,
+      this.processes,
+      this.scene,
+      this.operators,
+      this.orders,
+      new SeededRandom(seed + 5),
+    );
     this.vigil = new Vigil(this.fleet, incidents);
     this.runner = new TroubleRunner({
       processes: this.processes,
@@ -165,88 +166,19 @@
     const schedule = drawSchedule(plan.seed, plan.seconds, plan.only);
     await this.runner.play(schedule, plan.seconds * 1000);
     await this.runner.heal();
-    await this.awaitReady();
-    await this.awaitServed();
+    await this.closing.awaitRecovery();
     this.stopOperators.abort();
     await Promise.all(running);
   }
 
-  /** Every process must be ready again. */
-  private async awaitReady(): Promise<void> {
-    const { processes, fleet } = this;
-    await Promise.all(
-      processes.all.map(async (name) => {
-        let reason = '';
-        const isReady = async (): Promise<boolean> => {
-          const told = await processes.readiness(name);
-          ({ reason } = told);
-          return told.isReady;
-        };
-        await fleet
-          .until(`${name} to be ready`, isReady, HEAL_LIMIT)
-          .catch(() => this.find('not-ready', name, reason));
-      }),
-    );
-  }
-
-  /** Every kind of request must be served again. */
-  private async awaitServed(): Promise<void> {
-    const since = Date.now();
-    const served = (kind: string): number =>
-      this.scene.caller.asked.filter(
-        ({ name, began, outcome }) => name === kind && began >= since && outcome === 'served',
-      ).length;
-    for (const { name } of KINDS)
-      await this.fleet
-        .until(
-          `${name} to be served`,
-          () => Promise.resolve(served(name) >= SERVED_AFTER),
-          HEAL_LIMIT,
-        )
-        .catch(() => this.find('not-served', name, `${served(name)} since all was healed`));
-  }
-
   private async end(): Promise<ReadBack[]> {
-    await this.repeatOrders();
-    const readBacks: ReadBack[] = [];
-    for (const node of this.processes.all) readBacks.push(await this.readBack(node));
+    await this.closing.repeatOrders();
+    const readBacks = await this.closing.readBackAll();
     await this.traffic.finish();
     await this.vigil.finish();
     return readBacks;
   }
 
-  /** Sends some of the orders once more: what was answered clearly must be answered so again, or not clearly. */
-  private async repeatOrders(): Promise<void> {
-    const open = this.orders.all.filter(
-      ({ acknowledgedAt, refusedAt }) => acknowledgedAt === undefined && refusedAt === undefined,
-    );
-    const newest = this.orders.all.slice(-REPEATED);
-    const older = Array.from({ length: REPEATED }, () => pick(this.random, this.orders.all)!);
-    for (const sent of new Set([...open.slice(-REPEATED), ...older, ...newest]))
-      await this.repeat(sent);
-  }
-
-  private async repeat(sent: SentOrder): Promise<void> {
-    const isOld = sent.acknowledgedAt !== undefined || sent.refusedAt !== undefined;
-    for (let tries = 0; tries < (isOld ? 1 : REPEATED_TRIES); tries++) {
-      const node = pick(this.random, this.processes.cores)!;
-      const answer = await this.operators.send(node, sent.order, sent.isValid);
-      SentOrders.note(sent, answer);
-      if (answer !== 'unclear') return;
-    }
-  }
-
-  private async readBack(node: string): Promise<ReadBack> {
-    let readBack: ReadBack = { node, configuration: undefined, isClear: false };
-    const read = async (): Promise<boolean> => {
-      const shown = await this.operators.show(node);
-      if (shown) readBack = { node, configuration: shown.configuration, isClear: true };
-      return readBack.isClear;
-    };
-    await this.fleet.until(`${node} to show the configuration`, read, HEAL_LIMIT).catch(() => 0);
-    return readBack;
-  }
-
   private evidence(readBacks: readonly ReadBack[]): SoakEvidence {
     const routers = new Map(
       [...this.network.requests.addresses].map(([name, address]) => [address, name]),
@@ -274,7 +206,7 @@
   private async report(readBacks: readonly ReadBack[]): Promise<SoakReport> {
     const evidence = this.evidence(readBacks);
     const findings = [
-      ...this.findings,
+      ...this.closing.findings,
       ...this.processes.findings,
       ...this.vigil.findings(),
       ...judgeSoak(evidence),
@@ -290,10 +222,6 @@
     if (findings.length > 0) await writeRecords(run);
     return reportOf(run);
   }
-
-  private find(rule: string, subject: string, detail: string): void {
-    this.findings.push({ rule, subject, detail });
-  }
 }
 
 /** Runs one soak and judges it. */
