--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -7,7 +7,7 @@
 import { TcpNet, type Net } from '../kernel/net/net.js';
 import { SystemRandom, type Random } from '../kernel/random/random.js';
 import { PlannedWork } from '../monitor/planned-work.js';
-import type { Params } from '../params/shape.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
 import { VoterDirectory } from '../register/voter-directory.js';
 import { Tracing } from '../trace/tracing.js';
@@ -67,7 +67,7 @@
         {
           name: self.name,
           incarnation: self.incarnation,
-          address: params.listen.peers,
+          address: advertisedAddress(params),
           zone: params.zone,
           role,
           age: 0,
