A round passes the digest of its base on instead of encoding the base again

applyChanges encoded the whole base to name its digest, though the round that read the base knows it. Ruled out: that the digest could differ; the chain is checked by that of the bytes, which is the one passed now. Tests: change, configure, delta (unit), held-revision pass.

--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -15,6 +15,7 @@
   type Change,
   type Claim,
   type ConfigureAct,
+  type Digest,
   type Document,
   type DoorwayAct,
   type Revision,
@@ -267,7 +268,16 @@
   return { ...document, outcomes };
 };
 
-export const applyChanges = (base: Document, changes: readonly Change[]): Applied => {
+/**
+ * Applies changes in turn to a committed document.
+ *
+ * @param digest that of the base, where it is known already
+ */
+export const applyChanges = (
+  base: Document,
+  changes: readonly Change[],
+  digest?: Digest,
+): Applied => {
   const next = base.revision + 1;
   const verdicts = new Map<string, Verdict>();
   const cause: Change[] = [];
@@ -300,8 +310,6 @@
     verdicts.set(change.id, { kind: 'applied', revision: next });
   }
   if (cause.length === 0) return { document: base, verdicts };
-  return {
-    document: { ...draft, revision: next, previous: digestOf(encodeDocument(base)), cause },
-    verdicts,
-  };
+  const previous = digest ?? digestOf(encodeDocument(base));
+  return { document: { ...draft, revision: next, previous, cause }, verdicts };
 };
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -227,11 +227,12 @@
       ]);
       return read as Outcome<never>;
     }
-    const { ballot, core, document } = read.unsafeCoerce();
+    const { ballot, core, document, digest } = read.unsafeCoerce();
     const batch = taken.filter((item) => this.waiting.includes(item));
     const { document: next, verdicts } = applyChanges(
       document,
       batch.map(({ change }) => change),
+      digest,
     );
     const certain = batch.filter(({ change }) => {
       const verdict = verdicts.get(change.id);
