A proposer renews one timer for the revision that it holds

hold() began a sleep of 10 s for each revision read or proposed: two a change, each with its closure, for as long. Test: held-revision.test.ts; 50 changes left 100 long timers open before, 1 now; what was held is forgotten 10 s after the last use, as before.

--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -12,7 +12,7 @@
  * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { later, type Clock, type Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
@@ -95,7 +95,8 @@
   private busy = false;
   /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
   private known: Revision | undefined;
-  private knownSince: Moment | undefined;
+  /** Until when it is held. */
+  private knownUntil: Moment | undefined;
   readonly contact: QuorumContact;
 
   constructor(
@@ -326,15 +327,21 @@
 
   /** Holds a revision until no other was read or proposed for a while. */
   private hold(revision: Revision): Revision {
+    const isForgetting = this.knownUntil !== undefined;
     this.known = revision;
-    const now = this.clock.now();
-    this.knownSince = now;
-    void this.clock.sleep(KNOWN_FOR).then(() => {
-      if (this.knownSince === now) this.known = undefined;
-    });
+    this.knownUntil = later(this.clock.now(), KNOWN_FOR);
+    if (!isForgetting) void this.forget();
     return revision;
   }
 
+  /** Forgets the revision held once its time is over, which may be put off meanwhile. */
+  private async forget(): Promise<void> {
+    while (this.knownUntil !== undefined && this.knownUntil > this.clock.now())
+      await this.clock.sleep(this.knownUntil - this.clock.now());
+    this.known = undefined;
+    this.knownUntil = undefined;
+  }
+
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
   private async seekPromises(core: VoterSet): Promise<Promises> {
     const { known } = this;
