--- a/test/redundancy/cluster.ts
+++ b/test/redundancy/cluster.ts
@@ -36,7 +36,7 @@
   /** How many voters are wanted. */
   readonly wanted: 3 | 5;
   readonly routers: number;
-  readonly log?: Log;
+  readonly log?: Log | undefined;
 }
 
 const coreAddress = (number: number): string => `10.0.0.${number}:1`;
@@ -69,6 +69,8 @@
   readonly cores = new Map<number, SimCore>();
   readonly disks = new Map<number, SimDisk>();
   readonly routers: SimRouter[] = [];
+  /** Machines that are stopped for good. */
+  readonly retired = new Set<number>();
   private newestNumber = 0;
   private readonly mends = new Map<number, () => void>();
 
@@ -155,6 +157,7 @@
   /** A planned stop, by the core's own way; the machine is gone afterwards. */
   async stop(number: number): Promise<void> {
     const core = this.cores.get(number)!;
+    this.retired.add(number);
     const left = core.node.leave(LEAVE_LIMIT);
     const isOver = new Promise<void>((resolve) => this.world.at(LEAVE_LIMIT, () => resolve()));
     await Promise.race([left, isOver]);
@@ -175,6 +178,21 @@
     this.mends.delete(number);
   }
 
+  /** Each event takes a core machine so many ms; nothing by default. */
+  slow(number: number, eventCost: number): void {
+    const { host } = this.cores.get(number)!;
+    if (eventCost > 0) host.slow(eventCost);
+    else host.speedUp();
+  }
+
+  slowDisk(number: number, latency = SYNCED_WRITE): void {
+    this.disks.get(number)!.latency = latency;
+  }
+
+  stallDisk(number: number, stalled: boolean): void {
+    this.disks.get(number)!.stalled = stalled;
+  }
+
   isUp(number: number): boolean {
     return this.cores.get(number)?.host.dead === false;
   }
--- a/test/redundancy/day.ts
+++ b/test/redundancy/day.ts
@@ -52,6 +52,20 @@
     );
   }
 
+  /** Runs until some ms after the next order was sent. */
+  async afterNextOrder(delay: number): Promise<void> {
+    const { ledger } = this.operators;
+    await this.plane.world.until(
+      new Promise<void>((resolve) => {
+        ledger.onSent = (): void => {
+          ledger.onSent = (): void => undefined;
+          resolve();
+        };
+      }),
+    );
+    await this.plane.pass(delay);
+  }
+
   /** Everything loses power at this very moment, routers too, and some machines their disks; all come back. */
   async powerOff(disksLost: readonly number[], downtime: number): Promise<void> {
     const { plane } = this;
@@ -61,7 +75,7 @@
       else plane.losePower(number);
     plane.routers.forEach((_, at) => plane.loseRouterPower(at));
     await plane.pass(downtime);
-    numbers.forEach((number) => plane.start(number));
+    numbers.filter((number) => !plane.retired.has(number)).forEach((number) => plane.start(number));
     plane.routers.forEach((_, at) => plane.startRouter(at));
   }
 
--- a/test/redundancy/operators.ts
+++ b/test/redundancy/operators.ts
@@ -62,7 +62,7 @@
 
   private async operate(who: number): Promise<void> {
     const { operators, pause } = this.options;
-    let base = 0;
+    let base = this.ledger.newest;
     while (!this.stopped) {
       const order = this.nextOrder(who, base);
       if (await this.order(order)) base = order.version;
--- a/test/redundancy/orders.ts
+++ b/test/redundancy/orders.ts
@@ -60,10 +60,12 @@
   readonly open = new Set<Order>();
   newest = 0;
   onAcknowledged: (order: Order, node: number) => void = () => undefined;
+  onSent: (order: Order) => void = () => undefined;
 
   send(order: Order): void {
     this.sent.set(`${order.version}/${order.mark}`, order);
     this.open.add(order);
+    this.onSent(order);
   }
 
   acknowledge(order: Order, node: number, now: number): void {
