The register's invariants are checked in every process, counted, and end tests

Cause: what test/sim checks after each event (promises and accepted ballots don't fall, a voter holds what is committed, no two committed values under one revision) was not checked where it counts, in the daemon.

The check of one member moved to progress-check.ts, which the simulator's observer and each process use. A process looks at each step of its member, at each revision it learns to be committed, at each one that comes into force, and at each order it acknowledges, whose revision a majority must be known to hold. Metric: register_invariant_violations by invariant. A simulated world ends at the first violation that any node finds in itself; a fleet of processes throws at its stop when a log, of any life of any node, tells of one. No behaviour is changed.

--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -20,6 +20,7 @@
 import { patienceOf } from '../register/contact.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { readConfiguration, readPatch } from '../route/check.js';
 import type { Configuration } from '../route/shape.js';
@@ -37,6 +38,7 @@
     private readonly acceptance: Acceptance,
     private readonly inForce: InForce,
     private readonly clock: Clock,
+    private readonly invariants: RegisterInvariants,
   ) {}
 
   replace(configuration: unknown, expects: number, wait: number): Promise<ConfigureReply> {
@@ -160,7 +162,10 @@
     if (verdict.kind === 'declined')
       return { outcome: 'invalid', version: this.version, reason: verdict.reason };
     const application = await this.acceptance.of(verdict.revision, limit - this.clock.now());
-    if (application.everywhere) return { outcome: 'accepted', version: act.version, reason: '' };
+    if (application.everywhere) {
+      this.invariants.noteAcknowledged(verdict.revision, this.proposer.heldByMajority);
+      return { outcome: 'accepted', version: act.version, reason: '' };
+    }
     return {
       outcome: 'unknown',
       version: act.version,
--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -7,7 +7,7 @@
 import type { InForce } from '../doorway/match.js';
 import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
-import { Acceptance } from '../lease/acceptance.js';
+import type { Acceptance } from '../lease/acceptance.js';
 import { awaitApplication } from '../lease/application.js';
 import { LeaseHolders } from '../lease/calls.js';
 import type { Newsroom } from '../pool/news.js';
@@ -33,6 +33,7 @@
 } from '../register/document.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { Trace } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
@@ -74,7 +75,8 @@
     private readonly view: View,
     private readonly news: Newsroom | undefined,
     private readonly clock: Clock,
-    private readonly acceptance = new Acceptance(peers, voterDirectory, clock),
+    private readonly acceptance: Acceptance,
+    private readonly invariants: RegisterInvariants,
   ) {}
 
   /** Follows the claims in force, to know for how long each has gone without renewal on this node's own clock. */
@@ -533,8 +535,10 @@
     left: number,
   ): Promise<Outcome<Changed>> {
     const application = await this.acceptance.of(revision, left);
-    if (application.everywhere)
+    if (application.everywhere) {
+      this.invariants.noteAcknowledged(revision, this.proposer.heldByMajority);
       return Right({ change, outcome: 'accepted', revision, silent: [], reason: '' });
+    }
     return Right({
       change,
       outcome: 'unknown',
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -30,13 +30,14 @@
 import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
 import type { PlannedWork } from '../monitor/planned-work.js';
-import { countPassages, countRequestEnds, gauge } from '../node/metrics.js';
+import { countPassages, countRequestEnds, countViolations, gauge } from '../node/metrics.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import type { PassageEvent } from '../passage/chart.js';
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { RouterModule } from '../router/module.js';
 import { RouterNode } from '../router/node.js';
@@ -160,6 +161,12 @@
     'The revision in force here',
     () => context.get<InForce>(names.inForce).revision,
   );
+  countViolations(
+    registry,
+    'register_invariant_violations',
+    'What must never be about the register, by invariant',
+    context.get<RegisterInvariants>(names.registerInvariants).violations,
+  );
   const { contact } = context.get<Proposer>(names.proposer);
   gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
     Number(contact.holds),
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -18,6 +18,7 @@
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
 import { keepRecovering } from '../register/recovery.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Repair } from '../register/repair.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { VoterReplacement } from '../register/replacement.js';
@@ -51,6 +52,7 @@
     @Inject(names.random) private readonly random: Random,
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
+    @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -149,6 +151,7 @@
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
       if (newest && this.inForce.swap(newest)) {
+        this.invariants.noteInForce(this.inForce.revision);
         this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
@@ -192,8 +195,22 @@
           { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
           {
             provide: names.member,
-            inject: [names.disk, names.peers, names.clock, names.random, names.log],
-            useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
+            inject: [
+              names.disk,
+              names.peers,
+              names.clock,
+              names.random,
+              names.log,
+              names.registerInvariants,
+            ],
+            useFactory: (
+              disk: Disk,
+              peers: Peers,
+              clock: Clock,
+              random: Random,
+              log: Log,
+              invariants: RegisterInvariants,
+            ) =>
               new Member(
                 new Store(disk, params.fleet, {
                   revisions: params.core.keep,
@@ -204,6 +221,7 @@
                 random,
                 log,
                 params.core.stall,
+                invariants,
               ),
           },
           {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -3,7 +3,7 @@
  * log and its id. Processes are signalled only by the ids this tool started.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createWriteStream, existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { createServer, type Server } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -36,6 +36,9 @@
   child: ChildProcess;
 }
 
+/** What nodes log of an invariant that did not hold (src/monitor/violations.ts). */
+const VIOLATION = /^at=\S+ node=\S+ event=[a-z]+-violation /;
+
 const program = fileURLToPath(new URL('../../bin/rudderridge.js', import.meta.url));
 
 /** The key of a firm's callers. */
@@ -287,6 +290,17 @@
       this.signal(name, 'SIGKILL');
     }
     await Promise.all([...this.running.keys()].map((name) => this.exited(name)));
+    const found = this.violations();
+    if (found.length > 0) throw new Error(`nodes found violated invariants:\n${found.join('\n')}`);
+  }
+
+  /** The lines in which nodes, in any of their lives, told of an invariant that did not hold. */
+  violations(): string[] {
+    return [...this.running.keys()]
+      .map((name) => join(this.plan.folder, `${name}.log`))
+      .filter((file) => existsSync(file))
+      .flatMap((file) => readFileSync(file, 'utf8').split('\n'))
+      .filter((line) => VIOLATION.test(line));
   }
 
   async until(what: string, question: () => Promise<boolean>, limit = 30_000): Promise<void> {
--- a/src/monitor/violations.ts
+++ b/src/monitor/violations.ts
@@ -7,6 +7,7 @@
 /** The violations of one part of the program since its start. */
 export class Violations<Invariant extends string> {
   private readonly table: Map<Invariant, number>;
+  private sum = 0;
 
   /** `event` names the log lines. */
   constructor(
@@ -19,6 +20,7 @@
 
   /** Counts a violation and logs it. */
   note(invariant: Invariant, fields: Fields = []): void {
+    this.sum += 1;
     this.table.set(invariant, (this.table.get(invariant) ?? 0) + 1);
     this.log(this.event, [['invariant', invariant], ...fields]);
   }
@@ -30,6 +32,6 @@
 
   /** All violations together. */
   get total(): number {
-    return [...this.table.values()].reduce((sum, count) => sum + count, 0);
+    return this.sum;
   }
 }
--- a/src/node/control.ts
+++ b/src/node/control.ts
@@ -9,6 +9,7 @@
 import type { Params } from '../params/shape.js';
 import { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
@@ -26,6 +27,7 @@
       { token: names.news, optional: true },
       names.clock,
       names.acceptance,
+      names.registerInvariants,
     ],
     useFactory: (
       peers: Peers,
@@ -36,7 +38,19 @@
       news: Newsroom | undefined,
       clock: Clock,
       acceptance: Acceptance,
-    ) => new Operations(peers, voterDirectory, proposer, inForce, view, news, clock, acceptance),
+      invariants: RegisterInvariants,
+    ) =>
+      new Operations(
+        peers,
+        voterDirectory,
+        proposer,
+        inForce,
+        view,
+        news,
+        clock,
+        acceptance,
+        invariants,
+      ),
   },
   {
     provide: names.acceptance,
@@ -53,6 +67,7 @@
       names.acceptance,
       names.inForce,
       names.clock,
+      names.registerInvariants,
     ],
     useFactory: (
       peers: Peers,
@@ -61,6 +76,7 @@
       acceptance: Acceptance,
       inForce: InForce,
       clock: Clock,
-    ) => new Configurator(peers, voterDirectory, proposer, acceptance, inForce, clock),
+      invariants: RegisterInvariants,
+    ) => new Configurator(peers, voterDirectory, proposer, acceptance, inForce, clock, invariants),
   },
 ];
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -9,6 +9,7 @@
 import { PlannedWork } from '../monitor/planned-work.js';
 import type { Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { VoterDirectory } from '../register/voter-directory.js';
 import { Tracing } from '../trace/tracing.js';
 import { View } from '../view/view.js';
@@ -58,6 +59,11 @@
     inject: [names.net, names.clock, names.log, names.self],
     useFactory: (net: Net, clock: Clock, log: Log, self: Hello) => new Peers(net, clock, log, self),
   },
+  {
+    provide: names.registerInvariants,
+    inject: [names.log],
+    useFactory: (log: Log) => new RegisterInvariants(log),
+  },
   { provide: names.voterDirectory, useFactory: () => new VoterDirectory(params.seeds) },
   {
     provide: names.view,
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -11,6 +11,7 @@
   peers: 'wire.peers',
   voterDirectory: 'register.voterDirectory',
   proposer: 'register.proposer',
+  registerInvariants: 'register.invariants',
   member: 'register.member',
   grants: 'lease.grants',
   inForce: 'doorway.inForce',
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -120,6 +120,7 @@
   private commitHeld({ revision, digest }: CommitNotice): boolean {
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
+    this.replica.noteCommitted(revision, digest);
     if (revision <= chain.committed) return true;
     if (accepted?.parsed.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
@@ -149,6 +150,8 @@
   private commit(document: Document, filed: Filed): void {
     const { chain, log } = this.replica;
     if (!chain.commit(document, documentDigest(filed.document), filed)) return;
+    this.replica.noteCommitted(document.revision - 1, document.previous);
+    this.replica.check();
     log('committed', [['revision', document.revision]]);
     this.replica.prune();
   }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -15,7 +15,9 @@
 import { FeedServer } from './feed-server.js';
 import { Learner } from './learner.js';
 import { DiskRecovery } from './recovery.js';
-import { Replica, type MemberProgress } from './replica.js';
+import type { RegisterInvariants } from './register-invariants.js';
+import type { MemberProgress } from './member-progress.js';
+import { Replica } from './replica.js';
 import type { Store } from './store.js';
 import { Voting } from './voting.js';
 
@@ -32,8 +34,9 @@
     private readonly random: Random,
     log: Log,
     stall?: number,
+    invariants?: RegisterInvariants,
   ) {
-    this.replica = new Replica(store, clock, log, stall);
+    this.replica = new Replica(store, clock, log, stall, invariants);
     this.learner = new Learner(this.replica);
     this.recovery = new DiskRecovery(this.replica, this.learner);
   }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -96,6 +96,8 @@
   /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
   private known: Revision | undefined;
   private knownSince: Moment | undefined;
+  /** The newest revision that a majority of the voters is known to hold. */
+  heldByMajority = 0;
   readonly contact: QuorumContact;
 
   constructor(
@@ -317,6 +319,7 @@
     const complete = promises.map((reply) => withKnown(reply, known));
     return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
       const revision = this.hold(revisionOf(document, reply.document));
+      if (isCommitted) this.heldByMajority = Math.max(this.heldByMajority, document.revision);
       if (isCommitted && promises.some(({ committed }) => committed < document.revision))
         this.announce(core, reply.accepted, revision);
       return { ballot, core, committed: isCommitted, ...revision };
@@ -397,6 +400,7 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
+    this.heldByMajority = Math.max(this.heldByMajority, document.revision);
     this.announce(core, ballot, revision);
     this.voterDirectory.learn(document.core);
     return Right(undefined);
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -46,6 +46,7 @@
     acceptor.promise(found.promised);
     if (found.disqualified) guard.disqualify(found.disqualified);
     this.judgeCorrupt(found);
+    this.replica.check();
     return opened;
   }
 
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -10,26 +10,13 @@
 import { Chain } from './chain.js';
 import { DiskGuard } from './disk-guard.js';
 import { decodeDocument, type VoterSet, type Digest } from './document.js';
+import type { MemberProgress } from './member-progress.js';
+import { RegisterInvariants } from './register-invariants.js';
 import type { Store } from './store.js';
 
 const STALL = 1500;
 const NO_VOTERS: VoterSet = { number: 0, wanted: 0, members: [] };
 
-/** How far a member is, for those who watch that it never goes back. */
-export interface MemberProgress {
-  readonly id: string;
-  readonly promised: Ballot;
-  readonly accepted: Ballot;
-  /** The accepted revision. */
-  readonly revision: number;
-  readonly committed: number;
-  /** The digest of the committed revision. */
-  readonly digest: Digest;
-  readonly isVoting: boolean;
-  /** What it voted for may be lost. */
-  readonly isDisqualified: boolean;
-}
-
 /** The state of one member, in memory and on its disk. */
 export class Replica {
   id = '';
@@ -45,6 +32,7 @@
     readonly clock: Clock,
     readonly log: Log,
     readonly stall = STALL,
+    private readonly invariants = new RegisterInvariants(log),
   ) {
     this.chain = new Chain(clock);
     this.guard = new DiskGuard(clock, log, stall);
@@ -75,6 +63,7 @@
   async promise(ballot: Ballot): Promise<boolean> {
     if (!(await this.guard.confirm(this.store.keepPromise(ballot)))) return false;
     this.acceptor.promise(ballot);
+    this.check();
     return true;
   }
 
@@ -84,6 +73,7 @@
     const writing = this.store.keepRevision(parsed.revision, { ballot, document, under });
     if (!(await this.guard.confirm(writing))) return false;
     const isHeld = this.acceptor.hold(value);
+    this.check();
     this.prune();
     return isHeld;
   }
@@ -100,6 +90,16 @@
     this.store.prune(floor);
   }
 
+  /** Holds what this member shows now against all that it showed before. */
+  check(): void {
+    if (this.id) this.invariants.noteProgress(this.progress);
+  }
+
+  /** A peer told that a value is committed. */
+  noteCommitted(revision: number, digest: Digest): void {
+    if (revision <= this.chain.committed) this.invariants.noteCommitted(revision, digest);
+  }
+
   /** Keeps a committed revision below the accepted one on the disk. */
   keepHistory(revision: number, document: Uint8Array): Promise<boolean> {
     return this.guard.confirm(this.store.keepHistory(revision, document));
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -21,6 +21,7 @@
 import { Follower } from '../register/follower.js';
 import type { Document } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Relay } from '../register/relay.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
@@ -54,6 +55,7 @@
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
     @Inject(names.plannedWork) private readonly plannedWork: PlannedWork,
+    @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -84,7 +86,10 @@
         const newest = documents.at(-1);
         if (!newest) return;
         relay.note(items, documents, frames);
+        for (const { revision, previous } of documents)
+          this.invariants.noteCommitted(revision - 1, previous);
         if (!this.inForce.swap(newest)) return;
+        this.invariants.noteInForce(this.inForce.revision);
         this.plannedWork.note('configuration');
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
--- a/src/sim/member-observer.ts
+++ b/src/sim/member-observer.ts
@@ -5,8 +5,8 @@
  * and then does not vote, in this life or a later one. Of the whole fleet, no two members ever hold different committed
  * revisions of one number.
  */
-import { ballotText, compareBallots, FIRST, type Ballot } from '../register/ballot.js';
-import type { MemberProgress } from '../register/replica.js';
+import { ProgressCheck } from '../register/progress-check.js';
+import type { MemberProgress } from '../register/member-progress.js';
 
 /** What can be watched: one life of one member. */
 export interface ObservedLife {
@@ -15,16 +15,10 @@
   readonly progress: () => MemberProgress;
 }
 
-interface HighestSeen {
-  promised: Ballot;
-  accepted: Ballot;
-  committed: number;
-}
-
 /** Judges each life of each member against all that its id showed before. */
 export class MemberObserver {
   private lives: ObservedLife[] = [];
-  private readonly highest = new Map<string, HighestSeen>();
+  private readonly checks = new Map<string, ProgressCheck>();
   private readonly committed = new Map<string, string>();
   /** How many times a member was looked at, so that a test can tell that the watch was on. */
   looks = 0;
@@ -48,23 +42,9 @@
   }
 
   private judge(now: MemberProgress): string {
-    if (now.isDisqualified) return now.isVoting ? 'votes though it is disqualified' : '';
-    const seen = this.highest.get(now.id) ?? { promised: FIRST, accepted: FIRST, committed: 0 };
-    this.highest.set(now.id, seen);
-    if (compareBallots(now.promised, seen.promised) < 0)
-      return `promised fell from ${ballotText(seen.promised)} to ${ballotText(now.promised)}`;
-    if (compareBallots(now.accepted, seen.accepted) < 0)
-      return `accepted fell from ${ballotText(seen.accepted)} to ${ballotText(now.accepted)}`;
-    if (compareBallots(now.promised, now.accepted) < 0)
-      return `accepted ${ballotText(now.accepted)} above its promise ${ballotText(now.promised)}`;
-    if (now.isVoting && now.revision < Math.max(seen.committed, now.committed))
-      return `holds revision ${now.revision}, below committed ${Math.max(seen.committed, now.committed)}`;
-    if (now.committed > 0 && now.committed < seen.committed)
-      return `committed fell from ${seen.committed} to ${now.committed}`;
-    seen.promised = now.promised;
-    seen.accepted = now.accepted;
-    if (now.isVoting) seen.committed = Math.max(seen.committed, now.committed);
-    return '';
+    const check = this.checks.get(now.id) ?? new ProgressCheck();
+    this.checks.set(now.id, check);
+    return check.look(now)?.reason ?? '';
   }
 
   private judgeCommitted(fleet: string, { committed, digest }: MemberProgress): string {
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -9,6 +9,7 @@
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import { VoterDirectory } from '../register/voter-directory.js';
 import { Store } from '../register/store.js';
 import { Tracing } from '../trace/tracing.js';
@@ -55,6 +56,7 @@
   readonly stop: AbortController;
   readonly acceptance: Acceptance;
   readonly configurator: Configurator;
+  readonly invariants: RegisterInvariants;
 }
 
 export interface SimCore extends SimBase {
@@ -100,6 +102,7 @@
     params.view.every,
   );
   const inForce = new InForce();
+  const invariants = world.registerInvariants(log);
   const acceptance = new Acceptance(peers, voterDirectory, host.clock, params.lease);
   const configurator = new Configurator(
     peers,
@@ -108,6 +111,7 @@
     acceptance,
     inForce,
     host.clock,
+    invariants,
   );
   return {
     host,
@@ -121,6 +125,7 @@
     stop: new AbortController(),
     acceptance,
     configurator,
+    invariants,
   };
 };
 
@@ -143,6 +148,7 @@
     host.random,
     log,
     params.core.stall,
+    base.invariants,
   );
   world.members.watch({
     fleet: site.fleet,
@@ -159,6 +165,7 @@
     undefined,
     host.clock,
     base.acceptance,
+    base.invariants,
   );
   const node = new CoreNode(
     params,
@@ -175,6 +182,7 @@
     host.random,
     log,
     stop,
+    base.invariants,
   );
   return { ...base, member, keeper, operations, node };
 };
@@ -271,6 +279,7 @@
     news,
     clock,
     base.acceptance,
+    base.invariants,
   );
   const node = new RouterNode(
     params,
@@ -292,6 +301,7 @@
     log,
     stop,
     new PlannedWork(clock),
+    base.invariants,
   );
   return { ...base, lease, news, claims, prefixes, passage, operations, journal, node };
 };
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -4,9 +4,12 @@
  * time, and all that follows from one has run before the next is taken. With one seed a run repeats exactly.
  */
 import type { Channel } from '../kernel/net/net.js';
+import type { Log } from '../kernel/log/log.js';
 import { SeededRandom, type Random } from '../kernel/random/random.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Agenda } from './agenda.js';
 import type { Host } from './host.js';
+import type { Violations } from '../monitor/violations.js';
 import { MemberObserver } from './member-observer.js';
 
 /** What befalls a frame on its way. */
@@ -27,6 +30,8 @@
   readonly net: NetParams = { latency: 1, jitter: 1, mishap: () => 'pass' };
   /** Looks at all members of the register after each event. */
   readonly members = new MemberObserver();
+  /** What the nodes found wrong with themselves; looked at after each event. */
+  private readonly violations = new Set<Violations<string>>();
   private readonly agenda = new Agenda();
   /** How many faults under way cut each way. */
   private readonly cuts = new Map<string, number>();
@@ -55,12 +60,28 @@
       await drained();
       const fault = this.members.look();
       if (fault) throw new Error(`at ${this.now} virtual ms, ${fault}`);
+      this.lookForViolations();
     }
     if (done()) return true;
     this.now = Math.max(this.now, until);
     return false;
   }
 
+  private lookForViolations(): void {
+    for (const { total, counts } of this.violations) {
+      if (total === 0) continue;
+      const broken = [...counts].filter(([, count]) => count > 0).map(([invariant]) => invariant);
+      throw new Error(`at ${this.now} virtual ms, a node found: ${broken.join(', ')}`);
+    }
+  }
+
+  /** The checks of one simulated process; the world ends at the first violation that they find. */
+  registerInvariants(log: Log): RegisterInvariants {
+    const invariants = new RegisterInvariants(log);
+    this.violations.add(invariants.violations);
+    return invariants;
+  }
+
   /** Runs until a promise of the simulated tasks has settled. */
   async until<T>(promise: Promise<T>, limit = 120_000): Promise<T> {
     let value: { held: T } | undefined;
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -93,7 +93,15 @@
     const self = { fleet: 'f', name: 'core', incarnation: host.random.identity() };
     const peers = new Peers(host.net, host.clock, silentLog, self);
     const store = new Store(this.disk.open(host), 'f');
-    const member = new Member(store, peers, host.clock, host.random, silentLog);
+    const member = new Member(
+      store,
+      peers,
+      host.clock,
+      host.random,
+      silentLog,
+      undefined,
+      this.world.registerInvariants(silentLog),
+    );
     this.world.members.watch({
       fleet: 'f',
       isAlive: () => !host.dead,
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -67,6 +67,8 @@
     host.clock,
     host.random,
     silentLog,
+    undefined,
+    world.registerInvariants(silentLog),
   );
   world.members.watch({
     fleet: 'f',
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -29,7 +29,7 @@
 const startNode = (world: World, name: string, news: boolean): Node => {
   const address = places.get(name)!;
   const base = simBase(world, name, address, 'z', 'router', site);
-  const { host, inForce, peers, voterDirectory, proposer, stop } = base;
+  const { host, inForce, invariants, peers, voterDirectory, proposer, stop } = base;
   const { clock, random } = host;
   const peerLeases = new PeerLeases(name, inForce, peers, clock);
   peerLeases.serve();
@@ -57,7 +57,10 @@
     silentLog,
     (documents, items) => {
       relay.note(items, documents);
+      for (const { revision, previous } of documents)
+        invariants.noteCommitted(revision - 1, previous);
       if (inForce.swap(documents.at(-1)!)) lease.renewNow();
+      invariants.noteInForce(inForce.revision);
     },
     '',
     relay,
--- a/test/process/alone.test.ts
+++ b/test/process/alone.test.ts
@@ -3,6 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
+import { request } from 'undici';
 import { afterAll, beforeAll, expect, test } from 'vitest';
 import { Fleet } from '../../src/fleet/fleet.js';
 import { OpaqueScene, routeTo } from '../../src/fleet/opaque.js';
@@ -90,6 +91,23 @@
   expectSound();
 });
 
+test('every node tells of the invariants that it checks, none of which was violated', async () => {
+  for (const [name, address] of fleet.operators) {
+    const text = await (await request(`http://${address}/metrics`)).body.text();
+    const told = text.split('\n').filter((line) => /^rudderridge_\w+_violations\{/.test(line));
+    const metrics = new Set(told.map((line) => line.slice(0, line.indexOf('{'))));
+    expect([name, metrics.has('rudderridge_register_invariant_violations')]).toEqual([name, true]);
+    if (fleet.requests.has(name))
+      expect([name, metrics.has('rudderridge_request_invariant_violations')]).toEqual([name, true]);
+    expect(told.filter((line) => !line.endsWith(' 0'))).toEqual([]);
+  }
+});
+
+test('requests that ended are counted by cause', async () => {
+  for (const name of fleet.requests.keys())
+    expect(await fleet.metric(name, 'request_ends_total{cause="answered"}')).toBeGreaterThan(0);
+});
+
 test('a router that starts anew while the core is gone answers by the newest version or not at all', async () => {
   expect(await scene.put('core-3', configuration(4, 'beta'), 3)).toBe('accepted');
   await Promise.all(['core-1', 'core-2', 'core-3', 'router-1'].map((name) => fleet.kill(name)));
