What a change costs a node is told: work by kind, stalls, frames by call

Metrics: work_runs, work_ms, work_bytes and work_longest by kind (encoding, decoding, digesting documents, making and applying deltas, taking a revision, putting it in force); event_loop_stall_ms, event_loop_stalls, event_loop_stalled_ms; frames and bytes to and from peers by call. The line "in-force" of a router has the ms and bytes of each change. Stalls are told by the clock's own timers that come late, and not by monitorEventLoopDelay, whose timer would wake an idle process. A stall's line comes once a second at most, with the age of the last change.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -29,7 +29,10 @@
 import type { Log } from '../kernel/log/log.js';
 import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
+import type { NodeWork } from '../monitor/node-work.js';
 import type { PlannedWork } from '../monitor/planned-work.js';
+import type { Stalls } from '../monitor/stalls.js';
+import { costMetrics } from '../node/cost-metrics.js';
 import { countPassages, countRequestEnds, countViolations, gauge } from '../node/metrics.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
@@ -44,6 +47,7 @@
 import type { Tracing } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
+import type { Traffic } from '../wire/traffic.js';
 import { noExtension, type Extension, type Face } from '../node/extension.js';
 
 type Reread = () => Promise<Outcome<Params>>;
@@ -167,6 +171,12 @@
     'What must never be about the register, by invariant',
     context.get<RegisterInvariants>(names.registerInvariants).violations,
   );
+  costMetrics(registry, {
+    work: context.get<NodeWork>(names.nodeWork),
+    stalls: context.get<Stalls>(names.stalls),
+    traffic: context.get<Traffic>(names.traffic),
+    clock: context.get<Clock>(names.clock),
+  });
   const { contact } = context.get<Proposer>(names.proposer);
   gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
     Number(contact.holds),
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -11,6 +11,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { Grants } from '../lease/grants.js';
+import { NodeWork } from '../monitor/node-work.js';
 import type { Params } from '../params/shape.js';
 import { BootstrapAcceptor } from '../register/bootstrap/acceptor.js';
 import { Bootstrap, viewOf } from '../register/bootstrap/bootstrap.js';
@@ -53,6 +54,7 @@
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
     @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
+    @Inject(names.nodeWork) private readonly work: NodeWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -150,11 +152,13 @@
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
+      const begun = this.clock.now();
       if (newest && this.inForce.swap(newest)) {
         this.invariants.noteInForce(this.inForce.revision);
         this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
+        this.work.add('put-in-force', this.clock.now() - begun);
       }
       await this.member.chain.beyond(this.inForce.revision, 500);
     }
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -54,9 +54,14 @@
   }
 }
 
+/** Is told of each timer that fires, with how many ms after its time. */
+export type LateTimer = (now: Moment, late: Duration) => void;
+
 /** The clock of the operating system. */
 @Injectable()
 export class SystemClock implements Clock {
+  /** Watches how late timers fire. */
+  onTimer: LateTimer | undefined;
   private readonly reckoner = new Reckoner(
     () => this.now(),
     () => this.wall(),
@@ -77,7 +82,15 @@
   sleep(duration: Duration, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
-      const timer = setTimeout(done, Math.max(0, duration));
+      const due = this.now() + Math.max(0, duration);
+      const timer = setTimeout(
+        () => {
+          const now = this.now();
+          this.onTimer?.(now, now - due);
+          done();
+        },
+        Math.max(0, duration),
+      );
       function done(): void {
         clearTimeout(timer);
         signal?.removeEventListener('abort', done);
--- a/src/node/module.ts
+++ b/src/node/module.ts
@@ -4,9 +4,12 @@
 import { ownDialect } from '../forward/dialect.js';
 import { SystemClock, type Clock } from '../kernel/clock/clock.js';
 import { openLog, type Log } from '../kernel/log/log.js';
+import { rateLimited } from '../kernel/log/rate-limit.js';
 import { TcpNet, type Net } from '../kernel/net/net.js';
 import { SystemRandom, type Random } from '../kernel/random/random.js';
+import { NodeWork } from '../monitor/node-work.js';
 import { PlannedWork } from '../monitor/planned-work.js';
+import { Stalls } from '../monitor/stalls.js';
 import type { Params } from '../params/shape.js';
 import { Proposer } from '../register/proposer.js';
 import { RegisterInvariants } from '../register/register-invariants.js';
@@ -15,15 +18,38 @@
 import { View } from '../view/view.js';
 import type { Hello } from '../wire/call.js';
 import { Peers } from '../wire/peers.js';
+import { CountedNet, Traffic } from '../wire/traffic.js';
 import { SchemaCheck } from '../api/schema.js';
 import { Keys } from './keys.js';
 import { names } from './names.js';
 
+/** Lines of stalls are bounded: a process that is short of time has none for them. */
+const STALL_RATE = { lines: 1, window: 1000 };
+
+/** Has the clock tell of late timers, and logs the stalls that they show. */
+const watchStalls = (clock: Clock, log: Log, plannedWork: PlannedWork): Stalls => {
+  const bounded = rateLimited(log, clock, STALL_RATE);
+  const stalls = new Stalls((length) => {
+    const age = plannedWork.age('configuration');
+    bounded('event-loop-stalled', [
+      ['ms', Math.round(length)],
+      ['configurationAge', age === undefined ? undefined : Math.round(age)],
+    ]);
+  });
+  if (clock instanceof SystemClock) clock.onTimer = (now, late) => stalls.note(now, late);
+  return stalls;
+};
+
 /** The services that core nodes and routers have in common. */
 export const nodeProviders = (params: Params, role: 'core' | 'router'): Provider[] => [
   { provide: names.params, useValue: params },
   { provide: names.clock, useClass: SystemClock },
-  { provide: names.net, useClass: TcpNet },
+  { provide: names.traffic, useClass: Traffic },
+  {
+    provide: names.net,
+    inject: [names.traffic],
+    useFactory: (traffic: Traffic): Net => new CountedNet(new TcpNet(), traffic),
+  },
   { provide: names.random, useClass: SystemRandom },
   {
     provide: names.tracing,
@@ -59,6 +85,12 @@
     inject: [names.net, names.clock, names.log, names.self],
     useFactory: (net: Net, clock: Clock, log: Log, self: Hello) => new Peers(net, clock, log, self),
   },
+  {
+    provide: names.stalls,
+    inject: [names.clock, names.log, names.plannedWork],
+    useFactory: watchStalls,
+  },
+  { provide: names.nodeWork, useClass: NodeWork },
   {
     provide: names.registerInvariants,
     inject: [names.log],
--- a/src/node/names.ts
+++ b/src/node/names.ts
@@ -8,6 +8,7 @@
   disk: 'kernel.disk',
   stop: 'node.stop',
   self: 'node.self',
+  traffic: 'wire.traffic',
   peers: 'wire.peers',
   voterDirectory: 'register.voterDirectory',
   proposer: 'register.proposer',
@@ -40,6 +41,8 @@
   status: 'node.status',
   tracing: 'trace.tracing',
   plannedWork: 'monitor.plannedWork',
+  stalls: 'monitor.stalls',
+  nodeWork: 'monitor.nodeWork',
   metrics: 'node.metrics',
   keys: 'node.keys',
 } as const;
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { digestOf, encodeDocument, type Digest, type Document } from './document.js';
+import { documentWork } from './document-work.js';
 
 interface TableDelta {
   readonly set: ReadonlyArray<readonly [string | number, unknown]>;
@@ -117,7 +118,14 @@
   before: Document,
   after: Document,
   digest: Digest,
-): Uint8Array | undefined => {
+): Uint8Array | undefined =>
+  documentWork.measure(
+    'make-delta',
+    () => makeDelta(before, after, digest),
+    (bytes) => bytes?.length ?? 0,
+  );
+
+const makeDelta = (before: Document, after: Document, digest: Digest): Uint8Array | undefined => {
   const configuration = configurationDelta(before.configuration, after.configuration);
   const delta: Delta = {
     head: headOf(after),
@@ -140,6 +148,18 @@
   bytes: Uint8Array,
   digest: Digest,
   peer: string,
+): Outcome<Rebuilt> =>
+  documentWork.measure(
+    'apply-delta',
+    () => rebuild(before, bytes, digest, peer),
+    () => bytes.length,
+  );
+
+const rebuild = (
+  before: Document,
+  bytes: Uint8Array,
+  digest: Digest,
+  peer: string,
 ): Outcome<Rebuilt> => {
   try {
     const { head, tables, configuration } = JSON.parse(
@@ -157,7 +177,12 @@
         : before.configuration,
     } as unknown as Document;
     const whole = encodeDocument(after);
-    return digestOf(whole) === digest
+    const made = documentWork.measure(
+      'digest',
+      () => digestOf(whole),
+      () => whole.length,
+    );
+    return made === digest
       ? Right({ document: after, bytes: whole })
       : failed('delta.apply', peer, 'does not make the document it should');
   } catch (thrown) {
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -8,6 +8,7 @@
 import type { Doorway, Placed } from '../doorway/shape.js';
 import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { documentWork } from './document-work.js';
 
 export type Revision = number;
 export type ChangeId = string;
@@ -144,7 +145,11 @@
 export const documentDigest = (bytes: Uint8Array): Digest => {
   const known = documentDigests.get(bytes);
   if (known !== undefined) return known;
-  const digest = digestOf(bytes);
+  const digest = documentWork.measure(
+    'digest',
+    () => digestOf(bytes),
+    () => bytes.length,
+  );
   documentDigests.set(bytes, digest);
   return digest;
 };
@@ -170,7 +175,15 @@
 const pairs = <V>(table: ReadonlyMap<string, V>): Array<[string, V]> =>
   [...table].sort(([a], [b]) => (a < b ? -1 : 1));
 
+/** The text of a document, from which its digest is made. */
 export const encodeDocument = (document: Document): Uint8Array =>
+  documentWork.measure(
+    'encode',
+    () => encode(document),
+    (bytes) => bytes.length,
+  );
+
+const encode = (document: Document): Uint8Array =>
   Buffer.from(
     JSON.stringify({
       fleet: document.fleet,
@@ -190,7 +203,15 @@
     }),
   );
 
-export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
+/** Reads a document; `peer` is whom it came from. */
+export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> =>
+  documentWork.measure(
+    'decode',
+    () => decode(bytes, peer),
+    () => bytes.length,
+  );
+
+const decode = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
     if (!Number.isSafeInteger(raw.revision) || typeof raw.fleet !== 'string')
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -6,7 +6,7 @@
  * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
  * something is held, what follows comes as deltas.
  */
-import type { Clock } from '../kernel/clock/clock.js';
+import type { Clock, Moment } from '../kernel/clock/clock.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import { shuffled, type Random } from '../kernel/random/random.js';
@@ -58,6 +58,8 @@
   /** The document of the revision held, from which deltas can be applied. */
   private base: Document | undefined;
   private floor: number | undefined;
+  /** When it last began to take what came in. */
+  takingSince: Moment | undefined;
   /** The newest revision that any member is known to have committed. */
   private known = 0;
   private source = '';
@@ -270,6 +272,7 @@
   /** Takes what follows the revision held; says whether the source is worth asking again. */
   private async consume(source: string, { committed, items }: FeedReply): Promise<boolean> {
     if (committed < Math.max(this.held, this.floor ?? 0)) return false;
+    this.takingSince = this.clock.now();
     const documents: Document[] = [];
     const frames: FeedFrame[] = [];
     const taken: FeedItem[] = [];
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -11,6 +11,7 @@
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
+import { NodeWork } from '../monitor/node-work.js';
 import type { PlannedWork } from '../monitor/planned-work.js';
 import type { Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
@@ -30,6 +31,11 @@
 /** The longest that a planned stop takes for handing its duties over. */
 const HANDOVER = 1000;
 
+const sizeOf = (items: ReadonlyArray<{ readonly document: Uint8Array }>): number =>
+  items.reduce((sum, { document }) => sum + document.length, 0);
+
+const tenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10;
+
 /** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
@@ -56,6 +62,7 @@
     @Inject(names.stop) private readonly stop: AbortController,
     @Inject(names.plannedWork) private readonly plannedWork: PlannedWork,
     @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
+    @Inject(names.nodeWork) private readonly work: NodeWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -85,6 +92,9 @@
       (documents, items, _committed, frames) => {
         const newest = documents.at(-1);
         if (!newest) return;
+        const begun = this.clock.now();
+        const taking = begun - (follower.takingSince ?? begun);
+        this.work.add('take-revision', taking, sizeOf(frames));
         relay.note(items, documents, frames);
         for (const { revision, previous } of documents)
           this.invariants.noteCommitted(revision - 1, previous);
@@ -92,10 +102,18 @@
         this.invariants.noteInForce(this.inForce.revision);
         this.plannedWork.note('configuration');
         this.operations.noteClaims(newest);
-        this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
         this.lease.renewNow();
         this.passage.stir();
+        const putting = this.clock.now() - begun;
+        this.work.add('put-in-force', putting, sizeOf(items.slice(-1)));
+        this.log('in-force', [
+          ['revision', newest.revision],
+          ['takeMs', tenths(taking)],
+          ['putMs', tenths(putting)],
+          ['bytes', sizeOf(items.slice(-1))],
+          ['feedBytes', sizeOf(frames)],
+        ]);
       },
       '',
       relay,
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -22,6 +22,7 @@
 import { PeerLeases } from '../lease/peer-leases.js';
 import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
+import { NodeWork } from '../monitor/node-work.js';
 import { PlannedWork } from '../monitor/planned-work.js';
 import { TakenIds } from '../passage/ids.js';
 import { Lines } from '../passage/line.js';
@@ -183,6 +184,7 @@
     log,
     stop,
     base.invariants,
+    new NodeWork(),
   );
   return { ...base, member, keeper, operations, node };
 };
@@ -302,6 +304,7 @@
     stop,
     new PlannedWork(clock),
     base.invariants,
+    new NodeWork(),
   );
   return { ...base, lease, news, claims, prefixes, passage, operations, journal, node };
 };
