A silent engine's stream that can go on nowhere else is not cut before its time

Cause: a stream that may be taken up again was given up once its engine had been silent for three of its gaps: the link was closed, and where no other engine could be asked, or the attempts or the budget were used up, the answer was cut with time left. An engine's silence is no reason to end an answer sooner.

Now the silent answer is kept until another engine's has begun; where none does, it is waited for until the request's time.

--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -27,7 +27,10 @@
   readonly framed: boolean;
   /** Whether it came whole, to its end. */
   readonly whole: boolean;
-  /** The next piece; undefined at the whole answer's end; "unknown" when it broke off or stayed silent beyond patience. */
+  /**
+   * The next piece; undefined at the whole answer's end; "unknown" when it broke off, or, as a fault of the kind "silent",
+   * when it stayed silent beyond patience, after which it may still go on.
+   */
   next(patience: Patience): Promise<Outcome<Uint8Array | undefined>>;
   /** Nothing more of it is wanted, though it is as it should be: the link is kept when the answer came whole. */
   settle(): void;
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -136,7 +136,6 @@
       this.settle();
       return this.over!;
     }
-    this.link.close();
     return failed('link.next', this.engine.address, 'silent beyond patience', 'unknown', 'silent');
   }
 
--- a/src/forward/relay.ts
+++ b/src/forward/relay.ts
@@ -65,40 +65,47 @@
     const trail = trailOf(job, status);
     caller.head(status, endToEnd(fields, trail ? new Set(['content-length']) : new Set<string>()));
     chart.step('streaming', head.ticket.engine.identifier);
-    let ended: Ended = 'failed';
-    for (let current: Head | undefined = head; current;) {
-      ended = await this.relayOne(job, current, trail);
-      if (ended === 'left') return void chart.step('left');
-      if (ended === 'whole') {
-        chart.step('complete');
-        this.count('complete');
-        return caller.finish(current.answer.whole);
+    let current = passingOf(head, trail);
+    for (;;) {
+      const ended = await this.relayPieces(job, current, trail);
+      if (ended === 'left' || ended === 'whole') return this.conclude(job, current.head, ended);
+      const isInterrupted = ended === 'failed' || ended === 'silent';
+      const next = isInterrupted && trail ? await this.resume(job, trail) : undefined;
+      if (!next && ended === 'silent' && this.clock.now() < job.limit) {
+        // It can go on nowhere else, and an engine's silence is no reason to end an answer.
+        current.bearsSilence = true;
+      } else {
+        endHead(current.head, ended);
+        if (!next) return this.cut(job, ended);
+        current = passingOf(next, trail);
       }
-      current =
-        (ended === 'failed' || ended === 'silent') && trail
-          ? await this.resume(job, trail)
-          : undefined;
-      if (current) chart.step('streaming', current.ticket.engine.identifier);
+      chart.step('streaming', current.head.ticket.engine.identifier);
     }
+  }
+
+  private conclude({ caller, chart }: Job, head: Head, ended: 'left' | 'whole'): void {
+    endHead(head, ended);
+    if (ended === 'left') return void chart.step('left');
+    chart.step('complete');
+    this.count('complete');
+    caller.finish(head.answer.whole);
+  }
+
+  private cut({ caller, chart, limit }: Job, ended: Ended): void {
     chart.step('broken');
     this.count('broken');
-    const isOver = ended === 'silent' && this.clock.now() >= job.limit;
+    const isOver = ended === 'silent' && this.clock.now() >= limit;
     caller.cut(isOver ? 'deadline' : cutCauses.get(ended)!);
   }
 
-  /** Hands one engine's answer on until its end. */
-  private async relayOne(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
-    const ended = await this.relayPieces(job, head, trail);
-    if (ended !== 'whole') head.answer.drop();
-    head.ticket.end(ticketEnds.get(ended)!);
-    return ended;
-  }
-
-  private async relayPieces(job: Job, head: Head, trail: Trail | undefined): Promise<Ended> {
+  /** Hands one engine's answer on until its end, or from where that was interrupted. */
+  private async relayPieces(job: Job, passing: Passing, trail: Trail | undefined): Promise<Ended> {
+    const { head, cutter } = passing;
     const { answer, ticket } = head;
-    const cutter = trail && new EventCutter();
-    let piece = head.first;
-    for (let ended = head.whole; ;) {
+    let piece = passing.isBegun ? undefined : head.first;
+    let ended = !passing.isBegun && head.whole;
+    passing.isBegun = true;
+    for (;;) {
       if (piece) {
         const stopped =
           trail && cutter
@@ -108,7 +115,7 @@
       }
       if (ended) return (cutter?.rest.length && (await this.write(job, cutter.rest))) || 'whole';
       if (this.clock.now() >= job.limit + OVERTIME) return 'late';
-      const next = await answer.next(this.patience(job, trail));
+      const next = await answer.next(this.patience(job, passing.bearsSilence ? undefined : trail));
       if (job.caller.gone.aborted) return 'left';
       if (next.isLeft()) {
         const fault = next.extract() as Fault;
@@ -198,6 +205,30 @@
   }
 }
 
+/** One engine's answer on its way to the caller. */
+interface Passing {
+  readonly head: Head;
+  /** Cuts its events, where it may go on elsewhere. */
+  readonly cutter: EventCutter | undefined;
+  /** Whether its first piece was handed on. */
+  isBegun: boolean;
+  /** Whether its silence is borne as long as the request may be held. */
+  bearsSilence: boolean;
+}
+
+const passingOf = (head: Head, trail: Trail | undefined): Passing => ({
+  head,
+  cutter: trail && new EventCutter(),
+  isBegun: false,
+  bearsSilence: false,
+});
+
+/** Nothing more is handed on of an engine's answer. */
+const endHead = ({ answer, ticket }: Head, ended: Ended): void => {
+  if (ended !== 'whole') answer.drop();
+  ticket.end(ticketEnds.get(ended)!);
+};
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** How far a stream was handed on, where it may be taken up again. */
--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -137,6 +137,7 @@
       return left();
     }
     if (first.isLeft()) {
+      answer.drop();
       ticket.end('failed');
       return { kind: 'unknown', fault: first.extract() as Fault };
     }
