--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -11,6 +11,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { Grants } from '../lease/grants.js';
+import { NodeWork } from '../monitor/node-work.js';
 import { advertisedAddress, type Params } from '../params/shape.js';
 import { BootstrapAcceptor } from '../register/bootstrap/acceptor.js';
 import { Bootstrap, viewOf } from '../register/bootstrap/bootstrap.js';
@@ -18,6 +19,7 @@
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
 import { keepRecovering } from '../register/recovery.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Repair } from '../register/repair.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { VoterReplacement } from '../register/replacement.js';
@@ -51,6 +53,8 @@
     @Inject(names.random) private readonly random: Random,
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
+    @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
+    @Inject(names.nodeWork) private readonly work: NodeWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -148,10 +152,13 @@
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
+      const begun = this.clock.now();
       if (newest && this.inForce.swap(newest)) {
+        this.invariants.noteInForce(this.inForce.revision);
         this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
+        this.work.add('put-in-force', this.clock.now() - begun);
       }
       await this.member.chain.beyond(this.inForce.revision, 500);
     }
@@ -192,8 +199,22 @@
           { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
           {
             provide: names.member,
-            inject: [names.disk, names.peers, names.clock, names.random, names.log],
-            useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
+            inject: [
+              names.disk,
+              names.peers,
+              names.clock,
+              names.random,
+              names.log,
+              names.registerInvariants,
+            ],
+            useFactory: (
+              disk: Disk,
+              peers: Peers,
+              clock: Clock,
+              random: Random,
+              log: Log,
+              invariants: RegisterInvariants,
+            ) =>
               new Member(
                 new Store(disk, params.fleet, {
                   revisions: params.core.keep,
@@ -204,6 +225,7 @@
                 random,
                 log,
                 params.core.stall,
+                invariants,
               ),
           },
           {
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -9,6 +9,7 @@
 import { checkParams, type Params } from '../params/shape.js';
 import { Member } from '../register/member.js';
 import { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import { VoterDirectory } from '../register/voter-directory.js';
 import { Store } from '../register/store.js';
 import { Tracing } from '../trace/tracing.js';
@@ -21,6 +22,7 @@
 import { PeerLeases } from '../lease/peer-leases.js';
 import { Claims } from '../claim/claims.js';
 import type { PassageEvent } from '../passage/chart.js';
+import { NodeWork } from '../monitor/node-work.js';
 import { PlannedWork } from '../monitor/planned-work.js';
 import { TakenIds } from '../passage/ids.js';
 import { Lines } from '../passage/line.js';
@@ -55,6 +57,7 @@
   readonly stop: AbortController;
   readonly acceptance: Acceptance;
   readonly configurator: Configurator;
+  readonly invariants: RegisterInvariants;
 }
 
 export interface SimCore extends SimBase {
@@ -100,6 +103,7 @@
     params.view.every,
   );
   const inForce = new InForce();
+  const invariants = world.registerInvariants(log);
   const acceptance = new Acceptance(peers, voterDirectory, host.clock, params.lease);
   const configurator = new Configurator(
     peers,
@@ -108,6 +112,7 @@
     acceptance,
     inForce,
     host.clock,
+    invariants,
   );
   return {
     host,
@@ -121,6 +126,7 @@
     stop: new AbortController(),
     acceptance,
     configurator,
+    invariants,
   };
 };
 
@@ -143,6 +149,7 @@
     host.random,
     log,
     params.core.stall,
+    base.invariants,
   );
   world.members.watch({
     fleet: site.fleet,
@@ -159,6 +166,7 @@
     undefined,
     host.clock,
     base.acceptance,
+    base.invariants,
   );
   const node = new CoreNode(
     params,
@@ -175,6 +183,8 @@
     host.random,
     log,
     stop,
+    base.invariants,
+    new NodeWork(),
   );
   return { ...base, member, keeper, operations, node };
 };
@@ -271,6 +281,7 @@
     news,
     clock,
     base.acceptance,
+    base.invariants,
   );
   const node = new RouterNode(
     params,
@@ -292,6 +303,8 @@
     log,
     stop,
     new PlannedWork(clock),
+    base.invariants,
+    new NodeWork(),
   );
   return { ...base, lease, news, claims, prefixes, passage, operations, journal, node };
 };
