Signals during the start, and a second SIGTERM, end no process

A SIGHUP is heeded from the first line of the daemon on, and taken in once the start is over; the platform's start script ignores it until the settings are read. A second SIGTERM changes nothing; a second SIGINT still ends a process at once, for whoever runs it by hand.

--- a/deploy/start.js
+++ b/deploy/start.js
@@ -9,6 +9,9 @@
 import { fileURLToPath } from 'node:url';
 import { Script } from 'node:vm';
 
+// Until the program reads its settings there is nothing to read again, and the signal must not end the process.
+if (process.argv[2] !== '--keep') process.on('SIGHUP', () => undefined);
+
 const bundle = fileURLToPath(new URL('main.cjs', import.meta.url));
 const kept = `${bundle}.code`;
 const keeping = process.argv[2] === '--keep';
--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -140,6 +140,10 @@
   reread: Reread,
   extension: Extension = noExtension,
 ): Promise<number> => {
+  // A SIGHUP during the start must not end the process; it is heeded once that is over.
+  let isReloadAsked = false;
+  let onReload = (): void => void (isReloadAsked = true);
+  process.on('SIGHUP', () => onReload());
   const context = await NestFactory.createApplicationContext(
     role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension),
     { logger: false, abortOnError: false },
@@ -261,10 +265,11 @@
     });
   };
   const plannedWork = context.get<PlannedWork>(names.plannedWork);
-  process.on('SIGHUP', () => {
+  onReload = (): void => {
     plannedWork.note('reload');
     void reload(true);
-  });
+  };
+  if (isReloadAsked) onReload();
   const rereading =
     params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
@@ -296,7 +301,7 @@
         resolve(0);
       })();
     };
-    process.once('SIGTERM', () => end('SIGTERM'));
+    process.on('SIGTERM', () => end('SIGTERM'));
     process.once('SIGINT', () => end('SIGINT'));
     process.on('unhandledRejection', (thrown) => log('fault', [['reason', String(thrown)]]));
   });
