--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -141,8 +141,8 @@
   extension: Extension = noExtension,
 ): Promise<number> => {
   // A SIGHUP during the start must not end the process; it is heeded once that is over.
-  let isReloadAsked = false;
-  let onReload = (): void => void (isReloadAsked = true);
+  const askedEarly: NodeJS.Signals[] = [];
+  let onReload = (): void => void askedEarly.push('SIGHUP');
   process.on('SIGHUP', () => onReload());
   const context = await NestFactory.createApplicationContext(
     role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension),
@@ -269,7 +269,7 @@
     plannedWork.note('reload');
     void reload(true);
   };
-  if (isReloadAsked) onReload();
+  if (askedEarly.length > 0) onReload();
   const rereading =
     params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
