Tests: errors of a listening socket, and a defect before an answer, seen to fail

The face takes one error of its listening socket, as when file descriptors run out; the next one ends the process. A thrown error before any answer was begun cuts the client's connection, where an answer could still be given.

--- a/test/faces/requests.test.ts
+++ b/test/faces/requests.test.ts
@@ -117,3 +117,14 @@
   agent.destroy();
   await face.close();
 });
+
+test('errors of the listening socket, as when there are no file descriptors left, end nothing', async () => {
+  const { face, port, taken } = await open();
+  const server = face['server'];
+  for (let count = 0; count < 3; count++) server.emit('error', new Error('accept EMFILE'));
+  const { answer } = send(port, new Agent());
+  await until(() => taken.length === 1);
+  taken[0]!.response.writeHead(200).end('x');
+  expect((await answer).statusCode).toBe(200);
+  await face.close();
+});
--- a/test/forward/cut-short.test.ts
+++ b/test/forward/cut-short.test.ts
@@ -226,3 +226,24 @@
     expect(statuses(line).length).toBe(1);
     expectNoViolation(stage.requestEnds);
   });
+
+test('a defect before anything was answered is told to the client, and its connection serves on', async () => {
+  const { open, script } = held();
+  const stage = await openScripted({ scripts: [script], route: once, clock: new HandClock() });
+  const line = callerLine(stage.address);
+  const { placer } = stage;
+  const place = placer.place.bind(placer);
+  placer.place = () => {
+    throw new Error('a defect');
+  };
+  line.send(requestText('a'));
+  await eventually(() => line.closed() || line.reader.answers[0]?.complete === true);
+  expect(statuses(line)).toEqual([[502, true]]);
+  expect(stage.requestEnds.violations.counts.get('internal-fault')).toBe(1);
+  placer.place = place;
+  line.send(requestText('b'));
+  await eventually(() => open.length === 1);
+  open[0]!.socket.write(sized(open[0]!));
+  await line.answered(2);
+  expect(statuses(line)[1]).toEqual([200, true]);
+});
--- a/test/forward/proxy.ts
+++ b/test/forward/proxy.ts
@@ -28,6 +28,7 @@
 export interface Proxy {
   readonly forwarder: Forwarder;
   readonly requestEnds: RequestEnds;
+  readonly placer: Placer;
   readonly links: HttpLinks;
   readonly journal: Journal<ForwardEvent>;
   readonly route: Route;
@@ -113,6 +114,7 @@
   const inForce = new InForce();
   inForce.swap({ ...genesis('f', []), configuration });
   const ends: Array<readonly [string, TicketEnd]> = [];
+  const placer = firstEnginePlacer(ends);
   const requestEnds = new RequestEnds(clock, () => undefined, new PlannedWork(clock));
   const journal = new Journal<ForwardEvent>(clock);
   const links = new HttpLinks(clock, connect, 5000);
@@ -121,7 +123,7 @@
     () => true,
     poolOf(listed),
     links,
-    firstEnginePlacer(ends),
+    placer,
     new RepeatBudget(ratio, 10_000, clock),
     ownDialect,
     () => 1,
@@ -132,5 +134,5 @@
     () => undefined,
     requestEnds,
   );
-  return { forwarder, requestEnds, links, journal, route, configuration, ends };
+  return { forwarder, requestEnds, placer, links, journal, route, configuration, ends };
 };
