Errors of a listening socket end no process

Cause: only the first error event of a listening socket had a listener, that of its start; another one, as when a connection can't be accepted for want of file descriptors, was an uncaught exception. The same for the sockets between our processes.

--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -62,6 +62,8 @@
         : this.connections.reject(socket, error.code),
     );
     this.server.on('connect', (_, socket: Socket) => this.refuseTunnel(socket));
+    // A connection that could not be accepted, as for want of file descriptors, ends nothing else.
+    this.server.on('error', () => undefined);
     // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
     this.server.on('timeout', () => undefined);
     this.heed();
--- a/src/kernel/net/net.ts
+++ b/src/kernel/net/net.ts
@@ -130,7 +130,8 @@
         accept(new SocketChannel(socket, `${socket.remoteAddress}:${socket.remotePort}`)),
       );
       server.maxConnections = 4096;
-      server.once('error', (thrown) => resolve(failed('net.listen', address, reasonOf(thrown))));
+      // Once it listens, an error is that of a connection which could not be accepted, and ends nothing else.
+      server.on('error', (thrown) => resolve(failed('net.listen', address, reasonOf(thrown))));
       server.listen(port, host, () => {
         const bound = server.address() as { port: number };
         resolve(Right({ address: `${host}:${bound.port}`, close: () => void server.close() }));
