A defect before anything was answered is told to the client, not cut

Cause: whatever was thrown while a request was carried cut its connection, also while an answer could be given. Now it is answered 502, counted as a violation, and its connection serves on.

--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -43,6 +43,8 @@
   private toldBytes: number | undefined;
   private passedBytes = 0;
   private isShort = false;
+  /** Whether a defect ended it. */
+  private isFaulty = false;
   /** Whether the answer under way has neither a length nor chunks, so that its connection's end is its own. */
   private endsByClose = false;
 
@@ -237,9 +239,16 @@
     response.destroy();
   }
 
+  /** Ends the request after a defect: by an answer that says so while none has begun, else by cutting it. */
+  fail(): void {
+    this.isFaulty = true;
+    this.refuse(502, 'a defect of this node; it may have run');
+  }
+
   /** How the request ended, once it has. */
   get endCause(): EndCause {
     const { request, response } = this;
+    if (this.isFaulty) return 'internal-fault';
     if (response.writableFinished && this.answerKind) return this.answerKind;
     return this.cutCause ?? closeCauseOf(request.socket) ?? this.skipCause ?? 'unaccounted';
   }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -81,7 +81,7 @@
           ['step', 'forward'],
           ['reason', String(thrown)],
         ]);
-        caller.cut('internal-fault');
+        caller.fail();
       })
       .then(() => this.flush(caller, arrived))
       .finally(() => {
