--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -140,6 +140,10 @@
   reread: Reread,
   extension: Extension = noExtension,
 ): Promise<number> => {
+  // A SIGHUP during the start must not end the process; it is heeded once that is over.
+  const askedEarly: NodeJS.Signals[] = [];
+  let onReload = (): void => void askedEarly.push('SIGHUP');
+  process.on('SIGHUP', () => onReload());
   const context = await NestFactory.createApplicationContext(
     role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension),
     { logger: false, abortOnError: false },
@@ -261,12 +265,13 @@
     });
   };
   const plannedWork = context.get<PlannedWork>(names.plannedWork);
-  process.on('SIGHUP', () => {
+  onReload = (): void => {
     plannedWork.note('reload');
     void reload(true);
-  });
-  // What changed while this process started: until here SIGHUP is only kept from ending it.
-  void reload(false);
+  };
+  // What changed while this process started, also where the signal came before anybody could note it.
+  if (askedEarly.length > 0) onReload();
+  else void reload(false);
   const rereading =
     params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
@@ -298,7 +303,7 @@
         resolve(0);
       })();
     };
-    process.once('SIGTERM', () => end('SIGTERM'));
+    process.on('SIGTERM', () => end('SIGTERM'));
     process.once('SIGINT', () => end('SIGINT'));
     process.on('unhandledRejection', (thrown) => log('fault', [['reason', String(thrown)]]));
   });
--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -74,10 +74,12 @@
     return true;
   }
 
-  /** Asks each unanswered request's caller to close its connection. */
+  /** Asks each caller to close its connection behind the answer to the newest request that it has sent on it. */
   retire(): void {
-    for (const { unanswered } of this.open.values())
-      for (const response of unanswered.keys()) response.shouldKeepAlive = false;
+    for (const { unanswered } of this.open.values()) {
+      const newest = [...unanswered.keys()].at(-1);
+      if (newest) newest.shouldKeepAlive = false;
+    }
   }
 
   /** What came is no request, or did not come to its end in time. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -35,6 +35,8 @@
 export class Forwarder implements RequestHandler {
   private readonly running = new Set<Caller>();
   private closing = false;
+  /** Callers that had sent another request behind this one when the planned stop began: that one is answered too. */
+  private followed: ReadonlySet<Caller> = new Set();
   private emptied: () => void = () => undefined;
   private readonly admission: Admission;
   private readonly attempts: Attempts;
@@ -70,7 +72,11 @@
   }
 
   handle(request: IncomingMessage, response: ServerResponse): void {
-    const caller = new Caller(request, response, () => this.closing);
+    const caller: Caller = new Caller(
+      request,
+      response,
+      () => this.closing && !this.followed.has(caller),
+    );
     const taken: Taken = { caller, open: this.ends.begin(request.socket), job: undefined };
     const arrived = taken.open.begun;
     this.running.add(caller);
@@ -81,7 +87,7 @@
           ['step', 'forward'],
           ['reason', String(thrown)],
         ]);
-        caller.cut('internal-fault');
+        caller.fail();
       })
       .then(() => this.flush(caller, arrived))
       .finally(() => {
@@ -96,7 +102,7 @@
   }
 
   async drain(limit: number): Promise<number> {
-    this.closing = true;
+    this.beginClosing();
     const stop = new AbortController();
     if (this.running.size > 0)
       await Promise.race([
@@ -109,7 +115,15 @@
 
   /** From now on each answer asks its caller to close the connection. */
   close(): void {
+    this.beginClosing();
+  }
+
+  private beginClosing(): void {
+    if (this.closing) return;
     this.closing = true;
+    this.followed = new Set(
+      [...this.running].filter((caller) => this.turns.isFollowed(caller.socket, caller)),
+    );
   }
 
   private count(what: string): void {
