--- a/test/forward/request-ends.test.ts
+++ b/test/forward/request-ends.test.ts
@@ -1,5 +1,6 @@
 /** The record of how requests end: each ends once, by a named cause, and what must never be is counted. */
 import { Socket } from 'node:net';
+import { Right } from 'purify-ts';
 import { expect, test } from 'vitest';
 import { violationOf, type EndCause, type RequestEnd } from '../../src/forward/request-end.js';
 import { RequestEnds } from '../../src/forward/request-ends.js';
@@ -167,6 +168,30 @@
   expect(stage.requestEnds.violations.counts.get('whole-request-cut')).toBe(1);
 });
 
+test('an answer that is finished though its engine did not end it whole is a violation', async () => {
+  const { open, script } = held();
+  const stage = await openScripted({ scripts: [script], route: once, clock: new HandClock() });
+  // A defect of the link: it takes the end of the connection for the end of the answer.
+  const send = stage.links.send.bind(stage.links);
+  stage.links.send = async (...asked) =>
+    (await send(...asked)).map((answer) => {
+      const next = answer.next.bind(answer);
+      answer.next = async (patience) => {
+        const piece = await next(patience);
+        return piece.isLeft() ? Right(undefined) : piece;
+      };
+      return answer;
+    });
+  const line = callerLine(stage.address);
+  line.send(requestText('a'));
+  await eventually(() => open.length === 1);
+  open[0]!.socket.write(`${answerHead(open[0]!, 'Content-Length: 6')}abc`);
+  await eventually(() => line.received().includes('abc'));
+  open[0]!.socket.destroy();
+  await ended(stage);
+  expect(stage.requestEnds.violations.counts.get('short-answer-finished')).toBe(1);
+});
+
 test('a request whose end is never recorded though its connection closed is a violation, once', () => {
   const { ends, clock } = ledger();
   const socket = new Socket();
