--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -27,7 +27,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
-import { countPassages, gauge } from '../node/metrics.js';
+import { countPassages, gauge, voterMetrics } from '../node/metrics.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import type { PassageEvent } from '../passage/chart.js';
@@ -88,19 +88,7 @@
 const coreMetrics = (registry: Registry, context: INestApplicationContext): void => {
   const keeper = context.get<Keeper>(names.keeper);
   const { replacement } = context.get(CoreNode);
-  gauge(registry, 'voters', 'Voters of the core', () => replacement?.voters ?? 0);
-  gauge(
-    registry,
-    'redundancy',
-    'Voters that hold the newest committed revision on disk, as this member last saw',
-    () => replacement?.redundancy ?? 0,
-  );
-  gauge(
-    registry,
-    'learners_ready',
-    'Core machines without a vote that hold the newest committed revision',
-    () => replacement?.readyLearners ?? 0,
-  );
+  voterMetrics(registry, () => replacement);
   gauge(registry, 'claims_kept', 'Ids kept on this disk', () => keeper.size);
   gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () =>
     Number(keeper.whole),
