--- a/test/redundancy/cluster.ts
+++ b/test/redundancy/cluster.ts
@@ -36,6 +36,8 @@
   /** How many voters are wanted. */
   readonly wanted: 3 | 5;
   readonly routers: number;
+  /** How many machines are there at the first start, where that is not as many as voters are wanted. */
+  readonly initial?: number;
   readonly log?: Log | undefined;
 }
 
@@ -80,15 +82,19 @@
     this.world.net.jitter = JITTER;
   }
 
-  /** Starts all machines and waits until the group is formed and all routers follow it. */
+  /** Starts the first machines, and waits until they vote and all routers follow them. */
   async begin(): Promise<boolean> {
-    const { wanted, routers } = this.options;
-    const numbers = Array.from({ length: wanted }, (_, at) => at + 1);
+    const { wanted, routers, initial = wanted } = this.options;
+    const numbers = Array.from({ length: initial }, (_, at) => at + 1);
     for (const number of numbers) this.start(number, true);
     for (let at = 0; at < routers; at++) this.startRouter(at);
+    const areVoting = (): boolean => this.alive.every(({ member }) => member.state().voting);
     return this.world.run(
       FORMING_LIMIT,
-      () => this.isWhole() && this.routers.every(({ inForce }) => inForce.revision > 0),
+      () =>
+        areVoting() &&
+        this.committed > 0 &&
+        this.routers.every(({ inForce }) => inForce.revision > 0),
     );
   }
 
