--- a/test/schedule/play.ts
+++ b/test/schedule/play.ts
@@ -64,20 +64,42 @@
   return undefined;
 };
 
+/** The newest version whose order is no longer remembered. */
+const forgottenVersion = ({ members }: Cluster): number =>
+  Math.max(...members.map(({ member }) => member.newest?.forgottenVersion ?? 0));
+
+/** Sends every order once more. One that is no longer remembered may stay unclear; the history shows whether it is refused. */
 const sendAllAgain = async (cluster: Cluster, operators: Operators): Promise<string[]> => {
   const unanswered: string[] = [];
+  const forgotten = forgottenVersion(cluster);
   for (const order of operators.orders) {
-    if (order.request.expects > operators.newestKnown) continue;
+    const { expects, version } = order.request;
+    if (expects > operators.newestKnown) continue;
     const answer = await untilClear(
       cluster,
       (node) => operators.send(order, { node, answerLost: false }),
-      (each) => each !== 'unclear',
+      (each) => each !== 'unclear' || version <= forgotten,
     );
     if (answer === undefined) unanswered.push(order.request.id);
   }
   return unanswered;
 };
 
+/** Makes changes one after the other, in calm. */
+const makeChanges = async (
+  cluster: Cluster,
+  operators: Operators,
+  count: number,
+): Promise<void> => {
+  for (let at = 0; at < count; at++) {
+    const form = at % 2 === 0 ? 'replace' : 'patch';
+    const shape = { kind: 'change', form, defect: 'none', base: 'newest', rise: 1 } as const;
+    const order = orderFor({ ...shape, variant: at % 4 }, operators.newestKnown);
+    operators.orders.push(order);
+    await cluster.world.until(operators.send(order, { node: at, answerLost: false }));
+  }
+};
+
 const readEverywhere = async (cluster: Cluster, operators: Operators): Promise<string[]> => {
   const unanswered: string[] = [];
   for (let node = 0; node < cluster.size; node++) {
@@ -98,11 +120,17 @@
   return answer === undefined ? ['a new order on top of the newest'] : [];
 };
 
-export const play = async ({ members, worldSeed, steps }: Schedule): Promise<Played> => {
+export const play = async ({
+  members,
+  worldSeed,
+  changesBefore = 0,
+  steps,
+}: Schedule): Promise<Played> => {
   const cluster = new Cluster(members, worldSeed);
   const { world } = cluster;
   if (!(await cluster.formed())) throw new Error('the core was not formed');
   const operators = new Operators(cluster);
+  await makeChanges(cluster, operators, changesBefore);
   for (const { action, pause } of steps) {
     act(cluster, operators, action);
     await world.run(world.now + pause);
--- a/test/schedule/steps.ts
+++ b/test/schedule/steps.ts
@@ -141,6 +141,8 @@
   readonly members: 3 | 5;
   /** Draws what the steps leave open: delays, identities, what a power loss keeps. */
   readonly worldSeed: number;
+  /** How many changes are acknowledged one after the other before the steps; none where it is absent. */
+  readonly changesBefore?: number;
   readonly steps: readonly Step[];
 }
 
@@ -148,6 +150,7 @@
 export const CALLS_AT_ONCE = 8;
 
 const small = fc.nat({ max: 9 });
+
 const downtime = fc.integer({ min: 20, max: 3000 });
 const duration = fc.integer({ min: 50, max: 6000 });
 const direction = fc.constantFrom<Direction>('both', 'inbound', 'outbound');
@@ -175,11 +178,9 @@
   calls: calls(3),
 });
 
-const repeat: fc.Arbitrary<RepeatStep> = fc.record({
-  kind: fc.constant('repeat'),
-  order: small,
-  calls: calls(CALLS_AT_ONCE),
-});
+/** Repeats of orders, 0 being the latest. */
+const repeats = (order: fc.Arbitrary<number>): fc.Arbitrary<RepeatStep> =>
+  fc.record({ kind: fc.constant('repeat'), order, calls: calls(CALLS_AT_ONCE) });
 
 const read: fc.Arbitrary<ReadStep> = fc.record({ kind: fc.constant('read'), node: small });
 
@@ -232,12 +233,13 @@
 export const stepsOf = (
   faultKinds: readonly fc.Arbitrary<Action>[] = faults,
   most = 60,
+  repeated: fc.Arbitrary<number> = small,
 ): fc.Arbitrary<Step[]> =>
   fc.array(
     fc.record({
       action: fc.oneof(
         { arbitrary: change, weight: 6 },
-        { arbitrary: repeat, weight: 3 },
+        { arbitrary: repeats(repeated), weight: 3 },
         { arbitrary: read, weight: 3 },
         { arbitrary: fc.oneof(...faultKinds), weight: 5 },
       ),
@@ -252,3 +254,10 @@
     worldSeed: fc.integer({ min: 1, max: 1_000_000 }),
     steps,
   });
+
+/** Schedules that begin behind so many acknowledged changes, and repeat the latest and the oldest orders. */
+export const longSchedules = (changesBefore: number, most: number): fc.Arbitrary<Schedule> => {
+  const oldest = fc.integer({ min: changesBefore - most, max: changesBefore + most });
+  const steps = stepsOf(faults, most, fc.oneof(small, oldest));
+  return schedules(steps).map((schedule) => ({ ...schedule, changesBefore }));
+};
