--- a/src/fleet/soak/judge/unanswered.ts
+++ b/src/fleet/soak/judge/unanswered.ts
@@ -85,7 +85,7 @@
     const span = { from: told.at, till: told.ended || Infinity };
     const arrivals = this.byId.get(told.id) ?? [];
     const judged: Judged = { asked, told, router, span, arrivals };
-    if (this.routerGone(router, span)) return [];
+    if (this.routerGone(router, this.withRest(told, span))) return [];
     const rule = this.ruleBroken(judged);
     return rule ? [{ rule, subject: `${told.id} at ${router}`, detail: describe(judged) }] : [];
   }
@@ -98,6 +98,11 @@
     return this.crossedClose(judged) ? undefined : 'unanswered';
   }
 
+  /** A trouble while the connection rested counts too: its router may have begun to count the rest earlier. */
+  private withRest({ id }: Try, { from, till }: Span): Span {
+    return { from: from - (this.evidence.notes.get(id)?.rested ?? 0), till };
+  }
+
   private routerGone(router: string, { from, till }: Span): boolean {
     return this.evidence.timeline.struck(router, ROUTER_GONE, { from: from - NOTICED, till });
   }
--- a/test/fleet/soak/judge.test.ts
+++ b/test/fleet/soak/judge.test.ts
@@ -124,6 +124,15 @@
     expect([left, partial, late].flatMap(judgeSoak)).toEqual([]);
   });
 
+  test('allowed: the answer before it was held, so that its router began to count the rest earlier', () => {
+    const run = soundRun([during('link', ROUTER, START - 4000, START - 2650)]);
+    const { id } = unanswer(run);
+    run.notes.set(id, { wholeAt: START, rested: 2600, allowed: 3000 });
+    const found = soundRun([during('link', ROUTER, START - 5000, START - 3200)]);
+    found.notes.set(unanswer(found).id, { wholeAt: START, rested: 2600, allowed: 3000 });
+    expect([run, found].map(rulesOf)).toEqual([[], ['unanswered']]);
+  });
+
   test('allowed: it crossed the close of a stopping router, passed on to nobody', () => {
     const run = soundRun([during('stopping', ROUTER)]);
     unanswer(run);
