Stand-in engine: an answer whose length was told has no end that could be cut

With a told length the last byte is the end, so the answer on the wire was whole and rightly passed on; the stand-in's note was wrong. Chunked answers are cut as before.

--- a/src/stand/opaque/reply.ts
+++ b/src/stand/opaque/reply.ts
@@ -13,6 +13,8 @@
   private headed = false;
   private over = false;
   private stalled = false;
+  /** Whether the head told the length, so that the last byte is the end. */
+  private isSized = false;
 
   constructor(
     private readonly arrival: Arrival,
@@ -108,7 +110,7 @@
   /** The answer is whole; gives a copy of it that is owed in place of the next answer, when it is to come late. */
   finish(): Buffer | undefined {
     if (this.over || this.stalled) return undefined;
-    if (this.troubles.strikes('cut-end')) {
+    if (!this.isSized && this.troubles.strikes('cut-end')) {
       this.break('cut', () => this.socket.end());
       return undefined;
     }
@@ -136,6 +138,7 @@
     const { arrival } = this;
     arrival.status = 200;
     const wrong = this.troubles.strikes('foreign', 'unsealed', 'encoded', 'unframed');
+    this.isSized = more['content-length'] !== undefined && wrong !== 'unframed';
     const names = {
       ...(wrong === 'unframed' && more['content-length'] !== undefined ? {} : more),
       [this.dialect.requestId]: wrong === 'foreign' ? `${arrival.id}-other` : arrival.id,
--- a/test/stand/engine.test.ts
+++ b/test/stand/engine.test.ts
@@ -189,6 +189,16 @@
   });
 }
 
+test('an answer whose length was told is whole at its last byte; one in chunks is cut without its end', async () => {
+  const { engine, address, caller } = await start();
+  engine.troubles.tell('cut-end');
+  for (const bytes of [3000, 100_000])
+    await caller.ask(asking({ target: `/a/x?bytes=${bytes}` }), () => address);
+  expect(caller.asked.map(({ tries }) => tries[0]!.complete)).toEqual([true, false]);
+  expect(engine.requests.map(({ ended }) => ended)).toEqual(['whole', 'cut']);
+  expect(judged(engine, caller)).toEqual([]);
+});
+
 test('a caller tries again as its kind allows, with an id of its own each time', async () => {
   const { engine, address, caller } = await start();
   const tries = async (kind: TroubleKind, repeatable: boolean): Promise<number> => {
