--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -8,9 +8,11 @@
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { Right } from 'purify-ts';
 import type { Face } from '../../node/extension.js';
+import { closeConnection } from '../../forward/connection-close.js';
 import type { RequestHandler } from '../../forward/face.js';
 import type { Clock } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
+import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Limits } from '../../route/shape.js';
 import { Connections } from './connections.js';
@@ -20,6 +22,8 @@
 const HEADER_TIMEOUT = 10_000;
 const IDLE_TIMEOUT = 15_000;
 const CHECK_EVERY = 1000;
+/** The server's error for a header that did not come to its end in time. */
+const HEADER_LATE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const BACKLOG = 2048;
 
 export class RequestsFace implements Face {
@@ -53,12 +57,11 @@
     });
     this.server.on('request', (request, response) => this.take(request, response));
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) =>
-      this.connections.reject(socket, error.code),
+      error.code === HEADER_LATE
+        ? void this.connections.rejectLate(socket, HEADER_LATE)
+        : this.connections.reject(socket, error.code),
     );
-    // Node tells each answer's caller the value that it finds here when the request has been parsed.
-    Object.defineProperty(this.server, 'keepAliveTimeout', {
-      get: () => this.toldIdleLimit(),
-    });
+    this.server.on('connect', (_, socket: Socket) => this.refuseTunnel(socket));
     // With a listener the server closes no idle connection by itself: that is decided by the limits in force then.
     this.server.on('timeout', () => undefined);
     this.heed();
@@ -94,23 +97,39 @@
     this.closed.abort();
     return new Promise((resolve) => {
       this.server.close(() => resolve());
+      this.connections.noteCloseOfAll('stop-deadline');
       this.server.closeAllConnections();
     });
   }
 
   private take(request: IncomingMessage, response: ServerResponse): void {
-    this.heed();
+    const hasChanged = this.heed();
     if (this.retiring) response.shouldKeepAlive = false;
-    if (!this.connections.begin(request, response, this.toldIdleLimit())) return;
+    // The server settled before the change what this answer would tell of the idle limit.
+    if (hasChanged && response.shouldKeepAlive)
+      response.setHeader('Keep-Alive', `timeout=${this.server.keepAliveTimeout / 1000}`);
+    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
+      return this.handler.reject?.();
     this.handler.handle(request, response);
   }
 
+  /**
+   * Refuses CONNECT, behind the answers that are still owed on its connection. The server has let go of the socket, whose
+   * errors and end are looked after here.
+   */
+  private refuseTunnel(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    socket.once('end', () => closeConnection(socket, 'client-left'));
+    socket.resume();
+    this.connections.reject(socket, undefined);
+  }
+
   private async closeExpired(): Promise<void> {
     const { signal } = this.closed;
     while (!signal.aborted) {
       await this.clock.sleep(CHECK_EVERY, signal);
       // After a long standstill, what has arrived meanwhile is read first.
-      await new Promise((resolve) => setImmediate(resolve));
+      await arrivedIsRead();
       if (!signal.aborted) this.connections.closeExpired();
     }
   }
@@ -118,19 +137,20 @@
   /** ms that a connection may rest: what callers are told, in whole seconds, and the limit itself. */
   private idleLimit(): number {
     const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
-    return Math.max(limit, this.toldIdleLimit());
+    return Math.max(limit, this.toldSeconds(limit) * 1000);
   }
 
-  /** The idle limit in force as callers are told it: in whole seconds, one at least. */
-  private toldIdleLimit(): number {
-    const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
-    return Math.max(1, Math.floor(limit / 1000)) * 1000;
+  private toldSeconds(limit: number): number {
+    return Math.max(1, Math.floor(limit / 1000));
   }
 
-  private heed(): void {
+  /** Takes the limits in force over; whether they have changed. */
+  private heed(): boolean {
     const limits = this.limits();
-    if (limits === this.heeded) return;
+    if (limits === this.heeded) return false;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
+    this.server.keepAliveTimeout = this.toldSeconds(limits.idleTimeout ?? IDLE_TIMEOUT) * 1000;
+    return true;
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -6,6 +6,7 @@
 import { Left, Right } from 'purify-ts';
 import { within, type Clock, type Duration, type Moment } from '../kernel/clock/clock.js';
 import { failed, fault, reasonOf, type Outcome } from '../kernel/fault/fault.js';
+import { arrivedIsRead } from '../kernel/net/arrived.js';
 import type { Engine } from '../pool/engine.js';
 import type { Answer } from './answer.js';
 import { fieldsOf, only, type Fields } from './fields.js';
@@ -57,6 +58,10 @@
     );
   }
 
+  get whole(): boolean {
+    return this.over?.isRight() ?? false;
+  }
+
   /** Whether there is no body, whatever the head tells of one. */
   private get bodiless(): boolean {
     return this.method === 'HEAD' || statusesWithoutBody.has(this.status);
@@ -142,6 +147,7 @@
       this.engine.address,
       `silent for ${Math.round(limit)} ms`,
       'unknown',
+      'silent',
     );
   }
 
@@ -179,10 +185,13 @@
 
   private async until(condition: () => boolean, limit: Duration): Promise<boolean> {
     const end = this.clock.now() + limit;
+    const left = (): Duration => end - this.clock.now();
     while (!condition()) {
-      const left = end - this.clock.now();
-      if (left <= 0) return false;
-      await within(this.clock, left, new Promise<void>((resolve) => (this.wake = resolve)));
+      if (left() <= 0) {
+        await arrivedIsRead();
+        return condition();
+      }
+      await within(this.clock, left(), new Promise<void>((resolve) => (this.wake = resolve)));
     }
     return true;
   }
