--- a/src/fleet/soak/judge/judge.ts
+++ b/src/fleet/soak/judge/judge.ts
@@ -30,6 +30,7 @@
 /** ms from a version's acknowledgement until it is in force everywhere, where routers serve on without a lease. */
 const APPLY = 2000;
 const RETRY_SLACK = 3;
+const DETAIL_BOUND = 2000;
 
 const OUT_OF_TOUCH: ReadonlySet<IncidentKind> = new Set([
   'down',
@@ -95,6 +96,10 @@
   );
 };
 
+/** Calls are described with all that they carried; the files of the run have it whole. */
+const shortened = (text: string): string =>
+  text.length > DETAIL_BOUND ? `${text.slice(0, DETAIL_BOUND)}...` : text;
+
 /** Everything that a run should not have shown. */
 export const judgeSoak = (evidence: SoakEvidence): SoakFinding[] => {
   const { orders, arrivals, asked, calls, readBacks, routerAt, timeline, unaskedBytes } = evidence;
@@ -107,7 +112,7 @@
     ...judgeHistory(calls).map(({ kind, explanation }) => ({
       rule: kind,
       subject: 'operators',
-      detail: explanation,
+      detail: shortened(explanation),
     })),
     ...(unaskedBytes > 0
       ? [
