--- a/src/fleet/soak/schedule.ts
+++ b/src/fleet/soak/schedule.ts
@@ -15,6 +15,7 @@
     'core-paused',
     'router-paused',
     'core-disk-lost',
+    'core-away',
     'core-paused-and-killed',
     'router-stopped-and-killed',
   ],
--- a/src/fleet/soak/troubles/process-troubles.ts
+++ b/src/fleet/soak/troubles/process-troubles.ts
@@ -1,4 +1,5 @@
 /** Processes that are killed, paused, stopped and reloaded, and core machines whose disks are lost. */
+import { TIMES } from '../plan.js';
 import type { Restart } from '../processes.js';
 import type { Trouble, TroubleKind } from '../schedule.js';
 import {
@@ -38,6 +39,16 @@
     await restartAll(restarts);
   });
 
+/** A core machine is down for so long that a learner, where there is one, is given its vote. */
+const away: TroubleAction = holding(
+  ({ processes }, trouble) => chosen(processes.cores, trouble),
+  async ({ processes, wait }, names, { duration }) => {
+    const restarts = await Promise.all(names.map((name) => processes.kill(name)));
+    await wait(TIMES.replaceAfter + 2 * duration);
+    await restartAll(restarts);
+  },
+);
+
 const paused = (choose: Choose): TroubleAction =>
   holding(choose, async ({ processes, wait }, names, { duration }) => {
     const resumes = names.map((name) => processes.pause(name));
@@ -121,6 +132,7 @@
   ['core-paused', paused(someCores)],
   ['router-paused', paused(someRouters)],
   ['core-disk-lost', diskLost],
+  ['core-away', away],
   ['core-paused-and-killed', pausedAndKilled],
   ['router-stopped', stopped(oneRouter)],
   ['router-stopped-and-killed', stoppedAndKilled],
