Failing: a client that leaves during a planned stop is counted as cut off by it

The callers' own records say that each had left (its time was over, or it gave up) while its answer came. Cause: the response of a client that left closes first, its connection is then taken for one at rest, and the close that follows notes the stop as the reason. Ruled out: a cut by the router (its caller left 20 to 30 ms before each note).

--- a/test/forward/request-ends.test.ts
+++ b/test/forward/request-ends.test.ts
@@ -127,6 +127,28 @@
     expectNoViolation(stage.requestEnds);
   });
 
+for (const [how, leave] of [
+  ['closes', (line: ReturnType<typeof callerLine>) => void line.socket.end()],
+  ['is gone from', (line: ReturnType<typeof callerLine>) => void line.socket.destroy()],
+  ['resets', (line: ReturnType<typeof callerLine>) => void line.socket.resetAndDestroy()],
+] as const)
+  test(`a client that ${how} its connection in the middle of its answer while this process stops has left`, async () => {
+    const { open, script } = held();
+    const stage = await openScripted({ scripts: [script], route: once, clock: new HandClock() });
+    const line = callerLine(stage.address);
+    line.send(requestText('a'));
+    await eventually(() => open.length === 1);
+    open[0]!.socket.write(`${answerHead(open[0]!, 'Content-Length: 6')}abc`);
+    await eventually(() => line.received().includes('abc'));
+    stage.face.retire();
+    stage.face.halt();
+    await turns();
+    leave(line);
+    await ended(stage);
+    expect(causes(stage)).toEqual([['client-left', 1]]);
+    expectNoViolation(stage.requestEnds);
+  });
+
 test('a request behind one that asked for the end of the connection is not begun', async () => {
   const { open, script } = held();
   const stage = await openScripted({ scripts: [script], route: once, clock: new HandClock() });
