--- a/src/forward/connection-close.ts
+++ b/src/forward/connection-close.ts
@@ -24,12 +24,6 @@
   if (!causes.has(socket)) causes.set(socket, cause);
 };
 
-/** Closes a connection at once. */
-export const closeConnection = (socket: Socket, cause: CloseCause): void => {
-  noteClose(socket, cause);
-  socket.destroy();
-};
-
 /** Why a connection was closed, as far as that is known: noted here, or seen on the socket where the client left. */
 export const closeCauseOf = (socket: Socket): CloseCause | undefined => {
   const noted = causes.get(socket);
@@ -37,3 +31,9 @@
   const hasLeft = socket.readableEnded || (socket.errored !== null && socket.errored !== undefined);
   return hasLeft ? 'client-left' : undefined;
 };
+
+/** Closes a connection at once; one that its client has left is closed for that. */
+export const closeConnection = (socket: Socket, cause: CloseCause): void => {
+  noteClose(socket, closeCauseOf(socket) ?? cause);
+  socket.destroy();
+};
