--- a/src/fleet/soak/processes.ts
+++ b/src/fleet/soak/processes.ts
@@ -88,7 +88,11 @@
     if (code !== 0)
       this.find('stop', name, code === undefined ? 'never ended' : `ended with ${code}`);
     if (code === undefined) await this.fleet.kill(name);
-    return () => this.start(name, isUp);
+    const isThere = this.incidents.begin('down', name);
+    return async () => {
+      await this.start(name, isUp);
+      isThere();
+    };
   }
 
   /** Asks a process to stop in order and ends it before it has. */
