--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -137,11 +137,13 @@
   /** ms that a connection may rest: what callers are told, in whole seconds, and the limit itself. */
   private idleLimit(): number {
     const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
-    return Math.max(limit, this.toldSeconds(limit) * 1000);
+    return Math.max(limit, this.toldIdleLimit());
   }
 
-  private toldSeconds(limit: number): number {
-    return Math.max(1, Math.floor(limit / 1000));
+  /** The idle limit in force as callers are told it: in whole seconds, one at least. */
+  private toldIdleLimit(): number {
+    const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
+    return Math.max(1, Math.floor(limit / 1000)) * 1000;
   }
 
   /** Takes the limits in force over; whether they have changed. */
@@ -150,7 +152,7 @@
     if (limits === this.heeded) return false;
     this.heeded = limits;
     this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
-    this.server.keepAliveTimeout = this.toldSeconds(limits.idleTimeout ?? IDLE_TIMEOUT) * 1000;
+    this.server.keepAliveTimeout = this.toldIdleLimit();
     return true;
   }
 }
