--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -317,6 +317,7 @@
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
+    child.once('close', () => log.end());
     this.running.set(name, { args, child });
   }
 }
--- a/src/fleet/soak/command.ts
+++ b/src/fleet/soak/command.ts
@@ -66,5 +66,8 @@
   handler: async (argv) => {
     for (let seed = argv.seed; seed < argv.seed + argv.seeds; seed++)
       if (!(await runSeed(seed, argv))) process.exitCode = 1;
+    // Node has been seen to spin at its own end over handles of connections that were reset.
+    await new Promise<void>((resolve) => process.stdout.write('', () => resolve()));
+    process.exit();
   },
 };
