--- a/src/fleet/soak/report.ts
+++ b/src/fleet/soak/report.ts
@@ -2,6 +2,7 @@
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
 import { describeCall } from '../../history/call.js';
+import { longestWaitInCalm } from './calm.js';
 import type { SoakEvidence } from './judge/judge.js';
 import type { SentOrder } from './operators.js';
 import type { SoakPlan } from './plan.js';
@@ -35,6 +36,8 @@
   readonly tries: number;
   readonly arrivals: number;
   readonly troubles: Counts;
+  /** ms of the longest calm time without an acknowledgement. */
+  readonly longestWait: number;
   readonly standstills: number;
   readonly findings: readonly SoakFinding[];
   readonly folder: string;
@@ -56,6 +59,7 @@
 export const reportOf = ({
   plan,
   evidence,
+  incidents,
   played,
   standstills,
   findings,
@@ -77,6 +81,7 @@
     played.filter(({ struck }) => struck.length > 0),
     ({ trouble }) => trouble.kind,
   ),
+  longestWait: longestWaitInCalm(evidence.orders, incidents),
   standstills,
   findings,
   folder: findings.length > 0 ? plan.folder : '',
