--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -137,6 +137,7 @@
       return abandoned();
     }
     if (first.isLeft()) {
+      answer.drop();
       ticket.end('failed');
       return { kind: 'unknown', fault: first.extract() as Fault };
     }
