Soak: violations that any life of a process logged are findings

Fleet.stop throws at them, which would have taken the report of the run along; endAll ends the processes, waits for their logs, and leaves the judgement to whoever calls.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -38,6 +38,8 @@
 interface Running {
   readonly args: readonly string[];
   child: ChildProcess;
+  /** Its log is written whole. */
+  logged: Promise<unknown>;
 }
 
 /** What nodes log of an invariant that did not hold (src/monitor/violations.ts). */
@@ -296,14 +298,21 @@
     this.run(name, this.running.get(name)!.args);
   }
 
+  /** Ends all processes, and throws where one of them told of a violated invariant. */
   async stop(): Promise<void> {
+    await this.endAll();
+    const found = this.violations();
+    if (found.length > 0) throw new Error(`nodes found violated invariants:\n${found.join('\n')}`);
+  }
+
+  /** Ends all processes; their logs are whole then. */
+  async endAll(): Promise<void> {
     for (const name of this.running.keys()) {
       this.signal(name, 'SIGCONT');
       this.signal(name, 'SIGKILL');
     }
     await Promise.all([...this.running.keys()].map((name) => this.exited(name)));
-    const found = this.violations();
-    if (found.length > 0) throw new Error(`nodes found violated invariants:\n${found.join('\n')}`);
+    await Promise.all([...this.running.values()].map(({ logged }) => logged));
   }
 
   /** The lines in which nodes, in any of their lives, told of an invariant that did not hold. */
@@ -331,7 +340,9 @@
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    child.once('close', () => log.end());
-    this.running.set(name, { args, child });
+    const logged = new Promise<void>((resolve) => {
+      child.once('close', () => log.end(resolve));
+    });
+    this.running.set(name, { args, child, logged });
   }
 }
--- a/src/fleet/soak/run.ts
+++ b/src/fleet/soak/run.ts
@@ -16,7 +16,7 @@
 import { SentOrders, SoakOperator, type SentOrder } from './operators.js';
 import { paramsFor, RETRIES, TIMES, type SoakPlan } from './plan.js';
 import { Processes } from './processes.js';
-import { Incidents } from './record.js';
+import { Incidents, type SoakFinding } from './record.js';
 import { Redundancy } from './redundancy.js';
 import { reportOf, writeRecords, type SoakReport } from './report.js';
 import { drawSchedule } from './schedule.js';
@@ -102,11 +102,13 @@
       await this.start();
       await this.play();
       const readBacks = await this.end();
+      this.processes.finish();
+      await this.fleet.endAll();
       return await this.report(readBacks);
     } finally {
       this.processes.finish();
       await this.scene.close();
-      await this.fleet.stop();
+      await this.fleet.endAll();
       await this.network.close();
     }
   }
@@ -203,12 +205,20 @@
     };
   }
 
+  /** Invariants that a process, in any of its lives, logged as violated. */
+  private violationFindings(): SoakFinding[] {
+    return this.fleet
+      .violations()
+      .map((line) => ({ rule: 'invariant-violated', subject: 'log', detail: line }));
+  }
+
   private async report(readBacks: readonly ReadBack[]): Promise<SoakReport> {
     const evidence = this.evidence(readBacks);
     const findings = [
       ...this.closing.findings,
       ...this.processes.findings,
       ...this.vigil.findings(),
+      ...this.violationFindings(),
       ...judgeSoak(evidence),
     ];
     const run = {
--- a/test/unit/fleet-violations.test.ts
+++ b/test/unit/fleet-violations.test.ts
@@ -18,7 +18,7 @@
   const fleet = new Fleet(plan);
   try {
     const ended = { kill: () => true, exitCode: 0, signalCode: null };
-    fleet['running'].set('core-1', { args: [], child: ended as never });
+    fleet['running'].set('core-1', { args: [], child: ended as never, logged: Promise.resolve() });
     expect(fleet.violations()).toEqual([]);
     await writeFile(join(folder, 'core-1.log'), `${LINES[0]!}\n`);
     await fleet.stop();
