Requests sent ahead while a stop is under way are answered, not dropped behind a close

Cause: the wish for a connection's end was fixed when the stop began: the newest request of that moment was marked, and which callers had another request behind them was noted once. A request that was sent ahead after that moment was read whole, then skipped behind an answer that said "Connection: close", which had not even been written yet when the request came. Besides, a skip behind an answer that was told of the stop by the face alone was recorded as "behind-closed", which is excused, so the invariant whole-request-cut stayed silent.

Now the mark moves on to the newest request as long as the earlier head is not written, and a caller asks at its head whether another request was taken behind it. "behind-stop" now means: skipped though it was there before the head that told the close.

Seen to fail before: 3 of test/forward/stop-steps.test.ts (sent ahead after the notice, during the drain, during both). With them "nothing is begun behind an answer that has told its connection of the stop": a request that comes after that head is still not begun.

Changed test: test/forward/bytes.test.ts asked that of two requests sent ahead during a stop the second is dropped. It is as strict as before on what must not run (the order, both answers, both runs are asserted), that nothing is begun behind a told close is asserted by stop-steps and, newly, by request-ends (the engine was asked once).

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -25,6 +25,8 @@
   idleLimit: number;
   /** Bytes that had been read when it became idle. */
   bytesRead: number;
+  /** The answer that asks for the connection's end because of the planned stop; undefined before. */
+  retired: ServerResponse | undefined;
 }
 
 const rejections = new Map<string, string>([
@@ -38,6 +40,7 @@
 export class Connections {
   private readonly open = new Map<Socket, Connection>();
   private closing = false;
+  private retiring = false;
 
   /** `idleLimit` gives the ms that a connection may rest, as in force now. */
   constructor(
@@ -54,6 +57,7 @@
       toldLimit: 0,
       idleLimit: 0,
       bytesRead: 0,
+      retired: undefined,
     });
     socket.once('close', () => this.open.delete(socket));
   }
@@ -70,16 +74,15 @@
     connection.idleSince = undefined;
     connection.toldLimit = toldLimit;
     connection.unanswered.set(response, request);
+    if (this.retiring) this.retireNewest(connection);
     response.once('close', () => this.end(socket, connection, response));
     return true;
   }
 
-  /** Asks each caller to close its connection behind the answer to the newest request that it has sent on it. */
+  /** From now on asks each caller to close its connection behind the answer to the newest request that it has sent on it. */
   retire(): void {
-    for (const { unanswered } of this.open.values()) {
-      const newest = [...unanswered.keys()].at(-1);
-      if (newest) newest.shouldKeepAlive = false;
-    }
+    this.retiring = true;
+    for (const connection of this.open.values()) this.retireNewest(connection);
   }
 
   /** What came is no request, or did not come to its end in time. */
@@ -123,6 +126,16 @@
     for (const socket of this.open.keys()) noteClose(socket, cause);
   }
 
+  /** Moves the wish for the connection's end to its newest request, as long as it was not told with an earlier one. */
+  private retireNewest(connection: Connection): void {
+    const newest = [...connection.unanswered.keys()].at(-1);
+    if (!newest) return;
+    const { retired } = connection;
+    if (retired && !retired.headersSent) retired.shouldKeepAlive = true;
+    connection.retired = newest.shouldKeepAlive ? newest : undefined;
+    newest.shouldKeepAlive = false;
+  }
+
   private closeResting(socket: Socket, connection: Connection): void {
     if (this.resting(socket, connection)) closeConnection(socket, 'idle-at-stop');
   }
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -31,7 +31,6 @@
   private readonly connections: Connections;
   private readonly closed = new AbortController();
   private heeded: Limits | undefined;
-  private retiring = false;
   /** Where it listens. */
   address = '';
 
@@ -84,7 +83,6 @@
   }
 
   retire(): void {
-    this.retiring = true;
     this.connections.retire();
   }
 
@@ -106,12 +104,11 @@
 
   private take(request: IncomingMessage, response: ServerResponse): void {
     const hasChanged = this.heed();
-    if (this.retiring) response.shouldKeepAlive = false;
+    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
+      return this.handler.reject?.();
     // The server settled before the change what this answer would tell of the idle limit.
     if (hasChanged && response.shouldKeepAlive)
       response.setHeader('Keep-Alive', `timeout=${this.server.keepAliveTimeout / 1000}`);
-    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
-      return this.handler.reject?.();
     this.handler.handle(request, response);
   }
 
--- a/src/forward/caller.ts
+++ b/src/forward/caller.ts
@@ -36,6 +36,8 @@
   /** Until when its request may be held, once that is known. */
   limit: Moment | undefined;
   private ends = false;
+  /** Whether its answer asked for the end of the connection only because this process stops, over a request behind it. */
+  private endsFollowedByStop = false;
   private skipCause: SkipCause | undefined;
   private cutCause: CutCause | undefined;
   /** What the answer that was begun is; undefined before its head. */
@@ -52,7 +54,10 @@
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
-    private readonly closing: () => boolean,
+    /** Whether this process is stopping. */
+    private readonly isStopping: () => boolean,
+    /** Whether another request was taken behind this one on its connection. */
+    private readonly isFollowed: () => boolean,
   ) {
     this.fields = fieldsOf(request.rawHeaders);
     response.once('close', () => {
@@ -105,13 +110,17 @@
   /** Gives up a request that nothing was done for, because its connection ends with the one before. */
   skip(before: Caller): void {
     this.ends = true;
-    this.skipCause = before.endsByStop ? 'behind-stop' : 'behind-closed';
+    const isSkippedForStop =
+      before.skipCause === 'behind-stop' || (before.endsFollowedByStop && !before.cutCause);
+    this.skipCause = isSkippedForStop ? 'behind-stop' : 'behind-closed';
   }
 
-  /** Whether its connection ends with it only because this process is stopping. */
-  private get endsByStop(): boolean {
-    if (this.skipCause) return this.skipCause === 'behind-stop';
-    return this.closing() && !this.gone.aborted && !this.cutCause && this.keepsConnection;
+  /** Decides, as the answer's head is made, whether the connection ends with it; `isUnread` tells of a body that still comes. */
+  private settleConnection(isUnread: boolean): void {
+    if (this.ends) return;
+    const isOver = !this.response.shouldKeepAlive;
+    this.ends = isUnread || isOver || (this.isStopping() && !this.isFollowed());
+    this.endsFollowedByStop = isOver && !isUnread && this.keepsConnection && this.isFollowed();
   }
 
   /** Whether the client would use the connection again, as far as the request tells. */
@@ -173,7 +182,7 @@
     if (retryAfter !== undefined)
       fields.push(['Retry-After', (Math.max(1, Math.ceil(retryAfter)) / 1000).toFixed(3)]);
     const unread = !this.request.complete && this.bodied;
-    this.ends ||= this.closing() || unread || !response.shouldKeepAlive;
+    this.settleConnection(unread);
     if (this.ends) fields.push(['Connection', 'close']);
     response.writeHead(status, fields.flat());
     response.end(body);
@@ -181,7 +190,7 @@
   }
 
   head(status: number, fields: Fields): void {
-    this.ends ||= this.closing() || !this.response.shouldKeepAlive;
+    this.settleConnection(false);
     const all = this.ends ? [...fields, ['Connection', 'close'] as const] : fields;
     this.response.writeHead(status, all.flat());
     this.answerKind = 'answered';
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -35,8 +35,6 @@
 export class Forwarder implements RequestHandler {
   private readonly running = new Set<Caller>();
   private closing = false;
-  /** Callers that had sent another request behind this one when the planned stop began: that one is answered too. */
-  private followed: ReadonlySet<Caller> = new Set();
   private emptied: () => void = () => undefined;
   private readonly admission: Admission;
   private readonly attempts: Attempts;
@@ -75,7 +73,8 @@
     const caller: Caller = new Caller(
       request,
       response,
-      () => this.closing && !this.followed.has(caller),
+      () => this.closing,
+      () => this.turns.isFollowed(request.socket, caller),
     );
     const taken: Taken = { caller, open: this.ends.begin(request.socket), job: undefined };
     const arrived = taken.open.begun;
@@ -102,7 +101,7 @@
   }
 
   async drain(limit: number): Promise<number> {
-    this.beginClosing();
+    this.close();
     const stop = new AbortController();
     if (this.running.size > 0)
       await Promise.race([
@@ -113,17 +112,9 @@
     return this.running.size;
   }
 
-  /** From now on each answer asks its caller to close the connection. */
+  /** From now on each answer asks its caller to close the connection, unless another request was taken behind it. */
   close(): void {
-    this.beginClosing();
-  }
-
-  private beginClosing(): void {
-    if (this.closing) return;
     this.closing = true;
-    this.followed = new Set(
-      [...this.running].filter((caller) => this.turns.isFollowed(caller.socket, caller)),
-    );
   }
 
   private count(what: string): void {
--- a/test/forward/bytes.test.ts
+++ b/test/forward/bytes.test.ts
@@ -187,14 +187,15 @@
   expect(answers.map(({ status }) => status)).toEqual([404, 200]);
 });
 
-test('nothing sent ahead is begun behind an answer that ends its connection', async () => {
+test('of requests sent ahead during a stop, only the last answer ends the connection', async () => {
   const stage = await openStage({ engines: 1, route: once, limits: { bodyBytes: 1000 } });
   stage.forwarder.close();
   const { answers } = await raw(stage.front, [head('Content-Length: 0'), smuggled], 2);
   expect(answers.map(({ status, fields }) => [status, fields.get('connection')])).toEqual([
+    [200, 'keep-alive'],
     [200, 'close'],
   ]);
-  expect(stage.engines[0]!.requests.map(({ id }) => id)).toEqual(['one']);
+  expect(stage.engines[0]!.requests.map(({ id }) => id)).toEqual(['one', 'two']);
   await until('no request under way', () => stage.forwarder.open === 0);
 });
 
--- a/test/forward/request-ends.test.ts
+++ b/test/forward/request-ends.test.ts
@@ -161,6 +161,7 @@
   await line.over();
   await ended(stage);
   expect(causes(stage).filter(([cause]) => cause !== 'behind-closed')).toEqual([['answered', 1]]);
+  expect(open.length).toBe(1);
   expectNoViolation(stage.requestEnds);
 });
 
