A connection lingers behind its last answer instead of being reset over what still comes

Cause: behind a last answer (a refusal over a body that still arrives, "Connection: close", an error of the parser) the HTTP server destroys the socket. Where bytes lie unread or still come, the system answers by a reset, the client's next write fails, and a client that takes that for the end never reads the answer that it was given: a refusal or a whole answer is lost.

Only our direction is ended now; what still comes is thrown away until the client ends its own, for 2 s of silence and 10 s in all at most, looked at by the loop that closes idle connections (no timer for each connection). A request that comes meanwhile is not begun, as before.

Ruled out: holding the answer's end back until the body is read; the request would count as open, and requests behind "Connection: close" would not be helped.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -9,6 +9,7 @@
 import { closeConnection, noteClose, type CloseCause } from '../../forward/connection-close.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import type { Clock, Moment } from '../../kernel/clock/clock.js';
+import { LingeringClose } from './lingering-close.js';
 
 interface Connection {
   /** Requests in their order whose answers have not been written to the last byte. */
@@ -27,6 +28,8 @@
   bytesRead: number;
   /** The answer that asks for the connection's end because of the planned stop; undefined before. */
   retired: ServerResponse | undefined;
+  /** Set once its last answer is written and only its client's end is waited for. */
+  lingering: LingeringClose | undefined;
 }
 
 const rejections = new Map<string, string>([
@@ -49,7 +52,7 @@
   ) {}
 
   add(socket: Socket): void {
-    this.open.set(socket, {
+    const connection: Connection = {
       unanswered: new Map(),
       begun: 0,
       rejection: undefined,
@@ -58,7 +61,13 @@
       idleLimit: 0,
       bytesRead: 0,
       retired: undefined,
-    });
+      lingering: undefined,
+    };
+    this.open.set(socket, connection);
+    // The HTTP server ends a connection by this, behind its last answer.
+    socket.destroySoon = () => {
+      connection.lingering ??= new LingeringClose(socket, this.clock);
+    };
     socket.once('close', () => this.open.delete(socket));
   }
 
@@ -69,7 +78,10 @@
   begin(request: IncomingMessage, response: ServerResponse, toldLimit: number): boolean {
     const { socket } = request;
     const connection = this.open.get(socket);
-    if (!connection || connection.rejection !== undefined) return false;
+    if (!connection || connection.rejection !== undefined || connection.lingering) {
+      request.resume();
+      return false;
+    }
     connection.begun += 1;
     connection.idleSince = undefined;
     connection.toldLimit = toldLimit;
@@ -88,6 +100,7 @@
   /** What came is no request, or did not come to its end in time. */
   reject(socket: Socket, code: string | undefined): void {
     const connection = this.open.get(socket);
+    if (connection?.lingering && code !== 'ECONNRESET') return;
     if (!connection || !socket.writable || code === 'ECONNRESET')
       return closeConnection(socket, 'client-left');
     connection.rejection ??= rejectionText(code);
@@ -101,14 +114,15 @@
     if (this.open.get(socket)?.begun === begun) this.reject(socket, code);
   }
 
-  /** Closes the connections that have rested beyond their limit. */
+  /** Closes the connections that have rested beyond their limit, or whose clients do not close them. */
   closeExpired(): void {
     const now = this.clock.now();
     const current = this.idleLimit();
     for (const [socket, connection] of this.open)
       if (
-        this.resting(socket, connection) &&
-        now - connection.idleSince! > Math.max(current, connection.idleLimit)
+        connection.lingering?.isOver() ||
+        (this.resting(socket, connection) &&
+          now - connection.idleSince! > Math.max(current, connection.idleLimit))
       )
         closeConnection(socket, 'idle-limit');
   }
@@ -140,14 +154,14 @@
     if (this.resting(socket, connection)) closeConnection(socket, 'idle-at-stop');
   }
 
-  private resting(socket: Socket, { idleSince, bytesRead }: Connection): boolean {
-    return idleSince !== undefined && socket.bytesRead === bytesRead;
+  private resting(socket: Socket, { idleSince, bytesRead, lingering }: Connection): boolean {
+    return !lingering && idleSince !== undefined && socket.bytesRead === bytesRead;
   }
 
   private end(socket: Socket, connection: Connection, response: ServerResponse): void {
     connection.unanswered.delete(response);
     if (connection.rejection !== undefined) return this.finishRejected(socket, connection);
-    if (connection.unanswered.size > 0) return;
+    if (connection.unanswered.size > 0 || connection.lingering) return;
     connection.idleSince = this.clock.now();
     connection.idleLimit = Math.max(this.idleLimit(), connection.toldLimit);
     connection.bytesRead = socket.bytesRead;
