A planned stop waits for headers half in, and leaves no connection open on which requests could still come

Cause: the drain returns at once when no request is taken. A connection whose header is half in was then destroyed though there was time.

Faces may settle now: wait, within the stop's time, until nothing is under way on any connection (a request, a header half in, a client that still sends behind its last answer), then close those on which nothing is, in the same turn of the event loop in which that was seen. The daemon settles its faces behind the first drain.

Open: half a header that came in one piece with the request before it is not seen as under way (the parser tells no place).

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -287,6 +287,7 @@
         if (node instanceof RouterNode) {
           const forwarder = context.get<RequestHandler>(names.forwarder);
           await forwarder.drain(Math.max(0, limit - clock.now()));
+          for (const face of faces) await face.settle?.(Math.max(0, limit - clock.now()));
           left += await node.drain();
           left += await forwarder.drain(Math.max(0, limit - clock.now()));
         } else await node.leave(Math.min(LEAVE_LIMIT, Math.max(0, limit - clock.now())));
--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -8,7 +8,7 @@
 import type { Socket } from 'node:net';
 import { closeConnection, noteClose, type CloseCause } from '../../forward/connection-close.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
-import type { Clock, Moment } from '../../kernel/clock/clock.js';
+import { later, within, type Clock, type Duration, type Moment } from '../../kernel/clock/clock.js';
 import { LingeringClose } from './lingering-close.js';
 
 interface Connection {
@@ -43,6 +43,8 @@
 export class Connections {
   private readonly open = new Map<Socket, Connection>();
   private closing = false;
+  /** Wakes who waits until nothing is under way. */
+  private changed: () => void = () => undefined;
   private retiring = false;
 
   /** `idleLimit` gives the ms that a connection may rest, as in force now. */
@@ -68,7 +70,10 @@
     socket.destroySoon = () => {
       connection.lingering ??= new LingeringClose(socket, this.clock);
     };
-    socket.once('close', () => this.open.delete(socket));
+    socket.once('close', () => {
+      this.open.delete(socket);
+      this.changed();
+    });
   }
 
   /**
@@ -135,6 +140,23 @@
     });
   }
 
+  /**
+   * Waits, at most `limit` ms, until nothing is under way on any connection, be it a header that is half in or a client that
+   * still sends behind its last answer; then closes those on which nothing is, before anything more is read.
+   */
+  async settle(limit: Duration): Promise<void> {
+    const end = later(this.clock.now(), limit);
+    for (;;) {
+      await arrivedIsRead();
+      const left = end - this.clock.now();
+      const isBusy = [...this.open].some(([socket, connection]) => this.isBusy(socket, connection));
+      if (!isBusy || left <= 0) break;
+      await within(this.clock, left, new Promise<void>((resolve) => (this.changed = resolve)));
+    }
+    for (const [socket, connection] of this.open)
+      if (!this.isBusy(socket, connection)) closeConnection(socket, 'idle-at-stop');
+  }
+
   /** Notes why all connections that are still open are about to be closed. */
   noteCloseOfAll(cause: CloseCause): void {
     for (const socket of this.open.keys()) noteClose(socket, cause);
@@ -154,6 +176,11 @@
     if (this.resting(socket, connection)) closeConnection(socket, 'idle-at-stop');
   }
 
+  private isBusy(socket: Socket, connection: Connection): boolean {
+    if (connection.unanswered.size > 0 || connection.lingering) return true;
+    return connection.begun === 0 ? socket.bytesRead > 0 : !this.resting(socket, connection);
+  }
+
   private resting(socket: Socket, { idleSince, bytesRead, lingering }: Connection): boolean {
     return !lingering && idleSince !== undefined && socket.bytesRead === bytesRead;
   }
@@ -165,6 +192,7 @@
     connection.idleSince = this.clock.now();
     connection.idleLimit = Math.max(this.idleLimit(), connection.toldLimit);
     connection.bytesRead = socket.bytesRead;
+    this.changed();
     if (this.closing) setImmediate(() => this.closeResting(socket, connection));
   }
 
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -10,7 +10,7 @@
 import type { Face } from '../../node/extension.js';
 import { closeConnection } from '../../forward/connection-close.js';
 import type { RequestHandler } from '../../forward/face.js';
-import type { Clock } from '../../kernel/clock/clock.js';
+import type { Clock, Duration } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { parseAddress } from '../../kernel/net/net.js';
@@ -93,6 +93,10 @@
     this.connections.closeIdle();
   }
 
+  settle(limit: Duration): Promise<void> {
+    return this.connections.settle(limit);
+  }
+
   close(): Promise<void> {
     this.closed.abort();
     return new Promise((resolve) => {
--- a/src/node/extension.ts
+++ b/src/node/extension.ts
@@ -3,14 +3,20 @@
  * (src/node/names.ts), and faces beside its own, which reach the node's services by the same names.
  */
 import type { Provider } from '@nestjs/common';
+import type { Duration } from '../kernel/clock/clock.js';
 import type { Outcome } from '../kernel/fault/fault.js';
 
-/** Something that listens. On a planned stop all faces retire, then halt, what was taken is ended, then they close. */
+/** Something that listens. On a planned stop all faces retire, halt, and settle once what was taken is ended; then they close. */
 export interface Face {
   /** Tells whoever is connected to go elsewhere, and goes on taking what comes. */
   retire?(): void;
   /** Takes nothing new; connections that wait to be accepted are lost, unless the event loop has just come round. */
   halt?(): void;
+  /**
+   * Waits, at most `limit` ms, until nothing is under way on any connection, and closes those on which nothing is, so that
+   * nothing more comes.
+   */
+  settle?(limit: Duration): Promise<void>;
   close(): Promise<unknown>;
 }
 
