An engine that was given up for another one may be asked again for the same stream

Cause: while an engine is silent another one is asked to go on; when the first one speaks again, the second is given up, but it stayed in the list of those tried. If the first one then broke off, there was nowhere left to go on, and the stream was cut though a healthy engine had been asked and had done nothing wrong. With two engines one pause of the first is enough.

Now an attempt that is given up while its client still waits takes its engine off that list. The route's attempts and the budget count it as before. Only requests that may be repeated are ever asked of two engines.

Seen to fail before: "where the first engine goes on before the other one, and breaks off later" (silent-stream.test.ts), found by a standstill of 8 s between two steps of a stream.

--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -83,6 +83,8 @@
     const { signal } = giveUp;
     const abandoned = (): Attempt => {
       ticket.end('left');
+      // It did nothing wrong: another one was first. It may be asked again, should that one break off.
+      if (!caller.gone.aborted) job.tried.delete(engine.identifier);
       return { kind: 'left' };
     };
     job.tried.add(engine.identifier);
--- a/test/forward/silent-stream.test.ts
+++ b/test/forward/silent-stream.test.ts
@@ -140,6 +140,22 @@
   await eventually(() => exchange(1)!.closed());
 });
 
+test('where the first engine goes on before the other one, and breaks off later', async () => {
+  const { clock, line, exchange, stage } = await open([beginsOnly, saysNothing], 3);
+  await received(line, 1);
+  while (stage.engines[1]!.exchanges.length === 0) await pass(clock, 100);
+  exchange(0)!.socket.write(chunk(event(2)));
+  await received(line, 2);
+  await eventually(() => exchange(1)!.closed());
+  exchange(0)!.socket.resetAndDestroy();
+  await eventually(() => line.closed() || stage.engines[1]!.exchanges.length === 2);
+  expect(line.closed()).toBe(false);
+  const again = stage.engines[1]!.exchanges[1]!;
+  begin(again, 3);
+  goOn(again, 4);
+  await expectWhole(line);
+});
+
 test('where the other engine takes it up and falls silent in its turn', async () => {
   const { clock, line, exchange, stage } = await open([beginsOnly, beginsOnly], 2);
   await received(line, 1);
