--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { closeConnection, noteClose, type CloseCause } from '../../forward/connection-close.js';
+import { DEFAULT_WAIT } from '../../forward/job.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { later, within, type Clock, type Duration, type Moment } from '../../kernel/clock/clock.js';
 import { LingeringClose } from './lingering-close.js';
@@ -37,8 +38,16 @@
   ['ERR_HTTP_REQUEST_TIMEOUT', '408 Request Timeout'],
 ]);
 
-const rejectionText = (code: string | undefined): string =>
-  `HTTP/1.1 ${rejections.get(code ?? '') ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`;
+/** Errors after which the client may come back, since they tell nothing against its request. */
+const passing: ReadonlySet<string> = new Set(['ERR_HTTP_REQUEST_TIMEOUT']);
+
+const rejectionText = (code = ''): string =>
+  [
+    `HTTP/1.1 ${rejections.get(code) ?? '400 Bad Request'}`,
+    'Connection: close',
+    ...(passing.has(code) ? [`Retry-After: ${(DEFAULT_WAIT / 1000).toFixed(3)}`] : []),
+    'Content-Length: 0\r\n\r\n',
+  ].join('\r\n');
 
 export class Connections {
   private readonly open = new Map<Socket, Connection>();
--- a/src/forward/admission.ts
+++ b/src/forward/admission.ts
@@ -63,7 +63,7 @@
     const left = Math.max(0, limit - this.clock.now());
     const body = await within(this.clock, left, caller.body(routed.bodyBound));
     if (caller.gone.aborted) return { kind: 'left' };
-    if (!body) return refused(408, 'its time was over before it was read whole');
+    if (!body) return refused(408, 'its time was over before it was read whole', DEFAULT_WAIT);
     if (body.isLeft()) return refused(413, (body.extract() as Fault).reason);
     chart.step('read');
     const { id, route, service } = routed;
--- a/test/forward/clock.ts
+++ b/test/forward/clock.ts
@@ -1,5 +1,6 @@
 /** Time that a test moves by hand, for what waits through the clock service. */
 import type { Clock, Moment } from '../../src/kernel/clock/clock.js';
+import { arrivedIsRead } from '../../src/kernel/net/arrived.js';
 
 interface Sleeper {
   readonly until: number;
@@ -35,12 +36,12 @@
     });
   }
 
-  /** Moves time on, and wakes whoever was to wake by then. */
+  /** Moves time on, and wakes whoever was to wake by then; as by the system's clock, once the sockets were read. */
   advance(by: number): void {
     this.at += by;
     for (const sleeper of [...this.sleepers].filter(({ until }) => until <= this.at)) {
       this.sleepers.delete(sleeper);
-      sleeper.wake();
+      void arrivedIsRead().then(sleeper.wake);
     }
   }
 }
--- a/test/forward/face.test.ts
+++ b/test/forward/face.test.ts
@@ -64,6 +64,7 @@
   slow.send('POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Requ');
   await until('it is closed', slow.closed);
   expect(slow.reader.answers.map(({ status }) => status)).toEqual([408]);
+  expect(Number(slow.reader.answers[0]!.fields.get('retry-after'))).toBeGreaterThan(0);
   expect(stage.engines[0]!.requests).toEqual([]);
 });
 
--- a/test/forward/proxy.ts
+++ b/test/forward/proxy.ts
@@ -31,6 +31,7 @@
   readonly placer: Placer;
   readonly links: HttpLinks;
   readonly journal: Journal<ForwardEvent>;
+  readonly inForce: InForce;
   readonly route: Route;
   readonly configuration: Configuration;
   /** How the tickets of each engine ended, in order. */
@@ -134,5 +135,5 @@
     () => undefined,
     requestEnds,
   );
-  return { forwarder, requestEnds, placer, links, journal, route, configuration, ends };
+  return { forwarder, requestEnds, placer, links, journal, inForce, route, configuration, ends };
 };
--- a/test/unit/standstill.test.ts
+++ b/test/unit/standstill.test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { expect, test } from 'vitest';
 import { SystemClock, within } from '../../src/kernel/clock/clock.js';
+import { arrivedIsRead } from '../../src/kernel/net/arrived.js';
 
 const LIMIT = 20;
 
@@ -45,3 +46,23 @@
   expect(await within(clock, LIMIT, new Promise(() => undefined))).toBeUndefined();
   expect(clock.now() - begun).toBeGreaterThanOrEqual(LIMIT - 1);
 });
+
+test('what arrived during a standstill in the middle of reading is read as well', async () => {
+  const [busy, other] = [await openPair(), await openPair()];
+  for (let round = 0; round < 20; round++) {
+    let hasArrived = false;
+    other.near.once('data', () => (hasArrived = true));
+    const isRead = new Promise<void>((resolve) =>
+      busy.near.once('data', () => {
+        other.far.write('x');
+        standStill(LIMIT);
+        resolve(arrivedIsRead());
+      }),
+    );
+    busy.far.write('x');
+    await isRead;
+    expect(hasArrived).toBe(true);
+  }
+  busy.close();
+  other.close();
+});
