A channel between nodes that came up while the process stood still is not called late

Cause: the limit on dialling is a timer of the socket, and after a standstill timers come before sockets are read: the dial failed though the connection was up, and a peer counted as out of reach for the node's own pause. The sockets are read first now. Seen to fail: test/unit/standstill.test.ts. Ruled out by the test beside it: undici's limit on links to engines, which reads first by itself; its limits on heads and bodies are off, node:http's on requests too.

--- a/src/kernel/net/net.ts
+++ b/src/kernel/net/net.ts
@@ -6,6 +6,7 @@
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { Right } from 'purify-ts';
 import { failed, reasonOf, type Outcome } from '../fault/fault.js';
+import { arrivedIsRead } from './arrived.js';
 
 /** The most bytes that a frame may have. */
 export const FRAME_BOUND = 16 * 1024 * 1024;
@@ -143,7 +144,12 @@
     const { host, port } = parseAddress(address);
     return new Promise((resolve) => {
       const socket = connect({ host, port });
-      socket.setTimeout(limit, () => socket.destroy(new Error(`no channel within ${limit} ms`)));
+      const giveUp = async (): Promise<void> => {
+        // It may have come up while this process stood still.
+        await arrivedIsRead();
+        if (socket.connecting) socket.destroy(new Error(`no channel within ${limit} ms`));
+      };
+      socket.setTimeout(limit, () => void giveUp());
       socket.once('error', (thrown) => resolve(failed('net.dial', address, reasonOf(thrown))));
       socket.once('connect', () => {
         socket.setTimeout(0);
--- a/test/unit/standstill.test.ts
+++ b/test/unit/standstill.test.ts
@@ -1,8 +1,12 @@
 /** A process that stood still judges no limit before it has read what arrived meanwhile: with real sockets. */
+import { createServer as createHttpServer } from 'node:http';
 import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
 import { expect, test } from 'vitest';
+import { HttpLinks } from '../../src/forward/link.js';
 import { SystemClock, within } from '../../src/kernel/clock/clock.js';
 import { arrivedIsRead } from '../../src/kernel/net/arrived.js';
+import { TcpNet } from '../../src/kernel/net/net.js';
+import { listedEngine } from '../forward/proxy.js';
 
 const LIMIT = 20;
 
@@ -66,3 +70,34 @@
   busy.close();
   other.close();
 });
+
+test('a channel that came up during a standstill is not called late', async () => {
+  const net = new TcpNet();
+  const listener = (await net.listen('127.0.0.1:0', () => undefined)).unsafeCoerce();
+  for (let round = 0; round < 20; round++) {
+    const dialled = net.dial(listener.address, LIMIT);
+    standStill(LIMIT * 2);
+    const channel = await dialled;
+    expect(channel.extract()).not.toHaveProperty('reason');
+    channel.ifRight((up) => up.close());
+  }
+  listener.close();
+});
+
+test('a link to an engine that came up during a standstill is not called late', async () => {
+  const server = createHttpServer((_, response) => void response.end('.'));
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const engine = listedEngine('e', `127.0.0.1:${(server.address() as AddressInfo).port}`);
+  const get = { method: 'GET', target: '/', fields: [['host', 'h']], body: undefined } as const;
+  for (let round = 0; round < 20; round++) {
+    const links = new HttpLinks(new SystemClock(), LIMIT, 5000);
+    const sent = links.send(engine, get, 60_000, new AbortController().signal);
+    standStill(LIMIT * 2);
+    const answer = await sent;
+    expect(answer.isRight()).toBe(true);
+    answer.ifRight((each) => each.drop());
+    links.close();
+  }
+  server.closeAllConnections();
+  server.close();
+});
