An exception that nothing caught ends one event of a router, not the router

Cause: there was no handler, so a defect in any callback ended the process with all requests that it carried; and rejections that nobody heeded were logged only from the end of the start on, and ended the process before.

A router logs an exception and goes on, as it does for rejections. A core member still ends: it keeps the state that all agreed on, in memory too, and comes back with what is on its disk.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -55,6 +55,7 @@
 import type { Peers } from '../wire/peers.js';
 import type { Traffic } from '../wire/traffic.js';
 import { noExtension, type Extension, type Face } from '../node/extension.js';
+import { logDefects } from './defects.js';
 
 type Reread = () => Promise<Outcome<Params>>;
 
@@ -143,6 +144,7 @@
     { logger: false, abortOnError: false },
   );
   const log = context.get<Log>(names.log);
+  logDefects(role, log, context.get<Clock>(names.clock));
   const node = role === 'core' ? context.get(CoreNode) : context.get(RouterNode);
   const stop = context.get<AbortController>(names.stop);
   const refuse = ({ step, peer, reason }: Fault): number => {
@@ -300,6 +302,5 @@
     };
     process.on('SIGTERM', () => end('SIGTERM'));
     process.once('SIGINT', () => end('SIGINT'));
-    process.on('unhandledRejection', (thrown) => log('fault', [['reason', String(thrown)]]));
   });
 };
