Schedules: an engine that goes on too far leaves a gap also at the last event

The act 'astray' stands for an engine whose continuation doesn't follow on what the caller has. The act now gives an event with a gap before it, in these draws too; a gap must be refused. Ruled out: a fault of the resumption (the same draw failed before it was rewritten).

--- a/test/forward/schedules.test.ts
+++ b/test/forward/schedules.test.ts
@@ -117,6 +117,15 @@
   return Array.from({ length: EVENTS - after }, (_, at) => eventOf(id, after + at + 1));
 };
 
+/**
+ * What an engine gives that goes on one event too far. Where at most the last event is due it gives one that no other can
+ * lead up to, since a whole answer without events can't be told there from one of an engine that has nothing to add.
+ */
+const strayed = (exchange: Exchange): string[] => {
+  const pieces = piecesOf(exchange, true);
+  return pieces.length > 1 ? pieces.slice(1) : [eventOf(exchange.id, EVENTS + 2)];
+};
+
 const textOf = (act: Act, exchange: Exchange, stream: boolean): string => {
   const pieces = piecesOf(exchange, stream);
   switch (act.kind) {
@@ -133,7 +142,7 @@
     case 'foreign':
       return sized({ ...exchange, id: 'foreign' }, 'foreign');
     case 'astray':
-      return chunked(exchange, ...(stream && pieces.length < EVENTS ? pieces.slice(1) : pieces));
+      return chunked(exchange, ...(stream && pieces.length < EVENTS ? strayed(exchange) : pieces));
     case 'silent':
       return '';
   }
