A proposer on a machine that was suspended does not spin while it forgets

It never ended: of its 48 cases, `{ suspend: 8000, after: 680 }` spun at one instant of virtual time (18552.083 ms). After a suspension the monotonic reading (2^13) is finer than the world's time (2^14), so a sleep ends 1.8e-12 ms short of its end, and the next sleep, of 1.8e-12 ms, does not take the world's time any further.

On the system's clock a timer takes 1 ms at least, so real processes woke once or twice too often at most and did not hang.

Mend: the sleep is never shorter than 1 ms. The test is as it was.

Before: the case never ends (20,000 events at one instant, stack of each in `forget`); the new test, of one machine suspended for 100 s, finds the spin. After: lease.test.ts passes, 8 of 8 (the named test in 14.8 s); held-revision.test.ts 2 of 2.

--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -48,6 +48,8 @@
 const WAITING_BOUND = 4096;
 /** For how many ms a proposer holds the revision it used last. */
 const KNOWN_FOR = 10_000;
+/** The shortest sleep in ms that is sure to take the clock further, whatever its readings are rounded to. */
+const SHORTEST_SLEEP = 1;
 /** How often a survey begins again because it learned of a newer core set. */
 const SURVEY_PASSES = 4;
 
@@ -340,7 +342,7 @@
   /** Forgets the revision held once its time is over, which may be put off meanwhile. */
   private async forget(): Promise<void> {
     while (this.knownUntil !== undefined && this.knownUntil > this.clock.now())
-      await this.clock.sleep(this.knownUntil - this.clock.now());
+      await this.clock.sleep(Math.max(SHORTEST_SLEEP, this.knownUntil - this.clock.now()));
     this.known = undefined;
     this.knownUntil = undefined;
   }
--- a/test/checker/held-revision.test.ts
+++ b/test/checker/held-revision.test.ts
@@ -51,3 +51,43 @@
   await change(CHANGES + 1);
   expect(known).toBe('');
 });
+
+/** Far more sleeps than a node begins at one instant. */
+const SPIN = 1000;
+/** So long that a reading of the monotonic clock afterwards is finer than one of the world's time. */
+const SUSPENDED_FOR = 100_000;
+
+test('what was held is forgotten without a spin on a machine that was suspended, whatever its clock is rounded to', async () => {
+  const { world, operator } = await openStage();
+  const { clock } = operator.host;
+  const sleep = clock.sleep.bind(clock);
+  let instant = 0;
+  let begun = 0;
+  let spins = 0;
+  clock.sleep = (duration, signal): Promise<void> => {
+    begun = world.now === instant ? begun + 1 : 0;
+    instant = world.now;
+    if (begun < SPIN) return sleep(duration, signal);
+    spins += 1;
+    return new Promise(() => undefined);
+  };
+  operator.host.suspend();
+  await world.run(world.now + SUSPENDED_FOR);
+  operator.host.thaw();
+  for (let number = 0; number < 10; number++) {
+    await world.run(world.now + 11_000);
+    const act = {
+      kind: 'claim',
+      name: `s-${number}`,
+      duration: 1,
+      expects: 0,
+      takeover: false,
+    } as const;
+    const told = await world.until(
+      operator.proposer.propose({ id: `s-${number}`, firm: 's', who: 'o', act }, 4000),
+    );
+    expect(told.isRight()).toBe(true);
+  }
+  await world.run(world.now + 11_000);
+  expect(spins).toBe(0);
+});
