Only a voter that votes is the one that changes the voter set

Ruled out: the majority check of the removal (three voters are current, three are needed) and the learner (ready after 0.6 s). Weighed: leaving out all that are not current; a voter that is merely behind would then hand its turn to another at each look amid changes.

Mend: voters that answer without a vote are left out of the hashing; this holds too for a new voter that does not know of its vote yet.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -14,8 +14,8 @@
  * One that says that it stops is replaced without waiting for its silence: the learner is added first. A voter that is
  * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first.
  *
- * One member does this, cut by rendezvous hashing over the voters that answer, fenced by the number of the voter set: of two
- * who both think it is theirs only one change can win, and a change that lost does nothing.
+ * One member does this, cut by rendezvous hashing over the voters that answer and vote, fenced by the number of the voter
+ * set: of two who both think it is theirs only one change can win, and a change that lost does nothing.
  */
 import { Right } from 'purify-ts';
 import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
@@ -72,6 +72,8 @@
   readonly current: readonly Voter[];
   /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
   readonly unrecoverable: readonly Voter[];
+  /** Voters that answered but do not vote now, as with a disk in trouble or before they know of their vote. */
+  readonly suspended: readonly Voter[];
   readonly silent: readonly Voter[];
   readonly leaving: readonly Voter[];
   /** Learners that hold the newest committed revision on disk. */
@@ -229,9 +231,9 @@
     const look = await this.look();
     this.last = look;
     if (this.after === 0) return false;
-    const { set, silent, unrecoverable, leaving } = look;
+    const { set, silent, suspended, unrecoverable, leaving } = look;
     const staying = set.members.filter(
-      (voter) => ![...silent, ...unrecoverable, ...leaving].includes(voter),
+      (voter) => ![...silent, ...suspended, ...unrecoverable, ...leaving].includes(voter),
     );
     const [holder] = holders(
       `succession-${set.number}`,
@@ -291,6 +293,7 @@
       set,
       current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
+      suspended: present.filter((voter) => !states.get(voter)!.voting),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
