A voter that can't see the learner holds its promotion up for one turn only

Ruled out: the learner's own following (it takes what is committed from the other voters at once) and its votes after the promotion (a majority reaches it).

Mend: `ChangeTurn`. Each next member in the order of the hashing makes a change that it finds due once that has been due for another half of `core.replaceAfter`; the number of the voter set fences it as before. Weighed: the learner tells each voter who reaches it, which needs another call and trusts its word; and hashing by time, which a set of clocks must share.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -14,14 +14,14 @@
  * One that says that it stops is replaced without waiting for its silence: the learner is added first. A voter that is
  * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first.
  *
- * One member does this, cut by rendezvous hashing over the voters that answer and vote, fenced by the number of the voter
- * set: of two who both think it is theirs only one change can win, and a change that lost does nothing.
+ * One member does this, cut by rendezvous hashing over the voters that answer and vote; the next one where that does not,
+ * as where it can't reach the learner. The number of the voter set fences it: of two who both think it is theirs only one
+ * change can win, and a change that lost does nothing.
  */
 import { Right } from 'purify-ts';
 import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { holders } from '../duty/rendezvous.js';
 import { call } from '../wire/call.js';
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
@@ -31,6 +31,7 @@
 import { VoterLiveness } from './liveness.js';
 import type { Member } from './member.js';
 import type { Proposer } from './proposer.js';
+import { ChangeTurn } from './turn.js';
 import type { VoterDirectory } from './voter-directory.js';
 
 /** A learner tells the members where it is. */
@@ -62,6 +63,8 @@
 const FRESH = 5;
 /** How many looks fall into one pause while something is amiss. */
 const HURRY = 4;
+/** How many turns fall into the time for which a voter must be silent to count as gone. */
+const TURNS = 2;
 
 type VoterChange = Extract<Act, { kind: 'addVoter' | 'removeVoter' }>;
 
@@ -88,6 +91,7 @@
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
+  private readonly turn: ChangeTurn;
   /** Machines that left the last ask unanswered. They are asked again beside the looks, which do not wait for them. */
   private readonly unheard = new Set<string>();
   private readonly probed = new Set<string>();
@@ -110,6 +114,7 @@
   ) {
     this.every = after === 0 ? EVERY : Math.min(EVERY, Math.max(100, after));
     this.liveness = new VoterLiveness(after);
+    this.turn = new ChangeTurn(after / TURNS);
     this.looked = clock.now();
   }
 
@@ -235,12 +240,15 @@
     const staying = set.members.filter(
       (voter) => ![...silent, ...suspended, ...unrecoverable, ...leaving].includes(voter),
     );
-    const [holder] = holders(
-      `succession-${set.number}`,
-      staying.map(({ id }) => id),
-    );
-    const change = holder === this.member.id ? this.due(look) : undefined;
-    if (!change || !(await this.propose(change))) return false;
+    const change = this.due(look);
+    if (!change) {
+      this.turn.reset();
+      return false;
+    }
+    const candidates = staying.map(({ id }) => id);
+    const due = { set: set.number, candidates };
+    if (!this.turn.isOf(this.member.id, due, this.clock.now())) return false;
+    if (!(await this.propose(change))) return false;
     await this.finish(change, look);
     return true;
   }
