Repair never gives up the newest committed revision that a member knows

Ruled out: two values committed under one revision (the log has one accept per revision at both voters; the digest that differs is the empty one).

Mend: the floor is raised only above revisions below the newest committed one.

--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -3,7 +3,8 @@
  * names for the one before; where its own file is missing, spoilt or was never chosen, it takes the revision from
  * another member and checks it against the chain. Once the history is whole, ranges of files are read again in turn
  * and compared by one digest over the range, so that what spoils on the disk later is found and mended as well. Where old
- * revisions are taken away, the history begins at the floor, or above what no other member holds any more.
+ * revisions are taken away, the history begins at the floor, or above what no other member holds any more; the newest committed
+ * revision is never given up, since what follows is checked against it.
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
@@ -86,7 +87,8 @@
     }
     if (this.missing !== revision) this.log('revision-missing', [['revision', revision]]);
     this.missing = revision;
-    if (this.pruned && others.length > 0 && without === others.length)
+    const isNewest = revision >= this.member.committedRevision;
+    if (this.pruned && !isNewest && others.length > 0 && without === others.length)
       this.member.chain.raise(revision + 1);
     return false;
   }
