A member that is behind removes and promotes nobody by what it knows itself

A voter that word of commits does not reach took itself and everybody else for current, removed the lost voter and promoted a learner by that, against what docs/control-plane.md says holds.

Mend: the newest revision is the newest that any machine told at that look; the member that looks has the same moment to get there as the others.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -4,9 +4,10 @@
  * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
  * does the vote that is given.
  *
- * "Newest" is what was committed when the question was asked, and whoever is behind then has a moment to get there: while
- * changes follow each other, any answer is behind what is committed by the time that the slowest answer has come, and a
- * dark voter leaves its question open for the whole limit.
+ * "Newest" is what any of the machines knew to be committed when it answered, so that a member that is behind itself removes
+ * and promotes nobody by that. Whoever is behind then has a moment to get there: while changes follow each other, any answer is
+ * behind what is committed by the time that the slowest answer has come, and a dark voter leaves its question open for the
+ * whole limit.
  *
  * The members watch each other. A voter that has been silent for the param's time, in whose place another disk answers, or
  * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
@@ -288,7 +289,10 @@
       now,
       forgiving,
     );
-    const newest = this.member.committedRevision;
+    const newest = Math.max(
+      this.member.committedRevision,
+      ...[...states].map(([voter, state]) => (isPresent(voter) ? state!.committed : 0)),
+    );
     const behind = [...members, ...learners].filter(
       (voter) => isPresent(voter) && !holds(states.get(voter)!, newest),
     );
@@ -345,8 +349,9 @@
 
   /** Waits until a machine knows a revision to be committed, or until the limit. */
   private async awaitCommitted({ id, address }: Voter, revision: number): Promise<void> {
-    if (id === this.member.id) return;
-    const ask = { from: revision - 1, wait: this.limit * CATCH_UP_SHARE };
+    const wait = this.limit * CATCH_UP_SHARE;
+    if (id === this.member.id) return this.member.chain.beyond(revision - 1, wait);
+    const ask = { from: revision - 1, wait };
     await this.peers.ask(address, Tip, ask, this.limit);
   }
 
