--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -10,7 +10,7 @@
 import type { Face } from '../../node/extension.js';
 import { closeConnection } from '../../forward/connection-close.js';
 import type { RequestHandler } from '../../forward/face.js';
-import type { Clock } from '../../kernel/clock/clock.js';
+import type { Clock, Duration } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { parseAddress } from '../../kernel/net/net.js';
@@ -31,7 +31,6 @@
   private readonly connections: Connections;
   private readonly closed = new AbortController();
   private heeded: Limits | undefined;
-  private retiring = false;
   /** Where it listens. */
   address = '';
 
@@ -84,7 +83,6 @@
   }
 
   retire(): void {
-    this.retiring = true;
     this.connections.retire();
   }
 
@@ -95,6 +93,10 @@
     this.connections.closeIdle();
   }
 
+  settle(limit: Duration): Promise<void> {
+    return this.connections.settle(limit);
+  }
+
   close(): Promise<void> {
     this.closed.abort();
     return new Promise((resolve) => {
@@ -106,12 +108,11 @@
 
   private take(request: IncomingMessage, response: ServerResponse): void {
     const hasChanged = this.heed();
-    if (this.retiring) response.shouldKeepAlive = false;
+    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
+      return this.handler.reject?.();
     // The server settled before the change what this answer would tell of the idle limit.
     if (hasChanged && response.shouldKeepAlive)
       response.setHeader('Keep-Alive', `timeout=${this.server.keepAliveTimeout / 1000}`);
-    if (!this.connections.begin(request, response, this.server.keepAliveTimeout))
-      return this.handler.reject?.();
     this.handler.handle(request, response);
   }
 
