Daemon: a SIGTERM while the faces open is a planned stop

The handler was set once all faces were open, though the first of them takes calls before the others listen: a SIGTERM in between ended the process with what it had taken. A stop that is asked for while the faces open is now remembered and begins once they are. Before the first face opens a SIGTERM ends the process at once, as before: there is nothing to finish. The new test sends one as soon as the operators' address listens.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -222,6 +222,13 @@
     );
   }
   opening.push(...extension.faces.map((open) => () => open(services)));
+  // From the first face on requests may be taken, so that a stop asked for during the rest of the start is in order too.
+  let stopAsked: NodeJS.Signals | undefined;
+  let onStop = (signal: NodeJS.Signals): void => {
+    stopAsked ??= signal;
+  };
+  process.on('SIGTERM', () => onStop('SIGTERM'));
+  process.once('SIGINT', () => onStop('SIGINT'));
   const faces: Face[] = [];
   for (const open of opening) {
     const face = await open();
@@ -297,8 +304,8 @@
         resolve(0);
       })();
     };
-    process.on('SIGTERM', () => end('SIGTERM'));
-    process.once('SIGINT', () => end('SIGINT'));
+    onStop = end;
+    if (stopAsked) end(stopAsked);
     process.on('unhandledRejection', (thrown) => log('fault', [['reason', String(thrown)]]));
   });
 };
--- a/test/process/signals.test.ts
+++ b/test/process/signals.test.ts
@@ -54,6 +54,19 @@
   }
 });
 
+test('a SIGTERM as soon as a node takes calls ends it in order', async () => {
+  for (const name of NODES) {
+    await fleet.kill(name);
+    fleet.again(name);
+    await fleet.until(`${name} to take calls`, () => listens(fleet.operators.get(name)!));
+    const exited = fleet.exited(name);
+    fleet.signal(name, 'SIGTERM');
+    expect([name, await exited]).toEqual([name, 0]);
+    fleet.again(name);
+    await answers(name);
+  }
+});
+
 test('a second SIGTERM does not cut a planned stop short', async () => {
   for (const name of NODES) {
     const exited = fleet.exited(name);
