Faces: the operators' application is made by its first request; readiness without one

Cause: each process made two Nest applications on Fastify at its start, one for operators, whom most processes never hear, and one to say whether it is ready. Both are now plain node:http servers; /live, /ready and /metrics are answered there, and the first other request on the operators' address makes the application and is answered by it whole. listen.operatorsOnDemand: false makes it at the start as before. Fastify is loaded by whom it serves only. The test of the platform's readiness asks the same questions of the new server, and besides HEAD, other paths and methods.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -13,7 +13,9 @@
 import type { Keeper } from '../claim/keeper.js';
 import { CoreModule, CoreNode } from '../core/module.js';
 import { CallersController } from '../faces/callers/controller.js';
-import { openFace } from '../faces/common/face.js';
+import { OnDemandFace, type MakeApplication } from '../faces/common/on-demand-face.js';
+import type { Answers } from '../faces/common/plain-face.js';
+import { statusAnswers } from '../faces/common/status-answers.js';
 import { StatusController, type ReadyQuestion } from '../faces/common/status.js';
 import { BYTE_BOUND } from '../route/check.js';
 import { RequestsFace } from '../faces/requests/face.js';
@@ -61,6 +63,9 @@
 /** The longest that a voter which stops waits for a learner to take over. */
 const LEAVE_LIMIT = 2000;
 
+/** Bytes of an operator call around the largest configuration. */
+const OPERATOR_CALL_ROOM = 65_536;
+
 const RELOADABLE = new Set(['firms', 'seeds']);
 
 const routerMetrics = (registry: Registry, context: INestApplicationContext): void => {
@@ -127,6 +132,38 @@
 ];
 const routerOnly = [names.passage, names.forwarder, names.inForce];
 
+/** Opens the operators' face, whose application is made now or by the first request that needs it. */
+const openOperators = async (
+  { listen }: Params,
+  services: ReadonlyMap<string, unknown>,
+  answers: Answers,
+): Promise<Outcome<Face>> => {
+  const controllers = [OperatorsController, StatusController];
+  const bodyLimit = BYTE_BOUND + OPERATOR_CALL_ROOM;
+  if (!listen.operatorsOnDemand) {
+    const { openFace } = await import('../faces/common/face.js');
+    return openFace(listen.operators, bodyLimit, controllers, services);
+  }
+  const make: MakeApplication = async () => {
+    const { makeApplication } = await import('../faces/common/face.js');
+    return makeApplication(bodyLimit, controllers, services);
+  };
+  return new OnDemandFace(answers, make).listen(listen.operators);
+};
+
+const openCallers = async (
+  { listen, passage }: Params,
+  services: ReadonlyMap<string, unknown>,
+): Promise<Outcome<Face>> => {
+  const { openFace } = await import('../faces/common/face.js');
+  return openFace(
+    listen.callers,
+    passage.bodyBytes,
+    [CallersController, StatusController],
+    services,
+  );
+};
+
 /** Runs the node until it is told to stop, and says with which code to exit. */
 export const runDaemon = async (
   role: 'core' | 'router',
@@ -194,23 +231,9 @@
   const services = openServices(context, [...common, ...(role === 'router' ? routerOnly : [])]);
   services.set(names.status, status).set(names.metrics, registry);
   const opening: Array<() => Promise<Outcome<Face>>> = [
-    () =>
-      openFace(
-        params.listen.operators,
-        BYTE_BOUND + 65_536,
-        [OperatorsController, StatusController],
-        services,
-      ),
+    () => openOperators(params, services, statusAnswers(status, registry)),
   ];
-  if (role === 'router' && params.listen.callers)
-    opening.push(() =>
-      openFace(
-        params.listen.callers,
-        params.passage.bodyBytes,
-        [CallersController, StatusController],
-        services,
-      ),
-    );
+  if (role === 'router' && params.listen.callers) opening.push(() => openCallers(params, services));
   if (role === 'router' && params.listen.requests) {
     const inForce = context.get<InForce>(names.inForce);
     opening.push(() =>
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -64,6 +64,7 @@
   listen: Shape({
     callers: AddressOrNone,
     operators: Address,
+    operatorsOnDemand: Flag,
     peers: Address,
     requests: AddressOrNone,
     advertise: AddressOrNone,
@@ -149,6 +150,7 @@
   listen: {
     callers: '127.0.0.1:7080',
     operators: '127.0.0.1:7081',
+    operatorsOnDemand: true,
     peers: '127.0.0.1:7082',
     requests: '',
     advertise: '',
--- a/test/platform/control.test.ts
+++ b/test/platform/control.test.ts
@@ -3,7 +3,7 @@
 import { Right } from 'purify-ts';
 import { afterAll, beforeAll, beforeEach, expect, test } from 'vitest';
 import { BODY_BOUND, ControlController, WAIT } from '../../platform/control.js';
-import { ReadinessController } from '../../platform/readiness.js';
+import { readinessFace } from '../../platform/readiness.js';
 import type { ConfigurationCalls, ConfigureReply } from '../../src/api/configuration.js';
 import { openFace } from '../../src/faces/common/face.js';
 import { failed } from '../../src/kernel/fault/fault.js';
@@ -33,7 +33,7 @@
     [names.status, () => ready],
   ]);
   const app = (
-    await openFace('127.0.0.1:0', BODY_BOUND, [ControlController, ReadinessController], services)
+    await openFace('127.0.0.1:0', BODY_BOUND, [ControlController], services)
   ).unsafeCoerce();
   url = await app.getUrl();
   close = () => app.close();
@@ -117,8 +117,17 @@
 });
 
 test('readiness follows the node', async () => {
+  const face = (await readinessFace(() => ready).listen('127.0.0.1:0')).unsafeCoerce();
+  const ask = (path: string, method = 'GET'): Promise<Response> =>
+    fetch(`http://${face.address}${path}`, { method });
   ready = '';
-  expect((await fetch(`${url}/-/ready`)).status).toBe(200);
+  expect((await ask('/-/ready')).status).toBe(200);
+  expect((await ask('/-/ready?from=entry')).status).toBe(200);
+  expect((await ask('/-/ready', 'HEAD')).status).toBe(200);
   ready = 'stopping';
-  expect((await fetch(`${url}/-/ready`)).status).toBe(503);
+  const stopping = await ask('/-/ready');
+  expect([stopping.status, await stopping.text()]).toEqual([503, 'stopping']);
+  expect((await ask('/-/other')).status).toBe(404);
+  expect((await ask('/-/ready', 'POST')).status).toBe(404);
+  await face.close();
 });
--- a/test/unit/params.test.ts
+++ b/test/unit/params.test.ts
@@ -21,6 +21,16 @@
   );
 });
 
+test('whether operators are served on demand is a flag, true unless told otherwise', () => {
+  const onDemand = (listen: object): boolean =>
+    checkParams({ name: 'n', listen }).unsafeCoerce().listen.operatorsOnDemand;
+  expect(onDemand({})).toBe(true);
+  expect(onDemand({ operatorsOnDemand: false })).toBe(false);
+  expect(reason(checkParams({ name: 'n', listen: { operatorsOnDemand: 1 } }))).toMatch(
+    /^listen\.operatorsOnDemand is 1: /,
+  );
+});
+
 test('the peer address told to others is the one listened on unless another is named', () => {
   const advertised = (listen: object): string =>
     checkParams({ name: 'n', listen }).map(advertisedAddress).unsafeCoerce();
