--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -4,9 +4,10 @@
  * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
  * does the vote that is given.
  *
- * "Newest" is what was committed when the question was asked, and whoever is behind then has a moment to get there: while
- * changes follow each other, any answer is behind what is committed by the time that the slowest answer has come, and a
- * dark voter leaves its question open for the whole limit.
+ * "Newest" is what any of the machines knew to be committed when it answered, so that a member that is behind itself removes
+ * and promotes nobody by that. Whoever is behind then has a moment to get there: while changes follow each other, any answer is
+ * behind what is committed by the time that the slowest answer has come, and a dark voter leaves its question open for the
+ * whole limit.
  *
  * The members watch each other. A voter that has been silent for the param's time, in whose place another disk answers, or
  * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
@@ -14,14 +15,14 @@
  * One that says that it stops is replaced without waiting for its silence: the learner is added first. A voter that is
  * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first.
  *
- * One member does this, cut by rendezvous hashing over the voters that answer, fenced by the number of the voter set: of two
- * who both think it is theirs only one change can win, and a change that lost does nothing.
+ * One member does this, cut by rendezvous hashing over the voters that answer and vote; the next one where that does not,
+ * as where it can't reach the learner. The number of the voter set fences it: of two who both think it is theirs only one
+ * change can win, and a change that lost does nothing.
  */
 import { Right } from 'purify-ts';
 import { within, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
-import { holders } from '../duty/rendezvous.js';
 import { call } from '../wire/call.js';
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
@@ -31,6 +32,7 @@
 import { VoterLiveness } from './liveness.js';
 import type { Member } from './member.js';
 import type { Proposer } from './proposer.js';
+import { ChangeTurn } from './turn.js';
 import type { VoterDirectory } from './voter-directory.js';
 
 /** A learner tells the members where it is. */
@@ -62,6 +64,8 @@
 const FRESH = 5;
 /** How many looks fall into one pause while something is amiss. */
 const HURRY = 4;
+/** How many turns fall into the time for which a voter must be silent to count as gone. */
+const TURNS = 2;
 
 type VoterChange = Extract<Act, { kind: 'addVoter' | 'removeVoter' }>;
 
@@ -72,6 +76,8 @@
   readonly current: readonly Voter[];
   /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
   readonly unrecoverable: readonly Voter[];
+  /** Voters that answered but do not vote now, as with a disk in trouble or before they know of their vote. */
+  readonly suspended: readonly Voter[];
   readonly silent: readonly Voter[];
   readonly leaving: readonly Voter[];
   /** Learners that hold the newest committed revision on disk. */
@@ -86,6 +92,7 @@
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
+  private readonly turn: ChangeTurn;
   /** Machines that left the last ask unanswered. They are asked again beside the looks, which do not wait for them. */
   private readonly unheard = new Set<string>();
   private readonly probed = new Set<string>();
@@ -108,6 +115,7 @@
   ) {
     this.every = after === 0 ? EVERY : Math.min(EVERY, Math.max(100, after));
     this.liveness = new VoterLiveness(after);
+    this.turn = new ChangeTurn(after / TURNS);
     this.looked = clock.now();
   }
 
@@ -229,16 +237,19 @@
     const look = await this.look();
     this.last = look;
     if (this.after === 0) return false;
-    const { set, silent, unrecoverable, leaving } = look;
+    const { set, silent, suspended, unrecoverable, leaving } = look;
     const staying = set.members.filter(
-      (voter) => ![...silent, ...unrecoverable, ...leaving].includes(voter),
+      (voter) => ![...silent, ...suspended, ...unrecoverable, ...leaving].includes(voter),
     );
-    const [holder] = holders(
-      `succession-${set.number}`,
-      staying.map(({ id }) => id),
-    );
-    const change = holder === this.member.id ? this.due(look) : undefined;
-    if (!change || !(await this.propose(change))) return false;
+    const change = this.due(look);
+    if (!change) {
+      this.turn.reset();
+      return false;
+    }
+    const candidates = staying.map(({ id }) => id);
+    const due = { set: set.number, candidates };
+    if (!this.turn.isOf(this.member.id, due, this.clock.now())) return false;
+    if (!(await this.propose(change))) return false;
     await this.finish(change, look);
     return true;
   }
@@ -278,7 +289,10 @@
       now,
       forgiving,
     );
-    const newest = this.member.committedRevision;
+    const newest = Math.max(
+      this.member.committedRevision,
+      ...[...states].map(([voter, state]) => (isPresent(voter) ? state!.committed : 0)),
+    );
     const behind = [...members, ...learners].filter(
       (voter) => isPresent(voter) && !holds(states.get(voter)!, newest),
     );
@@ -291,6 +305,7 @@
       set,
       current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
+      suspended: present.filter((voter) => !states.get(voter)!.voting),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
@@ -334,8 +349,9 @@
 
   /** Waits until a machine knows a revision to be committed, or until the limit. */
   private async awaitCommitted({ id, address }: Voter, revision: number): Promise<void> {
-    if (id === this.member.id) return;
-    const ask = { from: revision - 1, wait: this.limit * CATCH_UP_SHARE };
+    const wait = this.limit * CATCH_UP_SHARE;
+    if (id === this.member.id) return this.member.chain.beyond(revision - 1, wait);
+    const ask = { from: revision - 1, wait };
     await this.peers.ask(address, Tip, ask, this.limit);
   }
 
