--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -305,7 +305,7 @@
       set,
       current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
-      suspended: present.filter((voter) => !states.get(voter)!.voting),
+      suspended: present.filter((voter) => states.get(voter)?.voting === false),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
