--- a/src/forward/attempts.ts
+++ b/src/forward/attempts.ts
@@ -7,14 +7,8 @@
 import type { Ticket } from '../place/placer.js';
 import { mayRepeat } from '../route/shape.js';
 import type { RepeatBudget } from './budget.js';
-import {
-  attemptsOf,
-  DEFAULT_WAIT,
-  UNSENT_BOUND,
-  type Attempt,
-  type Head,
-  type Job,
-} from './job.js';
+import { mayBeSentAgain, placeExtraSend } from './extra-send.js';
+import { DEFAULT_WAIT, UNSENT_BOUND, type Attempt, type Head, type Job } from './job.js';
 import type { Sender } from './sender.js';
 
 /** How all sends of a request ended together. */
@@ -70,11 +64,7 @@
 
   /** Takes one more send from the budget, where time and the route's attempts allow it. */
   private mayGoOn(job: Job): boolean {
-    return (
-      this.clock.now() < job.limit &&
-      job.sends < attemptsOf(job.route) &&
-      this.budget.take(job.service.name)
-    );
+    return mayBeSentAgain(job, this.clock.now()) && this.budget.take(job.service.name);
   }
 
   /** Sends once; beside a send that is late, where that is allowed, a second one, and takes the first answer that begins. */
@@ -85,12 +75,8 @@
     if (late === undefined) return first;
     const early = await within(this.clock, Math.min(late, job.limit - this.clock.now()), first);
     if (early || this.clock.now() >= job.limit) return early ?? first;
-    const beside = this.sender.place(job);
-    if ('wait' in beside) return first;
-    if (!this.budget.take(job.service.name)) {
-      beside.end('left');
-      return first;
-    }
+    const beside = placeExtraSend(job, this.sender, this.budget);
+    if (!beside) return first;
     this.count('hedges');
     const second = this.sender.send(job, beside, undefined, giveUps[1]);
     const [at, attempt] = await firstToBegin([first, second]);
--- a/src/forward/resumption.ts
+++ b/src/forward/resumption.ts
@@ -5,7 +5,8 @@
  */
 import { within, type Clock, type Duration } from '../kernel/clock/clock.js';
 import type { RepeatBudget } from './budget.js';
-import { attemptsOf, UNSENT_BOUND, type Attempt, type Head, type Job, type Trail } from './job.js';
+import { mayBeSentAgain, placeExtraSend } from './extra-send.js';
+import { UNSENT_BOUND, type Attempt, type Head, type Job, type Trail } from './job.js';
 import type { Sender } from './sender.js';
 
 /** Whether a status says that the request was served. */
@@ -81,12 +82,8 @@
   /** Asks one more engine, where one may be asked and there is one. */
   private start(job: Job, trail: Trail, stop: AbortSignal): Started | undefined {
     if (stop.aborted || !this.mayAsk(job)) return undefined;
-    const ticket = this.sender.place(job);
-    if ('wait' in ticket) return undefined;
-    if (!this.budget.take(job.service.name)) {
-      ticket.end('left');
-      return undefined;
-    }
+    const ticket = placeExtraSend(job, this.sender, this.budget);
+    if (!ticket) return undefined;
     this.count('resumes');
     const giveUp = new AbortController();
     const sent = this.sender.send(job, ticket, trail, giveUp);
@@ -110,8 +107,6 @@
 
   /** Whether the route and the request's time allow one more engine. */
   private mayAsk(job: Job): boolean {
-    return (
-      job.sends < attemptsOf(job.route) && job.unsent < UNSENT_BOUND && this.clock.now() < job.limit
-    );
+    return job.unsent < UNSENT_BOUND && mayBeSentAgain(job, this.clock.now());
   }
 }
