Start: the loader of the bundle is no ES module

Cause: as an ES module it made Node load its ES module loader at each start, and with it every name that node:fs and other builtin modules export, streams included: some 50 ms of a profile of a router's start, beside 300 for the bundle.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,6 +1,6 @@
 /**
  * Bundles the program for the platform into one file, which starts faster than hundreds of modules: platform/main.ts
- * and all it needs, to target/platform/main.cjs, with start.js beside it, which loads it with the compiled code that a
+ * and all it needs, to target/platform/main.cjs, with start.cjs beside it, which loads it with the compiled code that a
  * first run leaves there. It lies two folders deep, so that the schema file is found from it as from the sources. What
  * Nest would only load if it were installed stays outside.
  */
@@ -32,4 +32,4 @@
   banner: { js: "const moduleAddress = require('node:url').pathToFileURL(__filename).href;" },
   logLevel: 'warning',
 });
-await copyFile('deploy/start.js', 'target/platform/start.js');
+await copyFile('deploy/start.cjs', 'target/platform/start.cjs');
