--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -66,6 +66,7 @@
     this.grants = new Grants(this.member, this.peers, this.clock, this.params.lease);
     this.grants.serve();
     this.view.serve();
+    this.proposer.startFrom(() => this.member.chain.document);
     const replacement = new VoterReplacement(
       this.member,
       this.params.listen.peers,
@@ -89,11 +90,11 @@
       this.clock,
       this.random,
       this.log,
-      (_, items, committed) => this.member.takeCommitted(items, committed),
+      (revisions, committed) => this.member.takeCommitted(revisions, committed),
       this.params.listen.peers,
       undefined,
       this.params.feed.wait,
-      () => this.member.chain.newestRevision,
+      () => this.member.chain.document,
       () => Promise.resolve(this.member.committedRevision),
     );
     void this.view.run(this.stop.signal);
--- a/src/doorway/match.ts
+++ b/src/doorway/match.ts
@@ -1,5 +1,5 @@
 /**
- * The doorways in force at this node: compiled whole for a revision and swapped at once. Matching is deterministic:
+ * The doorways in force at this node: compiled anew for each revision that changes them, and swapped at once. Matching is deterministic:
  * tag before path before model, the doorway that names more of the earlier kinds first.
  */
 import type { Document, Revision } from '../register/document.js';
@@ -29,10 +29,7 @@
   private readonly byFirm = new Map<string, Placed[]>();
   private readonly byName = new Map<string, Placed>();
 
-  constructor(
-    readonly revision: Revision,
-    placed: Iterable<Placed>,
-  ) {
+  constructor(placed: Iterable<Placed>) {
     for (const each of placed) {
       this.byName.set(each.doorway.name, each);
       const firm = this.byFirm.get(each.doorway.firm) ?? [];
@@ -54,15 +51,16 @@
 /** The configuration in force at this node. */
 export class InForce {
   private document: Document | undefined;
-  private compiled = new Compiled(0, []);
+  private compiled = new Compiled([]);
   private table = new RouteTable(undefined);
 
   /** Swaps in a newer revision; an older one is left aside. */
   swap(document: Document): boolean {
     if (document.revision <= this.revision) return false;
-    this.compiled = new Compiled(document.revision, document.doorways.values());
+    if (document.doorways !== this.document?.doorways)
+      this.compiled = new Compiled(document.doorways.values());
     if (document.configuration !== this.table.configuration)
-      this.table = new RouteTable(document.configuration);
+      this.table = new RouteTable(document.configuration, this.table);
     this.document = document;
     return true;
   }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -29,6 +29,8 @@
   readonly perSecond?: number;
   /** Routers take opaque requests too. */
   readonly opaque?: boolean;
+  /** Flags of the runtime for core nodes and routers. */
+  readonly nodeFlags?: readonly string[];
 }
 
 interface Running {
@@ -289,6 +291,13 @@
     await Promise.all([...this.running.keys()].map((name) => this.exited(name)));
   }
 
+  /** Ends all nodes as a planned stop does, and waits until they are gone. */
+  async retire(): Promise<void> {
+    const nodes = [...this.peers.keys()];
+    for (const name of nodes) this.signal(name, 'SIGTERM');
+    await Promise.all(nodes.map((name) => this.exited(name)));
+  }
+
   async until(what: string, question: () => Promise<boolean>, limit = 30_000): Promise<void> {
     const end = performance.now() + limit;
     while (performance.now() < end) {
@@ -300,7 +309,8 @@
 
   private run(name: string, args: readonly string[]): void {
     const log = createWriteStream(join(this.plan.folder, `${name}.log`), { flags: 'a' });
-    const child = spawn(process.execPath, [program, ...args], {
+    const flags = args[0] === 'stand' ? [] : (this.plan.nodeFlags ?? []);
+    const child = spawn(process.execPath, [...flags, program, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     child.stdout.pipe(log, { end: false });
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import yargs, { type Argv } from 'yargs';
 import { hideBin } from 'yargs/helpers';
+import { changeCost } from './change-cost.js';
 import { Fleet, type FleetPlan } from './fleet.js';
 import { measureChanges, measureOverhead } from './measure.js';
 import { slopes } from './slopes/command.js';
@@ -133,6 +134,7 @@
       }
     },
   )
+  .command(changeCost)
   .command(slopes)
   .demandCommand(1)
   .strict()
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -16,12 +16,17 @@
 /** The moment that lies a duration after another. */
 export const later = (moment: Moment, by: Duration): Moment => (moment + by) as Moment;
 
-/** The time as the program sees it, and sleeping. */
+/** Takes a scheduled act back; does nothing once it was run. */
+export type Cancel = () => void;
+
+/** The time as the program sees it, and waiting. */
 export interface Clock {
   now(): Moment;
   strict(): Moment;
   wall(): number;
   sleep(duration: Duration, signal?: AbortSignal): Promise<void>;
+  /** Runs an act after some time unless it is cancelled first; much cheaper than a sleep with a signal. */
+  schedule(duration: Duration, act: () => void): Cancel;
 }
 
 /** How far the wall clock may run ahead of the monotonic one before the difference is counted: what strict time may lack. */
@@ -74,6 +79,11 @@
     return this.reckoner.strict();
   }
 
+  schedule(duration: Duration, act: () => void): Cancel {
+    const timer = setTimeout(act, Math.max(0, duration));
+    return () => clearTimeout(timer);
+  }
+
   sleep(duration: Duration, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
@@ -89,16 +99,13 @@
 }
 
 /** Waits for a promise until a limit; the promise goes on by itself when the limit comes first. */
-export const within = async <T>(
+export const within = <T>(
   clock: Clock,
   limit: Duration,
   promise: Promise<T>,
-): Promise<T | undefined> => {
-  const stop = new AbortController();
-  const value = await Promise.race([
-    promise,
-    clock.sleep(limit, stop.signal).then(() => undefined),
-  ]);
-  stop.abort('over');
-  return value;
-};
+): Promise<T | undefined> =>
+  new Promise((resolve, reject) => {
+    const cancel = clock.schedule(limit, () => resolve(undefined));
+    promise.then(resolve, reject);
+    void promise.then(cancel, cancel);
+  });
--- a/src/kernel/disk/file-system.ts
+++ b/src/kernel/disk/file-system.ts
@@ -2,7 +2,7 @@
  * The steps of a file system that durability is made of. What was written is sure to be there after a loss of power only
  * once its file is synced, and a name that was made, changed or removed only once its folder is synced.
  */
-import { mkdir, open, readFile, readdir, rename, rm, type FileHandle } from 'node:fs/promises';
+import { mkdir, open, readFile, readdir, rename, unlink, type FileHandle } from 'node:fs/promises';
 
 /** A file that is open for writing. */
 export interface WritableFile {
@@ -57,8 +57,12 @@
     return rename(from, to);
   }
 
-  remove(path: string): Promise<void> {
-    return rm(path, { force: true });
+  async remove(path: string): Promise<void> {
+    try {
+      await unlink(path);
+    } catch (thrown) {
+      if (!isAbsent(thrown)) throw thrown;
+    }
   }
 
   async syncFolder(path: string): Promise<void> {
--- a/src/kernel/net/net.ts
+++ b/src/kernel/net/net.ts
@@ -9,6 +9,9 @@
 
 /** The most bytes that a frame may have. */
 export const FRAME_BOUND = 16 * 1024 * 1024;
+const LENGTH_BYTES = 4;
+/** A frame of up to so many bytes is copied behind its length, which is cheaper than a write of two pieces. */
+const COPIED_BYTES = 16 * 1024;
 const UNSENT_BOUND = 64 * 1024 * 1024;
 
 /** A connection between two processes that carries frames in order. */
@@ -79,8 +82,12 @@
       this.close();
       return false;
     }
-    const head = Buffer.alloc(4);
+    const head = Buffer.allocUnsafe(LENGTH_BYTES);
     head.writeUInt32BE(frame.length);
+    if (frame.length <= COPIED_BYTES) {
+      this.socket.write(Buffer.concat([head, frame]));
+      return true;
+    }
     this.socket.cork();
     this.socket.write(head);
     this.socket.write(frame);
--- a/src/lease/grants.ts
+++ b/src/lease/grants.ts
@@ -18,6 +18,7 @@
   type RenewReply,
   type ConfirmRefusal,
   type ConfirmReply,
+  type Report,
 } from './calls.js';
 import { TERMS, type LeaseTerms } from './terms.js';
 
@@ -37,6 +38,9 @@
   reason,
 });
 
+const CONFIRMED: Verdict = { confirmed: true, refusal: 'none', silent: [], reason: '' };
+const OLDER_LEASE = 'nodes still stand on an older revision';
+
 export class Grants {
   private readonly grants = new Map<string, Grant>();
   /** The newest revision each router has reported; a report is a fact and is never taken back. */
@@ -59,12 +63,16 @@
     this.peers.handle(Renew, (ask) => Right(this.renew(ask)));
     this.peers.handle(Goodbye, ({ node, incarnation }) => {
       const known = this.grants.delete(`${node}/${incarnation}`);
+      this.member.followers.forget(node);
       this.wake();
       return Right({ known });
     });
-    this.peers.handle(Confirm, ({ revision, wait }) =>
-      this.confirm(revision, Math.min(wait, WAIT_BOUND)),
-    );
+    this.peers.handle(Confirm, ({ revision, wait }) => {
+      const limit = Math.min(wait, WAIT_BOUND);
+      return this.terms.lapse === 'stop'
+        ? this.confirm(revision, limit)
+        : this.confirmFollowers(revision, limit);
+    });
     this.peers.handle(LeaseHolders, () => {
       this.sweep();
       const now = this.clock.now();
@@ -84,7 +92,7 @@
   }
 
   private renew(ask: RenewAsk): RenewReply {
-    const state = this.member.state();
+    const state = this.member.voteStatus;
     if (state.voting) this.votingSince ??= this.clock.now();
     const declined = (reason: string): RenewReply => ({
       granted: false,
@@ -93,7 +101,7 @@
       nodes: 0,
     });
     if (!state.voting) return declined(state.reason);
-    if (ask.revision < state.revision)
+    if (this.terms.lapse === 'stop' && ask.revision < state.revision)
       return declined(`revision ${state.revision} is newer than ${ask.revision}`);
     const key = `${ask.node}/${ask.incarnation}`;
     this.sweep();
@@ -119,6 +127,28 @@
     }
   }
 
+  /**
+   * Where leases only tell who is there: waits for the nodes that follow this member, and tells which of those with a
+   * lease are known here to have the revision in force. One that follows another member is known there.
+   */
+  private async confirmFollowers(revision: number, wait: number): Promise<Outcome<ConfirmReply>> {
+    const { followers } = this.member;
+    this.sweep();
+    const holders = new Set([...this.grants.values()].map(({ node }) => node));
+    await followers.caughtUp(holders, revision, wait);
+    this.sweep();
+    const silent: string[] = [];
+    const reports: Report[] = [];
+    for (const grant of this.grants.values()) {
+      const { node } = grant;
+      const reported = Math.max(grant.revision, followers.revisionOf(node));
+      if (reported < revision) silent.push(node);
+      else reports.push({ node, revision: reported });
+    }
+    const verdict = silent.length === 0 ? CONFIRMED : refused('older-lease', OLDER_LEASE, silent);
+    return Right({ ...verdict, registered: [], reports });
+  }
+
   private judge(revision: number): ConfirmReply {
     const known = this.member.newest;
     const registered = [...(known?.registered.keys() ?? [])];
@@ -130,7 +160,7 @@
   }
 
   private weigh(revision: number): Verdict {
-    const state = this.member.state();
+    const state = this.member.voteStatus;
     if (!state.voting) return refused('not-voting', state.reason);
     if (state.revision < revision)
       return refused('behind', `holds only revision ${state.revision}`);
@@ -146,9 +176,7 @@
     const silent = [...this.grants.values()]
       .filter((grant) => grant.revision < revision)
       .map(({ node }) => node);
-    return silent.length === 0
-      ? { confirmed: true, refusal: 'none', silent, reason: '' }
-      : refused('older-lease', 'nodes still stand on an older revision', silent);
+    return silent.length === 0 ? CONFIRMED : refused('older-lease', OLDER_LEASE, silent);
   }
 
   private sweep(): void {
--- a/src/lease/router-lease.ts
+++ b/src/lease/router-lease.ts
@@ -65,9 +65,12 @@
     return this.counted;
   }
 
-  /** Renews at once, as when a new revision came into force. */
-  renewNow(): void {
-    this.nudge();
+  /**
+   * A new revision came into force. Where "accepted" waits for leases on it, and while none is held, the lease is renewed at
+   * once; else the feed has reported the revision, and the lease is renewed in its time.
+   */
+  noteRevision(): void {
+    if (this.terms.lapse === 'stop' || !this.holds()) this.nudge();
   }
 
   async run(signal: AbortSignal): Promise<void> {
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -5,20 +5,10 @@
  */
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
 import type { Chain } from './chain.js';
-import {
-  documentDigest,
-  voterSetDigest,
-  type VoterSet,
-  type Digest,
-  type Document,
-} from './document.js';
+import { voterSetDigest, type VoterSet, type Digest } from './document.js';
+import { documentDigest } from './document-digest.js';
 import type { Filed } from './store.js';
 
-/** An accepted value with its decoded document. */
-export interface AcceptedValue extends Filed {
-  readonly parsed: Document;
-}
-
 /** The voter set of a round, by number and members: two proposals of a change of voters bear the same number. */
 export interface VoterSetId {
   readonly set: number;
@@ -32,27 +22,27 @@
   set.members.some((member) => member.id === id);
 
 /** Whether a value is behind another: of a lower ballot, or of the same ballot at a lower revision. */
-const isBehind = (one: AcceptedValue, other: AcceptedValue): boolean => {
+const isBehind = (one: Filed, other: Filed): boolean => {
   const order = compareBallots(one.ballot, other.ballot);
-  return order < 0 || (order === 0 && one.parsed.revision < other.parsed.revision);
+  return order < 0 || (order === 0 && one.document.revision < other.document.revision);
 };
 
 /** What one acceptor promised and accepted. */
 export class AcceptorState {
   private highestPromise: Ballot = FIRST;
-  private value: AcceptedValue | undefined;
+  private value: Filed | undefined;
 
   get promised(): Ballot {
     return this.highestPromise;
   }
 
-  get accepted(): AcceptedValue | undefined {
+  get accepted(): Filed | undefined {
     return this.value;
   }
 
   /** The accepted revision, 0 while nothing was accepted. */
   get revision(): number {
-    return this.value?.parsed.revision ?? 0;
+    return this.value?.document.revision ?? 0;
   }
 
   /** The lowest revision that may still be accepted: the one before the accepted one is committed, as all below it. */
@@ -66,7 +56,7 @@
   }
 
   /** Takes a value that is on the disk; one that is behind the value held is refused. */
-  hold(value: AcceptedValue): boolean {
+  hold(value: Filed): boolean {
     if (this.value && isBehind(value, this.value)) return false;
     this.value = value;
     this.promise(value.ballot);
@@ -78,21 +68,21 @@
    * committed revision takes the place of an older or a never chosen value even if it comes with a lower ballot, as from
    * a peer that accepted it in an earlier round; it is then held under the higher of both ballots.
    */
-  valueLearned(document: Document, filed: Filed): AcceptedValue | undefined {
+  valueLearned({ ballot, document }: Filed): Filed | undefined {
     const { value } = this;
-    const learned = { ballot: filed.ballot, document: filed.document, parsed: document };
-    if (!value) return learned;
+    if (!value) return { ballot, document };
     if (document.revision < this.revision) return undefined;
     const isSame =
       document.revision === this.revision &&
-      documentDigest(value.document) === documentDigest(filed.document);
-    if (isSame && compareBallots(filed.ballot, value.ballot) <= 0) return undefined;
-    return { ...learned, ballot: higherOf(value.ballot, filed.ballot) };
+      documentDigest(value.document) === documentDigest(document);
+    if (isSame && compareBallots(ballot, value.ballot) <= 0) return undefined;
+    return { document, ballot: higherOf(value.ballot, ballot) };
   }
 
   /** Why a proposed value contradicts what was accepted or committed here, or nothing where it does not. */
-  contradiction(ballot: Ballot, document: Document, digest: Digest, chain: Chain): string {
-    const { revision: revision, previous } = document;
+  contradiction({ ballot, document }: Filed, chain: Chain): string {
+    const { revision, previous } = document;
+    const digest = documentDigest(document);
     const { value } = this;
     const isSameRound = value !== undefined && compareBallots(value.ballot, ballot) === 0;
     if (isSameRound && documentDigest(value.document) !== digest)
@@ -115,8 +105,10 @@
    */
   get voterSets(): readonly VoterSet[] {
     if (!this.value) return [];
-    const { parsed, under } = this.value;
-    return under && under.number !== parsed.core.number ? [parsed.core, under] : [parsed.core];
+    const { document, under } = this.value;
+    return under && under.number !== document.core.number
+      ? [document.core, under]
+      : [document.core];
   }
 
   /** Whether a member is a voter of any set that this acceptor votes under. */
@@ -132,6 +124,6 @@
   }
 
   private parentDigest(revision: number): Digest | undefined {
-    return this.value && revision === this.revision - 1 ? this.value.parsed.previous : undefined;
+    return this.value && revision === this.revision - 1 ? this.value.document.previous : undefined;
   }
 }
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -1,6 +1,16 @@
 /** The calls of the register between proposers, members and followers. */
 import { call } from '../wire/call.js';
-import { blob, choice, flag, list, number, struct, text, type Field } from '../wire/field.js';
+import {
+  blob,
+  choice,
+  flag,
+  list,
+  number,
+  optionalText,
+  struct,
+  text,
+  type Field,
+} from '../wire/field.js';
 import { ballotField, type Ballot } from './ballot.js';
 
 /** `set` and `voters`: the number of the voter set that the round is run under, and the digest of who is in it. */
@@ -11,12 +21,16 @@
   /** The digest of a revision that the proposer holds and need not be sent, or nothing. */
   known: string;
 }
-/** `document`: the accepted value where the ballot was promised; empty where it is the one that the proposer holds. */
+/**
+ * `digest`, `document`: the accepted value where the ballot was promised; the document is empty where it is the one that
+ * the proposer holds.
+ */
 export interface PrepareReply {
   promised: boolean;
   highest: Ballot;
   accepted: Ballot;
   committed: number;
+  digest: string;
   document: Uint8Array;
 }
 export const Prepare = call<PrepareAsk, PrepareReply>(
@@ -28,6 +42,7 @@
     highest: ballotField,
     accepted: ballotField,
     committed: number,
+    digest: text,
     document: blob,
   }),
 );
@@ -131,16 +146,25 @@
   checkpoint: boolean;
   items: FeedFrame[];
 }
-/** `deltas`: the asker holds the revision it names, and takes what follows as deltas. */
+/**
+ * `deltas`: the asker holds the revision it names, and takes what follows as deltas. `node`: the asker's name, where the
+ * revision it names is in force there.
+ */
 export interface FeedAsk {
   from: number;
   wait: number;
   deltas?: boolean;
+  node?: string | undefined;
 }
 export const Feed = call<FeedAsk, FeedReply>(
   5,
   'register.feed',
-  struct<FeedAsk>({ from: number, wait: number, deltas: flag as Field<boolean | undefined> }),
+  struct<FeedAsk>({
+    from: number,
+    wait: number,
+    deltas: flag as Field<boolean | undefined>,
+    node: optionalText,
+  }),
   struct({
     committed: number,
     checkpoint: flag,
@@ -150,14 +174,6 @@
   }),
 );
 
-/** A whole revision as it is sent. */
-export const wholeFrame = ({ ballot, document }: FeedItem): FeedFrame => ({
-  ballot,
-  document,
-  base: 0,
-  digest: '',
-});
-
 /** Waits until something committed beyond a revision, without taking it: how a follower notices a source that is behind. */
 export const Tip = call<{ from: number; wait: number }, { committed: number }>(
   9,
--- a/src/register/chain.ts
+++ b/src/register/chain.ts
@@ -6,25 +6,18 @@
 import { within, type Clock } from '../kernel/clock/clock.js';
 import type { Ballot } from './ballot.js';
 import type { FeedFrame } from './calls.js';
-import { wholeFrame } from './calls.js';
-import { deltaOf } from './delta.js';
-import { digestOf, type Digest, type Document } from './document.js';
+import { encodeDocument, type Document } from './document.js';
+import { documentDigest } from './document-digest.js';
+import { wholeFrame } from './frames.js';
+import { digestOf } from './hash.js';
+import { deltaBetween } from './revision.js';
 import type { Filed } from './store.js';
 
 const DEPTH = 16;
 /** Bytes of whole revisions, and of deltas, that are held for those who follow; the newest one is held at any rate. */
 const HELD_BYTES = 8 * 1024 * 1024;
-/** Below this many bytes a revision is handed on whole: a delta of it would hardly be smaller. */
-export const DELTA_LEAST = 4096;
 const FEED_BYTES = 4 * 1024 * 1024;
 
-/** A committed revision from which deltas can be applied. */
-export interface KnownRevision {
-  readonly revision: number;
-  readonly digest: Digest;
-  readonly document: Document;
-}
-
 /** Takes the oldest out until as many are left as may be held; the last one stays. */
 export const shed = <T>(held: Map<number, T>, sizeOf: (item: T) => number): void => {
   let bytes = [...held.values()].reduce((sum, item) => sum + sizeOf(item), 0);
@@ -35,6 +28,8 @@
   }
 };
 
+const sizeOf = ({ document }: Filed): number => encodeDocument(document).length;
+
 export class Chain {
   private newest = 0;
   private lowest = 1;
@@ -58,15 +53,6 @@
     return this.current;
   }
 
-  /** The newest committed revision, from which deltas can be applied. */
-  get newestRevision(): KnownRevision | undefined {
-    const document = this.current;
-    const digest = this.digests.get(this.newest);
-    return document && digest !== undefined
-      ? { revision: this.newest, digest, document }
-      : undefined;
-  }
-
   get floor(): number {
     return this.lowest;
   }
@@ -80,23 +66,21 @@
     return this.recent.get(revision);
   }
 
-  commit(document: Document, digest: string, filed: Filed): boolean {
+  commit(filed: Filed): boolean {
+    const { document } = filed;
     const { revision, previous } = document;
+    const digest = documentDigest(document);
     if (revision <= this.newest) return false;
     const cameByDelta = filed.delta?.base === previous && filed.delta !== undefined;
     if (cameByDelta) this.holdDelta(revision, digest, filed.ballot, filed.delta.bytes);
     this.before =
-      !cameByDelta &&
-      this.current?.revision === revision - 1 &&
-      filed.document.length >= DELTA_LEAST
-        ? this.current
-        : undefined;
+      !cameByDelta && this.current?.revision === revision - 1 ? this.current : undefined;
     this.newest = revision;
     this.current = document;
     this.digests.set(revision, digest);
     if (revision > 1) this.digests.set(revision - 1, previous);
     this.recent.set(revision, filed);
-    shed(this.recent, (item) => item.document.length);
+    shed(this.recent, sizeOf);
     for (const wake of [...this.watchers]) wake();
     return true;
   }
@@ -121,11 +105,10 @@
     const { before, current } = this;
     if (revision === this.newest && before && current) {
       this.before = undefined;
-      const digest = this.digests.get(revision)!;
       const filed = this.recent.get(revision);
-      const made = deltaOf(before, current, digest);
-      if (made && filed && made.length < filed.document.length)
-        this.holdDelta(revision, digest, filed.ballot, made);
+      const made = deltaBetween(before, current);
+      if (made && filed && made.length < sizeOf(filed))
+        this.holdDelta(revision, documentDigest(current), filed.ballot, made);
     }
     return this.deltas.get(revision);
   }
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -8,8 +8,6 @@
 import { checkMeaning, mergePatch } from '../route/check.js';
 import {
   changeDigest,
-  digestOf,
-  encodeDocument,
   slim,
   type Act,
   type Change,
@@ -20,6 +18,7 @@
   type Revision,
   type Kept,
 } from './document.js';
+import { documentDigest } from './document-digest.js';
 import { changeVoters, type VoterChange } from './voters.js';
 
 export const WINDOW = 2048;
@@ -301,7 +300,7 @@
   }
   if (cause.length === 0) return { document: base, verdicts };
   return {
-    document: { ...draft, revision: next, previous: digestOf(encodeDocument(base)), cause },
+    document: { ...draft, revision: next, previous: documentDigest(base), cause },
     verdicts,
   };
 };
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -4,9 +4,11 @@
  * it out only when the very same document comes of it; the one who takes it is told the digest of what must come of it.
  */
 import { Right } from 'purify-ts';
+import { differenceOf } from '../route/difference.js';
 import type { Configuration } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
-import { digestOf, encodeDocument, type Digest, type Document } from './document.js';
+import type { Digest, Document } from './document.js';
+import { documentDigest } from './document-digest.js';
 
 interface TableDelta {
   readonly set: ReadonlyArray<readonly [string | number, unknown]>;
@@ -41,10 +43,13 @@
 const same = (a: unknown, b: unknown): boolean =>
   a === b || JSON.stringify(a) === JSON.stringify(b);
 
-const tableDelta = (before: Table, after: Table): TableDelta => ({
-  set: [...after].filter(([key, value]) => !before.has(key) || !same(before.get(key), value)),
-  drop: [...before.keys()].filter((key) => !after.has(key)),
-});
+const tableDelta = (before: Table, after: Table): TableDelta => {
+  if (before === after) return { set: [], drop: [] };
+  return {
+    set: [...after].filter(([key, value]) => !before.has(key) || !same(before.get(key), value)),
+    drop: [...before.keys()].filter((key) => !after.has(key)),
+  };
+};
 
 const applyTable = (before: Table, { set, drop }: TableDelta): Table => {
   if (set.length === 0 && drop.length === 0) return before;
@@ -54,7 +59,8 @@
   return after;
 };
 
-const itemsDelta = (before: readonly Named[], after: readonly Named[]): ItemsDelta => {
+const itemsDelta = (wholeBefore: readonly Named[], wholeAfter: readonly Named[]): ItemsDelta => {
+  const { before, after } = differenceOf(wholeBefore, wholeAfter);
   const known = new Map(before.map((item) => [item.name, item]));
   const names = new Set(after.map(({ name }) => name));
   return {
@@ -113,11 +119,7 @@
 };
 
 /** The delta from one document to the next, or nothing when the next can't be had by one. */
-export const deltaOf = (
-  before: Document,
-  after: Document,
-  digest: Digest,
-): Uint8Array | undefined => {
+export const deltaOf = (before: Document, after: Document): Uint8Array | undefined => {
   const configuration = configurationDelta(before.configuration, after.configuration);
   const delta: Delta = {
     head: headOf(after),
@@ -125,22 +127,17 @@
     ...(configuration && { configuration }),
   };
   const bytes = Buffer.from(JSON.stringify(delta));
-  const applied = applyDelta(before, bytes, digest, 'self');
+  const applied = applyDelta(before, bytes, documentDigest(after), 'self');
   return applied.isRight() ? bytes : undefined;
 };
 
-export interface Rebuilt {
-  readonly document: Document;
-  readonly bytes: Uint8Array;
-}
-
 /** The document that a delta makes of the one it was made from; only with the digest it must have. */
 export const applyDelta = (
   before: Document,
   bytes: Uint8Array,
   digest: Digest,
   peer: string,
-): Outcome<Rebuilt> => {
+): Outcome<Document> => {
   try {
     const { head, tables, configuration } = JSON.parse(
       Buffer.from(bytes).toString('utf8'),
@@ -156,9 +153,8 @@
           }
         : before.configuration,
     } as unknown as Document;
-    const whole = encodeDocument(after);
-    return digestOf(whole) === digest
-      ? Right({ document: after, bytes: whole })
+    return documentDigest(after) === digest
+      ? Right(after)
       : failed('delta.apply', peer, 'does not make the document it should');
   } catch (thrown) {
     return failed('delta.apply', peer, String(thrown));
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -1,17 +1,18 @@
 /**
  * One revision of the fleet's configuration: the register's whole value at that revision, chained to the one
- * before by digest, with the changes that made it. As text it is JSON with tables as sorted pairs, so that equal
- * documents have equal digests on every node.
+ * before by digest, with the changes that made it. As text it is JSON with tables as sorted pairs; its digest
+ * (document-digest.ts) is put together from those of its parts.
  */
-import { createHash } from 'node:crypto';
 import { Right } from 'purify-ts';
 import type { Doorway, Placed } from '../doorway/shape.js';
+import { ChunkCache } from '../route/chunks.js';
 import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { digestOf, type Digest } from './hash.js';
 
 export type Revision = number;
 export type ChangeId = string;
-export type Digest = string;
+export { digestOf, type Digest };
 
 export interface Voter {
   readonly id: string;
@@ -134,21 +135,6 @@
   outcomes: Array<[ChangeId, Kept]>;
 }
 
-const digestOf = (bytes: Uint8Array | string): Digest =>
-  createHash('sha256').update(bytes).digest('hex');
-export { digestOf };
-
-const documentDigests = new WeakMap<Uint8Array, Digest>();
-
-/** The digest of a document's bytes, which are never changed once they are made; it is worked out once. */
-export const documentDigest = (bytes: Uint8Array): Digest => {
-  const known = documentDigests.get(bytes);
-  if (known !== undefined) return known;
-  const digest = digestOf(bytes);
-  documentDigests.set(bytes, digest);
-  return digest;
-};
-
 /** Names a voter set by what it is: two proposed changes of one set bear the same number. */
 export const voterSetDigest = ({ number, members }: VoterSet): Digest =>
   digestOf(JSON.stringify([number, ...members.map(({ id }) => id).sort()]));
@@ -167,29 +153,92 @@
     ),
   );
 
-const pairs = <V>(table: ReadonlyMap<string, V>): Array<[string, V]> =>
-  [...table].sort(([a], [b]) => (a < b ? -1 : 1));
+const entryTexts = new WeakMap<object, string>();
+
+/** The JSON text of an entry of a table, which never changes; it is written once, since the next revisions share it. */
+const entryText = (value: unknown): string => {
+  if (typeof value !== 'object' || value === null) return JSON.stringify(value);
+  const known = entryTexts.get(value);
+  if (known !== undefined) return known;
+  const text = JSON.stringify(value);
+  entryTexts.set(value, text);
+  return text;
+};
+
+const pairsText = (pairs: ReadonlyArray<readonly [string | number, unknown]>): string =>
+  `[${pairs.map(([key, value]) => `[${JSON.stringify(key)},${entryText(value)}]`).join(',')}]`;
+
+const sortedPairs = (table: ReadonlyMap<string, unknown>): string =>
+  pairsText([...table].sort(([a], [b]) => (a < b ? -1 : 1)));
 
-export const encodeDocument = (document: Document): Uint8Array =>
-  Buffer.from(
-    JSON.stringify({
-      fleet: document.fleet,
-      revision: document.revision,
-      previous: document.previous,
-      core: document.core,
-      doorways: pairs(document.doorways),
-      removed: pairs(document.removed),
-      claims: pairs(document.claims),
-      outcomes: [...document.outcomes],
-      registered: pairs(document.registered),
-      registeredAt: document.registeredAt,
-      configuration: document.configuration,
-      versions: document.versions.size ? [...document.versions] : undefined,
-      forgottenVersion: document.forgottenVersion,
-      cause: document.cause,
-    }),
+/** The text of the items of a list without the brackets around them. */
+const itemsText = new ChunkCache((items) => Buffer.from(JSON.stringify(items).slice(1, -1)));
+
+/** The text of an object in pieces. A field is a text, a list of pieces, or left out. */
+const objectPieces = (
+  fields: ReadonlyArray<readonly [string, string | readonly Uint8Array[] | undefined]>,
+): Uint8Array[] => {
+  const pieces: Uint8Array[] = [];
+  let written = '{';
+  for (const [name, value] of fields) {
+    if (value === undefined) continue;
+    written += `${written === '{' && pieces.length === 0 ? '' : ','}${JSON.stringify(name)}:`;
+    if (typeof value === 'string') written += value;
+    else {
+      pieces.push(Buffer.from(written), ...value);
+      written = '';
+    }
+  }
+  pieces.push(Buffer.from(`${written}}`));
+  return pieces;
+};
+
+const COMMA = Buffer.from(',');
+
+const listPieces = (items: readonly object[]): Uint8Array[] => [
+  Buffer.from('['),
+  ...itemsText.valuesOf(items).flatMap((piece, at) => (at > 0 ? [COMMA, piece] : [piece])),
+  Buffer.from(']'),
+];
+
+const configurationPieces = (configuration: Configuration): Uint8Array[] =>
+  objectPieces(
+    Object.entries(configuration).map(([name, value]: [string, unknown]) => [
+      name,
+      name === 'routes' || name === 'services'
+        ? listPieces(value as readonly object[])
+        : JSON.stringify(value),
+    ]),
   );
 
+const encoded = new WeakMap<Document, Uint8Array>();
+
+/** The text of a document in bytes; it is made once, and only where a whole document is to be written or sent. */
+export const encodeDocument = (document: Document): Uint8Array => {
+  const known = encoded.get(document);
+  if (known) return known;
+  const { configuration } = document;
+  const pieces = objectPieces([
+    ['fleet', JSON.stringify(document.fleet)],
+    ['revision', JSON.stringify(document.revision)],
+    ['previous', JSON.stringify(document.previous)],
+    ['core', JSON.stringify(document.core)],
+    ['doorways', sortedPairs(document.doorways)],
+    ['removed', sortedPairs(document.removed)],
+    ['claims', sortedPairs(document.claims)],
+    ['outcomes', pairsText([...document.outcomes])],
+    ['registered', sortedPairs(document.registered)],
+    ['registeredAt', JSON.stringify(document.registeredAt)],
+    ['configuration', configuration && configurationPieces(configuration)],
+    ['versions', document.versions.size ? pairsText([...document.versions]) : undefined],
+    ['forgottenVersion', JSON.stringify(document.forgottenVersion)],
+    ['cause', JSON.stringify(document.cause)],
+  ]);
+  const bytes = Buffer.concat(pieces);
+  encoded.set(document, bytes);
+  return bytes;
+};
+
 export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -7,26 +7,11 @@
 import { Right } from 'purify-ts';
 import type { Peers } from '../wire/peers.js';
 import { Committed, type FeedItem, type CommitNotice } from './calls.js';
-import { decodeDocument, documentDigest, type Document } from './document.js';
+import { decodeDocument, type Document } from './document.js';
+import { documentDigest } from './document-digest.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
 
-interface FedRevision {
-  readonly document: Document;
-  readonly item: FeedItem;
-}
-
-/** The revisions up to the first that can't be read. */
-const readable = (items: readonly FeedItem[]): FedRevision[] => {
-  const revisions: FedRevision[] = [];
-  for (const item of items) {
-    const decoded = decodeDocument(item.document, 'peer');
-    if (decoded.isLeft()) break;
-    revisions.push({ document: decoded.unsafeCoerce(), item });
-  }
-  return revisions;
-};
-
 /** Takes committed revisions in. */
 export class Learner {
   constructor(private readonly replica: Replica) {}
@@ -41,17 +26,17 @@
    * Takes revisions that a peer knows to be committed, oldest first. Only the newest is written, since it stands for all
    * before it: on a slow disk a write for each would hold up the votes of this member.
    */
-  takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
+  takeCommitted(received: readonly Filed[], committed: number): Promise<void> {
     const { acceptor, guard } = this.replica;
     return this.replica.exclusive(async () => {
-      const revisions = readable(items).filter(({ document }) => document.revision <= committed);
+      const revisions = received.filter(({ document }) => document.revision <= committed);
       const newest = revisions.at(-1);
       if (!newest) return;
       const oldestOpen = acceptor.lowestOpenRevision;
-      const kept = await this.keep(newest.document, newest.item);
+      const kept = await this.keep(newest);
       if (!kept && !guard.isSuspended) return;
-      for (const { document, item } of revisions)
-        if (document.revision >= oldestOpen) this.commit(document, item);
+      for (const { ballot, document } of revisions)
+        if (document.revision >= oldestOpen) this.commit({ ballot, document });
     });
   }
 
@@ -59,8 +44,8 @@
   async holdNewest(): Promise<boolean> {
     const { chain } = this.replica;
     const filed = chain.filed(chain.committed);
-    if (!chain.document || !filed) return true;
-    const value = this.replica.acceptor.valueLearned(chain.document, filed);
+    if (!filed) return true;
+    const value = this.replica.acceptor.valueLearned(filed);
     return !value || (await this.replica.hold(value));
   }
 
@@ -69,23 +54,23 @@
    */
   async inspect(revision: number): Promise<string | undefined> {
     const read = await this.replica.store.readRevision(revision);
-    const filed = read.toMaybe().extract();
-    if (!filed) return undefined;
-    const digest = documentDigest(filed.document);
+    const file = read.toMaybe().extract();
+    if (!file) return undefined;
     const { chain } = this.replica;
-    if (digest === chain.digest(revision) && !chain.isLinked(revision))
-      this.replica.link(revision, filed.document);
-    return digest;
+    if (file.digest === chain.digest(revision) && !chain.isLinked(revision))
+      decodeDocument(file.text, 'disk').ifRight(({ previous }) => chain.link(revision, previous));
+    return file.digest;
   }
 
   /** Puts a committed revision in place of a missing, corrupt or never chosen one on the disk. */
   mend(revision: number, item: FeedItem): Promise<boolean> {
     const { replica } = this;
+    const document = decodeDocument(item.document, 'peer').toMaybe().extract();
     return replica.exclusive(async () => {
-      if (replica.guard.reason || documentDigest(item.document) !== replica.chain.digest(revision))
-        return false;
-      if (!(await this.rewrite(revision, item))) return false;
-      replica.link(revision, item.document);
+      if (replica.guard.reason || !document) return false;
+      if (documentDigest(document) !== replica.chain.digest(revision)) return false;
+      if (!(await this.rewrite(document))) return false;
+      replica.chain.link(revision, document.previous);
       replica.log('revision-mended', [['revision', revision]]);
       replica.prune();
       return true;
@@ -93,11 +78,11 @@
   }
 
   /** Writes the file of a committed revision again; that of the accepted one keeps the ballot it was accepted under. */
-  private rewrite(revision: number, item: FeedItem): Promise<boolean> {
+  private rewrite(document: Document): Promise<boolean> {
     const { replica } = this;
     const { accepted } = replica.acceptor;
-    if (revision !== accepted?.parsed.revision) return replica.keepHistory(revision, item.document);
-    if (documentDigest(accepted.document) !== documentDigest(item.document))
+    if (document.revision !== accepted?.document.revision) return replica.keepHistory(document);
+    if (documentDigest(accepted.document) !== documentDigest(document))
       return Promise.resolve(false);
     return replica.hold(accepted);
   }
@@ -121,35 +106,30 @@
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
     if (revision <= chain.committed) return true;
-    if (accepted?.parsed.revision !== revision || documentDigest(accepted.document) !== digest)
+    if (accepted?.document.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
-    this.commit(accepted.parsed, accepted);
+    this.commit(accepted);
     return true;
   }
 
-  private async keep(document: Document, filed: Filed): Promise<boolean> {
+  private async keep(filed: Filed): Promise<boolean> {
     const { acceptor, guard } = this.replica;
-    const value = acceptor.valueLearned(document, filed);
+    const { document } = filed;
+    const value = acceptor.valueLearned(filed);
     if (value) return !guard.reason && (await this.replica.hold(value));
-    if (document.revision === acceptor.revision || (await this.isOnDisk(document, filed)))
-      return true;
-    return !guard.reason && this.replica.keepHistory(document.revision, filed.document);
+    if (document.revision === acceptor.revision || (await this.isOnDisk(document))) return true;
+    return !guard.reason && this.replica.keepHistory(document);
   }
 
-  private async isOnDisk({ revision }: Document, filed: Filed): Promise<boolean> {
-    const present = await this.replica.store.readRevision(revision);
-    return present
-      .map(
-        (there) =>
-          there !== undefined && documentDigest(there.document) === documentDigest(filed.document),
-      )
-      .orDefault(false);
+  private async isOnDisk(document: Document): Promise<boolean> {
+    const present = await this.replica.store.readRevision(document.revision);
+    return present.map((file) => file?.digest === documentDigest(document)).orDefault(false);
   }
 
-  private commit(document: Document, filed: Filed): void {
+  private commit(filed: Filed): void {
     const { chain, log } = this.replica;
-    if (!chain.commit(document, documentDigest(filed.document), filed)) return;
-    log('committed', [['revision', document.revision]]);
+    if (!chain.commit(filed)) return;
+    log('committed', [['revision', filed.document.revision]]);
     this.replica.prune();
   }
 }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -12,18 +12,24 @@
 import { State, type FeedItem, type StateReply, type VoteState } from './calls.js';
 import type { Chain } from './chain.js';
 import type { VoterSet, Document } from './document.js';
+import { Followers } from './followers.js';
 import { FeedServer } from './feed-server.js';
 import { Learner } from './learner.js';
 import { DiskRecovery } from './recovery.js';
 import { Replica, type MemberProgress } from './replica.js';
-import type { Store } from './store.js';
+import type { Filed, Store } from './store.js';
 import { Voting } from './voting.js';
 
+/** What a member tells of its vote in short. */
+export type VoteStatus = Pick<StateReply, 'voting' | 'reason' | 'revision'>;
+
 /** One member of the register's group. */
 export class Member {
   private readonly replica: Replica;
   private readonly learner: Learner;
   private readonly recovery: DiskRecovery;
+  /** The nodes that follow this member. */
+  readonly followers: Followers;
 
   constructor(
     store: Store,
@@ -35,6 +41,7 @@
   ) {
     this.replica = new Replica(store, clock, log, stall);
     this.learner = new Learner(this.replica);
+    this.followers = new Followers(clock);
     this.recovery = new DiskRecovery(this.replica, this.learner);
   }
 
@@ -44,7 +51,7 @@
     await this.identify(loaded.unsafeCoerce().member);
     new Voting(this.replica).serve(this.peers);
     this.learner.serve(this.peers);
-    new FeedServer(this.replica).serve(this.peers);
+    new FeedServer(this.replica, this.followers).serve(this.peers);
     this.peers.handle(State, () => Right(this.state()));
     return Right(undefined);
   }
@@ -63,7 +70,7 @@
   }
 
   get newest(): Document | undefined {
-    return this.replica.acceptor.accepted?.parsed;
+    return this.replica.acceptor.accepted?.document;
   }
 
   /** The newest core set that is sure to have been chosen. */
@@ -83,18 +90,27 @@
     return this.replica.progress;
   }
 
+  /** Whether this member votes, why not, and the revision that it has accepted. */
+  get voteStatus(): VoteStatus {
+    const { acceptor, guard, id } = this.replica;
+    const isVoter = acceptor.hasVoter(id);
+    return {
+      voting: isVoter && !guard.reason,
+      reason: guard.reason || (isVoter ? '' : 'not in the core set'),
+      revision: acceptor.revision,
+    };
+  }
+
   state(): StateReply {
     const { acceptor, chain, guard, id } = this.replica;
     const isVoter = acceptor.hasVoter(id);
     return {
+      ...this.voteStatus,
       member: id,
       formed: acceptor.accepted !== undefined,
-      voting: isVoter && !guard.reason,
       vote: this.voteState(isVoter),
       sure: isVoter && !guard.isDisqualified,
-      reason: guard.reason || (isVoter ? '' : 'not in the core set'),
       accepted: acceptor.accepted?.ballot ?? FIRST,
-      revision: acceptor.revision,
       committed: chain.committed,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
@@ -124,8 +140,8 @@
   }
 
   /** Takes revisions that a peer knows to be committed, oldest first. */
-  takeCommitted(items: readonly FeedItem[], committed: number): Promise<void> {
-    return this.learner.takeCommitted(items, committed);
+  takeCommitted(revisions: readonly Filed[], committed: number): Promise<void> {
+    return this.learner.takeCommitted(revisions, committed);
   }
 
   private async identify(known: string | undefined): Promise<void> {
--- a/src/register/recovery.ts
+++ b/src/register/recovery.ts
@@ -6,11 +6,12 @@
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
-import { decodeDocument } from './document.js';
+import { decodeDocument, encodeDocument } from './document.js';
+import { documentDigest } from './document-digest.js';
 import type { Learner } from './learner.js';
 import type { Member } from './member.js';
 import type { Replica } from './replica.js';
-import type { Filed, Found } from './store.js';
+import type { Found, RevisionFile } from './store.js';
 
 const EVERY = 300;
 /** How many bytes beside room for a revision a disk must take before it counts as working again. */
@@ -55,7 +56,9 @@
     if (!guard.isSuspended || guard.isDisqualified) return false;
     await store.idle();
     const began = clock.now();
-    const probed = await store.probe(2 * (acceptor.accepted?.document.length ?? 0) + PROBE);
+    const { accepted } = acceptor;
+    const size = accepted ? encodeDocument(accepted.document).length : 0;
+    const probed = await store.probe(2 * size + PROBE);
     if (probed.isLeft() || clock.now() - began > stall) return false;
     if ((await store.sync()).isLeft()) return false;
     return this.replica.exclusive(() => this.readAnew());
@@ -81,11 +84,14 @@
   }
 
   /** Holds what the disk tells as accepted; no, where memory holds something newer, which the disk then lost. */
-  private restore(filed: Filed | undefined): Outcome<boolean> {
+  private restore(file: RevisionFile | undefined): Outcome<boolean> {
     const { acceptor } = this.replica;
-    if (!filed) return Right(acceptor.accepted === undefined);
-    const decoded = decodeDocument(filed.document, 'disk');
-    return decoded.map((parsed) => acceptor.hold({ ...filed, parsed }));
+    if (!file) return Right(acceptor.accepted === undefined);
+    const { ballot, under, digest } = file;
+    return decodeDocument(file.text, 'disk').map(
+      (document) =>
+        documentDigest(document) === digest && acceptor.hold({ ballot, document, under }),
+    );
   }
 
   private judgeCorrupt(found: Found): void {
--- a/src/register/relay.ts
+++ b/src/register/relay.ts
@@ -10,9 +10,10 @@
 import { Right } from 'purify-ts';
 import { failed } from '../kernel/fault/fault.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, wholeFrame, type FeedFrame, type FeedItem } from './calls.js';
+import { Feed, type FeedFrame } from './calls.js';
 import { shed } from './chain.js';
 import { decodeDocument, type Document } from './document.js';
+import { wholeFrame, type ReceivedRevision } from './frames.js';
 import { gather, majority, sound } from './gather.js';
 
 const BYTES = 4 * 1024 * 1024;
@@ -20,7 +21,7 @@
 
 export class Relay {
   private readonly recent = new Map<number, FeedFrame>();
-  private whole: FeedItem | undefined;
+  private whole: ReceivedRevision | undefined;
   private newest = 0;
 
   constructor(
@@ -52,18 +53,14 @@
   }
 
   /** What came into force here: as it came, and the newest one whole. */
-  note(
-    items: readonly FeedItem[],
-    documents: readonly Document[],
-    frames: readonly FeedFrame[] = items.map(wholeFrame),
-  ): void {
-    documents.forEach(({ revision }, at) => {
-      this.recent.set(revision, frames[at]!);
-      if (revision > this.newest) {
-        this.newest = revision;
-        this.whole = items[at];
-      }
-    });
+  note(revisions: readonly ReceivedRevision[]): void {
+    for (const received of revisions) {
+      const { revision } = received.document;
+      this.recent.set(revision, received.frame);
+      if (revision <= this.newest) continue;
+      this.newest = revision;
+      this.whole = received;
+    }
     shed(this.recent, ({ document }) => document.length);
   }
 
--- a/src/register/replica.ts
+++ b/src/register/replica.ts
@@ -5,12 +5,12 @@
  */
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
-import { AcceptorState, type AcceptedValue } from './acceptor.js';
+import { AcceptorState } from './acceptor.js';
 import { FIRST, type Ballot } from './ballot.js';
 import { Chain } from './chain.js';
 import { DiskGuard } from './disk-guard.js';
-import { decodeDocument, type VoterSet, type Digest } from './document.js';
-import type { Store } from './store.js';
+import type { VoterSet, Digest, Document } from './document.js';
+import type { Filed, Store } from './store.js';
 
 const STALL = 1500;
 const NO_VOTERS: VoterSet = { number: 0, wanted: 0, members: [] };
@@ -79,9 +79,8 @@
   }
 
   /** Holds a value as accepted, on the disk first. */
-  async hold(value: AcceptedValue): Promise<boolean> {
-    const { ballot, document, parsed, under } = value;
-    const writing = this.store.keepRevision(parsed.revision, { ballot, document, under });
+  async hold(value: Filed): Promise<boolean> {
+    const writing = this.store.keepRevision(value.document.revision, value);
     if (!(await this.guard.confirm(writing))) return false;
     const isHeld = this.acceptor.hold(value);
     this.prune();
@@ -101,24 +100,18 @@
   }
 
   /** Keeps a committed revision below the accepted one on the disk. */
-  keepHistory(revision: number, document: Uint8Array): Promise<boolean> {
-    return this.guard.confirm(this.store.keepHistory(revision, document));
+  keepHistory(document: Document): Promise<boolean> {
+    return this.guard.confirm(this.store.keepHistory(document.revision, document));
   }
 
   /** The newest voter set that is sure to have been chosen. */
   get committedVoters(): VoterSet {
     const { accepted } = this.acceptor;
     if (!accepted) return NO_VOTERS;
-    const { parsed, under } = accepted;
-    const isCommitted = parsed.revision <= this.chain.committed;
-    const sure = isCommitted ? parsed.core : (under ?? parsed.core);
+    const { document, under } = accepted;
+    const isCommitted = document.revision <= this.chain.committed;
+    const sure = isCommitted ? document.core : (under ?? document.core);
     const committed = this.chain.document?.core;
     return committed && committed.number > sure.number ? committed : sure;
   }
-
-  /** Notes the link of a committed revision to the one before it. */
-  link(revision: number, document: Uint8Array): void {
-    const previous = decodeDocument(document, 'disk').map((parsed) => parsed.previous);
-    this.chain.link(revision, previous.orDefault(''));
-  }
 }
--- a/src/register/revision.ts
+++ b/src/register/revision.ts
@@ -1,28 +1,19 @@
-/** A revision of the register together with its text and the digest of that, as rounds pass it on. */
-import { DELTA_LEAST } from './chain.js';
+/** What changed between two revisions, as rounds and the feed pass it on. */
 import { deltaOf } from './delta.js';
-import { documentDigest, type Digest, type Document } from './document.js';
+import type { Document } from './document.js';
 
-/** A revision in all its forms. */
-export interface Revision {
-  readonly document: Document;
-  readonly bytes: Uint8Array;
-  readonly digest: Digest;
-}
+/** With fewer items than this a revision is handed on whole: a delta of it would hardly be smaller. */
+const DELTA_LEAST = 16;
 
-/** A revision from its document and the text of that. */
-export const revisionOf = (document: Document, bytes: Uint8Array): Revision => ({
-  document,
-  bytes,
-  digest: documentDigest(bytes),
-});
+const itemCount = ({ configuration, ...document }: Document): number =>
+  document.doorways.size +
+  document.removed.size +
+  document.claims.size +
+  document.outcomes.size +
+  document.registered.size +
+  document.versions.size +
+  (configuration ? configuration.routes.length + configuration.services.length : 0);
 
 /** What changed between two revisions, where that is worth sending instead of the later one whole. */
-export const deltaBetween = (
-  before: Revision,
-  { document, bytes, digest }: Revision,
-): Uint8Array | undefined => {
-  if (bytes.length < DELTA_LEAST) return undefined;
-  const delta = deltaOf(before.document, document, digest);
-  return delta && delta.length < bytes.length ? delta : undefined;
-};
+export const deltaBetween = (before: Document, after: Document): Uint8Array | undefined =>
+  itemCount(after) < DELTA_LEAST ? undefined : deltaOf(before, after);
--- a/src/register/round-value.ts
+++ b/src/register/round-value.ts
@@ -5,11 +5,11 @@
  * it was chosen under.
  */
 import { Right } from 'purify-ts';
-import type { Outcome } from '../kernel/fault/fault.js';
+import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST } from './ballot.js';
 import type { PrepareReply } from './calls.js';
-import { decodeDocument, documentDigest, type Digest, type Document } from './document.js';
-import type { Revision } from './revision.js';
+import { decodeDocument, type Digest, type Document } from './document.js';
+import { documentDigest } from './document-digest.js';
 
 /** The value that a round builds upon, and whether it is sure to have been chosen. */
 export interface RoundValue {
@@ -24,7 +24,7 @@
 }
 
 const isSameValue = (one: PrepareReply, other: PrepareReply): boolean =>
-  Buffer.compare(one.document, other.document) === 0;
+  one.digest === other.digest;
 
 const highestBallot = (promises: readonly PrepareReply[]): PrepareReply =>
   promises.reduce((best, reply) =>
@@ -36,7 +36,7 @@
 
 /** The digest of a revision, where a value shows it: its own, or that of the revision before it. */
 const digestAt = ({ reply, document }: Candidate, revision: number): Digest | undefined => {
-  if (document.revision === revision) return documentDigest(reply.document);
+  if (document.revision === revision) return reply.digest;
   return document.revision === revision + 1 ? document.previous : undefined;
 };
 
@@ -49,16 +49,21 @@
   return shown !== undefined && known !== undefined && shown !== known;
 };
 
-const decode = (reply: PrepareReply, held: Revision | undefined): Outcome<Candidate> =>
-  reply.document === held?.bytes
-    ? Right({ reply, document: held.document })
-    : decodeDocument(reply.document, 'core').map((document) => ({ reply, document }));
+/** The value of a promise: the one held where it was not sent for that, only with the digest that is told. */
+const decode = (reply: PrepareReply, held: Document | undefined): Outcome<Candidate> => {
+  if (held && documentDigest(held) === reply.digest) return Right({ reply, document: held });
+  return decodeDocument(reply.document, 'core').chain((document) =>
+    documentDigest(document) === reply.digest
+      ? Right({ reply, document })
+      : failed('register.prepare', 'core', 'a value does not match its digest'),
+  );
+};
 
 /** The value of the promise that knows most to be committed, decoded once where it is the one of the highest ballot. */
 const knownBy = (
   committer: PrepareReply,
   value: Candidate,
-  held: Revision | undefined,
+  held: Document | undefined,
 ): Outcome<Candidate> =>
   isSameValue(committer, value.reply)
     ? Right({ reply: committer, document: value.document })
@@ -88,7 +93,7 @@
 export const roundValue = (
   promises: readonly PrepareReply[],
   quorum: number,
-  held?: Revision,
+  held?: Document,
 ): Outcome<RoundValue> => {
   const newest = highestBallot(promises);
   const committer = highestCommit(promises);
--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -7,17 +7,28 @@
 import type { Disk } from '../kernel/disk/disk.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
-import { digestOf, type VoterSet, type Digest } from './document.js';
+import { encodeDocument, type Document, type VoterSet } from './document.js';
+import { documentDigest } from './document-digest.js';
+import { digestOf, type Digest } from './hash.js';
 
 export interface Filed {
   readonly ballot: Ballot;
-  readonly document: Uint8Array;
+  readonly document: Document;
   /** The core set under which it was proposed here; absent when it was learned as committed. */
-  readonly under?: VoterSet;
+  readonly under?: VoterSet | undefined;
   /** How it was made from the revision before, where it came so; it is not kept on disk. */
   readonly delta?: RevisionDelta;
 }
 
+/** A revision as its file tells it, which matches the digest of the file; the document is not read yet. */
+export interface RevisionFile {
+  readonly ballot: Ballot;
+  readonly under?: VoterSet | undefined;
+  /** The digest of the document. */
+  readonly digest: Digest;
+  readonly text: Uint8Array;
+}
+
 /** What makes a revision of the one with the base digest. */
 export interface RevisionDelta {
   readonly base: Digest;
@@ -28,17 +39,21 @@
 export interface Found {
   readonly member: string | undefined;
   readonly promised: Ballot;
-  readonly accepted: Filed | undefined;
+  readonly accepted: RevisionFile | undefined;
   readonly revisions: ReadonlyMap<number, Ballot>;
   readonly spoilt: readonly string[];
   /** Why an earlier life of this member was disqualified, where one was. */
   readonly disqualified: string | undefined;
 }
 
+/** Where the digest of a file ends, and the bytes that it is the digest of begin. */
+const BODY_AT = 65;
+
 export const seal = (head: ReadonlyMap<string, unknown>, body: Uint8Array): Uint8Array => {
   const plain = JSON.stringify([...head]);
-  const digest = digestOf(Buffer.concat([Buffer.from(plain), Buffer.from('\n'), body]));
-  return Buffer.concat([Buffer.from(`${digest} ${plain}\n`), body]);
+  const sealed = Buffer.concat([Buffer.alloc(BODY_AT), Buffer.from(`${plain}\n`), body]);
+  sealed.write(`${digestOf(sealed.subarray(BODY_AT))} `, 'latin1');
+  return sealed;
 };
 
 export const unseal = (
@@ -48,10 +63,10 @@
   const buffer = Buffer.from(bytes);
   const end = buffer.indexOf(10);
   const digest = buffer.subarray(0, 64).toString('latin1');
-  if (end < 66 || digestOf(buffer.subarray(65)) !== digest)
+  if (end <= BODY_AT || digestOf(buffer.subarray(BODY_AT)) !== digest)
     return failed('store.unseal', path, 'does not match its digest');
   const head = new Map(
-    JSON.parse(buffer.subarray(65, end).toString('utf8')) as Array<[string, unknown]>,
+    JSON.parse(buffer.subarray(BODY_AT, end).toString('utf8')) as Array<[string, unknown]>,
   );
   return Right({ head, body: buffer.subarray(end + 1) });
 };
@@ -114,7 +129,7 @@
     const older = await this.refuseOlder(names.unsafeCoerce());
     if (older.isLeft()) return older as Outcome<Found>;
     const revisions = new Map<number, Ballot>();
-    let accepted: Filed | undefined;
+    let accepted: RevisionFile | undefined;
     for (const name of names.extract() as string[]) {
       const file = await take(`revisions/${name}`);
       if (file.isLeft()) return file as Outcome<Found>;
@@ -127,7 +142,8 @@
       if (isVoted && (!accepted || compareBallots(ballot, accepted.ballot) >= 0))
         accepted = {
           ballot,
-          document: held.body,
+          text: held.body,
+          digest: held.head.get('digest') as Digest,
           under: held.head.get('under') as VoterSet | undefined,
         };
     }
@@ -209,8 +225,9 @@
   private async writeRevision(revision: number, filed: Filed): Promise<Outcome<void>> {
     const room = await this.makeRoom();
     if (room.isLeft()) return room;
+    const text = encodeDocument(filed.document);
     const before = this.sizes.get(revision) ?? 0;
-    this.sizes.set(revision, Math.max(before, filed.document.length));
+    this.sizes.set(revision, Math.max(before, text.length));
     const written = await this.write(
       fileOf(revision),
       seal(
@@ -218,26 +235,28 @@
           ['fleet', this.fleet],
           ['ballot', filed.ballot],
           ['under', filed.under],
+          ['digest', documentDigest(filed.document)],
         ]),
-        filed.document,
+        text,
       ),
     );
-    if (written.isRight()) this.sizes.set(revision, filed.document.length);
+    if (written.isRight()) this.sizes.set(revision, text.length);
     return written;
   }
 
   /** Keeps a committed revision below the accepted one. Without a ballot it is never taken for the accepted one again. */
-  keepHistory(revision: number, document: Uint8Array): Promise<Outcome<void>> {
+  keepHistory(revision: number, document: Document): Promise<Outcome<void>> {
     return this.keepRevision(revision, { ballot: FIRST, document });
   }
 
-  async readRevision(revision: number): Promise<Outcome<Filed | undefined>> {
+  async readRevision(revision: number): Promise<Outcome<RevisionFile | undefined>> {
     const bytes = await this.disk.read(fileOf(revision));
     return bytes.chain((held) =>
       held
         ? unseal(fileOf(revision), held).map(({ head, body }) => ({
             ballot: head.get('ballot') as Ballot,
-            document: body,
+            digest: head.get('digest') as Digest,
+            text: body,
           }))
         : Right(undefined),
     );
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -5,7 +5,7 @@
 import { Right } from 'purify-ts';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Peers } from '../wire/peers.js';
-import type { AcceptedValue, VoterSetId } from './acceptor.js';
+import type { VoterSetId } from './acceptor.js';
 import { ballotText, compareBallots } from './ballot.js';
 import {
   Accept,
@@ -17,30 +17,45 @@
   type PrepareReply,
 } from './calls.js';
 import { applyDelta } from './delta.js';
-import { decodeDocument, documentDigest, type VoterSet, type Document } from './document.js';
+import {
+  decodeDocument,
+  encodeDocument,
+  type Digest,
+  type Document,
+  type VoterSet,
+} from './document.js';
+import { documentDigest } from './document-digest.js';
 import type { Replica } from './replica.js';
+import type { Filed } from './store.js';
 
 /** The ballot of the first revision, below that of every proposer but for those of the very first rounds. */
 const GENESIS = { counter: 1, node: 'genesis', incarnation: '' };
 
 interface Mandate {
-  readonly value: AcceptedValue;
+  readonly value: Filed;
   readonly voters: VoterSet;
 }
 
+/** A document that was sent whole, only with the digest that it must have. */
+const readWhole = (text: Uint8Array, digest: Digest): Outcome<Document> =>
+  decodeDocument(text, 'proposer').chain((document) =>
+    documentDigest(document) === digest
+      ? Right(document)
+      : failed('member.accept', 'proposer', 'the value does not match its digest'),
+  );
+
 /** The value that a proposer asks to accept: sent whole, or as what changed from the revision held here. */
 const proposedValue = (
-  { ballot, document, base, digest }: AcceptAsk,
+  { ballot, document: bytes, base, digest }: AcceptAsk,
   held: Document,
-): Outcome<AcceptedValue> =>
+): Outcome<Filed> =>
   base
-    ? applyDelta(held, document, digest, 'proposer').map((rebuilt) => ({
+    ? applyDelta(held, bytes, digest, 'proposer').map((document) => ({
         ballot,
-        document: rebuilt.bytes,
-        parsed: rebuilt.document,
-        delta: { base, bytes: document },
+        document,
+        delta: { base, bytes },
       }))
-    : decodeDocument(document, 'proposer').map((parsed) => ({ ballot, document, parsed }));
+    : readWhole(bytes, digest).map((document) => ({ ballot, document }));
 
 /**
  * Answers proposers and the former of the group. A value that was never chosen may give way to its committed parent
@@ -54,7 +69,7 @@
     const { replica } = this;
     peers.handle(Prepare, (ask) => replica.exclusive(() => this.prepare(ask)));
     peers.handle(Accept, (ask) => replica.exclusive(() => this.accept(ask)));
-    peers.handle(Form, ({ document }) => replica.exclusive(() => this.form(document)));
+    peers.handle(Form, (ask) => replica.exclusive(() => this.form(ask.document)));
   }
 
   private mandate(step: string, round: VoterSetId): Outcome<Mandate> {
@@ -80,13 +95,15 @@
         return failed('member.prepare', id, 'could not keep a promise', 'unknown');
       log('promised', [['ballot', ballotText(ask.ballot)]]);
     }
-    const isSent = promised && documentDigest(value.document) !== ask.known;
+    const digest = documentDigest(value.document);
+    const isSent = promised && digest !== ask.known;
     return Right({
       promised,
       highest: acceptor.promised,
       accepted: value.ballot,
       committed: chain.committed,
-      document: isSent ? value.document : Buffer.alloc(0),
+      digest,
+      document: isSent ? encodeDocument(value.document) : Buffer.alloc(0),
     });
   }
 
@@ -99,16 +116,15 @@
     const { value, voters } = mandate.unsafeCoerce();
     if (ask.base && ask.base !== documentDigest(value.document))
       return Right({ accepted: false, highest: acceptor.promised, lacksBase: true });
-    const proposed = proposedValue(ask, value.parsed);
+    const proposed = proposedValue(ask, value.document);
     if (proposed.isLeft()) return proposed as Outcome<never>;
     return this.vote({ ...proposed.unsafeCoerce(), under: voters });
   }
 
-  private async vote(value: AcceptedValue): Promise<Outcome<AcceptReply>> {
+  private async vote(value: Filed): Promise<Outcome<AcceptReply>> {
     const { acceptor, chain, id, log } = this.replica;
-    const { ballot, document, parsed } = value;
-    const digest = documentDigest(document);
-    const contradiction = acceptor.contradiction(ballot, parsed, digest, chain);
+    const { ballot, document } = value;
+    const contradiction = acceptor.contradiction(value, chain);
     if (contradiction) {
       log('accept-refused', [
         ['ballot', ballotText(ballot)],
@@ -116,34 +132,34 @@
       ]);
       return failed('member.accept', id, contradiction);
     }
-    const isStepBack = parsed.revision < acceptor.revision;
+    const isStepBack = document.revision < acceptor.revision;
     if (isStepBack && !(await this.replica.promise(ballot)))
       return failed('member.accept', id, 'could not keep a promise', 'unknown');
     if (!(await this.replica.hold(value)))
       return failed('member.accept', id, 'could not keep a revision', 'unknown');
     log('accepted', [
-      ['revision', parsed.revision],
+      ['revision', document.revision],
       ['ballot', ballotText(ballot)],
     ]);
     return Right({ accepted: true, highest: ballot, lacksBase: false });
   }
 
-  private async form(document: Uint8Array): Promise<Outcome<{ formed: boolean }>> {
+  private async form(text: Uint8Array): Promise<Outcome<{ formed: boolean }>> {
     const { replica } = this;
     const { acceptor, guard, id } = replica;
-    const decoded = decodeDocument(document, 'former');
+    const decoded = decodeDocument(text, 'former');
     if (decoded.isLeft()) return decoded as Outcome<never>;
-    const parsed = decoded.unsafeCoerce();
+    const document = decoded.unsafeCoerce();
     if (guard.reason) return failed('member.form', id, guard.reason);
     if (acceptor.accepted) return Right({ formed: false });
-    if (parsed.revision !== 1 || !parsed.core.members.some((member) => member.id === id))
+    if (document.revision !== 1 || !document.core.members.some((member) => member.id === id))
       return failed('member.form', id, 'not named in that core set');
-    if (!(await replica.hold({ ballot: GENESIS, document, parsed })))
+    if (!(await replica.hold({ ballot: GENESIS, document })))
       return failed('member.form', id, 'could not keep the first revision', 'unknown');
     replica.founder = true;
     replica.log('formed', [
       ['member', id],
-      ['core', parsed.core.members.map(({ address }) => address).join(',')],
+      ['core', document.core.members.map(({ address }) => address).join(',')],
     ]);
     return Right({ formed: true });
   }
--- a/src/route/check.ts
+++ b/src/route/check.ts
@@ -14,6 +14,7 @@
 import { Right } from 'purify-ts';
 import { bounded, explain } from '../doorway/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { ChunkCache } from './chunks.js';
 import type { Configuration, Patch, RequestKind, Route, Service } from './shape.js';
 
 /** The most routes, and the most services, that a configuration may hold. */
@@ -21,6 +22,9 @@
 /** The most bytes of text that a configuration or a patch may have. */
 export const BYTE_BOUND = 4 * 1024 * 1024;
 
+/** The bytes of the brackets around a list. */
+const BRACKETS = 2;
+
 const Name = Text.withConstraint(
   (value) => (value.length >= 1 && value.length <= 256) || 'expected 1 to 256 characters',
 );
@@ -222,6 +226,20 @@
   return [...merged.values()];
 };
 
+const itemsLength = new ChunkCache((items) => Buffer.byteLength(JSON.stringify(items)) - BRACKETS);
+
+/** The bytes of the items of a list, with the commas between them. */
+const listLength = (items: readonly object[]): number => {
+  const lengths = itemsLength.valuesOf(items);
+  return lengths.reduce((sum, length) => sum + length, Math.max(0, lengths.length - 1));
+};
+
+/** The bytes of the text of a configuration. */
+const byteLengthOf = (configuration: Configuration): number =>
+  Buffer.byteLength(JSON.stringify({ ...configuration, routes: [], services: [] })) +
+  listLength(configuration.routes) +
+  listLength(configuration.services);
+
 /** A patch on top of what is in place: what is removed goes first, then what is set replaces by name or is added. */
 export const mergePatch = (
   before: Configuration | undefined,
@@ -244,7 +262,7 @@
     services: mergeNamed(before?.services ?? [], set.services, remove.services),
     ...(set.limits ? { limits: set.limits } : {}),
   };
-  if (Buffer.byteLength(JSON.stringify(merged)) > BYTE_BOUND)
+  if (byteLengthOf(merged) > BYTE_BOUND)
     return failed(
       'configuration.patch',
       'operator',
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -78,15 +78,15 @@
       this.clock,
       this.random,
       this.log,
-      (documents, items, _committed, frames) => {
-        const newest = documents.at(-1);
+      (revisions) => {
+        const newest = revisions.at(-1)?.document;
         if (!newest) return;
-        relay.note(items, documents, frames);
+        relay.note(revisions);
         if (!this.inForce.swap(newest)) return;
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
-        this.lease.renewNow();
+        this.lease.noteRevision();
         this.passage.stir();
       },
       '',
--- a/src/sim/batch/time.ts
+++ b/src/sim/batch/time.ts
@@ -1,5 +1,5 @@
 /** Virtual time without tasks: what is due runs at once and in order, which is much faster than a world of hosts. */
-import type { Clock, Moment } from '../../kernel/clock/clock.js';
+import type { Cancel, Clock, Moment } from '../../kernel/clock/clock.js';
 import { Agenda } from '../agenda.js';
 
 export class Timeline implements Clock {
@@ -23,6 +23,16 @@
     return new Promise((wake) => this.after(duration, wake));
   }
 
+  schedule(duration: number, act: () => void): Cancel {
+    let isCancelled = false;
+    this.after(duration, () => {
+      if (!isCancelled) act();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
   after(delay: number, run: () => void): void {
     this.agenda.push({ at: this.moment + Math.max(0, delay), number: ++this.count, run });
   }
--- a/src/sim/clock.ts
+++ b/src/sim/clock.ts
@@ -1,5 +1,5 @@
 /** The clock of a simulated host, on virtual time. */
-import { Reckoner, type Clock, type Moment } from '../kernel/clock/clock.js';
+import { Reckoner, type Cancel, type Clock, type Moment } from '../kernel/clock/clock.js';
 import type { Host } from './host.js';
 
 /** Reads the host's own monotonic and wall clock, and sleeps on the world's agenda. */
@@ -25,6 +25,16 @@
     return this.reckoner.strict();
   }
 
+  schedule(duration: number, act: () => void): Cancel {
+    let isCancelled = false;
+    this.host.later(duration, () => {
+      if (!isCancelled) act();
+    });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
   sleep(duration: number, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
--- a/src/wire/field.ts
+++ b/src/wire/field.ts
@@ -101,6 +101,15 @@
 /** A text in UTF-8, led by its length in bytes. */
 export const text: Field<string> = new Text(r.uint16, 'utf8');
 
+/** A text that may be missing, which is sent as an empty one. */
+export const optionalText: Field<string | undefined> = {
+  toBuffer: (value) => text.toBuffer(value ?? ''),
+  fromBuffer: (bytes) => text.fromBuffer(bytes) || undefined,
+  decode: (stream) => text.decode(stream) || undefined,
+  encode: (stream, value) => text.encode(stream, value ?? ''),
+  size: (value) => text.size(value ?? ''),
+};
+
 /** Bytes, led by their count. */
 export const blob = new r.Buffer(r.uint32);
 
--- a/src/wire/peers.ts
+++ b/src/wire/peers.ts
@@ -38,6 +38,22 @@
 /** How many silent addresses are remembered, the latest ones. */
 const SILENT_BOUND = 1024;
 
+/** What the frame says that answers a call; there is none where the channel closed first. */
+const readReply = <A, R>(
+  call: Call<A, R>,
+  frame: Frame | undefined,
+  address: string,
+): Outcome<R> => {
+  if (!frame)
+    return failed(`${call.name}.reply`, address, 'the channel closed before the reply', 'unknown');
+  if (frame.stage !== Stage.decline)
+    return decode(call.reply, frame.body, `${call.name}.reply`, address);
+  const decline = decode(declineField, frame.body, `${call.name}.decline`, address);
+  return decline.chain(({ reason }) =>
+    failed(call.name, address, reason, 'declined', 'refused-by-peer'),
+  );
+};
+
 /** Calls to other processes of the fleet, and answers to theirs. */
 export class Peers {
   private readonly handlers = new Map<number, Handler>();
@@ -86,37 +102,30 @@
     if (line.waiting.size >= WAITING_BOUND)
       return failed(`${call.name}.send`, address, 'too many calls waiting');
     const number = (this.calls = (this.calls + 1) % 0xffffffff);
-    const arrival = new Promise<Frame | undefined>((resolve) => line.waiting.set(number, resolve));
-    if (!line.channel.send(encodeFrame(Stage.ask, call.code, number, encode(call.ask, ask)))) {
-      line.waiting.delete(number);
+    const sent = encodeFrame(Stage.ask, call.code, number, encode(call.ask, ask));
+    const arrival = this.arrival(line, number, Math.max(1, end - this.clock.now()));
+    if (!line.channel.send(sent)) {
+      line.waiting.get(number)?.(undefined);
       return failed(`${call.name}.send`, address, 'the channel is closed');
     }
-    const stop = new AbortController();
-    const frame = await Promise.race([
-      arrival,
-      this.clock
-        .sleep(Math.max(1, end - this.clock.now()), stop.signal)
-        .then(() => 'late' as const),
-    ]);
-    stop.abort('over');
-    line.waiting.delete(number);
+    const frame = await arrival;
     if (frame === 'late' && line.heard < end - limit) this.abandon(address, line, opened);
     if (frame === 'late')
       return failed(`${call.name}.reply`, address, `no reply within ${limit} ms`, 'unknown');
-    if (!frame)
-      return failed(
-        `${call.name}.reply`,
-        address,
-        'the channel closed before the reply',
-        'unknown',
-      );
-    if (frame.stage === Stage.decline) {
-      const decline = decode(declineField, frame.body, `${call.name}.decline`, address);
-      return decline.chain(({ reason }) =>
-        failed(call.name, address, reason, 'declined', 'refused-by-peer'),
-      );
-    }
-    return decode(call.reply, frame.body, `${call.name}.reply`, address);
+    return readReply(call, frame, address);
+  }
+
+  /** The frame that answers a call, nothing once the channel has closed, or that it is late. */
+  private arrival(line: Line, number: number, limit: number): Promise<Frame | 'late' | undefined> {
+    return new Promise((resolve) => {
+      const settle = (frame: Frame | 'late' | undefined): void => {
+        cancel();
+        line.waiting.delete(number);
+        resolve(frame);
+      };
+      const cancel = this.clock.schedule(limit, () => settle('late'));
+      line.waiting.set(number, settle);
+    });
   }
 
   /** Whether the last ask to an address went unanswered for its whole limit, or found nobody there. */
--- a/test/checker/acceptor.test.ts
+++ b/test/checker/acceptor.test.ts
@@ -11,6 +11,7 @@
   type Act,
   type Change,
 } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import type { Outcome } from '../../src/kernel/fault/fault.js';
 import { simBase, simCore, type SimBase, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk } from '../../src/sim/disk.js';
@@ -114,7 +115,8 @@
       true,
     );
     const removal = group.change(group.removalOf(1, 2));
-    const document = encodeDocument(applyChanges(old, [removal]).document);
+    const removed = applyChanges(old, [removal]).document;
+    const [document, digest] = [encodeDocument(removed), documentDigest(removed)];
 
     group.loseRounds('core-4', 'late');
     expect(await group.propose(operator, group.claim('one'))).toBe(true);
@@ -124,7 +126,7 @@
     expect(learned.committed).toBe(old.revision + 2);
 
     await world.until(
-      late.peers.ask(addressOf(4), Accept, { ...round, document, base: '', digest: '' }, 1000),
+      late.peers.ask(addressOf(4), Accept, { ...round, document, base: '', digest }, 1000),
     );
     world.part(['core-4'], ['core-1', 'core-2', 'core-3']);
     expect(await group.propose(operator, group.removalOf(2, 2))).toBe(true);
--- a/test/checker/delta.test.ts
+++ b/test/checker/delta.test.ts
@@ -15,6 +15,7 @@
   type Act,
   type Document,
 } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import { configurationOf, patchOf } from '../../src/fleet/slopes/items.js';
 import { ControlPlane } from '../../src/fleet/slopes/plane.js';
 
@@ -88,20 +89,15 @@
       const { document: next } = applyChanges(document, changes);
       if (next.revision === document.revision) continue;
       const bytes = encodeDocument(next);
+      const digest = documentDigest(next);
       const read = decodeDocument(bytes, 'p').unsafeCoerce();
-      const delta = deltaOf(
-        decodeDocument(encodeDocument(document), 'p').unsafeCoerce(),
-        read,
-        digestOf(bytes),
-      );
+      expect(documentDigest(read)).toBe(digest);
+      const delta = deltaOf(decodeDocument(encodeDocument(document), 'p').unsafeCoerce(), read);
       all += 1;
       if (delta) {
         made += 1;
-        expect(
-          Buffer.from(
-            applyDelta(document, delta, digestOf(bytes), 'p').unsafeCoerce().bytes,
-          ).equals(Buffer.from(bytes)),
-        ).toBe(true);
+        const applied = applyDelta(document, delta, digest, 'p').unsafeCoerce();
+        expect(Buffer.from(encodeDocument(applied)).equals(Buffer.from(bytes))).toBe(true);
         expect(applyDelta(next, delta, digestOf(`${seed}`), 'p').isLeft()).toBe(true);
       }
       document = next;
--- a/test/checker/feed-source.test.ts
+++ b/test/checker/feed-source.test.ts
@@ -96,9 +96,9 @@
       host.clock,
       host.random,
       silentLog,
-      async (documents) => {
+      async (revisions) => {
         await host.clock.sleep(TAKING);
-        inForce.swap(documents.at(-1)!);
+        inForce.swap(revisions.at(-1)!.document);
       },
       '',
       undefined,
--- a/test/checker/lone-member.ts
+++ b/test/checker/lone-member.ts
@@ -11,12 +11,12 @@
   type PrepareReply,
 } from '../../src/register/calls.js';
 import {
-  digestOf,
   encodeDocument,
   genesis,
   voterSetDigest,
   type Document,
 } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import { Member } from '../../src/register/member.js';
 import { Store } from '../../src/register/store.js';
 import { SimDisk } from '../../src/sim/disk.js';
@@ -39,15 +39,11 @@
 });
 
 /** A revision that follows another; the name makes it differ from others of its number. */
-export const following = (
-  { document, bytes }: Revision,
-  name: string,
-  core = document.core,
-): Revision =>
+export const following = ({ document }: Revision, name: string, core = document.core): Revision =>
   revisionOf({
     ...document,
     revision: document.revision + 1,
-    previous: digestOf(bytes),
+    previous: documentDigest(document),
     core,
     claims: new Map([[name, { firm: 's', renewal: 1, duration: 1 }]]),
   });
@@ -124,23 +120,25 @@
 
   accept(
     counter: number,
-    { bytes }: Revision,
+    { document, bytes }: Revision,
     core = this.first.document.core,
   ): Promise<Outcome<AcceptReply>> {
     const round = { set: core.number, voters: voterSetDigest(core), ballot: ballotOf(counter) };
-    const ask = { ...round, document: bytes, base: '', digest: '' };
+    const digest = documentDigest(document);
+    const ask = { ...round, document: bytes, base: '', digest };
     return this.ask(this.asker.peers.ask(ADDRESS, Accept, ask, 1000));
   }
 
-  async commit({ document, bytes }: Revision): Promise<boolean> {
-    const told = { revision: document.revision, ballot: ballotOf(1), digest: digestOf(bytes) };
+  async commit({ document }: Revision): Promise<boolean> {
+    const digest = documentDigest(document);
+    const told = { revision: document.revision, ballot: ballotOf(1), digest };
     const reply = await this.ask(this.asker.peers.ask(ADDRESS, Committed, told, 1000));
     return reply.map(({ known }) => known).orDefault(false);
   }
 
-  learn(counter: number, { document, bytes }: Revision): Promise<void> {
-    const items = [{ ballot: ballotOf(counter), document: bytes }];
-    return this.ask(this.member.takeCommitted(items, document.revision));
+  learn(counter: number, { document }: Revision): Promise<void> {
+    const learned = [{ ballot: ballotOf(counter), document }];
+    return this.ask(this.member.takeCommitted(learned, document.revision));
   }
 
   get held(): { counter: number; revision: number; promised: number } {
--- a/test/checker/member.test.ts
+++ b/test/checker/member.test.ts
@@ -3,7 +3,8 @@
  * restarts it holds on to its promise, its accepted ballot and the revisions that it knows to be committed.
  */
 import { expect, test } from 'vitest';
-import { digestOf, type VoterSet } from '../../src/register/document.js';
+import { decodeDocument, type VoterSet } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import {
   ballotOf,
   following,
@@ -65,7 +66,9 @@
     expect(lone.held).toEqual({ counter: 8, revision, promised: 8 });
     expect(isAccepted(await lone.accept(8, following(lone.first, 'unchosen', fewer)))).toBe(false);
     const reply = await lone.prepare(9);
-    expect(reply.map(({ document }) => digestOf(document)).extract()).toBe(digestOf(newest.bytes));
+    const { digest, document } = reply.unsafeCoerce();
+    expect(digest).toBe(documentDigest(newest.document));
+    expect(documentDigest(decodeDocument(document, 'core').unsafeCoerce())).toBe(digest);
   }
 });
 
--- a/test/checker/register.test.ts
+++ b/test/checker/register.test.ts
@@ -10,12 +10,12 @@
 import type { Verdict } from '../../src/register/change.js';
 import {
   decodeDocument,
-  digestOf,
   encodeDocument,
   genesis,
   voterSetDigest,
   type Change,
 } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import { Member } from '../../src/register/member.js';
 import { Store } from '../../src/register/store.js';
 import type { Outcome } from '../../src/kernel/fault/fault.js';
@@ -154,9 +154,7 @@
     const digests = new Set(
       chains.flatMap((chain) =>
         chain[revision]!.map(({ items }) =>
-          items.map((item) =>
-            digestOf(encodeDocument(decodeDocument(item.document, 'x').unsafeCoerce())),
-          ),
+          items.map((item) => documentDigest(decodeDocument(item.document, 'x').unsafeCoerce())),
         ).orDefault([]),
       ),
     );
@@ -307,17 +305,14 @@
       .ask(addresses[0]!, Prepare, { ...group, ballot: ballot(counter), known: '' }, 900)
       .then((reply) => reply.isRight() && text('promise').includes(`"counter":${counter}`));
   expect(await world.until(prepare(5))).toBe(true);
-  const next = encodeDocument({
-    ...first,
-    revision: 2,
-    previous: digestOf(encodeDocument(first)),
-  });
+  const second = { ...first, revision: 2, previous: documentDigest(first) };
+  const [next, digest] = [encodeDocument(second), documentDigest(second)];
   const accept = (counter: number): Promise<boolean> =>
     asker.peers
       .ask(
         addresses[0]!,
         Accept,
-        { ...group, ballot: ballot(counter), document: next, base: '', digest: '' },
+        { ...group, ballot: ballot(counter), document: next, base: '', digest },
         900,
       )
       .then(
--- a/test/checker/repair.test.ts
+++ b/test/checker/repair.test.ts
@@ -6,6 +6,7 @@
   encodeDocument,
   type Change,
 } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import { simBase, simCore, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { World } from '../../src/sim/world.js';
@@ -97,11 +98,14 @@
   const chosen = disks[1]!.files.get(path)!;
   const text = Buffer.from(chosen).toString('utf8');
   const body = text.slice(text.indexOf('\n') + 1);
-  const other = decodeDocument(Buffer.from(body), 'x')
-    .map((document) => encodeDocument({ ...document, claims: new Map() }))
-    .unsafeCoerce();
-  const head = text.slice(65, text.indexOf('\n')).replace(/"counter":\d+/, '"counter":1');
-  const rest = Buffer.concat([Buffer.from(`${head}\n`), other]);
+  const committed = decodeDocument(Buffer.from(body), 'x').unsafeCoerce();
+  const other = { ...committed, claims: new Map() };
+  const head = text
+    .slice(65, text.indexOf('\n'))
+    .replace(/"counter":\d+/, '"counter":1')
+    .replace(documentDigest(committed), documentDigest(other));
+  expect(head).toContain(documentDigest(other));
+  const rest = Buffer.concat([Buffer.from(`${head}\n`), encodeDocument(other)]);
   disks[0]!.files.set(path, Buffer.concat([Buffer.from(`${digestOf(rest)} `), rest]));
   startCore(0);
   await world.run(world.now + 15_000);
--- a/test/checker/space.test.ts
+++ b/test/checker/space.test.ts
@@ -7,6 +7,7 @@
 import { join } from 'node:path';
 import { expect, test } from 'vitest';
 import { FolderDisk } from '../../src/kernel/disk/disk.js';
+import { encodeDocument, genesis, type Document } from '../../src/register/document.js';
 import { Store } from '../../src/register/store.js';
 import { Host } from '../../src/sim/host.js';
 import { World } from '../../src/sim/world.js';
@@ -15,6 +16,13 @@
 
 const DOCUMENT = 100_000;
 const KEPT = 1_000_000;
+
+/** A document of that many bytes. */
+const documentOf = (revision: number): Document => {
+  const empty = { ...genesis('', []), revision };
+  return { ...empty, fleet: 'f'.repeat(DOCUMENT - encodeDocument(empty).length) };
+};
+
 const ballot = (counter: number) => ({ counter, node: 'n', incarnation: 'i' });
 
 interface Written {
@@ -34,7 +42,7 @@
   const write = async (from: number, to: number): Promise<number> => {
     let refused = 0;
     for (let revision = from; revision <= to; revision++) {
-      const filed = { ballot: ballot(revision), document: Buffer.alloc(DOCUMENT, revision) };
+      const filed = { ballot: ballot(revision), document: documentOf(revision) };
       const kept = await world.until(store.keepRevision(revision, filed));
       if (kept.isLeft()) refused += 1;
       store.prune(store.floor(revision));
--- a/test/checker/stage.ts
+++ b/test/checker/stage.ts
@@ -55,9 +55,9 @@
     clock,
     random,
     silentLog,
-    (documents, items) => {
-      relay.note(items, documents);
-      if (inForce.swap(documents.at(-1)!)) lease.renewNow();
+    (revisions) => {
+      relay.note(revisions);
+      if (inForce.swap(revisions.at(-1)!.document)) lease.noteRevision();
     },
     '',
     relay,
--- a/test/forward/clock.ts
+++ b/test/forward/clock.ts
@@ -1,5 +1,5 @@
 /** Time that a test moves by hand, for what waits through the clock service. */
-import type { Clock, Moment } from '../../src/kernel/clock/clock.js';
+import type { Cancel, Clock, Moment } from '../../src/kernel/clock/clock.js';
 
 interface Sleeper {
   readonly until: number;
@@ -35,6 +35,12 @@
     });
   }
 
+  schedule(duration: number, act: () => void): Cancel {
+    const sleeper = { until: this.at + duration, wake: act };
+    this.sleepers.add(sleeper);
+    return () => void this.sleepers.delete(sleeper);
+  }
+
   /** Moves time on, and wakes whoever was to wake by then. */
   advance(by: number): void {
     this.at += by;
--- a/test/unit/forward.test.ts
+++ b/test/unit/forward.test.ts
@@ -20,6 +20,7 @@
     return this.at;
   },
   sleep: () => Promise.resolve(),
+  schedule: () => () => undefined,
 });
 
 describe('the budget of repeats', () => {
--- a/test/unit/placer.test.ts
+++ b/test/unit/placer.test.ts
@@ -3,7 +3,7 @@
 import type { Prompt } from '../../src/forward/dialect.js';
 import { blocksOfParts, rootHash } from '../../src/index/hash.js';
 import { PartIndex } from '../../src/index/parts.js';
-import type { Clock, Moment } from '../../src/kernel/clock/clock.js';
+import type { Cancel, Clock, Moment } from '../../src/kernel/clock/clock.js';
 import { SeededRandom } from '../../src/kernel/random/random.js';
 import { PrefixPlacer, prefixPlacerDefaults } from '../../src/place/prefix.js';
 import type { PlaceAsk, Ticket } from '../../src/place/placer.js';
@@ -15,6 +15,7 @@
   strict = (): Moment => this.at as Moment;
   wall = (): number => this.at;
   sleep = (): Promise<void> => Promise.resolve();
+  schedule = (): Cancel => () => undefined;
 }
 
 const engine = (identifier: string, more: Partial<Engine> = {}): Engine => ({
--- a/test/unit/round-value.test.ts
+++ b/test/unit/round-value.test.ts
@@ -4,6 +4,7 @@
 import type { PrepareReply } from '../../src/register/calls.js';
 import { applyChanges } from '../../src/register/change.js';
 import { encodeDocument, genesis, type Document } from '../../src/register/document.js';
+import { documentDigest } from '../../src/register/document-digest.js';
 import { roundValue } from '../../src/register/round-value.js';
 
 const ballotOf = (counter: number): Ballot => ({ counter, node: 'n', incarnation: 'i' });
@@ -24,6 +25,7 @@
   highest: ballotOf(99),
   accepted: ballotOf(counter),
   committed,
+  digest: documentDigest(document),
   document: encodeDocument(document),
 });
 
