--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -2,27 +2,20 @@
  * Following the numbered feed of committed revisions: from one core member at a time, the one quickest to say that it has
  * what is needed, another when it falls silent, falls behind or does not vote, and from neighbours when none answers.
  * While one member feeds, another is asked only how far it is, and all others as soon as that one is silent; when one is
- * further than the feed for longer than a moment, the source is left. The first revision comes only after a look at a majority of the core, or of the routers, so that
- * a restart never slides back; what is older than what is held is dropped, and what follows it must name its digest. Once
- * something is held, what follows comes as deltas.
+ * further than the feed for longer than a moment, the source is left. A source that has just given something is not
+ * doubted, so that a change costs one question of the feed and hardly any other. The first revision comes only after a
+ * look at a majority of the core, or of the routers, so that a restart never slides back; what is older than what is held
+ * is dropped, and what follows it must name its digest. Once something is held, what follows comes as deltas. Where what
+ * is held is in force, the question for what follows reports it.
  */
-import type { Clock } from '../kernel/clock/clock.js';
-import { failed, type Outcome } from '../kernel/fault/fault.js';
+import type { Clock, Moment } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import { shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import {
-  Feed,
-  State,
-  Tip,
-  type FeedFrame,
-  type FeedItem,
-  type FeedReply,
-  type StateReply,
-} from './calls.js';
-import type { KnownRevision } from './chain.js';
-import { applyDelta, type Rebuilt } from './delta.js';
-import { decodeDocument, digestOf, type Document } from './document.js';
+import { Feed, State, Tip, type FeedAsk, type FeedReply, type StateReply } from './calls.js';
+import type { Document } from './document.js';
+import { documentDigest } from './document-digest.js';
+import { receive, type ReceivedRevision } from './frames.js';
 import { gather, sound, type Replies } from './gather.js';
 import type { Proposer } from './proposer.js';
 import type { Relay } from './relay.js';
@@ -40,29 +33,26 @@
 /** How many neighbours are asked at a time while no core member answers. */
 const NEIGHBOURS = 3;
 
-/** The whole of what a frame tells: itself, or what its delta makes of the revision before. */
-const rebuild = (
-  { base, digest, document: bytes }: FeedFrame,
-  before: Document | undefined,
-  peer: string,
-): Outcome<Rebuilt> => {
-  if (base === 0) return decodeDocument(bytes, peer).map((document) => ({ document, bytes }));
-  return before?.revision === base
-    ? applyDelta(before, bytes, digest, peer)
-    : failed('feed.rebuild', peer, `a delta from revision ${base}, which is not held`);
-};
+/** For so many ms after it gave something the source is not doubted, but for no longer on end than it is told to wait. */
+const TRUST = 150;
+
+/** Whether a document can come after the one held: the next revision must name the digest of that. */
+const follows = (next: Document, held: Document | undefined): boolean =>
+  !held || next.revision !== held.revision + 1 || next.previous === documentDigest(held);
 
 export class Follower {
-  held = 0;
-  private digest = '';
-  /** The document of the revision held, from which deltas can be applied. */
-  private base: Document | undefined;
+  /** What is held, from which deltas can be applied. */
+  private document: Document | undefined;
+  /** Whether to ask for deltas: not after one that could not be applied. */
+  private takesDeltas = true;
   private floor: number | undefined;
   /** The newest revision that any member is known to have committed. */
   private known = 0;
   private source = '';
   /** The revision that any source must have given by now. */
   private overdue = 0;
+  /** When the source last gave something. */
+  private gaveAt: Moment | undefined;
   private outrun: () => void = () => undefined;
   /** Members other than the source that left the last watch unanswered. */
   private readonly unheard = new Set<string>();
@@ -76,21 +66,25 @@
     private readonly random: Random,
     private readonly log: Log,
     private readonly take: (
-      documents: readonly Document[],
-      items: readonly FeedItem[],
+      revisions: readonly ReceivedRevision[],
       committed: number,
-      frames: readonly FeedFrame[],
     ) => Promise<void> | void,
+    /** The address of this node where it is a core member; elsewhere what is held is in force, and is reported. */
     private readonly self = '',
     private readonly relay?: Relay,
     private readonly wait = WAIT,
     /** What this node has by another way. */
-    private readonly own: () => KnownRevision | undefined = () => undefined,
+    private readonly own: () => Document | undefined = () => undefined,
     /** Below which revision this node may not begin, while no majority of the voters tells it. */
     private readonly floorWithoutMajority: () => Promise<number | undefined> = () =>
       relay?.floor() ?? Promise.resolve(undefined),
   ) {}
 
+  /** The revision held, 0 while there is none. */
+  get held(): number {
+    return this.document?.revision ?? 0;
+  }
+
   async run(signal: AbortSignal): Promise<void> {
     void this.watch(signal);
     while (!signal.aborted) {
@@ -154,6 +148,7 @@
    */
   private async watch(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      await this.trustSource(signal);
       const others = this.voterDirectory.addresses.filter(
         (address) => address !== this.self && address !== this.source,
       );
@@ -166,6 +161,17 @@
     }
   }
 
+  /** Waits until the source has given nothing for a moment, and no longer than for one question. */
+  private async trustSource(signal: AbortSignal): Promise<void> {
+    const limit = this.clock.now() + this.wait;
+    while (!signal.aborted && this.gaveAt !== undefined) {
+      const now = this.clock.now();
+      const until = Math.min(limit, this.gaveAt + TRUST);
+      if (until <= now) return;
+      await this.clock.sleep(until - now, signal);
+    }
+  }
+
   /** The member that follows the one watched last, among those that are not known to be silent. */
   private nextWatched(others: readonly string[]): string | undefined {
     const candidates = others.filter((address) => !this.unheard.has(address)).sort();
@@ -209,13 +215,7 @@
     const some = shuffled(this.random, this.relay?.sources ?? []).slice(0, NEIGHBOURS);
     const replies = await gather(
       some,
-      (address) =>
-        this.peers.ask(
-          address,
-          Feed,
-          { from: this.held, wait: 0, deltas: this.base !== undefined },
-          SEEK_LIMIT,
-        ),
+      (address) => this.peers.ask(address, Feed, this.question(0), SEEK_LIMIT),
       (all) => sound(all).some(({ items }) => items.length > 0),
     );
     for (const [address, reply] of replies)
@@ -233,16 +233,7 @@
       });
       const behind = this.isOverdue;
       const reply = await Promise.race([
-        this.peers.ask(
-          source,
-          Feed,
-          {
-            from: this.held,
-            wait: behind ? 0 : this.wait,
-            deltas: this.base !== undefined,
-          },
-          this.patience,
-        ),
+        this.peers.ask(source, Feed, this.question(behind ? 0 : this.wait), this.patience),
         left,
       ]);
       if (!reply) {
@@ -258,58 +249,66 @@
     }
   }
 
+  /** Asks for what follows the revision held, and tells that this one is in force where it is. */
+  private question(wait: number): FeedAsk {
+    return {
+      from: this.held,
+      wait,
+      deltas: this.document !== undefined && this.takesDeltas,
+      node: this.self === '' ? this.peers.self.name : undefined,
+    };
+  }
+
   /** Goes on from what this node has by another way, so that it is sent only what changed since. */
   private holdOwn(): void {
     const own = this.own();
-    if (!own || own.revision <= this.held) return;
-    this.held = own.revision;
-    this.digest = own.digest;
-    this.base = own.document;
+    if (own && own.revision > this.held) this.document = own;
   }
 
   /** Takes what follows the revision held; says whether the source is worth asking again. */
-  private async consume(source: string, { committed, items }: FeedReply): Promise<boolean> {
-    if (committed < Math.max(this.held, this.floor ?? 0)) return false;
-    const documents: Document[] = [];
-    const frames: FeedFrame[] = [];
-    const taken: FeedItem[] = [];
-    let held = { revision: this.held, digest: this.digest, document: this.base };
+  private async consume(source: string, reply: FeedReply): Promise<boolean> {
+    if (reply.committed < Math.max(this.held, this.floor ?? 0)) return false;
+    const revisions = this.read(source, reply);
+    if (!revisions) return false;
+    const newest = revisions.at(-1)?.document;
+    if (!newest) return true;
+    if (source === this.source) this.gaveAt = this.clock.now();
+    for (const { document } of revisions) {
+      this.voterDirectory.learn(document.core);
+      this.log('fed', [
+        ['revision', document.revision],
+        ['peer', source],
+      ]);
+    }
+    await this.take(revisions, reply.committed);
+    this.document = newest;
+    this.takesDeltas = true;
+    return true;
+  }
+
+  /** The revisions of a reply that follow the one held, or nothing where one can't be read or does not follow. */
+  private read(source: string, { items }: FeedReply): ReceivedRevision[] | undefined {
+    const revisions: ReceivedRevision[] = [];
+    let held = this.document;
     for (const frame of items) {
-      const rebuilt = rebuild(frame, held.document, source);
-      if (rebuilt.isLeft()) {
-        this.base = undefined;
-        return false;
+      const received = receive(frame, held, source).toMaybe().extract();
+      if (!received) {
+        this.takesDeltas = false;
+        return undefined;
       }
-      const { document: next, bytes } = rebuilt.unsafeCoerce();
-      if (next.revision <= held.revision || next.fleet !== this.peers.self.fleet) continue;
-      if (next.revision === held.revision + 1 && held.digest && next.previous !== held.digest) {
+      const next = received.document;
+      if (next.revision <= (held?.revision ?? 0) || next.fleet !== this.peers.self.fleet) continue;
+      if (!follows(next, held)) {
         this.log('feed-declined', [
           ['peer', source],
           ['revision', next.revision],
           ['reason', 'does not follow the one held'],
         ]);
-        return false;
+        return undefined;
       }
-      held = {
-        revision: next.revision,
-        digest: frame.base > 0 ? frame.digest : digestOf(bytes),
-        document: next,
-      };
-      documents.push(next);
-      frames.push(frame);
-      taken.push({ ballot: frame.ballot, document: bytes });
-      this.voterDirectory.learn(next.core);
+      revisions.push(received);
+      held = next;
     }
-    if (documents.length === 0) return true;
-    for (const { revision } of documents)
-      this.log('fed', [
-        ['revision', revision],
-        ['peer', source],
-      ]);
-    await this.take(documents, taken, committed, frames);
-    this.held = held.revision;
-    this.digest = held.digest;
-    this.base = held.document;
-    return true;
+    return revisions;
   }
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -36,10 +36,11 @@
   type VoterSet,
   type Document,
 } from './document.js';
+import { documentDigest } from './document-digest.js';
 import { QuorumContact, type Patience } from './contact.js';
 import { gather, majority, sound, type Replies } from './gather.js';
 import type { VoterDirectory } from './voter-directory.js';
-import { deltaBetween, revisionOf, type Revision } from './revision.js';
+import { deltaBetween } from './revision.js';
 import { roundValue } from './round-value.js';
 import { decided, isOutdated, promisesOf } from './votes.js';
 
@@ -58,7 +59,8 @@
   tell(outcome: Outcome<Verdict>): void;
 }
 
-interface Read extends Revision {
+interface Read {
+  readonly document: Document;
   readonly ballot: Ballot;
   readonly core: VoterSet;
   readonly committed: boolean;
@@ -67,14 +69,10 @@
 interface Promises {
   readonly ballot: Ballot;
   readonly replies: Replies<PrepareReply>;
-  /** The revision that members need not send, where one is held. */
-  readonly known: Revision | undefined;
+  /** The document that members need not send, where one is held. */
+  readonly known: Document | undefined;
 }
 
-/** A promise with the revision that the member did not send since it is held here. */
-const withKnown = (reply: PrepareReply, known: Revision | undefined): PrepareReply =>
-  known && reply.document.length === 0 ? { ...reply, document: known.bytes } : reply;
-
 export interface Survey {
   readonly revision: number;
   readonly sources: readonly string[];
@@ -94,8 +92,10 @@
   private counter = 0;
   private busy = false;
   /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
-  private known: Revision | undefined;
+  private known: Document | undefined;
   private knownSince: Moment | undefined;
+  /** What this node has by another way, as a core member does. */
+  private own: () => Document | undefined = () => undefined;
   readonly contact: QuorumContact;
 
   constructor(
@@ -108,6 +108,11 @@
     this.contact = new QuorumContact(peers, voterDirectory, clock);
   }
 
+  /** Lets rounds start from what this node has by another way, so that the members need not send it. */
+  startFrom(own: () => Document | undefined): void {
+    this.own = own;
+  }
+
   /** Proposes a change and waits for its verdict, certain or "unknown", until the limit. */
   propose(change: Change, duration: number): Promise<Outcome<Verdict>> {
     return this.proposeWithin(change, { whole: duration, outOfContact: duration });
@@ -248,7 +253,7 @@
       ['ballot', ballotText(ballot)],
       ['changes', next.cause.map(({ id }) => id).join(',')],
     ]);
-    const accepted = await this.accept(core, ballot, next, read.unsafeCoerce());
+    const accepted = await this.accept(core, ballot, next, document);
     if (accepted.isLeft()) {
       this.log('round-unsure', [
         ['revision', next.revision],
@@ -314,29 +319,33 @@
         sound(replies).some(({ promised }) => !promised) ? 'outbid' : 'failed',
       );
     }
-    const complete = promises.map((reply) => withKnown(reply, known));
-    return roundValue(complete, quorum, known).map(({ reply, document, isCommitted }) => {
-      const revision = this.hold(revisionOf(document, reply.document));
+    return roundValue(promises, quorum, known).map(({ reply, document, isCommitted }) => {
+      this.hold(document);
       if (isCommitted && promises.some(({ committed }) => committed < document.revision))
-        this.announce(core, reply.accepted, revision);
-      return { ballot, core, committed: isCommitted, ...revision };
+        this.announce(core, reply.accepted, document);
+      return { ballot, core, committed: isCommitted, document };
     });
   }
 
   /** Holds a revision until no other was read or proposed for a while. */
-  private hold(revision: Revision): Revision {
-    this.known = revision;
+  private hold(document: Document): void {
+    this.known = document;
     const now = this.clock.now();
     this.knownSince = now;
     void this.clock.sleep(KNOWN_FOR).then(() => {
       if (this.knownSince === now) this.known = undefined;
     });
-    return revision;
+  }
+
+  /** The newest document that is held here. */
+  private get newestKnown(): Document | undefined {
+    const own = this.own();
+    return own && own.revision > (this.known?.revision ?? 0) ? own : this.known;
   }
 
   /** Asks the members of a core set to promise a ballot above all that is known here, and learns the highest they know. */
   private async seekPromises(core: VoterSet): Promise<Promises> {
-    const { known } = this;
+    const known = this.newestKnown;
     const ballot: Ballot = {
       counter: ++this.counter,
       node: this.peers.self.name,
@@ -346,7 +355,7 @@
       set: core.number,
       voters: voterSetDigest(core),
       ballot,
-      known: known?.digest ?? '',
+      known: known ? documentDigest(known) : '',
     };
     const replies = await gather(
       core.members.map(({ address }) => address),
@@ -367,19 +376,19 @@
     core: VoterSet,
     ballot: Ballot,
     document: Document,
-    base?: Revision,
+    base?: Document,
   ): Promise<Outcome<void>> {
     const quorum = majority(core.members.length);
     const addresses = core.members.map(({ address }) => address);
-    const revision = this.hold(revisionOf(document, encodeDocument(document)));
-    const { bytes, digest } = revision;
+    this.hold(document);
+    const digest = documentDigest(document);
     const round = { set: core.number, voters: voterSetDigest(core), ballot, digest };
-    const whole = { ...round, document: bytes, base: '' };
-    const delta = base && deltaBetween(base, revision);
-    const asks = delta ? [{ ...round, document: delta, base: base.digest }, whole] : [whole];
+    const whole = (): AcceptAsk => ({ ...round, document: encodeDocument(document), base: '' });
+    const delta = base && deltaBetween(base, document);
+    const byDelta = delta && { ...round, document: delta, base: documentDigest(base) };
     const replies = await gather(
       addresses,
-      (address) => this.askToAccept(address, asks),
+      (address) => this.askToAccept(address, byDelta, whole),
       (all) =>
         decided(
           all.map(([, reply]) => reply.map(({ accepted }) => accepted).orDefault(false)),
@@ -397,7 +406,7 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
-    this.announce(core, ballot, revision);
+    this.announce(core, ballot, document);
     this.voterDirectory.learn(document.core);
     return Right(undefined);
   }
@@ -405,14 +414,17 @@
   /** Asks by what changed first; a member that does not hold the base of that is asked by the whole. */
   private async askToAccept(
     address: string,
-    [first, ...rest]: readonly AcceptAsk[],
+    byDelta: AcceptAsk | undefined,
+    whole: () => AcceptAsk,
   ): Promise<Outcome<AcceptReply>> {
-    const reply = await this.peers.ask(address, Accept, first!, ASK_LIMIT);
+    if (!byDelta) return this.peers.ask(address, Accept, whole(), ASK_LIMIT);
+    const reply = await this.peers.ask(address, Accept, byDelta, ASK_LIMIT);
     const lacksBase = reply.map((told) => told.lacksBase).orDefault(false);
-    return lacksBase && rest.length > 0 ? this.askToAccept(address, rest) : reply;
+    return lacksBase ? this.peers.ask(address, Accept, whole(), ASK_LIMIT) : reply;
   }
 
-  private announce(core: VoterSet, ballot: Ballot, { document, digest }: Revision): void {
+  private announce(core: VoterSet, ballot: Ballot, document: Document): void {
+    const digest = documentDigest(document);
     const addresses = new Set(
       [...core.members, ...document.core.members].map(({ address }) => address),
     );
