--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -12,7 +12,15 @@
 import type { Log } from '../kernel/log/log.js';
 import { shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
-import { Feed, State, Tip, type FeedAsk, type FeedReply, type StateReply } from './calls.js';
+import {
+  Feed,
+  State,
+  Tip,
+  type FeedAsk,
+  type FeedFrame,
+  type FeedReply,
+  type StateReply,
+} from './calls.js';
 import type { Document } from './document.js';
 import { documentDigest } from './document-digest.js';
 import { receive, type ReceivedRevision } from './frames.js';
@@ -36,6 +44,10 @@
 /** For so many ms after it gave something the source is not doubted, but for no longer on end than it is told to wait. */
 const TRUST = 150;
 
+/** Whether what a frame tells is held already, and need not be read: a delta up to it, or its very text. */
+const isHeld = ({ base, digest }: FeedFrame, held: Document | undefined): boolean =>
+  held !== undefined && ((base > 0 && base < held.revision) || digest === documentDigest(held));
+
 /** Whether a document can come after the one held: the next revision must name the digest of that. */
 const follows = (next: Document, held: Document | undefined): boolean =>
   !held || next.revision !== held.revision + 1 || next.previous === documentDigest(held);
@@ -268,11 +280,12 @@
   /** Takes what follows the revision held; says whether the source is worth asking again. */
   private async consume(source: string, reply: FeedReply): Promise<boolean> {
     if (reply.committed < Math.max(this.held, this.floor ?? 0)) return false;
+    if (source === this.source && reply.items.length > 0) this.gaveAt = this.clock.now();
+    this.holdOwn();
     const revisions = this.read(source, reply);
     if (!revisions) return false;
     const newest = revisions.at(-1)?.document;
     if (!newest) return true;
-    if (source === this.source) this.gaveAt = this.clock.now();
     for (const { document } of revisions) {
       this.voterDirectory.learn(document.core);
       this.log('fed', [
@@ -291,6 +304,7 @@
     const revisions: ReceivedRevision[] = [];
     let held = this.document;
     for (const frame of items) {
+      if (isHeld(frame, held)) continue;
       const received = receive(frame, held, source).toMaybe().extract();
       if (!received) {
         this.takesDeltas = false;
