--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -20,26 +20,40 @@
 import { OperatorsController } from '../faces/operators/controller.js';
 import type { InForce } from '../doorway/match.js';
 import type { RequestHandler } from '../forward/face.js';
+import type { RequestEnds } from '../forward/request-ends.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Fault, Outcome } from '../kernel/fault/fault.js';
+import { arrivedIsRead } from '../kernel/net/arrived.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
 import type { RouterLease } from '../lease/router-lease.js';
 import type { Keys } from '../node/keys.js';
-import { countPassages, gauge } from '../node/metrics.js';
+import type { NodeWork } from '../monitor/node-work.js';
+import type { PlannedWork } from '../monitor/planned-work.js';
+import type { Stalls } from '../monitor/stalls.js';
+import { costMetrics } from '../node/cost-metrics.js';
+import {
+  countPassages,
+  countRequestEnds,
+  countViolations,
+  gauge,
+  voterMetrics,
+} from '../node/metrics.js';
 import { names } from '../node/names.js';
 import type { Params } from '../params/shape.js';
 import type { PassageEvent } from '../passage/chart.js';
 import type { Passage } from '../passage/passage.js';
 import type { Newsroom } from '../pool/news.js';
 import type { Proposer } from '../register/proposer.js';
+import type { RegisterInvariants } from '../register/register-invariants.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { RouterModule } from '../router/module.js';
 import { RouterNode } from '../router/node.js';
 import type { Tracing } from '../trace/tracing.js';
 import type { View } from '../view/view.js';
 import type { Peers } from '../wire/peers.js';
+import type { Traffic } from '../wire/traffic.js';
 import { noExtension, type Extension, type Face } from '../node/extension.js';
 
 type Reread = () => Promise<Outcome<Params>>;
@@ -55,6 +69,7 @@
   const news = context.get<Newsroom>(names.news);
   const lease = context.get<RouterLease>(names.lease);
   countPassages(registry, context.get<Journal<PassageEvent>>(names.journal));
+  countRequestEnds(registry, context.get<RequestEnds>(names.requestEnds));
   gauge(registry, 'requests_open', 'Requests taken and not ended', () => passage.open);
   gauge(registry, 'requests_in_flight', 'Requests placed at an engine', () => passage.inFlight);
   gauge(registry, 'requests_waiting', 'Requests in lines', () => passage.lines.waiting);
@@ -88,19 +103,7 @@
 const coreMetrics = (registry: Registry, context: INestApplicationContext): void => {
   const keeper = context.get<Keeper>(names.keeper);
   const { replacement } = context.get(CoreNode);
-  gauge(registry, 'voters', 'Voters of the core', () => replacement?.voters ?? 0);
-  gauge(
-    registry,
-    'redundancy',
-    'Voters that hold the newest committed revision on disk, as this member last saw',
-    () => replacement?.redundancy ?? 0,
-  );
-  gauge(
-    registry,
-    'learners_ready',
-    'Core machines without a vote that hold the newest committed revision',
-    () => replacement?.readyLearners ?? 0,
-  );
+  voterMetrics(registry, () => replacement);
   gauge(registry, 'claims_kept', 'Ids kept on this disk', () => keeper.size);
   gauge(registry, 'claims_whole', 'Whether this member answers for ids of the past', () =>
     Number(keeper.whole),
@@ -131,6 +134,10 @@
   reread: Reread,
   extension: Extension = noExtension,
 ): Promise<number> => {
+  // A SIGHUP during the start must not end the process; it is heeded once that is over.
+  const askedEarly: NodeJS.Signals[] = [];
+  let onReload = (): void => void askedEarly.push('SIGHUP');
+  process.on('SIGHUP', () => onReload());
   const context = await NestFactory.createApplicationContext(
     role === 'core' ? CoreModule.with(params, extension) : RouterModule.with(params, extension),
     { logger: false, abortOnError: false },
@@ -156,6 +163,18 @@
     'The revision in force here',
     () => context.get<InForce>(names.inForce).revision,
   );
+  countViolations(
+    registry,
+    'register_invariant_violations',
+    'What must never be about the register, by invariant',
+    context.get<RegisterInvariants>(names.registerInvariants).violations,
+  );
+  costMetrics(registry, {
+    work: context.get<NodeWork>(names.nodeWork),
+    stalls: context.get<Stalls>(names.stalls),
+    traffic: context.get<Traffic>(names.traffic),
+    clock: context.get<Clock>(names.clock),
+  });
   const { contact } = context.get<Proposer>(names.proposer);
   gauge(registry, 'core_contact', 'Whether a majority of the voters may be in contact', () =>
     Number(contact.holds),
@@ -239,7 +258,14 @@
       },
     });
   };
-  process.on('SIGHUP', () => void reload(true));
+  const plannedWork = context.get<PlannedWork>(names.plannedWork);
+  onReload = (): void => {
+    plannedWork.note('reload');
+    void reload(true);
+  };
+  // What changed while this process started, also where the signal came before anybody could note it.
+  if (askedEarly.length > 0) onReload();
+  else void reload(false);
   const rereading =
     params.reread > 0 ? setInterval(() => void reload(false), params.reread) : undefined;
 
@@ -247,6 +273,7 @@
     const end = (signal: string): void => {
       if (stopping) return;
       stopping = true;
+      plannedWork.note('stop');
       log('stopping', [['signal', signal]]);
       clearInterval(rereading);
       void (async () => {
@@ -254,6 +281,7 @@
         const limit = clock.now() + params.drain;
         for (const face of faces) face.retire?.();
         await clock.sleep(params.listen.notice);
+        await arrivedIsRead();
         for (const face of faces) face.halt?.();
         let left = 0;
         if (node instanceof RouterNode) {
@@ -269,7 +297,7 @@
         resolve(0);
       })();
     };
-    process.once('SIGTERM', () => end('SIGTERM'));
+    process.on('SIGTERM', () => end('SIGTERM'));
     process.once('SIGINT', () => end('SIGINT'));
     process.on('unhandledRejection', (thrown) => log('fault', [['reason', String(thrown)]]));
   });
--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -11,13 +11,15 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { Grants } from '../lease/grants.js';
-import type { Params } from '../params/shape.js';
+import { NodeWork } from '../monitor/node-work.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { BootstrapAcceptor } from '../register/bootstrap/acceptor.js';
 import { Bootstrap, viewOf } from '../register/bootstrap/bootstrap.js';
 import { Follower } from '../register/follower.js';
 import { Member } from '../register/member.js';
 import type { Proposer } from '../register/proposer.js';
 import { keepRecovering } from '../register/recovery.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Repair } from '../register/repair.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import { VoterReplacement } from '../register/replacement.js';
@@ -51,6 +53,8 @@
     @Inject(names.random) private readonly random: Random,
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
+    @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
+    @Inject(names.nodeWork) private readonly work: NodeWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -69,7 +73,7 @@
     this.proposer.startFrom(() => this.member.chain.document);
     const replacement = new VoterReplacement(
       this.member,
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       this.params.core.replaceAfter,
       this.peers,
       this.voterDirectory,
@@ -91,7 +95,7 @@
       this.random,
       this.log,
       (revisions, committed) => this.member.takeCommitted(revisions, committed),
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       undefined,
       this.params.feed.wait,
       () => this.member.chain.document,
@@ -106,7 +110,7 @@
       this.clock,
       this.random,
       this.log,
-      this.params.listen.peers,
+      advertisedAddress(this.params),
       this.params.core.keep + this.params.core.keepBytes > 0,
     );
     void repair.run(this.stop.signal);
@@ -149,10 +153,13 @@
   private async enforce(): Promise<void> {
     while (!this.stop.signal.aborted) {
       const newest = this.member.chain.document;
+      const begun = this.clock.now();
       if (newest && this.inForce.swap(newest)) {
+        this.invariants.noteInForce(this.inForce.revision);
         this.voterDirectory.learn(newest.core);
         this.operations.noteClaims(newest);
         this.log('in-force', [['revision', newest.revision]]);
+        this.work.add('put-in-force', this.clock.now() - begun);
       }
       await this.member.chain.beyond(this.inForce.revision, 500);
     }
@@ -163,7 +170,7 @@
     const acceptor = new BootstrapAcceptor(this.disk, params.fleet, () => viewOf(member));
     return new Bootstrap(
       {
-        address: params.listen.peers,
+        address: advertisedAddress(params),
         seeds: params.seeds,
         wanted: params.core.wanted,
         fixedSeeds: params.form,
@@ -193,8 +200,22 @@
           { provide: names.disk, useFactory: () => new FolderDisk(params.folder) },
           {
             provide: names.member,
-            inject: [names.disk, names.peers, names.clock, names.random, names.log],
-            useFactory: (disk: Disk, peers: Peers, clock: Clock, random: Random, log: Log) =>
+            inject: [
+              names.disk,
+              names.peers,
+              names.clock,
+              names.random,
+              names.log,
+              names.registerInvariants,
+            ],
+            useFactory: (
+              disk: Disk,
+              peers: Peers,
+              clock: Clock,
+              random: Random,
+              log: Log,
+              invariants: RegisterInvariants,
+            ) =>
               new Member(
                 new Store(disk, params.fleet, {
                   revisions: params.core.keep,
@@ -205,6 +226,7 @@
                 random,
                 log,
                 params.core.stall,
+                invariants,
               ),
           },
           {
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -3,7 +3,7 @@
  * log and its id. Processes are signalled only by the ids this tool started.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createWriteStream, existsSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { createServer, type Server } from 'node:net';
 import { join } from 'node:path';
 import { setTimeout as pause } from 'node:timers/promises';
@@ -31,13 +31,22 @@
   readonly opaque?: boolean;
   /** Flags of the runtime for core nodes and routers. */
   readonly nodeFlags?: readonly string[];
+  /** ms in which a process that is told to stop still takes what comes. */
+  readonly notice?: number;
+  /** Gives the address by which the others reach a process that listens for peers at `address`: the same by default. */
+  readonly advertise?: (name: string, address: string) => Promise<string>;
 }
 
 interface Running {
   readonly args: readonly string[];
   child: ChildProcess;
+  /** Its log is written whole. */
+  logged: Promise<unknown>;
 }
 
+/** What nodes log of an invariant that did not hold (src/monitor/violations.ts). */
+const VIOLATION = /^at=\S+ node=\S+ event=[a-z]+-violation /;
+
 const program = fileURLToPath(new URL('../../bin/rudderridge.js', import.meta.url));
 
 /** The key of a firm's callers. */
@@ -89,6 +98,8 @@
   readonly operators = new Map<string, string>();
   readonly engines = new Map<string, string>();
   readonly peers = new Map<string, string>();
+  /** By which address each process is known to its peers. */
+  readonly advertised = new Map<string, string>();
   platform = '';
 
   constructor(readonly plan: FleetPlan) {
@@ -112,7 +123,11 @@
       if (this.plan.opaque) this.requests.set(name, next());
     }
     for (const name of engineNames) this.engines.set(name, next());
-    const seeds = coreNames.map((name) => this.peers.get(name)!);
+    for (const name of [...coreNames, ...routerNames]) {
+      const own = this.peers.get(name)!;
+      this.advertised.set(name, (await this.plan.advertise?.(name, own)) ?? own);
+    }
+    const seeds = coreNames.map((name) => this.advertised.get(name)!);
     const keyed = firms.map((name) => ({
       name,
       callerKeys: [digestOf(callerKey(name))],
@@ -124,6 +139,8 @@
         callers: this.callers.get(name) ?? '127.0.0.1:1',
         operators: this.operators.get(name)!,
         peers: this.peers.get(name)!,
+        advertise: this.advertised.get(name)!,
+        notice: this.plan.notice ?? 0,
         requests: this.requests.get(name) ?? '',
       };
       const params = {
@@ -283,12 +300,30 @@
     this.run(name, this.running.get(name)!.args);
   }
 
+  /** Ends all processes, and throws where one of them told of a violated invariant. */
   async stop(): Promise<void> {
+    await this.endAll();
+    const found = this.violations();
+    if (found.length > 0) throw new Error(`nodes found violated invariants:\n${found.join('\n')}`);
+  }
+
+  /** Ends all processes; their logs are whole then. */
+  async endAll(): Promise<void> {
     for (const name of this.running.keys()) {
       this.signal(name, 'SIGCONT');
       this.signal(name, 'SIGKILL');
     }
     await Promise.all([...this.running.keys()].map((name) => this.exited(name)));
+    await Promise.all([...this.running.values()].map(({ logged }) => logged));
+  }
+
+  /** The lines in which nodes, in any of their lives, told of an invariant that did not hold. */
+  violations(): string[] {
+    return [...this.running.keys()]
+      .map((name) => join(this.plan.folder, `${name}.log`))
+      .filter((file) => existsSync(file))
+      .flatMap((file) => readFileSync(file, 'utf8').split('\n'))
+      .filter((line) => VIOLATION.test(line));
   }
 
   /** Ends all nodes as a planned stop does, and waits until they are gone. */
@@ -315,6 +350,9 @@
     });
     child.stdout.pipe(log, { end: false });
     child.stderr.pipe(log, { end: false });
-    this.running.set(name, { args, child });
+    const logged = new Promise<void>((resolve) => {
+      child.once('close', () => log.end(resolve));
+    });
+    this.running.set(name, { args, child, logged });
   }
 }
--- a/src/fleet/main.ts
+++ b/src/fleet/main.ts
@@ -8,6 +8,7 @@
 import { Fleet, type FleetPlan } from './fleet.js';
 import { measureChanges, measureOverhead } from './measure.js';
 import { slopes } from './slopes/command.js';
+import { soakCommand } from './soak/command.js';
 import { faults, firms, openDoorways, play } from './scenario.js';
 
 const sized = (
@@ -136,6 +137,7 @@
   )
   .command(changeCost)
   .command(slopes)
+  .command(soakCommand)
   .demandCommand(1)
   .strict()
   .parseAsync();
--- a/src/forward/turns.ts
+++ b/src/forward/turns.ts
@@ -13,11 +13,16 @@
 export class Turns {
   private readonly newest = new WeakMap<Socket, Turn>();
 
+  /** Whether another request was taken behind this one on its connection. */
+  isFollowed(socket: Socket, caller: Caller): boolean {
+    return this.newest.get(socket)?.caller !== caller;
+  }
+
   /** Runs when the connection's earlier requests have ended, or never. */
   take(socket: Socket, caller: Caller, run: () => Promise<void>): Promise<void> {
     const before = this.newest.get(socket);
     const ended = before
-      ? before.ended.then(() => (before.caller.last ? caller.skip() : run()))
+      ? before.ended.then(() => (before.caller.last ? caller.skip(before.caller) : run()))
       : run();
     this.newest.set(socket, { caller, ended: ended.catch(() => undefined) });
     return ended;
--- a/src/kernel/clock/clock.ts
+++ b/src/kernel/clock/clock.ts
@@ -3,7 +3,8 @@
  * so that they can only wait longer. Whoever relies on a lease counts by `strict`, which advances by the larger of what
  * the monotonic and the wall clock advance: a machine that was suspended with its monotonic clock standing finds its
  * leases lapsed, and a wall clock set forward only makes them lapse early. Every wait in the program goes through
- * `sleep`, so that the checker may run the same tasks on its own time.
+ * `sleep` or `schedule`, so that the checker may run the same tasks on its own time. What waited goes on only after the
+ * sockets were read, so that a process that stood still takes nobody for silent whose words lie unread.
  */
 import { Injectable } from '@nestjs/common';
 
@@ -59,9 +60,14 @@
   }
 }
 
+/** Is told of each timer that fires, with how many ms after its time. */
+export type LateTimer = (now: Moment, late: Duration) => void;
+
 /** The clock of the operating system. */
 @Injectable()
 export class SystemClock implements Clock {
+  /** Watches how late timers fire. */
+  onTimer: LateTimer | undefined;
   private readonly reckoner = new Reckoner(
     () => this.now(),
     () => this.wall(),
@@ -80,16 +86,27 @@
   }
 
   schedule(duration: Duration, act: () => void): Cancel {
-    const timer = setTimeout(act, Math.max(0, duration));
-    return () => clearTimeout(timer);
+    const wait = Math.max(0, duration);
+    const due = this.now() + wait;
+    let following: NodeJS.Immediate | undefined;
+    const timer = setTimeout(() => {
+      const now = this.now();
+      this.onTimer?.(now, now - due);
+      // After a standstill timers come first: what has arrived meanwhile is read before anyone wakes.
+      following = setImmediate(act);
+    }, wait);
+    return () => {
+      clearTimeout(timer);
+      clearImmediate(following);
+    };
   }
 
   sleep(duration: Duration, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
-      const timer = setTimeout(done, Math.max(0, duration));
+      const cancel = this.schedule(duration, done);
       function done(): void {
-        clearTimeout(timer);
+        cancel();
         signal?.removeEventListener('abort', done);
         wake();
       }
--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -1,7 +1,11 @@
 /** The metrics of a node, folded from its journal and read from its services when they are asked for. */
 import { Counter, Gauge, type Registry } from 'prom-client';
+import type { RequestEnds } from '../forward/request-ends.js';
+import { endCauses } from '../forward/request-end.js';
 import type { Journal } from '../kernel/journal/journal.js';
+import type { Violations } from '../monitor/violations.js';
 import type { PassageEvent } from '../passage/chart.js';
+import type { VoterReplacement } from '../register/replacement.js';
 
 /** Registers a metric whose value is read when it is asked for. */
 export const gauge = (registry: Registry, name: string, help: string, read: () => number): void => {
@@ -13,6 +17,73 @@
   });
 };
 
+/** Registers a counter that is read from a table when it is asked for, one series for each of the table's keys. */
+const tableCounter = (
+  registry: Registry,
+  name: string,
+  help: string,
+  label: string,
+  read: () => Iterable<readonly [string, number]>,
+): void => {
+  const made: Counter = new Counter({
+    name: `rudderridge_${name}`,
+    help,
+    labelNames: [label],
+    registers: [registry],
+    collect: () => {
+      made.reset();
+      for (const [key, count] of read()) made.inc({ [label]: key }, count);
+    },
+  });
+};
+
+/** Counts violations by invariant; those that hold are there with 0. */
+export const countViolations = (
+  registry: Registry,
+  name: string,
+  help: string,
+  violations: Violations<string>,
+): void => {
+  tableCounter(registry, name, help, 'invariant', () => violations.counts);
+};
+
+/** Counts how requests ended, and what must never be about it. */
+export const countRequestEnds = (registry: Registry, ends: RequestEnds): void => {
+  tableCounter(registry, 'request_ends_total', 'Requests that ended, by cause', 'cause', () =>
+    endCauses.map((cause) => [cause, ends.counts.get(cause) ?? 0] as const),
+  );
+  gauge(registry, 'requests_unended', 'Requests taken whose end is not recorded', () => {
+    ends.sweep();
+    return ends.openCount;
+  });
+  countViolations(
+    registry,
+    'request_invariant_violations',
+    'Ends of requests that must never be, by invariant',
+    ends.violations,
+  );
+};
+
+/** What a core machine sees of the voters; nothing before it has started. */
+export const voterMetrics = (
+  registry: Registry,
+  seen: () => Pick<VoterReplacement, 'voters' | 'redundancy' | 'readyLearners'> | undefined,
+): void => {
+  gauge(registry, 'voters', 'Voters of the core', () => seen()?.voters ?? 0);
+  gauge(
+    registry,
+    'redundancy',
+    'Voters that hold the newest committed revision on disk, as this member last saw',
+    () => seen()?.redundancy ?? 0,
+  );
+  gauge(
+    registry,
+    'learners_ready',
+    'Core machines without a vote that hold the newest committed revision',
+    () => seen()?.readyLearners ?? 0,
+  );
+};
+
 /** Counts the outcomes and retries of requests from their journal. */
 export const countPassages = (registry: Registry, journal: Journal<PassageEvent>): void => {
   const steps = new Counter({
--- a/src/register/change.ts
+++ b/src/register/change.ts
@@ -266,6 +266,7 @@
   return { ...document, outcomes };
 };
 
+/** Applies changes in turn to a committed document. */
 export const applyChanges = (base: Document, changes: readonly Change[]): Applied => {
   const next = base.revision + 1;
   const verdicts = new Map<string, Verdict>();
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -9,6 +9,7 @@
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import type { Digest, Document } from './document.js';
 import { documentDigest } from './document-digest.js';
+import { documentWork } from './document-work.js';
 
 interface TableDelta {
   readonly set: ReadonlyArray<readonly [string | number, unknown]>;
@@ -119,7 +120,14 @@
 };
 
 /** The delta from one document to the next, or nothing when the next can't be had by one. */
-export const deltaOf = (before: Document, after: Document): Uint8Array | undefined => {
+export const deltaOf = (before: Document, after: Document): Uint8Array | undefined =>
+  documentWork.measure(
+    'make-delta',
+    () => makeDelta(before, after),
+    (bytes) => bytes?.length ?? 0,
+  );
+
+const makeDelta = (before: Document, after: Document): Uint8Array | undefined => {
   const configuration = configurationDelta(before.configuration, after.configuration);
   const delta: Delta = {
     head: headOf(after),
@@ -137,6 +145,18 @@
   bytes: Uint8Array,
   digest: Digest,
   peer: string,
+): Outcome<Document> =>
+  documentWork.measure(
+    'apply-delta',
+    () => rebuild(before, bytes, digest, peer),
+    () => bytes.length,
+  );
+
+const rebuild = (
+  before: Document,
+  bytes: Uint8Array,
+  digest: Digest,
+  peer: string,
 ): Outcome<Document> => {
   try {
     const { head, tables, configuration } = JSON.parse(
--- a/src/register/document-digest.ts
+++ b/src/register/document-digest.ts
@@ -7,6 +7,7 @@
 import { ChunkCache } from '../route/chunks.js';
 import type { Configuration } from '../route/shape.js';
 import type { Document } from './document.js';
+import { documentWork } from './document-work.js';
 import { digestOf, type Digest } from './hash.js';
 
 type Table = ReadonlyMap<string | number, unknown>;
@@ -15,10 +16,18 @@
 const tableDigests = new WeakMap<Table, Digest>();
 const documentDigests = new WeakMap<Document, Digest>();
 
+/** The characters of all parts that were digested. */
+let digestedLength = 0;
+
+const partDigest = (text: string): Digest => {
+  digestedLength += text.length;
+  return digestOf(text);
+};
+
 const itemDigest = (item: object): Digest => {
   const known = itemDigests.get(item);
   if (known !== undefined) return known;
-  const digest = digestOf(JSON.stringify(item));
+  const digest = partDigest(JSON.stringify(item));
   itemDigests.set(item, digest);
   return digest;
 };
@@ -33,29 +42,40 @@
   const lines: string[] = [];
   for (const [key, value] of table) lines.push(`${JSON.stringify(key)} ${valueDigest(value)}`);
   if (!isOrdered) lines.sort();
-  const digest = digestOf(lines.join('\n'));
+  const digest = partDigest(lines.join('\n'));
   tableDigests.set(table, digest);
   return digest;
 };
 
-const chunkDigests = new ChunkCache((items) => digestOf(items.map(itemDigest).join(' ')));
+const chunkDigests = new ChunkCache((items) => partDigest(items.map(itemDigest).join(' ')));
 
 const listDigest = (items: readonly object[]): Digest =>
-  digestOf(`${items.length} ${chunkDigests.valuesOf(items).join(' ')}`);
+  partDigest(`${items.length} ${chunkDigests.valuesOf(items).join(' ')}`);
 
 const configurationDigest = (configuration: Configuration | undefined): Digest => {
   if (!configuration) return '';
   const { routes, services, ...head } = configuration;
-  return digestOf(JSON.stringify([head, listDigest(routes), listDigest(services)]));
+  return partDigest(JSON.stringify([head, listDigest(routes), listDigest(services)]));
 };
 
 /** The digest of a document, which is worked out once. */
 export const documentDigest = (document: Document): Digest => {
   const known = documentDigests.get(document);
   if (known !== undefined) return known;
+  const before = digestedLength;
+  const digest = documentWork.measure(
+    'digest',
+    () => makeDigest(document),
+    () => digestedLength - before,
+  );
+  documentDigests.set(document, digest);
+  return digest;
+};
+
+const makeDigest = (document: Document): Digest => {
   const { doorways, removed, claims, outcomes, registered, versions, configuration, ...head } =
     document;
-  const digest = digestOf(
+  return partDigest(
     JSON.stringify([
       head.fleet,
       head.revision,
@@ -73,6 +93,4 @@
       configurationDigest(configuration),
     ]),
   );
-  documentDigests.set(document, digest);
-  return digest;
 };
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -8,6 +8,7 @@
 import { ChunkCache } from '../route/chunks.js';
 import type { Configuration, Patch } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
+import { documentWork } from './document-work.js';
 import { digestOf, type Digest } from './hash.js';
 
 export type Revision = number;
@@ -217,6 +218,16 @@
 export const encodeDocument = (document: Document): Uint8Array => {
   const known = encoded.get(document);
   if (known) return known;
+  const bytes = documentWork.measure(
+    'encode',
+    () => encode(document),
+    ({ length }) => length,
+  );
+  encoded.set(document, bytes);
+  return bytes;
+};
+
+const encode = (document: Document): Uint8Array => {
   const { configuration } = document;
   const pieces = objectPieces([
     ['fleet', JSON.stringify(document.fleet)],
@@ -234,12 +245,18 @@
     ['forgottenVersion', JSON.stringify(document.forgottenVersion)],
     ['cause', JSON.stringify(document.cause)],
   ]);
-  const bytes = Buffer.concat(pieces);
-  encoded.set(document, bytes);
-  return bytes;
+  return Buffer.concat(pieces);
 };
 
-export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> => {
+/** Reads a document; `peer` is whom it came from. */
+export const decodeDocument = (bytes: Uint8Array, peer: string): Outcome<Document> =>
+  documentWork.measure(
+    'decode',
+    () => decode(bytes, peer),
+    () => bytes.length,
+  );
+
+const decode = (bytes: Uint8Array, peer: string): Outcome<Document> => {
   try {
     const raw = JSON.parse(Buffer.from(bytes).toString('utf8')) as Raw;
     if (!Number.isSafeInteger(raw.revision) || typeof raw.fleet !== 'string')
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -58,6 +58,8 @@
   /** Whether to ask for deltas: not after one that could not be applied. */
   private takesDeltas = true;
   private floor: number | undefined;
+  /** When it last began to take what came in. */
+  takingSince: Moment | undefined;
   /** The newest revision that any member is known to have committed. */
   private known = 0;
   private source = '';
@@ -282,6 +284,7 @@
     if (reply.committed < Math.max(this.held, this.floor ?? 0)) return false;
     if (source === this.source && reply.items.length > 0) this.gaveAt = this.clock.now();
     this.holdOwn();
+    this.takingSince = this.clock.now();
     const revisions = this.read(source, reply);
     if (!revisions) return false;
     const newest = revisions.at(-1)?.document;
--- a/src/register/learner.ts
+++ b/src/register/learner.ts
@@ -105,6 +105,7 @@
   private commitHeld({ revision, digest }: CommitNotice): boolean {
     const { acceptor, chain } = this.replica;
     const { accepted } = acceptor;
+    this.replica.noteCommitted(revision, digest);
     if (revision <= chain.committed) return true;
     if (accepted?.document.revision !== revision || documentDigest(accepted.document) !== digest)
       return false;
@@ -128,8 +129,11 @@
 
   private commit(filed: Filed): void {
     const { chain, log } = this.replica;
+    const { revision, previous } = filed.document;
     if (!chain.commit(filed)) return;
-    log('committed', [['revision', filed.document.revision]]);
+    this.replica.noteCommitted(revision - 1, previous);
+    this.replica.check();
+    log('committed', [['revision', revision]]);
     this.replica.prune();
   }
 }
--- a/src/register/proposer.ts
+++ b/src/register/proposer.ts
@@ -12,7 +12,7 @@
  * back-off from rivals is counted apart from that while the core does not answer.
  */
 import { Right } from 'purify-ts';
-import type { Clock, Moment } from '../kernel/clock/clock.js';
+import { later, type Clock, type Moment } from '../kernel/clock/clock.js';
 import { failed, type Fault, type Outcome } from '../kernel/fault/fault.js';
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
@@ -93,7 +93,10 @@
   private busy = false;
   /** The revision last read or proposed here, by which little is to be sent while changes follow each other. */
   private known: Document | undefined;
-  private knownSince: Moment | undefined;
+  /** Until when it is held. */
+  private knownUntil: Moment | undefined;
+  /** The newest revision that a majority of the voters is known to hold. */
+  heldByMajority = 0;
   /** What this node has by another way, as a core member does. */
   private own: () => Document | undefined = () => undefined;
   readonly contact: QuorumContact;
@@ -321,6 +324,7 @@
     }
     return roundValue(promises, quorum, known).map(({ reply, document, isCommitted }) => {
       this.hold(document);
+      if (isCommitted) this.heldByMajority = Math.max(this.heldByMajority, document.revision);
       if (isCommitted && promises.some(({ committed }) => committed < document.revision))
         this.announce(core, reply.accepted, document);
       return { ballot, core, committed: isCommitted, document };
@@ -329,12 +333,18 @@
 
   /** Holds a revision until no other was read or proposed for a while. */
   private hold(document: Document): void {
+    const isForgetting = this.knownUntil !== undefined;
     this.known = document;
-    const now = this.clock.now();
-    this.knownSince = now;
-    void this.clock.sleep(KNOWN_FOR).then(() => {
-      if (this.knownSince === now) this.known = undefined;
-    });
+    this.knownUntil = later(this.clock.now(), KNOWN_FOR);
+    if (!isForgetting) void this.forget();
+  }
+
+  /** Forgets the revision held once its time is over, which may be put off meanwhile. */
+  private async forget(): Promise<void> {
+    while (this.knownUntil !== undefined && this.knownUntil > this.clock.now())
+      await this.clock.sleep(this.knownUntil - this.clock.now());
+    this.known = undefined;
+    this.knownUntil = undefined;
   }
 
   /** The newest document that is held here. */
@@ -406,6 +416,7 @@
         'unknown',
         sound(replies).some(({ accepted }) => !accepted) ? 'outbid' : 'failed',
       );
+    this.heldByMajority = Math.max(this.heldByMajority, document.revision);
     this.announce(core, ballot, document);
     this.voterDirectory.learn(document.core);
     return Right(undefined);
--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -4,6 +4,10 @@
  * committed revision on its disk, as asked for just before the promotion. The report names the identity of the disk, and so
  * does the vote that is given.
  *
+ * "Newest" is what was committed when the question was asked, and whoever is behind then has a moment to get there: while
+ * changes follow each other, any answer is behind what is committed by the time that the slowest answer has come, and a
+ * dark voter leaves its question open for the whole limit.
+ *
  * The members watch each other. A voter that has been silent for the param's time, in whose place another disk answers, or
  * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
  * that are left and answer at that very look vote, hold the newest committed revision, and are a majority of what is left.
@@ -21,7 +25,7 @@
 import { call } from '../wire/call.js';
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
-import { State, type StateReply } from './calls.js';
+import { State, Tip, type StateReply } from './calls.js';
 import type { Act, VoterSet, Voter } from './document.js';
 import { gather, majority, sound } from './gather.js';
 import { VoterLiveness } from './liveness.js';
@@ -47,6 +51,8 @@
 
 const EVERY = 1000;
 const ASK_LIMIT = 700;
+/** The part of an ask's limit that a machine which is behind is given to get to the newest revision. */
+const CATCH_UP_SHARE = 0.5;
 const LEAVE_ASK_LIMIT = 300;
 const LEAVE_PAUSE = 50;
 const CHANGE_LIMIT = 5000;
@@ -62,9 +68,7 @@
 /** What one look at the voters and the learners showed. */
 interface Look {
   readonly set: VoterSet;
-  /** Voters that answered as themselves. */
-  readonly present: readonly Voter[];
-  /** Of those, the ones that vote and hold the newest committed revision on disk. */
+  /** Voters that vote and hold the newest committed revision on disk. */
   readonly current: readonly Voter[];
   /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
   readonly unrecoverable: readonly Voter[];
@@ -74,9 +78,17 @@
   readonly ready: readonly Voter[];
 }
 
+/** Whether a machine holds a revision on its disk and knows it to be committed. */
+const holds = (state: StateReply, revision: number): boolean =>
+  state.revision >= revision && state.committed >= revision;
+
+/** Watches the voters, and replaces those that are gone. */
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
   private readonly liveness: VoterLiveness;
+  /** Machines that left the last ask unanswered. They are asked again beside the looks, which do not wait for them. */
+  private readonly unheard = new Set<string>();
+  private readonly probed = new Set<string>();
   private readonly every: number;
   private looked: Moment;
   private last: Look | undefined;
@@ -140,6 +152,8 @@
       const learner = vote === 'non-voting' && !this.stopping;
       if (vote === 'voting' && (await this.watch())) continue;
       if (learner) await this.announce();
+      // A learner watches too, so that it knows who is silent when it becomes a voter.
+      if (learner) this.last = await this.look();
       const pause = this.pause(learner) * (0.75 + 0.5 * this.random.fraction());
       await within(this.clock, pause, Promise.race([news, ended]));
     }
@@ -167,18 +181,19 @@
     return this.isHurried() ? this.every / HURRY : this.every;
   }
 
-  /** Whether a change of the voter set may be due soon. */
+  /** Whether a change of the voter set may be due soon: something is amiss, and a machine is there that could help. */
   private isHurried(): boolean {
     const { last } = this;
     if (!last || this.after === 0) return false;
-    const vacant = last.set.members.length < last.set.wanted;
-    const waiting = vacant && this.freshLearners(last.set, this.clock.now()).length > 0;
-    return (
+    const { members, wanted } = last.set;
+    const isSpared =
+      members.length > wanted || this.freshLearners(last.set, this.clock.now()).length > 0;
+    const isAmiss =
+      members.length < wanted ||
       this.liveness.anyFailing ||
       last.unrecoverable.length > 0 ||
-      last.leaving.length > 0 ||
-      waiting
-    );
+      last.leaving.length > 0;
+    return isSpared && isAmiss;
   }
 
   private async announce(): Promise<void> {
@@ -248,11 +263,7 @@
     const forgiving = asked - this.looked > 3 * this.every + ASK_LIMIT;
     this.looked = asked;
     const learners = this.freshLearners(set, asked);
-    const states = new Map(
-      await Promise.all(
-        [...members, ...learners].map(async (voter) => [voter, await this.stateOf(voter)] as const),
-      ),
-    );
+    const states = await this.statesOf([...members, ...learners]);
     const now = this.clock.now();
     const isPresent = (voter: Voter): boolean => states.get(voter)?.member === voter.id;
     const isUnrecoverable = (voter: Voter): boolean => {
@@ -267,28 +278,67 @@
       now,
       forgiving,
     );
-    const committed = this.member.committedRevision;
-    const holdsNewest = (voter: Voter): boolean => {
-      const state = states.get(voter);
-      return state !== undefined && state.revision >= committed && state.committed >= committed;
-    };
+    const newest = this.member.committedRevision;
+    const behind = [...members, ...learners].filter(
+      (voter) => isPresent(voter) && !holds(states.get(voter)!, newest),
+    );
+    await Promise.all(
+      behind.map(async (voter) => states.set(voter, await this.stateAt(voter, newest))),
+    );
+    const isAtNewest = (voter: Voter): boolean =>
+      isPresent(voter) && holds(states.get(voter)!, newest);
     return {
       set,
-      present,
-      current: present.filter((voter) => states.get(voter)!.voting && holdsNewest(voter)),
+      current: present.filter((voter) => isAtNewest(voter) && states.get(voter)!.voting),
       unrecoverable: members.filter(isUnrecoverable),
       silent: members.filter(({ id }) => this.liveness.isSilent(id, now)),
       leaving: members.filter(({ id }) => this.liveness.isLeaving(id)),
       ready: learners.filter(
         (voter) =>
-          isPresent(voter) &&
+          isAtNewest(voter) &&
           states.get(voter)!.vote === 'non-voting' &&
-          holdsNewest(voter) &&
           !this.liveness.isLeaving(voter.id),
       ),
     };
   }
 
+  /** The states of all that answer in time; who left the last ask unanswered is not waited for. */
+  private async statesOf(voters: readonly Voter[]): Promise<Map<Voter, StateReply | undefined>> {
+    for (const id of this.unheard)
+      if (!voters.some((voter) => voter.id === id)) this.unheard.delete(id);
+    for (const voter of voters) if (this.unheard.has(voter.id)) void this.probe(voter);
+    const awaited = voters.filter(({ id }) => !this.unheard.has(id));
+    const states = await Promise.all(
+      awaited.map(async (voter) => [voter, await this.stateOf(voter)] as const),
+    );
+    for (const [{ id }, state] of states) if (!state) this.unheard.add(id);
+    return new Map(states);
+  }
+
+  /** Asks a machine without holding a look up; once it answers again, the next look asks it too. */
+  private async probe(voter: Voter): Promise<void> {
+    if (this.probed.has(voter.id)) return;
+    this.probed.add(voter.id);
+    const state = await this.stateOf(voter);
+    this.probed.delete(voter.id);
+    if (!state) return;
+    this.unheard.delete(voter.id);
+    this.wake();
+  }
+
+  /** The state of a machine once it knows a revision to be committed, or the limit has come. */
+  private async stateAt(voter: Voter, revision: number): Promise<StateReply | undefined> {
+    await this.awaitCommitted(voter, revision);
+    return this.stateOf(voter);
+  }
+
+  /** Waits until a machine knows a revision to be committed, or until the limit. */
+  private async awaitCommitted({ id, address }: Voter, revision: number): Promise<void> {
+    if (id === this.member.id) return;
+    const ask = { from: revision - 1, wait: this.limit * CATCH_UP_SHARE };
+    await this.peers.ask(address, Tip, ask, this.limit);
+  }
+
   private async stateOf({ id, address }: Voter): Promise<StateReply | undefined> {
     if (id === this.member.id) return this.member.state();
     const reply = await this.peers.ask(address, State, { from: this.peers.self.name }, this.limit);
--- a/src/router/node.ts
+++ b/src/router/node.ts
@@ -11,7 +11,9 @@
 import { RouterLease } from '../lease/router-lease.js';
 import { PeerLeases } from '../lease/peer-leases.js';
 import { names } from '../node/names.js';
-import type { Params } from '../params/shape.js';
+import { NodeWork } from '../monitor/node-work.js';
+import type { PlannedWork } from '../monitor/planned-work.js';
+import { advertisedAddress, type Params } from '../params/shape.js';
 import { Claims } from '../claim/claims.js';
 import { Passage } from '../passage/passage.js';
 import { lawBroken, lawText } from '../place/law.js';
@@ -20,6 +22,7 @@
 import { Follower } from '../register/follower.js';
 import type { Document } from '../register/document.js';
 import type { Proposer } from '../register/proposer.js';
+import { RegisterInvariants } from '../register/register-invariants.js';
 import { Relay } from '../register/relay.js';
 import type { VoterDirectory } from '../register/voter-directory.js';
 import type { View } from '../view/view.js';
@@ -28,6 +31,11 @@
 /** The longest that a planned stop takes for handing its duties over. */
 const HANDOVER = 1000;
 
+const sizeOf = (items: ReadonlyArray<{ readonly document: Uint8Array }>): number =>
+  items.reduce((sum, { document }) => sum + document.length, 0);
+
+const tenths = (milliseconds: number): number => Math.round(milliseconds * 10) / 10;
+
 /** The tasks of a router, from start to stop. */
 @Injectable()
 export class RouterNode {
@@ -52,6 +60,9 @@
     @Inject(names.random) private readonly random: Random,
     @Inject(names.log) private readonly log: Log,
     @Inject(names.stop) private readonly stop: AbortController,
+    @Inject(names.plannedWork) private readonly plannedWork: PlannedWork,
+    @Inject(names.registerInvariants) private readonly invariants: RegisterInvariants,
+    @Inject(names.nodeWork) private readonly work: NodeWork,
   ) {}
 
   async start(): Promise<Outcome<unknown>> {
@@ -81,13 +92,28 @@
       (revisions) => {
         const newest = revisions.at(-1)?.document;
         if (!newest) return;
+        const begun = this.clock.now();
+        const taking = begun - (follower.takingSince ?? begun);
+        const frames = revisions.map(({ frame }) => frame);
+        this.work.add('take-revision', taking, sizeOf(frames));
         relay.note(revisions);
+        for (const { document } of revisions)
+          this.invariants.noteCommitted(document.revision - 1, document.previous);
         if (!this.inForce.swap(newest)) return;
+        this.invariants.noteInForce(this.inForce.revision);
+        this.plannedWork.note('configuration');
         this.operations.noteClaims(newest);
-        this.log('in-force', [['revision', newest.revision]]);
         this.heedLaw(newest);
         this.lease.noteRevision();
         this.passage.stir();
+        const putting = this.clock.now() - begun;
+        this.work.add('put-in-force', putting, sizeOf(frames.slice(-1)));
+        this.log('in-force', [
+          ['revision', newest.revision],
+          ['takeMs', tenths(taking)],
+          ['putMs', tenths(putting)],
+          ['feedBytes', sizeOf(frames)],
+        ]);
       },
       '',
       relay,
@@ -101,7 +127,7 @@
     if (this.params.claims.enabled) void this.claims.run(signal);
     if (this.params.lease.lapse === 'serve') return served;
     const own = {
-      address: this.params.listen.peers,
+      address: advertisedAddress(this.params),
       zone: this.params.zone,
       law: lawText(this.params.law),
     };
