A learner that a member did not know wakes it at once

Cause, by a trace of the looks: the new voter was the one to change the set, knew no learner yet, and the announcement that came 92 ms after its look did not wake it, so it looked again a whole pause later.

Ruled out: the moment for which the feed's source is not doubted (without it: other draws, same spread); silence counted from the end of a learner's first look (no figure changed, not kept). No test is changed.

--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -128,10 +128,11 @@
 
   serve(): void {
     this.peers.handle(Announce, (voter) => {
-      if (!this.learners.has(voter.id) && this.learners.size >= LEARNERS_BOUND)
+      const isNew = !this.learners.has(voter.id);
+      if (isNew && this.learners.size >= LEARNERS_BOUND)
         this.learners.delete(this.learners.keys().next().value as string);
       this.learners.set(voter.id, { voter, at: this.clock.now() });
-      if (this.clock.now() - this.looked > this.every / HURRY) this.wake();
+      if (isNew || this.clock.now() - this.looked > this.every / HURRY) this.wake();
       return Right({ heard: true });
     });
     this.peers.handle(Leave, ({ id }) => {
