Store: revisions without the digest of their document are refused as an older version's

Cause: revision files carry the document's digest since digests are composed of parts; a file without it, as written before, was taken for one whose vote was lost, which disqualified the member, all members at once after an upgrade. Now the start is refused with what to do, as for the folder before it. Ruled out: reading them on: parents are named by the digest of the text there, so members at unequal revisions would never agree on what follows. Test seen to fail before.

--- a/src/register/store.ts
+++ b/src/register/store.ts
@@ -82,6 +82,8 @@
 const LEAST = 2;
 /** Where versions before this one kept the revisions. */
 const OLDER_FOLDER = 'generations';
+/** Told of a folder whose files this version can't check. */
+const OLDER_FORMAT = 'was written by an older version; start with an empty folder';
 
 export class Store {
   /** The bytes of each revision that is on disk, or may be. */
@@ -135,6 +137,8 @@
       if (file.isLeft()) return file as Outcome<Found>;
       const held = file.extract() as { head: Map<string, unknown>; body: Uint8Array } | undefined;
       if (!held) continue;
+      const digest = held.head.get('digest') as Digest | undefined;
+      if (digest === undefined) return failed('store.open', `revisions/${name}`, OLDER_FORMAT);
       const ballot = held.head.get('ballot') as Ballot;
       revisions.set(Number(name), ballot);
       this.sizes.set(Number(name), held.body.length);
@@ -143,7 +147,7 @@
         accepted = {
           ballot,
           text: held.body,
-          digest: held.head.get('digest') as Digest,
+          digest,
           under: held.head.get('under') as VoterSet | undefined,
         };
     }
@@ -168,13 +172,7 @@
     if (names.length > 0) return Right(undefined);
     const older = await this.disk.list(OLDER_FOLDER);
     return older.chain((held) =>
-      held.length > 0
-        ? failed(
-            'store.open',
-            OLDER_FOLDER,
-            'was written by an older version; start with an empty folder',
-          )
-        : Right(undefined),
+      held.length > 0 ? failed('store.open', OLDER_FOLDER, OLDER_FORMAT) : Right(undefined),
     );
   }
 
