A header that was begun under a longer limit keeps that time when the limit falls

A connection now remembers the limit in force when its next header could begin, and a late one has the difference as well.

--- a/src/faces/requests/connections.ts
+++ b/src/faces/requests/connections.ts
@@ -25,6 +25,8 @@
   toldLimit: number;
   /** How long it may rest at least: what its client was told, and the limit in force when it became idle. */
   idleLimit: number;
+  /** How long its next header may take at least: the limit in force when that could begin. */
+  headerLimit: Duration;
   /** Bytes that had been read when it became idle. */
   bytesRead: number;
   /** The answer that asks for the connection's end because of the planned stop; undefined before. */
@@ -56,10 +58,11 @@
   private changed: () => void = () => undefined;
   private retiring = false;
 
-  /** `idleLimit` gives the ms that a connection may rest, as in force now. */
+  /** `idleLimit` gives the ms that a connection may rest, `headerLimit` those that a header may take, as in force now. */
   constructor(
     private readonly clock: Clock,
-    private readonly idleLimit: () => number,
+    private readonly idleLimit: () => Duration,
+    private readonly headerLimit: () => Duration,
   ) {}
 
   add(socket: Socket): void {
@@ -70,6 +73,7 @@
       idleSince: undefined,
       toldLimit: 0,
       idleLimit: 0,
+      headerLimit: this.headerLimit(),
       bytesRead: 0,
       retired: undefined,
       lingering: undefined,
@@ -99,6 +103,7 @@
     connection.begun += 1;
     connection.idleSince = undefined;
     connection.toldLimit = toldLimit;
+    connection.headerLimit = this.headerLimit();
     connection.unanswered.set(response, request);
     if (this.retiring) this.retireNewest(connection);
     response.once('close', () => this.end(socket, connection, response));
@@ -121,11 +126,18 @@
     this.finishRejected(socket, connection);
   }
 
-  /** A header did not come to its end in time, unless the rest of it has arrived and was not read yet. */
+  /**
+   * A header did not come to its end within the limit in force, unless the rest of it has arrived and was not read yet; one
+   * that may have begun under a longer limit has that much more time.
+   */
   async rejectLate(socket: Socket, code: string): Promise<void> {
-    const begun = this.open.get(socket)?.begun;
+    const connection = this.open.get(socket);
+    if (!connection) return closeConnection(socket, 'client-left');
+    const { begun, headerLimit } = connection;
+    const more = headerLimit - this.headerLimit();
+    if (more > 0) await this.clock.sleep(more);
     await arrivedIsRead();
-    if (this.open.get(socket)?.begun === begun) this.reject(socket, code);
+    if (connection.begun === begun && !socket.destroyed) this.reject(socket, code);
   }
 
   /** Closes the connections that have rested beyond their limit, or whose clients do not close them. */
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -40,7 +40,11 @@
     private readonly limits: () => Limits,
     private readonly clock: Clock,
   ) {
-    this.connections = new Connections(clock, () => this.idleLimit());
+    this.connections = new Connections(
+      clock,
+      () => this.idleLimit(),
+      () => this.headerLimit(),
+    );
     this.server = createServer({
       maxHeaderSize: HEADER_BOUND,
       insecureHTTPParser: false,
@@ -137,6 +141,10 @@
     }
   }
 
+  private headerLimit(): Duration {
+    return this.limits().headerTimeout ?? HEADER_TIMEOUT;
+  }
+
   /** ms that a connection may rest: what callers are told, in whole seconds, and the limit itself. */
   private idleLimit(): number {
     const limit = this.limits().idleTimeout ?? IDLE_TIMEOUT;
@@ -154,7 +162,7 @@
     const limits = this.limits();
     if (limits === this.heeded) return false;
     this.heeded = limits;
-    this.server.headersTimeout = limits.headerTimeout ?? HEADER_TIMEOUT;
+    this.server.headersTimeout = this.headerLimit();
     this.server.keepAliveTimeout = this.toldIdleLimit();
     return true;
   }
--- a/test/forward/told-idle.test.ts
+++ b/test/forward/told-idle.test.ts
@@ -1,7 +1,7 @@
 /** A caller may rest on its connection as long as its newest answer told it, whatever limit is in force by then. */
 import { expect, test } from 'vitest';
 import type { Limits } from '../../src/route/shape.js';
-import { HandClock, turns } from './clock.js';
+import { eventually, HandClock, turns } from './clock.js';
 import {
   callerLine,
   openScripted,
@@ -71,3 +71,26 @@
   await ask(line, 3);
   expect(line.reader.answers.map(({ status }) => status)).toEqual([200, 200, 200]);
 });
+
+test('a header that was begun under a longer limit has that time, though the limit fell meanwhile', async () => {
+  const stage = await openScripted({
+    scripts: [answer],
+    route: { kind: 'non_idempotent' },
+    limits: { headerTimeout: 10_000 },
+  });
+  const text = requestText('r1');
+  const early = callerLine(stage.address);
+  early.send(text.slice(0, 20));
+  await eventually(() => stage.face['connections']['open'].size === 1);
+  await turns();
+  stage.limits = { headerTimeout: 100 };
+  // Begun under the lower limit: its end shows that the server has looked through headers that are late.
+  const late = callerLine(stage.address);
+  late.send(text.slice(0, 20));
+  await late.over();
+  await turns();
+  expect(early.closed()).toBe(false);
+  early.send(text.slice(20));
+  await early.answered(1);
+  expect(early.reader.answers.map(({ status }) => status)).toEqual([200]);
+});
