An attempt that is over no longer listens for its caller's leaving; sending is two functions

Cause: each attempt left a listener on the caller's signal, so a request that met more than ten engines made Node warn of a leak on standard error, which may be a pipe that holds the process up. Only the attempt whose answer is handed on listens on.

--- a/src/forward/sender.ts
+++ b/src/forward/sender.ts
@@ -20,7 +20,7 @@
   type Pool,
   type Trail,
 } from './job.js';
-import type { Answer, Outgoing } from './answer.js';
+import type { Answer } from './answer.js';
 import type { Links } from './link.js';
 
 export class Sender {
@@ -77,31 +77,33 @@
     ticket: Ticket,
     trail?: Trail,
     giveUp = new AbortController(),
+  ): Promise<Attempt> {
+    const { caller } = job;
+    job.tried.add(ticket.engine.identifier);
+    const fields = this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last);
+    if (caller.gone.aborted) return abandoned(job, ticket);
+    const leave = (): void => giveUp.abort();
+    caller.gone.addEventListener('abort', leave, { once: true });
+    const attempt = await this.exchange(job, ticket, fields, giveUp.signal);
+    if (attempt.kind !== 'head') caller.gone.removeEventListener('abort', leave);
+    return attempt;
+  }
+
+  private async exchange(
+    job: Job,
+    ticket: Ticket,
+    fields: Fields,
+    signal: AbortSignal,
   ): Promise<Attempt> {
     const { caller } = job;
     const { engine } = ticket;
-    const { signal } = giveUp;
-    const abandoned = (): Attempt => {
-      ticket.end('left');
-      // It did nothing wrong: another one was first. It may be asked again, should that one break off.
-      if (!caller.gone.aborted) job.tried.delete(engine.identifier);
-      return { kind: 'left' };
-    };
-    job.tried.add(engine.identifier);
-    const outgoing: Outgoing = {
-      method: caller.method,
-      target: caller.target,
-      body: job.body,
-      fields: this.outgoing(job, ticket, job.limit - this.clock.now(), trail?.last),
-    };
-    if (caller.gone.aborted) return abandoned();
-    caller.gone.addEventListener('abort', () => giveUp.abort(), { once: true });
+    const outgoing = { method: caller.method, target: caller.target, body: job.body, fields };
     job.sends += 1;
     const left = (): Duration => Math.max(1, job.limit - this.clock.now());
     const head = await this.links.send(engine, outgoing, left(), signal);
     if (signal.aborted) {
       head.ifRight((answer) => answer.drop());
-      return abandoned();
+      return abandoned(job, ticket);
     }
     if (head.isLeft()) {
       const fault = head.extract() as Fault;
@@ -136,7 +138,7 @@
     const first = await answer.next(left());
     if (signal.aborted) {
       answer.drop();
-      return abandoned();
+      return abandoned(job, ticket);
     }
     if (first.isLeft()) {
       answer.drop();
@@ -241,3 +243,11 @@
     return fit.length ? fit : all;
   }
 }
+
+/** An attempt that was given up, because the caller left or another engine was first. */
+const abandoned = (job: Job, ticket: Ticket): Attempt => {
+  ticket.end('left');
+  // Where another one was first, it did nothing wrong, and may be asked again should that one break off.
+  if (!job.caller.gone.aborted) job.tried.delete(ticket.engine.identifier);
+  return { kind: 'left' };
+};
