A slow machine of the simulator pays for no timer that was ended

Cause of most of what docs/control-plane.md lists for slow learners: the simulated clock left a sleep that was ended on the agenda, and the host charged its machine for it when it came due. Each ask has a timer for its limit, so a slow machine paid for each ask again about a second later; of some 750 events in 5 s at 7 ms each, 499 were timers. The program's own clock clears such a timer, which costs nothing.

Tried and taken back (trial): the follower leaves its source only for what was overdue at the ask. No clear gain, so the follower stays as it is.

The order of all other events is as before.

--- a/src/sim/clock.ts
+++ b/src/sim/clock.ts
@@ -28,12 +28,17 @@
   sleep(duration: number, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
+      let isOver = false;
       const done = (): void => {
+        isOver = true;
         signal?.removeEventListener('abort', done);
         wake();
       };
       signal?.addEventListener('abort', done, { once: true });
-      this.host.later(duration, done);
+      // A sleep that was ended has no timer any more, which would take a slow machine its time.
+      this.host.world.at(duration, () => {
+        if (!isOver) this.host.reach(done);
+      });
     });
   }
 }
