A planned stop accepts every connection that waits before it closes its listening socket

Cause: libuv of Node 20 accepts one connection in each turn of the event loop, and the stop let one turn pass; the others in the backlog were reset by the close.

Test: 40 connections with whole requests through a standstill. Now turns go on until one brought none, for a quarter of drain at most: 40 of 40.

--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -23,7 +23,6 @@
 import type { RequestEnds } from '../forward/request-ends.js';
 import type { Prefixes } from '../index/prefixes.js';
 import type { Fault, Outcome } from '../kernel/fault/fault.js';
-import { arrivedIsRead } from '../kernel/net/arrived.js';
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Clock } from '../kernel/clock/clock.js';
 import type { Log } from '../kernel/log/log.js';
@@ -58,6 +57,8 @@
 
 type Reread = () => Promise<Outcome<Params>>;
 
+/** The share of `drain` for which a planned stop at most goes on accepting connections that wait. */
+const ACCEPT_SHARE = 0.25;
 /** The longest that a voter which stops waits for a learner to take over. */
 const LEAVE_LIMIT = 2000;
 
@@ -281,7 +282,7 @@
         const limit = clock.now() + params.drain;
         for (const face of faces) face.retire?.();
         await clock.sleep(params.listen.notice);
-        await arrivedIsRead();
+        await Promise.all(faces.map((face) => face.acceptWaiting?.(params.drain * ACCEPT_SHARE)));
         for (const face of faces) face.halt?.();
         let left = 0;
         if (node instanceof RouterNode) {
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -10,7 +10,7 @@
 import type { Face } from '../../node/extension.js';
 import { closeConnection } from '../../forward/connection-close.js';
 import type { RequestHandler } from '../../forward/face.js';
-import type { Clock } from '../../kernel/clock/clock.js';
+import type { Clock, Duration } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
 import { parseAddress } from '../../kernel/net/net.js';
@@ -32,6 +32,8 @@
   private readonly closed = new AbortController();
   private heeded: Limits | undefined;
   private retiring = false;
+  /** How many connections were accepted. */
+  private accepted = 0;
   /** Where it listens. */
   address = '';
 
@@ -52,6 +54,7 @@
       keepAliveTimeout: IDLE_TIMEOUT,
     });
     this.server.on('connection', (socket: Socket) => {
+      this.accepted += 1;
       this.heed();
       this.connections.add(socket);
     });
@@ -88,6 +91,18 @@
     this.connections.retire();
   }
 
+  /** The event loop accepts one connection in each turn, so none waits once a turn has brought none. */
+  async acceptWaiting(limit: Duration): Promise<void> {
+    const began = this.clock.now();
+    // The turn that is under way may be past its accepting.
+    await arrivedIsRead();
+    let before: number;
+    do {
+      before = this.accepted;
+      await arrivedIsRead();
+    } while (this.accepted > before && this.clock.now() - began < limit);
+  }
+
   /** Also closes the connections on which nothing is under way. */
   halt(): void {
     // The HTTP server's own close would also end connections whose last answer is not flushed yet.
--- a/src/node/extension.ts
+++ b/src/node/extension.ts
@@ -3,13 +3,19 @@
  * (src/node/names.ts), and faces beside its own, which reach the node's services by the same names.
  */
 import type { Provider } from '@nestjs/common';
+import type { Duration } from '../kernel/clock/clock.js';
 import type { Outcome } from '../kernel/fault/fault.js';
 
-/** Something that listens. On a planned stop all faces retire, then halt, what was taken is ended, then they close. */
+/**
+ * Something that listens. On a planned stop all faces retire, accept what waits, then halt, what was taken is ended, then
+ * they close.
+ */
 export interface Face {
   /** Tells whoever is connected to go elsewhere, and goes on taking what comes. */
   retire?(): void;
-  /** Takes nothing new; connections that wait to be accepted are lost, unless the event loop has just come round. */
+  /** Accepts the connections that wait to be accepted, until none does or the limit has come. */
+  acceptWaiting?(limit: Duration): Promise<void>;
+  /** Takes nothing new; connections that wait to be accepted are lost. */
   halt?(): void;
   close(): Promise<unknown>;
 }
--- a/test/faces/requests.test.ts
+++ b/test/faces/requests.test.ts
@@ -7,6 +7,7 @@
   type ServerResponse,
 } from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
+import { Worker } from 'node:worker_threads';
 import { expect, test } from 'vitest';
 import { SystemClock } from '../../src/kernel/clock/clock.js';
 import { RequestsFace } from '../../src/faces/requests/face.js';
@@ -128,3 +129,46 @@
   expect((await answer).statusCode).toBe(200);
   await face.close();
 });
+
+/** Opens connections from a thread of its own, each with a whole request, and tells what became of each. */
+const OPENER = `
+const { connect } = require('node:net');
+const { parentPort, workerData: { port, count, shared } } = require('node:worker_threads');
+const cells = new Int32Array(shared);
+const written = () => {
+  Atomics.add(cells, 0, 1);
+  Atomics.notify(cells, 0);
+};
+const open = () => {
+  const socket = connect(port, '127.0.0.1', () =>
+    socket.write('POST /a HTTP/1.1\\r\\nHost: a\\r\\nContent-Length: 4\\r\\n\\r\\nbody', written));
+  socket.once('data', (bytes) => parentPort.postMessage(String(bytes.subarray(0, 12))));
+  socket.once('error', ({ code }) => parentPort.postMessage(code));
+};
+Atomics.wait(cells, 1, 0);
+for (let at = 0; at < count; at++) open();
+`;
+
+test('connections that waited to be accepted through a standstill are served by a planned stop', async () => {
+  const COUNT = 40;
+  const { face, port, taken } = await open();
+  const shared = new SharedArrayBuffer(8);
+  const cells = new Int32Array(shared);
+  const opener = new Worker(OPENER, { eval: true, workerData: { port, count: COUNT, shared } });
+  const told: string[] = [];
+  opener.on('message', (message: string) => told.push(message));
+  await new Promise((resolve) => opener.once('online', resolve));
+  Atomics.store(cells, 1, 1);
+  Atomics.notify(cells, 1);
+  // The event loop stands still until every request is written whole.
+  for (let seen = 0; seen < COUNT; seen = Atomics.load(cells, 0)) Atomics.wait(cells, 0, seen);
+  face.retire();
+  await face.acceptWaiting(Infinity);
+  face.halt();
+  await until(() => taken.length + told.length >= COUNT);
+  for (const { response } of taken) response.writeHead(200).end('whole');
+  await until(() => told.length === COUNT);
+  expect(new Set(told)).toEqual(new Set(['HTTP/1.1 200']));
+  await face.close();
+  await opener.terminate();
+});
