--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -31,6 +31,8 @@
   private readonly connections: Connections;
   private readonly closed = new AbortController();
   private heeded: Limits | undefined;
+  /** How many connections were accepted. */
+  private accepted = 0;
   /** Where it listens. */
   address = '';
 
@@ -55,6 +57,7 @@
       keepAliveTimeout: IDLE_TIMEOUT,
     });
     this.server.on('connection', (socket: Socket) => {
+      this.accepted += 1;
       this.heed();
       this.connections.add(socket);
     });
@@ -90,6 +93,18 @@
     this.connections.retire();
   }
 
+  /** The event loop accepts one connection in each turn, so none waits once a turn has brought none. */
+  async acceptWaiting(limit: Duration): Promise<void> {
+    const began = this.clock.now();
+    // The turn that is under way may be past its accepting.
+    await arrivedIsRead();
+    let before: number;
+    do {
+      before = this.accepted;
+      await arrivedIsRead();
+    } while (this.accepted > before && this.clock.now() - began < limit);
+  }
+
   /** Also closes the connections on which nothing is under way. */
   halt(): void {
     // The HTTP server's own close would also end connections whose last answer is not flushed yet.
