Settings: a file whose text has not changed is not parsed and checked again

Every process reads its settings file each 5 s, since it may change without a signal, and parsed and checked it each time. What was made of the last text is now kept, a refusal too.

--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { afterAll, beforeAll, expect, test } from 'vitest';
-import { answerLimitOf, paramsOf, readSettings } from '../../platform/settings.js';
+import { answerLimitOf, paramsOf, settingsReader } from '../../platform/settings.js';
 import { settingsText } from './samples.js';
 
 let folder = '';
@@ -12,10 +12,10 @@
 });
 afterAll(() => rm(folder, { recursive: true }));
 
-const read = async (text: string): ReturnType<typeof readSettings> => {
+const read = async (text: string): ReturnType<ReturnType<typeof settingsReader>> => {
   const file = join(folder, 'settings.toml');
   await writeFile(file, text);
-  return readSettings(file);
+  return settingsReader(file)();
 };
 const reason = (outcome: { extract(): unknown }): string =>
   (outcome.extract() as { reason: string }).reason;
@@ -102,7 +102,7 @@
     reason(await read(settingsText('front').replace('drain_ms = 5000', 'drain_ms = "soon"'))),
   ).toMatch(/^bounds\.drain_ms is "soon"/);
   expect(reason(await read('not = = toml'))).not.toBe('');
-  expect(reason(await readSettings(undefined))).toMatch(/names no file/);
+  expect(reason(await settingsReader(undefined)())).toMatch(/names no file/);
 });
 
 test('a bound that the rules of a deployment leave out has another in its place', async () => {
@@ -117,3 +117,20 @@
     (await read(settingsText('core').replace(/\[bounds\][^[]*/, ''))).chain(paramsOf).isRight(),
   ).toBe(true);
 });
+
+test('a text that has not changed is not parsed again, and one that has is', async () => {
+  const file = join(folder, 'read-again.toml');
+  const readAgain = settingsReader(file);
+  await writeFile(file, settingsText('front'));
+  const first = (await readAgain()).unsafeCoerce();
+  await writeFile(file, settingsText('front'));
+  expect((await readAgain()).unsafeCoerce()).toBe(first);
+  await writeFile(file, settingsText('front').replace('zone = "north"', 'zone = "south"'));
+  expect((await readAgain()).unsafeCoerce()).toMatchObject({ zone: 'south' });
+  await writeFile(file, 'no settings');
+  expect((await readAgain()).isLeft()).toBe(true);
+  await rm(file);
+  expect(reason(await readAgain())).toMatch(/ENOENT/);
+  await writeFile(file, settingsText('front'));
+  expect((await readAgain()).unsafeCoerce()).toEqual(first);
+});
