--- a/src/api/operations.ts
+++ b/src/api/operations.ts
@@ -23,7 +23,6 @@
 import type { Verdict } from '../register/change.js';
 import {
   decodeDocument,
-  digestOf,
   subjectOf,
   type Act,
   type Change,
@@ -31,6 +30,7 @@
   type Document,
   type DoorwayAct,
 } from '../register/document.js';
+import { documentDigest } from '../register/document-digest.js';
 import { gather, majority, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
 import type { RegisterInvariants } from '../register/register-invariants.js';
@@ -202,7 +202,7 @@
     return item.chain((held) =>
       decodeDocument(held.document, 'core').map((document) => ({
         revision: document.revision,
-        digest: digestOf(held.document),
+        digest: documentDigest(document),
         document: Buffer.from(held.document).toString('utf8'),
       })),
     );
@@ -239,7 +239,7 @@
         kind: act.kind,
         name: subjectOf(act),
       }));
-      revisions.push({ revision, digest: digestOf(item.document), changes });
+      revisions.push({ revision, digest: documentDigest(document), changes });
     }
     return Right({ committed, revisions });
   }
--- a/src/command/operators.ts
+++ b/src/command/operators.ts
@@ -7,7 +7,8 @@
 import type { Schemas } from '../api/schema.js';
 import { checkDoorway } from '../doorway/shape.js';
 import { attempt, type Fault, type Outcome } from '../kernel/fault/fault.js';
-import { digestOf } from '../register/document.js';
+import { decodeDocument, digestOf } from '../register/document.js';
+import { documentDigest } from '../register/document-digest.js';
 import { operate, type Target } from '../client/operate.js';
 
 /** The exit code for each outcome of a change. */
@@ -329,8 +330,11 @@
     const one = await operate(to, 'config.at', { revision });
     if (one.isLeft()) return one;
     const { digest, document } = one.unsafeCoerce();
-    const chained = (JSON.parse(document) as { previous: string }).previous;
-    if (digestOf(document) !== digest || chained !== previous)
+    const read = decodeDocument(Buffer.from(document), to.node);
+    const isLinked = read
+      .map((held) => documentDigest(held) === digest && held.previous === previous)
+      .orDefault(false);
+    if (!isLinked)
       return attempt('config.export', to.node, () =>
         Promise.reject(new Error(`revision ${revision} does not follow the one before it`)),
       );
