--- a/src/api/operations/revisions.ts
+++ b/src/api/operations/revisions.ts
@@ -2,7 +2,8 @@
 import { Right } from 'purify-ts';
 import { failed, type Outcome } from '../../kernel/fault/fault.js';
 import { Feed, History, type FeedItem } from '../../register/calls.js';
-import { decodeDocument, digestOf, subjectOf, type Document } from '../../register/document.js';
+import { decodeDocument, subjectOf, type Document } from '../../register/document.js';
+import { documentDigest } from '../../register/document-digest.js';
 import type { Proposer } from '../../register/proposer.js';
 import type { VoterDirectory } from '../../register/voter-directory.js';
 import type { Peers } from '../../wire/peers.js';
@@ -29,7 +30,7 @@
     return item.chain((held) =>
       decodeDocument(held.document, 'core').map((document) => ({
         revision: document.revision,
-        digest: digestOf(held.document),
+        digest: documentDigest(document),
         document: Buffer.from(held.document).toString('utf8'),
       })),
     );
@@ -56,7 +57,7 @@
           'core',
           `revision ${revision} does not follow the one before it`,
         );
-      revisions.push({ revision, digest: digestOf(item.document), changes: changesOf(document) });
+      revisions.push({ revision, digest: documentDigest(document), changes: changesOf(document) });
     }
     return Right({ committed, revisions });
   }
--- a/src/command/config.ts
+++ b/src/command/config.ts
@@ -5,7 +5,8 @@
 import type { Schemas } from '../api/schema.js';
 import { operate, type Target } from '../client/operate.js';
 import { attempt, failed, type Outcome } from '../kernel/fault/fault.js';
-import { digestOf } from '../register/document.js';
+import { decodeDocument, digestOf } from '../register/document.js';
+import { documentDigest } from '../register/document-digest.js';
 import { targetOf, withCommonOptions, withFile, type CommonOptions } from './options.js';
 import { finish } from './outcome.js';
 
@@ -50,8 +51,10 @@
     const reply = await operate(target, 'config.at', { revision });
     if (reply.isLeft()) return reply;
     const { digest, document } = reply.unsafeCoerce();
-    const { previous } = JSON.parse(document) as { previous: string };
-    if (digestOf(document) !== digest || previous !== previousDigest)
+    const isLinked = decodeDocument(Buffer.from(document), target.node)
+      .map((held) => documentDigest(held) === digest && held.previous === previousDigest)
+      .orDefault(false);
+    if (!isLinked)
       return failed(
         EXPORT_STEP,
         target.node,
