--- a/src/command/daemon.ts
+++ b/src/command/daemon.ts
@@ -282,7 +282,7 @@
         const limit = clock.now() + params.drain;
         for (const face of faces) face.retire?.();
         await clock.sleep(params.listen.notice);
-        await Promise.all(faces.map((face) => face.acceptWaiting?.(params.drain * ACCEPT_SHARE)));
+        for (const face of faces) await face.acceptWaiting?.(params.drain * ACCEPT_SHARE);
         for (const face of faces) face.halt?.();
         let left = 0;
         if (node instanceof RouterNode) {
