Soak: a loss of disks at its end, learners, requests without an end; its callers end in time

At the end every process is killed right after an acknowledgement, also those without a vote, while as many voters as tolerated lose their disks; before that all voters must hold everything again amid changes (not-redundant). requests_unended must come to 0 at every router once no request is under way (unended).

Now 3 are seeds; a core machine without a vote may be not ready.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -19,6 +19,8 @@
 export interface FleetPlan {
   readonly folder: string;
   readonly cores: number;
+  /** How many of the core machines are seeds, and so the first voters: all by default. */
+  readonly seeds?: number;
   readonly routers: number;
   readonly engines: number;
   readonly zones: readonly string[];
@@ -125,7 +127,9 @@
       const own = this.peers.get(name)!;
       this.advertised.set(name, (await this.plan.advertise?.(name, own)) ?? own);
     }
-    const seeds = coreNames.map((name) => this.advertised.get(name)!);
+    const seeds = coreNames
+      .slice(0, this.plan.seeds ?? cores)
+      .map((name) => this.advertised.get(name)!);
     const keyed = firms.map((name) => ({
       name,
       callerKeys: [digestOf(callerKey(name))],
--- a/src/fleet/opaque.ts
+++ b/src/fleet/opaque.ts
@@ -170,14 +170,19 @@
   /** Asks steadily until told to stop. */
   async drive(kinds: readonly Kind[]): Promise<void> {
     const whole = kinds.reduce((sum, { perSecond }) => sum + perSecond, 0);
-    for (let due = performance.now(); !this.stop.signal.aborted; due += 1000 / whole) {
-      if (due > performance.now()) await pause(due - performance.now());
+    for (let due = performance.now(); await this.goesOnAt(due); due += 1000 / whole) {
       let at = this.random.fraction() * whole;
       const kind = kinds.find(({ perSecond }) => (at -= perSecond) < 0) ?? kinds[0]!;
       void this.ask(kind.name, kind.asking);
     }
   }
 
+  /** Waits until a moment; whether the traffic still goes on then. */
+  private async goesOnAt(due: number): Promise<boolean> {
+    if (due > performance.now()) await pause(due - performance.now());
+    return !this.stop.signal.aborted;
+  }
+
   /** Ends the traffic and waits for what is under way. */
   async rest(): Promise<readonly Asked[]> {
     this.stop.abort();
--- a/src/fleet/soak/closing.ts
+++ b/src/fleet/soak/closing.ts
@@ -7,7 +7,8 @@
 import type { RecordedOperators } from '../history.js';
 import type { OpaqueScene } from '../opaque.js';
 import type { ReadBack } from './judge/configuration.js';
-import { SentOrders, type SentOrder } from './operators.js';
+import { readMetrics } from './metrics.js';
+import type { SentOrder, SentOrders } from './operators.js';
 import type { Processes } from './processes.js';
 import type { SoakFinding } from './record.js';
 import { KINDS } from './traffic.js';
@@ -21,6 +22,9 @@
 /** How often an order without a clear answer is sent. */
 const REPEATED_TRIES = 20;
 
+/** What a router tells of requests that it took and whose end it has not recorded. */
+const UNENDED = 'rudderridge_requests_unended';
+
 const isOpen = ({ acknowledgedAt, refusedAt }: SentOrder): boolean =>
   acknowledgedAt === undefined && refusedAt === undefined;
 
@@ -35,11 +39,13 @@
     private readonly operators: RecordedOperators,
     private readonly orders: SentOrders,
     private readonly random: Random,
+    /** How many core machines are to vote; the others are learners. */
+    private readonly voters: number,
   ) {}
 
   /** Every process must be ready again, and every kind of request served. */
   async awaitRecovery(): Promise<void> {
-    await Promise.all(this.processes.all.map((name) => this.awaitReady(name)));
+    await this.awaitReady();
     const since = Date.now();
     for (const { name } of KINDS) await this.awaitServed(name, since);
   }
@@ -59,16 +65,32 @@
     return readBacks;
   }
 
-  private async awaitReady(name: string): Promise<void> {
+  /** With no request under way any more, each router must have recorded the end of all that it took. */
+  async awaitEnds(): Promise<void> {
+    for (const name of this.processes.routers) await this.awaitEndsAt(name);
+  }
+
+  private async awaitEndsAt(name: string): Promise<void> {
+    let unended: number | undefined;
+    const isEnded = async (): Promise<boolean> => {
+      unended = (await readMetrics(this.fleet.operators.get(name)!))?.get(UNENDED);
+      return unended === 0;
+    };
+    await this.fleet
+      .until(`all requests at ${name} to be ended`, isEnded, HEAL_LIMIT)
+      .catch(() => this.find('unended', name, `${unended ?? 'unknown'} requests without an end`));
+  }
+
+  private async awaitReady(): Promise<void> {
     let reason = '';
     const isReady = async (): Promise<boolean> => {
-      const told = await this.processes.readiness(name);
+      const told = await this.processes.allReady(this.voters);
       ({ reason } = told);
       return told.isReady;
     };
     await this.fleet
-      .until(`${name} to be ready`, isReady, HEAL_LIMIT)
-      .catch(() => this.find('not-ready', name, reason));
+      .until('all to be ready', isReady, HEAL_LIMIT)
+      .catch(() => this.find('not-ready', 'processes', reason));
   }
 
   private async awaitServed(kind: string, since: number): Promise<void> {
@@ -87,7 +109,7 @@
     for (let tries = 0; tries < most; tries++) {
       const node = pick(this.random, this.processes.cores)!;
       const answer = await this.operators.send(node, sent.order, sent.isValid);
-      SentOrders.note(sent, answer);
+      this.orders.note(sent, answer);
       if (answer !== 'unclear') return;
     }
   }
--- a/src/fleet/soak/command.ts
+++ b/src/fleet/soak/command.ts
@@ -17,6 +17,7 @@
   only: typeof TROUBLE_KINDS;
   folder: string;
   keep: boolean;
+  lossAtEnd: boolean;
 }
 
 const options = (y: Argv): Argv<SoakArguments> =>
@@ -42,6 +43,11 @@
       default: tmpdir(),
       describe: 'Where each seed gets a folder of its own for params, logs and data',
     })
+    .option('lossAtEnd', {
+      type: 'boolean',
+      default: true,
+      describe: 'At the end as many disks as tolerated are lost while every process is killed',
+    })
     .option('keep', {
       type: 'boolean',
       default: false,
@@ -50,8 +56,10 @@
 
 const runSeed = async (seed: number, argv: SoakArguments): Promise<boolean> => {
   const folder = mkdtempSync(join(argv.folder, `soak-${seed}-`));
-  const { seconds, cores, routers, lapse, only } = argv;
-  const report = await soak(planFor({ seed, seconds, folder, cores, routers, lapse, only }));
+  const { seconds, cores, routers, lapse, only, lossAtEnd } = argv;
+  const report = await soak(
+    planFor({ seed, seconds, folder, cores, routers, lapse, only, lossAtEnd }),
+  );
   process.stdout.write(`${JSON.stringify(report)}\n`);
   const isSound = report.findings.length === 0;
   if (isSound && !argv.keep) rmSync(folder, { recursive: true, force: true });
--- a/src/fleet/soak/operators.ts
+++ b/src/fleet/soak/operators.ts
@@ -32,11 +32,23 @@
 /** The orders of a run, in the order in which they were first sent. */
 export class SentOrders {
   readonly all: SentOrder[] = [];
+  private waiting: Array<(sent: SentOrder) => void> = [];
 
   /** Notes an answer to an order. */
-  static note(sent: SentOrder, answer: ChangeAnswer): void {
-    if (answer === 'acknowledged') sent.acknowledgedAt ??= Date.now();
+  note(sent: SentOrder, answer: ChangeAnswer): void {
     if (answer === 'conflict' || answer === 'invalid') sent.refusedAt ??= Date.now();
+    if (answer !== 'acknowledged' || sent.acknowledgedAt !== undefined) return;
+    sent.acknowledgedAt = Date.now();
+    const told = this.waiting;
+    this.waiting = [];
+    for (const resolve of told) resolve(sent);
+  }
+
+  /** Fulfilled as soon as an order is acknowledged that was not before. */
+  nextAcknowledged(): Promise<SentOrder> {
+    return new Promise((resolve) => {
+      this.waiting.push(resolve);
+    });
   }
 }
 
@@ -101,7 +113,7 @@
     let rest = RESEND_FIRST;
     while (performance.now() < end && !this.stop.aborted) {
       const answer = await this.calls.send(this.node(), sent.order, sent.isValid);
-      SentOrders.note(sent, answer);
+      this.orders.note(sent, answer);
       if (answer !== 'unclear') return answer;
       await pause(rest * this.random.fraction());
       rest = Math.min(RESEND_MOST, rest * 2);
--- a/src/fleet/soak/plan.ts
+++ b/src/fleet/soak/plan.ts
@@ -12,6 +12,8 @@
   readonly lapse?: 'serve' | 'stop';
   /** Only these troubles; all by default. */
   readonly only?: readonly TroubleKind[];
+  /** Whether disks are lost at the end while every process is killed; so by default. */
+  readonly lossAtEnd?: boolean;
 }
 
 /** A soak as it is run. */
@@ -26,8 +28,13 @@
   /** Whether a router without a lease serves on or stops. */
   readonly lapse: 'serve' | 'stop';
   readonly only: readonly TroubleKind[];
+  readonly lossAtEnd: boolean;
 }
 
+/** How many voters may lose their disks at once: a majority keeps theirs. */
+export const toleratedLosses = ({ voters }: Pick<SoakPlan, 'voters'>): number =>
+  Math.floor((voters - 1) / 2);
+
 interface CoreSize {
   readonly cores: number;
   readonly voters: number;
@@ -57,6 +64,7 @@
     routers: options.routers ?? routers,
     lapse: options.lapse ?? lapse,
     only: options.only ?? [],
+    lossAtEnd: options.lossAtEnd ?? true,
   };
 };
 
--- a/src/fleet/soak/processes.ts
+++ b/src/fleet/soak/processes.ts
@@ -11,9 +11,14 @@
 /** How long a process may take to end after SIGTERM before that is a finding; far above its `drain`. */
 const STOP_LIMIT = 60_000;
 
+/** What a core machine without a vote says when it is asked whether it is ready. */
+const NO_VOTE = 'not in the core set';
+
 /** Whether a process says that it is ready, and if not, why. */
 export interface Readiness {
   readonly isReady: boolean;
+  /** It is up and has no vote, as a learner. */
+  readonly isLearner: boolean;
   readonly reason: string;
 }
 
@@ -127,12 +132,28 @@
         bodyTimeout: 2000,
       });
       const reason = await reply.body.text();
-      return { isReady: reply.statusCode === 200, reason };
+      const isReady = reply.statusCode === 200;
+      return { isReady, isLearner: !isReady && reason.includes(NO_VOTE), reason };
     } catch (thrown) {
-      return { isReady: false, reason: String(thrown) };
+      return { isReady: false, isLearner: false, reason: String(thrown) };
     }
   }
 
+  /** Whether every router is ready, and among the core machines so many voters, with learners alone beside them. */
+  async allReady(voters: number): Promise<Readiness> {
+    const told = await Promise.all(
+      this.all.map(async (name) => ({ name, ...(await this.readiness(name)) })),
+    );
+    const cores = told.filter(({ name }) => !this.fleet.requests.has(name));
+    const isEnough = cores.filter(({ isReady }) => isReady).length >= voters;
+    const missing = told.filter(
+      ({ name, isReady, isLearner }) =>
+        !isReady && (!isEnough || !isLearner || this.fleet.requests.has(name)),
+    );
+    const reason = missing.map((each) => `${each.name}: ${each.reason}`).join('; ');
+    return { isReady: missing.length === 0, isLearner: false, reason };
+  }
+
   /** Ends are no longer watched. */
   finish(): void {
     this.isOver = true;
--- a/src/fleet/soak/report.ts
+++ b/src/fleet/soak/report.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { describeCall } from '../../history/call.js';
 import { longestWaitInCalm } from './calm.js';
+import type { Loss } from './final-loss.js';
 import type { SoakEvidence } from './judge/judge.js';
 import type { SentOrder } from './operators.js';
 import type { SoakPlan } from './plan.js';
@@ -15,6 +16,8 @@
   readonly evidence: SoakEvidence;
   readonly incidents: readonly Incident[];
   readonly played: readonly PlayedTrouble[];
+  /** Undefined where there was none. */
+  readonly finalLoss: Loss | undefined;
   readonly standstills: number;
   readonly findings: readonly SoakFinding[];
 }
@@ -36,6 +39,8 @@
   readonly tries: number;
   readonly arrivals: number;
   readonly troubles: Counts;
+  /** The version acknowledged right before the loss at the end, and the voters whose disks were lost. */
+  readonly finalLoss: Loss | undefined;
   /** ms of the longest calm time without an acknowledgement. */
   readonly longestWait: number;
   readonly standstills: number;
@@ -61,6 +66,7 @@
   evidence,
   incidents,
   played,
+  finalLoss,
   standstills,
   findings,
 }: SoakRun): SoakReport => ({
@@ -81,6 +87,7 @@
     played.filter(({ struck }) => struck.length > 0),
     ({ trouble }) => trouble.kind,
   ),
+  finalLoss,
   longestWait: longestWaitInCalm(evidence.orders, incidents),
   standstills,
   findings,
--- a/src/fleet/soak/run.ts
+++ b/src/fleet/soak/run.ts
@@ -9,12 +9,13 @@
 import { Closing } from './closing.js';
 import { firstConfiguration, SERVICES, TIMEOUTS } from './configurations.js';
 import { EngineSlots, slotOf } from './engine-slots.js';
+import { FinalLoss } from './final-loss.js';
 import type { ReadBack } from './judge/configuration.js';
 import { judgeSoak, type SoakEvidence } from './judge/judge.js';
 import { Timeline } from './judge/timeline.js';
 import { SoakNetwork } from './network.js';
 import { SentOrders, SoakOperator, type SentOrder } from './operators.js';
-import { paramsFor, RETRIES, TIMES, type SoakPlan } from './plan.js';
+import { paramsFor, RETRIES, TIMES, toleratedLosses, type SoakPlan } from './plan.js';
 import { Processes } from './processes.js';
 import { Incidents, type SoakFinding } from './record.js';
 import { Redundancy } from './redundancy.js';
@@ -46,6 +47,7 @@
   private readonly runner: TroubleRunner;
   private readonly stopOperators = new AbortController();
   private readonly closing: Closing;
+  private readonly finalLoss: FinalLoss;
 
   constructor(private readonly plan: SoakPlan) {
     const { network, incidents } = this;
@@ -53,6 +55,7 @@
     this.fleet = new Fleet({
       folder: plan.folder,
       cores: plan.cores,
+      seeds: plan.voters,
       routers: plan.routers,
       engines: 0,
       zones: ['a'],
@@ -85,6 +88,15 @@
       this.operators,
       this.orders,
       new SeededRandom(seed + 5),
+      plan.voters,
+    );
+    const redundancy = new Redundancy(this.fleet, () => this.processes.cores, plan.voters);
+    this.finalLoss = new FinalLoss(
+      this.fleet,
+      this.processes,
+      this.orders,
+      redundancy,
+      new SeededRandom(seed + 6),
     );
     this.vigil = new Vigil(this.fleet, incidents);
     this.runner = new TroubleRunner({
@@ -93,7 +105,7 @@
       scene: this.scene,
       engines: this.engines,
       incidents,
-      redundancy: new Redundancy(this.fleet, () => this.processes.cores, plan.voters),
+      redundancy,
     });
   }
 
@@ -121,7 +133,11 @@
       await network.requests.add(name, fleet.requests.get(name)!);
     await this.engines.startAll();
     await this.putFirst();
-    await fleet.ready(processes.all, START_LIMIT);
+    await fleet.until(
+      'all to be ready',
+      async () => (await processes.allReady(this.plan.voters)).isReady,
+      START_LIMIT,
+    );
     processes.watchAll();
   }
 
@@ -139,7 +155,7 @@
     };
     this.orders.all.push(sent);
     const put = async (): Promise<boolean> => {
-      SentOrders.note(sent, await this.operators.send('core-1', sent.order));
+      this.orders.note(sent, await this.operators.send('core-1', sent.order));
       return sent.acknowledgedAt !== undefined;
     };
     await this.fleet.until('the first configuration', put, START_LIMIT);
@@ -169,6 +185,10 @@
     await this.runner.play(schedule, plan.seconds * 1000);
     await this.runner.heal();
     await this.closing.awaitRecovery();
+    if (plan.lossAtEnd) {
+      await this.finalLoss.strike(toleratedLosses(plan));
+      await this.closing.awaitRecovery();
+    }
     this.stopOperators.abort();
     await Promise.all(running);
   }
@@ -177,6 +197,7 @@
     await this.closing.repeatOrders();
     const readBacks = await this.closing.readBackAll();
     await this.traffic.finish();
+    await this.closing.awaitEnds();
     await this.vigil.finish();
     return readBacks;
   }
@@ -216,6 +237,7 @@
     const evidence = this.evidence(readBacks);
     const findings = [
       ...this.closing.findings,
+      ...this.finalLoss.findings,
       ...this.processes.findings,
       ...this.vigil.findings(),
       ...this.violationFindings(),
@@ -226,6 +248,7 @@
       evidence,
       incidents: this.incidents.all,
       played: this.runner.played,
+      finalLoss: this.finalLoss.loss,
       standstills: this.vigil.standstills,
       findings,
     };
--- a/src/fleet/soak/traffic.ts
+++ b/src/fleet/soak/traffic.ts
@@ -96,6 +96,8 @@
   readonly connections: ConnectionCaller;
   private readonly random: Random;
   private readonly stop = new AbortController();
+  /** What begins requests that it does not wait for; it must be over before these are waited for. */
+  private readonly beginning: Array<Promise<void>> = [];
   private readonly running: Array<Promise<unknown>> = [];
 
   constructor(
@@ -114,17 +116,25 @@
 
   start(): void {
     void this.scene.follow();
-    this.running.push(this.scene.drive(KINDS), this.leave(), this.askForMarks());
+    this.running.push(this.scene.drive(KINDS));
+    this.beginning.push(this.leave(), this.askForMarks());
     for (let at = 0; at < KEPT_CONNECTIONS; at++) this.running.push(this.keep());
   }
 
   /** Ends the traffic and waits for what is under way. */
   async finish(): Promise<void> {
     this.stop.abort();
+    await Promise.all(this.beginning);
     await this.scene.rest();
     await Promise.all(this.running);
   }
 
+  /** Waits so many ms; whether the traffic still goes on then. */
+  private async goesOnAfter(duration: number): Promise<boolean> {
+    await pause(duration, undefined, { signal: this.stop.signal }).catch(() => undefined);
+    return !this.stop.signal.aborted;
+  }
+
   private keep(): Promise<void> {
     const router = (): string => this.reach(this.scene.chooseRouter());
     return this.connections.run(router, () => this.nextKept(), this.stop.signal);
@@ -139,8 +149,7 @@
 
   /** Callers that close their connection while their request is under way. */
   private async leave(): Promise<void> {
-    while (!this.stop.signal.aborted) {
-      await pause(LEAVE_EVERY * 2 * this.random.fraction());
+    while (await this.goesOnAfter(LEAVE_EVERY * 2 * this.random.fraction())) {
       const gone = AbortSignal.timeout(1 + Math.floor(this.random.fraction() * LONGEST_STAY));
       const { asking } = pick(this.random, KINDS)!;
       this.running.push(
@@ -163,8 +172,7 @@
 
   /** Asks for the marks of orders, whether they are in force, were, or never may be. */
   private async askForMarks(): Promise<void> {
-    while (!this.stop.signal.aborted) {
-      await pause(MARK_EVERY * 2 * this.random.fraction());
+    while (await this.goesOnAfter(MARK_EVERY * 2 * this.random.fraction())) {
       const order = this.chooseOrder();
       if (!order) continue;
       const target = `${order.mark}x`;
