--- a/src/sim/day/faults/fault.ts
+++ b/src/sim/day/faults/fault.ts
@@ -6,10 +6,10 @@
 import type { Traffic } from '../traffic.js';
 
 /** Starts a fault now; it lasts for the time given, in virtual ms. */
-export type Strike = (lasts: number) => void;
+export type InjectFault = (lasts: number) => void;
 
 /** The faults that one part of the fleet may meet, each by its name. */
-export type FaultTable = ReadonlyArray<readonly [FaultName, Strike]>;
+export type FaultTable = ReadonlyArray<readonly [FaultName, InjectFault]>;
 
 /** How long a restart of everything takes. */
 export const RESTART = 600;
--- a/src/sim/day/faults/fleet.ts
+++ b/src/sim/day/faults/fleet.ts
@@ -1,4 +1,4 @@
-/** Faults that strike the whole fleet at once, its clocks, its net or its callers. */
+/** Faults of the whole fleet at once, its clocks, its net or its callers. */
 import { pick } from '../../../kernel/random/random.js';
 import type { Mishap } from '../../world.js';
 import { RESTART, type FaultTable, type FaultTarget } from './fault.js';
--- a/src/sim/day/faults/injector.ts
+++ b/src/sim/day/faults/injector.ts
@@ -7,7 +7,7 @@
 import { CoreFaults } from './core.js';
 import { DiskFaults } from './disks.js';
 import { EngineFaults } from './engines.js';
-import { FaultTarget, type Strike } from './fault.js';
+import { FaultTarget, type InjectFault } from './fault.js';
 import { FleetFaults } from './fleet.js';
 import { OperatorFaults } from './operators.js';
 import { RouterFaults } from './routers.js';
@@ -24,7 +24,7 @@
 const CLOSING_LASTS = 1000;
 
 export class FaultInjector {
-  private readonly strikes: ReadonlyMap<FaultName, Strike>;
+  private readonly injections: ReadonlyMap<FaultName, InjectFault>;
 
   constructor(
     private readonly stage: Stage,
@@ -32,7 +32,7 @@
     operators: Operators,
   ) {
     const target = new FaultTarget(stage, traffic, operators);
-    this.strikes = new Map<FaultName, Strike>([
+    this.injections = new Map<FaultName, InjectFault>([
       ...new CoreFaults(target).table,
       ...new DiskFaults(target).table,
       ...new RouterFaults(target).table,
@@ -45,24 +45,25 @@
   /** Draws faults from the seed over a span of the day, and maybe one that closes it. */
   draw(from: number, span: number): void {
     const { world, random, plan } = this.stage;
-    const [least, most] = plan.strikes;
+    const [least, most] = plan.faultCount;
     const count = least + Math.floor(random.fraction() * (most - least + 1));
     for (let each = 0; each < count; each++) {
       const fault = pick(random, plan.faults)!;
       const at = EARLIEST + random.fraction() * Math.max(1000, span - TAIL);
       const lasts = SHORTEST + random.fraction() * (LONGEST - SHORTEST);
-      world.at(from - world.now + at, () => this.strike(fault, lasts));
+      world.at(from - world.now + at, () => this.inject(fault, lasts));
     }
     if (plan.closings.length && random.fraction() < CLOSING_SHARE)
       world.at(from - world.now + span - CLOSING_BEFORE_END, () =>
-        this.strike(pick(random, plan.closings)!, CLOSING_LASTS),
+        this.inject(pick(random, plan.closings)!, CLOSING_LASTS),
       );
   }
 
-  strike(fault: FaultName, lasts: number): void {
+  /** Starts a fault now, and writes it down. */
+  inject(fault: FaultName, lasts: number): void {
     const { tally, world } = this.stage;
     tally.faults.push(`${fault}@${Math.round(world.now)}+${Math.round(lasts)}`);
-    this.strikes.get(fault)!(lasts);
+    this.injections.get(fault)!(lasts);
   }
 
   /** Ends every fault that is still under way on the net, the disks and the machines. */
--- a/src/sim/day/faults/operators.ts
+++ b/src/sim/day/faults/operators.ts
@@ -11,7 +11,7 @@
   readonly table: FaultTable = [
     ['doorway-storm', () => this.storm(STORM.changes, STORM.pause)],
     ['doorway-storm-long', () => this.longStorm()],
-    ['doorway-race', () => this.target.operators.rivals(3)],
+    ['doorway-race', () => this.target.operators.compete(3)],
     ['doorways-at-once', () => this.changeMany()],
     ['answers-lost', (lasts) => this.loseAnswers(lasts)],
   ];
@@ -21,7 +21,7 @@
   private storm(changes: number, pause: number): void {
     const { stage, operators } = this.target;
     for (let at = 0; at < changes; at++)
-      stage.world.at(at * pause, () => operators.rivals(1 + (at % 2)));
+      stage.world.at(at * pause, () => operators.compete(1 + (at % 2)));
   }
 
   /** Hundreds of changes, with a core machine and a router down for most of them. */
@@ -46,7 +46,7 @@
     const { stage, operators } = this.target;
     operators.answersLost = LOST_SHARE;
     for (let at = 0; at < RACES_WHILE_LOST; at++)
-      stage.world.at((at * lasts) / RACES_WHILE_LOST, () => operators.rivals(1 + (at % 3)));
+      stage.world.at((at * lasts) / RACES_WHILE_LOST, () => operators.compete(1 + (at % 3)));
     this.target.during(lasts, () => (operators.answersLost = 0));
   }
 }
--- a/src/sim/day/operators.ts
+++ b/src/sim/day/operators.ts
@@ -62,12 +62,12 @@
     }
   }
 
-  /** Changes over a span of the day, in uneven steps; now and then rivals, and now and then a storm. */
+  /** Changes over a span of the day, in uneven steps; now and then by competing writers, and now and then a storm. */
   work(from: number, span: number): void {
     const { world, random } = this.stage;
     for (let at = 500; at < span; at += 400 + random.fraction() * 4000) {
       world.at(from - world.now + at, () =>
-        this.rivals(
+        this.compete(
           random.fraction() < 0.1
             ? 12
             : random.fraction() < 0.2
@@ -81,12 +81,12 @@
   }
 
   /** Some operators change the same doorway at once, each from what it saw. */
-  rivals(count: number): void {
+  compete(writers: number): void {
     const { random } = this.stage;
     const name = pick(random, this.names)!;
     const newest = this.newest(name);
-    if (count > 1) this.stage.tally.note('rivals', count);
-    for (let each = 0; each < count; each++)
+    if (writers > 1) this.stage.tally.note('rivals', writers);
+    for (let each = 0; each < writers; each++)
       void this.change(
         name,
         newest,
@@ -96,14 +96,14 @@
       );
   }
 
-  /** All doorways of one firm in one change, and maybe a rival that does the same. */
-  many(rivals: number): void {
+  /** All doorways of one firm in one change, and maybe competing writers that do the same. */
+  many(writers: number): void {
     const { random, tally } = this.stage;
     const firm = pick(random, ['sahel', 'aconcagua'])!;
     const names = this.names.filter((name) => name.startsWith(firm));
     const expects = names.map((name) => this.newest(name));
-    tally.note('rivals', rivals > 1 ? rivals : 0);
-    for (let each = 0; each < rivals; each++) {
+    tally.note('rivals', writers > 1 ? writers : 0);
+    for (let each = 0; each < writers; each++) {
       const groups = pick(random, ['even', 'odd', 'all'] as const)!;
       const id = `c${++this.number}`;
       const sets = names.map((name, at) => ({
--- a/src/sim/day/plan.ts
+++ b/src/sim/day/plan.ts
@@ -1,4 +1,4 @@
-/** The two sites of a simulated day, the failures that may strike there, and what a day gives back. */
+/** The two sites of a simulated day, the faults that may be injected there, and what a day gives back. */
 import type { Finding } from '../../stand/judge/judge.js';
 
 export interface DayPlan {
@@ -13,8 +13,8 @@
   readonly faults: readonly FaultName[];
   /** Failures that may close a day; none for a day that ends quietly. */
   readonly closings: readonly FaultName[];
-  /** How many failures are drawn, at least and at most. */
-  readonly strikes: readonly [number, number];
+  /** How many faults are drawn, at least and at most. */
+  readonly faultCount: readonly [number, number];
 }
 
 export const faultNames = [
@@ -159,7 +159,7 @@
       shortPerSecond: 12,
       longPerSecond: 1,
       seconds: 40,
-      strikes: [2, 5],
+      faultCount: [2, 5],
       closings,
       faults: [
         ...shared,
@@ -182,7 +182,7 @@
       shortPerSecond: 12,
       longPerSecond: 1,
       seconds: 40,
-      strikes: [2, 5],
+      faultCount: [2, 5],
       closings,
       faults: [...shared, 'disk-full', 'core-disk-lost', 'core-moved', 'core-moved'],
     },
@@ -193,7 +193,7 @@
 export const dayOf = (fault: FaultName, seconds: number): DayPlan => {
   const site =
     [...sites.values()].find(({ faults }) => faults.includes(fault)) ?? sites.get('sahel')!;
-  return { ...site, seconds, faults: [fault], closings: [], strikes: [1, 1] };
+  return { ...site, seconds, faults: [fault], closings: [], faultCount: [1, 1] };
 };
 
 /** Traffic goes on for this long after the last failure, so that a day that closes with one shows whether service returns. */
--- a/src/sim/day/stage.ts
+++ b/src/sim/day/stage.ts
@@ -1,7 +1,7 @@
 /**
  * The machines of a simulated day: the fleet of one site with its seeds and disks, the engines with their true caches,
  * and the platform's list, which lags and is rate-limited. Machines are started, killed, replaced and put back here;
- * what strikes them is drawn elsewhere.
+ * which faults they meet is drawn elsewhere.
  */
 import { Right } from 'purify-ts';
 import { failed } from '../../kernel/fault/fault.js';
--- a/src/sim/day/tally.ts
+++ b/src/sim/day/tally.ts
@@ -1,4 +1,4 @@
-/** What a day writes down as it goes: findings, failures that struck, and how often each situation came up. */
+/** What a day writes down as it goes: findings, faults that were injected, and how often each situation came up. */
 import type { DayFinding, Situation } from './plan.js';
 
 export class Tally {
