--- a/src/sim/clock.ts
+++ b/src/sim/clock.ts
@@ -26,29 +26,31 @@
   }
 
   schedule(duration: number, act: () => void): Cancel {
-    let isCancelled = false;
-    this.host.later(duration, () => {
-      if (!isCancelled) act();
+    let isOver = false;
+    const done = (): void => {
+      if (isOver) return;
+      isOver = true;
+      act();
+    };
+    // A timer that was cancelled is none any more, and takes a slow machine none of its time.
+    this.host.world.at(duration, () => {
+      if (!isOver) this.host.reach(done);
     });
     return () => {
-      isCancelled = true;
+      isOver = true;
     };
   }
 
   sleep(duration: number, signal?: AbortSignal): Promise<void> {
     return new Promise((wake) => {
       if (signal?.aborted) return wake();
-      let isOver = false;
-      const done = (): void => {
-        isOver = true;
+      const cancel = this.schedule(duration, done);
+      function done(): void {
+        cancel();
         signal?.removeEventListener('abort', done);
         wake();
-      };
+      }
       signal?.addEventListener('abort', done, { once: true });
-      // A sleep that was ended has no timer any more, which would take a slow machine its time.
-      this.host.world.at(duration, () => {
-        if (!isOver) this.host.reach(done);
-      });
     });
   }
 }
