A member that starts without a majority takes nothing older for committed than it holds

A member that starts again and finds no majority within 1.5 s followed from revision 0 on, and took from a member that was behind that revision 1 was the newest committed one, though it held 2 and had known that to be committed in its life before. Nothing acknowledged was lost by it (rounds and surveys go by what is accepted). Now its floor is what it holds, and where no member has that much it asks for a majority anew, whose word settles it.

--- a/src/core/module.ts
+++ b/src/core/module.ts
@@ -99,7 +99,7 @@
       undefined,
       this.params.feed.wait,
       () => this.member.chain.document,
-      () => Promise.resolve(this.member.committedRevision),
+      () => Promise.resolve(this.member.leastCommitted),
     );
     void this.view.run(this.stop.signal);
     void follower.run(this.stop.signal);
--- a/src/register/follower.ts
+++ b/src/register/follower.ts
@@ -58,6 +58,8 @@
   /** Whether to ask for deltas: not after one that could not be applied. */
   private takesDeltas = true;
   private floor: number | undefined;
+  /** Whether a majority of the voters told the floor. */
+  private isFloorSure = false;
   /** When it last began to take what came in. */
   takingSince: Moment | undefined;
   /** The newest revision that any member is known to have committed. */
@@ -109,6 +111,7 @@
         !signal.aborted
       ) {
         await this.askNeighbours();
+        if (this.self !== '' && !this.isFloorSure && this.held === 0) this.floor = undefined;
         await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
       } else if (this.floor === undefined)
         await this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
@@ -121,6 +124,7 @@
     const floor = survey?.revision ?? (await this.floorWithoutMajority());
     if (floor === undefined) return undefined;
     this.floor = floor;
+    this.isFloorSure = survey !== undefined;
     this.log('feed-floor', [['revision', floor]]);
     return survey?.sources.find((address) => address !== this.self) ?? this.seek();
   }
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -85,6 +85,14 @@
     return this.chain.committed;
   }
 
+  /**
+   * The lowest revision that may be the newest committed one, as far as this member knew in any life: it held what it knew to be
+   * committed. Without a majority it takes nothing older for the newest from others, which may be behind.
+   */
+  get leastCommitted(): number {
+    return Math.max(this.chain.committed, this.voteStatus.revision);
+  }
+
   get wholeDigest(): string {
     return this.chain.wholeDigest;
   }
