--- a/test/forward/cut-short.test.ts
+++ b/test/forward/cut-short.test.ts
@@ -13,9 +13,9 @@
   openScripted,
   requestText,
   sized,
-  type CallerLine,
   type Exchange,
 } from './scripted.js';
+import { statuses, written } from './scene.js';
 import { expectNoViolation } from './stage.js';
 
 const once = { kind: 'non_idempotent', timeout: 20_000 } as const;
@@ -37,13 +37,6 @@
 const chunkedHead = (exchange: Exchange): string =>
   answerHead(exchange, 'Transfer-Encoding: chunked');
 
-/** Writes to the system, so that the bytes have arrived though nobody has read them. */
-const written = (socket: Socket, text: string): Promise<void> =>
-  new Promise((resolve) => socket.write(text, () => resolve()));
-
-const statuses = ({ reader }: CallerLine): Array<readonly [number, boolean]> =>
-  reader.answers.map(({ status, complete }) => [status, complete]);
-
 test('a stream whose engine is silent, with nowhere else to go on, is not cut before its time', async () => {
   const clock = new HandClock();
   const { open, script } = held();
--- a/test/forward/every-step.test.ts
+++ b/test/forward/every-step.test.ts
@@ -3,7 +3,6 @@
  * step: a change of the configuration, a standstill of the process, a planned stop. Every request that is whole gets one
  * final answer, and where that is a refusal, it tells when to come back.
  */
-import type { Socket } from 'node:net';
 import { expect, test } from 'vitest';
 import { genesis } from '../../src/register/document.js';
 import type { Configuration, Limits, Route } from '../../src/route/shape.js';
@@ -18,6 +17,7 @@
   type Exchange,
   type ScriptedStage,
 } from './scripted.js';
+import { written } from './scene.js';
 import { expectNoViolation } from './stage.js';
 
 const TIMEOUT = 20_000;
@@ -34,10 +34,6 @@
 const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 const WHOLE = [1, 2, 3, 4].map(eventOf).join('');
 
-/** Writes to the system, so that the bytes have arrived though nobody has read them. */
-const written = (socket: Socket, text: string): Promise<void> =>
-  new Promise((resolve) => socket.write(text, () => resolve()));
-
 interface Scene {
   readonly stage: ScriptedStage;
   readonly clock: HandClock;
--- a/test/forward/lingering.test.ts
+++ b/test/forward/lingering.test.ts
@@ -2,53 +2,12 @@
  * The end of a connection reaches its client behind the whole answer, also where the client still sends: a socket that is
  * closed over unread bytes is reset, and a client takes that for the end before it has read.
  */
-import type { Socket } from 'node:net';
 import { expect, test } from 'vitest';
-import { eventually, HandClock, turns } from './clock.js';
-import {
-  callerLine,
-  openScripted,
-  requestText,
-  sized,
-  type CallerLine,
-  type Exchange,
-  type ScriptedStage,
-} from './scripted.js';
+import { eventually, turns } from './clock.js';
+import { requestText, type CallerLine } from './scripted.js';
+import { answer, openScene, statuses, written } from './scene.js';
 import { expectNoViolation } from './stage.js';
 
-const once = { kind: 'non_idempotent', timeout: 20_000 } as const;
-
-interface Scene {
-  readonly stage: ScriptedStage;
-  readonly clock: HandClock;
-  readonly line: CallerLine;
-  /** Requests that the engine was asked, which the test answers. */
-  readonly asked: readonly Exchange[];
-  /** The server's ends of the connections. */
-  readonly sockets: readonly Socket[];
-}
-
-const open = async (): Promise<Scene> => {
-  const clock = new HandClock();
-  const asked: Exchange[] = [];
-  const stage = await openScripted({
-    scripts: [(exchange) => void asked.push(exchange)],
-    route: once,
-    clock,
-  });
-  const sockets: Socket[] = [];
-  stage.face['server'].on('connection', (socket: Socket) => sockets.push(socket));
-  return { stage, clock, line: callerLine(stage.address), asked, sockets };
-};
-
-const answer = (exchange: Exchange): void => void exchange.socket.write(sized(exchange));
-
-const statuses = ({ reader }: CallerLine): Array<readonly [number, boolean]> =>
-  reader.answers.map(({ status, complete }) => [status, complete]);
-
-const written = (socket: Socket, text: string): Promise<void> =>
-  new Promise((resolve) => socket.write(text, () => resolve()));
-
 /** A client that takes a failed write for the end of its connection, and reads only once it has sent all. */
 const readsAfterSending = (line: CallerLine): void => void line.socket.pause();
 
@@ -58,7 +17,7 @@
   ['an unknown route, in chunks', '/nowhere/', 'Transfer-Encoding: chunked'],
 ] as const)
   test(`a refusal reaches a client that still sends: ${what}`, async () => {
-    const { stage, line, sockets } = await open();
+    const { stage, line, sockets } = await openScene();
     readsAfterSending(line);
     line.send(requestText('a').replace('/a/', target).replace('Content-Length: 0', head));
     await eventually(() => stage.taken.count === 1 && stage.forwarder.open === 0);
@@ -78,7 +37,7 @@
   });
 
 test('an answer that ends its connection reaches a client that has sent more behind it', async () => {
-  const { stage, line, asked, sockets } = await open();
+  const { stage, line, asked, sockets } = await openScene();
   readsAfterSending(line);
   line.send(requestText('a', '', ['Connection: close']));
   await eventually(() => asked.length === 1);
@@ -97,7 +56,7 @@
 });
 
 test('an answer ahead of bytes that are no request reaches a client that goes on sending them', async () => {
-  const { stage, line, asked } = await open();
+  const { stage, line, asked } = await openScene();
   readsAfterSending(line);
   line.send(requestText('a'));
   await eventually(() => asked.length === 1);
@@ -116,7 +75,7 @@
 });
 
 test('a client that neither reads to the end nor leaves does not hold a closed connection for good', async () => {
-  const { line, asked, sockets, clock } = await open();
+  const { line, asked, sockets, clock } = await openScene();
   line.socket.allowHalfOpen = true;
   line.send(requestText('a', '', ['Connection: close']));
   await eventually(() => asked.length === 1);
--- a/test/forward/stop-steps.test.ts
+++ b/test/forward/stop-steps.test.ts
@@ -1,51 +1,12 @@
 /**
  * A planned stop at each step of a request: whatever was read whole is answered, also behind another on its connection.
  */
-import type { Socket } from 'node:net';
 import { expect, test } from 'vitest';
-import { eventually, HandClock, turns } from './clock.js';
-import {
-  answerHead,
-  callerLine,
-  openScripted,
-  requestText,
-  sized,
-  type CallerLine,
-  type Exchange,
-  type ScriptedStage,
-} from './scripted.js';
+import { eventually, turns } from './clock.js';
+import { answerHead, requestText } from './scripted.js';
+import { answer, openScene, statuses, type Scene } from './scene.js';
 import { expectNoViolation } from './stage.js';
 
-const once = { kind: 'non_idempotent', timeout: 20_000 } as const;
-
-interface Scene {
-  readonly stage: ScriptedStage;
-  readonly clock: HandClock;
-  readonly line: CallerLine;
-  /** Requests that the engine was asked, which the test answers. */
-  readonly asked: readonly Exchange[];
-  /** The server's ends of the connections. */
-  readonly sockets: readonly Socket[];
-}
-
-const open = async (): Promise<Scene> => {
-  const clock = new HandClock();
-  const asked: Exchange[] = [];
-  const stage = await openScripted({
-    scripts: [(exchange) => void asked.push(exchange)],
-    route: once,
-    clock,
-  });
-  const sockets: Socket[] = [];
-  stage.face['server'].on('connection', (socket: Socket) => sockets.push(socket));
-  return { stage, clock, line: callerLine(stage.address), asked, sockets };
-};
-
-const answer = (exchange: Exchange): void => void exchange.socket.write(sized(exchange));
-
-const statuses = ({ reader }: CallerLine): Array<readonly [number, boolean]> =>
-  reader.answers.map(({ status, complete }) => [status, complete]);
-
 /** The stop as the daemon runs it, without the time that it gives in between. */
 const halt = ({ stage }: Scene): void => {
   stage.face.retire();
@@ -71,7 +32,7 @@
   ],
 ] as const)
   test(`a request sent ahead of the answer under way is answered too, when it comes ${when}`, async () => {
-    const scene = await open();
+    const scene = await openScene();
     const { stage, line, asked } = scene;
     line.send(requestText('a'));
     await eventually(() => asked.length === 1);
@@ -91,7 +52,7 @@
   });
 
 test('nothing is begun behind an answer that has told its connection of the stop', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, asked } = scene;
   line.send(requestText('a'));
   await eventually(() => asked.length === 1);
@@ -111,7 +72,7 @@
 });
 
 test('a stop ends no connection whose header is half in, while there is time', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { line, asked, sockets } = scene;
   const text = requestText('a');
   line.send(text.slice(0, 20));
@@ -129,7 +90,7 @@
 });
 
 test('a connection that came up and said nothing holds a stop no longer than the others', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, sockets } = scene;
   await eventually(() => sockets.length === 1);
   halt(scene);
@@ -140,7 +101,7 @@
 });
 
 test('a request that comes while other faces close is not begun and then cut', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, asked, sockets } = scene;
   await eventually(() => sockets.length === 1);
   halt(scene);
@@ -155,7 +116,7 @@
 });
 
 test('a stop waits for a client that still sends behind its refusal', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { line } = scene;
   line.socket.pause();
   line.send(requestText('a').replace('/a/', '/nowhere/').replace('Length: 0', 'Length: 400000'));
@@ -177,7 +138,7 @@
 });
 
 test('a header that never comes whole holds a stop no longer than its time', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, clock, sockets } = scene;
   line.send(requestText('a').slice(0, 20));
   await eventually(() => sockets.length === 1 && sockets[0]!.bytesRead === 20);
@@ -195,7 +156,7 @@
 });
 
 test('a request whose body is half in at a stop is answered', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, asked } = scene;
   const text = requestText('a', 'body');
   line.send(text.slice(0, -2));
@@ -213,7 +174,7 @@
 });
 
 test('a request in the middle of its answer at a stop is answered to its end', async () => {
-  const scene = await open();
+  const scene = await openScene();
   const { stage, line, asked } = scene;
   line.send(requestText('a'));
   await eventually(() => asked.length === 1);
