The hash of bytes is imported from where it stands

document.ts went on exporting digestOf and Digest after they moved to hash.ts, so one function had two homes.

--- a/src/api/configurator.ts
+++ b/src/api/configurator.ts
@@ -11,12 +11,8 @@
 import type { Acceptance } from '../lease/acceptance.js';
 import { Feed } from '../register/calls.js';
 import type { Verdict } from '../register/change.js';
-import {
-  decodeDocument,
-  digestOf,
-  type ConfigureAct,
-  type Document,
-} from '../register/document.js';
+import { decodeDocument, type ConfigureAct, type Document } from '../register/document.js';
+import { digestOf } from '../register/hash.js';
 import { patienceOf } from '../register/contact.js';
 import { gather, sound } from '../register/gather.js';
 import type { Proposer } from '../register/proposer.js';
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -9,7 +9,7 @@
 import { setTimeout as pause } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { request } from 'undici';
-import { digestOf } from '../register/document.js';
+import { digestOf } from '../register/hash.js';
 import type { Schemas } from '../api/schema.js';
 import { operate } from '../client/operate.js';
 import type { Listed } from '../pool/engine.js';
--- a/src/node/keys.ts
+++ b/src/node/keys.ts
@@ -1,5 +1,5 @@
 /** Keys of callers and operators, known only by their hashes; swapped whole on reload. */
-import { digestOf } from '../register/document.js';
+import { digestOf } from '../register/hash.js';
 import type { Params } from '../params/shape.js';
 import { keyTable } from '../params/read.js';
 
--- a/src/pool/news.ts
+++ b/src/pool/news.ts
@@ -14,7 +14,7 @@
 import type { Log } from '../kernel/log/log.js';
 import type { Random } from '../kernel/random/random.js';
 import { holders } from '../duty/rendezvous.js';
-import { digestOf } from '../register/document.js';
+import { digestOf } from '../register/hash.js';
 import { HEADS, type View } from '../view/view.js';
 import { call } from '../wire/call.js';
 import { blob, number, struct, text } from '../wire/field.js';
--- a/src/register/acceptor.ts
+++ b/src/register/acceptor.ts
@@ -5,7 +5,8 @@
  */
 import { compareBallots, FIRST, type Ballot } from './ballot.js';
 import type { Chain } from './chain.js';
-import { voterSetDigest, type VoterSet, type Digest } from './document.js';
+import { voterSetDigest, type VoterSet } from './document.js';
+import type { Digest } from './hash.js';
 import { documentDigest } from './document-digest.js';
 import type { Filed } from './store.js';
 
--- a/src/register/delta.ts
+++ b/src/register/delta.ts
@@ -7,7 +7,8 @@
 import { differenceOf } from '../route/difference.js';
 import type { Configuration } from '../route/shape.js';
 import { failed, type Outcome } from '../kernel/fault/fault.js';
-import type { Digest, Document } from './document.js';
+import type { Document } from './document.js';
+import type { Digest } from './hash.js';
 import { documentDigest } from './document-digest.js';
 import { documentWork } from './document-work.js';
 
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -13,7 +13,6 @@
 
 export type Revision = number;
 export type ChangeId = string;
-export { digestOf, type Digest };
 
 export interface Voter {
   readonly id: string;
--- a/src/register/member-progress.ts
+++ b/src/register/member-progress.ts
@@ -1,6 +1,6 @@
 /** What a member of the register shows of itself to those who watch that it never goes back. */
 import type { Ballot } from './ballot.js';
-import type { Digest } from './document.js';
+import type { Digest } from './hash.js';
 
 /** How far a member is, for those who watch that it never goes back. */
 export interface MemberProgress {
--- a/src/register/register-invariants.ts
+++ b/src/register/register-invariants.ts
@@ -5,7 +5,8 @@
  */
 import type { Log } from '../kernel/log/log.js';
 import { Violations } from '../monitor/violations.js';
-import type { Digest, Revision } from './document.js';
+import type { Revision } from './document.js';
+import type { Digest } from './hash.js';
 import { ProgressCheck, type ProgressInvariant } from './progress-check.js';
 import type { MemberProgress } from './member-progress.js';
 
--- a/src/register/repair.ts
+++ b/src/register/repair.ts
@@ -11,7 +11,7 @@
 import { shuffled, type Random } from '../kernel/random/random.js';
 import type { Peers } from '../wire/peers.js';
 import { History } from './calls.js';
-import { digestOf } from './document.js';
+import { digestOf } from './hash.js';
 import type { Member } from './member.js';
 import type { VoterDirectory } from './voter-directory.js';
 
--- a/src/register/round-value.ts
+++ b/src/register/round-value.ts
@@ -8,7 +8,8 @@
 import { failed, type Outcome } from '../kernel/fault/fault.js';
 import { compareBallots, FIRST } from './ballot.js';
 import type { PrepareReply } from './calls.js';
-import { decodeDocument, type Digest, type Document } from './document.js';
+import { decodeDocument, type Document } from './document.js';
+import type { Digest } from './hash.js';
 import { documentDigest } from './document-digest.js';
 
 /** The value that a round builds upon, and whether it is sure to have been chosen. */
--- a/src/register/voting.ts
+++ b/src/register/voting.ts
@@ -17,13 +17,8 @@
   type PrepareReply,
 } from './calls.js';
 import { applyDelta } from './delta.js';
-import {
-  decodeDocument,
-  encodeDocument,
-  type Digest,
-  type Document,
-  type VoterSet,
-} from './document.js';
+import { decodeDocument, encodeDocument, type Document, type VoterSet } from './document.js';
+import type { Digest } from './hash.js';
 import { documentDigest } from './document-digest.js';
 import type { Replica } from './replica.js';
 import type { Filed } from './store.js';
--- a/test/checker/bootstrap-takeover.test.ts
+++ b/test/checker/bootstrap-takeover.test.ts
@@ -6,7 +6,7 @@
 import { BootstrapAccept } from '../../src/register/bootstrap/calls.js';
 import type { Ballot } from '../../src/register/ballot.js';
 import { Form } from '../../src/register/calls.js';
-import { digestOf } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 import { unseal } from '../../src/register/store.js';
 import { decodeFrame } from '../../src/wire/call.js';
 import { addressOf, Machines } from './machines.js';
--- a/test/checker/delta.test.ts
+++ b/test/checker/delta.test.ts
@@ -9,12 +9,12 @@
 import { Feed } from '../../src/register/calls.js';
 import {
   decodeDocument,
-  digestOf,
   encodeDocument,
   genesis,
   type Act,
   type Document,
 } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 import { documentDigest } from '../../src/register/document-digest.js';
 import { configurationOf, patchOf } from '../../src/fleet/slopes/items.js';
 import { ControlPlane } from '../../src/fleet/slopes/plane.js';
--- a/test/checker/machines.ts
+++ b/test/checker/machines.ts
@@ -2,7 +2,8 @@
  * Core machines of a simulated fleet that come, go and lose their disks, with a client that changes the configuration and
  * judges: at no time two groups, no acknowledged change lost, changes acknowledged again within a bound.
  */
-import { digestOf, type VoterSet } from '../../src/register/document.js';
+import { type VoterSet } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import { simBase, simCore, type SimBase, type SimCore, type SimSite } from '../../src/sim/nodes.js';
 import { World } from '../../src/sim/world.js';
--- a/test/checker/repair.test.ts
+++ b/test/checker/repair.test.ts
@@ -1,11 +1,7 @@
 /** Repair of histories: a member that was away, one whose files spoil on the disk, one that holds what was never chosen. */
 import { expect, test } from 'vitest';
-import {
-  decodeDocument,
-  digestOf,
-  encodeDocument,
-  type Change,
-} from '../../src/register/document.js';
+import { decodeDocument, encodeDocument, type Change } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 import { documentDigest } from '../../src/register/document-digest.js';
 import { simBase, simCore, type SimCore } from '../../src/sim/nodes.js';
 import { SimDisk } from '../../src/sim/disk.js';
--- a/test/process/path.test.ts
+++ b/test/process/path.test.ts
@@ -9,7 +9,7 @@
 import { operate } from '../../src/client/operate.js';
 import { callerKey, Fleet, operatorKey } from '../../src/fleet/fleet.js';
 import { parseAddress } from '../../src/kernel/net/net.js';
-import { digestOf } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 import { State } from '../../src/register/calls.js';
 import { encodeFrame, HELLO, helloField, Stage } from '../../src/wire/call.js';
 import { encode } from '../../src/wire/field.js';
--- a/test/process/starting.test.ts
+++ b/test/process/starting.test.ts
@@ -8,7 +8,7 @@
 import { afterEach, expect, test } from 'vitest';
 import { operate } from '../../src/client/operate.js';
 import { freePorts, operatorKey } from '../../src/fleet/fleet.js';
-import { digestOf } from '../../src/register/document.js';
+import { digestOf } from '../../src/register/hash.js';
 
 const children: ChildProcess[] = [];
 afterEach(() => {
