--- a/review/stand/world.mjs
+++ b/review/stand/world.mjs
@@ -138,14 +138,14 @@
   }
 
   /** Puts a configuration in place as the operator does: again and again, at one core machine after the other. */
-  async configure(configuration, builtOn, limit = 15_000) {
+  async configure(configuration, builtOn, { method = 'PUT', limit = 15_000 } = {}) {
     let call = 0;
     return until('the configuration is acknowledged', limit, async () => {
       const answer = await send(
         {
           host: this.host(1 + (call++ % this.cores)),
           port: PORTS.control,
-          method: 'PUT',
+          method,
           path: '/-/configuration',
           headers: { 'If-Match': String(builtOn), 'Content-Type': 'application/json' },
         },
@@ -156,6 +156,15 @@
     });
   }
 
+  /** Reads the configuration at a core machine until it is told. */
+  readConfiguration(core = 1) {
+    const asked = { host: this.host(core), port: PORTS.control, path: '/-/configuration' };
+    return until('the configuration is read', 5000, async () => {
+      const answer = await send(asked, undefined, 1000).catch(() => ({ status: 0 }));
+      return answer.status === 200 && JSON.parse(answer.body.toString());
+    });
+  }
+
   /** Waits until a router says that it is ready. */
   ready(router = 1, limit = 15_000) {
     const asked = { host: this.host(10 + router), port: PORTS.readiness, path: '/-/ready' };
