--- a/review/stand/world.mjs
+++ b/review/stand/world.mjs
@@ -89,6 +89,7 @@
   constructor({ cores = 3, routers = 1 } = {}) {
     this.cores = cores;
     this.routers = routers;
+    this.toleratedMachines = 1;
     this.instances = [];
     this.processes = new Map();
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -238,7 +239,7 @@
 link_speed_mbps = 1000.0
 disk_mb = ${isCore ? 128 : 0}
 [tolerated_losses]
-machines = 1
+machines = ${this.toleratedMachines}
 zones = 0
 regions = 0
 [bounds]
