--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,71 +1,67 @@
 /**
- * The operator puts a configuration with tenants in place, and changes it by a PATCH that is acknowledged. What is read
- * back must be what was sent: the old configuration with the named items replaced, added and removed.
+ * Clients send requests whose header has many small fields, well inside `max_header_bytes`. The engine notes what it
+ * runs; its body and its fields must be the client's.
  */
-import { isDeepStrictEqual } from 'node:util';
-import { configurationOf, runCase, sleep } from '../stand/world.mjs';
+import { createHash, randomBytes } from 'node:crypto';
+import { Engine, answerWhole, configurationOf, openRaw, runCase, until } from '../stand/world.mjs';
 
-const APPLY_MS = 2000;
+const REQUESTS = 6;
+const MAX_HEADER_BYTES = 16_384;
+const FEW = 20;
+const MANY = 1500;
 
-const TENANTS = [
-  { name: 'nowu640', api_keys: ['key-1', 'key-2'], priority: 1 },
-  { name: 'goka901', api_keys: ['key-3'], priority: 1 },
-];
+const digestOf = (bytes) => createHash('sha256').update(bytes).digest('hex').slice(0, 16);
 
-/** One key is taken away, a tenant leaves and another one comes. */
-const REVOKED = {
-  set: [
-    { name: 'nowu640', api_keys: ['key-1'], priority: 1 },
-    { name: 'suri117', api_keys: ['key-4'], priority: 1 },
-  ],
-  removed: ['goka901'],
-};
-
-const patched = (items, set, removed) => {
-  const byName = new Map(items.map((item) => [item.name, item]));
-  for (const name of removed) byName.delete(name);
-  for (const item of set) byName.set(item.name, item);
-  return [...byName.values()];
-};
-
-const byName = (items) => [...(items ?? [])].sort((one, other) => (one.name < other.name ? -1 : 1));
-
-const isSame = (one, other, kinds) =>
-  one.version === other.version &&
-  kinds.every((kind) => isDeepStrictEqual(byName(one[kind]), byName(other[kind])));
+const headOf = (id, fields, bytes) =>
+  [
+    'POST /once/draft HTTP/1.1',
+    'Host: planner.example',
+    `Rudderridge-Request-Id: ${id}`,
+    'Rudderridge-Deadline-Milliseconds: 5000',
+    ...Array.from({ length: fields }, (_, at) => `x-${at}: 1`),
+    'Rudderridge-Model: m',
+    'Rudderridge-Token-Counts: 1460,80',
+    `Content-Length: ${bytes}`,
+    '\r\n',
+  ].join('\r\n');
 
 await runCase(import.meta.dirname, async (world, isTroubled, note) => {
   await world.start();
-  const kinds = ['routes', 'services', 'tenants'];
-  const before = { ...configurationOf(2), tenants: TENANTS };
-  await world.configure(before, 0);
-  const first = await world.readConfiguration();
-  note(`sent version 2 whole, acknowledged; read back: ${JSON.stringify(first.tenants)}`);
-  if (!isSame(first, before, kinds)) return 'CONFIG: what was put whole is not read back';
-
-  const changedRoute = { ...before.routes[0], timeout_ms: 9000 };
-  const patch = isTroubled
-    ? {
-        version: 3,
-        set_items: { tenants: REVOKED.set },
-        remove_names: { tenants: REVOKED.removed },
-      }
-    : { version: 3, set_items: { routes: [changedRoute] }, remove_names: { routes: ['again'] } };
-  const expected = isTroubled
-    ? { ...before, version: 3, tenants: patched(TENANTS, REVOKED.set, REVOKED.removed) }
-    : { ...before, version: 3, routes: patched(before.routes, [changedRoute], ['again']) };
-  await world.configure(patch, 2, { method: 'PATCH' });
-  note(`sent version 3 as a patch, acknowledged: ${JSON.stringify(patch)}`);
-
-  await sleep(APPLY_MS);
-  const wrong = [];
-  for (let core = 1; core <= world.cores; core++) {
-    const read = await world.readConfiguration(core);
-    note(`read at core ${core}: version ${read.version}, tenants ${JSON.stringify(read.tenants)}`);
-    if (!isSame(read, expected, kinds)) wrong.push(core);
+  const engine = await new Engine(world, 1, answerWhole).start();
+  await world.configure(configurationOf(2), 0);
+  await world.ready();
+  const changed = [];
+  for (let number = 1; number <= REQUESTS; number++) {
+    const id = `request-${number}`;
+    const body = randomBytes(2000);
+    const head = headOf(id, isTroubled ? MANY : FEW, body.length);
+    if (head.length > MAX_HEADER_BYTES) throw new Error('the header is over the limit');
+    const client = await openRaw(world.front());
+    client.socket.write(head, 'latin1');
+    client.socket.write(body);
+    await until(
+      `${id} is answered`,
+      6000,
+      () => client.closed || client.received.includes('\r\n\r\n'),
+    );
+    const status = client.received.split('\r\n', 1)[0];
+    client.socket.destroy();
+    const run = engine.runs.find((each) => each.id === id);
+    note(
+      `sent ${id}: header of ${head.length} bytes, body of ${body.length} bytes, sha256 ${digestOf(body)}`,
+    );
+    note(`answered ${id}: ${status}`);
+    if (!run) continue;
+    const { headers } = run;
+    note(
+      `run ${id}: ${run.line}, body of ${run.body.length} bytes, sha256 ${digestOf(run.body)}, ` +
+        `model ${headers['rudderridge-model']}, counts ${headers['rudderridge-token-counts']}`,
+    );
+    if (digestOf(run.body) !== digestOf(body) || headers['rudderridge-model'] !== 'm')
+      changed.push(id);
   }
+  engine.stop();
   return (
-    wrong.length > 0 &&
-    `CONFIG: what is read back under version 3 differs from what was sent, at core ${wrong.join(', ')}`
+    changed.length > 0 && `UNASKED: an engine ran with another body or model: ${changed.join(' ')}`
   );
 });
