--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -40,6 +40,8 @@
   await world.configure(configurationOf(2), 0);
   await world.ready(1);
   await world.ready(2);
+  const first = memoryOf(world.processes.get('router-11').pid);
+  if (!(first > 0)) throw new Error('this machine does not tell the memory of a process');
 
   const ends = [];
   let peak = 0;
