--- a/review/stand/world.mjs
+++ b/review/stand/world.mjs
@@ -119,6 +119,7 @@
 
   /** Starts a process; it is not restarted when it ends. */
   run(role, number, isFirst = false) {
+    if (this.isStopping) return undefined;
     const name = `${role}-${number}`;
     const file = join(this.folder, `${name}.toml`);
     writeFileSync(file, this.settings(role, number, isFirst));
@@ -181,6 +182,7 @@
 
   /** Ends all processes that were started here. */
   async stop() {
+    this.isStopping = true;
     const living = [...this.processes.values()].filter(({ ended }) => !ended);
     for (const child of living) {
       child.kill('SIGCONT');
