--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 for module in world.mjs [1-5]/case.mjs; do
-  [ -e "$module" ] && node --check "$module"
+  node --check "$module"
 done
-exit 0
--- a/review/world.mjs
+++ b/review/world.mjs
@@ -21,6 +21,8 @@
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
 const PLATFORM_HOST = 250;
+/** The memory of each machine. */
+export const MEMORY_MB = 350;
 const PORTS = { control: 8262, front: 8263, platform: 8266, readiness: 8268, engine: 8080 };
 
 export const EXIT = { held: 0, broken: 1, notRun: 2 };
@@ -86,10 +88,22 @@
 
 /** The processes of a deployment and its platform. */
 export class World {
-  constructor({ cores = 3, routers = 1 } = {}) {
+  /**
+   * `tolerated` is what may be lost at once; `zones` names the zone of each core machine in turn, and routers stand in the
+   * first one; `seeds` are numbers of core machines.
+   */
+  constructor({
+    cores = 3,
+    routers = 1,
+    tolerated = { machines: 1, zones: 0 },
+    zones = ['marka', 'sahab', 'abdali'],
+    seeds = [1, 2, 3],
+  } = {}) {
     this.cores = cores;
     this.routers = routers;
-    this.toleratedMachines = 1;
+    this.tolerated = tolerated;
+    this.zones = zones;
+    this.seeds = seeds;
     this.instances = [];
     this.processes = new Map();
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
@@ -167,6 +181,12 @@
     });
   }
 
+  /** Asks one core machine for the configuration, once. */
+  askConfiguration(core) {
+    const asked = { host: this.host(core), port: PORTS.control, path: '/-/configuration' };
+    return send(asked, undefined, 1000).catch(() => ({ status: 0 }));
+  }
+
   /** Waits until a router says that it is ready. */
   ready(router = 1, limit = 15_000) {
     const asked = { host: this.host(10 + router), port: PORTS.readiness, path: '/-/ready' };
@@ -176,6 +196,20 @@
     });
   }
 
+  /** Kills a process and waits for its end. */
+  async kill(name) {
+    const child = this.processes.get(name);
+    child.kill('SIGKILL');
+    await until(`${name} has ended`, 5000, () => child.ended);
+  }
+
+  /** Empties the disk of a core machine whose process has ended. */
+  loseDisk(core) {
+    const folder = join(this.folder, `core-${core}`);
+    rmSync(folder, { recursive: true, force: true });
+    mkdirSync(folder);
+  }
+
   log(name) {
     return readFileSync(join(this.folder, `${name}.log`), 'utf8');
   }
@@ -206,10 +240,9 @@
     const host = this.host(number);
     const folder = join(this.folder, `${role}-${number}`);
     if (isCore) mkdirSync(folder, { recursive: true });
-    const seeds = Array.from(
-      { length: this.cores },
-      (_, at) => `"${this.host(at + 1)}:${PORTS.control}"`,
-    );
+    const seeds = this.seeds.map((core) => `"${this.host(core)}:${PORTS.control}"`);
+    const zone = isCore ? this.zones[(number - 1) % this.zones.length] : this.zones[0];
+    const zones = [...new Set(this.zones)].map((name) => `${name} = "amman"`);
     const listen = isCore
       ? `control = "${host}:${PORTS.control}"`
       : `front = "${host}:${PORTS.front}"\nreadiness = "${host}:${PORTS.readiness}"`;
@@ -218,7 +251,7 @@
 machine_class = "${isCore ? 'core' : 'front'}"
 serves = ["${isCore ? 'control' : 'front'}"]
 ip_address = "${host}"
-zone = "marka"
+zone = "${zone}"
 region = "amman"
 internal_port_range = [7300,7315]
 seed_addresses = [${seeds.join(',')}]
@@ -230,19 +263,19 @@
 active_contracts = ["base","drain","config","cost","retry","recover","engine","stream"]
 ${isCore ? `data_directory = "${folder}"` : ''}
 [zones]
-marka = "amman"
+${zones.join('\n')}
 [listen_addresses]
 ${listen}
 [limits]
 processor_share = 0.675
 processor_cores = 1
-memory_mb = 350
+memory_mb = ${MEMORY_MB}
 file_descriptors = 4100
 link_speed_mbps = 1000.0
 disk_mb = ${isCore ? 128 : 0}
 [tolerated_losses]
-machines = ${this.toleratedMachines}
-zones = 0
+machines = ${this.tolerated.machines}
+zones = ${this.tolerated.zones}
 regions = 0
 [bounds]
 seed_lag_s = 3
@@ -408,11 +441,11 @@
 };
 
 /** Runs a case: writes its record, and ends with the code that its verdict asks for. */
-export const runCase = async (folder, play) => {
+export const runCase = async (folder, play, setting = {}) => {
   const lines = [];
   const note = (line) => void lines.push(line);
   const isTroubled = process.env.TROUBLE !== '0';
-  const world = new World();
+  const world = new World(setting);
   const overdue = setTimeout(() => finish(EXIT.notRun, 'the case took too long'), 110_000);
   const finish = async (code, reason) => {
     clearTimeout(overdue);
