--- a/src/api/operations/core-set.ts
+++ b/src/api/operations/core-set.ts
@@ -86,7 +86,7 @@
       PEER_TIMEOUT_MS,
     );
     if (state.isLeft()) return state;
-    const { member, vote, reason, revision, committed: held } = state.unsafeCoerce();
+    const { member, vote, reason, revision, committed: held, zone, region } = state.unsafeCoerce();
     if (vote === 'recovering' || vote === 'disqualified')
       return failed('core.addVoter', address, `can not vote: ${reason}`);
     const newest = committed.unsafeCoerce();
@@ -99,7 +99,7 @@
     return this.changes.submit(
       operator,
       change,
-      { kind: 'addVoter', voter: { id: member, address }, expects },
+      { kind: 'addVoter', voter: { id: member, address, zone, region }, expects },
       wait,
     );
   }
--- a/src/node/metrics.ts
+++ b/src/node/metrics.ts
@@ -5,6 +5,7 @@
 import type { Journal } from '../kernel/journal/journal.js';
 import type { Violations } from '../monitor/violations.js';
 import type { PassageEvent } from '../passage/chart.js';
+import type { Losses } from '../register/failure-domains.js';
 import type { FeedStatus } from '../register/feed-status.js';
 import type { VoterReplacement } from '../register/replacement.js';
 
@@ -84,11 +85,33 @@
   );
 };
 
-/** What a core machine sees of the voters; nothing before it has started. */
-export const voterMetrics = (
+type VotersSeen = Pick<
+  VoterReplacement,
+  'voters' | 'redundancy' | 'readyLearners' | 'toleratedLosses' | 'bearableLosses'
+>;
+
+const LOSS_KINDS = ['machines', 'zones', 'regions'] as const;
+
+/** Registers a gauge with a value for each kind of loss. */
+const lossesGauge = (
   registry: Registry,
-  seen: () => Pick<VoterReplacement, 'voters' | 'redundancy' | 'readyLearners'> | undefined,
+  name: string,
+  help: string,
+  read: () => Losses | undefined,
 ): void => {
+  const made: Gauge = new Gauge({
+    name: `rudderridge_${name}`,
+    help,
+    labelNames: ['kind'],
+    registers: [registry],
+    collect: () => {
+      for (const kind of LOSS_KINDS) made.set({ kind }, read()?.[kind] ?? 0);
+    },
+  });
+};
+
+/** What a core machine sees of the voters; nothing before it has started. */
+export const voterMetrics = (registry: Registry, seen: () => VotersSeen | undefined): void => {
   gauge(registry, 'voters', 'Voters of the core', () => seen()?.voters ?? 0);
   gauge(
     registry,
@@ -102,6 +125,18 @@
     'Core machines without a vote that hold the newest committed revision',
     () => seen()?.readyLearners ?? 0,
   );
+  lossesGauge(
+    registry,
+    'losses_tolerated',
+    'Losses at the same time that the voters are to bear, by kind',
+    () => seen()?.toleratedLosses,
+  );
+  lossesGauge(
+    registry,
+    'losses_bearable',
+    'Losses at the same time that the voters bear where they stand, by kind, as this member last saw',
+    () => seen()?.bearableLosses,
+  );
 };
 
 /** Counts the outcomes and retries of requests from their journal. */
--- a/src/params/shape.ts
+++ b/src/params/shape.ts
@@ -5,6 +5,7 @@
   Literal,
   Number as Numeric,
   Object as Shape,
+  Record as Dictionary,
   String as Text,
   Union,
   type Static,
@@ -42,6 +43,9 @@
       `expected a whole number from ${least} to ${most}`,
   ) as unknown as typeof Numeric;
 
+/** More losses than any sheet could ask for. */
+const MOST_LOSSES = 1000;
+
 const LAPSES: readonly string[] = ['stop', 'serve'];
 const Lapse = Text.withConstraint<'stop' | 'serve'>(
   (value) => LAPSES.includes(value) || `expected one of ${LAPSES.join(', ')}`,
@@ -61,6 +65,9 @@
   fleet: Name,
   name: Name,
   zone: Name,
+  region: Name,
+  /** The region of each zone of the deployment, as far as that is told. */
+  layout: Dictionary(Text, Name),
   listen: Shape({
     callers: AddressOrNone,
     operators: Address,
@@ -129,6 +136,11 @@
   core: Shape({
     replaceAfter: between(0, 86_400_000),
     wanted: whole(0, 9),
+    tolerates: Shape({
+      machines: whole(0, MOST_LOSSES),
+      zones: whole(0, MOST_LOSSES),
+      regions: whole(0, MOST_LOSSES),
+    }).exact(),
     keep: whole(0, 1_000_000),
     keepBytes: whole(0, Number.MAX_SAFE_INTEGER),
     stall: between(50, 60_000),
@@ -147,6 +159,8 @@
 const defaults = {
   fleet: 'rudderridge',
   zone: 'zone-1',
+  region: 'region-1',
+  layout: {},
   listen: {
     callers: '127.0.0.1:7080',
     operators: '127.0.0.1:7081',
@@ -184,7 +198,14 @@
   feed: { wait: 1000 },
   claims: { enabled: true },
   view: { every: 700 },
-  core: { replaceAfter: 30_000, wanted: 0, keep: 0, keepBytes: 0, stall: 1500 },
+  core: {
+    replaceAfter: 30_000,
+    wanted: 0,
+    tolerates: { machines: 0, zones: 0, regions: 0 },
+    keep: 0,
+    keepBytes: 0,
+    stall: 1500,
+  },
   drain: 7500,
   reread: 0,
 };
--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -21,6 +21,14 @@
 import { ballotText, compareBallots, type Ballot } from '../ballot.js';
 import { Form } from '../calls.js';
 import { decodeDocument, encodeDocument, genesis } from '../document.js';
+import {
+  domainsBeyond,
+  NO_LOSSES,
+  shortfall,
+  spanOf,
+  type Layout,
+  type Losses,
+} from '../failure-domains.js';
 import { gather, majority, sound } from '../gather.js';
 import type { Member } from '../member.js';
 import type { Proposer } from '../proposer.js';
@@ -35,7 +43,14 @@
   type BootstrapPrepareReply,
   type StatusReply,
 } from './calls.js';
-import { firstVoters, inOrder, planFor, type Plan, type Survey } from './evidence.js';
+import {
+  firstVoters,
+  inOrder,
+  planFor,
+  type Evidence,
+  type Plan,
+  type Survey,
+} from './evidence.js';
 
 const ASK_LIMIT = 1000;
 /** How long an attempt waits for machines that have not answered yet, once a majority could decide. */
@@ -50,6 +65,15 @@
 
 type Round = Extract<Plan, { kind: 'majority' | 'unanimous' }>;
 
+/** How many voters there should be, and what they are to bear. */
+interface VotersAsked {
+  readonly wanted: number;
+  readonly tolerated: Losses;
+}
+
+/** So many machines prove that there is no group, wherever they stand. */
+const evidenceOf = (machines: number): Evidence => ({ machines, zones: 1, regions: 1 });
+
 interface Promised {
   readonly address: string;
   readonly reply: BootstrapPrepareReply;
@@ -60,6 +84,10 @@
   readonly seeds: readonly string[];
   /** How many voters there should be; 0 for as many as there are seeds. */
   readonly wanted: number;
+  /** The losses that the voters are to bear. */
+  readonly tolerated: Losses;
+  /** The region of each zone of the deployment, as far as that is told. */
+  readonly layout: Layout;
   /** Whether the seeds are sure to be the same on all machines until the group is formed. */
   readonly fixedSeeds: boolean;
   /** Whether this is the first start of the whole system, so that an empty disk is a new one. */
@@ -107,8 +135,8 @@
   /** Forms the group as soon as that is safe, unless there is one. */
   async run(signal: AbortSignal): Promise<void> {
     const began = this.clock.now();
-    const { seeds, address, wanted, fixedSeeds } = this.options;
-    const evidence = fixedSeeds ? seeds.length : Math.max(wanted, seeds.length);
+    const { seeds, address, wanted, tolerated } = this.options;
+    const evidence = this.evidence();
     const rank = inOrder(seeds).indexOf(address);
     let waited = '';
     while (!signal.aborted && !this.over) {
@@ -126,13 +154,25 @@
         if (plan.reason !== waited) this.log('bootstrap-waits', [['reason', plan.reason]]);
         waited = plan.reason;
       } else if (due) {
-        const formed = await this.attempt(plan, survey, wanted);
+        const formed = await this.attempt(plan, survey, { wanted, tolerated });
         formed.ifLeft(({ reason }) => this.log('bootstrap-failed', [['reason', reason]]));
       }
       if (!this.over) await this.pause(signal);
     }
   }
 
+  /** What proves that there is no group: at the first start the seeds alone, since they are the same on all machines then. */
+  private evidence(): Evidence {
+    const { seeds, wanted, fixedSeeds, tolerated, layout } = this.options;
+    if (fixedSeeds) return evidenceOf(seeds.length);
+    const span = spanOf(layout);
+    return {
+      machines: Math.max(wanted, seeds.length),
+      zones: domainsBeyond(tolerated.zones, span.zones),
+      regions: domainsBeyond(tolerated.regions, span.regions),
+    };
+  }
+
   private pause(signal: AbortSignal): Promise<void> {
     return this.clock.sleep(PAUSE * (0.5 + this.random.fraction()), signal);
   }
@@ -148,13 +188,14 @@
         silent.join(' '),
         'all members must answer to form the core',
       );
-    const plan = planFor(this.options.address, ordered, ordered.length, survey);
+    const plan = planFor(this.options.address, ordered, evidenceOf(ordered.length), survey);
     if (plan.kind === 'formed')
       return failed('bootstrap.begin', plan.by, 'is already part of a formed core');
     if (plan.kind === 'wait') return failed('bootstrap.begin', 'core', plan.reason);
     if (plan.seeds.join() !== ordered.join())
       return failed('bootstrap.begin', 'core', 'a group of other members was begun there');
-    return this.attempt(plan, survey, wanted);
+    // The voters are those that the operator named.
+    return this.attempt(plan, survey, { wanted, tolerated: NO_LOSSES });
   }
 
   /** A group exists, and if this member is among the first voters, its first revision is known to be committed. */
@@ -165,11 +206,13 @@
       : this.voterDirectory.core.number > 0;
   }
 
-  private complete({ answers }: Survey): boolean {
-    const { seeds, wanted } = this.options;
-    return (
-      answers.size >= Math.max(seeds.length, wanted) && seeds.every((seed) => answers.has(seed))
-    );
+  /** Whether nothing is gained by waiting for further machines. */
+  private complete(survey: Survey): boolean {
+    const { answers } = survey;
+    const { seeds, wanted, tolerated } = this.options;
+    if (answers.size < Math.max(seeds.length, wanted)) return false;
+    if (!seeds.every((seed) => answers.has(seed))) return false;
+    return shortfall(firstVoters(seeds, wanted, tolerated, survey), tolerated) === 0;
   }
 
   private status(): StatusReply {
@@ -183,6 +226,7 @@
       seeds: role === 'none' ? [...this.options.seeds] : [...seeds],
       promised,
       core: JSON.stringify(this.member.knownCore),
+      ...this.member.location,
     };
   }
 
@@ -211,7 +255,11 @@
   }
 
   /** One round: promises, then a first revision that a majority of the seeds accepts, then the telling of it. */
-  private async attempt(round: Round, survey: Survey, wanted: number): Promise<Outcome<void>> {
+  private async attempt(
+    round: Round,
+    survey: Survey,
+    { wanted, tolerated }: VotersAsked,
+  ): Promise<Outcome<void>> {
     const { seeds } = round;
     const quorum = majority(seeds.length);
     const ballot = this.nextBallot(survey);
@@ -228,7 +276,7 @@
       encodeDocument(
         genesis(
           this.peers.self.fleet,
-          firstVoters(seeds, wanted, survey),
+          firstVoters(seeds, wanted, tolerated, survey),
           Math.max(wanted, seeds.length),
         ),
       );
--- a/src/register/bootstrap/calls.ts
+++ b/src/register/bootstrap/calls.ts
@@ -30,6 +30,8 @@
   promised: Ballot;
   /** The newest voter set that it knows to be committed, as JSON. */
   core: string;
+  zone: string;
+  region: string;
 }
 export const BootstrapStatus = call<StatusAsk, StatusReply>(
   96,
@@ -43,6 +45,8 @@
     seeds: list(text),
     promised: ballotField,
     core: text,
+    zone: text,
+    region: text,
   }),
 );
 
--- a/src/register/bootstrap/evidence.ts
+++ b/src/register/bootstrap/evidence.ts
@@ -1,5 +1,6 @@
 /** What the answers of the core machines say about forming the first group: whether it may be formed, by whom and how. */
 import type { VoterSet, Voter } from '../document.js';
+import { chooseVoters, spannedBy, type Location, type Losses } from '../failure-domains.js';
 import { majority } from '../gather.js';
 import type { StatusReply } from './calls.js';
 
@@ -10,6 +11,13 @@
   readonly answers: ReadonlyMap<string, StatusReply>;
 }
 
+/** How many machines without a trace of a vote prove that no group was formed, and in how many zones and regions they stand. */
+export interface Evidence {
+  readonly machines: number;
+  readonly zones: number;
+  readonly regions: number;
+}
+
 export type Plan =
   /** A group exists; nothing is to be formed. */
   | { readonly kind: 'formed'; readonly core: VoterSet; readonly by: string }
@@ -34,15 +42,31 @@
 const votesFor = (seeds: readonly string[], status: StatusReply | undefined): boolean =>
   status?.role === 'voter' && status.seeds.join() === seeds.join();
 
+/** Why so many seeds, where they stand, do not prove that there is no group; nothing where they do. */
+const lackOf = (
+  { machines, zones, regions }: Evidence,
+  seeds: readonly string[],
+  { answers }: Survey,
+): string => {
+  if (seeds.length < machines) return `only ${seeds.length} of ${machines} are known`;
+  const spanned = spannedBy(seeds.map((seed) => answers.get(seed)!));
+  if (spanned.zones < zones)
+    return `those that are known stand in ${spanned.zones} of at least ${zones} zones`;
+  return spanned.regions < regions
+    ? `those that are known stand in ${spanned.regions} of at least ${regions} regions`
+    : '';
+};
+
 /**
  * What may be done. Machines that are all without a trace of a vote are proof that no group was formed only when they are as
- * many as `evidence` says: any group that ever acknowledged a change would have left it on one of them, as long as no more
- * losses come at once than are tolerated.
+ * many, and stand in as many zones and regions, as `evidence` says: any group that ever acknowledged a change would have left
+ * it on one of them, as long as no more losses come at once than are tolerated. The machines of a zone that was lost whole
+ * prove nothing, however many they are.
  */
 export const planFor = (
   self: string,
   configured: readonly string[],
-  evidence: number,
+  evidence: Evidence,
   survey: Survey,
 ): Plan => {
   const { answers } = survey;
@@ -50,7 +74,8 @@
     if (formed) return { kind: 'formed', core: JSON.parse(core) as VoterSet, by: address };
   const bound = boundSeeds(self, survey);
   const seeds =
-    bound ?? inOrder(configured.length >= evidence ? configured : [...configured, ...survey.asked]);
+    bound ??
+    inOrder(configured.length >= evidence.machines ? configured : [...configured, ...survey.asked]);
   if (!seeds.includes(self)) return wait('not a seed');
   const voters = seeds.filter((seed) => votesFor(seeds, answers.get(seed)));
   if (voters.length >= majority(seeds.length))
@@ -59,8 +84,8 @@
       : wait('a majority of the seeds forms the group');
   const silent = seeds.filter((seed) => !answers.has(seed));
   if (silent.length > 0) return wait(`no answer from ${silent.join(' ')}`);
-  if (!bound && seeds.length < evidence)
-    return wait(`only ${seeds.length} of ${evidence} are known`);
+  const lack = bound ? '' : lackOf(evidence, seeds, survey);
+  if (lack) return wait(lack);
   const unfit = seeds.filter((seed) => {
     const { healthy, role } = answers.get(seed)!;
     return !healthy || role === 'disqualified';
@@ -69,19 +94,28 @@
   return { kind: 'unanimous', seeds };
 };
 
-/** The first voters: the seeds that answered, and others that did up to as many as are wanted. */
+/** Which of two machines that stand equally well is to be a voter. */
+const RANK = { seed: 0, other: 1 };
+
+/**
+ * The first voters, as many as are wanted where so many answered: those that bear most of the losses that are asked, and
+ * where no zone or region is to be borne, the seeds before others.
+ */
 export const firstVoters = (
   seeds: readonly string[],
   wanted: number,
+  tolerated: Losses,
   { answers }: Survey,
-): Voter[] => {
-  const fit = [...answers].filter(([, { healthy, formed }]) => healthy && !formed);
-  const voterOf = ([address, { member }]: readonly [string, StatusReply]): Voter => ({
-    id: member,
-    address,
-  });
-  const first = fit.filter(([address]) => seeds.includes(address)).map(voterOf);
-  const others = fit.filter(([address]) => !seeds.includes(address)).map(voterOf);
-  const vacant = Math.max(0, wanted - first.length);
-  return [...first, ...others.slice(0, vacant)].sort((a, b) => (a.id < b.id ? -1 : 1));
+): Array<Voter & Location> => {
+  const voters = [...answers]
+    .filter(([, { healthy, formed }]) => healthy && !formed)
+    .map(([address, { member, zone, region }]) => ({ id: member, address, zone, region }));
+  const candidates = voters.map(({ id, address, zone, region }) => ({
+    id,
+    location: { zone, region },
+    rank: seeds.includes(address) ? RANK.seed : RANK.other,
+  }));
+  const most = Math.max(wanted, seeds.length);
+  const chosen = new Set(chooseVoters(candidates, 1, most, tolerated).map(({ id }) => id));
+  return voters.filter(({ id }) => chosen.has(id)).sort((a, b) => (a.id < b.id ? -1 : 1));
 };
--- a/src/register/calls.ts
+++ b/src/register/calls.ts
@@ -112,6 +112,8 @@
   committed: number;
   core: string;
   whole: string;
+  zone: string;
+  region: string;
 }
 export const State = call<{ from: string }, StateReply>(
   4,
@@ -129,6 +131,8 @@
     committed: number,
     core: text,
     whole: text,
+    zone: text,
+    region: text,
   }),
 );
 
--- a/src/register/document.ts
+++ b/src/register/document.ts
@@ -17,6 +17,9 @@
 export interface Voter {
   readonly id: string;
   readonly address: string;
+  /** Where it stands; absent in revisions that earlier versions wrote. */
+  readonly zone?: string | undefined;
+  readonly region?: string | undefined;
 }
 
 export interface VoterSet {
@@ -24,6 +27,8 @@
   /** How many voters there should be; fewer members than this means that a newcomer may take one. */
   readonly wanted: number;
   readonly members: readonly Voter[];
+  /** The voter that the newest one took over from, which is to be removed next; absent where there is none. */
+  readonly replaced?: string | undefined;
 }
 
 /** A router that counts toward the majority that confirms for routers cut off from the core. */
--- a/src/register/member.ts
+++ b/src/register/member.ts
@@ -12,6 +12,7 @@
 import { State, type FeedItem, type StateReply, type VoteState } from './calls.js';
 import type { Chain } from './chain.js';
 import type { VoterSet, Document } from './document.js';
+import { NOWHERE, type Location } from './failure-domains.js';
 import { Followers } from './followers.js';
 import { FeedServer } from './feed-server.js';
 import { Learner } from './learner.js';
@@ -41,6 +42,8 @@
     log: Log,
     stall?: number,
     invariants?: RegisterInvariants,
+    /** Where this machine stands. */
+    readonly location: Location = NOWHERE,
   ) {
     this.replica = new Replica(store, clock, log, stall, invariants);
     this.learner = new Learner(this.replica);
@@ -125,6 +128,7 @@
       committed: chain.committed,
       core: JSON.stringify(this.knownCore),
       whole: this.wholeDigest,
+      ...this.location,
     };
   }
 
--- a/src/register/replacement.ts
+++ b/src/register/replacement.ts
@@ -13,7 +13,9 @@
  * that is disqualified since its disk lost what it had voted for, is removed once a learner is ready to take over and those
  * that are left and answer at that very look vote, hold the newest committed revision, and are a majority of what is left.
  * One that says that it stops is replaced without waiting for its silence: the learner is added first. A voter that is
- * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first.
+ * merely silent is kept while a third is gone for good, by its disk or as disqualified, which is removed first. Which change
+ * is due, and which learner it takes, is decided in `voter-change.ts`, so that the voters bear the losses of machines, zones
+ * and regions that they are to bear, as far as there are machines for that; what they do not bear is logged.
  *
  * One member does this, cut by rendezvous hashing over the voters that answer and vote; the next one where that does not,
  * as where it can't reach the learner. The number of the voter set fences it: of two who both think it is theirs only one
@@ -27,19 +29,25 @@
 import { flag, struct, text } from '../wire/field.js';
 import type { Peers } from '../wire/peers.js';
 import { State, Tip, type StateReply } from './calls.js';
-import type { Act, VoterSet, Voter } from './document.js';
+import type { VoterSet, Voter } from './document.js';
+import { NOWHERE, type Location, type Losses } from './failure-domains.js';
 import { gather, majority, sound } from './gather.js';
 import { VoterLiveness } from './liveness.js';
+import { LossesReport } from './losses-report.js';
 import type { Member } from './member.js';
 import type { Proposer } from './proposer.js';
 import { ChangeTurn } from './turn.js';
+import { dueChange, votelessBy, type Look, type VoterChange } from './voter-change.js';
 import type { VoterDirectory } from './voter-directory.js';
 
+/** A machine that could be a voter. */
+type Learner = Voter & Location;
+
 /** A learner tells the members where it is. */
-export const Announce = call<Voter, { heard: boolean }>(
+export const Announce = call<Learner, { heard: boolean }>(
   8,
   'register.announce',
-  struct<{ id: string; address: string }>({ id: text, address: text }),
+  struct<Learner>({ id: text, address: text, zone: text, region: text }),
   struct({ heard: flag }),
 );
 
@@ -51,6 +59,17 @@
   struct({ successor: flag }),
 );
 
+/**
+ * A voter tells the newest voter set, as JSON, to a machine that holds nothing and knows of no group: where a voter was, another
+ * disk may answer, and none of the seeds that it is told need know the group, as when all of them were lost with their zone.
+ */
+export const Introduce = call<{ core: string }, { heard: boolean }>(
+  101,
+  'register.introduce',
+  struct({ core: text }),
+  struct({ heard: flag }),
+);
+
 const EVERY = 1000;
 const ASK_LIMIT = 700;
 /** The part of an ask's limit that a machine which is behind is given to get to the newest revision. */
@@ -67,27 +86,13 @@
 /** How many turns fall into the time for which a voter must be silent to count as gone. */
 const TURNS = 2;
 
-type VoterChange = Extract<Act, { kind: 'addVoter' | 'removeVoter' }>;
-
-/** What one look at the voters and the learners showed. */
-interface Look {
-  readonly set: VoterSet;
-  /** Voters that vote and hold the newest committed revision on disk. */
-  readonly current: readonly Voter[];
-  /** Voters that never vote again: another disk answered in their place, or they are disqualified. */
-  readonly unrecoverable: readonly Voter[];
-  /** Voters that answered but do not vote now, as with a disk in trouble or before they know of their vote. */
-  readonly suspended: readonly Voter[];
-  readonly silent: readonly Voter[];
-  readonly leaving: readonly Voter[];
-  /** Learners that hold the newest committed revision on disk. */
-  readonly ready: readonly Voter[];
-}
-
 /** Whether a machine holds a revision on its disk and knows it to be committed. */
 const holds = (state: StateReply, revision: number): boolean =>
   state.revision >= revision && state.committed >= revision;
 
+/** Whether a machine holds no revision, so that it may not know of any group. */
+const isUnformed = (state: StateReply | undefined): boolean => state?.formed === false;
+
 /** Watches the voters, and replaces those that are gone. */
 export class VoterReplacement {
   private readonly learners = new Map<string, { voter: Voter; at: Moment }>();
@@ -99,6 +104,10 @@
   private readonly every: number;
   private looked: Moment;
   private last: Look | undefined;
+  private isChangeDue = false;
+  /** Where machines said that they stand, by id, for voters whose record does not tell. */
+  private readonly locations = new Map<string, Location>();
+  private readonly lossesReport: LossesReport;
   private stopping = false;
   private wake: () => void = () => undefined;
 
@@ -106,6 +115,7 @@
     private readonly member: Member,
     private readonly address: string,
     private readonly after: number,
+    private readonly tolerated: Losses,
     private readonly peers: Peers,
     private readonly voterDirectory: VoterDirectory,
     private readonly proposer: Proposer,
@@ -117,6 +127,7 @@
     this.liveness = new VoterLiveness(after);
     this.turn = new ChangeTurn(after / TURNS);
     this.looked = clock.now();
+    this.lossesReport = new LossesReport(tolerated, log);
   }
 
   /** Voters that hold the newest committed revision on disk, as this member saw at its last look. */
@@ -134,7 +145,21 @@
     return this.last?.ready.length ?? 0;
   }
 
+  /** The losses that the voters are to bear. */
+  get toleratedLosses(): Losses {
+    return this.tolerated;
+  }
+
+  /** The losses that the voters bear, as this member saw at its last look. */
+  get bearableLosses(): Losses {
+    return this.lossesReport.borne;
+  }
+
   serve(): void {
+    this.peers.handle(Introduce, ({ core }) => {
+      this.voterDirectory.learn(JSON.parse(core) as VoterSet);
+      return Right({ heard: true });
+    });
     this.peers.handle(Announce, (voter) => {
       const isNew = !this.learners.has(voter.id);
       if (isNew && this.learners.size >= LEARNERS_BOUND)
@@ -194,6 +219,7 @@
   private isHurried(): boolean {
     const { last } = this;
     if (!last || this.after === 0) return false;
+    if (this.isChangeDue) return true;
     const { members, wanted } = last.set;
     const isSpared =
       members.length > wanted || this.freshLearners(last.set, this.clock.now()).length > 0;
@@ -214,7 +240,12 @@
       limit / 2,
       Promise.all(
         contacts.map((contact) =>
-          this.peers.ask(contact, Announce, { id: this.member.id, address: this.address }, limit),
+          this.peers.ask(
+            contact,
+            Announce,
+            { id: this.member.id, address: this.address, ...this.member.location },
+            limit,
+          ),
         ),
       ),
     );
@@ -237,17 +268,20 @@
   private async watch(): Promise<boolean> {
     const look = await this.look();
     this.last = look;
+    this.lossesReport.note(look);
     if (this.after === 0) return false;
     const { set, silent, suspended, unrecoverable, leaving } = look;
     const staying = set.members.filter(
       (voter) => ![...silent, ...suspended, ...unrecoverable, ...leaving].includes(voter),
     );
-    const change = this.due(look);
+    const change = dueChange(look, this.member.id, this.tolerated);
+    this.isChangeDue = change !== undefined;
     if (!change) {
       this.turn.reset();
       return false;
     }
-    const candidates = staying.map(({ id }) => id);
+    const voteless = votelessBy(change);
+    const candidates = staying.map(({ id }) => id).filter((id) => id !== voteless);
     const due = { set: set.number, candidates };
     if (!this.turn.isOf(this.member.id, due, this.clock.now())) return false;
     if (!(await this.propose(change))) return false;
@@ -276,12 +310,14 @@
     this.looked = asked;
     const learners = this.freshLearners(set, asked);
     const states = await this.statesOf([...members, ...learners]);
+    this.noteLocations(states);
     const now = this.clock.now();
     const isPresent = (voter: Voter): boolean => states.get(voter)?.member === voter.id;
     const isUnrecoverable = (voter: Voter): boolean => {
       const state = states.get(voter);
       return state !== undefined && (!isPresent(voter) || state.vote === 'disqualified');
     };
+    this.introduceTo(members.filter((voter) => isUnformed(states.get(voter))));
     const present = members.filter(isPresent);
     this.liveness.note(
       members.map(({ id }) => id),
@@ -315,9 +351,29 @@
           states.get(voter)!.vote === 'non-voting' &&
           !this.liveness.isLeaving(voter.id),
       ),
+      locationOf: (voter) => this.locationOf(voter),
     };
   }
 
+  /** Remembers where voters and learners stand as they told, also while they are silent. */
+  private noteLocations(states: ReadonlyMap<Voter, StateReply | undefined>): void {
+    const known = new Set([...states.keys(), ...this.member.knownCore.members].map(({ id }) => id));
+    for (const id of this.locations.keys()) if (!known.has(id)) this.locations.delete(id);
+    for (const state of states.values())
+      if (state) this.locations.set(state.member, { zone: state.zone, region: state.region });
+  }
+
+  private locationOf({ id, zone, region }: Voter): Location {
+    if (zone !== undefined && region !== undefined) return { zone, region };
+    return this.locations.get(id) ?? NOWHERE;
+  }
+
+  /** Tells machines that hold nothing of the group that is there. */
+  private introduceTo(voters: readonly Voter[]): void {
+    const core = JSON.stringify(this.member.knownCore);
+    for (const { address } of voters) void this.peers.ask(address, Introduce, { core }, this.limit);
+  }
+
   /** The states of all that answer in time; who left the last ask unanswered is not waited for. */
   private async statesOf(voters: readonly Voter[]): Promise<Map<Voter, StateReply | undefined>> {
     for (const id of this.unheard)
@@ -362,30 +418,6 @@
     return reply.toMaybe().extract();
   }
 
-  /** The change of the voter set that is due by what was seen. */
-  private due(look: Look): VoterChange | undefined {
-    const { set, ready, unrecoverable, silent, leaving } = look;
-    const { number, wanted, members } = set;
-    const apart = ready.find((voter) => !members.some(({ address }) => address === voter.address));
-    if (apart && members.length < wanted)
-      return { kind: 'addVoter', voter: apart, expects: number };
-    const gone = (unrecoverable.length > 0 ? unrecoverable : silent).find(
-      ({ id }) => id !== this.member.id,
-    );
-    const left = look.current.filter((voter) => voter !== gone).length;
-    const isSpared = ready.length > 0 || members.length > wanted;
-    if (gone && isSpared && left >= majority(members.length - 1))
-      return { kind: 'removeVoter', id: gone.id, vacant: true, expects: number };
-    const leaver = leaving.find(({ id }) => id !== this.member.id);
-    if (!leaver) return undefined;
-    const others = look.current.filter((voter) => voter !== leaver).length;
-    if (members.length > wanted && others >= majority(members.length - 1))
-      return { kind: 'removeVoter', id: leaver.id, vacant: true, expects: number };
-    return apart && members.length === wanted
-      ? { kind: 'addVoter', voter: apart, expects: number, replaces: leaver.id }
-      : undefined;
-  }
-
   private async propose(act: VoterChange): Promise<boolean> {
     const id = `succession-${this.random.identity()}`;
     const told = await this.proposer.propose(
--- a/src/register/voters.ts
+++ b/src/register/voters.ts
@@ -1,7 +1,6 @@
 /** Changes of the voter set: one voter at a time, so that majorities before and after always meet. */
 import type { Act, VoterSet } from './document.js';
-
-export const VOTERS_BOUND = 9;
+import { VOTERS_BOUND } from './failure-domains.js';
 
 export type VoterChange = Extract<Act, { kind: 'addVoter' | 'removeVoter' }>;
 
@@ -42,6 +41,7 @@
       number: number + 1,
       wanted: replaces === undefined ? Math.max(wanted, count) : wanted,
       members: [...members, voter],
+      ...(replaces !== undefined && { replaced: replaces }),
     },
   };
 };
--- a/src/sim/nodes.ts
+++ b/src/sim/nodes.ts
@@ -150,6 +150,7 @@
     log,
     params.core.stall,
     base.invariants,
+    { zone: params.zone, region: params.region },
   );
   world.members.watch({
     fleet: site.fleet,
--- a/test/checker/channel.test.ts
+++ b/test/checker/channel.test.ts
@@ -26,6 +26,8 @@
       revision: 0,
       committed: 0,
       core: '',
+      zone: '',
+      region: '',
       whole: '',
     }),
   );
--- a/test/platform/samples.ts
+++ b/test/platform/samples.ts
@@ -5,12 +5,19 @@
 node_name = "${kind === 'front' ? 'edge-1' : 'core-1'}"
 ip_address = "10.0.0.5"
 zone = "north"
+region = "up"
 internal_port_range = [6100, 6107]
 seed_addresses = ["10.0.1.1:9000", "10.0.2.1:9000"]
 first_start = true
 ${kind === 'core' ? 'data_directory = "/disk/core"' : ''}
 [listen_addresses]
 ${kind === 'front' ? 'front = "10.0.0.5:8000"\nreadiness = "10.0.0.5:8001"' : 'control = "10.0.0.5:9000"'}
+[zones]
+north = "up"
+south = "up"
+east = "side"
+west = "side"
+middle = "side"
 [limits]
 memory_mb = 400
 disk_mb = 0
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -134,3 +134,16 @@
   await writeFile(file, settingsText('front'));
   expect((await readAgain()).unsafeCoerce()).toEqual(first);
 });
+
+test('voters follow from the machines, zones and regions that may be lost, as far as there are zones for it', async () => {
+  const paramsWith = async (losses: string): Promise<unknown> =>
+    (await read(settingsText('core').replace('machines = 1', losses))).chain(paramsOf).extract();
+  expect(await paramsWith('machines = 1')).toMatchObject({
+    region: 'up',
+    layout: { north: 'up', south: 'up', east: 'side', west: 'side', middle: 'side' },
+    core: { wanted: 3, tolerates: { machines: 1, zones: 0, regions: 0 } },
+  });
+  expect(await paramsWith('machines = 1\nzones = 2\nregions = 1\nracks = 3')).toMatchObject({
+    core: { wanted: 5, tolerates: { machines: 1, zones: 2, regions: 1 } },
+  });
+});
--- a/test/redundancy/cluster.ts
+++ b/test/redundancy/cluster.ts
@@ -6,6 +6,7 @@
 import type { Log } from '../../src/kernel/log/log.js';
 import { silentLog } from '../../src/kernel/log/log.js';
 import type { VoterSet } from '../../src/register/document.js';
+import type { Layout, Location, Losses } from '../../src/register/failure-domains.js';
 import { SimDisk } from '../../src/sim/disk.js';
 import {
   simCore,
@@ -34,18 +35,33 @@
 export interface ClusterOptions {
   readonly seed: number;
   /** How many voters are wanted. */
-  readonly wanted: 3 | 5;
+  readonly wanted: number;
   readonly routers: number;
   /** How many machines are there at the first start, where that is not as many as voters are wanted. */
   readonly initial?: number;
+  /** Where the machine of a number stands; all in one zone where it is left out. */
+  readonly placeOf?: (number: number) => Location;
+  /** What the voters are to bear, where it is not `(wanted - 1) / 2` machines. */
+  readonly tolerates?: Losses;
+  /** The machines that all are told as seeds, at each start; left out, those that are there then. */
+  readonly seeds?: readonly number[];
   readonly log?: Log | undefined;
 }
 
+const ONE_PLACE: Location = { zone: 'z', region: 'r' };
+
 const coreAddress = (number: number): string => `10.0.0.${number}:1`;
 const routerAddress = (number: number): string => `10.0.1.${number}:1`;
 
 /** The params as `paramsOf` of the platform derives them from the bounds above. */
-const paramsFor = (wanted: number, form: boolean): object => ({
+const paramsFor = (
+  { wanted, tolerates }: ClusterOptions,
+  region: string,
+  layout: Layout,
+  form: boolean,
+): object => ({
+  region,
+  layout,
   form,
   firstStart: form ? 'yes' : 'no',
   lease: {
@@ -59,6 +75,7 @@
   core: {
     replaceAfter: CATCH_UP / 4,
     wanted,
+    tolerates: tolerates ?? { machines: (wanted - 1) / 2, zones: 0, regions: 0 },
     keep: 2,
     keepBytes: 1 << 25,
     stall: ACKNOWLEDGE / 5,
@@ -82,13 +99,14 @@
     this.world.net.jitter = JITTER;
   }
 
-  /** Starts the first machines, and waits until they vote and all routers follow them. */
+  /** Starts the first machines, and waits until as many as are wanted vote and all routers follow them. */
   async begin(): Promise<boolean> {
     const { wanted, routers, initial = wanted } = this.options;
     const numbers = Array.from({ length: initial }, (_, at) => at + 1);
     for (const number of numbers) this.start(number, true);
     for (let at = 0; at < routers; at++) this.startRouter(at);
-    const areVoting = (): boolean => this.alive.every(({ member }) => member.state().voting);
+    const areVoting = (): boolean =>
+      this.alive.filter(({ member }) => member.state().voting).length === Math.min(wanted, initial);
     return this.world.run(
       FORMING_LIMIT,
       () =>
@@ -103,12 +121,13 @@
     const disk = this.disks.get(number) ?? this.newDisk();
     this.disks.set(number, disk);
     this.newestNumber = Math.max(this.newestNumber, number);
-    const site = this.site(form);
+    const { zone, region } = this.placeOf(number);
+    const site = this.site(form, region);
     const core = simCore(
       this.world,
       `core-${number}`,
       coreAddress(number),
-      'z',
+      zone,
       disk,
       site,
       this.options.log ?? silentLog,
@@ -123,8 +142,8 @@
       this.world,
       `router-${at}`,
       routerAddress(at),
-      'z',
-      this.site(false),
+      ONE_PLACE.zone,
+      this.site(false, ONE_PLACE.region),
       () => () => Promise.resolve(failed('list', 'platform', 'there is none')),
       () => undefined,
     );
@@ -251,17 +270,27 @@
     return disk;
   }
 
+  placeOf(number: number): Location {
+    return this.options.placeOf?.(number) ?? ONE_PLACE;
+  }
+
+  /** The zones that the machines of the first start stand in. */
+  private get layout(): Layout {
+    const { wanted, initial = wanted } = this.options;
+    const places = Array.from({ length: initial }, (_, at) => this.placeOf(at + 1));
+    return Object.fromEntries(places.map(({ zone, region }) => [zone, region]));
+  }
+
   /** Three core machines that are there, as an operator would name them now. */
-  private site(form: boolean): SimSite {
-    const { wanted } = this.options;
+  private site(form: boolean, region: string): SimSite {
     const present = this.alive.map(({ host }) => host.address).reverse();
     const known = [...this.cores.keys()].map(coreAddress).reverse();
     const first = Array.from({ length: SEED_COUNT }, (_, at) => coreAddress(at + 1));
     const seeds = form ? first : [...new Set([...present, ...known, ...first])];
     return {
       fleet: 'f',
-      seeds: seeds.slice(0, SEED_COUNT),
-      over: paramsFor(wanted, form),
+      seeds: this.options.seeds?.map(coreAddress) ?? seeds.slice(0, SEED_COUNT),
+      over: paramsFor(this.options, region, this.layout, form),
     };
   }
 }
