--- a/src/faces/common/face.ts
+++ b/src/faces/common/face.ts
@@ -3,6 +3,7 @@
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify';
 import { attempt, type Outcome } from '../../kernel/fault/fault.js';
+import { readAllFields } from '../../kernel/net/http-server.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Application } from './on-demand-face.js';
 
@@ -39,6 +40,7 @@
       },
     }),
   });
+  readAllFields(adapter.getInstance().server);
   return NestFactory.create<NestFastifyApplication>(
     FaceModule.with(controllers, services),
     adapter,
--- a/src/faces/common/plain-face.ts
+++ b/src/faces/common/plain-face.ts
@@ -2,10 +2,11 @@
  * A small HTTP server for questions that a process answers by itself, without an application: it costs a process little
  * to start and little to answer. Whatever is not such a question goes to a handler.
  */
-import { createServer, type RequestListener, type Server, type ServerResponse } from 'node:http';
+import type { RequestListener, Server, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { Right } from 'purify-ts';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
+import { createHttpServer } from '../../kernel/net/http-server.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Face } from '../../node/extension.js';
 
@@ -48,7 +49,7 @@
     private readonly answers: Answers,
     private readonly otherwise: RequestListener = notFound,
   ) {
-    this.server = createServer(
+    this.server = createHttpServer(
       { requestTimeout: 0, keepAliveTimeout: KEEP_ALIVE },
       (request, response) => {
         const asks = READING_METHODS.has(request.method ?? '');
--- a/src/faces/requests/face.ts
+++ b/src/faces/requests/face.ts
@@ -4,7 +4,7 @@
  * processor time on each request. What the server itself keeps to are the limits in force on headers and idle time,
  * and the order of a planned stop: say so on every answer, then take nothing new, then close.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 import { Right } from 'purify-ts';
 import type { Face } from '../../node/extension.js';
@@ -13,12 +13,17 @@
 import type { Clock, Duration } from '../../kernel/clock/clock.js';
 import { failed, reasonOf, type Outcome } from '../../kernel/fault/fault.js';
 import { arrivedIsRead } from '../../kernel/net/arrived.js';
+import { boundHeaders, createHttpServer } from '../../kernel/net/http-server.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Limits } from '../../route/shape.js';
 import { Connections } from './connections.js';
 
-/** Header bytes are bounded by the limits in force, later on; the parser's own bound only has to lie above them. */
+/**
+ * Header bytes are bounded by the limits in force, later on. The parser's own bound, in bytes, only has to lie above them: it
+ * counts blanks too, which the limits don't.
+ */
 const HEADER_BOUND = 128 * 1024;
+const HEADER_BOUND_FACTOR = 2;
 const HEADER_TIMEOUT = 10_000;
 const IDLE_TIMEOUT = 15_000;
 const CHECK_EVERY = 1000;
@@ -47,7 +52,7 @@
       () => this.idleLimit(),
       () => this.headerLimit(),
     );
-    this.server = createServer({
+    this.server = createHttpServer({
       maxHeaderSize: HEADER_BOUND,
       insecureHTTPParser: false,
       noDelay: true,
@@ -56,9 +61,10 @@
       connectionsCheckingInterval: CHECK_EVERY,
       keepAliveTimeout: IDLE_TIMEOUT,
     });
+    // The server sets its parser up as it hears of a connection, by the limits in force by then.
+    this.server.prependListener('connection', () => this.heed());
     this.server.on('connection', (socket: Socket) => {
       this.accepted += 1;
-      this.heed();
       this.connections.add(socket);
     });
     this.server.on('request', (request, response) => this.take(request, response));
@@ -179,6 +185,10 @@
     this.heeded = limits;
     this.server.headersTimeout = this.headerLimit();
     this.server.keepAliveTimeout = this.toldIdleLimit();
+    boundHeaders(
+      this.server,
+      Math.max(HEADER_BOUND, HEADER_BOUND_FACTOR * (limits.headerBytes ?? 0)),
+    );
     return true;
   }
 }
--- a/src/fleet/slopes/forwarding.ts
+++ b/src/fleet/slopes/forwarding.ts
@@ -2,12 +2,13 @@
  * Routing work on loopback: one process with a router's own forwarder in front of one with stand-in engines, so that the
  * forwarder's processor time and memory are told apart from the engines' and the callers'.
  */
-import { createServer, type ServerResponse } from 'node:http';
+import type { RequestListener, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { setTimeout as pause } from 'node:timers/promises';
 import { NestFactory } from '@nestjs/core';
 import type { InForce } from '../../doorway/match.js';
 import type { Forwarder } from '../../forward/forwarder.js';
+import { createHttpServer } from '../../kernel/net/http-server.js';
 import { silentLog } from '../../kernel/log/log.js';
 import { names } from '../../node/names.js';
 import { checkParams } from '../../params/shape.js';
@@ -20,8 +21,8 @@
 export const SERVICE = 'slopes';
 const SEAL = { 'x-answer-seal': 'seal' };
 
-const portOf = async (handle: Parameters<typeof createServer>[1]): Promise<number> => {
-  const server = createServer({ keepAliveTimeout: 60_000 }, handle);
+const portOf = async (handle: RequestListener): Promise<number> => {
+  const server = createHttpServer({ keepAliveTimeout: 60_000 }, handle);
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
   return (server.address() as AddressInfo).port;
 };
--- a/src/passage/exchange.ts
+++ b/src/passage/exchange.ts
@@ -36,6 +36,10 @@
   });
 };
 
+/** The id that an engine is told for one send of a request: unlike that of any other send, with the caller's whole id. */
+export const idOfSend = (node: string, send: number, request: string): string =>
+  `${node}-${send}-${request}`;
+
 /** Sends requests to engines and notes in the index what they make there. */
 export class EngineExchange {
   private sends = 0;
@@ -60,7 +64,7 @@
   ): Promise<Leg> {
     const { engine } = slot;
     const { blockTokens } = this.params;
-    const passageId = `${this.node}-${++this.sends}-${trip.request.id}`.slice(0, 200);
+    const passageId = idOfSend(this.node, ++this.sends, trip.request.id);
     const body = bodyOf(trip);
     const headers = this.headersOf(trip, slot, passageId);
     const reserve = trip.tokens + trip.reply + blockTokens;
--- a/src/stand/engine/engine.ts
+++ b/src/stand/engine/engine.ts
@@ -4,9 +4,10 @@
  * judge, and can be told over /stand to misbehave: to reset, to go dark, to answer under another identifier, to end
  * streams early.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { setTimeout as pause } from 'node:timers/promises';
 import { createHash, randomBytes } from 'node:crypto';
+import { createHttpServer } from '../../kernel/net/http-server.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import { BlockCache } from './cache.js';
 
@@ -62,7 +63,8 @@
 
   listen(): Promise<string> {
     const { host, port } = parseAddress(this.params.address);
-    const server = createServer(
+    const server = createHttpServer(
+      {},
       (request, response) => void this.answer(request, response).catch(() => response.destroy()),
     );
     server.keepAliveTimeout = 60_000;
--- a/src/stand/opaque/engine.ts
+++ b/src/stand/opaque/engine.ts
@@ -3,9 +3,10 @@
  * gets a stream of events, any other one body (of `bytes=N` in its query). It works in batches, turns away what is
  * meant for another engine or finds no room, leaves in order, and misbehaves when told to.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { ownDialect, type Dialect } from '../../forward/dialect.js';
+import { createHttpServer } from '../../kernel/net/http-server.js';
 import type { Clock } from '../../kernel/clock/clock.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import { Reply } from './reply.js';
@@ -79,7 +80,7 @@
   ) {
     this.params = { ...defaultOpaqueEngine, ...params };
     this.batch = new Batch(this.params, clock);
-    this.server = createServer(
+    this.server = createHttpServer(
       { keepAliveTimeout: this.params.idle, requestTimeout: 0, headersTimeout: 0 },
       (request, response) => this.take(request, response),
     );
--- a/src/stand/platform/platform.ts
+++ b/src/stand/platform/platform.ts
@@ -2,7 +2,8 @@
  * The stand-in platform: a list of engines that lags behind what was told to it, in pages where asked for, behind a rate
  * limit that answers 429. Entries are put, marked as leaving and dropped over /stand.
  */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
+import { createHttpServer } from '../../kernel/net/http-server.js';
 import { SystemClock, type Clock } from '../../kernel/clock/clock.js';
 import { parseAddress } from '../../kernel/net/net.js';
 import type { Listed } from '../../pool/engine.js';
@@ -50,7 +51,7 @@
 
   listen(): Promise<string> {
     const { host, port } = parseAddress(this.params.address);
-    const server = createServer((request, response) => {
+    const server = createHttpServer({}, (request, response) => {
       const send = (status: number, text: string, headers: Record<string, string> = {}): void =>
         void response
           .writeHead(status, { 'content-type': 'application/json', ...headers })
--- a/test/unit/passage.test.ts
+++ b/test/unit/passage.test.ts
@@ -5,6 +5,7 @@
 import { StreamSink } from '../../src/faces/callers/sinks.js';
 import { Journal } from '../../src/kernel/journal/journal.js';
 import { Chart, type PassageEvent } from '../../src/passage/chart.js';
+import { idOfSend } from '../../src/passage/exchange.js';
 import { Lines, type Liner } from '../../src/passage/line.js';
 import { RetryBudget } from '../../src/passage/retry.js';
 import { SseReader } from '../../src/passage/sse.js';
@@ -108,3 +109,8 @@
     expect(reader.empty).toBe(false);
   }
 });
+
+test('an engine is told the whole id of a request, however long it and the name of the node are', () => {
+  const [node, request] = ['n'.repeat(86), 'r'.repeat(128)];
+  expect(idOfSend(node, 1234, request)).toBe(`${node}-1234-${request}`);
+});
