No better spread is looked for without learners

Cause: each look at the voters compared sets that could not change. Change: without a learner nothing is compared.

--- a/src/register/voter-change.ts
+++ b/src/register/voter-change.ts
@@ -113,7 +113,8 @@
   /** A learner in the place of a voter, where the voters would bear more of the losses that are asked then. */
   private betterSpread(): VoterChange | undefined {
     const { leaving, set } = this.look;
-    if (leaving.length > 0 || this.members.length > set.wanted) return undefined;
+    if (this.learners.length === 0 || leaving.length > 0) return undefined;
+    if (this.members.length > set.wanted) return undefined;
     const count = this.members.length;
     const best = this.bestVoters(count, count);
     if (this.shortfallOf(best) >= this.shortfallOf(this.candidates(this.members))) return undefined;
