--- a/src/register/bootstrap/bootstrap.ts
+++ b/src/register/bootstrap/bootstrap.ts
@@ -135,7 +135,8 @@
   /** Forms the group as soon as that is safe, unless there is one. */
   async run(signal: AbortSignal): Promise<void> {
     const began = this.clock.now();
-    const { seeds, address, wanted, tolerated } = this.options;
+    const { seeds, address, tolerated } = this.options;
+    const { wanted } = this;
     const evidence = this.evidence();
     const rank = inOrder(seeds).indexOf(address);
     let waited = '';
@@ -161,13 +162,18 @@
     }
   }
 
+  /** How many voters there should be. */
+  private get wanted(): number {
+    return Math.max(this.options.wanted, this.options.seeds.length);
+  }
+
   /** What proves that there is no group: at the first start the seeds alone, since they are the same on all machines then. */
   private evidence(): Evidence {
-    const { seeds, wanted, fixedSeeds, tolerated, layout } = this.options;
+    const { seeds, fixedSeeds, tolerated, layout } = this.options;
     if (fixedSeeds) return evidenceOf(seeds.length);
     const span = spanOf(layout);
     return {
-      machines: Math.max(wanted, seeds.length),
+      machines: this.wanted,
       zones: domainsBeyond(tolerated.zones, span.zones),
       regions: domainsBeyond(tolerated.regions, span.regions),
     };
@@ -195,7 +201,8 @@
     if (plan.seeds.join() !== ordered.join())
       return failed('bootstrap.begin', 'core', 'a group of other members was begun there');
     // The voters are those that the operator named.
-    return this.attempt(plan, survey, { wanted, tolerated: NO_LOSSES });
+    const voters = Math.max(wanted, ordered.length);
+    return this.attempt(plan, survey, { wanted: voters, tolerated: NO_LOSSES });
   }
 
   /** A group exists, and if this member is among the first voters, its first revision is known to be committed. */
@@ -209,8 +216,9 @@
   /** Whether nothing is gained by waiting for further machines. */
   private complete(survey: Survey): boolean {
     const { answers } = survey;
-    const { seeds, wanted, tolerated } = this.options;
-    if (answers.size < Math.max(seeds.length, wanted)) return false;
+    const { seeds, tolerated } = this.options;
+    const { wanted } = this;
+    if (answers.size < wanted) return false;
     if (!seeds.every((seed) => answers.has(seed))) return false;
     return shortfall(firstVoters(seeds, wanted, tolerated, survey), tolerated) === 0;
   }
@@ -274,11 +282,7 @@
     const document =
       newest?.document ??
       encodeDocument(
-        genesis(
-          this.peers.self.fleet,
-          firstVoters(seeds, wanted, tolerated, survey),
-          Math.max(wanted, seeds.length),
-        ),
+        genesis(this.peers.self.fleet, firstVoters(seeds, wanted, tolerated, survey), wanted),
       );
     const accepted = sound(
       await gather(
@@ -365,7 +369,10 @@
   private async install(document: Uint8Array): Promise<Outcome<void>> {
     const decoded = decodeDocument(document, 'bootstrap');
     if (decoded.isLeft()) return decoded as Outcome<never>;
-    const { members } = decoded.unsafeCoerce().core;
+    const { core } = decoded.unsafeCoerce();
+    const { members } = core;
+    // The seeds need not know the voters any more, as when all of them were lost with their zone.
+    this.voterDirectory.learn(core);
     const replies = await gather(
       members.map(({ address }) => address),
       (address) => this.peers.ask(address, Form, { document }, ASK_LIMIT),
--- a/src/register/bootstrap/evidence.ts
+++ b/src/register/bootstrap/evidence.ts
@@ -49,7 +49,7 @@
   { answers }: Survey,
 ): string => {
   if (seeds.length < machines) return `only ${seeds.length} of ${machines} are known`;
-  const spanned = spannedBy(seeds.map((seed) => answers.get(seed)!));
+  const spanned = spannedBy(seeds.flatMap((seed) => answers.get(seed) ?? []));
   if (spanned.zones < zones)
     return `those that are known stand in ${spanned.zones} of at least ${zones} zones`;
   return spanned.regions < regions
@@ -73,9 +73,8 @@
   for (const [address, { formed, core }] of answers)
     if (formed) return { kind: 'formed', core: JSON.parse(core) as VoterSet, by: address };
   const bound = boundSeeds(self, survey);
-  const seeds =
-    bound ??
-    inOrder(configured.length >= evidence.machines ? configured : [...configured, ...survey.asked]);
+  const isEnough = lackOf(evidence, configured, survey) === '';
+  const seeds = bound ?? inOrder(isEnough ? configured : [...configured, ...survey.asked]);
   if (!seeds.includes(self)) return wait('not a seed');
   const voters = seeds.filter((seed) => votesFor(seeds, answers.get(seed)));
   if (voters.length >= majority(seeds.length))
@@ -115,7 +114,6 @@
     location: { zone, region },
     rank: seeds.includes(address) ? RANK.seed : RANK.other,
   }));
-  const most = Math.max(wanted, seeds.length);
-  const chosen = new Set(chooseVoters(candidates, 1, most, tolerated).map(({ id }) => id));
+  const chosen = new Set(chooseVoters(candidates, 1, wanted, tolerated).map(({ id }) => id));
   return voters.filter(({ id }) => chosen.has(id)).sort((a, b) => (a.id < b.id ? -1 : 1));
 };
--- a/test/redundancy/zones.test.ts
+++ b/test/redundancy/zones.test.ts
@@ -105,6 +105,56 @@
   });
 });
 
+describe('at any moment of the first start', () => {
+  const LAYOUTS: ReadonlyArray<readonly [layout: string, seeds: readonly number[]]> = [
+    ['a a a b c', [1, 2, 3]],
+    ['a a b b c', [1, 2, 3]],
+    ['a b c a b', [1, 2, 3]],
+  ];
+  const MOMENTS = [0, 5, 10, 15, 20, 30, 40, 60, 100, 200, 400, 700, 1000, 1500];
+
+  /** The first start goes on for a moment, then machines are lost; all are there again later, and there is one group. */
+  const play = async (
+    [layout, seeds]: readonly [string, readonly number[]],
+    moment: number,
+    end: (plane: ControlPlane) => readonly number[],
+  ): Promise<void> => {
+    const told = `${layout}, ${moment} ms`;
+    const day = new Day(optionsFor(1 + moment, layoutOf(layout), ONE_ZONE, { seeds, routers: 0 }));
+    const { plane, operators } = day;
+    const numbers = layoutOf(layout).map((_, at) => at + 1);
+    for (const number of numbers) plane.start(number, true);
+    await plane.pass(moment);
+    const ended = end(plane);
+    await plane.pass(300);
+    for (const number of ended) plane.start(number);
+    expect(await plane.pass(CATCH_UP, () => bears(plane, ONE_ZONE)), told).toBe(true);
+    expect(await plane.world.until(operators.change()), told).toBe(true);
+    operators.run();
+    await day.recovered();
+  };
+
+  test('a zone is lost with its disks', async () => {
+    for (const layout of LAYOUTS)
+      for (const moment of MOMENTS)
+        await play(layout, moment, (plane) => {
+          const lost = machinesIn(plane, ({ zone }) => zone === 'a');
+          for (const number of lost) plane.loseDisk(number);
+          return lost;
+        });
+  });
+
+  test('all machines are killed', async () => {
+    for (const layout of LAYOUTS)
+      for (const moment of MOMENTS)
+        await play(layout, moment, (plane) => {
+          const all = [...plane.cores.keys()];
+          for (const number of all) plane.kill(number);
+          return all;
+        });
+  });
+});
+
 test('a zone that goes dark and comes back with its disks has its voter again in time', async () => {
   for (const seed of RANDOM_SEEDS) {
     const day = new Day(optionsFor(seed, layoutOf('a a b b c'), ONE_ZONE));
@@ -125,11 +175,12 @@
     const day = new Day(optionsFor(seed, places, ONE_ZONE, { initial: 5 }));
     const { plane } = day;
     await day.begin();
-    void plane.stop(1);
+    const stopped = plane.stop(1);
     expect(await plane.pass(CATCH_UP, () => !plane.voterNumbers.includes(1))).toBe(true);
     expect(plane.startAnother()).toBe(6);
     expect(await plane.pass(CATCH_UP, () => bears(plane, ONE_ZONE)), `seed ${seed}`).toBe(true);
     expect(plane.voterNumbers).toContain(6);
+    await plane.world.until(stopped);
     await day.recovered();
   }
 });
