--- a/test/days/engines.test.ts
+++ b/test/days/engines.test.ts
@@ -29,4 +29,9 @@
     'rivals',
     'resumed',
   ],
+  1,
+  [
+    ['streams-break', 2],
+    ['streams-break', 3],
+  ],
 );
--- a/test/days/play.ts
+++ b/test/days/play.ts
@@ -23,15 +23,17 @@
   ).toEqual([]);
 };
 
-/** A day for each failure alone. */
+/** A day for each failure alone, and further ones by seed for a situation that comes up in most of a failure's days only. */
 export const eachAlone = (
   faults: readonly FaultName[],
   situations: readonly Situation[],
-  seed = 1,
+  firstSeed = 1,
+  further: ReadonlyArray<readonly [fault: FaultName, seed: number]> = [],
 ): void => {
   const days: DayResult[] = [];
-  for (const fault of faults)
-    test(`a day with ${fault}`, async () => {
+  const alone = faults.map((fault) => [fault, firstSeed] as const);
+  for (const [fault, seed] of [...alone, ...further])
+    test(`a day with ${fault}, seed ${seed}`, async () => {
       const day = await playDay(dayOf(fault, 16), seed);
       days.push(day);
       expect(day.findings).toEqual([]);
