--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -14,7 +14,7 @@
 /** `catch_up_s`: how long a machine that is new counts as lost. */
 const CATCH_UP_MS = 4000;
 /** How long the machine that is down stays so: the largest dose on the site's days. */
-const DOWN_MS = 3500;
+const DOWN_MS = 4200;
 /** `recovery_s`, and twice as much again. */
 const RECOVERY_MS = 12_000;
 const WATCHED_MS = 3 * RECOVERY_MS;
