--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -6,7 +6,7 @@
 import { rmSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
-import { configurationOf, Record, routeOf, sleep, World } from '../stand-2/world.mjs';
+import { configurationOf, Record, routeOf, sleep, World } from '../world-2.mjs';
 
 const here = dirname(fileURLToPath(import.meta.url));
 const isTroubled = process.env.TROUBLE !== '0';
--- a/review/stand-2/engine.mjs
+++ b/review/engine-2.mjs
@@ -3,7 +3,7 @@
  * the case, which writes what it likes; without one it answers as a sound engine does.
  */
 import net from 'node:net';
-import { listen } from './world.mjs';
+import { listen } from './world-2.mjs';
 
 let lives = 0;
 
--- a/review/stand-2/world.mjs
+++ b/review/world-2.mjs
@@ -11,7 +11,7 @@
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 
-export const root = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
+export const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 const MODEL = 'm';
